feat: workspace, shared types and settings texts

Cause: the duties need common names, numbers, resources and time, and settings that are refused whole with section, key and reason. Conclusion: the duties can be built side by side.

--- /dev/null
+++ b/crates/parsleytally-agent/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/parsleytally/src/configs/batch.rs
@@ -0,0 +1,66 @@
+//! Settings of one batch task: `/parsleytally/teams/{team}/batch/{name}`.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::{ConfigError, Document};
+use crate::types::{Bytes, MilliCpu, Resources};
+
+/// A batch task as its team declares it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BatchConfig {
+    /// Declared need: keys `cpu` (thousandths), `memory` (such as `64MiB`), `accelerators`.
+    pub need: Resources,
+    /// Declared run time: key `run-time`, such as `90s`.
+    pub run_time: Duration,
+    /// Class that tasks of the same behaviour share: key `class`.
+    pub class: String,
+    /// Whether it goes before work that is not urgent: key `urgent`.
+    pub urgent: bool,
+    /// What the worker runs: key `command`, passed on unread.
+    pub command: String,
+}
+
+impl Default for BatchConfig {
+    fn default() -> Self {
+        Self {
+            need: Resources::new(100, 64 << 20, 0),
+            run_time: Duration::from_secs(60),
+            class: "default".to_owned(),
+            urgent: false,
+            command: String::new(),
+        }
+    }
+}
+
+impl BatchConfig {
+    /// Parses a settings text with the one section `[task]`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ConfigError`] for the first problem; nothing is accepted in part.
+    pub fn parse(text: &[u8]) -> Result<Self, ConfigError> {
+        let base = Self::default();
+        let mut document = Document::parse(text)?;
+        let mut task = document.take("task");
+        let config = Self {
+            need: Resources {
+                cpu: MilliCpu(task.take_or("cpu", base.need.cpu.0)?),
+                memory: task.take_with("memory", base.need.memory, parse_bytes)?,
+                accelerators: task.take_or("accelerators", base.need.accelerators)?,
+            },
+            run_time: task.take_with("run-time", base.run_time, humantime::parse_duration)?,
+            class: task.take_or("class", base.class)?,
+            urgent: task.take_or("urgent", base.urgent)?,
+            command: task.take_or("command", base.command)?,
+        };
+        task.finish()?;
+        document.finish()?;
+        Ok(config)
+    }
+}
+
+pub(super) fn parse_bytes(text: &str) -> Result<Bytes, String> {
+    text.parse::<bytesize::ByteSize>().map(|size| Bytes(size.0))
+}
--- /dev/null
+++ b/crates/parsleytally/src/configs/mod.rs
@@ -0,0 +1,21 @@
+//! Settings of operators, one file per kind.
+//!
+//! Every kind is a plain struct whose `Default` is the documented default. A text
+//! is parsed as INI and refused whole on the first problem, with section, key and
+//! reason; unknown sections and keys are problems.
+
+mod batch;
+mod ini;
+mod quota;
+mod service;
+
+pub use batch::BatchConfig;
+pub use ini::{ConfigError, Document, Section};
+pub use quota::QuotaConfig;
+pub use service::ServiceConfig;
+
+/// Largest accepted settings text, in bytes.
+pub const MAX_CONFIG_BYTES: usize = 64 * 1024;
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/parsleytally/src/types/resources.rs
@@ -0,0 +1,109 @@
+//! Amounts of processors, memory and accelerators.
+
+use std::fmt;
+
+use derive_more::{Add, AddAssign, Display, From, Into};
+use serde::{Deserialize, Serialize};
+
+/// Thousandths of a processor.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Add,
+    AddAssign,
+    Display,
+    From,
+    Into,
+    Serialize,
+    Deserialize,
+)]
+#[display("{_0}m")]
+pub struct MilliCpu(pub u64);
+
+/// An amount of memory in bytes.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Add,
+    AddAssign,
+    Display,
+    From,
+    Into,
+    Serialize,
+    Deserialize,
+)]
+#[display("{}", bytesize::ByteSize(*_0))]
+pub struct Bytes(pub u64);
+
+/// What a worker has or a task needs.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Resources {
+    /// Processors, in thousandths.
+    pub cpu: MilliCpu,
+    /// Memory, in bytes.
+    pub memory: Bytes,
+    /// Whole accelerators.
+    pub accelerators: u32,
+}
+
+impl Resources {
+    /// No resources at all.
+    pub const NONE: Self = Self {
+        cpu: MilliCpu(0),
+        memory: Bytes(0),
+        accelerators: 0,
+    };
+
+    /// Creates an amount from thousandths of processors, bytes and whole accelerators.
+    pub const fn new(cpu: u64, memory: u64, accelerators: u32) -> Self {
+        Self {
+            cpu: MilliCpu(cpu),
+            memory: Bytes(memory),
+            accelerators,
+        }
+    }
+
+    /// Sum of both amounts, or `None` on overflow.
+    pub fn checked_add(&self, other: &Self) -> Option<Self> {
+        Some(Self {
+            cpu: MilliCpu(self.cpu.0.checked_add(other.cpu.0)?),
+            memory: Bytes(self.memory.0.checked_add(other.memory.0)?),
+            accelerators: self.accelerators.checked_add(other.accelerators)?,
+        })
+    }
+
+    /// What remains after taking `other`, or `None` where it is not covered.
+    pub fn checked_sub(&self, other: &Self) -> Option<Self> {
+        Some(Self {
+            cpu: MilliCpu(self.cpu.0.checked_sub(other.cpu.0)?),
+            memory: Bytes(self.memory.0.checked_sub(other.memory.0)?),
+            accelerators: self.accelerators.checked_sub(other.accelerators)?,
+        })
+    }
+
+    /// Whether this amount is covered by `room` in every dimension.
+    pub fn fits(&self, room: &Self) -> bool {
+        room.checked_sub(self).is_some()
+    }
+}
+
+impl fmt::Display for Resources {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "cpu {}, memory {}", self.cpu, self.memory)?;
+        write!(f, ", accelerators {}", self.accelerators)
+    }
+}
--- /dev/null
+++ b/crates/parsleytally/src/types/tests.rs
@@ -0,0 +1,114 @@
+//! Tests of the shared types.
+
+use super::*;
+
+struct NameCase {
+    text: &'static str,
+    valid: bool,
+}
+
+#[test]
+fn names_are_checked() {
+    let long = "a".repeat(64);
+    let cases = [
+        NameCase {
+            text: "demo",
+            valid: true,
+        },
+        NameCase {
+            text: "pew-7.a_b",
+            valid: true,
+        },
+        NameCase {
+            text: "7th",
+            valid: true,
+        },
+        NameCase {
+            text: "",
+            valid: false,
+        },
+        NameCase {
+            text: "..",
+            valid: false,
+        },
+        NameCase {
+            text: ".hidden",
+            valid: false,
+        },
+        NameCase {
+            text: "a/b",
+            valid: false,
+        },
+        NameCase {
+            text: "Demo",
+            valid: false,
+        },
+        NameCase {
+            text: "órgão",
+            valid: false,
+        },
+    ];
+    for case in cases {
+        assert_eq!(
+            TeamName::new(case.text).is_ok(),
+            case.valid,
+            "{:?}",
+            case.text
+        );
+    }
+    assert!(TeamName::new(&long).is_err());
+}
+
+struct FitCase {
+    need: Resources,
+    room: Resources,
+    fits: bool,
+}
+
+#[test]
+fn resources_fit_only_when_every_dimension_does() {
+    let cases = [
+        FitCase {
+            need: Resources::new(1, 1, 1),
+            room: Resources::new(1, 1, 1),
+            fits: true,
+        },
+        FitCase {
+            need: Resources::new(2, 1, 1),
+            room: Resources::new(1, 9, 9),
+            fits: false,
+        },
+        FitCase {
+            need: Resources::new(1, 2, 1),
+            room: Resources::new(9, 1, 9),
+            fits: false,
+        },
+        FitCase {
+            need: Resources::new(1, 1, 2),
+            room: Resources::new(9, 9, 1),
+            fits: false,
+        },
+        FitCase {
+            need: Resources::NONE,
+            room: Resources::NONE,
+            fits: true,
+        },
+    ];
+    for case in cases {
+        assert_eq!(
+            case.need.fits(&case.room),
+            case.fits,
+            "{} in {}",
+            case.need,
+            case.room
+        );
+    }
+}
+
+#[test]
+fn time_never_goes_below_its_origin() {
+    let early = Time::from_secs(1);
+    let late = early.after(std::time::Duration::from_millis(1500));
+    assert_eq!(late, Time::from_millis(2500));
+    assert_eq!(early.since(late), std::time::Duration::ZERO);
+}
