--- a/crates/parsleytally/src/lib.rs
+++ b/crates/parsleytally/src/lib.rs
@@ -10,4 +10,5 @@
 //! [`configs`] holds the settings of operators, one file per kind.
 
 pub mod configs;
+pub mod grants;
 pub mod types;
