feat(placement): filter, score and fair queue over a grid of workers

Cause: a waiting task needs a worker chosen from stale and partial reports, at a cost that does not grow with the fleet. Change: a state machine with a grid of free room, weighted dominant shares, urgent work first with a bound, reservations after long waits, reasons per worker, and parking of tasks that no worker could hold. Conclusion: tests cover refused and doubled answers, stale reports, quotas, starvation and a random run that never passes what a worker has.

--- a/crates/parsleytally/src/configs/mod.rs
+++ b/crates/parsleytally/src/configs/mod.rs
@@ -6,11 +6,13 @@
 
 mod batch;
 mod ini;
+mod placement;
 mod quota;
 mod service;
 
 pub use batch::BatchConfig;
 pub use ini::{ConfigError, Document, Section};
+pub use placement::{PlacementConfig, ScoreWeights};
 pub use quota::QuotaConfig;
 pub use service::ServiceConfig;
 
--- a/crates/parsleytally/src/lib.rs
+++ b/crates/parsleytally/src/lib.rs
@@ -11,4 +11,5 @@
 
 pub mod configs;
 pub mod grants;
+pub mod placement;
 pub mod types;
--- /dev/null
+++ b/crates/parsleytally/src/placement/decide.rs
@@ -0,0 +1,260 @@
+//! Rounds of decisions: who is tried next, and which worker it gets.
+
+use crate::types::{TaskKey, TeamName, Time};
+
+use super::fleet::Worker;
+use super::queue::Lane;
+use super::score::{expected_strain, penalty};
+use super::{Entry, Failed, MAX_FAILED_NEEDS, Output, Place, Placement, Reason, Slowdown};
+
+impl Placement {
+    /// Places waiting tasks, urgent ones first, within the bounds of one round.
+    pub(super) fn round(&mut self, now: Time, slowdown: &dyn Slowdown, out: &mut Vec<Output>) {
+        self.fleet.expire(now, &self.config);
+        self.expire_reservations(now);
+        if now.since(self.cleared) >= self.config.assume {
+            self.failed.clear();
+            self.cleared = now;
+        }
+        let mut left = self.config.attempts;
+        while left > 0 {
+            let burst = self.config.burst;
+            let urgent = self.lane(now, Lane::Urgent, burst, &mut left, slowdown, out);
+            // One start in `burst + 1` goes to the other lane, so that it moves on.
+            let turns = if urgent < burst { u32::MAX } else { 1 };
+            let normal = self.lane(now, Lane::Normal, turns, &mut left, slowdown, out);
+            if urgent < burst || (urgent + normal == 0) {
+                return;
+            }
+        }
+    }
+
+    /// Starts up to `most` tasks of one lane, by the shares of their teams.
+    fn lane(
+        &mut self,
+        now: Time,
+        lane: Lane,
+        most: u32,
+        left: &mut usize,
+        slowdown: &dyn Slowdown,
+        out: &mut Vec<Output>,
+    ) -> u32 {
+        let total = self.fleet.total;
+        let mut turns = self.queue.turns(lane, &total);
+        let mut starts = 0;
+        while let Some((_, team)) = turns.pop_first() {
+            if *left == 0 || starts == most {
+                break;
+            }
+            if self.start_one(now, &team, lane, left, slowdown, out) {
+                starts += 1;
+                turns.insert((self.queue.share(&team, &total), team));
+            }
+        }
+        starts
+    }
+
+    /// Starts the first task of a team that finds a worker.
+    fn start_one(
+        &mut self,
+        now: Time,
+        team: &TeamName,
+        lane: Lane,
+        left: &mut usize,
+        slowdown: &dyn Slowdown,
+        out: &mut Vec<Output>,
+    ) -> bool {
+        let Some(queue) = self.queue.get(team) else {
+            return false;
+        };
+        let heads = queue.lane(lane).values().take(self.config.depth);
+        for task in heads.cloned().collect::<Vec<_>>() {
+            if *left == 0 {
+                return false;
+            }
+            if !self.worth_trying(&task) {
+                continue;
+            }
+            *left -= 1;
+            if self.attempt(now, &task, slowdown, out) {
+                return true;
+            }
+        }
+        false
+    }
+
+    fn worth_trying(&self, task: &TaskKey) -> bool {
+        let Some(entry) = self.tasks.get(task) else {
+            return false;
+        };
+        let request = &entry.request;
+        let hopeless = |f: &Failed| f.class == request.class && f.need.fits(&request.need);
+        let reserved = entry.reserved.is_some();
+        self.within_quota(request) && (reserved || !self.failed.iter().any(hopeless))
+    }
+
+    /// Looks for a worker for one waiting task.
+    pub(super) fn attempt(
+        &mut self,
+        now: Time,
+        task: &TaskKey,
+        slowdown: &dyn Slowdown,
+        out: &mut Vec<Output>,
+    ) -> bool {
+        let Some(entry) = self.tasks.get(task) else {
+            return false;
+        };
+        if !self.within_quota(&entry.request) {
+            return false;
+        }
+        match self.choose(task, slowdown) {
+            Some(at) => {
+                self.place(now, task, at, out);
+                true
+            }
+            None => {
+                self.no_room(now, task);
+                false
+            }
+        }
+    }
+
+    /// Picks the candidate with the lowest penalty.
+    fn choose(&mut self, task: &TaskKey, slowdown: &dyn Slowdown) -> Option<usize> {
+        let entry = self.tasks.get(task)?;
+        if let Some(at) = entry.reserved.as_ref().and_then(|n| self.fleet.find(n)) {
+            let worker = self.fleet.get(at)?;
+            if self.judge(worker, entry, slowdown).is_ok() {
+                return Some(at);
+            }
+        }
+        let mut rng = self.rng.clone();
+        let mut best: Option<(f64, usize)> = None;
+        let mut found = 0;
+        let wanted = self.config.candidates;
+        let need = entry.request.need;
+        let index = &self.fleet.index;
+        index.offer(&need, self.config.scan, &mut rng, |at| {
+            let Some(worker) = self.fleet.get(at) else {
+                return true;
+            };
+            if let Ok(strain) = self.judge(worker, entry, slowdown) {
+                let sum = penalty(worker, &entry.request, strain, &self.spread, &self.config);
+                if best.is_none_or(|(lowest, _)| sum < lowest) {
+                    best = Some((sum, at));
+                }
+                found += 1;
+            }
+            found < wanted
+        });
+        self.rng = rng;
+        best.map(|(_, at)| at)
+    }
+
+    /// Expected strain on the worker, or the reason that rules it out.
+    pub(super) fn judge(
+        &self,
+        worker: &Worker,
+        entry: &Entry,
+        slowdown: &dyn Slowdown,
+    ) -> Result<f64, Reason> {
+        let request = &entry.request;
+        if let Some(reason) = worker.rules_out(&request.task, &request.need, &self.config) {
+            return Err(reason);
+        }
+        if entry.avoid.contains(&worker.report.worker) {
+            return Err(Reason::RefusedTask);
+        }
+        let strain = expected_strain(worker, request, slowdown);
+        if strain > self.config.strain {
+            return Err(Reason::Interference);
+        }
+        Ok(strain)
+    }
+
+    fn place(&mut self, now: Time, task: &TaskKey, at: usize, out: &mut Vec<Output>) {
+        let Some(mut entry) = self.unplace(task) else {
+            return;
+        };
+        let need = entry.request.need;
+        self.queue.take(&task.team, &need);
+        self.fleet.assume(now, at, task, need);
+        let Some(worker) = self.fleet.get(at) else {
+            return;
+        };
+        if let Some(group) = &entry.request.group {
+            self.spread.add(group, worker);
+        }
+        let worker = worker.report.worker.clone();
+        entry.place = Place::Placed {
+            worker: worker.clone(),
+        };
+        self.tasks.insert(task.clone(), entry);
+        out.push(Output::Start {
+            task: task.clone(),
+            worker,
+            need,
+        });
+    }
+
+    /// Remembers that a need found no room; reserves a worker after a long wait.
+    fn no_room(&mut self, now: Time, task: &TaskKey) {
+        let Some(entry) = self.tasks.get_mut(task) else {
+            return;
+        };
+        let (class, need) = (entry.request.class.clone(), entry.request.need);
+        let refused = !std::mem::take(&mut entry.avoid).is_empty();
+        let waited = now.since(entry.since) >= self.config.patience;
+        if !refused && self.failed.len() < MAX_FAILED_NEEDS {
+            self.failed.push(Failed { class, need });
+        }
+        if waited && !self.reserved.contains_key(task) {
+            self.reserve(now, task);
+        }
+    }
+
+    /// Reserves the roomiest worker of a sample that is large enough.
+    fn reserve(&mut self, now: Time, task: &TaskKey) {
+        if self.reserved.len() > self.fleet.len() / 16 {
+            return;
+        }
+        let Some(need) = self.tasks.get(task).map(|entry| entry.request.need) else {
+            return;
+        };
+        let slots = self.fleet.slots();
+        let amount = self.config.scan.min(slots);
+        let sample = rand::seq::index::sample(&mut self.rng, slots, amount);
+        let suits = |at: &usize| {
+            self.fleet.get(*at).is_some_and(|worker| {
+                let open = worker.report.ready && !worker.aside && !worker.stale;
+                open && worker.reserved.is_none() && need.fits(&worker.report.total)
+            })
+        };
+        let room = |at: &usize| self.fleet.get(*at).map_or(0, |worker| worker.free.cpu.0);
+        let Some(at) = sample.iter().filter(suits).max_by_key(room) else {
+            return;
+        };
+        self.fleet.reserve(at, Some((task.clone(), now)));
+        let name = self.fleet.get(at).map(|w| w.report.worker.clone());
+        if let Some(entry) = self.tasks.get_mut(task) {
+            entry.reserved = name;
+            self.reserved.insert(task.clone(), now);
+        }
+    }
+
+    fn expire_reservations(&mut self, now: Time) {
+        let limit = self.config.reserve;
+        let old = self
+            .reserved
+            .iter()
+            .filter(|(_, at)| now.since(**at) > limit);
+        for task in old.map(|(task, _)| task.clone()).collect::<Vec<_>>() {
+            self.reserved.remove(&task);
+            let name = self.tasks.get_mut(&task).and_then(|e| e.reserved.take());
+            if let Some(at) = name.and_then(|name| self.fleet.find(&name)) {
+                self.fleet.reserve(at, None);
+                self.room_grew(at);
+            }
+        }
+    }
+}
