feat(interference): effects per pair learned from late measurements

Cause: how much a task slows a service depends on the pair and shows only in measurements that arrive late and noisy. Change: a Kalman filter per service class over load and the processors of each task class; measurements are matched to who was on the worker when they were taken. Placement scores by it and counts starts not yet reported.

--- a/crates/parsleytally/src/configs/mod.rs
+++ b/crates/parsleytally/src/configs/mod.rs
@@ -6,12 +6,14 @@
 
 mod batch;
 mod ini;
+mod interference;
 mod placement;
 mod quota;
 mod service;
 
 pub use batch::BatchConfig;
 pub use ini::{ConfigError, Document, Section};
+pub use interference::InterferenceConfig;
 pub use placement::{PlacementConfig, ScoreWeights};
 pub use quota::QuotaConfig;
 pub use service::ServiceConfig;
--- /dev/null
+++ b/crates/parsleytally/src/interference/history.rs
@@ -0,0 +1,45 @@
+//! Which tasks were on a worker at which time.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use crate::types::Time;
+
+use super::Occupant;
+
+/// States kept per worker.
+const MAX_STATES: usize = 256;
+
+/// States of one worker, oldest first.
+#[derive(Debug, Default)]
+pub(super) struct History {
+    states: VecDeque<(Time, Vec<Occupant>)>,
+}
+
+impl History {
+    /// Adds the state from `at` on, in order of time also if it comes late.
+    pub(super) fn insert(&mut self, at: Time, occupants: Vec<Occupant>) {
+        let place = self.states.partition_point(|(from, _)| *from <= at);
+        self.states.insert(place, (at, occupants));
+        if self.states.len() > MAX_STATES {
+            self.states.pop_front();
+        }
+    }
+
+    /// Drops states that ended before the window.
+    pub(super) fn trim(&mut self, now: Time, window: Duration) {
+        while let Some((next, _)) = self.states.get(1) {
+            if now.since(*next) <= window {
+                return;
+            }
+            self.states.pop_front();
+        }
+    }
+
+    /// The state in force at `at`.
+    pub(super) fn at(&self, at: Time) -> Option<&[Occupant]> {
+        let place = self.states.partition_point(|(from, _)| *from <= at);
+        let (_, occupants) = self.states.get(place.checked_sub(1)?)?;
+        Some(occupants)
+    }
+}
--- a/crates/parsleytally/src/lib.rs
+++ b/crates/parsleytally/src/lib.rs
@@ -11,5 +11,6 @@
 
 pub mod configs;
 pub mod grants;
+pub mod interference;
 pub mod placement;
 pub mod types;
--- a/crates/parsleytally/src/placement/decide.rs
+++ b/crates/parsleytally/src/placement/decide.rs
@@ -178,7 +178,7 @@
         };
         let need = entry.request.need;
         self.queue.take(&task.team, &need);
-        self.fleet.assume(now, at, task, need);
+        self.fleet.assume(now, at, &entry.request);
         let Some(worker) = self.fleet.get(at) else {
             return;
         };
--- a/crates/parsleytally/src/placement/fleet.rs
+++ b/crates/parsleytally/src/placement/fleet.rs
@@ -1,17 +1,19 @@
 //! Picture of the workers, from reports that are stale and starts not yet reported.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::sync::Arc;
 
 use crate::configs::PlacementConfig;
 use crate::types::{Bytes, MilliCpu, NodeName, Resources, TaskKey, Time};
 
 use super::index::Index;
-use super::{Reason, Report};
+use super::{Reason, Report, Request};
 
 /// A start that the worker's report does not cover yet.
 #[derive(Debug)]
 struct Assumed {
     task: TaskKey,
+    class: Arc<str>,
     need: Resources,
     at: Time,
 }
@@ -46,6 +48,13 @@
         self.assumed.retain(|start| !covered.contains(&start.task));
     }
 
+    /// Class and size of the starts that the report does not cover yet.
+    pub(super) fn assumed(&self) -> impl Iterator<Item = (&str, &Resources)> {
+        self.assumed
+            .iter()
+            .map(|start| (&*start.class, &start.need))
+    }
+
     pub(super) fn seen(&self) -> Time {
         self.seen
     }
@@ -231,11 +240,12 @@
         self.change(at, |worker| worker.reserved = by);
     }
 
-    /// Holds `need` against the worker until a report covers the task.
-    pub(super) fn assume(&mut self, now: Time, at: usize, task: &TaskKey, need: Resources) {
+    /// Holds a start against the worker until a report covers the task.
+    pub(super) fn assume(&mut self, now: Time, at: usize, request: &Request) {
         let start = Assumed {
-            task: task.clone(),
-            need,
+            task: request.task.clone(),
+            class: request.class.clone(),
+            need: request.need,
             at: now,
         };
         self.change(at, |worker| worker.assumed.push(start));
--- a/crates/parsleytally/src/placement/score.rs
+++ b/crates/parsleytally/src/placement/score.rs
@@ -6,13 +6,14 @@
 use crate::configs::PlacementConfig;
 use crate::types::Resources;
 
-use super::Request;
 use super::fleet::{Worker, saturating_sub};
+use super::{Request, ServiceLoad};
 
 /// Expected effect of a task class on a service class.
 pub trait Slowdown {
-    /// Relative growth of the service's tail latency at full load by one task.
-    fn slowdown(&self, service: &str, task: &str) -> f64;
+    /// Log growth of the service's tail latency at full load by each processor that
+    /// tasks of the class use; `strain` is the service's latency over target now.
+    fn slowdown(&self, service: &str, task: &str, strain: f64) -> f64;
 }
 
 /// Expects no effect at all.
@@ -20,7 +21,7 @@
 pub struct NoSlowdown;
 
 impl Slowdown for NoSlowdown {
-    fn slowdown(&self, _service: &str, _task: &str) -> f64 {
+    fn slowdown(&self, _service: &str, _task: &str, _strain: f64) -> f64 {
         0.0
     }
 }
@@ -71,11 +72,17 @@
 
 /// Highest strain expected on a service of the worker after the start.
 ///
-/// A service without a fresh measurement is taken to be at its load.
+/// Starts that no report covers yet are counted in. A service without a fresh
+/// measurement is taken to be at its load.
 pub(super) fn expected_strain(worker: &Worker, request: &Request, slowdown: &dyn Slowdown) -> f64 {
-    let expect = |service: &super::ServiceLoad| {
-        let growth = slowdown.slowdown(&service.class, &request.class) * service.load;
-        service.strain.unwrap_or(service.load) * (1.0 + growth)
+    let expect = |service: &ServiceLoad| {
+        let strain = service.strain.unwrap_or(service.load);
+        let grow = |class: &str, need: &Resources| {
+            slowdown.slowdown(&service.class, class, strain) * need.cpu.0 as f64 / 1_000.0
+        };
+        let assumed = worker.assumed().map(|(class, need)| grow(class, need));
+        let growth = assumed.sum::<f64>() + grow(&request.class, &request.need);
+        strain * (growth * service.load).exp()
     };
     let services = worker.report.services.iter();
     services.map(expect).fold(0.0, f64::max)
--- a/crates/parsleytally/src/placement/tests.rs
+++ b/crates/parsleytally/src/placement/tests.rs
@@ -312,12 +312,12 @@
     assert_eq!(bench.tick().len(), 1);
 }
 
-/// Doubles the latency of every service at full load.
+/// Each processor of a noisy task adds a tenth to the latency of every service.
 struct Noisy;
 
 impl Slowdown for Noisy {
-    fn slowdown(&self, _service: &str, task: &str) -> f64 {
-        if task == "noisy" { 1.0 } else { 0.0 }
+    fn slowdown(&self, _service: &str, task: &str, _strain: f64) -> f64 {
+        if task == "noisy" { 0.1 } else { 0.0 }
     }
 }
 
