--- a/crates/parsleytally/src/configs/mod.rs
+++ b/crates/parsleytally/src/configs/mod.rs
@@ -5,6 +5,7 @@
 //! reason; unknown sections and keys are problems.
 
 mod batch;
+mod estimates;
 mod ini;
 mod interference;
 mod placement;
@@ -12,6 +13,7 @@
 mod service;
 
 pub use batch::BatchConfig;
+pub use estimates::EstimatesConfig;
 pub use ini::{ConfigError, Document, Section};
 pub use interference::InterferenceConfig;
 pub use placement::{PlacementConfig, ScoreWeights};
--- a/crates/parsleytally/src/lib.rs
+++ b/crates/parsleytally/src/lib.rs
@@ -10,6 +10,7 @@
 //! [`configs`] holds the settings of operators, one file per kind.
 
 pub mod configs;
+pub mod estimates;
 pub mod grants;
 pub mod interference;
 pub mod placement;
