feat(store): client of etcd v3's JSON gateway and a stand-in server of it

Cause: the daemons reach the platform's store over the network, where it can be down, slow or silent and can lose the answer of a write that took effect. Change: EtcdStore with a deadline, a token bucket and a pause with jitter after failures; reads are sent again over a new connection, writes never; errors say whether a write may have taken effect. Calls and open watches are counted by kind. Store::newest tells whether a holder missed a change. MemoryStore gets fault switches, and examples/store.rs serves it by the same protocol.

--- a/crates/parsleytally-platform/src/store/error.rs
+++ b/crates/parsleytally-platform/src/store/error.rs
@@ -87,4 +87,20 @@
             Self::Timeout { .. } | Self::Unknown { .. } | Self::Protocol { .. }
         )
     }
+
+    /// Short name of the error in metrics.
+    pub const fn name(&self) -> &'static str {
+        match self {
+            Self::Down { .. } => "down",
+            Self::Timeout { .. } => "timeout",
+            Self::Unknown { .. } => "unknown",
+            Self::RateLimited { .. } => "rate-limited",
+            Self::Compacted { .. } => "compacted",
+            Self::LeaseGone { .. } => "lease-gone",
+            Self::WatchEnded { .. } => "watch-ended",
+            Self::TooLarge { .. } => "too-large",
+            Self::Refused { .. } => "refused",
+            Self::Protocol { .. } => "protocol",
+        }
+    }
 }
--- a/crates/parsleytally-platform/src/store/mod.rs
+++ b/crates/parsleytally-platform/src/store/mod.rs
@@ -15,11 +15,19 @@
 use parsleytally::types::Revision;
 use serde::{Deserialize, Serialize};
 
+mod calls;
 mod error;
+mod etcd;
+#[cfg(feature = "stand-in")]
+mod faults;
+#[cfg(feature = "stand-in")]
+pub mod gateway;
 #[cfg(feature = "stand-in")]
 mod memory;
 
+pub use calls::{CallKind, CallMetrics};
 pub use error::StoreError;
+pub use etcd::EtcdStore;
 #[cfg(feature = "stand-in")]
 pub use memory::MemoryStore;
 
@@ -67,6 +75,17 @@
     pub items: Vec<Item>,
 }
 
+/// What tells whether a holder of the items under a prefix has missed a change.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Newest {
+    /// Revision of the store at the time of the read.
+    pub revision: Revision,
+    /// Highest revision of the items under the prefix; 0 without items.
+    pub changed: Revision,
+    /// Number of items under the prefix.
+    pub count: u64,
+}
+
 /// A condition of a commit.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Compare {
@@ -110,6 +129,14 @@
             Self::Put { key, .. } | Self::Delete { key } => key,
         }
     }
+
+    /// The lease at whose end the key is deleted.
+    pub fn lease(&self) -> Option<LeaseId> {
+        match self {
+            Self::Put { lease, .. } => *lease,
+            Self::Delete { .. } => None,
+        }
+    }
 }
 
 /// Writes that take effect together when every condition holds, or not at all.
@@ -176,6 +203,9 @@
     /// Reads all items whose key starts with `prefix`.
     fn range<'a>(&'a self, prefix: &'a str) -> StoreFuture<'a, Snapshot>;
 
+    /// Reads the number of items under `prefix` and their highest revision.
+    fn newest<'a>(&'a self, prefix: &'a str) -> StoreFuture<'a, Newest>;
+
     /// Writes several keys at once if every condition holds.
     fn commit(&self, commit: Commit) -> StoreFuture<'_, Outcome>;
 
--- a/crates/parsleytally/src/configs/mod.rs
+++ b/crates/parsleytally/src/configs/mod.rs
@@ -11,6 +11,7 @@
 mod placement;
 mod quota;
 mod service;
+mod store;
 
 pub use batch::BatchConfig;
 pub use estimates::EstimatesConfig;
@@ -19,6 +20,7 @@
 pub use placement::{PlacementConfig, ScoreWeights};
 pub use quota::QuotaConfig;
 pub use service::ServiceConfig;
+pub use store::StoreConfig;
 
 /// Largest accepted settings text, in bytes.
 pub const MAX_CONFIG_BYTES: usize = 64 * 1024;
