--- a/crates/parsleytally/src/lib.rs
+++ b/crates/parsleytally/src/lib.rs
@@ -13,5 +13,6 @@
 pub mod estimates;
 pub mod grants;
 pub mod interference;
+pub mod leases;
 pub mod placement;
 pub mod types;
