feat(limits): admission at the agent

Cause: two entries that each believe in a free slot would together pass the endpoint's bound, and a request that cannot be answered in time is best refused before it waits.

Change: hard bounds on requests in service and open connections, a short queue with latency-critical requests first, early refusal by expected wait, expiry, leaving, and a limit below the slots that climbs on answers per second.

--- a/crates/parsleytally/src/lib.rs
+++ b/crates/parsleytally/src/lib.rs
@@ -14,5 +14,6 @@
 pub mod grants;
 pub mod interference;
 pub mod leases;
+pub mod limits;
 pub mod placement;
 pub mod types;
