feat(retry): what an entry sends again, within a budget

Cause: sending a booking again after an unknown outcome runs it twice, and unbounded retries multiply the load when a zone is gone.

Change: after "not run" anything is sent again, after an unknown outcome only idempotent requests; two token buckets bound retries as a share of traffic; back-off with jitter; nothing starts after the deadline; a request given up on is answered at once. An unknown attempt keeps the final answer "unknown".

--- a/crates/parsleytally/src/configs/mod.rs
+++ b/crates/parsleytally/src/configs/mod.rs
@@ -11,6 +11,7 @@
 mod limits;
 mod placement;
 mod quota;
+mod retry;
 mod service;
 mod store;
 
@@ -21,6 +22,7 @@
 pub use limits::{AdaptKind, LimitsConfig};
 pub use placement::{PlacementConfig, ScoreWeights};
 pub use quota::QuotaConfig;
+pub use retry::RetryConfig;
 pub use service::ServiceConfig;
 pub use store::StoreConfig;
 
--- a/crates/parsleytally/src/lib.rs
+++ b/crates/parsleytally/src/lib.rs
@@ -16,4 +16,5 @@
 pub mod leases;
 pub mod limits;
 pub mod placement;
+pub mod retry;
 pub mod types;
