feat(once): idempotency keys owned by agents

Cause: a caller that repeats a booking, perhaps through another entry, must not book twice, and a store write per booking passes the store's rate and stops bookings in its outages.

Change: a key is owned by one agent by rendezvous hash. The agent's table runs a key once, replays its answer and never drops a record before its time.

--- a/crates/parsleytally/src/lib.rs
+++ b/crates/parsleytally/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod interference;
 pub mod leases;
 pub mod limits;
+pub mod once;
 pub mod placement;
 pub mod retry;
 pub mod types;
--- /dev/null
+++ b/crates/parsleytally/src/once/tests.rs
@@ -0,0 +1,327 @@
+//! Tests of idempotency keys at the agent and at the entry.
+
+use std::time::Duration;
+
+use super::*;
+use crate::configs::OnceConfig;
+use crate::types::{Bytes, Incarnation, NodeName, ServiceName, TeamName, Time};
+
+const TTL: Duration = Duration::from_secs(60);
+const NODES: [&str; 5] = ["w1", "w2", "w3", "w4", "w5"];
+
+fn key(text: &str) -> KeyHash {
+    let service = ServiceKey {
+        team: TeamName::new("demo").unwrap(),
+        service: ServiceName::new("echo").unwrap(),
+    };
+    KeyHash::new(&service, text.as_bytes())
+}
+
+fn body(text: &str) -> RequestHash {
+    RequestHash::new("POST", "/echo/book/pew-7", text.as_bytes())
+}
+
+/// One agent's table with its clock.
+struct Agent {
+    table: Table<&'static str>,
+    now: Time,
+    next: u64,
+}
+
+impl Agent {
+    fn new() -> Self {
+        let config = OnceConfig {
+            ttl: TTL,
+            keys: 3,
+            memory: Bytes(100),
+            max_answer: Bytes(60),
+        };
+        Self {
+            table: Table::new(config),
+            now: Time::from_secs(1),
+            next: 0,
+        }
+    }
+
+    fn step(&mut self, input: Input<&'static str>) -> Vec<Output<&'static str>> {
+        let mut out = Vec::new();
+        self.table.step(self.now, input, &mut out);
+        out
+    }
+
+    fn arrive(&mut self, text: &str, request: &str) -> Vec<Output<&'static str>> {
+        let ticket = Ticket(self.next);
+        self.next += 1;
+        self.step(Input::Arrive {
+            ticket,
+            key: key(text),
+            request: body(request),
+        })
+    }
+
+    fn settle(&mut self, text: &str, settled: Settled<&'static str>) -> Vec<Output<&'static str>> {
+        let key = key(text);
+        self.step(Input::Settle { key, settled })
+    }
+
+    fn fence(&mut self, text: &str) -> Vec<Output<&'static str>> {
+        let ticket = Ticket(99);
+        let key = key(text);
+        self.step(Input::Fence { ticket, key })
+    }
+}
+
+fn answered(size: u64) -> Settled<&'static str> {
+    let answer = "booked";
+    Settled::Answered { answer, size }
+}
+
+fn refused(ticket: u64, conflict: Conflict) -> Output<&'static str> {
+    let ticket = Ticket(ticket);
+    Output::Refuse { ticket, conflict }
+}
+
+fn replayed(ticket: u64) -> Output<&'static str> {
+    Output::Replay {
+        ticket: Ticket(ticket),
+        answer: "booked",
+    }
+}
+
+fn run(ticket: u64) -> Output<&'static str> {
+    Output::Run {
+        ticket: Ticket(ticket),
+    }
+}
+
+struct RepeatCase {
+    name: &'static str,
+    settled: Settled<&'static str>,
+    waiter: Output<&'static str>,
+    later: Option<Output<&'static str>>,
+}
+
+#[test]
+fn a_repeated_key_runs_once() {
+    let cases = [
+        RepeatCase {
+            name: "answered",
+            settled: answered(10),
+            waiter: replayed(1),
+            later: Some(replayed(2)),
+        },
+        RepeatCase {
+            name: "answer too large to keep",
+            settled: answered(61),
+            waiter: replayed(1),
+            later: Some(refused(2, Conflict::NotKept)),
+        },
+        RepeatCase {
+            name: "outcome unknown",
+            settled: Settled::Unknown,
+            waiter: refused(1, Conflict::Unknown),
+            later: Some(refused(2, Conflict::Unknown)),
+        },
+        RepeatCase {
+            name: "not run, so the waiter runs",
+            settled: Settled::NotRun,
+            waiter: run(1),
+            later: None,
+        },
+    ];
+    for case in cases {
+        let mut agent = Agent::new();
+        assert_eq!(agent.arrive("k", "a"), [run(0)], "{}", case.name);
+        assert_eq!(agent.arrive("k", "a"), [], "{}", case.name);
+        assert_eq!(agent.settle("k", case.settled), [case.waiter]);
+        let later: Vec<_> = case.later.into_iter().collect();
+        assert_eq!(agent.arrive("k", "a"), later, "{}", case.name);
+        let reused = [refused(3, Conflict::Reused)];
+        assert_eq!(agent.arrive("k", "b"), reused, "{}", case.name);
+    }
+}
+
+#[test]
+fn a_key_is_forgotten_only_when_its_time_is_over() {
+    let mut agent = Agent::new();
+    agent.arrive("k", "a");
+    agent.now = agent.now.after(TTL * 5);
+    assert_eq!(agent.arrive("k", "a"), [], "a running key does not expire");
+    agent.settle("k", answered(10));
+    agent.now = agent.now.after(TTL - Duration::from_micros(1));
+    assert_eq!(agent.arrive("k", "a"), [replayed(2)]);
+    agent.now = agent.now.after(Duration::from_micros(1));
+    assert_eq!(agent.arrive("k", "a"), [run(3)]);
+    assert_eq!(agent.table.memory(), 0);
+}
+
+#[test]
+fn a_full_table_refuses_new_keys_and_keeps_the_old() {
+    let mut agent = Agent::new();
+    for text in ["a", "b", "c"] {
+        agent.arrive(text, "x");
+        agent.settle(text, answered(40));
+    }
+    assert_eq!(agent.table.memory(), 80, "the third answer does not fit");
+    assert_eq!(
+        agent.arrive("d", "x"),
+        [Output::NotRun {
+            ticket: Ticket(3),
+            retry_after: TTL
+        }]
+    );
+    assert_eq!(agent.arrive("a", "x"), [replayed(4)]);
+    assert_eq!(agent.arrive("c", "x"), [refused(5, Conflict::NotKept)]);
+}
+
+#[test]
+fn a_fenced_key_never_runs_here_and_a_known_key_stays() {
+    let mut agent = Agent::new();
+    let fenced = [Output::Fenced { ticket: Ticket(99) }];
+    assert_eq!(agent.fence("k"), fenced);
+    assert_eq!(agent.fence("k"), fenced);
+    assert_eq!(agent.arrive("k", "a"), [refused(0, Conflict::Moved)]);
+    agent.arrive("l", "a");
+    assert_eq!(agent.fence("l"), [Output::Known { ticket: Ticket(99) }]);
+}
+
+#[test]
+fn keys_of_two_services_and_requests_do_not_meet() {
+    let other = ServiceKey {
+        team: TeamName::new("dem").unwrap(),
+        service: ServiceName::new("oecho").unwrap(),
+    };
+    assert_ne!(key("k"), KeyHash::new(&other, b"k"));
+    assert_ne!(
+        RequestHash::new("POST", "/a", b"b"),
+        RequestHash::new("POST", "/ab", b"")
+    );
+}
+
+fn node(name: &str) -> NodeName {
+    NodeName::new(name).unwrap()
+}
+
+fn joined(name: &str, incarnation: u64, age: Duration) -> Change {
+    Change::Joined {
+        node: node(name),
+        incarnation: Incarnation(incarnation),
+        age,
+    }
+}
+
+/// An entry that has known all nodes for longer than keys are remembered.
+fn settled_view() -> Owners {
+    let mut owners = Owners::new(TTL);
+    for name in NODES {
+        owners.step(Time::from_secs(1_000), joined(name, 1, TTL * 2));
+    }
+    owners
+}
+
+/// A key that `name` owns in a settled view.
+fn key_of(name: &str) -> KeyHash {
+    let mut owners = settled_view();
+    let owned = |k: &KeyHash| owners.route(NOW, *k).unwrap().owner == node(name);
+    (0..1_000).map(|n| key(&n.to_string())).find(owned).unwrap()
+}
+
+const NOW: Time = Time::from_secs(1_001);
+
+#[test]
+fn settled_views_agree_and_ask_nobody() {
+    let mut counts = std::collections::BTreeMap::<NodeName, u32>::new();
+    for n in 0..1_000 {
+        let key = key(&n.to_string());
+        let route = settled_view().route(NOW, key).unwrap();
+        assert_eq!(route.fences, []);
+        *counts.entry(route.owner).or_default() += 1;
+    }
+    assert_eq!(counts.len(), NODES.len());
+    assert!(counts.values().all(|count| *count > 120), "{counts:?}");
+}
+
+#[test]
+fn a_joining_agent_takes_a_key_only_after_fencing_its_former_owner() {
+    let mut owners = settled_view();
+    owners.route(NOW, key("any")).unwrap();
+    let mut fenced = 0;
+    owners.step(NOW, joined("w6", 1, TTL * 2));
+    for n in 0..200 {
+        let key = key(&n.to_string());
+        let former = settled_view().route(NOW, key).unwrap().owner;
+        let route = owners.route(NOW, key).unwrap();
+        if route.owner == node("w6") {
+            assert_eq!(route.fences, [former]);
+            fenced += 1;
+        } else {
+            assert_eq!((route.owner, route.fences), (former, Vec::new()));
+        }
+    }
+    assert!(fenced > 10);
+    let later = NOW.after(TTL);
+    for n in 0..200 {
+        let route = owners.route(later, key(&n.to_string())).unwrap();
+        assert_eq!(route.fences, []);
+    }
+}
+
+struct LostCase {
+    name: &'static str,
+    changes: Vec<Change>,
+}
+
+#[test]
+fn keys_of_a_lost_life_are_refused_for_as_long_as_they_would_be_remembered() {
+    let gone = Change::Gone { node: node("w2") };
+    let back = joined("w2", 2, Duration::ZERO);
+    let cases = [
+        LostCase {
+            name: "gone",
+            changes: vec![gone.clone()],
+        },
+        LostCase {
+            name: "restarted",
+            changes: vec![back.clone()],
+        },
+        LostCase {
+            name: "gone, then restarted",
+            changes: vec![gone, back],
+        },
+    ];
+    let key = key_of("w2");
+    for case in cases {
+        let mut owners = settled_view();
+        for change in case.changes {
+            owners.step(NOW, change);
+        }
+        let lost = Err(NoOwner::Lost { retry_after: TTL });
+        assert_eq!(owners.route(NOW, key), lost, "{}", case.name);
+        let other = key_of("w4");
+        assert_eq!(owners.route(NOW, other).unwrap().owner, node("w4"));
+        assert!(owners.route(NOW.after(TTL), key).is_ok(), "{}", case.name);
+    }
+}
+
+#[test]
+fn a_leaving_agent_is_fenced_and_one_that_comes_back_fences_its_stand_in() {
+    let key = key_of("w2");
+    let mut owners = settled_view();
+    owners.step(NOW, Change::Leaving { node: node("w2") });
+    let away = owners.route(NOW, key).unwrap();
+    assert_ne!(away.owner, node("w2"));
+    assert_eq!(away.fences, [node("w2")]);
+    owners.step(NOW, joined("w2", 1, TTL * 9));
+    let back = owners.route(NOW, key).unwrap();
+    assert_eq!((back.owner, back.fences), (node("w2"), vec![away.owner]));
+}
+
+#[test]
+fn late_news_of_an_old_life_changes_nothing() {
+    let mut owners = settled_view();
+    owners.step(NOW, joined("w2", 2, Duration::ZERO));
+    let later = NOW.after(TTL);
+    owners.step(later, joined("w2", 1, TTL * 2));
+    assert!(owners.route(later, key_of("w2")).is_ok());
+    assert_eq!(Owners::new(TTL).route(NOW, key("k")), Err(NoOwner::Empty));
+}
