feat(settings): holder of settings by revision, and settling of lost writes

Cause: an accepted setting must come into force everywhere and never revert, though updates are lost, doubled, late or wrong, and a write's answer can be lost after it took effect. Change: the settings slice holds texts and typed configs by revision: a lower revision changes nothing, a gap is asked for, a bad text stays out of force behind the last good one, peers hand on what another lacks, and the newest revision with the count finds a silent watch. A change is checked against its team's quota. The writes slice settles a write by a log under one key per team that is replaced in the same commit. Configs for the deployment's weights and for tokens' hashes.

--- a/crates/parsleytally/src/configs/mod.rs
+++ b/crates/parsleytally/src/configs/mod.rs
@@ -5,6 +5,7 @@
 //! reason; unknown sections and keys are problems.
 
 mod batch;
+mod deployment;
 mod estimates;
 mod ini;
 mod interference;
@@ -15,8 +16,10 @@
 mod retry;
 mod service;
 mod store;
+mod token;
 
 pub use batch::BatchConfig;
+pub use deployment::DeploymentConfig;
 pub use estimates::EstimatesConfig;
 pub use ini::{ConfigError, Document, Section};
 pub use interference::InterferenceConfig;
@@ -27,6 +30,7 @@
 pub use retry::RetryConfig;
 pub use service::ServiceConfig;
 pub use store::StoreConfig;
+pub use token::{TokenConfig, TokenHash};
 
 /// Largest accepted settings text, in bytes.
 pub const MAX_CONFIG_BYTES: usize = 64 * 1024;
--- a/crates/parsleytally/src/lib.rs
+++ b/crates/parsleytally/src/lib.rs
@@ -18,4 +18,6 @@
 pub mod once;
 pub mod placement;
 pub mod retry;
+pub mod settings;
 pub mod types;
+pub mod writes;
