feat: the whole path, thin

Cause: nothing was served yet; every further part needs a path to build on. Change: links with hello, heartbeats and numbered requests; the agent with admission by slots and batch runs within the worker's capacity; the entry with callers' and operators' HTTP, a directory, a first-fit scheduler and a settings duty over the store; standalone mode; spans of every hop under one trace id. Ruled out: a duty of its own for each HTTP server's shutdown. Conclusion: requests, one batch task and changed settings go end to end.

--- /dev/null
+++ b/crates/parsleytally-agent/src/agent.rs
@@ -0,0 +1,167 @@
+//! A running agent: its duties, links and pages.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::time::Duration;
+
+use parsleytally_link::{Announcement, HEARTBEAT_INTERVAL, Hello, PROTOCOL_VERSION, Role};
+use parsleytally_platform::process::Clock;
+use parsleytally_platform::process::http::{BindError, HttpServer};
+use snafu::{ResultExt, Snafu};
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep};
+use tokio_util::sync::CancellationToken;
+
+use crate::config::AgentConfig;
+use crate::endpoint::EndpointError;
+use crate::links::{Shared, keep};
+use crate::metrics::Metrics;
+use crate::operators::Operators;
+use crate::requests::Requests;
+use crate::runs::Runs;
+
+/// Time between two looks at the requests in flight during shutdown.
+const DRAIN_STEP: Duration = Duration::from_millis(20);
+
+/// Why an agent could not start.
+#[derive(Debug, Snafu)]
+#[snafu(module(error))]
+pub enum StartError {
+    /// An address is not available.
+    #[snafu(display("operators' pages: {source}"))]
+    Bind {
+        /// Which one and why.
+        source: BindError,
+    },
+    /// The metrics are contradictory.
+    #[snafu(display("metrics: {source}"))]
+    Metrics {
+        /// What the library reported.
+        source: prometheus::Error,
+    },
+    /// A thread could not start.
+    #[snafu(display("thread of a duty did not start: {source}"))]
+    Thread {
+        /// What the system reported.
+        source: std::io::Error,
+    },
+    /// The client of the endpoint could not be built.
+    #[snafu(display("client of the endpoint: {reason}"))]
+    Endpoint {
+        /// What the library reported.
+        reason: String,
+    },
+}
+
+impl From<EndpointError> for StartError {
+    fn from(error: EndpointError) -> Self {
+        Self::Endpoint {
+            reason: error.to_string(),
+        }
+    }
+}
+
+/// A running agent.
+#[derive(Debug)]
+pub struct Agent {
+    drain: Duration,
+    requests: Arc<Requests>,
+    links: JoinSet<()>,
+    stop: CancellationToken,
+    pages: HttpServer,
+    runs: Runs,
+}
+
+impl std::fmt::Debug for Requests {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Requests").finish_non_exhaustive()
+    }
+}
+
+impl Agent {
+    /// Starts the duties and dials the entries.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StartError`] when an address, a thread or a client is not to be had.
+    pub async fn start(config: AgentConfig) -> Result<Self, StartError> {
+        let metrics = Metrics::new().context(error::MetricsSnafu)?;
+        let requests = Arc::new(Requests::new(&config.endpoint, metrics.clone())?);
+        let runs = Runs::start(config.capacity, metrics.clone()).context(error::ThreadSnafu)?;
+        let operators = Operators {
+            metrics: metrics.clone(),
+            requests: requests.clone(),
+        };
+        let pages = HttpServer::start(config.operators, Arc::new(operators));
+        let pages = pages.await.context(error::BindSnafu)?;
+        let stop = CancellationToken::new();
+        let shared = Arc::new(Shared {
+            hello: hello(&config),
+            announcement: announcement(&config),
+            requests: requests.clone(),
+            runs: runs.commands(),
+            revision: AtomicU64::new(0),
+            metrics,
+            stop: stop.clone(),
+        });
+        let mut links = JoinSet::new();
+        for entry in &config.entries {
+            links.spawn(keep(*entry, shared.clone()));
+        }
+        Ok(Self {
+            drain: config.drain,
+            requests,
+            links,
+            stop,
+            pages,
+            runs,
+        })
+    }
+
+    /// Address of the operators' pages.
+    pub fn operators(&self) -> SocketAddr {
+        self.pages.address()
+    }
+
+    /// Announces that the endpoint leaves, finishes what is in flight and stops.
+    pub async fn close(mut self) {
+        self.requests.leave();
+        // The entries hear of it by the next heartbeat.
+        sleep(HEARTBEAT_INTERVAL * 2).await;
+        let limit = Instant::now() + self.drain;
+        while self.requests.load().busy > 0 && Instant::now() < limit {
+            sleep(DRAIN_STEP).await;
+        }
+        let left = self.requests.load().busy;
+        if left > 0 {
+            log::warn!("{left} requests are still in flight at the drain limit");
+        }
+        // Lets the last answers reach the sockets.
+        sleep(DRAIN_STEP).await;
+        self.stop.cancel();
+        while self.links.join_next().await.is_some() {}
+        self.runs.close();
+        self.pages.close().await;
+    }
+}
+
+fn hello(config: &AgentConfig) -> Hello {
+    Hello {
+        version: PROTOCOL_VERSION,
+        role: Role::Agent,
+        node: config.name.clone(),
+        zone: config.zone.clone(),
+        incarnation: Clock::incarnation(),
+    }
+}
+
+fn announcement(config: &AgentConfig) -> Announcement {
+    Announcement {
+        service: config.endpoint.service.clone(),
+        rack: config.rack.clone(),
+        slots: config.endpoint.slots,
+        connections: config.endpoint.connections,
+        capacity: config.capacity,
+    }
+}
--- /dev/null
+++ b/crates/parsleytally-agent/src/config.rs
@@ -0,0 +1,99 @@
+//! Settings of an agent's process, in INI.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use parsleytally::configs::{ConfigError, Document};
+use parsleytally::types::{
+    Bytes, MilliCpu, NodeName, RackName, Resources, ServiceKey, ServiceName, TeamName, ZoneName,
+};
+
+/// Settings of an agent's process.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AgentConfig {
+    /// Name of the worker: `[agent] name`.
+    pub name: NodeName,
+    /// Availability zone of the worker: `[agent] zone`.
+    pub zone: ZoneName,
+    /// Rack of the worker: `[agent] rack`.
+    pub rack: RackName,
+    /// Link addresses of the entries, separated by commas: `[agent] entries`.
+    pub entries: Vec<SocketAddr>,
+    /// Address of the operators' pages: `[agent] operators`.
+    pub operators: SocketAddr,
+    /// Longest wait for requests in flight at shutdown: `[agent] drain`.
+    pub drain: Duration,
+    /// The endpoint beside the agent: section `[endpoint]`.
+    pub endpoint: EndpointConfig,
+    /// What the worker has: `[worker] cpu` (thousandths), `memory`, `accelerators`.
+    pub capacity: Resources,
+}
+
+/// The endpoint beside an agent.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EndpointConfig {
+    /// Service that it answers: `team` and `service`.
+    pub service: ServiceKey,
+    /// Address of the endpoint: `address`.
+    pub address: SocketAddr,
+    /// Requests that it takes at once: `slots`.
+    pub slots: u32,
+    /// Connections that it takes at once: `connections`.
+    pub connections: u32,
+}
+
+/// Default number of requests that an endpoint takes at once.
+const DEFAULT_SLOTS: u32 = 8;
+/// Default number of connections that an endpoint takes at once.
+const DEFAULT_CONNECTIONS: u32 = 64;
+/// Default longest wait for requests in flight at shutdown.
+const DEFAULT_DRAIN: Duration = Duration::from_secs(30);
+
+impl AgentConfig {
+    /// Parses a settings text.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ConfigError`] for the first problem; nothing is accepted in part.
+    pub fn parse(text: &[u8]) -> Result<Self, ConfigError> {
+        let mut document = Document::parse(text)?;
+        let mut agent = document.take("agent");
+        let mut endpoint = document.take("endpoint");
+        let mut worker = document.take("worker");
+        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+        let config = Self {
+            name: agent.require("name")?,
+            zone: agent.require("zone")?,
+            rack: agent.require("rack")?,
+            entries: agent.take_with("entries", Vec::new(), parse_addresses)?,
+            operators: agent.take_or("operators", any_port)?,
+            drain: agent.take_with("drain", DEFAULT_DRAIN, humantime::parse_duration)?,
+            endpoint: EndpointConfig {
+                service: ServiceKey {
+                    team: endpoint.require::<TeamName>("team")?,
+                    service: endpoint.require::<ServiceName>("service")?,
+                },
+                address: endpoint.require("address")?,
+                slots: endpoint.take_or("slots", DEFAULT_SLOTS)?,
+                connections: endpoint.take_or("connections", DEFAULT_CONNECTIONS)?,
+            },
+            capacity: Resources {
+                cpu: MilliCpu(worker.require("cpu")?),
+                memory: worker.require::<Bytes>("memory")?,
+                accelerators: worker.take_or("accelerators", 0)?,
+            },
+        };
+        agent.finish()?;
+        endpoint.finish()?;
+        worker.finish()?;
+        document.finish()?;
+        Ok(config)
+    }
+}
+
+fn parse_addresses(text: &str) -> Result<Vec<SocketAddr>, std::net::AddrParseError> {
+    text.split(',').map(|part| part.trim().parse()).collect()
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/parsleytally-agent/src/config/tests.rs
@@ -0,0 +1,65 @@
+//! Tests of the agent's settings.
+
+use super::*;
+
+const WHOLE: &str = "\
+[agent]
+name = worker-1
+zone = a
+rack = a1
+entries = 127.0.0.1:1, 127.0.0.1:2
+[endpoint]
+team = demo
+service = echo
+address = 127.0.0.1:9000
+[worker]
+cpu = 16000
+memory = 60GB
+";
+
+struct RefusalCase {
+    from: &'static str,
+    to: &'static str,
+    error: &'static str,
+}
+
+#[test]
+fn a_whole_text_is_accepted() {
+    let config = AgentConfig::parse(WHOLE.as_bytes()).unwrap();
+    assert_eq!(config.entries.len(), 2);
+    assert_eq!(config.endpoint.slots, 8);
+    assert_eq!(config.endpoint.connections, 64);
+    assert_eq!(config.capacity, Resources::new(16_000, 60_000_000_000, 0));
+}
+
+#[test]
+fn a_wrong_text_is_refused_whole() {
+    let cases = [
+        RefusalCase {
+            from: "name = worker-1\n",
+            to: "",
+            error: "key \"name\" is missing in section [agent]",
+        },
+        RefusalCase {
+            from: "127.0.0.1:2",
+            to: "nowhere",
+            error: "value \"127.0.0.1:1, nowhere\" of key \"entries\" in section [agent]: \
+                    invalid socket address syntax",
+        },
+        RefusalCase {
+            from: "cpu = 16000",
+            to: "cpus = 16000",
+            error: "key \"cpu\" is missing in section [worker]",
+        },
+        RefusalCase {
+            from: "[worker]",
+            to: "[wroker]\n[worker]",
+            error: "section [wroker] is not known here",
+        },
+    ];
+    for case in cases {
+        let text = WHOLE.replace(case.from, case.to);
+        let error = AgentConfig::parse(text.as_bytes()).unwrap_err();
+        assert_eq!(error.to_string(), case.error);
+    }
+}
--- /dev/null
+++ b/crates/parsleytally-agent/src/operators.rs
@@ -0,0 +1,39 @@
+//! Pages of an agent for operators: health, metrics and spans.
+
+use std::sync::Arc;
+
+use http::StatusCode;
+use parsleytally_platform::process::http::{Answering, Handler, json, text};
+use parsleytally_platform::process::spans;
+use volo_http::request::Request;
+use volo_http::response::Response;
+
+use crate::metrics::Metrics;
+use crate::requests::Requests;
+
+pub(crate) struct Operators {
+    pub(crate) metrics: Metrics,
+    pub(crate) requests: Arc<Requests>,
+}
+
+impl Operators {
+    fn respond(&self, path: &str) -> Response {
+        match path {
+            "/healthz" => text(StatusCode::OK, "ok"),
+            "/readyz" if self.requests.load().leaving => {
+                text(StatusCode::SERVICE_UNAVAILABLE, "leaving")
+            }
+            "/readyz" => text(StatusCode::OK, "ready"),
+            "/metrics" => text(StatusCode::OK, self.metrics.text()),
+            "/v1/spans" => json(StatusCode::OK, &spans::latest()),
+            _ => text(StatusCode::NOT_FOUND, "no such page"),
+        }
+    }
+}
+
+impl Handler for Operators {
+    fn answer(&self, request: Request) -> Answering<'_> {
+        let response = self.respond(request.uri().path());
+        Box::pin(std::future::ready(response))
+    }
+}
--- /dev/null
+++ b/crates/parsleytally-entry/src/config.rs
@@ -0,0 +1,82 @@
+//! Settings of an entry's process, in INI.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use parsleytally::configs::{ConfigError, Document};
+use parsleytally::types::{NodeName, ZoneName};
+
+/// Settings of an entry's process.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EntryConfig {
+    /// Name of the entry: `[entry] name`.
+    pub name: NodeName,
+    /// Availability zone of the entry: `[entry] zone`.
+    pub zone: ZoneName,
+    /// Address for callers: `[entry] callers`.
+    pub callers: SocketAddr,
+    /// Address for operators: `[entry] operators`.
+    pub operators: SocketAddr,
+    /// Address for the links of agents: `[entry] links`.
+    pub links: SocketAddr,
+    /// Time between "not ready" and the end of accepting, so that the balancer
+    /// notices: `[entry] grace`.
+    pub grace: Duration,
+    /// Longest wait for requests in flight at shutdown: `[entry] drain`.
+    pub drain: Duration,
+}
+
+/// Default time for the balancer to notice a shutdown.
+const DEFAULT_GRACE: Duration = Duration::from_secs(5);
+/// Default longest wait for requests in flight at shutdown.
+const DEFAULT_DRAIN: Duration = Duration::from_secs(30);
+/// Default port for callers.
+const CALLERS_PORT: u16 = 8080;
+/// Default port for operators.
+const OPERATORS_PORT: u16 = 8081;
+/// Default port for links.
+const LINKS_PORT: u16 = 8082;
+
+impl EntryConfig {
+    /// Settings of an entry `name` in `zone` with the defaults on loopback.
+    pub fn new(name: NodeName, zone: ZoneName) -> Self {
+        Self {
+            name,
+            zone,
+            callers: loopback(CALLERS_PORT),
+            operators: loopback(OPERATORS_PORT),
+            links: loopback(LINKS_PORT),
+            grace: DEFAULT_GRACE,
+            drain: DEFAULT_DRAIN,
+        }
+    }
+
+    /// Parses a settings text.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ConfigError`] for the first problem; nothing is accepted in part.
+    pub fn parse(text: &[u8]) -> Result<Self, ConfigError> {
+        let mut document = Document::parse(text)?;
+        let mut entry = document.take("entry");
+        let base = Self::new(entry.require("name")?, entry.require("zone")?);
+        let config = Self {
+            callers: entry.take_or("callers", base.callers)?,
+            operators: entry.take_or("operators", base.operators)?,
+            links: entry.take_or("links", base.links)?,
+            grace: entry.take_with("grace", base.grace, humantime::parse_duration)?,
+            drain: entry.take_with("drain", base.drain, humantime::parse_duration)?,
+            ..base
+        };
+        entry.finish()?;
+        document.finish()?;
+        Ok(config)
+    }
+}
+
+fn loopback(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/parsleytally-entry/src/entry.rs
@@ -0,0 +1,174 @@
+//! A running entry: its duties, links and servers.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use parsleytally_link::{Hello, PROTOCOL_VERSION, Role};
+use parsleytally_platform::process::Clock;
+use parsleytally_platform::process::http::{BindError, HttpServer};
+use parsleytally_platform::store::Store;
+use snafu::{ResultExt, Snafu};
+use tokio::time::{Instant, sleep};
+
+use crate::callers::Callers;
+use crate::config::EntryConfig;
+use crate::directory::Directory;
+use crate::links::{Links, Shared};
+use crate::metrics::Metrics;
+use crate::operators::Operators;
+use crate::scheduler::Scheduler;
+use crate::settings::Settings;
+
+/// Time between two looks at the requests in flight during shutdown.
+const DRAIN_STEP: Duration = Duration::from_millis(20);
+
+/// Why an entry could not start.
+#[derive(Debug, Snafu)]
+pub enum StartError {
+    /// An address for HTTP is not available.
+    #[snafu(display("{server}: {source}"))]
+    Bind {
+        /// Which server.
+        server: &'static str,
+        /// Which address and why.
+        source: BindError,
+    },
+    /// The address for links is not available.
+    #[snafu(display("links: address {address} is not available: {source}"))]
+    Links {
+        /// The address.
+        address: SocketAddr,
+        /// What the system reported.
+        source: std::io::Error,
+    },
+    /// The metrics are contradictory.
+    #[snafu(display("metrics: {source}"))]
+    Metrics {
+        /// What the library reported.
+        source: prometheus::Error,
+    },
+    /// A thread could not start.
+    #[snafu(display("thread of a duty did not start: {source}"))]
+    Thread {
+        /// What the system reported.
+        source: std::io::Error,
+    },
+}
+
+/// A running entry.
+pub struct Entry {
+    config: EntryConfig,
+    draining: Arc<AtomicBool>,
+    callers: Arc<Callers>,
+    caller_server: HttpServer,
+    operator_server: HttpServer,
+    links: Links,
+    settings: Settings,
+    scheduler: Scheduler,
+    directory: Directory,
+}
+
+impl Entry {
+    /// Starts the duties and servers over the platform's `store`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StartError`] when an address or a thread is not to be had.
+    pub async fn start(config: EntryConfig, store: Arc<dyn Store>) -> Result<Self, StartError> {
+        let metrics = Metrics::new().context(MetricsSnafu)?;
+        let directory = Directory::start(metrics.clone()).context(ThreadSnafu)?;
+        let scheduler = Scheduler::start(metrics.clone()).context(ThreadSnafu)?;
+        let settings = Settings::start(
+            store.clone(),
+            directory.ring(),
+            scheduler.ring(),
+            metrics.clone(),
+        );
+        let settings = settings.context(ThreadSnafu)?;
+        let shared = Shared {
+            hello: hello(&config),
+            directory: directory.ring(),
+            scheduler: scheduler.ring(),
+        };
+        let address = config.links;
+        let links = Links::start(address, shared)
+            .await
+            .context(LinksSnafu { address })?;
+        let draining = Arc::new(AtomicBool::new(false));
+        let operators = Arc::new(Operators {
+            store,
+            directory: directory.ring(),
+            scheduler: scheduler.ring(),
+            in_force: settings.in_force(),
+            metrics: metrics.clone(),
+            draining: draining.clone(),
+        });
+        let operator_server = HttpServer::start(config.operators, operators).await;
+        let operator_server = operator_server.context(BindSnafu {
+            server: "operators",
+        })?;
+        let callers = Arc::new(Callers::new(directory.ring(), metrics));
+        let caller_server = HttpServer::start(config.callers, callers.clone()).await;
+        let caller_server = caller_server.context(BindSnafu { server: "callers" })?;
+        Ok(Self {
+            config,
+            draining,
+            callers,
+            caller_server,
+            operator_server,
+            links,
+            settings,
+            scheduler,
+            directory,
+        })
+    }
+
+    /// Address for callers.
+    pub fn callers(&self) -> SocketAddr {
+        self.caller_server.address()
+    }
+
+    /// Address for operators.
+    pub fn operators(&self) -> SocketAddr {
+        self.operator_server.address()
+    }
+
+    /// Address for links.
+    pub fn links(&self) -> SocketAddr {
+        self.links.address()
+    }
+
+    /// Turns readiness off, finishes what is in flight and stops.
+    pub async fn close(self) {
+        self.draining.store(true, Ordering::SeqCst);
+        sleep(self.config.grace).await;
+        let limit = Instant::now() + self.config.drain;
+        while self.callers.in_flight() > 0 && Instant::now() < limit {
+            sleep(DRAIN_STEP).await;
+        }
+        let left = self.callers.in_flight();
+        if left > 0 {
+            log::warn!("{left} requests are still in flight at the drain limit");
+        }
+        // Lets the last answers reach the sockets.
+        sleep(DRAIN_STEP).await;
+        self.caller_server.close().await;
+        self.links.close().await;
+        self.settings.close();
+        self.scheduler.close();
+        self.directory.close();
+        self.operator_server.close().await;
+    }
+}
+
+fn hello(config: &EntryConfig) -> Hello {
+    Hello {
+        version: PROTOCOL_VERSION,
+        role: Role::Entry,
+        node: config.name.clone(),
+        zone: config.zone.clone(),
+        incarnation: Clock::incarnation(),
+    }
+}
--- /dev/null
+++ b/crates/parsleytally-entry/src/main.rs
@@ -0,0 +1,105 @@
+//! The entry binary.
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use parsleytally_entry::Entry;
+use parsleytally_entry::config::EntryConfig;
+use parsleytally_entry::standalone::{Addresses, Standalone};
+use parsleytally_platform::process::command::{self, Command, ExtraOption};
+use parsleytally_platform::process::{logs, spans};
+use parsleytally_platform::store::MemoryStore;
+
+const USAGE: &str = "parsleytally-entry --config FILE [--check] | --standalone \
+                     [--callers ADDR] [--operators ADDR]";
+
+const OPTIONS: [ExtraOption; 3] = [
+    ExtraOption {
+        name: "standalone",
+        description: "run entry, agent, store and sample endpoint in one process",
+        value: None,
+    },
+    ExtraOption {
+        name: "callers",
+        description: "address for callers in standalone (127.0.0.1:8080)",
+        value: Some("ADDR"),
+    },
+    ExtraOption {
+        name: "operators",
+        description: "address for operators in standalone (127.0.0.1:8081)",
+        value: Some("ADDR"),
+    },
+];
+
+fn main() -> ExitCode {
+    match start() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(exit) => exit,
+    }
+}
+
+fn start() -> Result<(), ExitCode> {
+    let command = command::parse(USAGE, env!("CARGO_PKG_VERSION"), &OPTIONS)?;
+    if command.has("standalone") {
+        let addresses = Addresses {
+            callers: address(&command, "callers")?,
+            operators: address(&command, "operators")?,
+        };
+        return run_standalone(addresses);
+    }
+    let config = command.load(EntryConfig::parse)?;
+    run(config)
+}
+
+fn address(command: &Command, name: &str) -> Result<Option<SocketAddr>, ExitCode> {
+    let Some(value) = command.value(name) else {
+        return Ok(None);
+    };
+    value.parse().map(Some).map_err(|_| {
+        eprintln!("option --{name}: {value:?} is not an address and port");
+        ExitCode::from(2)
+    })
+}
+
+#[tokio::main]
+async fn run_standalone(addresses: Addresses) -> Result<(), ExitCode> {
+    logs::start();
+    spans::start();
+    let stop = command::terminated();
+    let all = Standalone::start(addresses)
+        .await
+        .map_err(|error| failed(&error))?;
+    print_addresses(all.entry());
+    stop.await;
+    log::info!("standalone drains");
+    all.close().await;
+    Ok(())
+}
+
+#[tokio::main]
+async fn run(config: EntryConfig) -> Result<(), ExitCode> {
+    logs::start();
+    spans::start();
+    let stop = command::terminated();
+    let store = Arc::new(MemoryStore::new());
+    let entry = Entry::start(config, store)
+        .await
+        .map_err(|error| failed(&error))?;
+    print_addresses(&entry);
+    stop.await;
+    log::info!("entry drains");
+    entry.close().await;
+    Ok(())
+}
+
+fn print_addresses(entry: &Entry) {
+    println!("callers {}", entry.callers());
+    println!("operators {}", entry.operators());
+    println!("links {}", entry.links());
+}
+
+fn failed(error: &dyn std::error::Error) -> ExitCode {
+    eprintln!("{error}");
+    ExitCode::FAILURE
+}
--- /dev/null
+++ b/crates/parsleytally-entry/src/metrics.rs
@@ -0,0 +1,78 @@
+//! Counters and gauges of an entry.
+
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
+};
+
+/// Upper bounds of the latency buckets, in seconds.
+const LATENCY_BUCKETS_S: [f64; 12] = [
+    0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 1.0, 2.5, 10.0,
+];
+
+/// Metrics of one entry; clones share them.
+#[derive(Debug, Clone)]
+pub(crate) struct Metrics {
+    registry: Registry,
+    pub(crate) requests: IntCounterVec,
+    pub(crate) latency: Histogram,
+    pub(crate) in_flight: IntGauge,
+    pub(crate) endpoints: IntGauge,
+    pub(crate) revision: IntGauge,
+    pub(crate) bad_settings: IntCounter,
+    pub(crate) tasks: IntCounterVec,
+}
+
+impl Metrics {
+    pub(crate) fn new() -> prometheus::Result<Self> {
+        let latency = HistogramOpts::new(
+            "parsleytally_entry_request_seconds",
+            "Time from a caller's request to its answer, in seconds.",
+        );
+        let metrics = Self {
+            registry: Registry::new(),
+            requests: IntCounterVec::new(
+                Opts::new("parsleytally_entry_requests_total", "Requests by outcome."),
+                &["outcome"],
+            )?,
+            latency: Histogram::with_opts(latency.buckets(LATENCY_BUCKETS_S.to_vec()))?,
+            in_flight: IntGauge::new("parsleytally_entry_in_flight", "Requests in flight.")?,
+            endpoints: IntGauge::new("parsleytally_entry_endpoints", "Known endpoints.")?,
+            revision: IntGauge::new(
+                "parsleytally_entry_settings_revision",
+                "Revision of the settings in force here.",
+            )?,
+            bad_settings: IntCounter::new(
+                "parsleytally_entry_bad_settings_total",
+                "Values in the store that were kept out of force.",
+            )?,
+            tasks: IntCounterVec::new(
+                Opts::new("parsleytally_entry_tasks_total", "Batch tasks by event."),
+                &["event"],
+            )?,
+        };
+        metrics.register()?;
+        Ok(metrics)
+    }
+
+    fn register(&self) -> prometheus::Result<()> {
+        self.registry.register(Box::new(self.requests.clone()))?;
+        self.registry.register(Box::new(self.latency.clone()))?;
+        self.registry.register(Box::new(self.in_flight.clone()))?;
+        self.registry.register(Box::new(self.endpoints.clone()))?;
+        self.registry.register(Box::new(self.revision.clone()))?;
+        self.registry
+            .register(Box::new(self.bad_settings.clone()))?;
+        self.registry.register(Box::new(self.tasks.clone()))
+    }
+
+    /// All metrics in the text format of Prometheus.
+    pub(crate) fn text(&self) -> String {
+        let mut bytes = Vec::new();
+        let encoded = TextEncoder::new().encode(&self.registry.gather(), &mut bytes);
+        if let Err(error) = encoded {
+            log::error!("metrics do not encode: {error}");
+        }
+        String::from_utf8_lossy(&bytes).into_owned()
+    }
+}
--- /dev/null
+++ b/crates/parsleytally-entry/tests/whole_path.rs
@@ -0,0 +1,232 @@
+//! The whole path in one process: callers, operators, batch, settings, spans.
+
+use std::time::Duration;
+
+use http::{Method, StatusCode};
+use parsleytally_entry::standalone::{Addresses, Standalone};
+use parsleytally_platform::process::http::read_body;
+use parsleytally_platform::process::spans;
+use serde_json::Value;
+use volo_http::body::Body;
+use volo_http::client::Client;
+use volo_http::response::Response;
+
+/// Tries before a state that must come is missed.
+const TRIES: usize = 600;
+/// Wait between two tries.
+const STEP: Duration = Duration::from_millis(50);
+
+struct System {
+    all: Standalone,
+    client: Client,
+}
+
+struct Reply {
+    status: StatusCode,
+    headers: http::HeaderMap,
+    body: String,
+}
+
+impl System {
+    async fn start() -> Self {
+        spans::start();
+        let any = "127.0.0.1:0".parse().unwrap();
+        let addresses = Addresses {
+            callers: Some(any),
+            operators: Some(any),
+        };
+        let all = Standalone::start(addresses).await.unwrap();
+        let client = Client::builder().build().unwrap();
+        let system = Self { all, client };
+        system
+            .until("/v1/workers", |body| body.contains("\"worker\""))
+            .await;
+        system
+    }
+
+    async fn caller(&self, method: Method, path: &str, body: &str) -> Reply {
+        let uri = format!("http://{}{path}", self.all.entry().callers());
+        self.send(method, uri, body, None).await
+    }
+
+    async fn operator(&self, method: Method, path: &str, body: &str) -> Reply {
+        let uri = format!("http://{}{path}", self.all.entry().operators());
+        self.send(method, uri, body, None).await
+    }
+
+    async fn send(
+        &self,
+        method: Method,
+        uri: String,
+        body: &str,
+        header: Option<(&'static str, &str)>,
+    ) -> Reply {
+        let mut call = self
+            .client
+            .request(method, uri)
+            .body(Body::from(body.to_owned()));
+        if let Some((name, value)) = header {
+            call = call.header(name, value);
+        }
+        let response: Response = call.send().await.unwrap();
+        let (parts, body) = response.into_parts();
+        let body = read_body(body, 4 << 20).await.unwrap();
+        Reply {
+            status: parts.status,
+            headers: parts.headers,
+            body: String::from_utf8(body.to_vec()).unwrap(),
+        }
+    }
+
+    async fn until(&self, path: &str, reached: impl Fn(&str) -> bool) -> String {
+        for _ in 0..TRIES {
+            let reply = self.operator(Method::GET, path, "").await;
+            if reached(&reply.body) {
+                return reply.body;
+            }
+            tokio::time::sleep(STEP).await;
+        }
+        panic!("{path} never came to the expected state");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_is_served_end_to_end_with_a_span_for_each_hop() {
+    let system = System::start().await;
+    let uri = format!(
+        "http://{}/demo/echo/hello?x=1",
+        system.all.entry().callers()
+    );
+    let trace = "0af7651916cd43dd8448eb211c80319c";
+    let parent = format!("00-{trace}-b7ad6b7169203331-01");
+    let header = Some(("traceparent", parent.as_str()));
+    let reply = system.send(Method::POST, uri, "body", header).await;
+    assert_eq!(reply.status, StatusCode::OK, "{}", reply.body);
+    let echo: Value = serde_json::from_str(&reply.body).unwrap();
+    assert_eq!(echo["path"], "/echo/hello");
+    assert_eq!(echo["body"], "body");
+    let spans = system
+        .until("/v1/spans", |body| body.matches(trace).count() >= 5)
+        .await;
+    let spans: Vec<Value> = serde_json::from_str(&spans).unwrap();
+    let mut hops: Vec<&str> = spans
+        .iter()
+        .filter(|span| span["trace"] == trace)
+        .map(|span| span["name"].as_str().unwrap())
+        .collect();
+    hops.sort_unstable();
+    let expected = [
+        "agent.endpoint",
+        "agent.request",
+        "endpoint.answer",
+        "entry.link",
+        "entry.request",
+    ];
+    assert_eq!(hops, expected);
+    system.all.close().await;
+}
+
+struct ErrorCase {
+    path: &'static str,
+    status: StatusCode,
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_for_nobody_did_not_run() {
+    let system = System::start().await;
+    let cases = [
+        ErrorCase {
+            path: "/demo/other/x",
+            status: StatusCode::NOT_FOUND,
+        },
+        ErrorCase {
+            path: "/demo",
+            status: StatusCode::NOT_FOUND,
+        },
+        ErrorCase {
+            path: "/DEMO/echo",
+            status: StatusCode::NOT_FOUND,
+        },
+        ErrorCase {
+            path: "/",
+            status: StatusCode::NOT_FOUND,
+        },
+    ];
+    for case in cases {
+        let reply = system.caller(Method::GET, case.path, "").await;
+        assert_eq!(reply.status, case.status, "{}", case.path);
+        assert_eq!(
+            reply.headers["parsleytally-outcome"], "not-run",
+            "{}",
+            case.path
+        );
+    }
+    system.all.close().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_batch_task_is_placed_run_and_seen_as_finished() {
+    let system = System::start().await;
+    let path = "/v1/settings/demo/batch/count";
+    let reply = system
+        .operator(Method::PUT, path, "[task]\ncpu = 500\nrun-time = 50ms\n")
+        .await;
+    assert_eq!(reply.status, StatusCode::OK, "{}", reply.body);
+    let task = system
+        .until("/v1/tasks/demo/count", |body| body.contains("finished"))
+        .await;
+    let task: Value = serde_json::from_str(&task).unwrap();
+    assert_eq!(task["run"], 1);
+    let accepted = reply.headers["etag"]
+        .to_str()
+        .unwrap()
+        .trim_matches('"')
+        .to_owned();
+    let in_force = format!("\"revision\":{accepted}");
+    let status = system
+        .until("/v1/status", |body| {
+            body.contains(&in_force) && body.contains("\"agents_in_force\":1")
+        })
+        .await;
+    assert!(status.contains("\"agents\":1"), "{status}");
+    let metrics = system.operator(Method::GET, "/metrics", "").await;
+    assert!(
+        metrics
+            .body
+            .contains("parsleytally_entry_tasks_total{event=\"finished\"} 1")
+    );
+    system.all.close().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn settings_are_checked_and_racing_operators_get_412() {
+    let system = System::start().await;
+    let path = "/v1/settings/demo/services/echo";
+    let first = system
+        .operator(Method::PUT, path, "[service]\ntimeout = 5s\n")
+        .await;
+    assert_eq!(first.status, StatusCode::OK);
+    let tag = first.headers["etag"].to_str().unwrap().to_owned();
+    let uri = format!("http://{}{path}", system.all.entry().operators());
+    let text = "[service]\ntimeout = 6s\n";
+    let won = system
+        .send(Method::PUT, uri.clone(), text, Some(("if-match", &tag)))
+        .await;
+    assert_eq!(won.status, StatusCode::OK);
+    let lost = system
+        .send(Method::PUT, uri, text, Some(("if-match", &tag)))
+        .await;
+    assert_eq!(lost.status, StatusCode::PRECONDITION_FAILED);
+    let bad = system
+        .operator(Method::PUT, path, "[service]\ntimeout = never\n")
+        .await;
+    assert_eq!(bad.status, StatusCode::UNPROCESSABLE_ENTITY);
+    assert!(
+        bad.body.contains("\"timeout\" in section [service]"),
+        "{}",
+        bad.body
+    );
+    let now = system.operator(Method::GET, path, "").await;
+    assert_eq!(now.body, text);
+    system.all.close().await;
+}
--- /dev/null
+++ b/crates/parsleytally-link/src/frame.rs
@@ -0,0 +1,202 @@
+//! Frames that agents and entries exchange.
+
+use bytes::Bytes;
+use derive_more::Display;
+use parsleytally::configs::BatchConfig;
+use parsleytally::types::{
+    Incarnation, NodeName, RackName, RequestId, Resources, Revision, RunId, ServiceKey, ZoneName,
+};
+use serde::{Deserialize, Serialize};
+
+/// Which kind of process speaks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Serialize, Deserialize)]
+pub enum Role {
+    /// Runs on an entry VM.
+    #[display("entry")]
+    Entry,
+    /// Runs beside an endpoint.
+    #[display("agent")]
+    Agent,
+}
+
+/// First frame in both directions.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Hello {
+    /// Version of the frames.
+    pub version: u16,
+    /// Kind of the process.
+    pub role: Role,
+    /// Name of the process's place.
+    pub node: NodeName,
+    /// Availability zone of the process.
+    pub zone: ZoneName,
+    /// Number of this life of the process.
+    pub incarnation: Incarnation,
+}
+
+/// What an agent offers.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Announcement {
+    /// Service that the endpoint answers.
+    pub service: ServiceKey,
+    /// Rack of the worker.
+    pub rack: RackName,
+    /// Requests that the endpoint takes at once.
+    pub slots: u32,
+    /// Connections that the endpoint takes at once.
+    pub connections: u32,
+    /// What the worker has.
+    pub capacity: Resources,
+}
+
+/// Sign of life in both directions; an agent's carries its load.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// Requests in service now.
+    pub busy: u32,
+    /// Whether the endpoint takes no new work.
+    pub leaving: bool,
+}
+
+/// One header of a request or an answer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Header {
+    /// Name in lower case.
+    pub name: String,
+    /// Value, as received.
+    pub value: Bytes,
+}
+
+/// A caller's request on its way to an endpoint.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Request {
+    /// Number, unique within this life of the entry.
+    pub id: RequestId,
+    /// Service that shall answer.
+    pub service: ServiceKey,
+    /// HTTP method.
+    pub method: String,
+    /// Path and query, without the team.
+    pub path: String,
+    /// End-to-end headers.
+    pub headers: Vec<Header>,
+    /// Whole body.
+    pub body: Bytes,
+    /// Time left for the answer, in microseconds.
+    pub timeout: u64,
+    /// Span context as W3C `traceparent`.
+    pub trace: String,
+}
+
+/// An endpoint's whole answer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Answer {
+    /// Number of the request.
+    pub id: RequestId,
+    /// HTTP status.
+    pub status: u16,
+    /// End-to-end headers.
+    pub headers: Vec<Header>,
+    /// Whole body.
+    pub body: Bytes,
+}
+
+/// A request that did not reach the endpoint.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Refusal {
+    /// Number of the request.
+    pub id: RequestId,
+    /// Why it was refused.
+    pub reason: String,
+}
+
+/// A request that was handed to the endpoint and got no whole answer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Failure {
+    /// Number of the request.
+    pub id: RequestId,
+    /// What went wrong.
+    pub reason: String,
+    /// Whether it was the time limit.
+    pub late: bool,
+}
+
+/// What an entry asks of a worker's agent about a run.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum TaskCommand {
+    /// Start the run.
+    Start {
+        /// The run.
+        run: RunId,
+        /// The task's settings.
+        config: BatchConfig,
+    },
+    /// Stop the run.
+    Stop {
+        /// The run.
+        run: RunId,
+    },
+}
+
+/// What an agent reports about a run.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum TaskReport {
+    /// The run has its grant and runs.
+    Started {
+        /// The run.
+        run: RunId,
+    },
+    /// The run did not start.
+    Refused {
+        /// The run.
+        run: RunId,
+        /// Why it was refused.
+        reason: String,
+    },
+    /// The run came to its end.
+    Finished {
+        /// The run.
+        run: RunId,
+    },
+    /// The run was stopped before its end.
+    Stopped {
+        /// The run.
+        run: RunId,
+    },
+}
+
+/// Settings in force at the entry.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SettingsNotice {
+    /// Revision in force.
+    pub revision: Revision,
+}
+
+/// One message on a link.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Frame {
+    /// First frame.
+    Hello(Hello),
+    /// What an agent offers.
+    Announce(Announcement),
+    /// Sign of life.
+    Heartbeat(Heartbeat),
+    /// A caller's request.
+    Request(Request),
+    /// An endpoint's answer.
+    Answer(Answer),
+    /// A request that did not run.
+    Refused(Refusal),
+    /// A request with unknown outcome.
+    Failed(Failure),
+    /// The entry no longer waits for this request.
+    Cancel(RequestId),
+    /// A command about a run.
+    Command(TaskCommand),
+    /// A report about a run.
+    Report(TaskReport),
+    /// Settings in force at the entry.
+    Settings(SettingsNotice),
+    /// Settings in force at the agent.
+    InForce(SettingsNotice),
+}
--- a/crates/parsleytally-platform/src/lib.rs
+++ b/crates/parsleytally-platform/src/lib.rs
@@ -1,6 +1,11 @@
 //! Borders to the platform that the scheduler runs on.
 //!
 //! Each border is a trait, so that the daemons can be run and tested against a
-//! stand-in. [`store`] is the platform's key-value service.
+//! stand-in. [`store`] is the platform's key-value service; [`process`] is what
+//! surrounds the duties of a process; the other stand-ins of tests and of the
+//! standalone mode are in [`stand_in`].
 
+pub mod process;
+#[cfg(feature = "stand-in")]
+pub mod stand_in;
 pub mod store;
--- a/crates/parsleytally/src/configs/batch.rs
+++ b/crates/parsleytally/src/configs/batch.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{ConfigError, Document};
-use crate::types::{Bytes, MilliCpu, Resources};
+use crate::types::{MilliCpu, Resources};
 
 /// A batch task as its team declares it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -47,7 +47,7 @@
         let config = Self {
             need: Resources {
                 cpu: MilliCpu(task.take_or("cpu", base.need.cpu.0)?),
-                memory: task.take_with("memory", base.need.memory, parse_bytes)?,
+                memory: task.take_or("memory", base.need.memory)?,
                 accelerators: task.take_or("accelerators", base.need.accelerators)?,
             },
             run_time: task.take_with("run-time", base.run_time, humantime::parse_duration)?,
@@ -60,7 +60,3 @@
         Ok(config)
     }
 }
-
-pub(super) fn parse_bytes(text: &str) -> Result<Bytes, String> {
-    text.parse::<bytesize::ByteSize>().map(|size| Bytes(size.0))
-}
--- a/crates/parsleytally/src/configs/once.rs
+++ b/crates/parsleytally/src/configs/once.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{ConfigError, Section, batch::parse_bytes};
+use super::{ConfigError, Section};
 use crate::types::Bytes;
 
 /// How long and how many idempotency keys are remembered.
@@ -44,8 +44,8 @@
         Ok(Self {
             ttl: section.take_with("ttl", base.ttl, humantime::parse_duration)?,
             keys: section.take_or("keys", base.keys)?,
-            memory: section.take_with("memory", base.memory, parse_bytes)?,
-            max_answer: section.take_with("max-answer", base.max_answer, parse_bytes)?,
+            memory: section.take_or("memory", base.memory)?,
+            max_answer: section.take_or("max-answer", base.max_answer)?,
         })
     }
 }
--- a/crates/parsleytally/src/configs/quota.rs
+++ b/crates/parsleytally/src/configs/quota.rs
@@ -2,7 +2,6 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::batch::parse_bytes;
 use super::{ConfigError, Document};
 use crate::types::{MilliCpu, Resources};
 
@@ -37,7 +36,7 @@
         let config = Self {
             limit: Resources {
                 cpu: MilliCpu(quota.take_or("cpu", base.limit.cpu.0)?),
-                memory: quota.take_with("memory", base.limit.memory, parse_bytes)?,
+                memory: quota.take_or("memory", base.limit.memory)?,
                 accelerators: quota.take_or("accelerators", base.limit.accelerators)?,
             },
             weight: quota.take_or("weight", base.weight)?,
--- a/crates/parsleytally/src/types/resources.rs
+++ b/crates/parsleytally/src/types/resources.rs
@@ -49,6 +49,15 @@
 #[display("{}", bytesize::ByteSize(*_0))]
 pub struct Bytes(pub u64);
 
+impl std::str::FromStr for Bytes {
+    type Err = String;
+
+    /// Reads an amount such as `64MiB` or `60GB`.
+    fn from_str(text: &str) -> Result<Self, String> {
+        text.parse::<bytesize::ByteSize>().map(|size| Self(size.0))
+    }
+}
+
 /// What a worker has or a task needs.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Resources {
