feat(membership): states, incarnations and digests between zones

Cause: entries must learn endpoints without a list, and late news of an earlier life must change nothing.

Change: a state machine whose records only grow (incarnation, sequence, phase), local suspicion by deadline or lost link, and bounded digests from one entry of a zone to a few zones a round.

--- a/crates/parsleytally/src/lib.rs
+++ b/crates/parsleytally/src/lib.rs
@@ -19,5 +19,6 @@
 pub mod placement;
 pub mod retry;
 pub mod settings;
+pub mod membership;
 pub mod types;
 pub mod writes;
--- /dev/null
+++ b/crates/parsleytally/src/membership/tests.rs
@@ -0,0 +1,498 @@
+//! Tests of membership.
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+use proptest::test_runner::{Config as RunnerConfig, RngAlgorithm, TestRng, TestRunner};
+
+use super::*;
+use crate::configs::MembershipConfig;
+use crate::types::{Incarnation, NodeName, Resources, ServiceKey, Time, ZoneName};
+
+const WORKER: &str = "w1";
+
+fn name(text: &str) -> NodeName {
+    text.parse().unwrap()
+}
+
+fn service(text: &str) -> ServiceKey {
+    ServiceKey {
+        team: "demo".parse().unwrap(),
+        service: text.parse().unwrap(),
+    }
+}
+
+fn peer(zone: &str, entry: &str) -> Peer {
+    Peer {
+        zone: zone.parse().unwrap(),
+        name: name(entry),
+    }
+}
+
+fn offer(worker: &str, life: u64, sequence: u64) -> Announcement {
+    Announcement {
+        worker: name(worker),
+        incarnation: Incarnation(life),
+        sequence,
+        zone: "a".parse().unwrap(),
+        rack: "r1".parse().unwrap(),
+        service: service("echo"),
+        slots: 8,
+        connections: 64,
+        capacity: Resources::new(16_000, 60 << 30, 0),
+    }
+}
+
+fn beat(worker: &str, life: u64, sequence: u64, phase: Phase) -> Heartbeat {
+    Heartbeat {
+        worker: name(worker),
+        incarnation: Incarnation(life),
+        sequence,
+        phase,
+        load: Load {
+            outstanding: u32::try_from(sequence % 8).unwrap(),
+            yours: 0,
+        },
+    }
+}
+
+/// A membership with its clock and all that it has put out.
+struct Node {
+    membership: Membership,
+    now: Time,
+    out: Vec<Output>,
+}
+
+impl Node {
+    fn new(zone: &str, entry: &str) -> Self {
+        Self::with_config(zone, entry, MembershipConfig::default())
+    }
+
+    fn with_config(zone: &str, entry: &str, config: MembershipConfig) -> Self {
+        Self {
+            membership: Membership::new(config, peer(zone, entry), Incarnation(1)),
+            now: Time::from_secs(1),
+            out: Vec::new(),
+        }
+    }
+
+    fn with_ready(worker: &str) -> Self {
+        let mut node = Self::new("a", "e1");
+        node.step(Input::Announced(offer(worker, 1, 1)));
+        node.step(Input::Heartbeat(beat(worker, 1, 2, Phase::Ready)));
+        node
+    }
+
+    fn step(&mut self, input: Input) {
+        self.membership.step(self.now, input, &mut self.out);
+    }
+
+    fn tick_at(&mut self, now: Time) {
+        self.now = now;
+        self.step(Input::Tick);
+    }
+
+    fn state(&self) -> State {
+        self.membership.member(&name(WORKER)).unwrap().state()
+    }
+
+    fn digests(&mut self) -> Vec<(NodeName, Digest)> {
+        let out = self.out.drain(..);
+        out.filter_map(|output| match output {
+            Output::SendDigest { peer, digest } => Some((peer, digest)),
+            _ => None,
+        })
+        .collect()
+    }
+}
+
+struct StateCase {
+    name: &'static str,
+    inputs: Vec<Input>,
+    millis: u64,
+    state: State,
+}
+
+#[test]
+fn a_state_follows_from_messages_and_silence() {
+    let lost = |life| Input::LinkLost {
+        worker: name(WORKER),
+        incarnation: Incarnation(life),
+    };
+    let beat = |life, sequence, phase| Input::Heartbeat(beat(WORKER, life, sequence, phase));
+    let cases = [
+        StateCase {
+            name: "ready",
+            inputs: vec![],
+            millis: 0,
+            state: State::Ready,
+        },
+        StateCase {
+            name: "silent",
+            inputs: vec![],
+            millis: 1_750,
+            state: State::Suspected,
+        },
+        StateCase {
+            name: "silent for long",
+            inputs: vec![],
+            millis: 10_000,
+            state: State::Gone,
+        },
+        StateCase {
+            name: "link lost",
+            inputs: vec![lost(1)],
+            millis: 0,
+            state: State::Suspected,
+        },
+        StateCase {
+            name: "link lost, then heard by another",
+            inputs: vec![lost(1), beat(1, 3, Phase::Ready)],
+            millis: 0,
+            state: State::Ready,
+        },
+        StateCase {
+            name: "link lost, then an old heartbeat",
+            inputs: vec![lost(1), beat(1, 2, Phase::Ready)],
+            millis: 0,
+            state: State::Suspected,
+        },
+        StateCase {
+            name: "link of an earlier life lost",
+            inputs: vec![lost(0)],
+            millis: 0,
+            state: State::Ready,
+        },
+        StateCase {
+            name: "leaving at the first heartbeat that says so",
+            inputs: vec![beat(1, 3, Phase::Leaving)],
+            millis: 0,
+            state: State::Leaving,
+        },
+        StateCase {
+            name: "leaving, then a crossed ready",
+            inputs: vec![beat(1, 4, Phase::Leaving), beat(1, 3, Phase::Ready)],
+            millis: 0,
+            state: State::Leaving,
+        },
+        StateCase {
+            name: "leaving and silent",
+            inputs: vec![beat(1, 3, Phase::Leaving)],
+            millis: 1_750,
+            state: State::Leaving,
+        },
+        StateCase {
+            name: "left",
+            inputs: vec![beat(1, 3, Phase::Gone)],
+            millis: 0,
+            state: State::Gone,
+        },
+        StateCase {
+            name: "new life without announcement",
+            inputs: vec![beat(2, 1, Phase::Ready)],
+            millis: 0,
+            state: State::Joining,
+        },
+        StateCase {
+            name: "new life, then news of the old one",
+            inputs: vec![
+                Input::Announced(offer(WORKER, 2, 1)),
+                beat(2, 2, Phase::Ready),
+                beat(1, 99, Phase::Gone),
+                lost(1),
+            ],
+            millis: 0,
+            state: State::Ready,
+        },
+        StateCase {
+            name: "left, then a new life while links cross",
+            inputs: vec![
+                beat(1, 3, Phase::Leaving),
+                lost(1),
+                beat(2, 2, Phase::Ready),
+                Input::Announced(offer(WORKER, 2, 1)),
+            ],
+            millis: 0,
+            state: State::Ready,
+        },
+    ];
+    for case in cases {
+        let mut node = Node::with_ready(WORKER);
+        for input in case.inputs {
+            node.step(input);
+        }
+        node.tick_at(Time::from_millis(1_000 + case.millis));
+        assert_eq!(node.state(), case.state, "{}", case.name);
+    }
+}
+
+#[test]
+fn a_repeated_heartbeat_extends_no_deadline() {
+    let mut node = Node::with_ready(WORKER);
+    node.now = Time::from_millis(2_500);
+    node.step(Input::Heartbeat(beat(WORKER, 1, 2, Phase::Ready)));
+    node.tick_at(Time::from_millis(2_750));
+    assert_eq!(node.state(), State::Suspected);
+    assert_eq!(node.membership.counters().stale, 1);
+}
+
+#[test]
+fn an_unknown_life_is_asked_for_its_announcement() {
+    let mut node = Node::new("a", "e1");
+    node.step(Input::Heartbeat(beat(WORKER, 1, 1, Phase::Ready)));
+    let worker = name(WORKER);
+    assert_eq!(node.out, [Output::AskAnnouncement { worker }]);
+    assert_eq!(node.state(), State::Joining);
+}
+
+#[test]
+fn a_changed_offer_of_a_ready_worker_is_reported() {
+    let mut node = Node::with_ready(WORKER);
+    node.out.clear();
+    let mut changed = offer(WORKER, 1, 3);
+    changed.slots = 4;
+    node.step(Input::Announced(changed));
+    node.step(Input::Announced(offer(WORKER, 1, 1)));
+    let worker = name(WORKER);
+    assert_eq!(node.out, [Output::OfferChanged { worker }]);
+    let member = node.membership.member(&name(WORKER)).unwrap();
+    assert_eq!(member.offer().unwrap().slots, 4);
+}
+
+#[test]
+fn a_gone_worker_is_remembered_and_then_forgotten() {
+    let mut node = Node::with_ready(WORKER);
+    node.tick_at(Time::from_secs(600));
+    assert_eq!(node.state(), State::Gone);
+    node.tick_at(Time::from_secs(601));
+    assert!(node.membership.member(&name(WORKER)).is_none());
+}
+
+#[test]
+fn workers_past_the_bound_are_refused() {
+    let mut node = Node::new("a", "e1");
+    let limit = MembershipConfig::default().max_members;
+    for i in 0..=limit {
+        node.step(Input::Announced(offer(&format!("w{i}"), 1, 1)));
+    }
+    assert_eq!(node.membership.members().count(), limit);
+    let refusal = Refusal::TooManyMembers { limit };
+    assert!(node.out.contains(&Output::Refused(refusal)));
+}
+
+/// Runs `check` on values of `strategy` from a fixed seed.
+fn check_all<S: Strategy>(strategy: &S, check: impl Fn(S::Value)) {
+    const SEED: [u8; 32] = [7; 32];
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &SEED);
+    let mut runner = TestRunner::new_with_rng(RunnerConfig::with_cases(512), rng);
+    let outcome = runner.run(strategy, |value| {
+        check(value);
+        Ok(())
+    });
+    outcome.unwrap();
+}
+
+fn life_story(life: u64) -> Vec<Input> {
+    let phases = [
+        Phase::Joining,
+        Phase::Ready,
+        Phase::Ready,
+        Phase::Leaving,
+        Phase::Gone,
+    ];
+    let beats = phases.iter().zip(2..);
+    let beats = beats.map(|(phase, n)| Input::Heartbeat(beat(WORKER, life, n, *phase)));
+    let offers = [1, 7].map(|n| Input::Announced(offer(WORKER, life, n)));
+    offers.into_iter().chain(beats).collect()
+}
+
+#[test]
+fn any_order_of_the_same_messages_gives_the_same_record() {
+    let messages = prop::sample::subsequence(life_story(1), 0..=7)
+        .prop_flat_map(|old| (Just(old), prop::sample::subsequence(life_story(2), 1..=7)))
+        .prop_map(|(old, new)| [old, new].concat())
+        .prop_flat_map(|all| {
+            let doubled = [all.clone(), all.clone()].concat();
+            (Just(all), Just(doubled).prop_shuffle())
+        });
+    check_all(&messages, |(ordered, crossed)| {
+        let run = |inputs: Vec<Input>| {
+            let mut node = Node::new("a", "e1");
+            inputs.into_iter().for_each(|input| node.step(input));
+            node.membership.member(&name(WORKER)).unwrap().clone()
+        };
+        let (ordered, crossed) = (run(ordered), run(crossed));
+        assert_eq!(ordered, crossed);
+        assert_eq!(crossed.incarnation(), Incarnation(2));
+    });
+}
+
+/// Entry `e1` of zone `a` with `services` ready workers, linked to zones `b`, `c`, `d`.
+fn speaker(services: usize) -> Node {
+    let config = MembershipConfig {
+        suspect_after: Duration::from_secs(60),
+        gone_after: Duration::from_secs(60),
+        ..MembershipConfig::default()
+    };
+    let mut node = Node::with_config("a", "e1", config);
+    for i in 0..services {
+        let worker = format!("w{i}");
+        let mut offer = offer(&worker, 1, 1);
+        offer.service = service(&format!("s{i}"));
+        node.step(Input::Announced(offer));
+        node.step(Input::Heartbeat(beat(&worker, 1, 2, Phase::Ready)));
+    }
+    for (zone, entry) in [("a", "e2"), ("b", "e3"), ("c", "e4"), ("d", "e5")] {
+        node.step(Input::PeerUp(peer(zone, entry)));
+    }
+    node.out.clear();
+    node
+}
+
+#[test]
+fn digests_reach_every_zone_by_turns_and_one_entry_speaks() {
+    let mut node = speaker(1);
+    let mut reached = Vec::new();
+    for second in 2..5 {
+        node.tick_at(Time::from_secs(second));
+        let digests = node.digests();
+        assert_eq!(digests.len(), MembershipConfig::default().fanout);
+        reached.extend(digests.into_iter().map(|(peer, _)| peer));
+    }
+    let zones = ["e3", "e4", "e5"].map(name);
+    assert_eq!(reached, [zones.clone(), zones].concat());
+    node.step(Input::PeerUp(peer("a", "e0")));
+    node.tick_at(Time::from_secs(5));
+    assert!(node.digests().is_empty());
+    node.step(Input::PeerLost(peer("a", "e0")));
+    node.tick_at(Time::from_secs(6));
+    assert_eq!(node.digests().len(), 2);
+}
+
+#[test]
+fn a_large_zone_is_told_page_by_page_and_a_left_service_disappears() {
+    let services = MAX_DIGEST_ROWS + 100;
+    let mut sender = speaker(services);
+    let mut receiver = Node::new("b", "e3");
+    let known = |sender: &mut Node, from: u64, receiver: &mut Node| {
+        for second in from..from + 4 {
+            sender.tick_at(Time::from_secs(second));
+            receiver.now = sender.now;
+            for (peer, digest) in sender.digests() {
+                assert!(digest.rows.len() <= MAX_DIGEST_ROWS);
+                if peer == name("e3") {
+                    receiver.step(Input::Digest(digest));
+                }
+            }
+        }
+        let keys = (0..services).map(|i| service(&format!("s{i}")));
+        keys.filter(|key| receiver.membership.best_remote(key).is_some())
+            .count()
+    };
+    assert_eq!(known(&mut sender, 2, &mut receiver), services);
+    sender.step(Input::Heartbeat(beat("w0", 1, 3, Phase::Leaving)));
+    assert_eq!(known(&mut sender, 6, &mut receiver), services - 1);
+}
+
+struct DigestCase {
+    name: &'static str,
+    change: fn(&mut Digest),
+    known: bool,
+    relays: usize,
+}
+
+#[test]
+fn late_crossed_and_malformed_digests_change_nothing() {
+    let cases = [
+        DigestCase {
+            name: "newer",
+            change: |d| {
+                d.version = 6;
+                d.rows.clear();
+            },
+            known: false,
+            relays: 1,
+        },
+        DigestCase {
+            name: "same version",
+            change: |d| d.rows.clear(),
+            known: true,
+            relays: 0,
+        },
+        DigestCase {
+            name: "earlier life",
+            change: |d| {
+                d.incarnation = Incarnation(0);
+                d.version = 9;
+                d.rows.clear();
+            },
+            known: true,
+            relays: 0,
+        },
+        DigestCase {
+            name: "newer and relayed",
+            change: |d| {
+                d.version = 6;
+                d.relayed = true;
+            },
+            known: true,
+            relays: 0,
+        },
+        DigestCase {
+            name: "row outside its range",
+            change: |d| {
+                d.version = 6;
+                d.range = (0, 0);
+            },
+            known: true,
+            relays: 0,
+        },
+        DigestCase {
+            name: "too many rows",
+            change: |d| {
+                d.version = 6;
+                d.rows = vec![d.rows[0]; MAX_DIGEST_ROWS + 1];
+            },
+            known: true,
+            relays: 0,
+        },
+    ];
+    let first = Digest {
+        origin: peer("b", "e9"),
+        incarnation: Incarnation(1),
+        version: 5,
+        relayed: false,
+        range: (0, u64::MAX),
+        rows: vec![Row {
+            service: service_hash(&service("echo")),
+            room: Room { ready: 1, free: 8 },
+        }],
+    };
+    for case in cases {
+        let mut node = Node::new("a", "e1");
+        node.step(Input::PeerUp(peer("a", "e2")));
+        node.step(Input::PeerUp(peer("b", "e9")));
+        node.step(Input::Digest(first.clone()));
+        node.out.clear();
+        let mut second = first.clone();
+        (case.change)(&mut second);
+        node.step(Input::Digest(second));
+        let known = node.membership.best_remote(&service("echo")).is_some();
+        assert_eq!(known, case.known, "{}", case.name);
+        assert_eq!(node.digests().len(), case.relays, "{}", case.name);
+    }
+}
+
+#[test]
+fn an_expired_digest_is_not_used() {
+    let mut sender = speaker(1);
+    sender.tick_at(Time::from_secs(2));
+    let (_, digest) = sender.digests().remove(0);
+    let mut node = Node::new("b", "e3");
+    node.step(Input::Digest(digest));
+    let zone: ZoneName = "a".parse().unwrap();
+    let known = node.membership.best_remote(&service("s0"));
+    assert_eq!(known.map(|(_, z, room)| (z, room.ready)), Some((&zone, 1)));
+    node.tick_at(Time::from_secs(61));
+    assert!(node.membership.best_remote(&service("s0")).is_none());
+}
