--- a/crates/parsleytally-platform/src/store/mod.rs
+++ b/crates/parsleytally-platform/src/store/mod.rs
@@ -24,12 +24,14 @@
 pub mod gateway;
 #[cfg(feature = "stand-in")]
 mod memory;
+mod writer;
 
 pub use calls::{CallKind, CallMetrics};
 pub use error::StoreError;
 pub use etcd::EtcdStore;
 #[cfg(feature = "stand-in")]
 pub use memory::MemoryStore;
+pub use writer::{Verdict, Writer};
 
 /// Largest value that the store holds, in bytes.
 pub const MAX_VALUE_BYTES: usize = 1 << 20;
--- a/crates/parsleytally/src/settings/path.rs
+++ b/crates/parsleytally/src/settings/path.rs
@@ -87,7 +87,7 @@
     /// Key of the log that each write to the path's subtree extends.
     pub fn guard_key(&self) -> String {
         let team = self.team().map_or(DEPLOYMENT, TeamName::as_str);
-        format!("{WRITES_PREFIX}{team}")
+        format!("{WRITES_PREFIX}{team}/log")
     }
 }
 
