feat(reaction,health): protect services with least lost work, tell sick workers from sick tasks

Cause: noisy runs make services late, and workers and tasks fail for reasons that look alike. Change: a controller per worker that throttles by learned effect, moves or evicts once the weighed lateness outweighs the weighed loss, within a budget; a health state that blames a worker or a task by distinct counterparts, with back-off, parking, probing and a floor. Weights come from DeploymentConfig; one example for each deployment.

--- a/crates/parsleytally/src/configs/mod.rs
+++ b/crates/parsleytally/src/configs/mod.rs
@@ -7,6 +7,7 @@
 mod batch;
 mod deployment;
 mod estimates;
+mod health;
 mod ini;
 mod interference;
 mod limits;
@@ -21,8 +22,9 @@
 mod token;
 
 pub use batch::BatchConfig;
-pub use deployment::DeploymentConfig;
+pub use deployment::{DeploymentConfig, ReactionConfig};
 pub use estimates::EstimatesConfig;
+pub use health::HealthConfig;
 pub use ini::{ConfigError, Document, Section};
 pub use interference::InterferenceConfig;
 pub use limits::{AdaptKind, LimitsConfig};
--- a/crates/parsleytally/src/configs/tests.rs
+++ b/crates/parsleytally/src/configs/tests.rs
@@ -69,3 +69,28 @@
     assert_eq!(config.need, Resources::new(500, 2 << 30, 1));
     assert_eq!(config.run_time, std::time::Duration::from_secs(90));
 }
+
+#[test]
+fn a_deployment_with_bad_thresholds_is_refused() {
+    let cases = [
+        RefusalCase {
+            text: b"[reaction]\nlow = 0.9\nhigh = 0.8\n",
+            error: "value \"0.9\" of key \"low\" in section [reaction]: \
+                    expected less than high, 0.8",
+        },
+        RefusalCase {
+            text: b"[weights]\nlatency = -1\n",
+            error: "value \"-1\" of key \"latency\" in section [weights]: expected 0 to 1000",
+        },
+        RefusalCase {
+            text: b"[weights]\nlatency = NaN\n",
+            error: "value \"NaN\" of key \"latency\" in section [weights]: expected 0 to 1000",
+        },
+    ];
+    for case in cases {
+        let error = DeploymentConfig::parse(case.text).unwrap_err();
+        assert_eq!(error.to_string(), case.error);
+    }
+    let empty = DeploymentConfig::parse(b"").unwrap();
+    assert_eq!(empty, DeploymentConfig::default());
+}
--- a/crates/parsleytally/src/lib.rs
+++ b/crates/parsleytally/src/lib.rs
@@ -12,12 +12,14 @@
 pub mod configs;
 pub mod estimates;
 pub mod grants;
+pub mod health;
 pub mod interference;
 pub mod leases;
 pub mod limits;
 pub mod membership;
 pub mod once;
 pub mod placement;
+pub mod reaction;
 pub mod retry;
 pub mod routing;
 pub mod settings;
--- /dev/null
+++ b/crates/parsleytally/src/reaction/tests.rs
@@ -0,0 +1,218 @@
+//! Tests of the reaction controller.
+
+use super::*;
+use crate::types::{Bytes, TaskName, TeamName};
+
+const GIB: u64 = 1 << 30;
+const STEP: Duration = Duration::from_secs(10);
+
+/// Effects: `noisy` a tenth per processor, anything else a thousandth.
+struct Effects;
+
+impl Slowdown for Effects {
+    fn slowdown(&self, _service: &str, task: &str, _strain: f64) -> f64 {
+        if task == "noisy" { 0.1 } else { 0.001 }
+    }
+}
+
+fn key(name: &str) -> TaskKey {
+    TaskKey {
+        team: TeamName::new("a").unwrap(),
+        task: TaskName::new(name).unwrap(),
+    }
+}
+
+fn run(name: &str, class: &str, unsaved: u64) -> RunView {
+    RunView {
+        task: key(name),
+        class: class.into(),
+        cores: 3.0,
+        memory: Bytes(GIB),
+        granted: Resources::new(3_000, GIB, 0),
+        level: Level::Full,
+        checkpoint: false,
+        unsaved: Duration::from_secs(unsaved),
+    }
+}
+
+/// One worker whose throttles take effect at once.
+struct Bench {
+    reaction: Reaction,
+    now: Time,
+    lag: Duration,
+    sample: Sample,
+}
+
+impl Bench {
+    fn new(config: DeploymentConfig, runs: Vec<RunView>) -> Self {
+        Self {
+            reaction: Reaction::new(config),
+            now: Time::from_secs(100),
+            lag: Duration::from_secs(10),
+            sample: Sample {
+                total: Resources::new(16_000, 60 * GIB, 0),
+                granted: Resources::new(14_000, 30 * GIB, 0),
+                memory: Bytes(20 * GIB),
+                services: Vec::new(),
+                runs,
+            },
+        }
+    }
+
+    fn measure(&mut self, strain: f64) -> Vec<Output> {
+        self.now = self.now.after(STEP);
+        let at = Time::from_micros(self.now.as_micros() - self.lag.as_micros() as u64);
+        self.sample.services = vec![ServiceView {
+            class: "web".into(),
+            at,
+            strain,
+            load: 0.8,
+        }];
+        let mut out = Vec::new();
+        self.reaction
+            .step(self.now, &self.sample, &Effects, &mut out);
+        for output in &out {
+            self.apply(output);
+        }
+        out
+    }
+
+    fn apply(&mut self, output: &Output) {
+        match output {
+            Output::Throttle { task, level } => {
+                let run = self.sample.runs.iter_mut().find(|r| r.task == *task);
+                let run = run.unwrap();
+                run.cores *= level.share() / run.level.share();
+                run.level = *level;
+            }
+            Output::Move(task) | Output::Evict(task) => {
+                self.sample.runs.retain(|r| r.task != *task);
+            }
+            Output::Grow { .. } => {}
+        }
+    }
+
+    fn repeat(&mut self, strain: f64, times: u32) -> Vec<Output> {
+        (0..times).flat_map(|_| self.measure(strain)).collect()
+    }
+}
+
+fn taken_out(out: &[Output]) -> usize {
+    let gone = |o: &&Output| matches!(o, Output::Move(_) | Output::Evict(_));
+    out.iter().filter(gone).count()
+}
+
+#[test]
+fn the_harmful_run_is_throttled_first_and_nothing_is_moved_at_once() {
+    let runs = vec![run("calm", "plain", 10), run("loud", "noisy", 10)];
+    let mut bench = Bench::new(DeploymentConfig::default(), runs);
+    let out = bench.measure(0.95);
+    let first = Output::Throttle {
+        task: key("loud"),
+        level: Level::Quarter,
+    };
+    assert_eq!(out[0], first);
+    assert_eq!(taken_out(&out), 0);
+    // The next change waits until this one can be seen.
+    assert!(bench.repeat(0.95, 2).is_empty());
+}
+
+#[test]
+fn lateness_that_throttling_does_not_mend_moves_the_cheapest_harmful_run() {
+    let mut saved = run("saved", "noisy", 5_000);
+    saved.checkpoint = true;
+    let runs = vec![run("long", "noisy", 5_000), run("calm", "plain", 1), saved];
+    let mut bench = Bench::new(DeploymentConfig::default(), runs);
+    let out = bench.repeat(1.5, 30);
+    let gone = out
+        .iter()
+        .find(|o| matches!(o, Output::Move(_) | Output::Evict(_)));
+    assert_eq!(gone, Some(&Output::Move(key("saved"))));
+}
+
+struct WeightCase {
+    text: &'static [u8],
+    steps_until_gone: std::ops::RangeInclusive<u32>,
+}
+
+#[test]
+fn the_weights_of_a_deployment_decide_how_long_lateness_is_borne() {
+    let cases = [
+        WeightCase {
+            text: include_bytes!("../../../../examples/orgonahang.ini"),
+            steps_until_gone: 1..=12,
+        },
+        WeightCase {
+            text: include_bytes!("../../../../examples/sonoro.ini"),
+            steps_until_gone: 30..=400,
+        },
+    ];
+    for case in cases {
+        let config = DeploymentConfig::parse(case.text).unwrap();
+        let mut bench = Bench::new(config, vec![run("t", "noisy", 60)]);
+        let mut steps = 1;
+        while taken_out(&bench.measure(1.3)) == 0 {
+            steps += 1;
+            assert!(steps < 1_000, "never moved");
+        }
+        assert!(case.steps_until_gone.contains(&steps), "{steps} steps");
+    }
+}
+
+#[test]
+fn a_budget_bounds_evictions_in_a_lasting_wave() {
+    let runs = (0..40).map(|at| run(&format!("t{at}"), "noisy", 1));
+    let mut bench = Bench::new(DeploymentConfig::default(), runs.collect());
+    let out = bench.repeat(3.0, 360);
+    let budget = DeploymentConfig::default().reaction.budget;
+    assert!(taken_out(&out) as f64 <= 2.0 * budget);
+    assert!(taken_out(&out) > 0);
+}
+
+#[test]
+fn strain_around_the_threshold_does_not_make_it_swing() {
+    let mut bench = Bench::new(DeploymentConfig::default(), vec![run("t", "noisy", 1)]);
+    let mut out = Vec::new();
+    for _ in 0..180 {
+        out.extend(bench.measure(0.92));
+        out.extend(bench.measure(0.80));
+    }
+    // Throttled to the lowest level, and left there.
+    assert!(out.len() <= 2, "{out:?}");
+}
+
+#[test]
+fn room_is_given_back_after_a_calm_time() {
+    let mut bench = Bench::new(DeploymentConfig::default(), vec![run("t", "noisy", 1)]);
+    bench.measure(0.95);
+    assert_ne!(bench.sample.runs[0].level, Level::Full);
+    let calm = DeploymentConfig::default().reaction.calm;
+    let steps = (calm.as_secs() / STEP.as_secs()) as u32;
+    assert!(bench.repeat(0.3, steps).is_empty());
+    bench.repeat(0.3, 3 * steps);
+    assert_eq!(bench.sample.runs[0].level, Level::Full);
+}
+
+#[test]
+fn stale_measurements_change_nothing() {
+    let mut bench = Bench::new(DeploymentConfig::default(), vec![run("t", "noisy", 1)]);
+    bench.lag = Duration::from_secs(90);
+    assert!(bench.repeat(5.0, 100).is_empty());
+    assert!(bench.repeat(0.1, 100).is_empty());
+}
+
+#[test]
+fn a_run_past_its_grant_grows_into_room_or_goes_before_memory_runs_out() {
+    let mut growing = run("t", "plain", 1);
+    growing.memory = Bytes(5 * GIB);
+    let mut bench = Bench::new(DeploymentConfig::default(), vec![growing]);
+    let grown = Output::Grow {
+        task: key("t"),
+        need: Resources::new(3_000, 5 * GIB, 0),
+    };
+    assert_eq!(bench.measure(0.5), [grown]);
+    bench.sample.granted = bench.sample.total;
+    assert!(bench.measure(0.5).is_empty());
+    bench.sample.memory = Bytes(58 * GIB);
+    assert_eq!(bench.measure(0.5), [Output::Evict(key("t"))]);
+}
