--- a/crates/parsleytally-agent/src/agent.rs
+++ b/crates/parsleytally-agent/src/agent.rs
@@ -87,7 +87,7 @@
     /// Returns [`StartError`] when an address, a thread or a client is not to be had.
     pub async fn start(config: AgentConfig) -> Result<Self, StartError> {
         let metrics = Metrics::new().context(error::MetricsSnafu)?;
-        let requests = Arc::new(Requests::new(&config.endpoint, metrics.clone())?);
+        let requests = Arc::new(Requests::new(&config, metrics.clone())?);
         let runs = Runs::start(config.capacity, metrics.clone()).context(error::ThreadSnafu)?;
         let operators = Operators {
             metrics: metrics.clone(),
@@ -130,10 +130,10 @@
         // The entries hear of it by the next heartbeat.
         sleep(HEARTBEAT_INTERVAL * 2).await;
         let limit = Instant::now() + self.drain;
-        while self.requests.load().busy > 0 && Instant::now() < limit {
+        while self.requests.in_flight() > 0 && Instant::now() < limit {
             sleep(DRAIN_STEP).await;
         }
-        let left = self.requests.load().busy;
+        let left = self.requests.in_flight();
         if left > 0 {
             log::warn!("{left} requests are still in flight at the drain limit");
         }
@@ -160,8 +160,8 @@
     Announcement {
         service: config.endpoint.service.clone(),
         rack: config.rack.clone(),
-        slots: config.endpoint.slots,
-        connections: config.endpoint.connections,
+        slots: config.endpoint.limits.slots,
+        connections: config.endpoint.limits.connections,
         capacity: config.capacity,
     }
 }
--- a/crates/parsleytally-agent/src/config.rs
+++ b/crates/parsleytally-agent/src/config.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use parsleytally::configs::{ConfigError, Document};
+use parsleytally::configs::{ConfigError, Document, LimitsConfig, OnceConfig};
 use parsleytally::types::{
     Bytes, MilliCpu, NodeName, RackName, Resources, ServiceKey, ServiceName, TeamName, ZoneName,
 };
@@ -25,6 +25,8 @@
     pub drain: Duration,
     /// The endpoint beside the agent: section `[endpoint]`.
     pub endpoint: EndpointConfig,
+    /// Idempotency keys: section `[once]`.
+    pub once: OnceConfig,
     /// What the worker has: `[worker] cpu` (thousandths), `memory`, `accelerators`.
     pub capacity: Resources,
 }
@@ -36,16 +38,10 @@
     pub service: ServiceKey,
     /// Address of the endpoint: `address`.
     pub address: SocketAddr,
-    /// Requests that it takes at once: `slots`.
-    pub slots: u32,
-    /// Connections that it takes at once: `connections`.
-    pub connections: u32,
+    /// Bounds of its admission: `slots`, `connections` and the other keys of limits.
+    pub limits: LimitsConfig,
 }
 
-/// Default number of requests that an endpoint takes at once.
-const DEFAULT_SLOTS: u32 = 8;
-/// Default number of connections that an endpoint takes at once.
-const DEFAULT_CONNECTIONS: u32 = 64;
 /// Default longest wait for requests in flight at shutdown.
 const DEFAULT_DRAIN: Duration = Duration::from_secs(30);
 
@@ -60,6 +56,7 @@
         let mut agent = document.take("agent");
         let mut endpoint = document.take("endpoint");
         let mut worker = document.take("worker");
+        let mut once = document.take("once");
         let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
         let config = Self {
             name: agent.require("name")?,
@@ -74,9 +71,9 @@
                     service: endpoint.require::<ServiceName>("service")?,
                 },
                 address: endpoint.require("address")?,
-                slots: endpoint.take_or("slots", DEFAULT_SLOTS)?,
-                connections: endpoint.take_or("connections", DEFAULT_CONNECTIONS)?,
+                limits: LimitsConfig::take(&mut endpoint)?,
             },
+            once: OnceConfig::take(&mut once)?,
             capacity: Resources {
                 cpu: MilliCpu(worker.require("cpu")?),
                 memory: worker.require::<Bytes>("memory")?,
@@ -86,6 +83,7 @@
         agent.finish()?;
         endpoint.finish()?;
         worker.finish()?;
+        once.finish()?;
         document.finish()?;
         Ok(config)
     }
--- a/crates/parsleytally-agent/src/config/tests.rs
+++ b/crates/parsleytally-agent/src/config/tests.rs
@@ -27,8 +27,8 @@
 fn a_whole_text_is_accepted() {
     let config = AgentConfig::parse(WHOLE.as_bytes()).unwrap();
     assert_eq!(config.entries.len(), 2);
-    assert_eq!(config.endpoint.slots, 8);
-    assert_eq!(config.endpoint.connections, 64);
+    assert_eq!(config.endpoint.limits.slots, 8);
+    assert_eq!(config.endpoint.limits.connections, 64);
     assert_eq!(config.capacity, Resources::new(16_000, 60_000_000_000, 0));
 }
 
--- a/crates/parsleytally-agent/src/endpoint.rs
+++ b/crates/parsleytally-agent/src/endpoint.rs
@@ -1,7 +1,6 @@
 //! HTTP to the endpoint beside the agent.
 
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use http::header::{CONNECTION, CONTENT_LENGTH, HOST, HeaderName, TRANSFER_ENCODING};
 use http::{HeaderMap, HeaderValue, Method};
@@ -11,6 +10,7 @@
 use volo_http::body::Body;
 use volo_http::client::Client;
 use volo_http::error::ClientError;
+use volo_http::error::client::ErrorKind;
 
 /// Largest accepted body of an answer, in bytes.
 const BODY_LIMIT_BYTES: usize = 1 << 20;
@@ -35,20 +35,26 @@
 impl EndpointError {
     /// Whether the endpoint cannot have seen the request.
     pub(crate) fn is_not_run(&self) -> bool {
-        matches!(self, Self::Invalid { .. })
+        match self {
+            Self::Invalid { .. } => true,
+            Self::Call { source } => {
+                matches!(source.kind(), ErrorKind::Connect) || is_connect_refusal(source)
+            }
+            Self::Body { .. } => false,
+        }
     }
 }
 
-/// A client of one endpoint; it keeps at most `connections` idle connections.
+/// A client of one endpoint; it keeps at most `slots` idle connections.
 pub(crate) struct Endpoint {
     address: SocketAddr,
     client: Client,
 }
 
 impl Endpoint {
-    pub(crate) fn new(address: SocketAddr, connections: u32) -> Result<Self, EndpointError> {
+    pub(crate) fn new(address: SocketAddr, slots: u32) -> Result<Self, EndpointError> {
         let mut builder = Client::builder();
-        builder.set_max_idle_per_host(connections as usize);
+        builder.set_max_idle_per_host(slots as usize);
         let client = builder.build().context(CallSnafu)?;
         Ok(Self { address, client })
     }
@@ -58,7 +64,6 @@
         &self,
         request: &Request,
         traceparent: &str,
-        limit: Duration,
     ) -> Result<Answer, EndpointError> {
         let Ok(method) = Method::from_bytes(request.method.as_bytes()) else {
             return InvalidSnafu { part: "method" }.fail();
@@ -72,10 +77,7 @@
         if let Ok(value) = HeaderValue::from_str(traceparent) {
             call.headers_mut().insert("traceparent", value);
         }
-        let mut options = volo_http::client::CallOpt::new();
-        options.set_timeout(limit);
-        let response: volo_http::response::Response =
-            call.with_callopt(options).send().await.context(CallSnafu)?;
+        let response: volo_http::response::Response = call.send().await.context(CallSnafu)?;
         let (parts, body) = response.into_parts();
         let body = read_body(body, BODY_LIMIT_BYTES).await.context(BodySnafu)?;
         Ok(Answer {
@@ -87,6 +89,14 @@
     }
 }
 
+/// Whether the system refused the connection, which it never does to an open one.
+fn is_connect_refusal(error: &ClientError) -> bool {
+    let first: &(dyn std::error::Error + 'static) = error;
+    std::iter::successors(Some(first), |error| error.source())
+        .filter_map(|error| error.downcast_ref::<std::io::Error>())
+        .any(|error| error.kind() == std::io::ErrorKind::ConnectionRefused)
+}
+
 fn fill_headers(into: &mut HeaderMap, headers: &[Header]) -> Result<(), EndpointError> {
     for header in headers {
         let Ok(name) = HeaderName::from_bytes(header.name.as_bytes()) else {
--- a/crates/parsleytally-agent/src/lib.rs
+++ b/crates/parsleytally-agent/src/lib.rs
@@ -4,9 +4,11 @@
 //! and passes them on (`requests`), and runs batch tasks within what
 //! its worker has (`runs`).
 
+mod admission;
 mod agent;
 pub mod config;
 mod endpoint;
+mod keys;
 mod links;
 mod metrics;
 mod operators;
--- a/crates/parsleytally-agent/src/links.rs
+++ b/crates/parsleytally-agent/src/links.rs
@@ -89,6 +89,11 @@
             let link = link.clone();
             tokio::spawn(async move { shared.requests.serve(request, &link).await });
         }
+        Frame::Fence(fence) => {
+            let shared = shared.clone();
+            let link = link.clone();
+            tokio::spawn(async move { shared.requests.fence(fence, &link).await });
+        }
         Frame::Command(command) => shared.runs.send(command, link),
         Frame::Settings(notice) => {
             let Revision(new) = notice.revision;
--- a/crates/parsleytally-agent/src/metrics.rs
+++ b/crates/parsleytally-agent/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Counters and gauges of an agent.
 
+use crate::admission::Load;
 use prometheus::{Encoder, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
 
 /// Metrics of one agent; clones share them.
@@ -7,7 +8,9 @@
 pub(crate) struct Metrics {
     registry: Registry,
     pub(crate) requests: IntCounterVec,
-    pub(crate) busy: IntGauge,
+    busy: IntGauge,
+    waiting: IntGauge,
+    keys: IntGauge,
     pub(crate) links: IntGauge,
     pub(crate) dials: IntCounter,
     pub(crate) runs: IntCounterVec,
@@ -22,6 +25,14 @@
                 &["outcome"],
             )?,
             busy: IntGauge::new("parsleytally_agent_busy_requests", "Requests in service.")?,
+            waiting: IntGauge::new(
+                "parsleytally_agent_waiting_requests",
+                "Requests that wait for a slot.",
+            )?,
+            keys: IntGauge::new(
+                "parsleytally_agent_idempotency_keys",
+                "Idempotency keys that are remembered.",
+            )?,
             links: IntGauge::new("parsleytally_agent_links", "Open links to entries.")?,
             dials: IntCounter::new("parsleytally_agent_dials_total", "Tries to open a link.")?,
             runs: IntCounterVec::new(
@@ -36,11 +47,21 @@
     fn register(&self) -> prometheus::Result<()> {
         self.registry.register(Box::new(self.requests.clone()))?;
         self.registry.register(Box::new(self.busy.clone()))?;
+        self.registry.register(Box::new(self.waiting.clone()))?;
+        self.registry.register(Box::new(self.keys.clone()))?;
         self.registry.register(Box::new(self.links.clone()))?;
         self.registry.register(Box::new(self.dials.clone()))?;
         self.registry.register(Box::new(self.runs.clone()))
     }
 
+    /// Shows the load of the last heartbeat.
+    pub(crate) fn set_load(&self, load: Load, keys: usize) {
+        let gauge = |n: usize| i64::try_from(n).unwrap_or(i64::MAX);
+        self.busy.set(gauge(load.in_service));
+        self.waiting.set(gauge(load.waiting));
+        self.keys.set(gauge(keys));
+    }
+
     /// All metrics in the text format of Prometheus.
     pub(crate) fn text(&self) -> String {
         let mut bytes = Vec::new();
--- a/crates/parsleytally-agent/src/requests.rs
+++ b/crates/parsleytally-agent/src/requests.rs
@@ -1,54 +1,74 @@
 //! Admission of requests and their hand-over to the endpoint.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::Duration;
 
+use bytes::Bytes;
 use fastrace::Span;
 use fastrace::collector::SpanContext;
 use fastrace::future::FutureExt;
-use parsleytally::types::ServiceKey;
-use parsleytally_link::{Failure, Frame, Heartbeat, Link, Refusal, Request};
+use parsleytally::limits::{Class, End};
+use parsleytally::once::{Conflict, KeyHash, RequestHash};
+use parsleytally::retry::is_idempotent;
+use parsleytally::types::{RequestId, ServiceKey};
+use parsleytally_link::{Answer, Failure, Fence, Frame, Header, Heartbeat, Link, Refusal, Request};
 use parsleytally_platform::process::spans;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
-use crate::config::EndpointConfig;
+use crate::admission::{Admission, Slot};
+use crate::config::AgentConfig;
 use crate::endpoint::{Endpoint, EndpointError};
+use crate::keys::{Keys, RunningKey, Turn};
 use crate::metrics::Metrics;
 
+/// Header of a caller's idempotency key.
+const KEY_HEADER: &str = "idempotency-key";
+/// Header that marks a request as one that may not run twice.
+const ONCE_HEADER: &str = "parsleytally-once";
+/// Header of a caller's class of request.
+const CLASS_HEADER: &str = "parsleytally-class";
+/// Wait that a refusal without a queue asks of its caller.
+const SHORT_WAIT: Duration = Duration::from_millis(50);
+
 /// Requests of all links on their way to the endpoint.
 pub(crate) struct Requests {
     service: ServiceKey,
     endpoint: Endpoint,
-    slots: Arc<Semaphore>,
-    busy: AtomicU32,
-    leaving: AtomicBool,
+    admission: Arc<Admission>,
+    keys: Arc<Keys>,
     metrics: Metrics,
 }
 
 impl Requests {
-    pub(crate) fn new(config: &EndpointConfig, metrics: Metrics) -> Result<Self, EndpointError> {
+    pub(crate) fn new(config: &AgentConfig, metrics: Metrics) -> Result<Self, EndpointError> {
+        let endpoint = &config.endpoint;
         Ok(Self {
-            service: config.service.clone(),
-            endpoint: Endpoint::new(config.address, config.connections)?,
-            slots: Arc::new(Semaphore::new(config.slots as usize)),
-            busy: AtomicU32::new(0),
-            leaving: AtomicBool::new(false),
+            service: endpoint.service.clone(),
+            endpoint: Endpoint::new(endpoint.address, endpoint.limits.slots)?,
+            admission: Admission::new(endpoint.limits.clone()),
+            keys: Keys::new(config.once.clone()),
             metrics,
         })
     }
 
     /// Refuses every new request from now on.
     pub(crate) fn leave(&self) {
-        self.leaving.store(true, Ordering::SeqCst);
+        self.admission.leave();
+    }
+
+    /// Requests in service or waiting.
+    pub(crate) fn in_flight(&self) -> usize {
+        let load = self.admission.load();
+        load.in_service + load.waiting
     }
 
     /// The current load.
     pub(crate) fn load(&self) -> Heartbeat {
+        let load = self.admission.load();
+        self.metrics.set_load(load, self.keys.len());
         Heartbeat {
-            busy: self.busy.load(Ordering::SeqCst),
-            leaving: self.leaving.load(Ordering::SeqCst),
+            busy: u32::try_from(load.in_service + load.waiting).unwrap_or(u32::MAX),
+            leaving: load.leaving,
         }
     }
 
@@ -56,9 +76,9 @@
     pub(crate) async fn serve(&self, request: Request, link: &Link) {
         let id = request.id;
         let span = Span::root("agent.request", spans::context(Some(&request.trace)));
-        let outcome = match self.admit(&request.service) {
-            Ok(slot) => self.hand_over(&request, slot, &span).await,
-            Err(reason) => Frame::Refused(Refusal { id, reason }),
+        let outcome = match key_of(&request) {
+            None => self.run(&request, &span).await,
+            Some(key) => self.run_once(&request, key, &span).await,
         };
         self.metrics
             .requests
@@ -69,72 +89,170 @@
         }
     }
 
-    fn admit(&self, service: &ServiceKey) -> Result<OwnedSemaphorePermit, String> {
-        if self.leaving.load(Ordering::SeqCst) {
-            return Err("endpoint is leaving".to_owned());
-        }
-        if *service != self.service {
-            return Err(format!("service {service} is not here"));
+    /// Refuses a key that has not run here, now and later.
+    pub(crate) async fn fence(&self, fence: Fence, link: &Link) {
+        let id = fence.id;
+        let outcome = match self.keys.fence(fence.key).await {
+            true => refused(id, "key is fenced", Duration::ZERO),
+            false => failed(id, "key is known here", false),
+        };
+        if let Err(error) = link.send(outcome) {
+            log::debug!("outcome of fence {id} was not sent: {error}");
         }
-        let slot = self.slots.clone().try_acquire_owned();
-        slot.map_err(|_| "all slots are busy".to_owned())
     }
 
-    async fn hand_over(&self, request: &Request, slot: OwnedSemaphorePermit, span: &Span) -> Frame {
+    async fn run_once(&self, request: &Request, key: KeyHash, span: &Span) -> Frame {
         let id = request.id;
+        let hash = RequestHash::new(&request.method, &request.path, &request.body);
+        let start = Instant::now();
+        let limit = Duration::from_micros(request.timeout);
+        let Ok(turn) = timeout(limit, self.keys.turn(key, hash)).await else {
+            return failed(id, "the first request of this key still runs", true);
+        };
+        match turn {
+            Turn::Run(running) => {
+                let mut request = request.clone();
+                request.timeout = micros(limit.saturating_sub(start.elapsed()));
+                let outcome = self.run(&request, span).await;
+                settle(running, &outcome);
+                outcome
+            }
+            Turn::Replay(answer) => Frame::Answer(Answer {
+                id,
+                ..Answer::clone(&answer)
+            }),
+            Turn::Refuse(conflict) => Frame::Answer(conflict_answer(id, conflict)),
+            Turn::NotRun { retry_after } => {
+                refused(id, "too many idempotency keys are in use", retry_after)
+            }
+        }
+    }
+
+    async fn run(&self, request: &Request, span: &Span) -> Frame {
+        if request.service != self.service {
+            let reason = format!("service {} is not here", request.service);
+            return refused(request.id, &reason, SHORT_WAIT);
+        }
+        let start = Instant::now();
         let limit = Duration::from_micros(request.timeout);
+        match self.admission.admit(class_of(request), limit).await {
+            Ok(slot) => {
+                let rest = limit.saturating_sub(start.elapsed());
+                self.hand_over(request, slot, rest, span).await
+            }
+            Err(refusal) => {
+                let reason = refusal.reason.to_string();
+                refused(request.id, &reason, refusal.retry_after)
+            }
+        }
+    }
+
+    async fn hand_over(
+        &self,
+        request: &Request,
+        slot: Slot,
+        limit: Duration,
+        span: &Span,
+    ) -> Frame {
+        let id = request.id;
         let hop = Span::enter_with_parent("agent.endpoint", span);
         let trace = SpanContext::from_span(&hop)
             .map(|context| context.encode_w3c_traceparent())
             .unwrap_or_default();
-        let _busy = Busy::enter(self);
-        let call = self.endpoint.call(request, &trace, limit).in_span(hop);
-        let outcome = timeout(limit, call).await;
-        drop(slot);
-        match outcome {
-            Ok(Ok(answer)) => Frame::Answer(answer),
+        let call = self.endpoint.call(request, &trace).in_span(hop);
+        match timeout(limit, call).await {
+            Ok(Ok(answer)) => {
+                slot.close(End::Answered);
+                Frame::Answer(answer)
+            }
             Ok(Err(error)) if error.is_not_run() => {
-                let reason = error.to_string();
-                Frame::Refused(Refusal { id, reason })
+                slot.close(End::Failed);
+                refused(id, &error.to_string(), SHORT_WAIT)
             }
             Ok(Err(error)) => {
-                let reason = error.to_string();
-                Frame::Failed(Failure {
-                    id,
-                    reason,
-                    late: false,
-                })
+                slot.close(End::Failed);
+                failed(id, &error.to_string(), false)
             }
             Err(_) => {
-                let reason = "endpoint did not answer in time".to_owned();
-                Frame::Failed(Failure {
-                    id,
-                    reason,
-                    late: true,
-                })
+                slot.close(End::Abandoned);
+                failed(id, "endpoint did not answer in time", true)
             }
         }
     }
 }
 
-/// Counts a request as in service while it lives.
-struct Busy<'a>(&'a Requests);
+fn settle(running: RunningKey, outcome: &Frame) {
+    match outcome {
+        Frame::Answer(answer) => running.answered(answer),
+        Frame::Refused(_) => running.not_run(),
+        _ => running.unknown(),
+    }
+}
 
-impl<'a> Busy<'a> {
-    fn enter(requests: &'a Requests) -> Self {
-        requests.busy.fetch_add(1, Ordering::SeqCst);
-        requests.metrics.busy.inc();
-        Self(requests)
+/// The hash of the idempotency key, if there is one and it matters.
+fn key_of(request: &Request) -> Option<KeyHash> {
+    let is_marked = header(request, ONCE_HEADER) == Some(b"true");
+    if is_idempotent(&request.method) && !is_marked {
+        return None;
     }
+    let key = header(request, KEY_HEADER)?;
+    Some(KeyHash::new(&request.service, key))
 }
 
-impl Drop for Busy<'_> {
-    fn drop(&mut self) {
-        self.0.busy.fetch_sub(1, Ordering::SeqCst);
-        self.0.metrics.busy.dec();
+fn class_of(request: &Request) -> Class {
+    match header(request, CLASS_HEADER) {
+        Some(b"bulk") => Class::Bulk,
+        _ => Class::Critical,
     }
 }
 
+fn header<'a>(request: &'a Request, name: &str) -> Option<&'a [u8]> {
+    let is_named = |header: &&Header| header.name == name;
+    let found = request.headers.iter().find(is_named)?;
+    Some(&found.value)
+}
+
+fn refused(id: RequestId, reason: &str, retry_after: Duration) -> Frame {
+    Frame::Refused(Refusal {
+        id,
+        reason: reason.to_owned(),
+        retry_after: micros(retry_after),
+    })
+}
+
+fn failed(id: RequestId, reason: &str, late: bool) -> Frame {
+    Frame::Failed(Failure {
+        id,
+        reason: reason.to_owned(),
+        late,
+    })
+}
+
+fn conflict_answer(id: RequestId, conflict: Conflict) -> Answer {
+    let outcome = match conflict {
+        Conflict::Reused => "not-run",
+        Conflict::Unknown | Conflict::NotKept | Conflict::Moved => "unknown",
+    };
+    let body = serde_json::json!({ "outcome": outcome, "reason": conflict.to_string() });
+    let header = |name: &str, value: &'static str| Header {
+        name: name.to_owned(),
+        value: Bytes::from_static(value.as_bytes()),
+    };
+    Answer {
+        id,
+        status: http::StatusCode::CONFLICT.as_u16(),
+        headers: vec![
+            header("content-type", "application/json"),
+            header("parsleytally-outcome", outcome),
+        ],
+        body: body.to_string().into(),
+    }
+}
+
+fn micros(span: Duration) -> u64 {
+    u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
+}
+
 fn name(outcome: &Frame) -> &'static str {
     match outcome {
         Frame::Answer(_) => "answered",
--- a/crates/parsleytally-entry/src/callers.rs
+++ b/crates/parsleytally-entry/src/callers.rs
@@ -7,8 +7,12 @@
 use fastrace::collector::SpanContext;
 use fastrace::future::FutureExt;
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
-use parsleytally::types::{RequestId, ServiceKey, ServiceName, TeamName};
-use parsleytally_link::{Answer, CallError, Header, Request as LinkRequest};
+use parsleytally::configs::RetryConfig;
+use parsleytally::once::{KeyHash, MAX_KEY_BYTES};
+use parsleytally::retry::{Outcome, is_idempotent};
+use parsleytally::types::{Incarnation, ServiceKey, ServiceName, TeamName};
+use parsleytally_link::{Answer, Header};
+use parsleytally_platform::process::Clock;
 use parsleytally_platform::process::http::{Answering, BodyError, Handler, json, read_body};
 use parsleytally_platform::process::spans;
 use serde::Serialize;
@@ -16,6 +20,7 @@
 use volo_http::request::Request;
 use volo_http::response::Response;
 
+use crate::attempts::{Attempts, NoAnswer, Order};
 use crate::directory::{DirectoryRing, PickError};
 use crate::metrics::Metrics;
 
@@ -25,14 +30,17 @@
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(10);
 /// Header that tells whether a failed request ran.
 const OUTCOME_HEADER: HeaderName = HeaderName::from_static("parsleytally-outcome");
-/// Seconds after which a refused caller may ask again.
-const RETRY_AFTER: HeaderValue = HeaderValue::from_static("1");
+/// Header of a caller's own limit, such as `250ms`.
+const TIMEOUT_HEADER: &str = "parsleytally-timeout";
+/// Header that marks a request as one that may not run twice.
+const ONCE_HEADER: &str = "parsleytally-once";
+/// Header of a caller's idempotency key.
+const KEY_HEADER: &str = "idempotency-key";
 
 /// Answers callers.
 pub(crate) struct Callers {
-    directory: DirectoryRing,
+    attempts: Attempts,
     metrics: Metrics,
-    next: AtomicU64,
     in_flight: AtomicU64,
 }
 
@@ -41,6 +49,8 @@
 struct Problem {
     #[serde(skip)]
     status: StatusCode,
+    #[serde(skip)]
+    retry_after: Option<Duration>,
     outcome: &'static str,
     reason: String,
 }
@@ -49,6 +59,7 @@
     fn not_run(status: StatusCode, reason: impl Into<String>) -> Self {
         Self {
             status,
+            retry_after: None,
             outcome: "not-run",
             reason: reason.into(),
         }
@@ -57,28 +68,34 @@
     fn unknown(status: StatusCode, reason: impl Into<String>) -> Self {
         Self {
             status,
+            retry_after: None,
             outcome: "unknown",
             reason: reason.into(),
         }
     }
 
+    fn after(mut self, span: Duration) -> Self {
+        self.retry_after = Some(span);
+        self
+    }
+
     fn into_response(self) -> Response {
         let mut response = json(self.status, &self);
         let headers = response.headers_mut();
         headers.insert(OUTCOME_HEADER, HeaderValue::from_static(self.outcome));
-        if self.status == StatusCode::SERVICE_UNAVAILABLE {
-            headers.insert(http::header::RETRY_AFTER, RETRY_AFTER);
+        if let Some(span) = self.retry_after {
+            headers.insert(http::header::RETRY_AFTER, whole_seconds(span).into());
         }
         response
     }
 }
 
 impl Callers {
-    pub(crate) fn new(directory: DirectoryRing, metrics: Metrics) -> Self {
+    pub(crate) fn new(directory: DirectoryRing, retry: RetryConfig, metrics: Metrics) -> Self {
+        let Incarnation(seed) = Clock::incarnation();
         Self {
-            directory,
+            attempts: Attempts::new(directory, retry, seed),
             metrics,
-            next: AtomicU64::new(1),
             in_flight: AtomicU64::new(0),
         }
     }
@@ -107,22 +124,23 @@
         let body = read_body(body, BODY_LIMIT_BYTES)
             .await
             .map_err(|error| refuse_body(&error))?;
-        let calls = self.directory.pick(&service).await.map_err(refuse_pick)?;
         let hop = Span::enter_with_parent("entry.link", span);
         let trace = SpanContext::from_span(&hop)
             .map(|context| context.encode_w3c_traceparent())
             .unwrap_or_default();
-        let request = LinkRequest {
-            id: RequestId(self.next.fetch_add(1, Ordering::Relaxed)),
+        let repeatable = is_repeatable(&parts.method, &parts.headers);
+        let order = Order {
+            key: key_of(&service, &parts.headers, repeatable)?,
+            limit: limit_of(&parts.headers)?,
             service,
             method: parts.method.as_str().to_owned(),
             path,
             headers: end_to_end(&parts.headers),
             body,
-            timeout: u64::try_from(REQUEST_TIMEOUT.as_micros()).unwrap_or(u64::MAX),
             trace,
+            repeatable,
         };
-        let answer = calls.call(request, REQUEST_TIMEOUT).in_span(hop).await;
+        let answer = self.attempts.run(&order).in_span(hop).await;
         answer.map_err(problem_of)
     }
 }
@@ -176,24 +194,84 @@
     Problem::not_run(status, error.to_string())
 }
 
+fn problem_of(error: NoAnswer) -> Problem {
+    match error {
+        NoAnswer::NotSent(error) => refuse_pick(error),
+        NoAnswer::GaveUp {
+            outcome: Outcome::NotRun,
+            reason,
+            retry_after,
+            ..
+        } => Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, reason).after(retry_after),
+        NoAnswer::GaveUp {
+            late,
+            reason,
+            retry_after,
+            ..
+        } => {
+            let status = match late {
+                true => StatusCode::GATEWAY_TIMEOUT,
+                false => StatusCode::BAD_GATEWAY,
+            };
+            Problem::unknown(status, reason).after(retry_after)
+        }
+    }
+}
+
 fn refuse_pick(error: PickError) -> Problem {
-    let status = match error {
-        PickError::UnknownService => StatusCode::NOT_FOUND,
-        PickError::NoneReady | PickError::Overloaded => StatusCode::SERVICE_UNAVAILABLE,
+    let reason = error.to_string();
+    match error {
+        PickError::UnknownService => Problem::not_run(StatusCode::NOT_FOUND, reason),
+        PickError::KeyLost { retry_after } => {
+            Problem::unknown(StatusCode::CONFLICT, reason).after(retry_after)
+        }
+        PickError::NoneReady | PickError::Overloaded => {
+            Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, reason).after(Duration::from_secs(1))
+        }
+    }
+}
+
+/// Whole seconds of `span`, rounded up.
+fn whole_seconds(span: Duration) -> u64 {
+    span.as_secs() + u64::from(span.subsec_nanos() > 0)
+}
+
+fn is_repeatable(method: &http::Method, headers: &HeaderMap) -> bool {
+    let is_marked = headers
+        .get(ONCE_HEADER)
+        .is_some_and(|value| value == "true");
+    is_idempotent(method.as_str()) && !is_marked
+}
+
+/// The hash of the idempotency key of a request that may not run twice.
+fn key_of(
+    service: &ServiceKey,
+    headers: &HeaderMap,
+    repeatable: bool,
+) -> Result<Option<KeyHash>, Problem> {
+    let Some(key) = headers.get(KEY_HEADER).filter(|_| !repeatable) else {
+        return Ok(None);
     };
-    Problem::not_run(status, error.to_string())
+    let key = key.as_bytes();
+    if key.is_empty() || key.len() > MAX_KEY_BYTES {
+        let reason = format!("idempotency-key must have 1 to {MAX_KEY_BYTES} bytes");
+        return Err(Problem::not_run(StatusCode::BAD_REQUEST, reason));
+    }
+    Ok(Some(KeyHash::new(service, key)))
 }
 
-fn problem_of(error: CallError) -> Problem {
-    match error {
-        CallError::NotRun { reason } => Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, reason),
-        CallError::Unknown { reason, late: true } => {
-            Problem::unknown(StatusCode::GATEWAY_TIMEOUT, reason)
+/// How long the caller waits; at most [`REQUEST_TIMEOUT`].
+fn limit_of(headers: &HeaderMap) -> Result<Duration, Problem> {
+    let Some(value) = headers.get(TIMEOUT_HEADER) else {
+        return Ok(REQUEST_TIMEOUT);
+    };
+    let limit = value.to_str().ok().map(humantime::parse_duration);
+    match limit {
+        Some(Ok(limit)) => Ok(limit.min(REQUEST_TIMEOUT)),
+        _ => {
+            let reason = format!("{TIMEOUT_HEADER} is not a time such as 250ms");
+            Err(Problem::not_run(StatusCode::BAD_REQUEST, reason))
         }
-        CallError::Unknown {
-            reason,
-            late: false,
-        } => Problem::unknown(StatusCode::BAD_GATEWAY, reason),
     }
 }
 
--- a/crates/parsleytally-entry/src/config.rs
+++ b/crates/parsleytally-entry/src/config.rs
@@ -3,11 +3,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use parsleytally::configs::{ConfigError, Document};
+use parsleytally::configs::{ConfigError, Document, OnceConfig, RetryConfig};
 use parsleytally::types::{NodeName, ZoneName};
 
 /// Settings of an entry's process.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct EntryConfig {
     /// Name of the entry: `[entry] name`.
     pub name: NodeName,
@@ -24,6 +24,10 @@
     pub grace: Duration,
     /// Longest wait for requests in flight at shutdown: `[entry] drain`.
     pub drain: Duration,
+    /// What is sent again after a failure: section `[retry]`.
+    pub retry: RetryConfig,
+    /// Idempotency keys; only `ttl` matters here: section `[once]`.
+    pub once: OnceConfig,
 }
 
 /// Default time for the balancer to notice a shutdown.
@@ -48,6 +52,8 @@
             links: loopback(LINKS_PORT),
             grace: DEFAULT_GRACE,
             drain: DEFAULT_DRAIN,
+            retry: RetryConfig::default(),
+            once: OnceConfig::default(),
         }
     }
 
@@ -59,6 +65,8 @@
     pub fn parse(text: &[u8]) -> Result<Self, ConfigError> {
         let mut document = Document::parse(text)?;
         let mut entry = document.take("entry");
+        let mut retry = document.take("retry");
+        let mut once = document.take("once");
         let base = Self::new(entry.require("name")?, entry.require("zone")?);
         let config = Self {
             callers: entry.take_or("callers", base.callers)?,
@@ -66,9 +74,13 @@
             links: entry.take_or("links", base.links)?,
             grace: entry.take_with("grace", base.grace, humantime::parse_duration)?,
             drain: entry.take_with("drain", base.drain, humantime::parse_duration)?,
+            retry: RetryConfig::take(&mut retry)?,
+            once: OnceConfig::take(&mut once)?,
             ..base
         };
         entry.finish()?;
+        retry.finish()?;
+        once.finish()?;
         document.finish()?;
         Ok(config)
     }
--- a/crates/parsleytally-entry/src/directory.rs
+++ b/crates/parsleytally-entry/src/directory.rs
@@ -3,10 +3,13 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::thread;
+use std::time::Duration;
 
 use crossbeam_channel::{Receiver, Sender, TrySendError, bounded};
+use parsleytally::once::{Change, KeyHash, NoOwner, Owners};
 use parsleytally::types::{NodeName, Revision, ServiceKey};
 use parsleytally_link::{Announcement, Calls, Frame, Heartbeat, SettingsNotice};
+use parsleytally_platform::process::Clock;
 use serde::Serialize;
 use snafu::Snafu;
 use tokio::sync::oneshot;
@@ -25,6 +28,12 @@
     /// No endpoint of the service takes new work.
     #[snafu(display("no endpoint of the service takes new work"))]
     NoneReady,
+    /// An endpoint that may have run the idempotency key is gone.
+    #[snafu(display("an endpoint that may have run this idempotency key is gone"))]
+    KeyLost {
+        /// When the key counts as forgotten.
+        retry_after: Duration,
+    },
     /// The ring of the duty is full.
     #[snafu(display("entry is overloaded"))]
     Overloaded,
@@ -53,8 +62,18 @@
     InForce(Arc<Calls>, Revision),
     /// A link is gone.
     Down(Arc<Calls>),
-    /// A request looks for an endpoint.
-    Pick(ServiceKey, oneshot::Sender<Result<Arc<Calls>, PickError>>),
+    /// A request looks for an endpoint other than those that refused it.
+    Pick(
+        ServiceKey,
+        Vec<NodeName>,
+        oneshot::Sender<Result<Arc<Calls>, PickError>>,
+    ),
+    /// A keyed request looks for the owner of its key.
+    PickOwner(
+        ServiceKey,
+        KeyHash,
+        oneshot::Sender<Result<Owner, PickError>>,
+    ),
     /// Settings in force here, to be told to the agents.
     Settings(Revision),
     /// Operators ask for the workers.
@@ -62,6 +81,12 @@
     Close,
 }
 
+/// The agent that owns a key, and those that must be fenced before it runs.
+pub(crate) struct Owner {
+    pub(crate) calls: Arc<Calls>,
+    pub(crate) fences: Vec<Arc<Calls>>,
+}
+
 /// Passes inputs to the duty.
 #[derive(Clone)]
 pub(crate) struct DirectoryRing(Sender<Input>);
@@ -75,9 +100,31 @@
     }
 
     /// Chooses an endpoint of `service`.
-    pub(crate) async fn pick(&self, service: &ServiceKey) -> Result<Arc<Calls>, PickError> {
+    pub(crate) async fn pick(
+        &self,
+        service: &ServiceKey,
+        refused: Vec<NodeName>,
+    ) -> Result<Arc<Calls>, PickError> {
+        self.ask(|reply| Input::Pick(service.clone(), refused, reply))
+            .await
+    }
+
+    /// Chooses the owner of `key`.
+    pub(crate) async fn pick_owner(
+        &self,
+        service: &ServiceKey,
+        key: KeyHash,
+    ) -> Result<Owner, PickError> {
+        self.ask(|reply| Input::PickOwner(service.clone(), key, reply))
+            .await
+    }
+
+    async fn ask<T>(
+        &self,
+        input: impl FnOnce(oneshot::Sender<Result<T, PickError>>) -> Input,
+    ) -> Result<T, PickError> {
         let (sender, receiver) = oneshot::channel();
-        match self.0.try_send(Input::Pick(service.clone(), sender)) {
+        match self.0.try_send(input(sender)) {
             Ok(()) => receiver.await.unwrap_or(Err(PickError::Overloaded)),
             Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => {
                 Err(PickError::Overloaded)
@@ -101,10 +148,13 @@
 }
 
 impl Directory {
-    pub(crate) fn start(metrics: Metrics) -> std::io::Result<Self> {
+    pub(crate) fn start(ttl: Duration, metrics: Metrics) -> std::io::Result<Self> {
         let (inputs, receiver) = bounded(INPUT_RING);
         let mut duty = Duty {
             workers: BTreeMap::new(),
+            owners: BTreeMap::new(),
+            ttl,
+            clock: Clock::start(),
             revision: Revision(0),
             metrics,
         };
@@ -134,6 +184,9 @@
 
 struct Duty {
     workers: BTreeMap<NodeName, Worker>,
+    owners: BTreeMap<ServiceKey, Owners>,
+    ttl: Duration,
+    clock: Clock,
     revision: Revision,
     metrics: Metrics,
 }
@@ -143,15 +196,18 @@
         for input in inputs {
             match input {
                 Input::Up(calls, offer) => self.up(calls, offer),
-                Input::Beat(calls, beat) => self.update(&calls, |worker| worker.beat = beat),
+                Input::Beat(calls, beat) => self.beat(&calls, beat),
                 Input::InForce(calls, revision) => {
                     self.update(&calls, |worker| {
                         worker.revision = worker.revision.max(revision);
                     });
                 }
                 Input::Down(calls) => self.down(&calls),
-                Input::Pick(service, reply) => {
-                    let _ = reply.send(self.pick(&service));
+                Input::Pick(service, refused, reply) => {
+                    let _ = reply.send(self.pick(&service, &refused));
+                }
+                Input::PickOwner(service, key, reply) => {
+                    let _ = reply.send(self.pick_owner(&service, key));
                 }
                 Input::Settings(revision) => self.tell(revision),
                 Input::List(reply) => {
@@ -172,6 +228,12 @@
         }
         log::info!("worker {name} announced service {}", offer.service);
         notify(&calls, self.revision);
+        let joined = Change::Joined {
+            node: name.clone(),
+            incarnation: peer.incarnation,
+            age: Duration::ZERO,
+        };
+        self.change(&offer.service, joined);
         let worker = Worker {
             calls,
             offer,
@@ -193,13 +255,62 @@
         let name = &calls.link().peer().node;
         let known = self.workers.get(name);
         if known.is_some_and(|worker| Arc::ptr_eq(&worker.calls, calls)) {
-            self.workers.remove(name);
+            let worker = self.workers.remove(name);
             log::info!("worker {name} is gone");
+            if let Some(worker) = worker {
+                let node = name.clone();
+                self.change(&worker.offer.service, Change::Gone { node });
+            }
         }
         self.count();
     }
 
-    fn pick(&self, service: &ServiceKey) -> Result<Arc<Calls>, PickError> {
+    fn beat(&mut self, calls: &Arc<Calls>, beat: Heartbeat) {
+        let mut left = None;
+        self.update(calls, |worker| {
+            if beat.leaving && !worker.beat.leaving {
+                left = Some(worker.offer.service.clone());
+            }
+            worker.beat = beat;
+        });
+        if let Some(service) = left {
+            let node = calls.link().peer().node.clone();
+            self.change(&service, Change::Leaving { node });
+        }
+    }
+
+    /// Tells a service's owners of keys about a change.
+    fn change(&mut self, service: &ServiceKey, change: Change) {
+        let ttl = self.ttl;
+        let owners = self
+            .owners
+            .entry(service.clone())
+            .or_insert_with(|| Owners::new(ttl));
+        owners.step(self.clock.now(), change);
+    }
+
+    fn pick_owner(&mut self, service: &ServiceKey, key: KeyHash) -> Result<Owner, PickError> {
+        let Some(owners) = self.owners.get_mut(service) else {
+            return Err(PickError::UnknownService);
+        };
+        let route = owners
+            .route(self.clock.now(), key)
+            .map_err(|error| match error {
+                NoOwner::Empty => PickError::NoneReady,
+                NoOwner::Lost { retry_after } => PickError::KeyLost { retry_after },
+            })?;
+        let calls = |node: &NodeName| {
+            let worker = self.workers.get(node);
+            worker.map(|worker| worker.calls.clone())
+        };
+        let fences = route.fences.iter().map(calls).collect::<Option<_>>();
+        Ok(Owner {
+            calls: calls(&route.owner).ok_or(PickError::NoneReady)?,
+            fences: fences.ok_or(PickError::NoneReady)?,
+        })
+    }
+
+    fn pick(&self, service: &ServiceKey, refused: &[NodeName]) -> Result<Arc<Calls>, PickError> {
         let mut of_service = self
             .workers
             .values()
@@ -210,7 +321,10 @@
         }
         of_service
             .filter(|worker| is_ready(worker))
-            .min_by_key(|worker| worker.calls.in_flight())
+            .min_by_key(|worker| {
+                let has_refused = refused.contains(&worker.calls.link().peer().node);
+                (has_refused, worker.calls.in_flight())
+            })
             .map(|worker| worker.calls.clone())
             .ok_or(PickError::NoneReady)
     }
--- a/crates/parsleytally-entry/src/entry.rs
+++ b/crates/parsleytally-entry/src/entry.rs
@@ -78,7 +78,7 @@
     /// Returns [`StartError`] when an address or a thread is not to be had.
     pub async fn start(config: EntryConfig, store: Arc<dyn Store>) -> Result<Self, StartError> {
         let metrics = Metrics::new().context(MetricsSnafu)?;
-        let directory = Directory::start(metrics.clone()).context(ThreadSnafu)?;
+        let directory = Directory::start(config.once.ttl, metrics.clone()).context(ThreadSnafu)?;
         let scheduler = Scheduler::start(metrics.clone()).context(ThreadSnafu)?;
         let settings = Settings::start(
             store.clone(),
@@ -109,7 +109,11 @@
         let operator_server = operator_server.context(BindSnafu {
             server: "operators",
         })?;
-        let callers = Arc::new(Callers::new(directory.ring(), metrics));
+        let callers = Arc::new(Callers::new(
+            directory.ring(),
+            config.retry.clone(),
+            metrics,
+        ));
         let caller_server = HttpServer::start(config.callers, callers.clone()).await;
         let caller_server = caller_server.context(BindSnafu { server: "callers" })?;
         Ok(Self {
--- a/crates/parsleytally-entry/src/lib.rs
+++ b/crates/parsleytally-entry/src/lib.rs
@@ -5,6 +5,7 @@
 //! `directory` knows the endpoints and chooses one for a request, `settings`
 //! follows the platform's store, and `scheduler` places batch tasks.
 
+mod attempts;
 mod callers;
 pub mod config;
 mod directory;
--- /dev/null
+++ b/crates/parsleytally-entry/tests/request_path/system.rs
@@ -0,0 +1,206 @@
+//! Entries, agents and an endpoint in one process, over loopback sockets.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::{HeaderMap, Method, StatusCode};
+use parsleytally_agent::Agent;
+use parsleytally_agent::config::AgentConfig;
+use parsleytally_entry::Entry;
+use parsleytally_entry::config::EntryConfig;
+use parsleytally_platform::process::http::{HttpServer, read_body};
+use parsleytally_platform::stand_in::SampleEndpoint;
+use parsleytally_platform::store::MemoryStore;
+use serde_json::Value;
+use tokio::net::TcpListener;
+use volo_http::body::Body;
+use volo_http::client::Client;
+use volo_http::response::Response;
+
+use crate::broken::answer_badly;
+
+/// Tries before a state that must come is missed.
+const TRIES: usize = 1_000;
+/// Wait between two tries.
+const STEP: Duration = Duration::from_millis(20);
+
+pub(crate) struct System {
+    pub(crate) entries: Vec<Entry>,
+    pub(crate) agents: Vec<Agent>,
+    pub(crate) sample: Arc<SampleEndpoint>,
+    _endpoint: Option<HttpServer>,
+    client: Client,
+}
+
+pub(crate) struct Reply {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: String,
+}
+
+impl Reply {
+    /// Status and `parsleytally-outcome`.
+    pub(crate) fn verdict(&self) -> (u16, &str) {
+        let outcome = self.headers.get("parsleytally-outcome");
+        let outcome = outcome.map_or("", |value| value.to_str().unwrap());
+        (self.status.as_u16(), outcome)
+    }
+}
+
+pub(crate) struct Builder {
+    pub(crate) entries: usize,
+    pub(crate) agents: usize,
+    pub(crate) endpoint: Endpoint,
+    /// More lines of the agents' section `[endpoint]`.
+    pub(crate) limits: &'static str,
+}
+
+pub(crate) enum Endpoint {
+    Sample,
+    /// Closes early, sends short bodies or garbage, by path.
+    Broken,
+    /// Nothing listens.
+    Down,
+}
+
+impl Default for Builder {
+    fn default() -> Self {
+        Self {
+            entries: 1,
+            agents: 1,
+            endpoint: Endpoint::Sample,
+            limits: "",
+        }
+    }
+}
+
+impl Builder {
+    pub(crate) async fn start(self) -> System {
+        let store = Arc::new(MemoryStore::new());
+        let mut entries = Vec::new();
+        for n in 0..self.entries {
+            let any = "127.0.0.1:0";
+            let text = format!(
+                "[entry]\nname = entry-{n}\nzone = a\ngrace = 0s\n\
+                 callers = {any}\noperators = {any}\nlinks = {any}\n"
+            );
+            let config = EntryConfig::parse(text.as_bytes()).unwrap();
+            entries.push(Entry::start(config, store.clone()).await.unwrap());
+        }
+        let sample = Arc::new(SampleEndpoint::default());
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let (address, endpoint) = match self.endpoint {
+            Endpoint::Sample => {
+                let server = HttpServer::start(any, sample.clone()).await.unwrap();
+                (server.address(), Some(server))
+            }
+            Endpoint::Broken => {
+                let listener = TcpListener::bind(any).await.unwrap();
+                let address = listener.local_addr().unwrap();
+                tokio::spawn(answer_badly(listener));
+                (address, None)
+            }
+            Endpoint::Down => {
+                let listener = TcpListener::bind(any).await.unwrap();
+                (listener.local_addr().unwrap(), None)
+            }
+        };
+        let links: Vec<_> = entries.iter().map(|e| e.links().to_string()).collect();
+        let mut agents = Vec::new();
+        for n in 0..self.agents {
+            let text = agent_text(n, &links.join(","), address, self.limits);
+            let config = AgentConfig::parse(text.as_bytes()).unwrap();
+            agents.push(Agent::start(config).await.unwrap());
+        }
+        let system = System {
+            entries,
+            agents,
+            sample,
+            _endpoint: endpoint,
+            client: Client::builder().build().unwrap(),
+        };
+        system.until_workers(self.agents).await;
+        system
+    }
+}
+
+fn agent_text(n: usize, entries: &str, endpoint: SocketAddr, limits: &str) -> String {
+    format!(
+        "[agent]\nname = worker-{n}\nzone = a\nrack = a1\nentries = {entries}\n\
+         [worker]\ncpu = 16000\nmemory = 60GB\n\
+         [endpoint]\nteam = demo\nservice = echo\naddress = {endpoint}\n{limits}"
+    )
+}
+
+impl System {
+    /// Waits until every entry knows `count` workers.
+    pub(crate) async fn until_workers(&self, count: usize) {
+        for entry in &self.entries {
+            let uri = format!("http://{}/v1/workers", entry.operators());
+            for tries in 0.. {
+                assert!(tries < TRIES, "workers never became {count}");
+                let reply = self.send(Method::GET, uri.clone(), "", &[]).await;
+                let known: Value = serde_json::from_str(&reply.body).unwrap_or_default();
+                if known.as_array().is_some_and(|list| list.len() == count) {
+                    break;
+                }
+                tokio::time::sleep(STEP).await;
+            }
+        }
+    }
+
+    /// Sends a caller's request through entry number `entry`.
+    pub(crate) async fn call(
+        &self,
+        entry: usize,
+        method: Method,
+        path: &str,
+        headers: &[(&'static str, &str)],
+        body: &str,
+    ) -> Reply {
+        let uri = format!("http://{}{path}", self.entries[entry].callers());
+        self.send(method, uri, body, headers).await
+    }
+
+    /// Value of an agent's metric.
+    pub(crate) async fn metric(&self, agent: usize, name: &str) -> u64 {
+        let uri = format!("http://{}/metrics", self.agents[agent].operators());
+        let reply = self.send(Method::GET, uri, "", &[]).await;
+        let line = reply.body.lines().find_map(|line| line.strip_prefix(name));
+        line.map_or(0, |value| value.trim().parse().unwrap())
+    }
+
+    /// Waits until an agent's metric has the value.
+    pub(crate) async fn until_metric(&self, agent: usize, name: &str, value: u64) {
+        for _ in 0..TRIES {
+            if self.metric(agent, name).await == value {
+                return;
+            }
+            tokio::time::sleep(STEP).await;
+        }
+        panic!("{name} never became {value}");
+    }
+
+    async fn send(
+        &self,
+        method: Method,
+        uri: String,
+        body: &str,
+        headers: &[(&'static str, &str)],
+    ) -> Reply {
+        let body = Body::from(body.to_owned());
+        let mut call = self.client.request(method, uri).body(body);
+        for (name, value) in headers {
+            call = call.header(*name, *value);
+        }
+        let response: Response = call.send().await.unwrap();
+        let (parts, body) = response.into_parts();
+        let body = read_body(body, 4 << 20).await.unwrap();
+        Reply {
+            status: parts.status,
+            headers: parts.headers,
+            body: String::from_utf8(body.to_vec()).unwrap(),
+        }
+    }
+}
--- a/crates/parsleytally-link/src/calls.rs
+++ b/crates/parsleytally-link/src/calls.rs
@@ -10,7 +10,7 @@
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
-use crate::{Answer, Failure, Frame, Link, LinkError, Refusal, Request};
+use crate::{Answer, Failure, Fence, Frame, Link, LinkError, Refusal, Request};
 
 /// Why a request has no answer.
 #[derive(Debug, Clone, PartialEq, Eq, Snafu)]
@@ -20,6 +20,8 @@
     NotRun {
         /// Why not.
         reason: String,
+        /// When there may be room.
+        retry_after: Duration,
     },
     /// The request may have run.
     #[snafu(display("outcome of the request is unknown: {reason}"))]
@@ -73,19 +75,44 @@
     /// Returns [`CallError::NotRun`] when it is proven that the endpoint never saw
     /// the request, [`CallError::Unknown`] in every other case.
     pub async fn call(&self, request: Request, limit: Duration) -> Verdict {
-        let id = request.id;
+        match self.ask(request.id, Frame::Request(request), limit).await {
+            Ok(verdict) => verdict,
+            Err(error) => not_sent(&error),
+        }
+    }
+
+    /// Orders the agent never to run a key that has not run there.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`CallError`] when the key runs or has run there, or when that is
+    /// not known: no answer came, or the order was not sent.
+    pub async fn fence(&self, fence: Fence, limit: Duration) -> Result<(), CallError> {
+        match self.ask(fence.id, Frame::Fence(fence), limit).await {
+            Ok(Err(CallError::NotRun { .. })) => Ok(()),
+            Ok(Err(error)) => Err(error),
+            Ok(Ok(_)) => unknown("answer does not fit the question", false),
+            Err(error) => unknown(&error.to_string(), false),
+        }
+    }
+
+    /// Sends `frame` and waits for what becomes of `id`; an error is a frame not sent.
+    async fn ask(
+        &self,
+        id: RequestId,
+        frame: Frame,
+        limit: Duration,
+    ) -> Result<Verdict, LinkError> {
         let (sender, receiver) = oneshot::channel();
         self.pending().insert(id, sender);
         let _entry = Pending { calls: self, id };
-        if let Err(error) = self.link.send(Frame::Request(request)) {
-            return not_sent(&error);
-        }
+        self.link.send(frame)?;
         match timeout(limit, receiver).await {
-            Ok(Ok(verdict)) => verdict,
-            Ok(Err(_)) => unknown("link was lost", false),
+            Ok(Ok(verdict)) => Ok(verdict),
+            Ok(Err(_)) => Ok(unknown("link was lost", false)),
             Err(_) => {
                 let _ = self.link.send(Frame::Cancel(id));
-                unknown("no answer in time", true)
+                Ok(unknown("no answer in time", true))
             }
         }
     }
@@ -97,8 +124,11 @@
 
     /// Tells a request that it did not run.
     pub fn refused(&self, refusal: Refusal) {
-        let reason = refusal.reason;
-        self.settle(refusal.id, Err(CallError::NotRun { reason }));
+        let verdict = CallError::NotRun {
+            reason: refusal.reason,
+            retry_after: Duration::from_micros(refusal.retry_after),
+        };
+        self.settle(refusal.id, Err(verdict));
     }
 
     /// Tells a request that its outcome is unknown.
@@ -139,10 +169,14 @@
 
 fn not_sent(error: &LinkError) -> Verdict {
     let reason = error.to_string();
-    Err(CallError::NotRun { reason })
+    let retry_after = Duration::ZERO;
+    Err(CallError::NotRun {
+        reason,
+        retry_after,
+    })
 }
 
-fn unknown(reason: &str, late: bool) -> Verdict {
+fn unknown<T>(reason: &str, late: bool) -> Result<T, CallError> {
     let reason = reason.to_owned();
     Err(CallError::Unknown { reason, late })
 }
--- a/crates/parsleytally-link/src/frame.rs
+++ b/crates/parsleytally-link/src/frame.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use derive_more::Display;
 use parsleytally::configs::BatchConfig;
+use parsleytally::once::KeyHash;
 use parsleytally::types::{
     Incarnation, NodeName, RackName, RequestId, Resources, Revision, RunId, ServiceKey, ZoneName,
 };
@@ -108,6 +109,20 @@
     pub id: RequestId,
     /// Why it was refused.
     pub reason: String,
+    /// Time after which there may be room, in microseconds.
+    pub retry_after: u64,
+}
+
+/// A question whether an idempotency key has run, and the order never to run it.
+///
+/// The agent answers by a [`Refusal`] when the key has not run there and will not,
+/// by a [`Failure`] when it runs or has run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Fence {
+    /// Number, unique within this life of the entry.
+    pub id: RequestId,
+    /// The key.
+    pub key: KeyHash,
 }
 
 /// A request that was handed to the endpoint and got no whole answer.
@@ -189,6 +204,8 @@
     Refused(Refusal),
     /// A request with unknown outcome.
     Failed(Failure),
+    /// A question about an idempotency key.
+    Fence(Fence),
     /// The entry no longer waits for this request.
     Cancel(RequestId),
     /// A command about a run.
--- a/crates/parsleytally-link/src/lib.rs
+++ b/crates/parsleytally-link/src/lib.rs
@@ -16,7 +16,7 @@
 pub use calls::{CallError, Calls};
 pub use error::LinkError;
 pub use frame::{
-    Announcement, Answer, Failure, Frame, Header, Heartbeat, Hello, Refusal, Request, Role,
+    Announcement, Answer, Failure, Fence, Frame, Header, Heartbeat, Hello, Refusal, Request, Role,
     SettingsNotice, TaskCommand, TaskReport,
 };
 pub use link::{
--- a/crates/parsleytally/src/configs/limits.rs
+++ b/crates/parsleytally/src/configs/limits.rs
@@ -1,4 +1,4 @@
-//! Settings of an agent's admission: section `[limits]`.
+//! Settings of an agent's admission: part of section `[endpoint]`.
 
 use std::time::Duration;
 
--- a/crates/parsleytally/src/retry/mod.rs
+++ b/crates/parsleytally/src/retry/mod.rs
@@ -27,6 +27,9 @@
 /// Shortest wait that a final answer asks of its caller.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
 
+/// One part in this many of a request's time must be left for an attempt to start.
+const MIN_ATTEMPT: u32 = 10;
+
 /// How an attempt failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Failure {
@@ -59,7 +62,7 @@
     /// It has used its attempts.
     #[display("attempts used")]
     Attempts,
-    /// The next attempt would start after the deadline.
+    /// The next attempt would start too close to the deadline, or after it.
     #[display("deadline")]
     Deadline,
     /// Retries have used their share of the traffic.
@@ -121,6 +124,7 @@
 #[derive(Debug, Clone, Copy)]
 struct Request {
     deadline: Time,
+    limit: Duration,
     repeatable: bool,
     attempts: u32,
     outcome: Outcome,
@@ -177,6 +181,7 @@
         self.reroutes.earn();
         let request = Request {
             deadline,
+            limit: deadline.since(now),
             repeatable,
             attempts: 1,
             outcome: Outcome::NotRun,
@@ -229,7 +234,7 @@
         if request.attempts >= self.config.attempts {
             return Some(Reason::Attempts);
         }
-        if at >= request.deadline {
+        if at.after(request.limit / MIN_ATTEMPT) >= request.deadline {
             return Some(Reason::Deadline);
         }
         let budget = match is_unknown {
--- a/crates/parsleytally/src/retry/tests.rs
+++ b/crates/parsleytally/src/retry/tests.rs
@@ -133,7 +133,7 @@
         let failed = driver.now;
         match driver.fail(1, Failure::Unknown) {
             Some(Output::Send { at, .. }) => {
-                assert!(at < deadline);
+                assert!(at.after(Duration::from_millis(100)) < deadline);
                 driver.now = at;
             }
             Some(Output::GiveUp {
