--- a/crates/parsleytally-agent/src/agent.rs
+++ b/crates/parsleytally-agent/src/agent.rs
@@ -5,7 +5,8 @@
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
-use parsleytally_link::{Announcement, HEARTBEAT_INTERVAL, Hello, PROTOCOL_VERSION, Role};
+use parsleytally::membership::Announcement;
+use parsleytally_link::{HEARTBEAT_INTERVAL, Hello, PROTOCOL_VERSION, Role};
 use parsleytally_platform::process::Clock;
 use parsleytally_platform::process::http::{BindError, HttpServer};
 use snafu::{ResultExt, Snafu};
@@ -68,6 +69,7 @@
     drain: Duration,
     requests: Arc<Requests>,
     links: JoinSet<()>,
+    leave: CancellationToken,
     stop: CancellationToken,
     pages: HttpServer,
     runs: Runs,
@@ -96,13 +98,18 @@
         let pages = HttpServer::start(config.operators, Arc::new(operators));
         let pages = pages.await.context(error::BindSnafu)?;
         let stop = CancellationToken::new();
+        let leave = CancellationToken::new();
+        let hello = hello(&config);
         let shared = Arc::new(Shared {
-            hello: hello(&config),
-            announcement: announcement(&config),
+            announcement: announcement(&config, &hello),
+            hello,
+            config: config.link.clone(),
             requests: requests.clone(),
             runs: runs.commands(),
             revision: AtomicU64::new(0),
+            sequence: AtomicU64::new(0),
             metrics,
+            leave: leave.clone(),
             stop: stop.clone(),
         });
         let mut links = JoinSet::new();
@@ -113,6 +120,7 @@
             drain: config.drain,
             requests,
             links,
+            leave,
             stop,
             pages,
             runs,
@@ -127,7 +135,8 @@
     /// Announces that the endpoint leaves, finishes what is in flight and stops.
     pub async fn close(mut self) {
         self.requests.leave();
-        // The entries hear of it by the next heartbeat.
+        self.leave.cancel();
+        // Entries hear of it at once; one whose link is just being dialled, a little later.
         sleep(HEARTBEAT_INTERVAL * 2).await;
         let limit = Instant::now() + self.drain;
         while self.requests.in_flight() > 0 && Instant::now() < limit {
@@ -156,10 +165,14 @@
     }
 }
 
-fn announcement(config: &AgentConfig) -> Announcement {
+fn announcement(config: &AgentConfig, hello: &Hello) -> Announcement {
     Announcement {
-        service: config.endpoint.service.clone(),
+        worker: hello.node.clone(),
+        incarnation: hello.incarnation,
+        sequence: 0,
+        zone: hello.zone.clone(),
         rack: config.rack.clone(),
+        service: config.endpoint.service.clone(),
         slots: config.endpoint.limits.slots,
         connections: config.endpoint.limits.connections,
         capacity: config.capacity,
--- a/crates/parsleytally-agent/src/config.rs
+++ b/crates/parsleytally-agent/src/config.rs
@@ -7,6 +7,7 @@
 use parsleytally::types::{
     Bytes, MilliCpu, NodeName, RackName, Resources, ServiceKey, ServiceName, TeamName, ZoneName,
 };
+use parsleytally_link::LinkConfig;
 
 /// Settings of an agent's process.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -27,6 +28,8 @@
     pub endpoint: EndpointConfig,
     /// Idempotency keys: section `[once]`.
     pub once: OnceConfig,
+    /// Key and times of links: section `[link]`.
+    pub link: LinkConfig,
     /// What the worker has: `[worker] cpu` (thousandths), `memory`, `accelerators`.
     pub capacity: Resources,
 }
@@ -74,6 +77,7 @@
                 limits: LimitsConfig::take(&mut endpoint)?,
             },
             once: OnceConfig::take(&mut once)?,
+            link: LinkConfig::take(document.take("link"))?,
             capacity: Resources {
                 cpu: MilliCpu(worker.require("cpu")?),
                 memory: worker.require::<Bytes>("memory")?,
--- a/crates/parsleytally-agent/src/config/tests.rs
+++ b/crates/parsleytally-agent/src/config/tests.rs
@@ -15,6 +15,8 @@
 [worker]
 cpu = 16000
 memory = 60GB
+[link]
+key = 00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff
 ";
 
 struct RefusalCase {
@@ -51,6 +53,11 @@
             to: "cpus = 16000",
             error: "key \"cpu\" is missing in section [worker]",
         },
+        RefusalCase {
+            from: "[link]\nkey = 00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff\n",
+            to: "",
+            error: "key \"key\" is missing in section [link]",
+        },
         RefusalCase {
             from: "[worker]",
             to: "[wroker]\n[worker]",
--- a/crates/parsleytally-agent/src/requests.rs
+++ b/crates/parsleytally-agent/src/requests.rs
@@ -11,7 +11,7 @@
 use parsleytally::once::{Conflict, KeyHash, RequestHash};
 use parsleytally::retry::is_idempotent;
 use parsleytally::types::{RequestId, ServiceKey};
-use parsleytally_link::{Answer, Failure, Fence, Frame, Header, Heartbeat, Link, Refusal, Request};
+use parsleytally_link::{Answer, Failure, Fence, Frame, Header, Link, Refusal, Request};
 use parsleytally_platform::process::spans;
 use tokio::time::{Instant, timeout};
 
@@ -30,6 +30,15 @@
 /// Wait that a refusal without a queue asks of its caller.
 const SHORT_WAIT: Duration = Duration::from_millis(50);
 
+/// What an agent reports of its requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct RequestLoad {
+    /// Requests in service or waiting.
+    pub(crate) outstanding: u32,
+    /// Whether nothing new is taken.
+    pub(crate) leaving: bool,
+}
+
 /// Requests of all links on their way to the endpoint.
 pub(crate) struct Requests {
     service: ServiceKey,
@@ -63,11 +72,12 @@
     }
 
     /// The current load.
-    pub(crate) fn load(&self) -> Heartbeat {
+    pub(crate) fn load(&self) -> RequestLoad {
         let load = self.admission.load();
         self.metrics.set_load(load, self.keys.len());
-        Heartbeat {
-            busy: u32::try_from(load.in_service + load.waiting).unwrap_or(u32::MAX),
+        let outstanding = u32::try_from(load.in_service + load.waiting);
+        RequestLoad {
+            outstanding: outstanding.unwrap_or(u32::MAX),
             leaving: load.leaving,
         }
     }
--- a/crates/parsleytally-entry/src/attempts.rs
+++ b/crates/parsleytally-entry/src/attempts.rs
@@ -8,18 +8,22 @@
 use parsleytally::configs::RetryConfig;
 use parsleytally::once::KeyHash;
 use parsleytally::retry::{Failure, Input, Outcome, Output, Reason, Retry};
-use parsleytally::types::{NodeName, RequestId, ServiceKey, Time};
-use parsleytally_link::{Answer, CallError, Calls, Fence, Header, Request};
+use parsleytally::routing::{EndpointId, Outcome as Ending};
+use parsleytally::types::{RequestId, ServiceKey, Time};
+use parsleytally_link::{Answer, CallError, Fence, Header, Request};
 use parsleytally_platform::process::Clock;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use tokio::time::sleep;
 
-use crate::directory::{DirectoryRing, Owner, PickError};
+use crate::directory::{DirectoryRing, Owner, PickError, Route};
 
 /// Longest time kept back from an agent for the way of its verdict.
 const MAX_RETURN_TIME: Duration = Duration::from_millis(250);
 
+/// Lowest HTTP status that tells of a failing endpoint.
+const FIRST_SERVER_ERROR: u16 = 500;
+
 /// A caller's request, read whole.
 #[derive(Debug)]
 pub(crate) struct Order {
@@ -82,14 +86,14 @@
             deadline,
             repeatable,
         });
-        let mut refused = Vec::new();
+        let mut tried = Tried::default();
         loop {
-            let error = match self.attempt(order, deadline, &mut refused).await {
+            let error = match self.attempt(order, deadline, &mut tried).await {
                 Ok(answer) => return Ok(answer),
                 Err(error) => error,
             };
             let failure = match &error {
-                AttemptError::Pick(error) if refused.is_empty() => {
+                AttemptError::Pick(error) if !tried.any => {
                     return Err(NoAnswer::NotSent(*error));
                 }
                 AttemptError::Pick(_) => Failure::NotRun {
@@ -114,22 +118,24 @@
         &self,
         order: &Order,
         deadline: Time,
-        refused: &mut Vec<NodeName>,
+        tried: &mut Tried,
     ) -> Result<Answer, AttemptError> {
-        let calls = match order.key {
+        let route = match order.key {
             None => self
                 .directory
-                .pick(&order.service, refused.clone())
+                .pick(&order.service, tried.endpoints.clone())
                 .await
                 .map_err(AttemptError::Pick)?,
             Some(key) => self.owner(order, key, deadline).await?,
         };
         let limit = deadline.since(self.clock.now());
-        refused.push(calls.link().peer().node.clone());
-        calls
-            .call(self.request(order, limit), limit)
-            .await
-            .map_err(AttemptError::Call)
+        tried.any = true;
+        tried.endpoints.extend(route.endpoint());
+        let request = self.request(order, limit);
+        let sent = self.clock.now();
+        let verdict = route.calls().call(request, limit).await;
+        route.close(ending(&verdict, self.clock.now().since(sent)));
+        verdict.map_err(AttemptError::Call)
     }
 
     /// Chooses the owner of `key` and fences those that may have owned it.
@@ -138,9 +144,9 @@
         order: &Order,
         key: KeyHash,
         deadline: Time,
-    ) -> Result<std::sync::Arc<Calls>, AttemptError> {
+    ) -> Result<Route, AttemptError> {
         let owner = self.directory.pick_owner(&order.service, key).await;
-        let Owner { calls, fences } = owner.map_err(AttemptError::Pick)?;
+        let Owner { route, fences } = owner.map_err(AttemptError::Pick)?;
         for former in fences {
             let limit = deadline.since(self.clock.now());
             let id = self.next_id();
@@ -148,12 +154,12 @@
                 Ok(()) => {}
                 // It knows the key: it alone answers for it.
                 Err(CallError::Unknown { late: false, .. }) if !former.link().is_closed() => {
-                    return Ok(former);
+                    return Ok(Route::uncounted(former));
                 }
                 Err(_) => return Err(AttemptError::Call(not_fenced())),
             }
         }
-        Ok(calls)
+        Ok(route)
     }
 
     fn request(&self, order: &Order, limit: Duration) -> Request {
@@ -194,6 +200,22 @@
     }
 }
 
+/// Where a request has been sent.
+#[derive(Debug, Default)]
+struct Tried {
+    any: bool,
+    endpoints: Vec<EndpointId>,
+}
+
+/// What routing learns from the end of an attempt.
+fn ending(verdict: &Result<Answer, CallError>, latency: Duration) -> Ending {
+    match verdict {
+        Ok(answer) if answer.status < FIRST_SERVER_ERROR => Ending::Answered(latency),
+        Ok(_) | Err(CallError::Unknown { .. }) => Ending::Failed,
+        Err(CallError::NotRun { .. }) => Ending::Refused,
+    }
+}
+
 enum AttemptError {
     Pick(PickError),
     Call(CallError),
--- a/crates/parsleytally-entry/src/config.rs
+++ b/crates/parsleytally-entry/src/config.rs
@@ -5,6 +5,7 @@
 
 use parsleytally::configs::{ConfigError, Document, OnceConfig, RetryConfig};
 use parsleytally::types::{NodeName, ZoneName};
+use parsleytally_link::LinkConfig;
 
 /// Settings of an entry's process.
 #[derive(Debug, Clone, PartialEq)]
@@ -28,6 +29,8 @@
     pub retry: RetryConfig,
     /// Idempotency keys; only `ttl` matters here: section `[once]`.
     pub once: OnceConfig,
+    /// Key and times of links: section `[link]`.
+    pub link: LinkConfig,
 }
 
 /// Default time for the balancer to notice a shutdown.
@@ -43,7 +46,7 @@
 
 impl EntryConfig {
     /// Settings of an entry `name` in `zone` with the defaults on loopback.
-    pub fn new(name: NodeName, zone: ZoneName) -> Self {
+    pub fn new(name: NodeName, zone: ZoneName, link: LinkConfig) -> Self {
         Self {
             name,
             zone,
@@ -54,6 +57,7 @@
             drain: DEFAULT_DRAIN,
             retry: RetryConfig::default(),
             once: OnceConfig::default(),
+            link,
         }
     }
 
@@ -67,7 +71,11 @@
         let mut entry = document.take("entry");
         let mut retry = document.take("retry");
         let mut once = document.take("once");
-        let base = Self::new(entry.require("name")?, entry.require("zone")?);
+        let base = Self::new(
+            entry.require("name")?,
+            entry.require("zone")?,
+            LinkConfig::take(document.take("link"))?,
+        );
         let config = Self {
             callers: entry.take_or("callers", base.callers)?,
             operators: entry.take_or("operators", base.operators)?,
--- a/crates/parsleytally-entry/src/config/tests.rs
+++ b/crates/parsleytally-entry/src/config/tests.rs
@@ -7,9 +7,21 @@
     error: &'static str,
 }
 
+/// Adds the key without which nothing is accepted.
+fn whole(text: &str) -> String {
+    format!("{text}[link]\nkey = {}\n", "0".repeat(64))
+}
+
+#[test]
+fn a_key_is_needed() {
+    let error = EntryConfig::parse(b"[entry]\nname = e1\nzone = a\n").unwrap_err();
+    let expected = "key \"key\" is missing in section [link]";
+    assert_eq!(error.to_string(), expected);
+}
+
 #[test]
 fn defaults_are_taken_and_wrong_texts_refused() {
-    let config = EntryConfig::parse(b"[entry]\nname = e1\nzone = a\n").unwrap();
+    let config = EntryConfig::parse(whole("[entry]\nname = e1\nzone = a\n").as_bytes()).unwrap();
     assert_eq!(config.callers.port(), 8080);
     let cases = [
         RefusalCase {
@@ -27,7 +39,7 @@
         },
     ];
     for case in cases {
-        let error = EntryConfig::parse(case.text.as_bytes()).unwrap_err();
+        let error = EntryConfig::parse(whole(case.text).as_bytes()).unwrap_err();
         assert_eq!(error.to_string(), case.error);
     }
 }
--- /dev/null
+++ b/crates/parsleytally-entry/src/directory/route.rs
@@ -0,0 +1,59 @@
+//! A chosen endpoint, counted as busy until the request to it has ended.
+
+use std::sync::Arc;
+
+use parsleytally::routing::{EndpointId, Outcome};
+use parsleytally_link::Calls;
+
+use super::{DirectoryRing, Input};
+
+/// The way to a chosen endpoint; one that is dropped counts as abandoned.
+pub(crate) struct Route {
+    calls: Arc<Calls>,
+    counted: Option<(EndpointId, DirectoryRing)>,
+}
+
+impl Route {
+    pub(super) fn new(calls: Arc<Calls>, endpoint: EndpointId, ring: DirectoryRing) -> Self {
+        let counted = Some((endpoint, ring));
+        Self { calls, counted }
+    }
+
+    /// A way that routing does not count.
+    pub(crate) fn uncounted(calls: Arc<Calls>) -> Self {
+        let counted = None;
+        Self { calls, counted }
+    }
+
+    /// The link to the endpoint's agent.
+    pub(crate) fn calls(&self) -> &Calls {
+        &self.calls
+    }
+
+    /// The endpoint, if routing counts the request.
+    pub(crate) fn endpoint(&self) -> Option<EndpointId> {
+        self.counted.as_ref().map(|(endpoint, _)| *endpoint)
+    }
+
+    /// Tells routing how the request ended.
+    pub(crate) fn close(mut self, outcome: Outcome) {
+        self.end(outcome);
+    }
+
+    /// Takes the endpoint out, so that the caller ends the request.
+    pub(super) fn into_endpoint(mut self) -> Option<EndpointId> {
+        self.counted.take().map(|(endpoint, _)| endpoint)
+    }
+
+    fn end(&mut self, outcome: Outcome) {
+        if let Some((endpoint, ring)) = self.counted.take() {
+            ring.send(Input::Done(endpoint, outcome));
+        }
+    }
+}
+
+impl Drop for Route {
+    fn drop(&mut self) {
+        self.end(Outcome::Abandoned);
+    }
+}
--- a/crates/parsleytally-entry/src/entry.rs
+++ b/crates/parsleytally-entry/src/entry.rs
@@ -78,7 +78,9 @@
     /// Returns [`StartError`] when an address or a thread is not to be had.
     pub async fn start(config: EntryConfig, store: Arc<dyn Store>) -> Result<Self, StartError> {
         let metrics = Metrics::new().context(MetricsSnafu)?;
-        let directory = Directory::start(config.once.ttl, metrics.clone()).context(ThreadSnafu)?;
+        let hello = hello(&config);
+        let directory = Directory::start(&hello, config.once.ttl, metrics.clone());
+        let directory = directory.context(ThreadSnafu)?;
         let scheduler = Scheduler::start(metrics.clone()).context(ThreadSnafu)?;
         let settings = Settings::start(
             store.clone(),
@@ -88,7 +90,9 @@
         );
         let settings = settings.context(ThreadSnafu)?;
         let shared = Shared {
-            hello: hello(&config),
+            hello,
+            config: config.link.clone(),
+            metrics: metrics.clone(),
             directory: directory.ring(),
             scheduler: scheduler.ring(),
         };
--- a/crates/parsleytally-entry/src/links.rs
+++ b/crates/parsleytally-entry/src/links.rs
@@ -3,15 +3,14 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use parsleytally_link::{
-    Calls, Frame, HEARTBEAT_INTERVAL, Heartbeat, Hello, Incoming, LinkError, accept,
-};
+use parsleytally::types::{Incarnation, NodeName};
+use parsleytally_link::{Calls, Frame, Hello, Incoming, LinkConfig, LinkError, accept};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinSet;
-use tokio::time::{MissedTickBehavior, interval};
 use tokio_util::sync::CancellationToken;
 
 use crate::directory::{DirectoryRing, Input as DirectoryInput};
+use crate::metrics::Metrics;
 use crate::scheduler::{Input as SchedulerInput, SchedulerRing};
 
 /// Links that are open at once; more are closed at once.
@@ -20,6 +19,8 @@
 /// What every link of an entry works with.
 pub(crate) struct Shared {
     pub(crate) hello: Hello,
+    pub(crate) config: LinkConfig,
+    pub(crate) metrics: Metrics,
     pub(crate) directory: DirectoryRing,
     pub(crate) scheduler: SchedulerRing,
 }
@@ -77,7 +78,8 @@
 
 async fn serve(stream: TcpStream, shared: Arc<Shared>, stop: CancellationToken) {
     if let Err(error) = serve_link(stream, &shared, &stop).await {
-        log::warn!("link is refused: {error}");
+        shared.metrics.refused_links.inc();
+        log::debug!("link is refused: {error}");
     }
 }
 
@@ -86,7 +88,7 @@
     shared: &Shared,
     stop: &CancellationToken,
 ) -> Result<(), LinkError> {
-    let (link, incoming) = accept(stream, &shared.hello).await?;
+    let (link, incoming) = accept(stream, &shared.hello, &shared.config).await?;
     let calls = Arc::new(Calls::new(link.clone()));
     pass_frames(&calls, incoming, shared, stop).await;
     link.close();
@@ -104,30 +106,29 @@
     shared: &Shared,
     stop: &CancellationToken,
 ) {
-    let mut beat = interval(HEARTBEAT_INTERVAL);
-    beat.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         tokio::select! {
             frame = incoming.next() => match frame {
                 Some(frame) => take(frame, calls, shared),
                 None => return,
             },
-            _ = beat.tick() => {
-                if calls.link().send(Frame::Heartbeat(Heartbeat::default())).is_err() {
-                    return;
-                }
-            }
             () = stop.cancelled() => return,
         }
     }
 }
 
+/// Whether a message speaks of the peer itself.
+fn is_own(calls: &Calls, worker: &NodeName, incarnation: Incarnation) -> bool {
+    let peer = calls.link().peer();
+    *worker == peer.node && incarnation == peer.incarnation
+}
+
 fn take(frame: Frame, calls: &Arc<Calls>, shared: &Shared) {
     match frame {
         Frame::Answer(answer) => calls.answered(answer),
         Frame::Refused(refusal) => calls.refused(refusal),
         Frame::Failed(failure) => calls.failed(failure),
-        Frame::Announce(offer) => {
+        Frame::Announce(offer) if is_own(calls, &offer.worker, offer.incarnation) => {
             let link = calls.link().clone();
             shared
                 .scheduler
@@ -136,9 +137,9 @@
                 .directory
                 .send(DirectoryInput::Up(calls.clone(), offer));
         }
-        Frame::Heartbeat(beat) => shared
-            .directory
-            .send(DirectoryInput::Beat(calls.clone(), beat)),
+        Frame::Heartbeat(beat) if is_own(calls, &beat.worker, beat.incarnation) => {
+            shared.directory.send(DirectoryInput::Beat(beat));
+        }
         Frame::Report(report) => {
             let node = calls.link().peer().node.clone();
             shared.scheduler.send(SchedulerInput::Report(node, report));
--- a/crates/parsleytally-entry/src/metrics.rs
+++ b/crates/parsleytally-entry/src/metrics.rs
@@ -18,6 +18,9 @@
     pub(crate) latency: Histogram,
     pub(crate) in_flight: IntGauge,
     pub(crate) endpoints: IntGauge,
+    pub(crate) ejected: IntCounter,
+    pub(crate) refused_links: IntCounter,
+    pub(crate) stale_news: IntGauge,
     pub(crate) revision: IntGauge,
     pub(crate) bad_settings: IntCounter,
     pub(crate) tasks: IntCounterVec,
@@ -38,6 +41,18 @@
             latency: Histogram::with_opts(latency.buckets(LATENCY_BUCKETS_S.to_vec()))?,
             in_flight: IntGauge::new("parsleytally_entry_in_flight", "Requests in flight.")?,
             endpoints: IntGauge::new("parsleytally_entry_endpoints", "Known endpoints.")?,
+            ejected: IntCounter::new(
+                "parsleytally_entry_ejections_total",
+                "Endpoints set aside after failures.",
+            )?,
+            refused_links: IntCounter::new(
+                "parsleytally_entry_refused_links_total",
+                "Connections that did not become links: no key, another version, garbage.",
+            )?,
+            stale_news: IntGauge::new(
+                "parsleytally_entry_stale_news",
+                "Announcements and heartbeats that came late, doubled or of an earlier life.",
+            )?,
             revision: IntGauge::new(
                 "parsleytally_entry_settings_revision",
                 "Revision of the settings in force here.",
@@ -59,6 +74,10 @@
         self.registry.register(Box::new(self.requests.clone()))?;
         self.registry.register(Box::new(self.latency.clone()))?;
         self.registry.register(Box::new(self.in_flight.clone()))?;
+        self.registry.register(Box::new(self.ejected.clone()))?;
+        self.registry
+            .register(Box::new(self.refused_links.clone()))?;
+        self.registry.register(Box::new(self.stale_news.clone()))?;
         self.registry.register(Box::new(self.endpoints.clone()))?;
         self.registry.register(Box::new(self.revision.clone()))?;
         self.registry
--- a/crates/parsleytally-entry/src/standalone.rs
+++ b/crates/parsleytally-entry/src/standalone.rs
@@ -18,6 +18,8 @@
 
 /// Settings of the entry.
 const ENTRY_SETTINGS: &str = "[entry]\nname = entry\nzone = a\nlinks = 127.0.0.1:0\n";
+/// Length of the key of links, in bytes.
+const KEY_BYTES: usize = 32;
 /// Settings of the agent, without its addresses.
 const AGENT_SETTINGS: &str = "\
 [worker]
@@ -83,7 +85,9 @@
     ///
     /// Returns [`StandaloneError`] when a part could not start.
     pub async fn start(addresses: Addresses) -> Result<Self, StandaloneError> {
-        let mut config = EntryConfig::parse(ENTRY_SETTINGS.as_bytes()).context(ConfigSnafu)?;
+        let link = link_settings();
+        let config = format!("{ENTRY_SETTINGS}{link}");
+        let mut config = EntryConfig::parse(config.as_bytes()).context(ConfigSnafu)?;
         config.callers = addresses.callers.unwrap_or(config.callers);
         config.operators = addresses.operators.unwrap_or(config.operators);
         // No balancer stands before a single process.
@@ -94,7 +98,7 @@
         let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
         let endpoint = HttpServer::start(any_port, sample.clone()).await;
         let endpoint = endpoint.context(EndpointSnafu)?;
-        let config = agent_settings(entry.links(), endpoint.address());
+        let config = agent_settings(entry.links(), endpoint.address()) + &link;
         let config = AgentConfig::parse(config.as_bytes()).context(ConfigSnafu)?;
         let agent = Agent::start(config).await.context(AgentSnafu)?;
         Ok(Self {
@@ -118,6 +122,13 @@
     }
 }
 
+/// Settings of links with a key for this process only.
+fn link_settings() -> String {
+    let key: [u8; KEY_BYTES] = rand::random();
+    let digits: String = key.iter().map(|byte| format!("{byte:02x}")).collect();
+    format!("[link]\nkey = {digits}\n")
+}
+
 fn agent_settings(links: SocketAddr, endpoint: SocketAddr) -> String {
     format!(
         "{AGENT_SETTINGS}entries = {links}\n\
--- a/crates/parsleytally-entry/tests/request_path/system.rs
+++ b/crates/parsleytally-entry/tests/request_path/system.rs
@@ -25,6 +25,10 @@
 /// Wait between two tries.
 const STEP: Duration = Duration::from_millis(20);
 
+/// Settings of links.
+const LINK: &str = "\
+[link]\nkey = 00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff\n";
+
 pub(crate) struct System {
     pub(crate) entries: Vec<Entry>,
     pub(crate) agents: Vec<Agent>,
@@ -83,7 +87,7 @@
             let any = "127.0.0.1:0";
             let text = format!(
                 "[entry]\nname = entry-{n}\nzone = a\ngrace = 0s\n\
-                 callers = {any}\noperators = {any}\nlinks = {any}\n"
+                 callers = {any}\noperators = {any}\nlinks = {any}\n{LINK}"
             );
             let config = EntryConfig::parse(text.as_bytes()).unwrap();
             entries.push(Entry::start(config, store.clone()).await.unwrap());
@@ -129,12 +133,12 @@
     format!(
         "[agent]\nname = worker-{n}\nzone = a\nrack = a1\nentries = {entries}\n\
          [worker]\ncpu = 16000\nmemory = 60GB\n\
-         [endpoint]\nteam = demo\nservice = echo\naddress = {endpoint}\n{limits}"
+         [endpoint]\nteam = demo\nservice = echo\naddress = {endpoint}\n{limits}{LINK}"
     )
 }
 
 impl System {
-    /// Waits until every entry knows `count` workers.
+    /// Waits until every entry knows `count` ready workers.
     pub(crate) async fn until_workers(&self, count: usize) {
         for entry in &self.entries {
             let uri = format!("http://{}/v1/workers", entry.operators());
@@ -142,7 +146,9 @@
                 assert!(tries < TRIES, "workers never became {count}");
                 let reply = self.send(Method::GET, uri.clone(), "", &[]).await;
                 let known: Value = serde_json::from_str(&reply.body).unwrap_or_default();
-                if known.as_array().is_some_and(|list| list.len() == count) {
+                let ready = |worker: &&Value| worker["state"] == "ready";
+                let list = known.as_array();
+                if list.is_some_and(|list| list.iter().filter(ready).count() == count) {
                     break;
                 }
                 tokio::time::sleep(STEP).await;
--- /dev/null
+++ b/crates/parsleytally-link/src/auth/tests.rs
@@ -0,0 +1,193 @@
+//! Tests of proofs and tags.
+
+use super::*;
+
+fn key(byte: u8) -> Key {
+    Key::new([byte; KEY_BYTES])
+}
+
+fn keys(current: u8, other: Option<u8>) -> Keys {
+    Keys {
+        current: key(current),
+        other: other.map(key),
+    }
+}
+
+struct RotationCase {
+    name: &'static str,
+    dialler: Keys,
+    acceptor: Keys,
+    /// Whether the dialler accepts the acceptor, and the other way round.
+    accepted: (bool, bool),
+}
+
+#[test]
+fn keys_rotate_with_two_in_force() {
+    let cases = [
+        RotationCase {
+            name: "one key",
+            dialler: keys(1, None),
+            acceptor: keys(1, None),
+            accepted: (true, true),
+        },
+        RotationCase {
+            name: "first round",
+            dialler: keys(1, Some(2)),
+            acceptor: keys(1, None),
+            accepted: (true, true),
+        },
+        RotationCase {
+            name: "second round",
+            dialler: keys(2, Some(1)),
+            acceptor: keys(1, Some(2)),
+            accepted: (true, true),
+        },
+        RotationCase {
+            name: "third round",
+            dialler: keys(2, None),
+            acceptor: keys(2, Some(1)),
+            accepted: (true, true),
+        },
+        RotationCase {
+            name: "a round was left out",
+            dialler: keys(2, Some(1)),
+            acceptor: keys(1, None),
+            accepted: (true, false),
+        },
+        RotationCase {
+            name: "another key",
+            dialler: keys(3, None),
+            acceptor: keys(1, Some(2)),
+            accepted: (false, false),
+        },
+    ];
+    for case in cases {
+        let dialler = Handshake {
+            side: Side::Dialler,
+            own: b"dialler",
+            peer: b"acceptor",
+        };
+        let acceptor = Handshake {
+            side: Side::Acceptor,
+            own: b"acceptor",
+            peer: b"dialler",
+        };
+        let to_dialler = acceptor.prove(&case.acceptor);
+        let to_acceptor = dialler.prove(&case.dialler);
+        let dialler = dialler.verify(&case.dialler, to_dialler);
+        let acceptor = acceptor.verify(&case.acceptor, to_acceptor);
+        let accepted = (dialler.is_some(), acceptor.is_some());
+        assert_eq!(accepted, case.accepted, "{}", case.name);
+        if let (Some((mut sealing, _)), Some((_, mut opening))) = (dialler, acceptor) {
+            let tag = sealing.next(b"frame");
+            assert!(opening.check(b"frame", &tag), "{}", case.name);
+        }
+    }
+}
+
+#[test]
+fn a_replayed_or_reflected_proof_fails() {
+    let keys = keys(1, None);
+    let dialler = |peer| Handshake {
+        side: Side::Dialler,
+        own: b"dialler",
+        peer,
+    };
+    let acceptor = |own, peer| Handshake {
+        side: Side::Acceptor,
+        own,
+        peer,
+    };
+    let recorded = dialler(b"nonce 1").prove(&keys);
+    let again = acceptor(b"nonce 1", b"dialler").verify(&keys, recorded);
+    assert!(again.is_some());
+    let replayed = acceptor(b"nonce 2", b"dialler").verify(&keys, recorded);
+    assert!(replayed.is_none());
+    let own = acceptor(b"nonce 1", b"nonce 1").prove(&keys);
+    let reflected = acceptor(b"nonce 1", b"nonce 1").verify(&keys, own);
+    assert!(reflected.is_none());
+}
+
+type Tagged = (Vec<u8>, [u8; TAG_BYTES]);
+
+struct TagCase {
+    name: &'static str,
+    change: fn(&mut Vec<Tagged>),
+}
+
+#[test]
+fn a_frame_that_is_changed_doubled_left_out_or_moved_fails() {
+    let cases = [
+        TagCase {
+            name: "changed frame",
+            change: |frames| frames[0].0[0] ^= 1,
+        },
+        TagCase {
+            name: "changed tag",
+            change: |frames| frames[1].1[15] ^= 1,
+        },
+        TagCase {
+            name: "doubled",
+            change: |frames| frames.insert(1, frames[0].clone()),
+        },
+        TagCase {
+            name: "left out",
+            change: |frames| drop(frames.remove(1)),
+        },
+        TagCase {
+            name: "moved",
+            change: |frames| frames.swap(0, 1),
+        },
+    ];
+    for case in cases {
+        let mut sealing = Seal::new([7; KEY_BYTES]);
+        let mut opening = Seal::new([7; KEY_BYTES]);
+        let frames = [b"first", b"other", b"third"].map(|frame| frame.to_vec());
+        let mut frames = frames.map(|f| (f.clone(), sealing.next(&f))).to_vec();
+        (case.change)(&mut frames);
+        let passed = frames.iter().all(|(f, tag)| opening.check(f, tag));
+        assert!(!passed, "{}", case.name);
+    }
+}
+
+#[test]
+fn a_short_tag_fails() {
+    let tag = Seal::new([7; KEY_BYTES]).next(b"frame");
+    let mut opening = Seal::new([7; KEY_BYTES]);
+    assert!(!opening.check(b"frame", &tag[..8]));
+}
+
+struct KeyCase {
+    text: &'static str,
+    valid: bool,
+}
+
+#[test]
+fn keys_are_parsed_and_never_shown() {
+    const VALID: &str = "00112233445566778899aabbccddeeff00112233445566778899AABBCCDDEEFF";
+    let cases = [
+        KeyCase {
+            text: VALID,
+            valid: true,
+        },
+        KeyCase {
+            text: "",
+            valid: false,
+        },
+        KeyCase {
+            text: "00112233",
+            valid: false,
+        },
+        KeyCase {
+            text: "g0112233445566778899aabbccddeeff00112233445566778899AABBCCDDEEFF",
+            valid: false,
+        },
+    ];
+    for case in cases {
+        let key = case.text.parse::<Key>();
+        assert_eq!(key.is_ok(), case.valid, "{:?}", case.text);
+        let shown = format!("{:?} {:?}", key, key.clone().map(Keys::single));
+        assert!(!shown.contains("001122"), "{shown}");
+        assert!(!shown.contains("17, 34"), "{shown}");
+    }
+}
--- a/crates/parsleytally-link/src/error.rs
+++ b/crates/parsleytally-link/src/error.rs
@@ -26,8 +26,8 @@
         /// What the codec reported.
         source: postcard::Error,
     },
-    /// The peer did not say hello in time.
-    #[snafu(display("no hello within {limit_ms} ms"))]
+    /// The peer did not say hello and prove itself in time.
+    #[snafu(display("no hello and proof within {limit_ms} ms"))]
     NoHello {
         /// The limit, in milliseconds.
         limit_ms: u64,
@@ -43,7 +43,22 @@
         /// Version of this process.
         ours: u16,
     },
-    /// Nothing arrived for [`SILENCE_LIMIT`](crate::SILENCE_LIMIT).
+    /// Both ends are of the same kind.
+    #[snafu(display("peer is an {role} too"))]
+    Role {
+        /// Kind of both.
+        role: crate::Role,
+    },
+    /// The peer does not know a key in force.
+    #[snafu(display("{node} does not know a key in force"))]
+    Unproven {
+        /// Name that the peer gave.
+        node: parsleytally::types::NodeName,
+    },
+    /// A frame's tag does not fit.
+    #[snafu(display("frame was changed, doubled or left out on the way"))]
+    Tag,
+    /// Nothing arrived for the limit of silence.
     #[snafu(display("link is silent"))]
     Silent,
     /// The link is closed.
--- a/crates/parsleytally-link/src/frame.rs
+++ b/crates/parsleytally-link/src/frame.rs
@@ -3,9 +3,10 @@
 use bytes::Bytes;
 use derive_more::Display;
 use parsleytally::configs::BatchConfig;
+use parsleytally::membership::{Announcement, Heartbeat};
 use parsleytally::once::KeyHash;
 use parsleytally::types::{
-    Incarnation, NodeName, RackName, RequestId, Resources, Revision, RunId, ServiceKey, ZoneName,
+    Incarnation, NodeName, RequestId, Revision, RunId, ServiceKey, ZoneName,
 };
 use serde::{Deserialize, Serialize};
 
@@ -35,30 +36,6 @@
     pub incarnation: Incarnation,
 }
 
-/// What an agent offers.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Announcement {
-    /// Service that the endpoint answers.
-    pub service: ServiceKey,
-    /// Rack of the worker.
-    pub rack: RackName,
-    /// Requests that the endpoint takes at once.
-    pub slots: u32,
-    /// Connections that the endpoint takes at once.
-    pub connections: u32,
-    /// What the worker has.
-    pub capacity: Resources,
-}
-
-/// Sign of life in both directions; an agent's carries its load.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Heartbeat {
-    /// Requests in service now.
-    pub busy: u32,
-    /// Whether the endpoint takes no new work.
-    pub leaving: bool,
-}
-
 /// One header of a request or an answer.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Header {
@@ -194,7 +171,7 @@
     Hello(Hello),
     /// What an agent offers.
     Announce(Announcement),
-    /// Sign of life.
+    /// Sign of life of an agent, with its load.
     Heartbeat(Heartbeat),
     /// A caller's request.
     Request(Request),
@@ -216,4 +193,6 @@
     Settings(SettingsNotice),
     /// Settings in force at the agent.
     InForce(SettingsNotice),
+    /// Sent when nothing else was for a while; the link keeps it to itself.
+    Alive,
 }
--- /dev/null
+++ b/crates/parsleytally-link/src/handshake.rs
@@ -0,0 +1,78 @@
+//! Opening of a connection: hellos, then proofs, then tagged frames.
+
+use bytes::Bytes;
+use futures::SinkExt;
+use serde::{Deserialize, Serialize};
+use snafu::{OptionExt, ResultExt, ensure};
+use tokio::net::TcpStream;
+use tokio_util::codec::{FramedRead, FramedWrite};
+
+use crate::auth::{Handshake, Nonce, Proof, Side};
+use crate::error::{
+    DecodeSnafu, EncodeSnafu, IoSnafu, NotHelloSnafu, RoleSnafu, UnprovenSnafu, VersionSnafu,
+};
+use crate::wire::{Reader, Writer, codec, next_bytes};
+use crate::{FRAME_LIMIT_BYTES, Hello, Keys, LinkError, PROTOCOL_VERSION};
+
+/// Largest frame before the peer has proven itself, in bytes.
+const HELLO_LIMIT_BYTES: usize = 1_024;
+
+/// What each side sends first; the version comes first, so that any one can read it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct Opening {
+    hello: Hello,
+    nonce: Nonce,
+}
+
+/// Exchanges hellos and proofs on a new connection.
+pub(crate) async fn open(
+    stream: TcpStream,
+    side: Side,
+    hello: &Hello,
+    keys: &Keys,
+) -> Result<(Reader, Writer, Hello), LinkError> {
+    stream.set_nodelay(true).context(IoSnafu)?;
+    let (read, write) = stream.into_split();
+    let mut read = FramedRead::new(read, codec(HELLO_LIMIT_BYTES));
+    let mut write = FramedWrite::new(write, codec(FRAME_LIMIT_BYTES));
+    let opening = Opening {
+        hello: hello.clone(),
+        nonce: Nonce::random(),
+    };
+    let own = postcard::to_stdvec(&opening).context(EncodeSnafu)?;
+    write
+        .send(Bytes::from(own.clone()))
+        .await
+        .context(IoSnafu)?;
+    let theirs = next_bytes(&mut read).await?;
+    let peer = check_opening(&theirs, hello)?;
+    let handshake = Handshake {
+        side,
+        own: &own,
+        peer: &theirs,
+    };
+    let proof = postcard::to_stdvec(&handshake.prove(keys)).context(EncodeSnafu)?;
+    write.send(Bytes::from(proof)).await.context(IoSnafu)?;
+    let theirs = next_bytes(&mut read).await?;
+    let theirs: Proof = postcard::from_bytes(&theirs).context(DecodeSnafu)?;
+    let (sealing, opening) = handshake.verify(keys, theirs).context(UnprovenSnafu {
+        node: peer.node.clone(),
+    })?;
+    read.decoder_mut().set_max_frame_length(FRAME_LIMIT_BYTES);
+    Ok((
+        Reader::new(read, opening),
+        Writer::new(write, sealing),
+        peer,
+    ))
+}
+
+fn check_opening(bytes: &[u8], own: &Hello) -> Result<Hello, LinkError> {
+    let version = postcard::take_from_bytes::<u16>(bytes).ok();
+    let (theirs, _) = version.context(NotHelloSnafu)?;
+    let ours = PROTOCOL_VERSION;
+    ensure!(theirs == ours, VersionSnafu { theirs, ours });
+    let opening = postcard::from_bytes::<Opening>(bytes).ok();
+    let peer = opening.context(NotHelloSnafu)?.hello;
+    ensure!(peer.role != own.role, RoleSnafu { role: peer.role });
+    Ok(peer)
+}
--- a/crates/parsleytally-link/src/link.rs
+++ b/crates/parsleytally-link/src/link.rs
@@ -1,28 +1,24 @@
-//! One connection: hello, then frames through bounded rings.
+//! One connection: handshake, then frames through bounded rings.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
-use futures::{SinkExt, StreamExt};
 use snafu::{ResultExt, ensure};
 use tokio::net::TcpStream;
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::sync::mpsc;
 use tokio::time::timeout;
-use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
 use tokio_util::sync::CancellationToken;
 
-use crate::error::{
-    ClosedSnafu, DecodeSnafu, EncodeSnafu, IoSnafu, NoHelloSnafu, NotHelloSnafu, SilentSnafu,
-    VersionSnafu,
-};
-use crate::{Frame, Hello, LinkError, PROTOCOL_VERSION};
+use crate::auth::Side;
+use crate::error::{ClosedSnafu, IoSnafu, NoHelloSnafu, SilentSnafu};
+use crate::handshake::open;
+use crate::wire::{Reader, Writer};
+use crate::{Frame, Hello, LinkConfig, LinkError};
 
 /// Largest frame, in bytes: a body of 1 MiB and its head.
 pub const FRAME_LIMIT_BYTES: usize = (1 << 20) + (64 << 10);
-/// Time between two heartbeats on a link.
+/// Longest time in which a side sends nothing.
 pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
 /// Time without any frame after which a link is closed.
 pub const SILENCE_LIMIT: Duration = Duration::from_secs(2);
@@ -30,8 +26,6 @@
 const OUT_RING_FRAMES: usize = 256;
 /// Frames that wait for the duty; a full ring stops reading from the socket.
 const IN_RING_FRAMES: usize = 256;
-/// Time for connecting and for the peer's hello.
-const HELLO_LIMIT: Duration = Duration::from_secs(2);
 
 /// The sending half of a link; clones share it.
 #[derive(Debug, Clone)]
@@ -41,7 +35,7 @@
     closed: CancellationToken,
 }
 
-/// The receiving half of a link.
+/// The receiving half of a link; dropping it closes the link.
 #[derive(Debug)]
 pub struct Incoming {
     frames: mpsc::Receiver<Frame>,
@@ -93,63 +87,55 @@
 ///
 /// # Errors
 ///
-/// Returns [`LinkError`] when connecting or the hello fails.
-pub async fn dial(address: SocketAddr, hello: &Hello) -> Result<(Link, Incoming), LinkError> {
-    let connect = timeout(HELLO_LIMIT, TcpStream::connect(address)).await;
-    let Ok(stream) = connect else {
-        return no_hello();
+/// Returns [`LinkError`] when connecting or the handshake fails.
+pub async fn dial(
+    address: SocketAddr,
+    hello: &Hello,
+    config: &LinkConfig,
+) -> Result<(Link, Incoming), LinkError> {
+    let opened = async {
+        let stream = TcpStream::connect(address).await.context(IoSnafu)?;
+        open(stream, Side::Dialler, hello, &config.keys).await
     };
-    accept(stream.context(IoSnafu)?, hello).await
+    let Ok(opened) = timeout(config.handshake, opened).await else {
+        return no_hello(config.handshake);
+    };
+    Ok(start(opened?, config))
 }
 
-/// Opens a link on a connected socket; both sides send their hello first.
+/// Opens a link on an accepted socket.
 ///
 /// # Errors
 ///
-/// Returns [`LinkError`] when the peer's hello is missing, late or of another version.
-pub async fn accept(stream: TcpStream, hello: &Hello) -> Result<(Link, Incoming), LinkError> {
-    stream.set_nodelay(true).context(IoSnafu)?;
-    let (read, write) = stream.into_split();
-    let mut reader = FramedRead::new(read, codec());
-    let mut writer = FramedWrite::new(write, codec());
-    let first = encode(&Frame::Hello(hello.clone()))?;
-    writer.send(first).await.context(IoSnafu)?;
-    let Ok(answer) = timeout(HELLO_LIMIT, receive(&mut reader)).await else {
-        return no_hello();
+/// Returns [`LinkError`] when the peer's hello or proof is missing, late or wrong, or
+/// of another version.
+pub async fn accept(
+    stream: TcpStream,
+    hello: &Hello,
+    config: &LinkConfig,
+) -> Result<(Link, Incoming), LinkError> {
+    let opened = open(stream, Side::Acceptor, hello, &config.keys);
+    let Ok(opened) = timeout(config.handshake, opened).await else {
+        return no_hello(config.handshake);
     };
-    let peer = check_hello(answer?)?;
-    Ok(start(reader, writer, peer))
+    Ok(start(opened?, config))
 }
 
-fn no_hello<T>() -> Result<T, LinkError> {
-    let limit_ms = u64::try_from(HELLO_LIMIT.as_millis()).unwrap_or(u64::MAX);
+fn no_hello<T>(limit: Duration) -> Result<T, LinkError> {
+    let limit_ms = u64::try_from(limit.as_millis()).unwrap_or(u64::MAX);
     NoHelloSnafu { limit_ms }.fail()
 }
 
-fn check_hello(frame: Frame) -> Result<Hello, LinkError> {
-    let Frame::Hello(peer) = frame else {
-        return NotHelloSnafu.fail();
-    };
-    let theirs = peer.version;
-    let ours = PROTOCOL_VERSION;
-    ensure!(theirs == ours, VersionSnafu { theirs, ours });
-    Ok(peer)
-}
-
-fn start(
-    reader: FramedRead<OwnedReadHalf, LengthDelimitedCodec>,
-    writer: FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>,
-    peer: Hello,
-) -> (Link, Incoming) {
+fn start((reader, writer, peer): (Reader, Writer, Hello), config: &LinkConfig) -> (Link, Incoming) {
     let (out, out_frames) = mpsc::channel(OUT_RING_FRAMES);
     let (in_sender, frames) = mpsc::channel(IN_RING_FRAMES);
     let closed = CancellationToken::new();
     tokio::spawn(close_after(
-        read_all(reader, in_sender, closed.clone()),
+        read_all(reader, in_sender, closed.clone(), config.silence),
         closed.clone(),
     ));
     tokio::spawn(close_after(
-        write_all(writer, out_frames, closed.clone()),
+        write_all(writer, out_frames, closed.clone(), config.clone()),
         closed.clone(),
     ));
     let link = Link {
@@ -168,41 +154,50 @@
 }
 
 async fn read_all(
-    mut reader: FramedRead<OwnedReadHalf, LengthDelimitedCodec>,
+    mut reader: Reader,
     frames: mpsc::Sender<Frame>,
     closed: CancellationToken,
+    silence: Duration,
 ) -> Result<(), LinkError> {
     loop {
-        let next = timeout(SILENCE_LIMIT, receive(&mut reader));
         let frame = tokio::select! {
-            next = next => next,
+            next = timeout(silence, reader.next()) => next,
+            () = frames.closed() => return ClosedSnafu.fail(),
             () = closed.cancelled() => return ClosedSnafu.fail(),
         };
         let Ok(frame) = frame else {
             return SilentSnafu.fail();
         };
-        if frames.send(frame?).await.is_err() {
+        let frame = frame?;
+        if frame == Frame::Alive {
+            continue;
+        }
+        let passed = tokio::select! {
+            passed = frames.send(frame) => passed,
+            () = closed.cancelled() => return ClosedSnafu.fail(),
+        };
+        if passed.is_err() {
             return ClosedSnafu.fail();
         }
     }
 }
 
 async fn write_all(
-    mut writer: FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>,
+    mut writer: Writer,
     mut frames: mpsc::Receiver<Frame>,
     closed: CancellationToken,
+    config: LinkConfig,
 ) -> Result<(), LinkError> {
     loop {
         let first = tokio::select! {
-            frame = frames.recv() => frame,
+            frame = timeout(config.heartbeat, frames.recv()) => frame.unwrap_or(Some(Frame::Alive)),
             () = closed.cancelled() => return ClosedSnafu.fail(),
         };
         let Some(first) = first else {
             return ClosedSnafu.fail();
         };
-        let Ok(written) =
-            timeout(SILENCE_LIMIT, write_batch(&mut writer, first, &mut frames)).await
-        else {
+        let batch = write_batch(&mut writer, first, &mut frames);
+        let Ok(written) = timeout(config.silence, batch).await else {
             return SilentSnafu.fail();
         };
         written?;
@@ -211,37 +206,13 @@
 
 /// Writes `first` and what else waits, in one flush.
 async fn write_batch(
-    writer: &mut FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>,
+    writer: &mut Writer,
     first: Frame,
     frames: &mut mpsc::Receiver<Frame>,
 ) -> Result<(), LinkError> {
-    writer.feed(encode(&first)?).await.context(IoSnafu)?;
+    writer.feed(&first).await?;
     while let Ok(frame) = frames.try_recv() {
-        writer.feed(encode(&frame)?).await.context(IoSnafu)?;
-    }
-    SinkExt::<Bytes>::flush(writer).await.context(IoSnafu)
-}
-
-async fn receive(
-    reader: &mut FramedRead<OwnedReadHalf, LengthDelimitedCodec>,
-) -> Result<Frame, LinkError> {
-    match reader.next().await {
-        Some(bytes) => decode(&bytes.context(IoSnafu)?),
-        None => ClosedSnafu.fail(),
+        writer.feed(&frame).await?;
     }
-}
-
-fn codec() -> LengthDelimitedCodec {
-    LengthDelimitedCodec::builder()
-        .max_frame_length(FRAME_LIMIT_BYTES)
-        .new_codec()
-}
-
-fn encode(frame: &Frame) -> Result<Bytes, LinkError> {
-    let bytes = postcard::to_stdvec(frame).context(EncodeSnafu)?;
-    Ok(bytes.into())
-}
-
-fn decode(bytes: &BytesMut) -> Result<Frame, LinkError> {
-    postcard::from_bytes(bytes).context(DecodeSnafu)
+    writer.flush().await
 }
--- a/crates/parsleytally-link/src/tests.rs
+++ b/crates/parsleytally-link/src/tests.rs
@@ -1,5 +1,10 @@
 //! Tests of links over loopback sockets.
 
+mod proxy;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -9,6 +14,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::*;
+use proxy::{Fate, Script, Way};
 
 /// Far longer than any step of a test takes.
 const AMPLE: Duration = Duration::from_secs(30);
@@ -48,20 +54,57 @@
     }
 }
 
-async fn pair() -> ((Link, Incoming), (Link, Incoming)) {
+fn keys(byte: u8) -> Keys {
+    Keys::single(Key::new([byte; KEY_BYTES]))
+}
+
+fn config() -> LinkConfig {
+    LinkConfig::new(keys(1))
+}
+
+type Ends = (Link, Incoming);
+
+/// An entry's listener and its address.
+async fn listen() -> (TcpListener, SocketAddr) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
-    let agent_hello = hello(Role::Agent, "agent");
-    let agent = tokio::spawn(async move { dial(address, &agent_hello).await.unwrap() });
-    let (stream, _) = listener.accept().await.unwrap();
-    let entry = accept(stream, &hello(Role::Entry, "entry")).await.unwrap();
-    (entry, agent.await.unwrap())
+    (listener, address)
+}
+
+/// Both ends of a connection between an agent and an entry with these settings.
+async fn open(
+    address: SocketAddr,
+    listener: &TcpListener,
+    agent: LinkConfig,
+    entry: LinkConfig,
+) -> (Result<Ends, LinkError>, Result<Ends, LinkError>) {
+    let agent = async move { dial(address, &hello(Role::Agent, "agent"), &agent).await };
+    let entry = async move {
+        let (stream, _) = listener.accept().await.unwrap();
+        accept(stream, &hello(Role::Entry, "entry"), &entry).await
+    };
+    let (agent, entry) = tokio::join!(agent, entry);
+    (entry, agent)
+}
+
+async fn pair() -> (Ends, Ends) {
+    let (listener, address) = listen().await;
+    let (entry, agent) = open(address, &listener, config(), config()).await;
+    (entry.unwrap(), agent.unwrap())
+}
+
+/// A pair of ends with `script` between them.
+async fn scripted(script: Script) -> (Ends, Ends) {
+    let (listener, address) = listen().await;
+    let address = proxy::start(address, script).await;
+    let (entry, agent) = open(address, &listener, config(), config()).await;
+    (entry.unwrap(), agent.unwrap())
 }
 
 #[tokio::test]
 async fn crossed_answers_reach_their_own_callers() {
     let ((entry, mut answers), (agent, mut requests)) = pair().await;
-    let calls = std::sync::Arc::new(Calls::new(entry));
+    let calls = Arc::new(Calls::new(entry));
     let first = calls.call(request(1), AMPLE);
     let second = calls.call(request(2), AMPLE);
     let serve = async {
@@ -109,20 +152,79 @@
     assert!(matches!(after, Err(CallError::NotRun { .. })), "{after:?}");
 }
 
+struct RefusedCase {
+    name: &'static str,
+    agent: Hello,
+    agent_keys: Keys,
+    entry_keys: Keys,
+    refused: fn(&LinkError) -> bool,
+}
+
 #[tokio::test]
-async fn another_version_is_refused() {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
+async fn a_peer_of_another_version_kind_or_key_is_refused() {
     let mut other = hello(Role::Agent, "agent");
     other.version = PROTOCOL_VERSION + 1;
-    let dialled = tokio::spawn(async move { dial(address, &other).await });
-    let (stream, _) = listener.accept().await.unwrap();
-    let refused = accept(stream, &hello(Role::Entry, "entry")).await;
-    assert!(
-        matches!(refused, Err(LinkError::Version { .. })),
-        "{refused:?}"
-    );
-    drop(dialled.await);
+    let cases = [
+        RefusedCase {
+            name: "version",
+            agent: other,
+            agent_keys: keys(1),
+            entry_keys: keys(1),
+            refused: |error| matches!(error, LinkError::Version { .. }),
+        },
+        RefusedCase {
+            name: "kind",
+            agent: hello(Role::Entry, "agent"),
+            agent_keys: keys(1),
+            entry_keys: keys(1),
+            refused: |error| matches!(error, LinkError::Role { .. }),
+        },
+        RefusedCase {
+            name: "key",
+            agent: hello(Role::Agent, "agent"),
+            agent_keys: keys(2),
+            entry_keys: keys(1),
+            refused: |error| matches!(error, LinkError::Unproven { .. }),
+        },
+        RefusedCase {
+            name: "key that only the agent still accepts",
+            agent: hello(Role::Agent, "agent"),
+            agent_keys: Keys {
+                other: Some(keys(1).current),
+                ..keys(2)
+            },
+            entry_keys: keys(1),
+            refused: |error| matches!(error, LinkError::Unproven { .. }),
+        },
+    ];
+    for case in cases {
+        let (listener, address) = listen().await;
+        let config = LinkConfig::new(case.agent_keys);
+        let dialled = tokio::spawn(async move { dial(address, &case.agent, &config).await });
+        let (stream, _) = listener.accept().await.unwrap();
+        let config = LinkConfig::new(case.entry_keys);
+        let accepted = accept(stream, &hello(Role::Entry, "entry"), &config).await;
+        let error = accepted.expect_err(case.name);
+        assert!((case.refused)(&error), "{}: {error}", case.name);
+        drop(dialled.await);
+    }
+}
+
+#[tokio::test]
+async fn two_keys_in_force_let_both_sides_in() {
+    let (listener, address) = listen().await;
+    let rotating = LinkConfig::new(Keys {
+        other: Some(keys(1).current),
+        ..keys(2)
+    });
+    let accepting = LinkConfig::new(Keys {
+        other: Some(keys(2).current),
+        ..keys(1)
+    });
+    let (entry, agent) = open(address, &listener, rotating, accepting).await;
+    let ((entry, _answers), (_agent, mut frames)) = (entry.unwrap(), agent.unwrap());
+    entry.send(Frame::Cancel(RequestId(1))).unwrap();
+    assert_eq!(frames.next().await, Some(Frame::Cancel(RequestId(1))));
 }
 
 struct GarbageCase {
@@ -139,19 +241,227 @@
         GarbageCase {
             bytes: &[0, 0, 0, 2, 9, 9],
         },
+        GarbageCase {
+            bytes: &[0, 0, 0, 2, 2, 9],
+        },
         GarbageCase {
             bytes: &[0, 0, 0, 0],
         },
+        GarbageCase {
+            bytes: &[0, 0, 8, 0],
+        },
     ];
     for case in cases {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let address = listener.local_addr().unwrap();
+        let (listener, address) = listen().await;
         let mut peer = TcpStream::connect(address).await.unwrap();
         tokio::io::AsyncWriteExt::write_all(&mut peer, case.bytes)
             .await
             .unwrap();
         let (stream, _) = listener.accept().await.unwrap();
-        let refused = accept(stream, &hello(Role::Entry, "entry")).await;
-        assert!(refused.is_err(), "{:?}", case.bytes);
+        let refused = accept(stream, &hello(Role::Entry, "entry"), &config()).await;
+        let error = refused.expect_err("garbage was accepted");
+        let waited = matches!(error, LinkError::NoHello { .. });
+        assert!(!waited, "{:?}: {error}", case.bytes);
+    }
+}
+
+/// Number of the first frame after the handshake.
+const FIRST_FRAME: usize = 2;
+
+struct TamperCase {
+    name: &'static str,
+    script: fn(Way, usize) -> Fate,
+    /// Answers that reach the entry before the link closes.
+    arrived: &'static [u64],
+}
+
+#[tokio::test]
+async fn tampered_frames_close_the_link_and_reach_nobody() {
+    let cases = [
+        TamperCase {
+            name: "changed",
+            script: |way, number| match (way, number) {
+                (Way::ToEntry, FIRST_FRAME) => Fate::Change,
+                _ => Fate::Pass,
+            },
+            arrived: &[],
+        },
+        TamperCase {
+            name: "doubled",
+            script: |way, number| match (way, number) {
+                (Way::ToEntry, FIRST_FRAME) => Fate::Double,
+                _ => Fate::Pass,
+            },
+            arrived: &[1],
+        },
+        TamperCase {
+            name: "left out",
+            script: |way, number| match (way, number) {
+                (Way::ToEntry, FIRST_FRAME) => Fate::Drop,
+                _ => Fate::Pass,
+            },
+            arrived: &[],
+        },
+        TamperCase {
+            name: "truncated",
+            script: |way, number| match (way, number) {
+                (Way::ToEntry, 3) => Fate::Cut,
+                _ => Fate::Pass,
+            },
+            arrived: &[1],
+        },
+    ];
+    for case in cases {
+        let ((_entry, mut answers), (agent, _requests)) = scripted(Arc::new(case.script)).await;
+        agent.send(Frame::Answer(answer(1, "first"))).unwrap();
+        agent.send(Frame::Answer(answer(2, "second"))).unwrap();
+        let mut arrived = Vec::new();
+        while let Some(frame) = answers.next().await {
+            let Frame::Answer(answer) = frame else {
+                panic!("{}: unexpected frame {frame:?}", case.name);
+            };
+            arrived.push(answer.id.0);
+        }
+        assert_eq!(arrived, case.arrived, "{}", case.name);
+    }
+}
+
+#[tokio::test]
+async fn an_oversized_frame_closes_the_link() {
+    let ((_entry, mut answers), (agent, _requests)) = pair().await;
+    let body = "x".repeat(FRAME_LIMIT_BYTES);
+    agent.send(Frame::Answer(answer(1, &body))).unwrap();
+    assert_eq!(answers.next().await, None);
+}
+
+struct SilenceCase {
+    name: &'static str,
+    silent: fn(Way) -> bool,
+}
+
+/// A connection that drops everything once told so, with requests in flight, while
+/// new connections work.
+#[tokio::test]
+async fn a_silent_link_is_found_and_its_requests_are_settled() {
+    let cases = [
+        SilenceCase {
+            name: "towards the entry",
+            silent: |way| way == Way::ToEntry,
+        },
+        SilenceCase {
+            name: "towards the agent",
+            silent: |way| way == Way::ToAgent,
+        },
+        SilenceCase {
+            name: "both ways",
+            silent: |_| true,
+        },
+    ];
+    let runs = cases.map(|case| tokio::spawn(go_silent(case)));
+    for run in runs {
+        run.await.unwrap();
+    }
+}
+
+async fn go_silent(case: SilenceCase) {
+    let cut = Arc::new(AtomicBool::new(false));
+    let is_cut = cut.clone();
+    let script: Script = Arc::new(move |way, _| {
+        let drops = is_cut.load(Ordering::SeqCst) && (case.silent)(way);
+        if drops { Fate::Drop } else { Fate::Pass }
+    });
+    let (listener, entry_address) = listen().await;
+    let address = proxy::start(entry_address, script).await;
+    let (entry, agent) = open(address, &listener, config(), config()).await;
+    let ((entry, mut answers), (agent, mut requests)) = (entry.unwrap(), agent.unwrap());
+    let calls = Calls::new(entry);
+    let call = calls.call(request(1), AMPLE);
+    let lose = async {
+        requests.next().await.unwrap();
+        cut.store(true, Ordering::SeqCst);
+        let _ = agent.send(Frame::Answer(answer(1, "lost or late")));
+        while let Some(frame) = answers.next().await {
+            let Frame::Answer(answer) = frame else {
+                continue;
+            };
+            calls.answered(answer);
+        }
+        calls.lost();
+        while requests.next().await.is_some() {}
+    };
+    let (verdict, ()) = tokio::join!(call, lose);
+    let answered = !(case.silent)(Way::ToEntry);
+    match verdict {
+        Ok(answer) => assert!(answered && answer.body == "lost or late", "{}", case.name),
+        Err(error) => {
+            let unknown = matches!(error, CallError::Unknown { late: false, .. });
+            assert!(!answered && unknown, "{}: {error}", case.name);
+        }
+    }
+    let (entry, agent) = open(entry_address, &listener, config(), config()).await;
+    let ((entry, mut answers), (agent, mut requests)) = (entry.unwrap(), agent.unwrap());
+    let calls = Calls::new(entry);
+    let call = calls.call(request(2), AMPLE);
+    let serve = async {
+        requests.next().await.unwrap();
+        agent
+            .send(Frame::Answer(answer(1, "of the old link")))
+            .unwrap();
+        agent.send(Frame::Answer(answer(2, "new"))).unwrap();
+        for _ in 0..2 {
+            let Some(Frame::Answer(answer)) = answers.next().await else {
+                panic!("{}: expected an answer", case.name);
+            };
+            calls.answered(answer);
+        }
+    };
+    let (verdict, ()) = tokio::join!(call, serve);
+    assert_eq!(verdict.unwrap().body, "new", "{}", case.name);
+    assert_eq!(calls.strays(), 1, "{}", case.name);
+}
+
+#[tokio::test]
+async fn an_idle_link_stays_open() {
+    let mut quick = config();
+    quick.heartbeat = Duration::from_millis(20);
+    let (listener, address) = listen().await;
+    let (entry, agent) = open(address, &listener, quick.clone(), quick).await;
+    let ((entry, _answers), (agent, mut requests)) = (entry.unwrap(), agent.unwrap());
+    tokio::time::sleep(SILENCE_LIMIT * 3 / 2).await;
+    assert!(!entry.is_closed() && !agent.is_closed());
+    entry.send(Frame::Cancel(RequestId(1))).unwrap();
+    assert_eq!(requests.next().await, Some(Frame::Cancel(RequestId(1))));
+}
+
+#[tokio::test]
+async fn a_link_that_nobody_receives_on_is_closed() {
+    let ((entry, mut answers), (agent, requests)) = pair().await;
+    drop(requests);
+    assert_eq!(answers.next().await, None);
+    assert!(entry.is_closed() && agent.is_closed());
+}
+
+struct ConfigCase {
+    text: &'static str,
+    error: &'static str,
+}
+
+#[test]
+fn a_bad_key_in_the_settings_is_named_and_not_shown() {
+    let cases = [
+        ConfigCase {
+            text: "[link]\n",
+            error: "key \"key\" is missing in section [link]",
+        },
+        ConfigCase {
+            text: "[link]\nkey = secret\n",
+            error: "value \"(hidden)\" of key \"key\" in section [link]: \
+                    a link key is 64 hexadecimal digits",
+        },
+    ];
+    for case in cases {
+        let mut document = parsleytally::configs::Document::parse(case.text.as_bytes()).unwrap();
+        let error = LinkConfig::take(document.take("link")).unwrap_err();
+        assert_eq!(error.to_string(), case.error);
     }
 }
--- a/crates/parsleytally/examples/routing_policies.rs
+++ b/crates/parsleytally/examples/routing_policies.rs
@@ -239,7 +239,7 @@
         self.after(now + gap, Event::Arrival { entry });
         let started = Instant::now();
         let router = &mut self.routers[entry];
-        let picked = router.pick(Time::from_micros(now), &self.key, None, &mut self.rng);
+        let picked = router.pick(Time::from_micros(now), &self.key, &[], &mut self.rng);
         self.outcomes.pick += started.elapsed();
         self.outcomes.total += 1;
         match picked {
--- a/crates/parsleytally/src/routing/message.rs
+++ b/crates/parsleytally/src/routing/message.rs
@@ -63,8 +63,8 @@
         request: RequestId,
         /// Service that is asked for.
         service: &'a ServiceKey,
-        /// Endpoint that should be avoided, if another one has room.
-        avoid: Option<EndpointId>,
+        /// Endpoints that should be avoided, if another one has room.
+        avoid: &'a [EndpointId],
     },
     /// A picked request has ended.
     Done {
--- a/crates/parsleytally/src/routing/policy/mod.rs
+++ b/crates/parsleytally/src/routing/policy/mod.rs
@@ -7,7 +7,7 @@
 
 use rand::{Rng, RngCore};
 
-use super::endpoint::Endpoint;
+use super::endpoint::{Endpoint, EndpointId};
 use crate::configs::RoutingConfig;
 use crate::types::Time;
 
@@ -44,7 +44,7 @@
     pub(super) config: &'a RoutingConfig,
     pub(super) table: &'a [Endpoint],
     pub(super) group: &'a [u32],
-    pub(super) avoid: Option<u32>,
+    pub(super) avoid: &'a [EndpointId],
     pub(super) bound: Bound,
     pub(super) picks: u64,
 }
@@ -67,10 +67,12 @@
 
     /// Whether the endpoint has room and is not ejected.
     pub fn is_open(&self, position: usize) -> bool {
-        if self.avoid == Some(self.group[position]) {
+        let index = self.group[position];
+        let endpoint = self.endpoint(position);
+        let generation = endpoint.generation;
+        if self.avoid.contains(&EndpointId { index, generation }) {
             return false;
         }
-        let endpoint = self.endpoint(position);
         let limit = match self.bound {
             Bound::Slots => endpoint.open_slots(self.now, self.config),
             Bound::Connections => endpoint.offer.connections,
--- a/crates/parsleytally/src/routing/router.rs
+++ b/crates/parsleytally/src/routing/router.rs
@@ -96,27 +96,36 @@
         &mut self,
         now: Time,
         service: &ServiceKey,
-        avoid: Option<EndpointId>,
+        avoid: &[EndpointId],
         rng: &mut dyn RngCore,
     ) -> Result<Picked, NoEndpoint> {
         let group = self.services.get_mut(service).ok_or(NoEndpoint::Unknown)?;
         group.picks += 1;
         let group = &self.services[service];
-        let avoid = avoid.filter(|id| self.is_current(*id)).map(|id| id.index);
         let index = self
             .search(now, group, avoid, rng)
-            .or_else(|| avoid.and_then(|_| self.search(now, group, None, rng)))
+            .or_else(|| self.search(now, group, &[], rng))
             .ok_or(NoEndpoint::NoRoom)?;
+        Ok(self.count(index))
+    }
+
+    /// Counts a request as outstanding at `worker`'s endpoint, which was not chosen here.
+    pub fn claim(&mut self, worker: &NodeName) -> Option<Picked> {
+        let index = *self.workers.get(worker)?;
+        Some(self.count(index))
+    }
+
+    fn count(&mut self, index: u32) -> Picked {
         let endpoint = &mut self.table[index as usize];
         endpoint.mine += 1;
-        Ok(Picked {
+        Picked {
             endpoint: EndpointId {
                 index,
                 generation: endpoint.generation,
             },
             worker: endpoint.offer.worker.clone(),
             incarnation: endpoint.offer.incarnation,
-        })
+        }
     }
 
     /// Requests outstanding at a worker's endpoint, as far as known.
@@ -136,7 +145,7 @@
         &self,
         now: Time,
         service: &Service,
-        avoid: Option<u32>,
+        avoid: &[EndpointId],
         rng: &mut dyn RngCore,
     ) -> Option<u32> {
         let steps = [
--- a/crates/parsleytally/src/routing/tests.rs
+++ b/crates/parsleytally/src/routing/tests.rs
@@ -82,7 +82,7 @@
     }
 
     fn pick(&mut self) -> Result<Picked, NoEndpoint> {
-        self.router.pick(self.now, &key(), None, &mut self.rng)
+        self.router.pick(self.now, &key(), &[], &mut self.rng)
     }
 
     /// Workers of the next `count` picks, none of which ends.
@@ -245,7 +245,7 @@
             bench.step(Input::Pick {
                 request: RequestId(1),
                 service: &key(),
-                avoid: Some(avoid),
+                avoid: &[avoid],
             });
             let Some(Output::Picked { picked, .. }) = bench.out.pop() else {
                 panic!("nothing was picked");
