--- a/crates/parsleytally/src/leases/record.rs
+++ b/crates/parsleytally/src/leases/record.rs
@@ -105,16 +105,22 @@
         matches!(self.phase, Phase::Waiting | Phase::Evicted)
     }
 
-    /// Starts the run after `expect` on `agent` and returns its number.
+    /// Starts the run after `expect` on `agent` and returns its number, which is
+    /// above `floor`.
     ///
     /// # Errors
     ///
     /// Returns [`RecordError`] when another run was started meanwhile, or when
     /// the task may not be started.
-    pub fn start(&mut self, expect: RunNumber, agent: &NodeName) -> Result<RunNumber, RecordError> {
+    pub fn start(
+        &mut self,
+        expect: RunNumber,
+        floor: RunNumber,
+        agent: &NodeName,
+    ) -> Result<RunNumber, RecordError> {
         self.check(expect)?;
         ensure!(self.is_ready(), WrongPhaseSnafu);
-        self.run = expect.next();
+        self.run = expect.max(floor).next();
         self.phase = Phase::Starting {
             agent: agent.clone(),
         };
--- a/crates/parsleytally/src/leases/tests.rs
+++ b/crates/parsleytally/src/leases/tests.rs
@@ -392,15 +392,21 @@
 #[test]
 fn a_record_resumes_and_completes_once() {
     let mut record = TaskRecord::new(RunNumber(0));
-    let first = record.start(RunNumber(0), &name("w1")).unwrap();
-    assert!(record.start(RunNumber(0), &name("w2")).is_err());
+    let first = record
+        .start(RunNumber(0), RunNumber(0), &name("w1"))
+        .unwrap();
+    assert!(
+        record
+            .start(RunNumber(0), RunNumber(0), &name("w2"))
+            .is_err()
+    );
     record.live(first, Some(Checkpoint(5))).unwrap();
     record.evict(first).unwrap();
-    assert!(record.start(first, &name("w2")).is_err());
+    assert!(record.start(first, RunNumber(0), &name("w2")).is_err());
     record.ended(first, None).unwrap();
-    let second = record.start(first, &name("w2")).unwrap();
+    let second = record.start(first, RunNumber(0), &name("w2")).unwrap();
     assert_eq!(second, RunNumber(2));
-    assert!(record.start(first, &name("w3")).is_err());
+    assert!(record.start(first, RunNumber(0), &name("w3")).is_err());
     assert!(record.finished(first).is_err());
     assert!(record.ended(first, Some(Checkpoint(9))).is_err());
     assert_eq!(record.checkpoint, Some(Checkpoint(5)));
@@ -418,13 +424,15 @@
 #[test]
 fn cancellation_wins() {
     fn held(record: &mut TaskRecord) {
-        record.start(RunNumber(0), &name("w1")).unwrap();
+        record
+            .start(RunNumber(0), RunNumber(0), &name("w1"))
+            .unwrap();
     }
     let cases = [
         CancelCase {
             what: "waiting",
             before: |_| (),
-            after: |r| assert!(r.start(RunNumber(0), &name("w1")).is_err()),
+            after: |r| assert!(r.start(RunNumber(0), RunNumber(0), &name("w1")).is_err()),
             phase: Phase::Cancelled,
         },
         CancelCase {
--- a/crates/parsleytally/src/ownership/owner.rs
+++ b/crates/parsleytally/src/ownership/owner.rs
@@ -12,7 +12,7 @@
 use super::{
     JOURNAL_SEGMENTS, Journal, JournalError, Segment, SegmentId, TaskEntry, Term, segment_of,
 };
-use crate::leases::{Order, OrderKind, Phase, Start, TaskRecord};
+use crate::leases::{Order, OrderKind, Phase, RunReport, Start, TaskRecord};
 use crate::recovery::Recovery;
 use crate::types::{Incarnation, NodeName, RunId, RunNumber, TaskKey, Time};
 
@@ -88,6 +88,8 @@
     bases: Vec<RunNumber>,
     journal: Journal,
     late: Vec<(Gate, Late)>,
+    /// Ends reported while runs may exist that the journal does not have.
+    ends: Vec<(NodeName, RunReport)>,
     recovery: Recovery,
 }
 
@@ -133,6 +135,7 @@
             bases,
             journal,
             late: Vec::new(),
+            ends: Vec::new(),
         })
     }
 
@@ -141,6 +144,7 @@
         if self.deposed {
             return;
         }
+        self.see(now, out);
         match input {
             OwnerInput::Confirmed { asked } => self.confirmed = self.confirmed.max(Some(asked)),
             OwnerInput::Deposed => self.depose(out),
--- a/crates/parsleytally/src/ownership/owner/reports.rs
+++ b/crates/parsleytally/src/ownership/owner/reports.rs
@@ -45,6 +45,9 @@
         out: &mut Vec<OwnerOutput>,
     ) {
         self.adopt(agent, &entry.run);
+        if self.recovery.is_blind() && !entry.state.is_live() {
+            return self.defer(agent, entry);
+        }
         if !self.holds(agent, &entry.run) && !self.is_late_end(entry) {
             return self.stray(agent, entry, out);
         }
@@ -53,6 +56,25 @@
         }
     }
 
+    /// Keeps an end until it is certain that no later run exists.
+    fn defer(&mut self, agent: &NodeName, entry: &RunReport) {
+        let end = (agent.clone(), entry.clone());
+        if !self.ends.contains(&end) {
+            self.ends.push(end);
+        }
+    }
+
+    /// Settles the ends that were kept, once every run is known.
+    pub(super) fn see(&mut self, now: Time, out: &mut Vec<OwnerOutput>) {
+        self.recovery.see(now);
+        if self.recovery.is_blind() {
+            return;
+        }
+        for (agent, entry) in std::mem::take(&mut self.ends) {
+            self.entry(&agent, &entry, &mut Vec::new(), out);
+        }
+    }
+
     /// Takes over a run that an earlier owner started without journaling it.
     fn adopt(&mut self, agent: &NodeName, run: &RunId) {
         if !self.recovery.is_blind() {
--- a/crates/parsleytally/src/ownership/owner/runs.rs
+++ b/crates/parsleytally/src/ownership/owner/runs.rs
@@ -60,7 +60,7 @@
             return;
         }
         let slot = self.slots.get_mut(task).expect("a ready task has a slot");
-        let Ok(run) = slot.record.start(expect, agent) else {
+        let Ok(run) = slot.record.start(expect, self.term.floor(), agent) else {
             out.push(OwnerOutput::NotPlaced { task: task.clone() });
             return;
         };
--- a/crates/parsleytally/src/ownership/term.rs
+++ b/crates/parsleytally/src/ownership/term.rs
@@ -6,7 +6,10 @@
 use serde_with::{DurationMilliSeconds, serde_as};
 
 use crate::leases::outlast;
-use crate::types::{Epoch, Incarnation, NodeName, ShardId, Time};
+use crate::types::{Epoch, Incarnation, NodeName, RunNumber, ShardId, Time};
+
+/// Bits of a run number below the epoch that gave it, where that is part of it.
+const EPOCH_SHIFT: u32 = 32;
 
 /// Value of a shard's owner key in the store.
 #[serde_as]
@@ -104,4 +107,13 @@
             settled: now.after(wait),
         }
     }
+
+    /// Number above which runs are numbered, so that none is used again that an
+    /// earlier owner gave to a run which the journal does not have.
+    pub fn floor(&self) -> RunNumber {
+        match self.unknown {
+            true => RunNumber(self.epoch.0 << EPOCH_SHIFT),
+            false => RunNumber(0),
+        }
+    }
 }
--- a/crates/parsleytally/src/ownership/tests/journal.rs
+++ b/crates/parsleytally/src/ownership/tests/journal.rs
@@ -72,7 +72,9 @@
 #[test]
 fn a_segment_survives_its_encoding_and_damage_is_noticed() {
     let mut record = TaskRecord::new(RunNumber(4));
-    record.start(RunNumber(4), &node("w1")).unwrap();
+    record
+        .start(RunNumber(4), RunNumber(0), &node("w1"))
+        .unwrap();
     let segment = Segment {
         base: RunNumber(4),
         tasks: vec![TaskEntry {
--- a/crates/parsleytally/src/ownership/tests/owner.rs
+++ b/crates/parsleytally/src/ownership/tests/owner.rs
@@ -483,6 +483,39 @@
     assert_eq!(heir.owner.record(&task("count")).unwrap().run, RunNumber(2));
 }
 
+#[test]
+fn a_blind_heir_counts_a_completion_only_once_no_later_run_can_exist() {
+    for later in [false, true] {
+        let mut heir = running("w1").replace(10, true);
+        heir.report(11, "w1", &[(1, RunState::Finished)]);
+        assert_eq!(heir.counted(), 0);
+        if later {
+            heir.report(12, "w2", &[(2, LIVE)]);
+        }
+        heir.confirm(20);
+        heir.report(30, "w2", if later { &[(2, LIVE)] } else { &[] });
+        heir.step(41, OwnerInput::Tick);
+        assert_eq!(heir.phase() == Phase::Finished, !later);
+        assert_eq!(heir.counted(), usize::from(!later));
+    }
+}
+
+#[test]
+fn a_blind_heir_uses_no_run_number_again() {
+    let mut heir = Bench::new().replace(10, true);
+    heir.step(
+        10,
+        OwnerInput::Accept {
+            task: task("count"),
+        },
+    );
+    heir.confirm(40);
+    heir.beat(41, "w2");
+    heir.place(41, 0, "w2");
+    let run = heir.owner.record(&task("count")).unwrap().run;
+    assert_eq!(run, RunNumber((2 << 32) + 1));
+}
+
 #[test]
 fn an_owner_that_was_fenced_does_nothing_more() {
     for by_report in [false, true] {
--- a/crates/parsleytally/src/recovery/mod.rs
+++ b/crates/parsleytally/src/recovery/mod.rs
@@ -79,11 +79,16 @@
         }
     }
 
-    /// Checks the time; returns the result once, when the recovery ends.
-    pub fn poll(&mut self, now: Time) -> Option<Recovered> {
+    /// Ends the blindness when its time has passed.
+    pub fn see(&mut self, now: Time) {
         if self.blind.is_some_and(|until| now >= until) {
             self.blind = None;
         }
+    }
+
+    /// Checks the time; returns the result once, when the recovery ends.
+    pub fn poll(&mut self, now: Time) -> Option<Recovered> {
+        self.see(now);
         if self.done || self.is_blind() || !self.open.is_empty() {
             return None;
         }
