test(path): true answers and refusals under silent links, deaths and leaving

Cause: the promises to callers were tested for single parts, not for the whole path while faults happen, alone and in pairs.

--- a/crates/parsleytally-entry/tests/request_path/main.rs
+++ b/crates/parsleytally-entry/tests/request_path/main.rs
@@ -1,6 +1,8 @@
 //! Refusals, retries and idempotency keys over real sockets.
 
 mod broken;
+mod faults;
+mod relay;
 mod system;
 
 use http::Method;
--- /dev/null
+++ b/crates/parsleytally-entry/tests/request_path/relay.rs
@@ -0,0 +1,81 @@
+//! A relay on loopback whose open connections can go silent while new ones work.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+
+const BUFFER_BYTES: usize = 16 << 10;
+
+/// Which direction of a connection goes silent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Silence {
+    ToEntry,
+    ToAgent,
+    Both,
+}
+
+/// What became of one connection.
+type Fate = Arc<Mutex<Option<Silence>>>;
+
+pub(crate) struct Relay {
+    address: SocketAddr,
+    open: Arc<Mutex<Vec<Fate>>>,
+}
+
+impl Relay {
+    pub(crate) async fn start(entry: SocketAddr) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let open = Arc::new(Mutex::new(Vec::new()));
+        tokio::spawn(accept(listener, entry, open.clone()));
+        Self { address, open }
+    }
+
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Swallows all further bytes, and ends, of the connections that are open now.
+    pub(crate) fn silence(&self, silence: Silence) {
+        for fate in self.open.lock().unwrap().drain(..) {
+            *fate.lock().unwrap() = Some(silence);
+        }
+    }
+}
+
+async fn accept(listener: TcpListener, entry: SocketAddr, open: Arc<Mutex<Vec<Fate>>>) {
+    while let Ok((agent, _)) = listener.accept().await {
+        let Ok(entry) = TcpStream::connect(entry).await else {
+            continue;
+        };
+        let fate = Fate::default();
+        open.lock().unwrap().push(fate.clone());
+        let (from_agent, to_agent) = agent.into_split();
+        let (from_entry, to_entry) = entry.into_split();
+        tokio::spawn(pass(from_agent, to_entry, fate.clone(), Silence::ToEntry));
+        tokio::spawn(pass(from_entry, to_agent, fate, Silence::ToAgent));
+    }
+}
+
+async fn pass(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, fate: Fate, way: Silence) {
+    let is_silent = || {
+        let fate = *fate.lock().unwrap();
+        fate == Some(way) || fate == Some(Silence::Both)
+    };
+    let mut buffer = vec![0; BUFFER_BYTES];
+    loop {
+        let read = from.read(&mut buffer).await.unwrap_or(0);
+        match (read, is_silent()) {
+            (0, true) => break,
+            (0, false) => return,
+            (_, true) => {}
+            (_, false) if to.write_all(&buffer[..read]).await.is_err() => return,
+            (_, false) => {}
+        }
+    }
+    // The other end never hears that the connection has ended.
+    std::future::pending::<()>().await;
+}
--- a/crates/parsleytally-entry/tests/request_path/system.rs
+++ b/crates/parsleytally-entry/tests/request_path/system.rs
@@ -19,6 +19,7 @@
 use volo_http::response::Response;
 
 use crate::broken::answer_badly;
+use crate::relay::Relay;
 
 /// Tries before a state that must come is missed.
 const TRIES: usize = 1_000;
@@ -32,6 +33,8 @@
 pub(crate) struct System {
     pub(crate) entries: Vec<Entry>,
     pub(crate) agents: Vec<Agent>,
+    /// Relay of each agent's links, if asked for.
+    pub(crate) relays: Vec<Relay>,
     pub(crate) sample: Arc<SampleEndpoint>,
     _endpoint: Option<HttpServer>,
     client: Client,
@@ -58,6 +61,8 @@
     pub(crate) endpoint: Endpoint,
     /// More lines of the agents' section `[endpoint]`.
     pub(crate) limits: &'static str,
+    /// Whether a relay stands between each agent and the first entry.
+    pub(crate) relays: bool,
 }
 
 pub(crate) enum Endpoint {
@@ -75,6 +80,7 @@
             agents: 1,
             endpoint: Endpoint::Sample,
             limits: "",
+            relays: false,
         }
     }
 }
@@ -112,14 +118,22 @@
         };
         let links: Vec<_> = entries.iter().map(|e| e.links().to_string()).collect();
         let mut agents = Vec::new();
+        let mut relays = Vec::new();
         for n in 0..self.agents {
-            let text = agent_text(n, &links.join(","), address, self.limits);
+            let mut links = links.join(",");
+            if self.relays {
+                let relay = Relay::start(entries[0].links()).await;
+                links = relay.address().to_string();
+                relays.push(relay);
+            }
+            let text = agent_text(n, &links, address, self.limits);
             let config = AgentConfig::parse(text.as_bytes()).unwrap();
             agents.push(Agent::start(config).await.unwrap());
         }
         let system = System {
             entries,
             agents,
+            relays,
             sample,
             _endpoint: endpoint,
             client: Client::builder().build().unwrap(),
