feat(settings): what another holder lacks, by digest and in parts

Cause: an entry that starts anew has no history, and the store's revision also rises by other keys, so every agent would be sent all settings again. Change: a holder asks with its revision and a digest of its keys; who lacks nothing is sent the revision alone. Agents are sent services and the deployment's settings only. Updates are cut into parts that fit a frame. Items carry the revision at which their key came to be, and a last good text counts only within the same life of its key, the newest one first.

--- a/crates/parsleytally-platform/src/store/etcd/mod.rs
+++ b/crates/parsleytally-platform/src/store/etcd/mod.rs
@@ -428,6 +428,7 @@
         key,
         value: kv.value,
         revision: Revision(kv.mod_revision),
+        created: Revision(kv.create_revision),
     })
 }
 
--- a/crates/parsleytally-platform/src/store/etcd/tests.rs
+++ b/crates/parsleytally-platform/src/store/etcd/tests.rs
@@ -263,6 +263,7 @@
         key: "/t/a".to_owned(),
         value: b"1".to_vec(),
         revision: Revision(4),
+        created: Revision(2),
     };
     assert_eq!(changes.changes, [Change::Put(item)]);
     let mut commit = put("", "");
--- a/crates/parsleytally-platform/src/store/etcd/wire.rs
+++ b/crates/parsleytally-platform/src/store/etcd/wire.rs
@@ -25,6 +25,8 @@
     #[serde_as(as = "Base64")]
     pub(crate) key: Vec<u8>,
     #[serde_as(as = "PickFirst<(DisplayFromStr, _)>")]
+    pub(crate) create_revision: u64,
+    #[serde_as(as = "PickFirst<(DisplayFromStr, _)>")]
     pub(crate) mod_revision: u64,
     #[serde_as(as = "Base64")]
     pub(crate) value: Vec<u8>,
--- a/crates/parsleytally-platform/src/store/gateway.rs
+++ b/crates/parsleytally-platform/src/store/gateway.rs
@@ -261,7 +261,7 @@
             kv: KeyValue {
                 key: key.into_bytes(),
                 mod_revision: revision.0,
-                value: Vec::new(),
+                ..KeyValue::default()
             },
         },
     });
@@ -291,6 +291,7 @@
 fn key_value(item: Item) -> KeyValue {
     KeyValue {
         key: item.key.into_bytes(),
+        create_revision: item.created.0,
         mod_revision: item.revision.0,
         value: item.value,
     }
--- a/crates/parsleytally-platform/src/store/memory.rs
+++ b/crates/parsleytally-platform/src/store/memory.rs
@@ -51,6 +51,7 @@
 struct Entry {
     value: Vec<u8>,
     revision: Revision,
+    created: Revision,
     lease: Option<LeaseId>,
 }
 
@@ -245,6 +246,7 @@
         let entry = Entry {
             value: item.value.clone(),
             revision: item.revision,
+            created: item.created,
             lease,
         };
         self.items.insert(item.key.clone(), entry);
@@ -314,10 +316,13 @@
         for write in commit.writes {
             match write {
                 Write::Put { key, value, lease } => {
+                    let known = self.items.get(&key);
+                    let created = known.map_or(revision, |entry| entry.created);
                     let item = Item {
                         key,
                         value,
                         revision,
+                        created,
                     };
                     self.put(item, lease);
                     changed = true;
@@ -344,6 +349,7 @@
                 key: key.clone(),
                 value: entry.value.clone(),
                 revision: entry.revision,
+                created: entry.created,
             });
         Snapshot {
             revision: self.revision,
--- a/crates/parsleytally-platform/src/store/mod.rs
+++ b/crates/parsleytally-platform/src/store/mod.rs
@@ -66,6 +66,8 @@
     pub value: Vec<u8>,
     /// Revision of the key's last change.
     pub revision: Revision,
+    /// Revision at which the key came to be; a key that was deleted and set again has a new one.
+    pub created: Revision,
 }
 
 /// All items under a prefix at one revision.
--- a/crates/parsleytally/src/settings/history.rs
+++ b/crates/parsleytally/src/settings/history.rs
@@ -29,13 +29,13 @@
     }
 
     pub(super) fn push(&mut self, change: RecordChange) {
-        self.bytes += size(&change);
+        self.bytes += change.size();
         self.changes.push_back(change);
         while self.changes.len() > MAX_CHANGES || self.bytes > MAX_BYTES {
             let Some(oldest) = self.changes.pop_front() else {
                 return;
             };
-            self.bytes -= size(&oldest);
+            self.bytes -= oldest.size();
             self.floor = self.floor.max(Some(oldest.revision()));
         }
     }
@@ -47,10 +47,3 @@
         complete.then(|| self.changes.iter().filter(newer))
     }
 }
-
-fn size(change: &RecordChange) -> usize {
-    match change {
-        RecordChange::Put(record) => record.key.len() + record.text.len(),
-        RecordChange::Delete { key, .. } => key.len(),
-    }
-}
--- a/crates/parsleytally/src/settings/messages.rs
+++ b/crates/parsleytally/src/settings/messages.rs
@@ -1,5 +1,7 @@
 //! What goes into and comes out of a holder of settings.
 
+use std::sync::Arc;
+
 use serde::{Deserialize, Serialize};
 
 use super::SettingPath;
@@ -12,10 +14,21 @@
     pub key: String,
     /// Revision of the key's last change.
     pub revision: Revision,
+    /// Revision at which the key came to be.
+    pub created: Revision,
     /// The text as it is in the store.
     pub text: Vec<u8>,
     /// Last valid text, where a holder knows it and `text` is not valid.
-    pub last_good: Option<Vec<u8>>,
+    pub last_good: Option<Good>,
+}
+
+/// A valid text that came before one that is not valid.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Good {
+    /// Revision of the text.
+    pub revision: Revision,
+    /// The text.
+    pub text: Arc<[u8]>,
 }
 
 /// A change of one settings text.
@@ -41,6 +54,17 @@
         }
     }
 
+    /// Bytes of its key and texts.
+    pub(super) fn size(&self) -> usize {
+        match self {
+            Self::Put(record) => {
+                let last_good = record.last_good.as_ref().map_or(0, |good| good.text.len());
+                record.key.len() + record.text.len() + last_good
+            }
+            Self::Delete { key, .. } => key.len(),
+        }
+    }
+
     /// Revision of the change.
     pub fn revision(&self) -> Revision {
         match self {
--- a/crates/parsleytally/src/settings/mod.rs
+++ b/crates/parsleytally/src/settings/mod.rs
@@ -17,18 +17,23 @@
 mod accept;
 mod history;
 mod messages;
+mod parts;
 mod path;
+mod scope;
 mod view;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use self::history::History;
 pub use accept::{AcceptError, MAX_TEAM_SETTINGS, check_change};
-pub use messages::{Input, Output, Record, RecordChange, Source, Update};
+pub use messages::{Good, Input, Output, Record, RecordChange, Source, Update};
+pub use parts::{Assembler, Part};
 pub use path::{DEPLOYMENT, InvalidPath, SETTINGS_PREFIX, SettingPath, WRITES_PREFIX};
+pub use scope::{Ask, Scope};
 pub use view::{Config, View};
 
+use self::history::History;
+use self::scope::Digests;
 use crate::types::{Revision, Time};
 
 /// The settings in force, with the texts they come from.
@@ -39,6 +44,7 @@
     view: View,
     /// Time of the store's last confirmation that the settings are complete.
     confirmed: Option<Time>,
+    digests: Digests,
     history: History,
     bad: usize,
 }
@@ -47,11 +53,12 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct Held {
     revision: Revision,
+    created: Revision,
     text: Arc<[u8]>,
     /// Why the text is not valid.
     bad: Option<String>,
-    /// Last valid text; the same as `text` where that is valid.
-    good: Option<Arc<[u8]>>,
+    /// Last valid text since the key came to be; the same as `text` where that is valid.
+    good: Option<Good>,
 }
 
 impl Held {
@@ -60,8 +67,9 @@
         Record {
             key: key.to_owned(),
             revision: self.revision,
+            created: self.created,
             text: self.text.to_vec(),
-            last_good: last_good.map(|text| text.to_vec()),
+            last_good: last_good.cloned(),
         }
     }
 }
@@ -110,23 +118,63 @@
         }
     }
 
-    /// What a holder at revision `held` lacks, of the paths that `wanted` names.
-    pub fn since(&self, held: Revision, wanted: impl Fn(&SettingPath) -> bool) -> Update {
-        let wanted = |key: &str| SettingPath::from_key(key).is_ok_and(|path| wanted(&path));
-        if let Some(changes) = self.history.above(held) {
+    /// What this holder tells of itself to learn what it lacks.
+    pub fn ask(&self) -> Ask {
+        let lost = |held: &Held| held.bad.is_some() && held.good.is_none();
+        Ask {
+            revision: self.revision,
+            digest: self.digests.of(Scope::All),
+            incomplete: self.bad > 0 && self.held.values().any(lost),
+        }
+    }
+
+    /// What another holder lacks of the settings in `scope`.
+    ///
+    /// Nothing but the revision is sent to one that is ahead, or whose digest shows
+    /// that it lacks nothing.
+    pub fn since(&self, ask: Ask, scope: Scope) -> Update {
+        let (from, revision) = (ask.revision, self.revision);
+        if from > revision && !ask.incomplete {
             return Update::Delta {
-                from: held,
-                revision: self.revision,
-                changes: changes.filter(|c| wanted(c.key())).cloned().collect(),
+                from: revision,
+                revision,
+                changes: Vec::new(),
+            };
+        }
+        let complete = from > Revision(0) && !ask.incomplete;
+        if complete && ask.digest == self.digests.of(scope) {
+            return Update::Delta {
+                from,
+                revision,
+                changes: Vec::new(),
             };
         }
-        let held = self.held.iter().filter(|(key, _)| wanted(key));
+        if complete && let Some(changes) = self.history.above(from) {
+            let changes = changes.filter(|c| scope.covers(c.key())).cloned();
+            return Update::Delta {
+                from,
+                revision,
+                changes: changes.collect(),
+            };
+        }
+        let held = self.held.iter().filter(|(key, _)| scope.covers(key));
         Update::Full {
-            revision: self.revision,
+            revision,
             records: held.map(|(key, held)| held.record(key)).collect(),
         }
     }
 
+    /// The changes above `from` in `scope`, where they are still kept.
+    pub fn changes(&self, from: Revision, scope: Scope) -> Option<Update> {
+        let changes = self.history.above(from)?;
+        let changes = changes.filter(|c| scope.covers(c.key())).cloned();
+        Some(Update::Delta {
+            from,
+            revision: self.revision,
+            changes: changes.collect(),
+        })
+    }
+
     fn update(&mut self, now: Time, update: Update, source: Source, out: &mut Vec<Output>) {
         let revision = update.revision();
         let held = self.revision;
@@ -158,29 +206,26 @@
 
     /// Takes valid texts of an older state for keys that have none.
     fn adopt(&mut self, records: &[Record]) -> Vec<SettingPath> {
-        let mut paths = Vec::new();
-        for record in records {
-            let Some(held) = self.held.get_mut(&record.key) else {
-                continue;
-            };
-            if held.good.is_some() {
-                continue;
-            }
-            let path = SettingPath::from_key(&record.key);
-            let texts = [Some(&record.text), record.last_good.as_ref()];
-            let valid = |text: &&Vec<u8>| checked(&path, text).is_ok();
-            let Some(text) = texts.into_iter().flatten().find(valid) else {
-                continue;
-            };
-            held.good = Some(text.as_slice().into());
-            if let Ok(path) = path
-                && let Ok(config) = Config::parse(&path, text)
-            {
-                self.view.set(&path, config);
-                paths.push(path);
-            }
+        records
+            .iter()
+            .filter_map(|record| self.adopt_one(record))
+            .collect()
+    }
+
+    fn adopt_one(&mut self, record: &Record) -> Option<SettingPath> {
+        let held = self.held.get_mut(&record.key)?;
+        if held.bad.is_none() || held.created != record.created {
+            return None;
         }
-        paths
+        let path = SettingPath::from_key(&record.key).ok()?;
+        let (good, config) = offered(&path, record)?;
+        let known = held.good.as_ref().map(|good| good.revision);
+        if known >= Some(good.revision) {
+            return None;
+        }
+        held.good = Some(good);
+        self.view.set(&path, config);
+        Some(path)
     }
 
     /// Replaces all settings by `records`.
@@ -235,40 +280,50 @@
 
     /// Sets one text; the path whose settings in force have changed by it.
     fn put(&mut self, record: Record, out: &mut Vec<Output>) -> Option<SettingPath> {
-        let old = self.held.get(&record.key);
-        let old_good = old.and_then(|old| old.good.clone());
-        let was_bad = old.is_some_and(|old| old.bad.is_some());
+        let old = self.held.remove(&record.key);
+        if let Some(old) = &old {
+            self.digests.toggle(&record.key, old.revision);
+            self.bad -= usize::from(old.bad.is_some());
+        }
+        self.digests.toggle(&record.key, record.revision);
         let path = SettingPath::from_key(&record.key);
-        let (bad, good) = match checked(&path, &record.text) {
-            Ok(_) => (None, Some(record.text.as_slice().into())),
-            Err(reason) => {
-                let offered = record.last_good.filter(|text| checked(&path, text).is_ok());
-                let good = old_good.clone().or(offered.map(Into::into));
-                (Some(reason), good)
-            }
-        };
+        let bad = checked(&path, &record.text).err();
         if let Some(reason) = bad.clone() {
             let key = record.key.clone();
             out.push(Output::Bad { key, reason });
         }
         self.bad += usize::from(bad.is_some());
-        self.bad -= usize::from(was_bad);
+        let in_force = old.as_ref().and_then(|old| old.good.clone());
+        let kept = old.filter(|old| old.created == record.created);
+        let kept = kept.and_then(|old| old.good);
+        let new = path.as_ref().ok().and_then(|path| offered(path, &record));
+        let new = new.map(|(good, _)| good);
+        let good = match (kept, new) {
+            (Some(kept), Some(new)) if kept.revision > new.revision => Some(kept),
+            (kept, new) => new.or(kept),
+        };
         let held = Held {
             revision: record.revision,
+            created: record.created,
             text: record.text.into(),
             bad,
             good: good.clone(),
         };
         self.held.insert(record.key, held);
         let path = path.ok()?;
-        let good = good.filter(|good| old_good.as_ref() != Some(good))?;
-        let config = Config::parse(&path, &good).ok()?;
-        self.view.set(&path, config);
+        if good == in_force {
+            return None;
+        }
+        match good.and_then(|good| Config::parse(&path, &good.text).ok()) {
+            Some(config) => self.view.set(&path, config),
+            None => self.view.remove(&path),
+        }
         Some(path)
     }
 
     fn delete(&mut self, key: &str) -> Option<SettingPath> {
         let held = self.held.remove(key)?;
+        self.digests.toggle(key, held.revision);
         self.bad -= usize::from(held.bad.is_some());
         held.good?;
         let path = SettingPath::from_key(key).ok()?;
@@ -299,6 +354,18 @@
     }
 }
 
+/// The valid text that a record holds: its own, or the last one before it.
+fn offered(path: &SettingPath, record: &Record) -> Option<(Good, Config)> {
+    if let Ok(config) = Config::parse(path, &record.text) {
+        let revision = record.revision;
+        let text = record.text.as_slice().into();
+        return Some((Good { revision, text }, config));
+    }
+    let good = record.last_good.clone()?;
+    let config = Config::parse(path, &good.text).ok()?;
+    Some((good, config))
+}
+
 fn checked(path: &Result<SettingPath, InvalidPath>, text: &[u8]) -> Result<Config, String> {
     let path = path.as_ref().map_err(ToString::to_string)?;
     Config::parse(path, text).map_err(|e| e.to_string())
--- a/crates/parsleytally/src/settings/tests.rs
+++ b/crates/parsleytally/src/settings/tests.rs
@@ -23,6 +23,7 @@
     Record {
         key: key(name),
         revision: Revision(revision),
+        created: Revision(1),
         text: text.as_bytes().to_vec(),
         last_good: None,
     }
@@ -48,6 +49,15 @@
     }
 }
 
+/// The question of a holder whose keys are not known.
+fn unknown(revision: u64) -> Ask {
+    Ask {
+        revision: Revision(revision),
+        digest: 1,
+        incomplete: false,
+    }
+}
+
 /// A holder that is driven from outside.
 #[derive(Default)]
 struct Holder {
@@ -208,11 +218,22 @@
     assert_eq!(holder.settings.bad_count(), 0);
 }
 
+#[test]
+fn a_value_from_before_a_deletion_does_not_come_back() {
+    let mut holder = Holder::at(10, vec![record("a", 5, GOOD)]);
+    let mut again = record("a", 12, BAD);
+    again.created = Revision(12);
+    holder.store(full(12, vec![again]));
+    assert_eq!(holder.cpu("a"), None);
+    holder.peer(full(11, vec![record("a", 5, GOOD)]));
+    assert_eq!(holder.cpu("a"), None);
+}
+
 #[test]
 fn a_new_holder_learns_the_last_good_value_from_a_peer() {
     let mut old = Holder::at(10, vec![record("a", 5, GOOD)]);
     old.store(delta(10, 11, vec![RecordChange::Put(record("a", 11, BAD))]));
-    let known = old.settings.since(Revision(0), |_| true);
+    let known = old.settings.since(unknown(0), Scope::All);
     let older = full(10, vec![record("a", 5, GOOD)]);
     for update in [known, older] {
         let mut new = Holder::at(11, vec![record("a", 11, BAD)]);
@@ -313,7 +334,7 @@
 fn a_holder_hands_on_what_another_lacks() {
     let mut entry = Holder::at(10, vec![record("a", 5, GOOD), record("b", 6, GOOD)]);
     let mut agent = Holder::default();
-    agent.peer(entry.settings.since(Revision(0), |_| true));
+    agent.peer(entry.settings.since(agent.settings.ask(), Scope::All));
     entry.store(delta(
         10,
         11,
@@ -323,15 +344,13 @@
         20,
         vec![record("a", 11, BETTER), record("c", 15, GOOD)],
     ));
-    let lacking = entry.settings.since(Revision(10), |_| true);
+    let lacking = entry.settings.since(agent.settings.ask(), Scope::All);
     assert!(matches!(&lacking, Update::Delta { changes, .. } if changes.len() == 3));
     agent.peer(lacking);
     assert_eq!(agent.settings.view(), entry.settings.view());
     assert_eq!(agent.settings.revision(), Revision(20));
-    let services_only = entry
-        .settings
-        .since(Revision(0), |path| matches!(path, SettingPath::Service(_)));
-    assert_eq!(services_only, full(20, vec![]));
+    let for_agents = entry.settings.since(unknown(0), Scope::Agents);
+    assert_eq!(for_agents, full(20, vec![]));
 }
 
 #[test]
@@ -341,9 +360,9 @@
         let put = RecordChange::Put(record("a", revision, GOOD));
         holder.store(delta(revision - 1, revision, vec![put]));
     }
-    let near = holder.settings.since(Revision(5_990), |_| true);
+    let near = holder.settings.since(unknown(5_990), Scope::All);
     assert!(matches!(near, Update::Delta { changes, .. } if changes.len() == 9));
-    let far = holder.settings.since(Revision(10), |_| true);
+    let far = holder.settings.since(unknown(10), Scope::All);
     assert!(matches!(far, Update::Full { records, .. } if records.len() == 1));
 }
 
@@ -357,14 +376,21 @@
         let mut updates = Vec::new();
         for revision in 2..40 {
             let name = ["a", "b", "c"][rng.random_range(0..3)];
+            let text = if rng.random_range(0..3) == 0 {
+                BAD
+            } else {
+                GOOD
+            };
+            let mut put = record(name, revision, text);
+            let known = entry.settings.held.get(&key(name));
+            put.created = known.map_or(Revision(revision), |held| held.created);
             let change = match rng.random_range(0..4) {
                 0 => delete(name, revision),
-                1 => RecordChange::Put(record(name, revision, BAD)),
-                _ => RecordChange::Put(record(name, revision, GOOD)),
+                _ => RecordChange::Put(put),
             };
             entry.store(delta(revision - 1, revision, vec![change]));
-            let known = rng.random_range(0..revision);
-            updates.push(entry.settings.since(Revision(known), |_| true));
+            let known = unknown(rng.random_range(0..revision));
+            updates.push(entry.settings.since(known, Scope::All));
         }
         let mut agent = Holder::default();
         let mut last = Revision(0);
@@ -374,8 +400,8 @@
             assert!(agent.settings.revision() >= last, "seed {seed}");
             last = agent.settings.revision();
         }
-        let held = agent.settings.revision();
-        agent.peer(entry.settings.since(held, |_| true));
+        agent.peer(entry.settings.since(agent.settings.ask(), Scope::All));
+        assert_eq!(agent.settings.ask(), entry.settings.ask(), "seed {seed}");
         assert_eq!(agent.settings.revision(), Revision(39), "seed {seed}");
         assert_eq!(agent.texts(), entry.texts(), "seed {seed}");
     }
@@ -508,3 +534,68 @@
     assert!(check_change(&new, text, team(MAX_TEAM_SETTINGS)).is_err());
     assert!(check_change(&path(0), text, team(MAX_TEAM_SETTINGS)).is_ok());
 }
+
+#[test]
+fn a_holder_that_lacks_nothing_is_sent_nothing_but_the_revision() {
+    let records = || vec![record("a", 5, GOOD), record("b", 6, GOOD)];
+    let agent = Holder::at(10, records());
+    let entry = Holder::at(500, records());
+    let answer = entry.settings.since(agent.settings.ask(), Scope::All);
+    assert_eq!(answer, delta(10, 500, vec![]));
+    let changed = Holder::at(500, vec![record("a", 5, GOOD)]);
+    let answer = changed.settings.since(agent.settings.ask(), Scope::All);
+    assert!(matches!(answer, Update::Full { .. }));
+    let behind = Holder::at(9, vec![record("a", 5, GOOD)]);
+    let answer = behind.settings.since(agent.settings.ask(), Scope::All);
+    assert_eq!(answer, delta(9, 9, vec![]));
+    let lost = Holder::at(10, vec![record("a", 10, BAD)]);
+    let answer = behind.settings.since(lost.settings.ask(), Scope::All);
+    assert_eq!(answer, full(9, vec![record("a", 5, GOOD)]));
+}
+
+#[test]
+fn an_update_in_parts_is_put_together_as_it_was() {
+    let text = "#".repeat(60_000);
+    let records = (0..20).map(|n| record(&n.to_string(), n + 1, &text));
+    let large = full(30, records.clone().collect());
+    let changes = records.map(RecordChange::Put).chain([delete("a", 40)]);
+    let updates = [
+        large,
+        delta(30, 40, changes.collect()),
+        delta(40, 41, vec![]),
+        full(50, vec![]),
+    ];
+    let mut assembler = Assembler::default();
+    for update in updates {
+        let parts = update.clone().into_parts();
+        let sizes = parts
+            .iter()
+            .map(|part| part.changes.iter().map(RecordChange::size).sum());
+        assert!(sizes.max().is_some_and(|size: usize| size < 512 << 10));
+        let mut whole = None;
+        for part in parts {
+            assert_eq!(whole, None);
+            whole = assembler.take(part);
+        }
+        assert_eq!(whole, Some(update));
+    }
+}
+
+#[test]
+fn a_lost_doubled_or_crossed_part_yields_no_update() {
+    let text = "#".repeat(60_000);
+    let records: Vec<_> = (0..20)
+        .map(|n| record(&n.to_string(), n + 1, &text))
+        .collect();
+    let parts = full(30, records.clone()).into_parts();
+    let other = full(31, records).into_parts();
+    let lost = [&parts[0], &parts[2]];
+    let doubled = [&parts[0], &parts[0]];
+    let crossed = [&parts[0], &other[1]];
+    let late = [&parts[1], &parts[2]];
+    for order in [lost, doubled, crossed, late] {
+        let mut assembler = Assembler::default();
+        let taken = order.into_iter().chain(&parts[3..]);
+        assert!(taken.cloned().all(|part| assembler.take(part).is_none()));
+    }
+}
