fix(once): an agent that came later never owned the keys of earlier ones

Change: an agent that joined after one that ranks above it is left out of the walk, with five seconds of slack for the order of news; agents announce their age, so that an entry that starts anew knows which owners are settled.

--- a/crates/parsleytally/src/once/owners.rs
+++ b/crates/parsleytally/src/once/owners.rs
@@ -9,6 +9,9 @@
 use super::KeyHash;
 use crate::types::{Incarnation, NodeName, Time};
 
+/// Longest time between two entries' news of the same change.
+const NEWS_DELAY: Duration = Duration::from_secs(5);
+
 /// A change of one service's agents.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Change {
@@ -112,6 +115,9 @@
 
     /// Picks the owner of `key`.
     ///
+    /// An agent may have owned the key before only while all that rank above it
+    /// were away, so one that joined after any of them is not asked.
+    ///
     /// # Errors
     ///
     /// Returns [`NoOwner`] when there is no agent, or when one that may have run
@@ -120,11 +126,14 @@
         self.routed = true;
         let mut owner = None;
         let mut fences = Vec::new();
+        let mut earliest = None;
         for (node, member) in self.ranking(key) {
-            if let Some(lost) = member.lost
-                && now.since(lost) < self.ttl
+            if let Some(since) = earliest
+                && (self.is_settled(now, since) || member.came_after(since))
             {
-                let retry_after = self.ttl - now.since(lost);
+                continue;
+            }
+            if let Some(retry_after) = self.loss_to_wait_out(now, member) {
                 return Err(NoOwner::Lost { retry_after });
             }
             if owner.is_none() && !member.leaving {
@@ -132,8 +141,8 @@
             } else if member.is_present() {
                 fences.push(node.clone());
             }
-            if owner.is_some() && self.is_settled(now, member) {
-                break;
+            if !member.leaving {
+                earliest = Some(earliest.unwrap_or(member.since).min(member.since));
             }
         }
         let owner = owner.ok_or(NoOwner::Empty)?;
@@ -173,12 +182,14 @@
             .map(Time::from_micros)
     }
 
-    /// Whether `member` has been an owner for as long as keys are remembered.
-    fn is_settled(&self, now: Time, member: &Member) -> bool {
-        let is_old = member
-            .since
-            .is_none_or(|since| now.since(since) >= self.ttl);
-        is_old && !member.leaving
+    /// Whether an owner since `since` has been one for as long as keys are remembered.
+    fn is_settled(&self, now: Time, since: Option<Time>) -> bool {
+        since.is_none_or(|since| now.since(since) >= self.ttl + NEWS_DELAY)
+    }
+
+    fn loss_to_wait_out(&self, now: Time, member: &Member) -> Option<Duration> {
+        let rest = self.ttl.checked_sub(now.since(member.lost?))?;
+        (!rest.is_zero()).then_some(rest)
     }
 
     /// Members by falling rendezvous score of `key`.
@@ -201,6 +212,16 @@
 }
 
 impl Member {
+    /// Whether every entry knew an owner since `since` before it knew this agent.
+    fn came_after(&self, since: Option<Time>) -> bool {
+        let came = match (self.lost, self.leaving) {
+            // The life that was lost is older than the one that serves.
+            (Some(_), false) => None,
+            _ => self.since,
+        };
+        came >= since.map(|since| since.after(NEWS_DELAY)) && came.is_some()
+    }
+
     /// Whether the agent can be asked.
     fn is_present(&self) -> bool {
         !self.leaving || self.lost.is_none()
--- a/crates/parsleytally/src/once/tests.rs
+++ b/crates/parsleytally/src/once/tests.rs
@@ -259,13 +259,41 @@
         }
     }
     assert!(fenced > 10);
-    let later = NOW.after(TTL);
+    let later = NOW.after(TTL * 2);
     for n in 0..200 {
         let route = owners.route(later, key(&n.to_string())).unwrap();
         assert_eq!(route.fences, []);
     }
 }
 
+#[test]
+fn an_agent_never_owned_the_keys_of_those_that_came_before_it() {
+    let mut owners = Owners::new(TTL);
+    let join = |owners: &mut Owners, name, second| {
+        let at = Time::from_secs(second);
+        owners.step(at, joined(name, 1, Duration::ZERO));
+    };
+    join(&mut owners, "w1", 1_000);
+    join(&mut owners, "w2", 1_005);
+    let now = Time::from_secs(1_006);
+    let owned = |owners: &mut Owners, name, k: &KeyHash| {
+        let route = owners.route(now, *k).unwrap();
+        (route.owner == node(name)).then_some(route.fences)
+    };
+    let keys: Vec<_> = (0..100).map(|n| key(&n.to_string())).collect();
+    let mut first = 0;
+    for key in &keys {
+        match owned(&mut owners, "w1", key) {
+            Some(fences) => {
+                assert_eq!(fences, []);
+                first += 1;
+            }
+            None => assert_eq!(owned(&mut owners, "w2", key), Some(vec![node("w1")])),
+        }
+    }
+    assert!((10..90).contains(&first));
+}
+
 struct LostCase {
     name: &'static str,
     changes: Vec<Change>,
