--- a/crates/parsleytally-agent/src/agent.rs
+++ b/crates/parsleytally-agent/src/agent.rs
@@ -104,6 +104,7 @@
             announcement: announcement(&config, &hello),
             hello,
             config: config.link.clone(),
+            clock: Clock::start(),
             requests: requests.clone(),
             runs: runs.commands(),
             revision: AtomicU64::new(0),
@@ -176,5 +177,6 @@
         slots: config.endpoint.limits.slots,
         connections: config.endpoint.limits.connections,
         capacity: config.capacity,
+        age: 0,
     }
 }
--- a/crates/parsleytally-agent/src/links.rs
+++ b/crates/parsleytally-agent/src/links.rs
@@ -8,6 +8,7 @@
 use parsleytally::membership::{Announcement, Heartbeat, Load, Phase};
 use parsleytally::types::Revision;
 use parsleytally_link::{Frame, Hello, Incoming, Link, LinkConfig, SettingsNotice, dial};
+use parsleytally_platform::process::Clock;
 use rand::Rng;
 use tokio::time::{MissedTickBehavior, interval, sleep};
 use tokio_util::sync::CancellationToken;
@@ -26,6 +27,8 @@
     pub(crate) hello: Hello,
     pub(crate) config: LinkConfig,
     pub(crate) announcement: Announcement,
+    /// Runs since the agent started.
+    pub(crate) clock: Clock,
     pub(crate) requests: Arc<Requests>,
     pub(crate) runs: RunCommands,
     pub(crate) revision: AtomicU64,
@@ -45,6 +48,7 @@
     fn announcement(&self) -> Frame {
         let mut announcement = self.announcement.clone();
         announcement.sequence = self.next_sequence();
+        announcement.age = self.clock.now().as_micros();
         Frame::Announce(announcement)
     }
 
--- a/crates/parsleytally-entry/src/directory/duty.rs
+++ b/crates/parsleytally-entry/src/directory/duty.rs
@@ -139,7 +139,7 @@
         let joined = Change::Joined {
             node: name.clone(),
             incarnation: peer.incarnation,
-            age: Duration::ZERO,
+            age: Duration::from_micros(offer.age),
         };
         self.change(&offer.service, joined);
         let worker = Worker {
--- a/crates/parsleytally/examples/membership_cost.rs
+++ b/crates/parsleytally/examples/membership_cost.rs
@@ -34,6 +34,7 @@
         slots: 8,
         connections: 64,
         capacity: Resources::new(16_000, 60 << 30, 0),
+        age: 0,
     }
 }
 
--- a/crates/parsleytally/src/membership/message.rs
+++ b/crates/parsleytally/src/membership/message.rs
@@ -58,6 +58,8 @@
     pub connections: u32,
     /// Processors, memory and accelerators of the worker.
     pub capacity: Resources,
+    /// Time since the agent started, in microseconds.
+    pub age: u64,
 }
 
 /// Load of an endpoint as its agent sees it, over all entries.
--- a/crates/parsleytally/src/membership/tests.rs
+++ b/crates/parsleytally/src/membership/tests.rs
@@ -40,6 +40,7 @@
         slots: 8,
         connections: 64,
         capacity: Resources::new(16_000, 60 << 30, 0),
+        age: 0,
     }
 }
 
