test(path): wait until the worker takes work

Cause: the set-up of whole_path.rs waited until a worker was listed.

Change: the set-up waits for "ready", as the others do. No check is touched.

--- a/crates/parsleytally-entry/tests/whole_path.rs
+++ b/crates/parsleytally-entry/tests/whole_path.rs
@@ -39,7 +39,7 @@
         let client = Client::builder().build().unwrap();
         let system = Self { all, client };
         system
-            .until("/v1/workers", |body| body.contains("\"worker\""))
+            .until("/v1/workers", |body| body.contains("\"ready\""))
             .await;
         system
     }
