--- a/crates/parsleytally/src/configs/deployment.rs
+++ b/crates/parsleytally/src/configs/deployment.rs
@@ -57,7 +57,7 @@
         Self {
             high: 0.9,
             low: 0.75,
-            settle: Duration::from_secs(30),
+            settle: Duration::from_secs(60),
             calm: Duration::from_secs(120),
             stale: Duration::from_secs(60),
             memory: 0.93,
--- a/crates/parsleytally/src/configs/estimates.rs
+++ b/crates/parsleytally/src/configs/estimates.rs
@@ -26,8 +26,8 @@
         Self {
             samples: 64,
             few: 8,
-            cpu: 0.8,
-            memory: 0.95,
+            cpu: 0.5,
+            memory: 0.7,
             margin: 1.1,
             floor: 0.1,
             classes: 4_096,
--- a/crates/parsleytally/src/configs/placement.rs
+++ b/crates/parsleytally/src/configs/placement.rs
@@ -17,21 +17,25 @@
     pub scan: usize,
     /// Decisions of one round.
     pub attempts: usize,
-    /// Waiting tasks of one team looked at in one round.
+    /// Decisions for one team at a turn.
     pub depth: usize,
+    /// Waiting tasks of one team looked at in search of those decisions.
+    pub look: usize,
     /// Urgent starts after which one task that is not urgent is tried.
     pub burst: u32,
     /// Longest time by which a shorter task overtakes a longer one.
     pub overtake: Duration,
     /// Waiting time after which a worker is reserved for a task.
     pub patience: Duration,
+    /// The same for an urgent task.
+    pub urgent_patience: Duration,
     /// Longest time for which a worker stays reserved.
     pub reserve: Duration,
     /// Processors, in thousandths, left free beside each free accelerator.
     pub accelerator_cpu: u64,
     /// Memory, in bytes, left free beside each free accelerator.
     pub accelerator_memory: u64,
-    /// Strain, as latency over target, past which no start is expected to take a service.
+    /// Strain past which no start may be expected to take a service, unless it is urgent.
     pub strain: f64,
     /// Weights of the score.
     pub weights: ScoreWeights,
@@ -61,9 +65,11 @@
             scan: 192,
             attempts: 128,
             depth: 16,
+            look: 128,
             burst: 8,
             overtake: Duration::from_secs(1_800),
-            patience: Duration::from_secs(120),
+            patience: Duration::from_secs(1_800),
+            urgent_patience: Duration::from_secs(2),
             reserve: Duration::from_secs(1_800),
             accelerator_cpu: 1_000,
             accelerator_memory: 2 << 30,
--- a/crates/parsleytally/src/estimates/mod.rs
+++ b/crates/parsleytally/src/estimates/mod.rs
@@ -1,8 +1,9 @@
 //! Corrects declared sizes and run times by what a class of tasks was seen to use.
 //!
-//! Each finished or killed run gives the ratio of its use to its declaration. A size
-//! is the declaration times a quantile of these ratios. With few runs it is only
-//! raised, never lowered, and the step down grows with the number of runs. A run that
+//! Each finished or killed run gives its use and the ratio of use to declaration. A
+//! size is a quantile of the uses, or the declaration times a quantile of the ratios,
+//! whichever of the two varies less in the class. With few runs it is only raised,
+//! never lowered, and the step down grows with the number of runs. A run that
 //! was killed for lack of memory shows a lower bound and is counted past it. No size
 //! exceeds what the largest worker has, and none a task could declare is hidden: a
 //! task larger than every worker stays so.
@@ -21,6 +22,9 @@
 /// Smallest memory that is granted, in bytes.
 const MIN_MEMORY: u64 = 16 << 20;
 
+/// Longest run time that is expected, in seconds.
+const MAX_RUN_SECONDS: f64 = 30.0 * 86_400.0;
+
 /// What one run was seen to use.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Usage {
@@ -38,12 +42,19 @@
     pub taken: Option<Duration>,
 }
 
-/// Latest ratios of use to declaration.
+/// Latest uses of one quantity, as they were and relative to the declarations.
+#[derive(Debug, Default)]
+struct Uses {
+    amounts: VecDeque<f64>,
+    ratios: VecDeque<f64>,
+}
+
+/// What is known about a class.
 #[derive(Debug, Default)]
 struct Class {
-    cpu: VecDeque<f64>,
-    memory: VecDeque<f64>,
-    time: VecDeque<f64>,
+    cpu: Uses,
+    memory: Uses,
+    time: Uses,
     seen: Time,
 }
 
@@ -70,13 +81,13 @@
         let class = self.classes.entry(usage.class).or_default();
         class.seen = now;
         let (declared, peak) = (&usage.declared, &usage.peak);
-        push(&mut class.cpu, ratio(peak.cpu.0, declared.cpu.0), most);
+        class.cpu.push(peak.cpu.0 as f64, declared.cpu.0, most);
         let factor = if usage.killed { KILLED_FACTOR } else { 1.0 };
-        let memory = ratio(peak.memory.0, declared.memory.0) * factor;
-        push(&mut class.memory, memory, most);
+        let memory = peak.memory.0 as f64 * factor;
+        class.memory.push(memory, declared.memory.0, most);
         if let Some(taken) = usage.taken {
-            let planned = usage.planned.as_secs_f64().max(1.0);
-            push(&mut class.time, taken.as_secs_f64() / planned, most);
+            let planned = usage.planned.as_secs();
+            class.time.push(taken.as_secs_f64(), planned, most);
         }
     }
 
@@ -92,42 +103,43 @@
             return *declared;
         }
         let config = &self.config;
-        let cpu = self.factor(&class.cpu, config.cpu);
-        let memory = self.factor(&class.memory, config.memory);
+        let cpu = self.amount(&class.cpu, declared.cpu.0, config.cpu);
+        let memory = self.amount(&class.memory, declared.memory.0, config.memory);
         Resources {
-            cpu: MilliCpu(scale(declared.cpu.0, cpu, MIN_CPU, most.cpu.0)),
-            memory: Bytes(scale(declared.memory.0, memory, MIN_MEMORY, most.memory.0)),
+            cpu: MilliCpu(within(cpu, MIN_CPU, declared.cpu.0, most.cpu.0)),
+            memory: Bytes(within(memory, MIN_MEMORY, declared.memory.0, most.memory.0)),
             accelerators: declared.accelerators,
         }
     }
 
     /// Expected run time of a task that declares `declared`.
     pub fn run_time(&self, class: &str, declared: Duration) -> Duration {
-        let times = self.classes.get(class).map(|class| &class.time);
-        match times {
-            Some(times) if times.len() >= self.config.few => {
-                declared.mul_f64(quantile(times, 0.5).clamp(0.01, 100.0))
+        match self.classes.get(class).map(|class| &class.time) {
+            Some(uses) if uses.ratios.len() >= self.config.few => {
+                let expected = uses.predict(declared.as_secs(), 0.5);
+                Duration::from_secs_f64(expected.clamp(1.0, MAX_RUN_SECONDS))
             }
             _ => declared,
         }
     }
 
-    /// Factor on a declared amount that covers a share of the seen ratios.
-    fn factor(&self, ratios: &VecDeque<f64>, share: f64) -> f64 {
-        if ratios.is_empty() {
-            return 1.0;
+    /// Amount that covers `share` of the runs, with caution while there are few.
+    fn amount(&self, uses: &Uses, declared: u64, share: f64) -> f64 {
+        let plain = declared as f64;
+        let count = uses.ratios.len() as f64;
+        if uses.ratios.is_empty() {
+            return plain;
         }
         let few = self.config.few as f64;
-        let count = ratios.len() as f64;
         if count < few {
-            return quantile(ratios, 1.0).max(1.0);
+            return plain.max(uses.predict(declared, 1.0));
         }
-        let covered = quantile(ratios, share) * self.config.margin;
+        let covered = uses.predict(declared, share) * self.config.margin;
         let trust = 1.0 - few / (2.0 * count);
-        if covered >= 1.0 {
+        if covered >= plain {
             return covered;
         }
-        (1.0 - (1.0 - covered) * trust).max(self.config.floor)
+        (plain - (plain - covered) * trust).max(plain * self.config.floor)
     }
 
     fn make_room(&mut self, class: &Arc<str>) {
@@ -141,27 +153,40 @@
     }
 }
 
-fn ratio(used: u64, declared: u64) -> f64 {
-    used as f64 / declared.max(1) as f64
-}
+impl Uses {
+    fn push(&mut self, used: f64, declared: u64, most: usize) {
+        if self.ratios.len() >= most {
+            self.ratios.pop_front();
+            self.amounts.pop_front();
+        }
+        self.ratios.push_back(used / declared.max(1) as f64);
+        self.amounts.push_back(used);
+    }
 
-fn push(ratios: &mut VecDeque<f64>, ratio: f64, most: usize) {
-    if ratios.len() >= most {
-        ratios.pop_front();
+    /// Amount that covers `share` of the runs, by the predictor that varies less.
+    fn predict(&self, declared: u64, share: f64) -> f64 {
+        if spread(&self.amounts) < spread(&self.ratios) {
+            return quantile(&self.amounts, share);
+        }
+        quantile(&self.ratios, share) * declared as f64
     }
-    ratios.push_back(ratio);
 }
 
-fn quantile(ratios: &VecDeque<f64>, share: f64) -> f64 {
-    let mut sorted = ratios.iter().copied().collect::<Vec<_>>();
+/// How far the values lie apart, as a factor.
+fn spread(values: &VecDeque<f64>) -> f64 {
+    quantile(values, 0.85) / quantile(values, 0.15).max(f64::MIN_POSITIVE)
+}
+
+fn quantile(values: &VecDeque<f64>, share: f64) -> f64 {
+    let mut sorted = values.iter().copied().collect::<Vec<_>>();
     sorted.sort_by(f64::total_cmp);
     let at = (share * (sorted.len() - 1) as f64).ceil() as usize;
     sorted[at.min(sorted.len() - 1)]
 }
 
-fn scale(declared: u64, factor: f64, least: u64, most: u64) -> u64 {
-    let scaled = (declared as f64 * factor) as u64;
-    scaled.max(least.min(declared)).min(most)
+/// An amount between the smallest grant, or a smaller declaration, and `most`.
+fn within(amount: f64, least: u64, declared: u64, most: u64) -> u64 {
+    (amount as u64).max(least.min(declared)).min(most)
 }
 
 #[cfg(test)]
--- a/crates/parsleytally/src/estimates/tests.rs
+++ b/crates/parsleytally/src/estimates/tests.rs
@@ -128,3 +128,41 @@
     kept.sort_unstable();
     assert_eq!(kept, ["c3", "c4"]);
 }
+
+struct Predictor {
+    name: &'static str,
+    /// Declared and used memory of earlier runs, in turn, in GiB.
+    seen: [(u64, u64); 4],
+    /// Declared memory of the next task, and the least and most that it may get.
+    next: (u64, u64, u64),
+}
+
+#[test]
+fn the_predictor_that_varies_less_is_taken() {
+    let cases = [
+        Predictor {
+            name: "uses are alike and declarations are not",
+            seen: [(2, 6), (18, 6), (3, 6), (12, 6)],
+            next: (20, 6, 8),
+        },
+        Predictor {
+            name: "uses follow the declarations",
+            seen: [(2, 1), (8, 4), (16, 8), (4, 2)],
+            next: (20, 10, 12),
+        },
+    ];
+    for case in cases {
+        let mut estimates = Estimates::new(EstimatesConfig::default());
+        for at in 0..64 {
+            let (declared, used) = case.seen[at % 4];
+            let mut usage = usage(Resources::new(1_000, used * GIB, 0));
+            usage.declared.memory = Bytes(declared * GIB);
+            estimates.step(Time::ZERO, usage);
+        }
+        let (declared, least, most) = case.next;
+        let declared = Resources::new(1_000, declared * GIB, 0);
+        let memory = estimates.size("c", &declared, &MOST).memory.0;
+        let range = least * GIB..=most * GIB;
+        assert!(range.contains(&memory), "{}: {memory}", case.name);
+    }
+}
--- a/crates/parsleytally/src/health/mod.rs
+++ b/crates/parsleytally/src/health/mod.rs
@@ -57,6 +57,8 @@
         task: TaskKey,
         /// Earliest next start.
         until: Time,
+        /// Workers on which it failed.
+        workers: Vec<NodeName>,
     },
     /// Do not start the task again until it changes or is released.
     Park {
@@ -267,6 +269,7 @@
         out.push(Output::BackOff {
             task: task.clone(),
             until: now.after(wait),
+            workers: record.workers.iter().cloned().collect(),
         });
     }
 
--- a/crates/parsleytally/src/interference/history.rs
+++ b/crates/parsleytally/src/interference/history.rs
@@ -1,12 +1,14 @@
 //! Which tasks were on a worker at which time.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 use crate::types::Time;
 
 use super::Occupant;
 
+/// Share of a new measurement in the smoothed residual.
+const SMOOTHING: f64 = 0.15;
 /// States kept per worker.
 const MAX_STATES: usize = 256;
 
@@ -14,6 +16,8 @@
 #[derive(Debug, Default)]
 pub(super) struct History {
     states: VecDeque<(Time, Vec<Occupant>)>,
+    /// By service: smoothed log strain past the model.
+    residuals: BTreeMap<String, f64>,
 }
 
 impl History {
@@ -42,4 +46,20 @@
         let (_, occupants) = self.states.get(place.checked_sub(1)?)?;
         Some(occupants)
     }
+
+    pub(super) fn residual(&self, service: &str) -> f64 {
+        self.residuals.get(service).copied().unwrap_or(0.0)
+    }
+
+    /// Smooths how far a measurement lies from the model.
+    pub(super) fn surprise(&mut self, service: &str, surprise: f64) {
+        let old = self.residual(service);
+        let new = old + SMOOTHING * (surprise - old);
+        match self.residuals.get_mut(service) {
+            Some(residual) => *residual = new,
+            None => {
+                self.residuals.insert(service.to_owned(), new);
+            }
+        }
+    }
 }
--- a/crates/parsleytally/src/interference/mod.rs
+++ b/crates/parsleytally/src/interference/mod.rs
@@ -153,11 +153,21 @@
         }
     }
 
-    /// Strain that a service is expected to show at `load` beside `occupants`.
-    pub fn expected(&self, service: &str, load: f64, occupants: &[Occupant]) -> Option<f64> {
+    /// Strain that a service on a worker is expected to show at `load` beside `occupants`.
+    ///
+    /// What the worker's latest measurements showed past the model is added.
+    pub fn expected(
+        &self,
+        worker: &NodeName,
+        service: &str,
+        load: f64,
+        occupants: &[Occupant],
+    ) -> Option<f64> {
         let model = self.models.get(service)?;
         let row = model.row(load, occupants)?;
-        Some(model.filter.predict(&row).exp())
+        let history = self.workers.get(worker);
+        let residual = history.map_or(0.0, |history| history.residual(service));
+        Some((model.filter.predict(&row) + residual).exp())
     }
 
     fn measured(&mut self, worker: &NodeName, at: Time, service: &str, load: f64, strain: f64) {
@@ -176,7 +186,10 @@
             .models
             .get_mut(service)
             .expect("the model was inserted");
-        model.learn(at, load, strain, occupants, config);
+        let surprise = model.learn(at, load, strain, occupants, config);
+        if let Some(history) = self.workers.get_mut(worker) {
+            history.surprise(service, surprise);
+        }
     }
 }
 
@@ -207,6 +220,7 @@
         exact.or_else(|| self.classes.iter().position(|c| **c == *OTHER))
     }
 
+    /// Takes a measurement; returns how far it lies from the model, in log strain.
     fn learn(
         &mut self,
         at: Time,
@@ -214,7 +228,7 @@
         strain: f64,
         occupants: &[Occupant],
         config: &InterferenceConfig,
-    ) {
+    ) -> f64 {
         for occupant in occupants {
             self.admit(&occupant.class, config);
         }
@@ -222,9 +236,11 @@
         let share = passed / config.forget.as_secs_f64().max(1.0);
         self.filter.loosen(share);
         self.updated = self.updated.max(at);
-        if let Some(row) = self.row(load, occupants) {
-            self.filter.update(&row, strain.ln());
-        }
+        let Some(row) = self.row(load, occupants) else {
+            return 0.0;
+        };
+        self.filter.update(&row, strain.ln());
+        strain.ln() - self.filter.predict(&row)
     }
 
     fn admit(&mut self, class: &Arc<str>, config: &InterferenceConfig) {
--- a/crates/parsleytally/src/interference/tests.rs
+++ b/crates/parsleytally/src/interference/tests.rs
@@ -192,7 +192,8 @@
         );
     }
     assert_eq!(model.unmatched(), cases.len() as u64);
-    assert!(model.expected("web", 0.5, &[]).is_none());
+    let worker = NodeName::new("nobody").unwrap();
+    assert!(model.expected(&worker, "web", 0.5, &[]).is_none());
 }
 
 #[test]
--- a/crates/parsleytally/src/placement/decide.rs
+++ b/crates/parsleytally/src/placement/decide.rs
@@ -7,6 +7,9 @@
 use super::score::{expected_strain, penalty};
 use super::{Entry, Failed, MAX_FAILED_NEEDS, Output, Place, Placement, Reason, Slowdown};
 
+/// Part of the fleet, as a divisor, past which no further worker is reserved.
+const RESERVED_DIVISOR: usize = 16;
+
 impl Placement {
     /// Places waiting tasks, urgent ones first, within the bounds of one round.
     pub(super) fn round(&mut self, now: Time, slowdown: &dyn Slowdown, out: &mut Vec<Output>) {
@@ -67,14 +70,10 @@
         let Some(queue) = self.queue.get(team) else {
             return false;
         };
-        let heads = queue.lane(lane).values().take(self.config.depth);
-        for task in heads.cloned().collect::<Vec<_>>() {
-            if *left == 0 {
-                return false;
-            }
-            if !self.worth_trying(&task) {
-                continue;
-            }
+        let depth = self.config.depth.min(*left);
+        let heads = queue.lane(lane).values().take(self.config.look);
+        let worth = heads.filter(|task| self.worth_trying(task)).take(depth);
+        for task in worth.cloned().collect::<Vec<_>>() {
             *left -= 1;
             if self.attempt(now, &task, slowdown, out) {
                 return true;
@@ -162,11 +161,13 @@
         if let Some(reason) = worker.rules_out(&request.task, &request.need, &self.config) {
             return Err(reason);
         }
-        if entry.avoid.contains(&worker.report.worker) {
+        let name = &worker.report.worker;
+        let failed = 2 * request.avoid.len() < self.fleet.len() && request.avoid.contains(name);
+        if failed || entry.avoid.contains(name) {
             return Err(Reason::RefusedTask);
         }
         let strain = expected_strain(worker, request, slowdown);
-        if strain > self.config.strain {
+        if strain > self.config.strain && !request.urgent {
             return Err(Reason::Interference);
         }
         Ok(strain)
@@ -204,7 +205,12 @@
         };
         let (class, need) = (entry.request.class.clone(), entry.request.need);
         let refused = !std::mem::take(&mut entry.avoid).is_empty();
-        let waited = now.since(entry.since) >= self.config.patience;
+        let patience = if entry.request.urgent {
+            self.config.urgent_patience
+        } else {
+            self.config.patience
+        };
+        let waited = now.since(entry.since) >= patience;
         if !refused && self.failed.len() < MAX_FAILED_NEEDS {
             self.failed.push(Failed { class, need });
         }
@@ -215,7 +221,7 @@
 
     /// Reserves the roomiest worker of a sample that is large enough.
     fn reserve(&mut self, now: Time, task: &TaskKey) {
-        if self.reserved.len() > self.fleet.len() / 16 {
+        if self.reserved.len() > self.fleet.len() / RESERVED_DIVISOR {
             return;
         }
         let Some(need) = self.tasks.get(task).map(|entry| entry.request.need) else {
--- a/crates/parsleytally/src/placement/explain.rs
+++ b/crates/parsleytally/src/placement/explain.rs
@@ -22,8 +22,8 @@
     /// The worker is reserved for a task that has waited long.
     #[display("reserved")]
     Reserved,
-    /// The worker refused this task a moment ago.
-    #[display("refused the task")]
+    /// The worker refused this task a moment ago, or the task failed there.
+    #[display("refused or failed the task")]
     RefusedTask,
     /// Too few free processors.
     #[display("cpu")]
--- a/crates/parsleytally/src/placement/fleet.rs
+++ b/crates/parsleytally/src/placement/fleet.rs
@@ -263,6 +263,19 @@
         });
     }
 
+    /// Replaces the need of a task that is assumed or that the last report covers.
+    pub(super) fn resize(&mut self, at: usize, task: &TaskKey, old: &Resources, need: Resources) {
+        self.change(at, |worker| {
+            for start in worker.assumed.iter_mut().filter(|s| s.task == *task) {
+                start.need = need;
+            }
+            if worker.report.tasks.contains(task) {
+                let without = saturating_sub(&worker.report.granted, old);
+                worker.report.granted = saturating_add(&without, &need);
+            }
+        });
+    }
+
     /// Corrects the picture by what a refusing agent says is free.
     pub(super) fn correct(&mut self, at: usize, free: &Resources) {
         self.change(at, |worker| {
--- a/crates/parsleytally/src/placement/messages.rs
+++ b/crates/parsleytally/src/placement/messages.rs
@@ -23,6 +23,8 @@
     pub urgent: bool,
     /// Tasks of one group are spread over zones, racks and workers.
     pub group: Option<Arc<str>>,
+    /// Workers on which it failed; others are taken as long as most are left.
+    pub avoid: Vec<NodeName>,
 }
 
 /// Load of one service on a worker.
@@ -45,9 +47,9 @@
     pub zone: ZoneName,
     /// Its rack.
     pub rack: RackName,
-    /// What it has.
+    /// What it has beside its services.
     pub total: Resources,
-    /// What its agent has granted, services included.
+    /// What its agent has granted to tasks.
     pub granted: Resources,
     /// Tasks that the granted amount covers.
     pub tasks: Vec<TaskKey>,
@@ -78,7 +80,7 @@
         /// Its new quota.
         quota: QuotaConfig,
     },
-    /// A task wants to run.
+    /// A task wants to run, or a waiting one has changed and keeps its age.
     Submit(Request),
     /// A task runs already, as an agent reported to a new owner.
     Adopt {
@@ -100,6 +102,13 @@
         /// What the agent says is free, if the refusal was for lack of room.
         free: Option<Resources>,
     },
+    /// An agent has changed the grant of a running task.
+    Resized {
+        /// The task.
+        task: TaskKey,
+        /// Its new grant.
+        need: Resources,
+    },
     /// A run has ended, for whatever reason.
     Ended(TaskKey),
     /// Time has passed: places what waits.
--- a/crates/parsleytally/src/placement/mod.rs
+++ b/crates/parsleytally/src/placement/mod.rs
@@ -114,6 +114,7 @@
             Input::Quota { team, quota } => self.set_quota(&team, quota),
             Input::Submit(request) => self.submit(now, request, out),
             Input::Adopt { request, worker } => self.adopt(now, request, worker),
+            Input::Resized { task, need } => self.resized(&task, need),
             Input::Cancel(task) | Input::Ended(task) => self.drop_task(&task),
             Input::Started(task) => self.started(&task),
             Input::Refused { task, worker, free } => {
@@ -203,17 +204,25 @@
 
     fn submit(&mut self, now: Time, request: Request, out: &mut Vec<Output>) {
         let task = request.task.clone();
-        if self.tasks.contains_key(&task) {
-            return;
-        }
+        let (since, parked) = match self.tasks.get(&task) {
+            None => (now, false),
+            Some(known) if known.request == request => return,
+            Some(known) => match known.place {
+                Place::Placed { .. } => return,
+                Place::Waiting { .. } => (known.since, false),
+                Place::Parked(_) => (known.since, true),
+            },
+        };
+        self.unplace(&task);
         let entry = Entry {
             request,
             place: Place::Waiting { order: (0, 0) },
-            since: now,
+            since,
             avoid: Vec::new(),
             reserved: None,
         };
-        if let Some(refusal) = self.enter(entry) {
+        let refusal = self.enter(entry);
+        if let Some(refusal) = refusal.filter(|_| !parked) {
             out.push(Output::Unplaceable { task, refusal });
         }
     }
@@ -237,6 +246,23 @@
         self.tasks.insert(task, entry);
     }
 
+    fn resized(&mut self, task: &TaskKey, need: Resources) {
+        let Some(entry) = self.tasks.get_mut(task) else {
+            return;
+        };
+        let Place::Placed { worker } = &entry.place else {
+            return;
+        };
+        let old = std::mem::replace(&mut entry.request.need, need);
+        let at = self.fleet.find(worker);
+        self.queue.give_back(&task.team, &old);
+        self.queue.take(&task.team, &need);
+        if let Some(at) = at {
+            self.fleet.resize(at, task, &old, need);
+            self.room_grew(at);
+        }
+    }
+
     /// Queues a task, or parks it with the reason.
     fn enter(&mut self, mut entry: Entry) -> Option<Refusal> {
         let refusal = self.refusal(&entry.request);
--- a/crates/parsleytally/src/placement/tests.rs
+++ b/crates/parsleytally/src/placement/tests.rs
@@ -87,6 +87,7 @@
         run_time: Duration::from_secs(60),
         urgent: false,
         group: None,
+        avoid: Vec::new(),
     }
 }
 
@@ -232,6 +233,7 @@
 #[test]
 fn a_large_task_gets_a_worker_although_small_ones_keep_coming() {
     let mut bench = Bench::new(1);
+    bench.placement.config.patience = Duration::from_secs(120);
     let mut running = Vec::new();
     for at in 0..16 {
         bench.feed(Input::Submit(request("a", &format!("s{at}"), 1_000)));
--- a/crates/parsleytally/src/reaction/messages.rs
+++ b/crates/parsleytally/src/reaction/messages.rs
@@ -78,6 +78,8 @@
     pub level: Level,
     /// Whether the worker can checkpoint it.
     pub checkpoint: bool,
+    /// Time since the start.
+    pub age: Duration,
     /// Work since the start or the last checkpoint.
     pub unsaved: Duration,
 }
@@ -107,8 +109,8 @@
         /// How much.
         level: Level,
     },
-    /// Raise the grant to what the run uses; the worker has the room.
-    Grow {
+    /// Change the grant to what the run uses; the worker has the room.
+    Resize {
         /// The task.
         task: TaskKey,
         /// The new grant.
--- a/crates/parsleytally/src/reaction/mod.rs
+++ b/crates/parsleytally/src/reaction/mod.rs
@@ -13,6 +13,8 @@
 
 mod messages;
 
+use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 pub use messages::{Level, Output, RunView, Sample, ServiceView};
@@ -29,13 +31,34 @@
 const MAX_STEP: f64 = 1.0;
 /// What an eviction of weight 1 costs beside its lost work, in seconds.
 const EVICTION_SECONDS: f64 = 120.0;
+/// Share of a new measurement in the smoothed strain.
+const SMOOTHING: f64 = 0.35;
+/// Change of log strain past which a measurement replaces the smoothed one.
+const JUMP: f64 = 0.4;
+/// Time for which a run's use is watched before processors are given back.
+const WATCH: Duration = Duration::from_secs(120);
+/// Factor on the processors that a run was seen to use.
+const CPU_MARGIN: f64 = 1.15;
+/// Smallest grant of processors, in thousandths.
+const MIN_CPU: u64 = 50;
+/// Smallest part of a grant, as a divisor, that is worth giving back.
+const MIN_SHRINK: u64 = 8;
 /// Lost work that a checkpointed move still costs, in seconds of one processor.
 const MOVE_SECONDS: f64 = 15.0;
 
-/// The worst service of a worker, by fresh measurement.
+/// The worst service of a worker, by fresh measurements.
 #[derive(Debug, Clone)]
 struct Worst<'a> {
     service: &'a ServiceView,
+    strain: f64,
+}
+
+/// Strain of one service over its latest measurements.
+#[derive(Debug, Clone, Copy)]
+struct Smooth {
+    at: Time,
+    /// Logarithm of the strain.
+    log: f64,
 }
 
 /// The controller of one worker.
@@ -45,6 +68,7 @@
     changed: Option<Time>,
     calm: Option<Time>,
     seen: Option<Time>,
+    smooth: BTreeMap<Arc<str>, Smooth>,
     /// Cost of lateness that no throttle has mended, in weighted seconds.
     debt: f64,
     tokens: f64,
@@ -59,6 +83,7 @@
             changed: None,
             calm: None,
             seen: None,
+            smooth: BTreeMap::new(),
             debt: 0.0,
             tokens,
         }
@@ -84,12 +109,12 @@
         if self.relieve_memory(now, sample, out) {
             return;
         }
-        grow(sample, out);
+        resize(sample, out);
         let Some(worst) = self.worst(now, sample) else {
             self.calm = None;
             return;
         };
-        let strain = worst.service.strain;
+        let strain = worst.strain;
         self.account(strain, gap);
         let settled = self
             .changed
@@ -114,12 +139,37 @@
         self.tokens = (self.tokens + refill).min(budget);
     }
 
-    fn worst<'a>(&self, now: Time, sample: &'a Sample) -> Option<Worst<'a>> {
+    fn worst<'a>(&mut self, now: Time, sample: &'a Sample) -> Option<Worst<'a>> {
         let stale = self.rules().stale;
+        let known = |class: &Arc<str>| sample.services.iter().any(|s| s.class == *class);
+        self.smooth.retain(|class, _| known(class));
         let fresh = sample.services.iter();
-        let fresh = fresh.filter(|s| now.since(s.at) <= stale && s.strain.is_finite());
-        let service = fresh.max_by(|a, b| a.strain.total_cmp(&b.strain))?;
-        Some(Worst { service })
+        let fresh = fresh.filter(|s| now.since(s.at) <= stale);
+        let fresh = fresh.filter(|s| s.strain.is_finite() && s.strain > 0.0);
+        let views = fresh.map(|service| Worst {
+            service,
+            strain: self.smoothed(service),
+        });
+        let views = views.collect::<Vec<_>>();
+        views
+            .into_iter()
+            .max_by(|a, b| a.strain.total_cmp(&b.strain))
+    }
+
+    /// Strain over the latest measurements; a jump counts at once.
+    fn smoothed(&mut self, service: &ServiceView) -> f64 {
+        let new = Smooth {
+            at: service.at,
+            log: service.strain.ln(),
+        };
+        let smooth = self.smooth.entry(service.class.clone()).or_insert(new);
+        if smooth.at < new.at {
+            let jump = (new.log - smooth.log).abs() > JUMP;
+            let share = if jump { 1.0 } else { SMOOTHING };
+            smooth.log += share * (new.log - smooth.log);
+            smooth.at = new.at;
+        }
+        smooth.log.exp()
     }
 
     /// Adds up the cost of time past the target; it halves when the target is met.
@@ -140,7 +190,7 @@
         slowdown: &dyn Slowdown,
         out: &mut Vec<Output>,
     ) {
-        let strain = worst.service.strain;
+        let strain = worst.strain;
         let mut wanted = (strain / self.rules().low).ln().min(MAX_STEP);
         let mut runs = sample.runs.iter().collect::<Vec<_>>();
         let effect = |run: &RunView| effect_of(run, worst, slowdown);
@@ -246,7 +296,7 @@
         if now.since(since) < self.rules().calm || !settled {
             return;
         }
-        let mut room = (self.rules().low / worst.service.strain.max(0.01)).ln();
+        let mut room = (self.rules().low / worst.strain.max(0.01)).ln();
         let mut runs = sample.runs.iter().collect::<Vec<_>>();
         let harm = |run: &RunView| effect_of(run, worst, slowdown) * run.cores;
         runs.sort_by(|a, b| harm(a).total_cmp(&harm(b)).then(a.task.cmp(&b.task)));
@@ -286,39 +336,47 @@
     (effect > 0.0).then(|| (level, relief(level)))
 }
 
-/// Asks for a larger grant for each run past its own, while the worker has room.
-fn grow(sample: &Sample, out: &mut Vec<Output>) {
+/// Fits each grant to what its run uses, within the room of the worker.
+fn resize(sample: &Sample, out: &mut Vec<Output>) {
     let mut room = sample
         .total
         .checked_sub(&sample.granted)
         .unwrap_or_default();
     for run in &sample.runs {
-        let Some(more) = wanted_growth(run) else {
+        let need = fitting(run);
+        if need == run.granted {
             continue;
-        };
-        let Some(left) = room.checked_sub(&more) else {
+        }
+        let Some(left) = room
+            .checked_add(&run.granted)
+            .and_then(|sum| sum.checked_sub(&need))
+        else {
             continue;
         };
         room = left;
-        if let Some(need) = run.granted.checked_add(&more) {
-            let task: TaskKey = run.task.clone();
-            out.push(Output::Grow { task, need });
-        }
+        let task: TaskKey = run.task.clone();
+        out.push(Output::Resize { task, need });
     }
 }
 
-/// What a run uses past its grant.
-fn wanted_growth(run: &RunView) -> Option<Resources> {
+/// The grant that a run should have by what it uses.
+///
+/// Processors are given back once the use has been watched for a while. Memory is
+/// not: many runs use little until late.
+fn fitting(run: &RunView) -> Resources {
+    let mut need = run.granted;
+    need.memory = need.memory.max(run.memory);
+    if run.level != Level::Full {
+        return need;
+    }
     let used = (run.cores * 1_000.0) as u64;
-    let full = run.level == Level::Full;
-    let cpu = used.saturating_sub(run.granted.cpu.0);
-    let memory = run.memory.0.saturating_sub(run.granted.memory.0);
-    let more = Resources {
-        cpu: MilliCpu(if full { cpu } else { 0 }),
-        memory: memory.into(),
-        accelerators: 0,
-    };
-    (more != Resources::NONE).then_some(more)
+    need.cpu = need.cpu.max(MilliCpu(used));
+    let fit = (run.cores * 1_000.0 * CPU_MARGIN) as u64;
+    let much = fit < need.cpu.0 - need.cpu.0 / MIN_SHRINK;
+    if run.age >= WATCH && much {
+        need.cpu = MilliCpu(fit.max(MIN_CPU));
+    }
+    need
 }
 
 #[cfg(test)]
--- a/crates/parsleytally/src/reaction/tests.rs
+++ b/crates/parsleytally/src/reaction/tests.rs
@@ -31,6 +31,7 @@
         granted: Resources::new(3_000, GIB, 0),
         level: Level::Full,
         checkpoint: false,
+        age: Duration::from_secs(10),
         unsaved: Duration::from_secs(unsaved),
     }
 }
@@ -88,7 +89,7 @@
             Output::Move(task) | Output::Evict(task) => {
                 self.sample.runs.retain(|r| r.task != *task);
             }
-            Output::Grow { .. } => {}
+            Output::Resize { .. } => {}
         }
     }
 
@@ -206,7 +207,7 @@
     let mut growing = run("t", "plain", 1);
     growing.memory = Bytes(5 * GIB);
     let mut bench = Bench::new(DeploymentConfig::default(), vec![growing]);
-    let grown = Output::Grow {
+    let grown = Output::Resize {
         task: key("t"),
         need: Resources::new(3_000, 5 * GIB, 0),
     };
@@ -216,3 +217,58 @@
     bench.sample.memory = Bytes(58 * GIB);
     assert_eq!(bench.measure(0.5), [Output::Evict(key("t"))]);
 }
+
+struct ResizeCase {
+    name: &'static str,
+    age: u64,
+    level: Level,
+    cores: f64,
+    granted: u64,
+}
+
+#[test]
+fn processors_are_given_back_once_watched_and_not_while_throttled() {
+    let cases = [
+        ResizeCase {
+            name: "young",
+            age: 60,
+            level: Level::Full,
+            cores: 1.0,
+            granted: 3_000,
+        },
+        ResizeCase {
+            name: "watched",
+            age: 120,
+            level: Level::Full,
+            cores: 1.0,
+            granted: 1_150,
+        },
+        ResizeCase {
+            name: "throttled",
+            age: 120,
+            level: Level::Half,
+            cores: 1.0,
+            granted: 3_000,
+        },
+        ResizeCase {
+            name: "nearly all in use",
+            age: 120,
+            level: Level::Full,
+            cores: 2.5,
+            granted: 3_000,
+        },
+    ];
+    for case in cases {
+        let mut run = run("t", "plain", 1);
+        run.age = Duration::from_secs(case.age);
+        run.level = case.level;
+        run.cores = case.cores;
+        let mut bench = Bench::new(DeploymentConfig::default(), vec![run]);
+        let out = bench.measure(0.8);
+        let granted = match &out[..] {
+            [Output::Resize { need, .. }] => need.cpu.0,
+            _ => 3_000,
+        };
+        assert_eq!(granted, case.granted, "{}", case.name);
+    }
+}
