feat(settings): in force at entries and agents by revision

Cause: entries re-read everything after each failure, trusted a watch that can be silent for good, took lower revisions for newer ones and told agents a number only; a change was not checked against its team and an answer that was lost counted as unknown. Change: the settings duty drives the settings slice; its follower confirms the watch by the newest revision every 4 s, replaces a silent one, reads all settings only at the start and after a compaction, and pauses with jitter. Agents hold services and the deployment's settings, ask for what they lack and report what is in force. Changes go through the writer with the team's log, so racing changes of a team are checked one after the other. The store's client is chosen by [store] endpoints. Conclusion: on paused time a change is in force within 11 s after a cut, silent or compacted watch and with 5 s answers; without the confirmation the cases of the silent watch fail.

--- a/crates/parsleytally-agent/src/agent.rs
+++ b/crates/parsleytally-agent/src/agent.rs
@@ -21,6 +21,7 @@
 use crate::operators::Operators;
 use crate::requests::Requests;
 use crate::runs::Runs;
+use crate::settings::SettingsDuty;
 
 /// Time between two looks at the requests in flight during shutdown.
 const DRAIN_STEP: Duration = Duration::from_millis(20);
@@ -73,6 +74,7 @@
     stop: CancellationToken,
     pages: HttpServer,
     runs: Runs,
+    settings: SettingsDuty,
 }
 
 impl std::fmt::Debug for Requests {
@@ -91,7 +93,9 @@
         let metrics = Metrics::new().context(error::MetricsSnafu)?;
         let requests = Arc::new(Requests::new(&config, metrics.clone())?);
         let runs = Runs::start(config.capacity, metrics.clone()).context(error::ThreadSnafu)?;
+        let settings = SettingsDuty::start().context(error::ThreadSnafu)?;
         let operators = Operators {
+            in_force: settings.in_force(),
             metrics: metrics.clone(),
             requests: requests.clone(),
         };
@@ -107,7 +111,7 @@
             clock: Clock::start(),
             requests: requests.clone(),
             runs: runs.commands(),
-            revision: AtomicU64::new(0),
+            settings: settings.ring(),
             sequence: AtomicU64::new(0),
             metrics,
             leave: leave.clone(),
@@ -125,6 +129,7 @@
             stop,
             pages,
             runs,
+            settings,
         })
     }
 
@@ -152,6 +157,7 @@
         self.stop.cancel();
         while self.links.join_next().await.is_some() {}
         self.runs.close();
+        self.settings.close();
         self.pages.close().await;
     }
 }
--- a/crates/parsleytally-agent/src/lib.rs
+++ b/crates/parsleytally-agent/src/lib.rs
@@ -14,5 +14,6 @@
 mod operators;
 mod requests;
 mod runs;
+mod settings;
 
 pub use agent::{Agent, StartError};
--- a/crates/parsleytally-agent/src/links.rs
+++ b/crates/parsleytally-agent/src/links.rs
@@ -6,8 +6,7 @@
 use std::time::Duration;
 
 use parsleytally::membership::{Announcement, Heartbeat, Load, Phase};
-use parsleytally::types::Revision;
-use parsleytally_link::{Frame, Hello, Incoming, Link, LinkConfig, SettingsNotice, dial};
+use parsleytally_link::{Frame, Hello, Incoming, Link, LinkConfig, dial};
 use parsleytally_platform::process::Clock;
 use rand::Rng;
 use tokio::time::{MissedTickBehavior, interval, sleep};
@@ -16,6 +15,7 @@
 use crate::metrics::Metrics;
 use crate::requests::Requests;
 use crate::runs::RunCommands;
+use crate::settings::SettingsRing;
 
 /// Wait after the first failed dial.
 const FIRST_WAIT: Duration = Duration::from_millis(50);
@@ -31,7 +31,7 @@
     pub(crate) clock: Clock,
     pub(crate) requests: Arc<Requests>,
     pub(crate) runs: RunCommands,
-    pub(crate) revision: AtomicU64,
+    pub(crate) settings: SettingsRing,
     /// Number of the last announcement or heartbeat of this life.
     pub(crate) sequence: AtomicU64,
     pub(crate) metrics: Metrics,
@@ -105,6 +105,7 @@
     if link.send(shared.announcement()).is_err() {
         return;
     }
+    shared.settings.up(link);
     let mut beat = interval(shared.config.heartbeat);
     beat.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut told = false;
@@ -144,12 +145,7 @@
             tokio::spawn(async move { shared.requests.fence(fence, &link).await });
         }
         Frame::Command(command) => shared.runs.send(command, link),
-        Frame::Settings(notice) => {
-            let Revision(new) = notice.revision;
-            let old = shared.revision.fetch_max(new, Ordering::SeqCst);
-            let revision = Revision(new.max(old));
-            let _ = link.send(Frame::InForce(SettingsNotice { revision }));
-        }
+        Frame::Settings(part) => shared.settings.part(link, part),
         other => log::debug!("frame is not for an agent: {other:?}"),
     }
 }
--- a/crates/parsleytally-agent/src/operators.rs
+++ b/crates/parsleytally-agent/src/operators.rs
@@ -1,10 +1,12 @@
 //! Pages of an agent for operators: health, metrics and spans.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use http::StatusCode;
 use parsleytally_platform::process::http::{Answering, Handler, json, text};
 use parsleytally_platform::process::spans;
+use serde_json::json as value;
 use volo_http::request::Request;
 use volo_http::response::Response;
 
@@ -14,6 +16,7 @@
 pub(crate) struct Operators {
     pub(crate) metrics: Metrics,
     pub(crate) requests: Arc<Requests>,
+    pub(crate) in_force: Arc<AtomicU64>,
 }
 
 impl Operators {
@@ -25,6 +28,10 @@
             }
             "/readyz" => text(StatusCode::OK, "ready"),
             "/metrics" => text(StatusCode::OK, self.metrics.text()),
+            "/v1/status" => {
+                let revision = self.in_force.load(Ordering::SeqCst);
+                json(StatusCode::OK, &value!({ "revision": revision }))
+            }
             "/v1/spans" => json(StatusCode::OK, &spans::latest()),
             _ => text(StatusCode::NOT_FOUND, "no such page"),
         }
--- a/crates/parsleytally-entry/src/config.rs
+++ b/crates/parsleytally-entry/src/config.rs
@@ -3,7 +3,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use parsleytally::configs::{ConfigError, Document, OnceConfig, RetryConfig};
+use parsleytally::configs::{
+    ConfigError, Document, OnceConfig, RetryConfig, StoreConfig, TokenHash,
+};
 use parsleytally::types::{NodeName, ZoneName};
 use parsleytally_link::LinkConfig;
 
@@ -31,6 +33,11 @@
     pub once: OnceConfig,
     /// Key and times of links: section `[link]`.
     pub link: LinkConfig,
+    /// How the platform's store is reached: section `[store]`.
+    pub store: StoreConfig,
+    /// BLAKE3 hash of the token that may change all settings; without it everyone
+    /// may: `[operators] token-hash`.
+    pub admin: Option<TokenHash>,
 }
 
 /// Default time for the balancer to notice a shutdown.
@@ -58,6 +65,8 @@
             retry: RetryConfig::default(),
             once: OnceConfig::default(),
             link,
+            store: StoreConfig::default(),
+            admin: None,
         }
     }
 
@@ -71,6 +80,7 @@
         let mut entry = document.take("entry");
         let mut retry = document.take("retry");
         let mut once = document.take("once");
+        let mut operators = document.take("operators");
         let base = Self::new(
             entry.require("name")?,
             entry.require("zone")?,
@@ -84,11 +94,14 @@
             drain: entry.take_with("drain", base.drain, humantime::parse_duration)?,
             retry: RetryConfig::take(&mut retry)?,
             once: OnceConfig::take(&mut once)?,
+            store: StoreConfig::take(&mut document)?,
+            admin: operators.take_with("token-hash", None, |text| text.parse().map(Some))?,
             ..base
         };
         entry.finish()?;
         retry.finish()?;
         once.finish()?;
+        operators.finish()?;
         document.finish()?;
         Ok(config)
     }
--- a/crates/parsleytally-entry/src/directory/duty.rs
+++ b/crates/parsleytally-entry/src/directory/duty.rs
@@ -13,8 +13,9 @@
 use parsleytally::routing::{
     self, EndpointId, LatencyTwoChoices, NoEndpoint, Offer, Outcome, Output as Routed, Router,
 };
+use parsleytally::settings::Part;
 use parsleytally::types::{NodeName, Revision, ServiceKey, Time};
-use parsleytally_link::{Calls, Frame, Hello, SettingsNotice};
+use parsleytally_link::{Calls, Frame, Hello};
 use parsleytally_platform::process::Clock;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -43,7 +44,6 @@
     workers: BTreeMap<NodeName, Worker>,
     owners: BTreeMap<ServiceKey, Owners>,
     ttl: Duration,
-    revision: Revision,
     metrics: Metrics,
 }
 
@@ -64,7 +64,6 @@
             workers: BTreeMap::new(),
             owners: BTreeMap::new(),
             ttl,
-            revision: Revision(0),
             metrics,
         }
     }
@@ -99,7 +98,7 @@
                 self.reply(reply, owner, |owner| owner.route);
             }
             Input::Done(endpoint, outcome) => self.done(endpoint, outcome),
-            Input::Settings(revision) => self.tell(revision),
+            Input::Settings(parts) => self.tell(&parts),
             Input::List(reply) => {
                 let _ = reply.send(self.list());
             }
@@ -135,7 +134,6 @@
             }
         }
         log::info!("worker {name} announced service {}", offer.service);
-        notify(&calls, self.revision);
         let joined = Change::Joined {
             node: name.clone(),
             incarnation: peer.incarnation,
@@ -328,10 +326,9 @@
         }
     }
 
-    fn tell(&mut self, revision: Revision) {
-        self.revision = self.revision.max(revision);
+    fn tell(&self, parts: &[Part]) {
         for worker in self.workers.values() {
-            notify(&worker.calls, self.revision);
+            tell_worker(&worker.calls, parts);
         }
     }
 
@@ -360,9 +357,12 @@
     }
 }
 
-fn notify(calls: &Calls, revision: Revision) {
-    let notice = Frame::Settings(SettingsNotice { revision });
-    if let Err(error) = calls.link().send(notice) {
-        log::debug!("notice of settings was not sent: {error}");
+/// Passes settings on; a worker that misses a part asks for it.
+fn tell_worker(calls: &Calls, parts: &[Part]) {
+    for part in parts {
+        if let Err(error) = calls.link().send(Frame::Settings(part.clone())) {
+            log::debug!("settings were not sent: {error}");
+            return;
+        }
     }
 }
--- a/crates/parsleytally-entry/src/directory/mod.rs
+++ b/crates/parsleytally-entry/src/directory/mod.rs
@@ -11,6 +11,7 @@
 use parsleytally::membership::{Announcement, Heartbeat};
 use parsleytally::once::KeyHash;
 use parsleytally::routing::{EndpointId, Outcome};
+use parsleytally::settings::Part;
 use parsleytally::types::{NodeName, Revision, ServiceKey};
 use parsleytally_link::{Calls, Hello};
 use serde::Serialize;
@@ -81,8 +82,8 @@
         KeyHash,
         oneshot::Sender<Result<Owner, PickError>>,
     ),
-    /// Settings in force here, to be told to the agents.
-    Settings(Revision),
+    /// Settings that came into force here, to be passed to the agents.
+    Settings(Vec<Part>),
     /// Operators ask for the workers.
     List(oneshot::Sender<Vec<WorkerView>>),
     Close,
@@ -99,6 +100,12 @@
 pub(crate) struct DirectoryRing(Sender<Input>);
 
 impl DirectoryRing {
+    /// A ring whose duty has ended.
+    #[cfg(test)]
+    pub(crate) fn detached() -> Self {
+        Self(bounded(1).0)
+    }
+
     /// Passes `input` on and waits while the ring is full.
     pub(crate) fn send(&self, input: Input) {
         if self.0.send(input).is_err() {
--- a/crates/parsleytally-entry/src/entry.rs
+++ b/crates/parsleytally-entry/src/entry.rs
@@ -8,7 +8,7 @@
 use parsleytally_link::{Hello, PROTOCOL_VERSION, Role};
 use parsleytally_platform::process::Clock;
 use parsleytally_platform::process::http::{BindError, HttpServer};
-use parsleytally_platform::store::Store;
+use parsleytally_platform::store::{Store, Writer};
 use snafu::{ResultExt, Snafu};
 use tokio::time::{Instant, sleep};
 
@@ -17,7 +17,7 @@
 use crate::directory::Directory;
 use crate::links::{Links, Shared};
 use crate::metrics::Metrics;
-use crate::operators::Operators;
+use crate::operators::{Access, Operators, PATIENCE, SettingsPages};
 use crate::scheduler::Scheduler;
 use crate::settings::Settings;
 
@@ -95,14 +95,27 @@
             metrics: metrics.clone(),
             directory: directory.ring(),
             scheduler: scheduler.ring(),
+            settings: settings.ring(),
         };
         let address = config.links;
         let links = Links::start(address, shared)
             .await
             .context(LinksSnafu { address })?;
         let draining = Arc::new(AtomicBool::new(false));
-        let operators = Arc::new(Operators {
+        let writer = Writer::new(store.clone(), rand::random(), PATIENCE);
+        let pages = SettingsPages {
             store,
+            writer,
+            in_force: settings.in_force(),
+            access: Access {
+                admin: config.admin,
+            },
+        };
+        if pages.access.is_open() {
+            log::warn!("settings are open to everyone: [operators] token-hash is not set");
+        }
+        let operators = Arc::new(Operators {
+            settings: pages,
             directory: directory.ring(),
             scheduler: scheduler.ring(),
             in_force: settings.in_force(),
--- a/crates/parsleytally-entry/src/links.rs
+++ b/crates/parsleytally-entry/src/links.rs
@@ -12,6 +12,7 @@
 use crate::directory::{DirectoryRing, Input as DirectoryInput};
 use crate::metrics::Metrics;
 use crate::scheduler::{Input as SchedulerInput, SchedulerRing};
+use crate::settings::SettingsRing;
 
 /// Links that are open at once; more are closed at once.
 const MAX_LINKS: usize = 8_192;
@@ -23,6 +24,7 @@
     pub(crate) metrics: Metrics,
     pub(crate) directory: DirectoryRing,
     pub(crate) scheduler: SchedulerRing,
+    pub(crate) settings: SettingsRing,
 }
 
 /// The listener for links.
@@ -144,6 +146,7 @@
             let node = calls.link().peer().node.clone();
             shared.scheduler.send(SchedulerInput::Report(node, report));
         }
+        Frame::SettingsAsk(ask) => shared.settings.ask(calls.link().clone(), ask),
         Frame::InForce(notice) => {
             shared
                 .directory
--- a/crates/parsleytally-entry/src/main.rs
+++ b/crates/parsleytally-entry/src/main.rs
@@ -9,7 +9,7 @@
 use parsleytally_entry::standalone::{Addresses, Standalone};
 use parsleytally_platform::process::command::{self, Command, ExtraOption};
 use parsleytally_platform::process::{logs, spans};
-use parsleytally_platform::store::MemoryStore;
+use parsleytally_platform::store::{EtcdStore, MemoryStore, Store, StoreError};
 
 const USAGE: &str = "parsleytally-entry --config FILE [--check] | --standalone \
                      [--callers ADDR] [--operators ADDR]";
@@ -82,7 +82,7 @@
     logs::start();
     spans::start();
     let stop = command::terminated();
-    let store = Arc::new(MemoryStore::new());
+    let store = store(&config).map_err(|error| failed(&error))?;
     let entry = Entry::start(config, store)
         .await
         .map_err(|error| failed(&error))?;
@@ -93,6 +93,18 @@
     Ok(())
 }
 
+/// The platform's store, or one in memory where no address of it is set.
+fn store(config: &EntryConfig) -> Result<Arc<dyn Store>, StoreError> {
+    if config.store.endpoints.is_empty() {
+        log::warn!("settings end with this process: [store] endpoints is not set");
+        return Ok(Arc::new(MemoryStore::new()));
+    }
+    Ok(Arc::new(EtcdStore::new(
+        config.store.clone(),
+        rand::random(),
+    )?))
+}
+
 fn print_addresses(entry: &Entry) {
     println!("callers {}", entry.callers());
     println!("operators {}", entry.operators());
--- a/crates/parsleytally-entry/src/metrics.rs
+++ b/crates/parsleytally-entry/src/metrics.rs
@@ -23,6 +23,9 @@
     pub(crate) stale_news: IntGauge,
     pub(crate) revision: IntGauge,
     pub(crate) bad_settings: IntCounter,
+    pub(crate) bad_texts: IntGauge,
+    pub(crate) silent_watches: IntCounter,
+    pub(crate) store_behind: IntCounter,
     pub(crate) tasks: IntCounterVec,
 }
 
@@ -61,6 +64,18 @@
                 "parsleytally_entry_bad_settings_total",
                 "Values in the store that were kept out of force.",
             )?,
+            bad_texts: IntGauge::new(
+                "parsleytally_entry_bad_settings",
+                "Values in the store that are kept out of force now.",
+            )?,
+            silent_watches: IntCounter::new(
+                "parsleytally_entry_silent_watches_total",
+                "Watches of the settings that missed a change and were replaced.",
+            )?,
+            store_behind: IntCounter::new(
+                "parsleytally_entry_store_behind_total",
+                "Answers of the store below the revision in force here.",
+            )?,
             tasks: IntCounterVec::new(
                 Opts::new("parsleytally_entry_tasks_total", "Batch tasks by event."),
                 &["event"],
@@ -82,6 +97,11 @@
         self.registry.register(Box::new(self.revision.clone()))?;
         self.registry
             .register(Box::new(self.bad_settings.clone()))?;
+        self.registry.register(Box::new(self.bad_texts.clone()))?;
+        self.registry
+            .register(Box::new(self.silent_watches.clone()))?;
+        self.registry
+            .register(Box::new(self.store_behind.clone()))?;
         self.registry.register(Box::new(self.tasks.clone()))
     }
 
--- a/crates/parsleytally-entry/src/scheduler.rs
+++ b/crates/parsleytally-entry/src/scheduler.rs
@@ -50,6 +50,12 @@
 pub(crate) struct SchedulerRing(Sender<Input>);
 
 impl SchedulerRing {
+    /// A ring whose duty has ended.
+    #[cfg(test)]
+    pub(crate) fn detached() -> Self {
+        Self(bounded(1).0)
+    }
+
     /// Passes `input` on and waits while the ring is full.
     pub(crate) fn send(&self, input: Input) {
         if self.0.send(input).is_err() {
--- /dev/null
+++ b/crates/parsleytally-entry/src/settings/mod.rs
@@ -0,0 +1,142 @@
+//! The duty that holds the settings in force and passes them on.
+//!
+//! One task follows the platform's store ([`follow`]); the duty applies what it
+//! reads, tells the scheduler and the agents, and answers agents that ask for
+//! what they lack. A thread of its own runs both.
+
+mod duty;
+mod follow;
+
+use std::sync::Arc;
+use std::thread;
+
+use arc_swap::ArcSwap;
+use parsleytally::settings::{Ask, Input as Update, View};
+use parsleytally::types::{Revision, Time};
+use parsleytally_link::Link;
+use parsleytally_platform::process::Clock;
+use parsleytally_platform::store::Store;
+use tokio::sync::{mpsc, oneshot};
+use tokio_util::sync::CancellationToken;
+
+use crate::directory::DirectoryRing;
+use crate::metrics::Metrics;
+use crate::scheduler::SchedulerRing;
+use duty::Duty;
+use follow::Follower;
+
+/// Inputs that wait for the duty; a full ring drops an agent's question, which it asks again.
+const INPUT_RING: usize = 1_024;
+
+/// What other duties see of the settings.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct State {
+    /// Revision in force here.
+    pub(crate) revision: Revision,
+    /// Settings in force here.
+    pub(crate) view: View,
+    /// Time of the store's last confirmation that they are complete.
+    pub(crate) confirmed: Option<Time>,
+    /// Keys whose text is kept out of force, with the reason.
+    pub(crate) bad: Vec<(String, String)>,
+}
+
+/// Settings in force at this entry; clones share them.
+#[derive(Debug, Clone)]
+pub(crate) struct InForce {
+    state: Arc<ArcSwap<State>>,
+    clock: Clock,
+}
+
+impl InForce {
+    pub(crate) fn state(&self) -> Arc<State> {
+        self.state.load_full()
+    }
+
+    /// Whether the store has confirmed the settings of late.
+    pub(crate) fn is_confirmed(&self) -> bool {
+        let confirmed = self.state.load().confirmed;
+        confirmed.is_some_and(|at| self.clock.now().since(at) < follow::CONFIRM_LIMIT)
+    }
+}
+
+enum Input {
+    /// Settings, or news of them, have come; the reply tells whether changes were missed.
+    Update(Update, oneshot::Sender<bool>),
+    /// An agent asks for what it lacks.
+    Ask(Link, Ask),
+}
+
+/// Passes inputs to the duty.
+#[derive(Clone)]
+pub(crate) struct SettingsRing(mpsc::Sender<Input>);
+
+impl SettingsRing {
+    /// Passes an agent's question on.
+    pub(crate) fn ask(&self, link: Link, ask: Ask) {
+        if self.0.try_send(Input::Ask(link, ask)).is_err() {
+            log::debug!("question for settings is dropped: ring is full");
+        }
+    }
+}
+
+/// The duty and its ring.
+#[derive(Debug)]
+pub(crate) struct Settings {
+    state: InForce,
+    inputs: mpsc::Sender<Input>,
+    stop: CancellationToken,
+    thread: thread::JoinHandle<()>,
+}
+
+impl Settings {
+    pub(crate) fn start(
+        store: Arc<dyn Store>,
+        directory: DirectoryRing,
+        scheduler: SchedulerRing,
+        metrics: Metrics,
+    ) -> std::io::Result<Self> {
+        let (inputs, receiver) = mpsc::channel(INPUT_RING);
+        let clock = Clock::start();
+        let state = InForce {
+            state: Arc::default(),
+            clock,
+        };
+        let duty = Duty::new(state.clone(), directory, scheduler, metrics.clone());
+        let follower = Follower::new(store, inputs.clone(), metrics);
+        let stop = CancellationToken::new();
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()?;
+        let stopped = stop.clone();
+        let work = async move { tokio::join!(duty.run(receiver), follower.run()) };
+        let thread = thread::Builder::new()
+            .name("settings".to_owned())
+            .spawn(move || {
+                runtime.block_on(stopped.run_until_cancelled(work));
+            })?;
+        Ok(Self {
+            state,
+            inputs,
+            stop,
+            thread,
+        })
+    }
+
+    pub(crate) fn in_force(&self) -> InForce {
+        self.state.clone()
+    }
+
+    pub(crate) fn ring(&self) -> SettingsRing {
+        SettingsRing(self.inputs.clone())
+    }
+
+    /// Ends the duty.
+    pub(crate) fn close(self) {
+        self.stop.cancel();
+        let _ = self.thread.join();
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/parsleytally-link/src/frame.rs
+++ b/crates/parsleytally-link/src/frame.rs
@@ -5,6 +5,7 @@
 use parsleytally::configs::BatchConfig;
 use parsleytally::membership::{Announcement, Heartbeat};
 use parsleytally::once::KeyHash;
+use parsleytally::settings::{Ask, Part};
 use parsleytally::types::{
     Incarnation, NodeName, RequestId, Revision, RunId, ServiceKey, ZoneName,
 };
@@ -157,7 +158,7 @@
     },
 }
 
-/// Settings in force at the entry.
+/// Revision of the settings in force at the sender.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SettingsNotice {
     /// Revision in force.
@@ -189,8 +190,10 @@
     Command(TaskCommand),
     /// A report about a run.
     Report(TaskReport),
-    /// Settings in force at the entry.
-    Settings(SettingsNotice),
+    /// Settings that came into force at the entry, or that an agent asked for.
+    Settings(Part),
+    /// What an agent tells of its settings to learn what it lacks.
+    SettingsAsk(Ask),
     /// Settings in force at the agent.
     InForce(SettingsNotice),
     /// Sent when nothing else was for a while; the link keeps it to itself.
--- a/crates/parsleytally-platform/src/store/memory.rs
+++ b/crates/parsleytally-platform/src/store/memory.rs
@@ -263,7 +263,7 @@
     }
 
     fn compact(&mut self, revision: Revision) {
-        self.compacted = self.compacted.max(revision);
+        self.compacted = self.compacted.max(revision.min(self.revision));
         let floor = self.compacted;
         while self.history.front().is_some_and(|c| c.revision() <= floor) {
             self.history.pop_front();
