feat(link): pieces of large frames, byte bounds, answers that wait for room

Cause: rings were bounded by frames, so 256 bodies of 1 MiB could wait each way; the limit of silence applied to a whole frame or batch, so a slow network was taken for a silent one; a full ring dropped an agent's answer, and an oversized frame closed the link for every request on it.

Change: frames above 64 KiB travel in pieces that alternate with other frames, the limit of silence applies to a piece. Both rings are bounded by 4 MiB. Answers wait for room, requests are refused as not run. An oversized frame is refused at the sender; an answer that is too large becomes a failed request.

--- a/crates/parsleytally-agent/src/requests.rs
+++ b/crates/parsleytally-agent/src/requests.rs
@@ -11,7 +11,7 @@
 use parsleytally::once::{Conflict, KeyHash, RequestHash};
 use parsleytally::retry::is_idempotent;
 use parsleytally::types::{RequestId, ServiceKey};
-use parsleytally_link::{Answer, Failure, Fence, Frame, Header, Link, Refusal, Request};
+use parsleytally_link::{Answer, Failure, Fence, Frame, Header, Link, LinkError, Refusal, Request};
 use parsleytally_platform::process::spans;
 use tokio::time::{Instant, timeout};
 
@@ -94,7 +94,14 @@
             .requests
             .with_label_values(&[name(&outcome)])
             .inc();
-        if let Err(error) = link.send(outcome) {
+        let sent = match link.deliver(outcome).await {
+            Err(LinkError::Oversized { .. }) => {
+                let outcome = failed(id, "answer is larger than a link takes", false);
+                link.deliver(outcome).await
+            }
+            sent => sent,
+        };
+        if let Err(error) = sent {
             log::debug!("outcome of request {id} was not sent: {error}");
         }
     }
@@ -106,7 +113,7 @@
             true => refused(id, "key is fenced", Duration::ZERO),
             false => failed(id, "key is known here", false),
         };
-        if let Err(error) = link.send(outcome) {
+        if let Err(error) = link.deliver(outcome).await {
             log::debug!("outcome of fence {id} was not sent: {error}");
         }
     }
--- a/crates/parsleytally-link/src/error.rs
+++ b/crates/parsleytally-link/src/error.rs
@@ -58,6 +58,18 @@
     /// A frame's tag does not fit.
     #[snafu(display("frame was changed, doubled or left out on the way"))]
     Tag,
+    /// A frame is larger than a link takes.
+    #[snafu(display(
+        "frame of {size} bytes exceeds the limit of {} bytes",
+        crate::FRAME_LIMIT_BYTES
+    ))]
+    Oversized {
+        /// Size of the frame, in bytes.
+        size: usize,
+    },
+    /// Pieces of frames break the bounds.
+    #[snafu(display("pieces of frames break the bounds"))]
+    Pieces,
     /// Nothing arrived for the limit of silence.
     #[snafu(display("link is silent"))]
     Silent,
--- a/crates/parsleytally-link/src/handshake.rs
+++ b/crates/parsleytally-link/src/handshake.rs
@@ -11,8 +11,8 @@
 use crate::error::{
     DecodeSnafu, EncodeSnafu, IoSnafu, NotHelloSnafu, RoleSnafu, UnprovenSnafu, VersionSnafu,
 };
-use crate::wire::{Reader, Writer, codec, next_bytes};
-use crate::{FRAME_LIMIT_BYTES, Hello, Keys, LinkError, PROTOCOL_VERSION};
+use crate::wire::{Reader, UNIT_LIMIT_BYTES, Writer, codec, next_bytes};
+use crate::{Hello, LinkConfig, LinkError, PROTOCOL_VERSION};
 
 /// Largest frame before the peer has proven itself, in bytes.
 const HELLO_LIMIT_BYTES: usize = 1_024;
@@ -25,16 +25,17 @@
 }
 
 /// Exchanges hellos and proofs on a new connection.
-pub(crate) async fn open(
+pub(crate) async fn open<T>(
     stream: TcpStream,
     side: Side,
     hello: &Hello,
-    keys: &Keys,
-) -> Result<(Reader, Writer, Hello), LinkError> {
+    config: &LinkConfig,
+) -> Result<(Reader, Writer<T>, Hello), LinkError> {
+    let keys = &config.keys;
     stream.set_nodelay(true).context(IoSnafu)?;
     let (read, write) = stream.into_split();
     let mut read = FramedRead::new(read, codec(HELLO_LIMIT_BYTES));
-    let mut write = FramedWrite::new(write, codec(FRAME_LIMIT_BYTES));
+    let mut write = FramedWrite::new(write, codec(UNIT_LIMIT_BYTES));
     let opening = Opening {
         hello: hello.clone(),
         nonce: Nonce::random(),
@@ -58,10 +59,10 @@
     let (sealing, opening) = handshake.verify(keys, theirs).context(UnprovenSnafu {
         node: peer.node.clone(),
     })?;
-    read.decoder_mut().set_max_frame_length(FRAME_LIMIT_BYTES);
+    read.decoder_mut().set_max_frame_length(UNIT_LIMIT_BYTES);
     Ok((
-        Reader::new(read, opening),
-        Writer::new(write, sealing),
+        Reader::new(read, opening, config.silence),
+        Writer::new(write, sealing, config.silence),
         peer,
     ))
 }
--- a/crates/parsleytally-link/src/lib.rs
+++ b/crates/parsleytally-link/src/lib.rs
@@ -27,7 +27,8 @@
     TaskCommand, TaskReport,
 };
 pub use link::{
-    FRAME_LIMIT_BYTES, HEARTBEAT_INTERVAL, Incoming, Link, SILENCE_LIMIT, accept, dial,
+    FRAME_LIMIT_BYTES, HEARTBEAT_INTERVAL, IN_RING_BYTES, Incoming, Link, OUT_RING_BYTES,
+    SILENCE_LIMIT, accept, dial,
 };
 
 /// Version of the frames; both sides must have the same.
