test(settings): operators' changes over HTTP, in force over loopback

Cause: the promises of accepted settings were tested only by slice. Change: entries and agents in one process: racing operators, a quota against a task, hostile paths and texts, lost answers and an outage, a bad value in the store, tokens, late agents and a replaced entry. Conclusion: 8 tests, no timing asserted.

--- a/crates/parsleytally-agent/src/agent.rs
+++ b/crates/parsleytally-agent/src/agent.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use parsleytally::membership::Announcement;
+use parsleytally::types::Revision;
 use parsleytally_link::{HEARTBEAT_INTERVAL, Hello, PROTOCOL_VERSION, Role};
 use parsleytally_platform::process::Clock;
 use parsleytally_platform::process::http::{BindError, HttpServer};
@@ -138,6 +139,11 @@
         self.pages.address()
     }
 
+    /// Revision of the settings in force here.
+    pub fn settings(&self) -> Revision {
+        self.settings.revision()
+    }
+
     /// Announces that the endpoint leaves, finishes what is in flight and stops.
     pub async fn close(mut self) {
         self.requests.leave();
--- a/crates/parsleytally-agent/src/settings.rs
+++ b/crates/parsleytally-agent/src/settings.rs
@@ -84,6 +84,11 @@
         SettingsRing(self.inputs.clone())
     }
 
+    /// Revision in force here.
+    pub(crate) fn revision(&self) -> Revision {
+        Revision(self.in_force.load(Ordering::SeqCst))
+    }
+
     /// Revision in force here, as it changes.
     pub(crate) fn in_force(&self) -> Arc<AtomicU64> {
         self.in_force.clone()
--- a/crates/parsleytally-entry/src/entry.rs
+++ b/crates/parsleytally-entry/src/entry.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use parsleytally::types::Revision;
 use parsleytally_link::{Hello, PROTOCOL_VERSION, Role};
 use parsleytally_platform::process::Clock;
 use parsleytally_platform::process::http::{BindError, HttpServer};
@@ -161,6 +162,11 @@
         self.links.address()
     }
 
+    /// Revision of the settings in force here.
+    pub fn settings(&self) -> Revision {
+        self.settings.in_force().state().revision
+    }
+
     /// Turns readiness off, finishes what is in flight and stops.
     pub async fn close(self) {
         self.draining.store(true, Ordering::SeqCst);
--- /dev/null
+++ b/crates/parsleytally-entry/tests/settings.rs
@@ -0,0 +1,356 @@
+//! Operators' changes over HTTP, in force at entries and agents over loopback.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::{Method, StatusCode};
+use parsleytally::types::Revision;
+use parsleytally_agent::Agent;
+use parsleytally_agent::config::AgentConfig;
+use parsleytally_entry::Entry;
+use parsleytally_entry::config::EntryConfig;
+use parsleytally_platform::process::http::read_body;
+use parsleytally_platform::store::{Commit, MemoryStore, Outcome, Store, Write};
+use serde_json::Value;
+use volo_http::body::Body;
+use volo_http::client::Client;
+use volo_http::response::Response;
+
+/// Tries before a state that must come is missed.
+const TRIES: usize = 1_500;
+/// Wait between two tries.
+const STEP: Duration = Duration::from_millis(20);
+const LINK: &str = "\
+[link]\nkey = 00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff\n";
+const ADMIN: &str = "an administrator's token";
+const TASK: &str = "[task]\ncpu = 500\n";
+
+struct System {
+    store: MemoryStore,
+    entries: Vec<Entry>,
+    agents: Vec<Agent>,
+    client: Client,
+}
+
+struct Reply {
+    status: StatusCode,
+    etag: Option<String>,
+    body: String,
+}
+
+impl System {
+    async fn start(entries: usize, agents: usize, operators: &str) -> Self {
+        let mut system = Self {
+            store: MemoryStore::new(),
+            entries: Vec::new(),
+            agents: Vec::new(),
+            client: Client::builder().build().unwrap(),
+        };
+        for n in 0..entries {
+            system.start_entry(n, "127.0.0.1:0", operators).await;
+        }
+        for n in 0..agents {
+            system.start_agent(n).await;
+        }
+        system
+    }
+
+    async fn start_entry(&mut self, n: usize, links: &str, operators: &str) {
+        let any = "127.0.0.1:0";
+        let text = format!(
+            "[entry]\nname = entry-{n}\nzone = a\ngrace = 0s\n\
+             callers = {any}\noperators = {any}\nlinks = {links}\n{operators}{LINK}"
+        );
+        let config = EntryConfig::parse(text.as_bytes()).unwrap();
+        let store = Arc::new(self.store.clone());
+        self.entries
+            .push(Entry::start(config, store).await.unwrap());
+    }
+
+    async fn start_agent(&mut self, n: usize) {
+        let links: Vec<_> = self.entries.iter().map(|e| e.links().to_string()).collect();
+        let links = links.join(",");
+        let endpoint = SocketAddr::from(([127, 0, 0, 1], 9));
+        let text = format!(
+            "[agent]\nname = worker-{n}\nzone = a\nrack = a1\nentries = {links}\n\
+             [worker]\ncpu = 16000\nmemory = 60GB\n\
+             [endpoint]\nteam = demo\nservice = echo\naddress = {endpoint}\n{LINK}"
+        );
+        let config = AgentConfig::parse(text.as_bytes()).unwrap();
+        self.agents.push(Agent::start(config).await.unwrap());
+    }
+
+    async fn send(
+        &self,
+        entry: usize,
+        method: Method,
+        path: &str,
+        body: &str,
+        headers: &[(&'static str, &str)],
+    ) -> Reply {
+        let uri = format!("http://{}{path}", self.entries[entry].operators());
+        let call = self.client.request(method, uri);
+        let mut call = call.body(Body::from(body.to_owned()));
+        for (name, value) in headers {
+            call = call.header(*name, *value);
+        }
+        let response: Response = call.send().await.unwrap();
+        let (parts, body) = response.into_parts();
+        let etag = parts.headers.get("etag");
+        let body = read_body(body, 4 << 20).await.unwrap();
+        Reply {
+            status: parts.status,
+            etag: etag.map(|value| value.to_str().unwrap().to_owned()),
+            body: String::from_utf8(body.to_vec()).unwrap(),
+        }
+    }
+
+    async fn put(&self, entry: usize, path: &str, body: &str) -> Reply {
+        let path = format!("/v1/settings/{path}");
+        self.send(entry, Method::PUT, &path, body, &[]).await
+    }
+
+    async fn get(&self, entry: usize, path: &str) -> Reply {
+        self.send(entry, Method::GET, path, "", &[]).await
+    }
+
+    /// Waits until `revision` is in force everywhere.
+    async fn until_in_force(&self, revision: Revision) {
+        for _ in 0..TRIES {
+            let entries = self.entries.iter().map(Entry::settings);
+            let agents = self.agents.iter().map(Agent::settings);
+            if entries.chain(agents).all(|held| held >= revision) {
+                return;
+            }
+            tokio::time::sleep(STEP).await;
+        }
+        panic!("revision {revision} never came into force everywhere");
+    }
+}
+
+fn revision(reply: &Reply) -> Revision {
+    let etag = reply
+        .etag
+        .as_deref()
+        .expect("an accepted change has an ETag");
+    Revision(etag.trim_matches('"').parse().unwrap())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_accepted_change_is_in_force_everywhere_and_shown_so() {
+    let system = System::start(2, 2, "").await;
+    let accepted = system.put(0, "demo/services/echo", "[service]\ntimeout = 9s\n");
+    let accepted = accepted.await;
+    assert_eq!(accepted.status, StatusCode::OK, "{}", accepted.body);
+    system.until_in_force(revision(&accepted)).await;
+    for entry in 0..2 {
+        for tries in 0.. {
+            let status = system.get(entry, "/v1/status").await.body;
+            let status: Value = serde_json::from_str(&status).unwrap();
+            assert_eq!(status["confirmed"], true);
+            if status["agents_in_force"] == 2 {
+                break;
+            }
+            assert!(tries < TRIES, "{status}");
+            tokio::time::sleep(STEP).await;
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_agent_that_joins_late_or_after_its_entry_was_replaced_gets_all_settings() {
+    let mut system = System::start(1, 1, "").await;
+    let path = "demo/services/echo";
+    let first = system.put(0, path, "[service]\ntimeout = 9s\n").await;
+    system.until_in_force(revision(&first)).await;
+    system.start_agent(1).await;
+    system.until_in_force(revision(&first)).await;
+    let links = system.entries[0].links().to_string();
+    system.entries.remove(0).close().await;
+    system.start_entry(0, &links, "").await;
+    let second = system.put(0, path, "[service]\ntimeout = 8s\n").await;
+    assert!(revision(&second) > revision(&first));
+    system.until_in_force(revision(&second)).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn racing_operators_lose_no_update() {
+    let system = Arc::new(System::start(2, 0, "").await);
+    let path = "/v1/settings/demo/batch/count";
+    let mut writers = tokio::task::JoinSet::new();
+    for n in 0..8 {
+        let system = system.clone();
+        writers.spawn(async move {
+            let mut accepted = 0;
+            for _ in 0..5 {
+                let now = system.get(n % 2, path).await;
+                let body = format!("[task]\ncpu = {}\n", cpu(&now) + 1);
+                let condition = match &now.etag {
+                    Some(etag) => ("if-match", etag.as_str()),
+                    None => ("if-none-match", "*"),
+                };
+                let put = system
+                    .send(n % 2, Method::PUT, path, &body, &[condition])
+                    .await;
+                match put.status {
+                    StatusCode::OK => accepted += 1,
+                    StatusCode::PRECONDITION_FAILED => {}
+                    StatusCode::SERVICE_UNAVAILABLE => {
+                        assert!(put.body.starts_with("accepted: no"), "{}", put.body);
+                    }
+                    status => panic!("{status}: {}", put.body),
+                }
+            }
+            accepted
+        });
+    }
+    let accepted: u64 = writers.join_all().await.into_iter().sum();
+    assert!(accepted > 0);
+    assert_eq!(cpu(&system.get(0, path).await), accepted);
+}
+
+fn cpu(reply: &Reply) -> u64 {
+    let value = reply.body.strip_prefix("[task]\ncpu = ");
+    value.map_or(0, |value| value.trim().parse().unwrap())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_quota_and_a_task_that_race_never_contradict_each_other() {
+    for round in 0..10 {
+        let system = System::start(2, 0, "").await;
+        let quota = system.put(0, "demo/quota", "[quota]\ncpu = 400\n");
+        let task = system.put(1, "demo/batch/count", TASK);
+        let (quota, task) = tokio::join!(quota, task);
+        let mut statuses = [quota.status.as_u16(), task.status.as_u16()];
+        statuses.sort_unstable();
+        assert_eq!(statuses, [200, 422], "round {round}");
+    }
+}
+
+struct RefusalCase {
+    path: &'static str,
+    body: &'static [u8],
+    status: u16,
+    reason: &'static str,
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn hostile_paths_and_texts_are_refused() {
+    let system = System::start(1, 0, "").await;
+    let case = |path, body, status, reason| RefusalCase {
+        path,
+        body,
+        status,
+        reason,
+    };
+    let cases = [
+        case("demo/batch/..", b"", 404, "names no settings"),
+        case(
+            "demo/batch/../../other/quota",
+            b"",
+            404,
+            "names no settings",
+        ),
+        case("demo/batch/%2e%2e", b"", 404, "names no settings"),
+        case("demo%2fbatch/x", b"", 404, "names no settings"),
+        case("demo//x", b"", 404, "names no settings"),
+        case("", b"", 404, "names no settings"),
+        case("demo/batch/x", b"[tas", 422, "not INI"),
+        case("demo/batch/x", b"[task]\ncpu = \xff\n", 422, "not UTF-8"),
+        case(
+            "demo/batch/x",
+            b"[task]\ncpu = 1\ncpu = 2\n",
+            422,
+            "key \"cpu\" stands twice in section [task]",
+        ),
+        case("demo/batch/x", &[b'#'; 70_000], 413, ""),
+    ];
+    for case in cases {
+        let uri = format!(
+            "http://{}/v1/settings/{}",
+            system.entries[0].operators(),
+            case.path
+        );
+        let call = system.client.put(uri).body(Body::from(case.body.to_vec()));
+        let response: Response = call.send().await.unwrap();
+        let (parts, body) = response.into_parts();
+        let body = read_body(body, 1 << 20).await.unwrap();
+        let body = String::from_utf8_lossy(&body);
+        assert_eq!(parts.status.as_u16(), case.status, "{}: {body}", case.path);
+        assert!(body.contains(case.reason), "{}: {body}", case.path);
+    }
+    assert!(system.store.range("/").await.unwrap().items.is_empty());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_is_answered_truly_while_the_store_fails() {
+    let system = System::start(1, 0, "").await;
+    system.store.lose_answers(1);
+    let lost = system.put(0, "demo/batch/count", TASK).await;
+    assert_eq!(lost.status, StatusCode::OK, "{}", lost.body);
+    system.store.set_down(true);
+    let down = system.put(0, "demo/batch/count", "[task]\n").await;
+    assert_eq!(down.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(down.body.starts_with("accepted: no\n"), "{}", down.body);
+    system.store.set_down(false);
+    let now = system.get(0, "/v1/settings/demo/batch/count").await;
+    assert_eq!(now.body, TASK);
+    assert_eq!(now.etag, lost.etag);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_bad_value_in_the_store_is_kept_out_and_named_in_the_status() {
+    let system = System::start(1, 0, "").await;
+    let commit = Commit {
+        compares: Vec::new(),
+        writes: vec![Write::Put {
+            key: "/parsleytally/teams/demo/quota".to_owned(),
+            value: b"[quota]\ncpu = lots\n".to_vec(),
+            lease: None,
+        }],
+    };
+    let outcome = system.store.commit(commit).await.unwrap();
+    let (Outcome::Committed(revision) | Outcome::Conflict(revision)) = outcome;
+    system.until_in_force(revision).await;
+    let status = system.get(0, "/v1/status").await.body;
+    let status: Value = serde_json::from_str(&status).unwrap();
+    let bad = &status["bad_settings"][0];
+    assert_eq!(bad["key"], "/parsleytally/teams/demo/quota");
+    assert!(
+        bad["reason"].as_str().unwrap().contains("\"lots\""),
+        "{bad}"
+    );
+    let metrics = system.get(0, "/metrics").await.body;
+    assert!(metrics.contains("parsleytally_entry_bad_settings 1"));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_team_token_opens_its_own_subtree_only() {
+    let hash = blake3::hash(ADMIN.as_bytes()).to_hex();
+    let operators = format!("[operators]\ntoken-hash = {hash}\n");
+    let system = System::start(1, 0, &operators).await;
+    let put = async |path: &str, body: &str, token: Option<&str>| {
+        let path = format!("/v1/settings/{path}");
+        let header = token.map(|token| format!("Bearer {token}"));
+        let header = header
+            .as_ref()
+            .map(|value| ("authorization", value.as_str()));
+        let headers: Vec<_> = header.into_iter().collect();
+        system.send(0, Method::PUT, &path, body, &headers).await
+    };
+    let token = format!("[token]\nhash = {}\n", blake3::hash(b"demo-token").to_hex());
+    assert_eq!(put("demo/token", &token, None).await.status, 401);
+    assert_eq!(put("demo/token", &token, Some("x")).await.status, 403);
+    let set = put("demo/token", &token, Some(ADMIN)).await;
+    assert_eq!(set.status, 200, "{}", set.body);
+    system.until_in_force(revision(&set)).await;
+    let own = put("demo/batch/count", TASK, Some("demo-token")).await;
+    assert_eq!(own.status, 200, "{}", own.body);
+    let other = put("other/batch/count", TASK, Some("demo-token")).await;
+    assert_eq!(other.status, 403);
+    let read = system.get(0, "/v1/settings/demo/batch/count").await;
+    assert_eq!(read.status, 401);
+    let status = system.get(0, "/v1/status").await.body;
+    assert!(!status.contains("demo-token") && !status.contains(ADMIN));
+}
