perf(path): few threads for entry and agent by default

Cause: both ran one thread a core. A request passes several tasks, and with idle threads at hand each hand-over wakes one: `perf record -g` on the entry at 3,000 requests a second shows 37% of the time in system calls, 12% in futex.

Change: settings `[entry] threads` (2) and `[agent] threads` (1).

--- a/crates/parsleytally-agent/src/config.rs
+++ b/crates/parsleytally-agent/src/config.rs
@@ -1,6 +1,7 @@
 //! Settings of an agent's process, in INI.
 
 use std::net::SocketAddr;
+use std::num::NonZeroUsize;
 use std::time::Duration;
 
 use parsleytally::configs::{ConfigError, Document, LimitsConfig, OnceConfig};
@@ -24,6 +25,8 @@
     pub operators: SocketAddr,
     /// Longest wait for requests in flight at shutdown: `[agent] drain`.
     pub drain: Duration,
+    /// Threads for links and requests: `[agent] threads`.
+    pub threads: NonZeroUsize,
     /// The endpoint beside the agent: section `[endpoint]`.
     pub endpoint: EndpointConfig,
     /// Idempotency keys: section `[once]`.
@@ -45,6 +48,8 @@
     pub limits: LimitsConfig,
 }
 
+/// Default number of threads for links and requests.
+const DEFAULT_THREADS: NonZeroUsize = NonZeroUsize::MIN;
 /// Default longest wait for requests in flight at shutdown.
 const DEFAULT_DRAIN: Duration = Duration::from_secs(30);
 
@@ -67,6 +72,7 @@
             rack: agent.require("rack")?,
             entries: agent.take_with("entries", Vec::new(), parse_addresses)?,
             operators: agent.take_or("operators", any_port)?,
+            threads: agent.take_or("threads", DEFAULT_THREADS)?,
             drain: agent.take_with("drain", DEFAULT_DRAIN, humantime::parse_duration)?,
             endpoint: EndpointConfig {
                 service: ServiceKey {
--- a/crates/parsleytally-agent/src/main.rs
+++ b/crates/parsleytally-agent/src/main.rs
@@ -21,8 +21,21 @@
     run(config)
 }
 
-#[tokio::main]
-async fn run(config: AgentConfig) -> ExitCode {
+fn run(config: AgentConfig) -> ExitCode {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(config.threads.get())
+        .enable_all()
+        .build();
+    match runtime {
+        Ok(runtime) => runtime.block_on(serve(config)),
+        Err(error) => {
+            eprintln!("threads did not start: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn serve(config: AgentConfig) -> ExitCode {
     logs::start();
     spans::start();
     let stop = command::terminated();
--- a/crates/parsleytally-entry/src/config.rs
+++ b/crates/parsleytally-entry/src/config.rs
@@ -1,6 +1,7 @@
 //! Settings of an entry's process, in INI.
 
 use std::net::SocketAddr;
+use std::num::NonZeroUsize;
 use std::time::Duration;
 
 use parsleytally::configs::{
@@ -27,6 +28,8 @@
     pub grace: Duration,
     /// Longest wait for requests in flight at shutdown: `[entry] drain`.
     pub drain: Duration,
+    /// Threads for callers, links and operators: `[entry] threads`.
+    pub threads: NonZeroUsize,
     /// What is sent again after a failure: section `[retry]`.
     pub retry: RetryConfig,
     /// Idempotency keys; only `ttl` matters here: section `[once]`.
@@ -42,6 +45,8 @@
 
 /// Default time for the balancer to notice a shutdown.
 const DEFAULT_GRACE: Duration = Duration::from_secs(5);
+/// Default number of threads for callers, links and operators.
+const DEFAULT_THREADS: NonZeroUsize = NonZeroUsize::MIN.saturating_add(1);
 /// Default longest wait for requests in flight at shutdown.
 const DEFAULT_DRAIN: Duration = Duration::from_secs(30);
 /// Default port for callers.
@@ -62,6 +67,7 @@
             links: loopback(LINKS_PORT),
             grace: DEFAULT_GRACE,
             drain: DEFAULT_DRAIN,
+            threads: DEFAULT_THREADS,
             retry: RetryConfig::default(),
             once: OnceConfig::default(),
             link,
@@ -91,6 +97,7 @@
             operators: entry.take_or("operators", base.operators)?,
             links: entry.take_or("links", base.links)?,
             grace: entry.take_with("grace", base.grace, humantime::parse_duration)?,
+            threads: entry.take_or("threads", base.threads)?,
             drain: entry.take_with("drain", base.drain, humantime::parse_duration)?,
             retry: RetryConfig::take(&mut retry)?,
             once: OnceConfig::take(&mut once)?,
--- a/crates/parsleytally-entry/src/main.rs
+++ b/crates/parsleytally-entry/src/main.rs
@@ -77,8 +77,16 @@
     Ok(())
 }
 
-#[tokio::main]
-async fn run(config: EntryConfig) -> Result<(), ExitCode> {
+fn run(config: EntryConfig) -> Result<(), ExitCode> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(config.threads.get())
+        .enable_all()
+        .build()
+        .map_err(|error| failed(&error))?;
+    runtime.block_on(serve(config))
+}
+
+async fn serve(config: EntryConfig) -> Result<(), ExitCode> {
     logs::start();
     spans::start();
     let stop = command::terminated();
