fix(entry): a shutdown refuses new connections and closes the old ones

Cause: the HTTP library goes on accepting until its own shutdown, so a caller could connect after the drain and wait for an answer that never came. Ruled out: ending the library's accept loop by an error or by no connection; in two trials it looped on both without end. Change: the listener is dropped when the grace time is over; answers given while draining carry Connection: close. Conclusion: what is in flight is answered whole, what is new is refused by the system at once.

--- a/crates/parsleytally-entry/src/callers.rs
+++ b/crates/parsleytally-entry/src/callers.rs
@@ -1,12 +1,13 @@
 //! Callers' HTTP: `ANY /{team}/{service}/…` goes to an endpoint of that service.
 
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use fastrace::Span;
 use fastrace::collector::SpanContext;
 use fastrace::future::FutureExt;
-use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
 use parsleytally::configs::RetryConfig;
 use parsleytally::once::{KeyHash, MAX_KEY_BYTES};
 use parsleytally::retry::{Outcome, is_idempotent};
@@ -42,6 +43,7 @@
     attempts: Attempts,
     metrics: Metrics,
     in_flight: AtomicU64,
+    draining: Arc<AtomicBool>,
 }
 
 /// What a failed request is answered with.
@@ -91,12 +93,18 @@
 }
 
 impl Callers {
-    pub(crate) fn new(directory: DirectoryRing, retry: RetryConfig, metrics: Metrics) -> Self {
+    pub(crate) fn new(
+        directory: DirectoryRing,
+        retry: RetryConfig,
+        metrics: Metrics,
+        draining: Arc<AtomicBool>,
+    ) -> Self {
         let Incarnation(seed) = Clock::incarnation();
         Self {
             attempts: Attempts::new(directory, retry, seed),
             metrics,
             in_flight: AtomicU64::new(0),
+            draining,
         }
     }
 
@@ -110,11 +118,16 @@
         let start = Instant::now();
         let outcome = self.forward(request, &span).await;
         self.metrics.latency.observe(start.elapsed().as_secs_f64());
-        let (label, response) = match outcome {
+        let (label, mut response) = match outcome {
             Ok(answer) => ("answered", into_response(answer)),
             Err(problem) => (problem.outcome, problem.into_response()),
         };
         self.metrics.requests.with_label_values(&[label]).inc();
+        if self.draining.load(Ordering::SeqCst) {
+            // The caller's next request opens a connection to another entry.
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(header::CONNECTION, close);
+        }
         response
     }
 
--- a/crates/parsleytally-entry/src/entry.rs
+++ b/crates/parsleytally-entry/src/entry.rs
@@ -131,6 +131,7 @@
             directory.ring(),
             config.retry.clone(),
             metrics,
+            draining.clone(),
         ));
         let caller_server = HttpServer::start(config.callers, callers.clone()).await;
         let caller_server = caller_server.context(BindSnafu { server: "callers" })?;
@@ -171,6 +172,7 @@
     pub async fn close(self) {
         self.draining.store(true, Ordering::SeqCst);
         sleep(self.config.grace).await;
+        self.caller_server.stop_accepting();
         let limit = Instant::now() + self.config.drain;
         while self.callers.in_flight() > 0 && Instant::now() < limit {
             sleep(DRAIN_STEP).await;
--- a/crates/parsleytally-entry/tests/whole_path.rs
+++ b/crates/parsleytally-entry/tests/whole_path.rs
@@ -7,6 +7,8 @@
 use parsleytally_platform::process::http::read_body;
 use parsleytally_platform::process::spans;
 use serde_json::Value;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use volo_http::body::Body;
 use volo_http::client::Client;
 use volo_http::response::Response;
@@ -230,3 +232,26 @@
     assert_eq!(now.body, text);
     system.all.close().await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_shutdown_answers_what_is_in_flight_and_closes_its_connection() {
+    let system = System::start().await;
+    let callers = system.all.entry().callers();
+    let mut caller = TcpStream::connect(callers).await.unwrap();
+    let request = b"GET /demo/echo/sleep/1000 HTTP/1.1\r\nhost: demo\r\n\r\n";
+    caller.write_all(request).await.unwrap();
+    let in_flight = "parsleytally_entry_in_flight 1";
+    system
+        .until("/metrics", |body| body.contains(in_flight))
+        .await;
+    let mut answer = String::new();
+    let (_, read) = tokio::join!(system.all.close(), caller.read_to_string(&mut answer));
+    read.unwrap();
+    assert!(answer.starts_with("HTTP/1.1 200 OK"), "{answer}");
+    assert!(answer.contains("connection: close"), "{answer}");
+    assert!(
+        answer.ends_with("\"path\":\"/echo/sleep/1000\"}"),
+        "{answer}"
+    );
+    assert!(TcpStream::connect(callers).await.is_err());
+}
--- a/crates/parsleytally-platform/src/process/http.rs
+++ b/crates/parsleytally-platform/src/process/http.rs
@@ -13,7 +13,8 @@
 use snafu::{ResultExt, Snafu};
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
-use volo::net::incoming::DefaultIncoming;
+use volo::net::conn::Conn;
+use volo::net::incoming::{Incoming, MakeIncoming};
 use volo::service::Service;
 use volo_http::body::Body;
 use volo_http::context::ServerContext;
@@ -59,10 +60,39 @@
 #[derive(Debug)]
 pub struct HttpServer {
     address: SocketAddr,
+    full: CancellationToken,
     stop: CancellationToken,
     task: tokio::task::JoinHandle<()>,
 }
 
+/// A listener that is dropped once no further connection is accepted, so that
+/// callers are refused instead of left waiting in the system's queue.
+#[derive(Debug)]
+struct Gate {
+    listener: Option<TcpListener>,
+    full: CancellationToken,
+}
+
+impl Incoming for Gate {
+    async fn accept(&mut self) -> std::io::Result<Option<Conn>> {
+        if let Some(listener) = &self.listener
+            && let Some(accepted) = self.full.run_until_cancelled(listener.accept()).await
+        {
+            return accepted.map(|(stream, _)| Some(Conn::from(stream)));
+        }
+        self.listener = None;
+        std::future::pending().await
+    }
+}
+
+impl MakeIncoming for Gate {
+    type Incoming = Self;
+
+    async fn make_incoming(self) -> std::io::Result<Self> {
+        Ok(self)
+    }
+}
+
 struct Shared(Arc<dyn Handler>);
 
 impl Service<ServerContext, Request> for Shared {
@@ -85,10 +115,16 @@
             .await
             .context(BindSnafu { address })?;
         let address = listener.local_addr().context(BindSnafu { address })?;
+        let full = CancellationToken::new();
         let stop = CancellationToken::new();
-        let task = tokio::spawn(run(listener, handler, stop.clone()));
+        let gate = Gate {
+            listener: Some(listener),
+            full: full.clone(),
+        };
+        let task = tokio::spawn(run(gate, handler, stop.clone()));
         Ok(Self {
             address,
+            full,
             stop,
             task,
         })
@@ -99,20 +135,26 @@
         self.address
     }
 
+    /// Accepts no further connection; the open ones are still served.
+    pub fn stop_accepting(&self) {
+        self.full.cancel();
+    }
+
     /// Stops accepting and drops what is still open.
     pub async fn close(self) {
+        self.stop_accepting();
         self.stop.cancel();
         self.task.abort();
         let _ = self.task.await;
     }
 }
 
-async fn run(listener: TcpListener, handler: Arc<dyn Handler>, stop: CancellationToken) {
+async fn run(gate: Gate, handler: Arc<dyn Handler>, stop: CancellationToken) {
     // The library begins its own shutdown on SIGTERM; the hook holds it back until
     // the process has drained.
     let server = Server::new(Shared(handler))
         .register_shutdown_hook(move || Box::pin(async move { stop.cancelled().await }));
-    if let Err(error) = server.run(DefaultIncoming::from(listener)).await {
+    if let Err(error) = server.run(gate).await {
         log::error!("HTTP server ended: {error}");
     }
 }
