--- a/crates/parsleytally-entry/src/entry.rs
+++ b/crates/parsleytally-entry/src/entry.rs
@@ -79,6 +79,9 @@
     /// Returns [`StartError`] when an address or a thread is not to be had.
     pub async fn start(config: EntryConfig, store: Arc<dyn Store>) -> Result<Self, StartError> {
         let metrics = Metrics::new().context(MetricsSnafu)?;
+        if let Some(calls) = store.metrics() {
+            metrics.show_calls(calls).context(MetricsSnafu)?;
+        }
         let hello = hello(&config);
         let directory = Directory::start(&hello, config.once.ttl, metrics.clone());
         let directory = directory.context(ThreadSnafu)?;
--- a/crates/parsleytally-entry/src/metrics.rs
+++ b/crates/parsleytally-entry/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Counters and gauges of an entry.
 
+use parsleytally_platform::store::CallMetrics;
 use prometheus::{
     Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
     TextEncoder,
@@ -105,6 +106,11 @@
         self.registry.register(Box::new(self.tasks.clone()))
     }
 
+    /// Shows the calls to the platform's store as well.
+    pub(crate) fn show_calls(&self, calls: &CallMetrics) -> prometheus::Result<()> {
+        calls.register(&self.registry)
+    }
+
     /// All metrics in the text format of Prometheus.
     pub(crate) fn text(&self) -> String {
         let mut bytes = Vec::new();
--- a/crates/parsleytally-entry/tests/settings.rs
+++ b/crates/parsleytally-entry/tests/settings.rs
@@ -323,6 +323,7 @@
     );
     let metrics = system.get(0, "/metrics").await.body;
     assert!(metrics.contains("parsleytally_entry_bad_settings 1"));
+    assert!(metrics.contains("parsleytally_store_calls_total{call=\"range\"}"));
 }
 
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/parsleytally-platform/src/store/etcd/mod.rs
+++ b/crates/parsleytally-platform/src/store/etcd/mod.rs
@@ -246,6 +246,10 @@
 }
 
 impl Store for EtcdStore {
+    fn metrics(&self) -> Option<&CallMetrics> {
+        Some(&self.metrics)
+    }
+
     fn range<'a>(&'a self, prefix: &'a str) -> StoreFuture<'a, Snapshot> {
         Box::pin(async move {
             let (key, range_end) = prefix_range(prefix);
--- a/crates/parsleytally-platform/src/store/memory.rs
+++ b/crates/parsleytally-platform/src/store/memory.rs
@@ -404,6 +404,10 @@
 }
 
 impl Store for MemoryStore {
+    fn metrics(&self) -> Option<&CallMetrics> {
+        Some(&self.shared.metrics)
+    }
+
     fn range<'a>(&'a self, prefix: &'a str) -> StoreFuture<'a, Snapshot> {
         Box::pin(async move {
             self.enter(CallKind::Range).await?;
--- a/crates/parsleytally-platform/src/store/mod.rs
+++ b/crates/parsleytally-platform/src/store/mod.rs
@@ -219,6 +219,11 @@
     /// Renews a lease and returns its remaining time.
     fn renew(&self, lease: LeaseId) -> StoreFuture<'_, Duration>;
 
+    /// Counters of the calls, where the store keeps them.
+    fn metrics(&self) -> Option<&CallMetrics> {
+        None
+    }
+
     /// Opens a watch for the changes under `prefix` whose revision is above `from`.
     fn watch<'a>(&'a self, prefix: &'a str, from: Revision) -> StoreFuture<'a, Box<dyn Watch>>;
 }
--- a/crates/parsleytally/src/configs/batch.rs
+++ b/crates/parsleytally/src/configs/batch.rs
@@ -4,9 +4,15 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::check::{at_least_one, class, duration, short};
 use super::{ConfigError, Document};
 use crate::types::{MilliCpu, Resources};
 
+/// Longest declared run time.
+const MAX_RUN_TIME: Duration = Duration::from_secs(30 * 24 * 3_600);
+/// Longest command, in bytes.
+const MAX_COMMAND_BYTES: usize = 4_096;
+
 /// A batch task as its team declares it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BatchConfig {
@@ -46,14 +52,14 @@
         let mut task = document.take("task");
         let config = Self {
             need: Resources {
-                cpu: MilliCpu(task.take_or("cpu", base.need.cpu.0)?),
+                cpu: MilliCpu(task.take_with("cpu", base.need.cpu.0, at_least_one)?),
                 memory: task.take_or("memory", base.need.memory)?,
                 accelerators: task.take_or("accelerators", base.need.accelerators)?,
             },
-            run_time: task.take_with("run-time", base.run_time, humantime::parse_duration)?,
-            class: task.take_or("class", base.class)?,
+            run_time: task.take_with("run-time", base.run_time, duration(MAX_RUN_TIME))?,
+            class: task.take_with("class", base.class, class)?,
             urgent: task.take_or("urgent", base.urgent)?,
-            command: task.take_or("command", base.command)?,
+            command: task.take_with("command", base.command, short(MAX_COMMAND_BYTES))?,
         };
         task.finish()?;
         document.finish()?;
--- a/crates/parsleytally/src/configs/ini.rs
+++ b/crates/parsleytally/src/configs/ini.rs
@@ -166,6 +166,8 @@
         default: T,
         convert: impl FnOnce(&str) -> Result<T, E>,
     ) -> Result<T, ConfigError> {
+        #[cfg(test)]
+        super::tests::note_asked(&self.name, key);
         let Some(value) = self.values.remove(key) else {
             return Ok(default);
         };
--- a/crates/parsleytally/src/configs/mod.rs
+++ b/crates/parsleytally/src/configs/mod.rs
@@ -5,6 +5,7 @@
 //! reason; unknown sections and keys are problems.
 
 mod batch;
+mod check;
 mod deployment;
 mod estimates;
 mod health;
@@ -13,6 +14,7 @@
 mod limits;
 mod membership;
 mod once;
+pub mod options;
 mod placement;
 mod quota;
 mod retry;
--- a/crates/parsleytally/src/configs/quota.rs
+++ b/crates/parsleytally/src/configs/quota.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::check::at_least_one;
 use super::{ConfigError, Document};
 use crate::types::{MilliCpu, Resources};
 
@@ -39,7 +40,7 @@
                 memory: quota.take_or("memory", base.limit.memory)?,
                 accelerators: quota.take_or("accelerators", base.limit.accelerators)?,
             },
-            weight: quota.take_or("weight", base.weight)?,
+            weight: quota.take_with("weight", base.weight, at_least_one)?,
         };
         quota.finish()?;
         document.finish()?;
--- a/crates/parsleytally/src/configs/service.rs
+++ b/crates/parsleytally/src/configs/service.rs
@@ -4,8 +4,12 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::check::{class, duration};
 use super::{ConfigError, Document};
 
+/// Longest target and longest timeout.
+const MAX_TIMEOUT: Duration = Duration::from_secs(3_600);
+
 /// A latency-critical service as its team declares it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServiceConfig {
@@ -38,9 +42,9 @@
         let mut document = Document::parse(text)?;
         let mut service = document.take("service");
         let config = Self {
-            target: service.take_with("target", base.target, humantime::parse_duration)?,
-            timeout: service.take_with("timeout", base.timeout, humantime::parse_duration)?,
-            class: service.take_or("class", base.class)?,
+            target: service.take_with("target", base.target, duration(MAX_TIMEOUT))?,
+            timeout: service.take_with("timeout", base.timeout, duration(MAX_TIMEOUT))?,
+            class: service.take_with("class", base.class, class)?,
         };
         service.finish()?;
         document.finish()?;
--- a/crates/parsleytally/src/configs/store.rs
+++ b/crates/parsleytally/src/configs/store.rs
@@ -5,8 +5,12 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::check::{at_least_one, duration};
 use super::{ConfigError, Document};
 
+/// Longest deadline and longest pause.
+const MAX_WAIT: Duration = Duration::from_secs(60);
+
 /// Addresses of the store and the bounds of a process's calls to it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoreConfig {
@@ -49,15 +53,15 @@
     pub fn take(document: &mut Document) -> Result<Self, ConfigError> {
         let base = Self::default();
         let mut store = document.take("store");
-        let duration = humantime::parse_duration;
+        let wait = duration(MAX_WAIT);
         let config = Self {
             endpoints: store.take_with("endpoints", base.endpoints, parse_addresses)?,
-            deadline: store.take_with("deadline", base.deadline, duration)?,
-            hedge_after: store.take_with("hedge-after", base.hedge_after, duration)?,
-            rate: store.take_with("rate", base.rate, parse_positive)?,
-            burst: store.take_with("burst", base.burst, parse_positive)?,
-            backoff_min: store.take_with("backoff-min", base.backoff_min, duration)?,
-            backoff_max: store.take_with("backoff-max", base.backoff_max, duration)?,
+            deadline: store.take_with("deadline", base.deadline, &wait)?,
+            hedge_after: store.take_with("hedge-after", base.hedge_after, &wait)?,
+            rate: store.take_with("rate", base.rate, at_least_one)?,
+            burst: store.take_with("burst", base.burst, at_least_one)?,
+            backoff_min: store.take_with("backoff-min", base.backoff_min, &wait)?,
+            backoff_max: store.take_with("backoff-max", base.backoff_max, &wait)?,
         };
         store.finish()?;
         Ok(config)
@@ -67,11 +71,3 @@
 fn parse_addresses(text: &str) -> Result<Vec<SocketAddr>, std::net::AddrParseError> {
     text.split(',').map(|part| part.trim().parse()).collect()
 }
-
-fn parse_positive(text: &str) -> Result<u32, String> {
-    let number: u32 = text.parse().map_err(|e| format!("{e}"))?;
-    if number == 0 {
-        return Err("must be at least 1".to_owned());
-    }
-    Ok(number)
-}
--- a/crates/parsleytally/src/configs/tests.rs
+++ b/crates/parsleytally/src/configs/tests.rs
@@ -1,5 +1,9 @@
 //! Tests of the settings texts.
 
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+
+use super::options::ConfigOption;
 use super::*;
 use crate::types::Resources;
 
@@ -94,3 +98,156 @@
     let empty = DeploymentConfig::parse(b"").unwrap();
     assert_eq!(empty, DeploymentConfig::default());
 }
+
+thread_local! {
+    /// Keys that parsers on this thread have asked for, by section.
+    static ASKED: RefCell<BTreeSet<(String, String)>> = RefCell::default();
+}
+
+/// Notes that a parser has asked for a key.
+pub(super) fn note_asked(section: &str, key: &str) {
+    let asked = (section.to_owned(), key.to_owned());
+    ASKED.with_borrow_mut(|all| all.insert(asked));
+}
+
+struct OptionsCase {
+    place: &'static str,
+    options: Vec<ConfigOption>,
+    /// Parses a text; whether it gives the defaults.
+    is_default: fn(&[u8]) -> Result<bool, ConfigError>,
+}
+
+fn options_cases() -> [OptionsCase; 6] {
+    let store = |text: &[u8]| {
+        let mut document = Document::parse(text)?;
+        let config = StoreConfig::take(&mut document)?;
+        document.finish()?;
+        Ok(config == StoreConfig::default())
+    };
+    [
+        OptionsCase {
+            place: "TEAM/services/NAME",
+            options: options::service_options(),
+            is_default: |text| Ok(ServiceConfig::parse(text)? == ServiceConfig::default()),
+        },
+        OptionsCase {
+            place: "TEAM/batch/NAME",
+            options: options::batch_options(),
+            is_default: |text| Ok(BatchConfig::parse(text)? == BatchConfig::default()),
+        },
+        OptionsCase {
+            place: "TEAM/quota",
+            options: options::quota_options(),
+            is_default: |text| Ok(QuotaConfig::parse(text)? == QuotaConfig::default()),
+        },
+        OptionsCase {
+            place: "TEAM/token",
+            options: options::token_options(),
+            is_default: |text| match TokenConfig::parse(text) {
+                Err(ConfigError::MissingKey { .. }) => Ok(true),
+                other => Ok(other? == TokenConfig::default()),
+            },
+        },
+        OptionsCase {
+            place: "_deployment",
+            options: options::deployment_options(),
+            is_default: |text| Ok(DeploymentConfig::parse(text)? == DeploymentConfig::default()),
+        },
+        OptionsCase {
+            place: "process, `[store]`",
+            options: options::store_options(),
+            is_default: store,
+        },
+    ]
+}
+
+/// A text with the default of every option that has one.
+fn text_of(options: &[ConfigOption]) -> String {
+    let mut text = String::new();
+    let mut section = "";
+    for option in options {
+        let Some(default) = &option.default else {
+            continue;
+        };
+        if option.section != section {
+            section = option.section;
+            text += &format!("[{section}]\n");
+        }
+        text += &format!("{} = {default}\n", option.key);
+    }
+    text
+}
+
+#[test]
+fn the_options_are_those_that_the_parsers_know_with_their_defaults() {
+    for case in options_cases() {
+        ASKED.take();
+        let text = text_of(&case.options);
+        let is_default = (case.is_default)(text.as_bytes());
+        assert_eq!(is_default, Ok(true), "{}: {text}", case.place);
+        (case.is_default)(b"").unwrap();
+        let mut asked = ASKED.take();
+        if case.place == "TEAM/token" {
+            // The parser stops at the required key.
+            asked.insert(("token".to_owned(), "previous".to_owned()));
+        }
+        let listed = case.options.iter();
+        let listed = listed.map(|o| (o.section.to_owned(), o.key.to_owned()));
+        assert_eq!(listed.collect::<BTreeSet<_>>(), asked, "{}", case.place);
+    }
+}
+
+#[test]
+fn the_operators_page_lists_every_option() {
+    let page = include_str!("../../../../docs/operators/settings.md");
+    let mut rows = Vec::new();
+    for case in options_cases() {
+        rows.push(format!("### {}", case.place));
+        for option in case.options {
+            let default = option.default.as_deref();
+            let default = default.map_or(String::new(), |text| format!("`{text}`"));
+            rows.push(format!(
+                "| `[{}] {}` | {default} | {} | {} |",
+                option.section, option.key, option.unit, option.meaning
+            ));
+        }
+    }
+    let listed = page.lines();
+    let listed = listed.filter(|line| line.starts_with("### ") || line.starts_with("| `["));
+    assert_eq!(listed.collect::<Vec<_>>(), rows);
+}
+
+#[test]
+fn values_out_of_bounds_are_refused() {
+    let cases = [
+        RefusalCase {
+            text: b"[task]\ncpu = 0\n",
+            error: "value \"0\" of key \"cpu\" in section [task]: expected at least 1",
+        },
+        RefusalCase {
+            text: b"[task]\nrun-time = 0s\n",
+            error: "value \"0s\" of key \"run-time\" in section [task]: \
+                    expected more than 0 and at most 30days",
+        },
+        RefusalCase {
+            text: b"[task]\nrun-time = 31days\n",
+            error: "value \"31days\" of key \"run-time\" in section [task]: \
+                    expected more than 0 and at most 30days",
+        },
+        RefusalCase {
+            text: b"[task]\nclass = ../x\n",
+            error: "value \"../x\" of key \"class\" in section [task]: \"../x\" is not a name: \
+                    expected 1 to 63 of a-z, 0-9, '-', '_' and '.', starting with a letter or digit",
+        },
+    ];
+    for case in cases {
+        let error = BatchConfig::parse(case.text).unwrap_err();
+        assert_eq!(error.to_string(), case.error);
+    }
+    let long = format!("[task]\ncommand = {}\n", "x".repeat(4_097));
+    assert!(BatchConfig::parse(long.as_bytes()).is_err());
+    assert!(ServiceConfig::parse(b"[service]\ntimeout = 0s\n").is_err());
+    assert!(ServiceConfig::parse(b"[service]\ntarget = 2h\n").is_err());
+    assert!(QuotaConfig::parse(b"[quota]\nweight = 0\n").is_err());
+    assert!(TokenConfig::parse(b"[token]\nhash = 12\n").is_err());
+}
