perf(placement): a backlog without room costs little and blocks nobody

Change: a need without room is remembered for all classes unless interference ruled workers out; queues in which nothing is worth a try are skipped until something changes, and long ones are looked at in turns.

--- a/crates/parsleytally/src/placement/decide.rs
+++ b/crates/parsleytally/src/placement/decide.rs
@@ -10,6 +10,22 @@
 /// Part of the fleet, as a divisor, past which no further worker is reserved.
 const RESERVED_DIVISOR: usize = 16;
 
+/// What ruled workers with room out.
+#[derive(Debug, Clone, Copy, Default)]
+struct NoRoom {
+    /// A service would be harmed by the task's class.
+    strained: bool,
+    /// The task is kept off a worker that others may use.
+    avoided: bool,
+}
+
+impl NoRoom {
+    fn note(&mut self, reason: Reason) {
+        self.strained |= reason == Reason::Interference;
+        self.avoided |= reason == Reason::RefusedTask;
+    }
+}
+
 impl Placement {
     /// Places waiting tasks, urgent ones first, within the bounds of one round.
     pub(super) fn round(&mut self, now: Time, slowdown: &dyn Slowdown, out: &mut Vec<Output>) {
@@ -17,6 +33,7 @@
         self.expire_reservations(now);
         if now.since(self.cleared) >= self.config.assume {
             self.failed.clear();
+            self.forgotten += 1;
             self.cleared = now;
         }
         let mut left = self.config.attempts;
@@ -43,7 +60,7 @@
         out: &mut Vec<Output>,
     ) -> u32 {
         let total = self.fleet.total;
-        let mut turns = self.queue.turns(lane, &total);
+        let mut turns = self.queue.turns(lane, &total, self.forgotten);
         let mut starts = 0;
         while let Some((_, team)) = turns.pop_first() {
             if *left == 0 || starts == most {
@@ -71,9 +88,14 @@
             return false;
         };
         let depth = self.config.depth.min(*left);
-        let heads = queue.lane(lane).values().take(self.config.look);
+        let (look, state) = (self.config.look, self.forgotten);
+        let heads = queue.look(lane, look, state).into_iter();
         let worth = heads.filter(|task| self.worth_trying(task)).take(depth);
-        for task in worth.cloned().collect::<Vec<_>>() {
+        let worth = worth.cloned().collect::<Vec<_>>();
+        if worth.is_empty() {
+            self.queue.team(team).look_past(lane, look, state);
+        }
+        for task in worth {
             *left -= 1;
             if self.attempt(now, &task, slowdown, out) {
                 return true;
@@ -87,7 +109,7 @@
             return false;
         };
         let request = &entry.request;
-        let hopeless = |f: &Failed| f.class == request.class && f.need.fits(&request.need);
+        let hopeless = |f: &Failed| f.covers(&request.class, &request.need);
         let reserved = entry.reserved.is_some();
         self.within_quota(request) && (reserved || !self.failed.iter().any(hopeless))
     }
@@ -107,26 +129,30 @@
             return false;
         }
         match self.choose(task, slowdown) {
-            Some(at) => {
+            Ok(at) => {
                 self.place(now, task, at, out);
                 true
             }
-            None => {
-                self.no_room(now, task);
+            Err(no_room) => {
+                self.no_room(now, task, no_room);
                 false
             }
         }
     }
 
     /// Picks the candidate with the lowest penalty.
-    fn choose(&mut self, task: &TaskKey, slowdown: &dyn Slowdown) -> Option<usize> {
-        let entry = self.tasks.get(task)?;
-        if let Some(at) = entry.reserved.as_ref().and_then(|n| self.fleet.find(n)) {
-            let worker = self.fleet.get(at)?;
-            if self.judge(worker, entry, slowdown).is_ok() {
-                return Some(at);
-            }
+    fn choose(&mut self, task: &TaskKey, slowdown: &dyn Slowdown) -> Result<usize, NoRoom> {
+        let Some(entry) = self.tasks.get(task) else {
+            return Err(NoRoom::default());
+        };
+        let reserved = entry.reserved.as_ref().and_then(|n| self.fleet.find(n));
+        if let Some(at) = reserved
+            && let Some(worker) = self.fleet.get(at)
+            && self.judge(worker, entry, slowdown).is_ok()
+        {
+            return Ok(at);
         }
+        let mut no_room = NoRoom::default();
         let mut rng = self.rng.clone();
         let mut best: Option<(f64, usize)> = None;
         let mut found = 0;
@@ -137,17 +163,22 @@
             let Some(worker) = self.fleet.get(at) else {
                 return true;
             };
-            if let Ok(strain) = self.judge(worker, entry, slowdown) {
-                let sum = penalty(worker, &entry.request, strain, &self.spread, &self.config);
-                if best.is_none_or(|(lowest, _)| sum < lowest) {
-                    best = Some((sum, at));
+            let strain = match self.judge(worker, entry, slowdown) {
+                Ok(strain) => strain,
+                Err(reason) => {
+                    no_room.note(reason);
+                    return true;
                 }
-                found += 1;
+            };
+            let sum = penalty(worker, &entry.request, strain, &self.spread, &self.config);
+            if best.is_none_or(|(lowest, _)| sum < lowest) {
+                best = Some((sum, at));
             }
+            found += 1;
             found < wanted
         });
         self.rng = rng;
-        best.map(|(_, at)| at)
+        best.map(|(_, at)| at).ok_or(no_room)
     }
 
     /// Expected strain on the worker, or the reason that rules it out.
@@ -199,19 +230,22 @@
     }
 
     /// Remembers that a need found no room; reserves a worker after a long wait.
-    fn no_room(&mut self, now: Time, task: &TaskKey) {
+    fn no_room(&mut self, now: Time, task: &TaskKey, no_room: NoRoom) {
         let Some(entry) = self.tasks.get_mut(task) else {
             return;
         };
         let (class, need) = (entry.request.class.clone(), entry.request.need);
-        let refused = !std::mem::take(&mut entry.avoid).is_empty();
+        entry.avoid.clear();
         let patience = if entry.request.urgent {
             self.config.urgent_patience
         } else {
             self.config.patience
         };
         let waited = now.since(entry.since) >= patience;
-        if !refused && self.failed.len() < MAX_FAILED_NEEDS {
+        if !no_room.avoided && self.failed.len() < MAX_FAILED_NEEDS {
+            let class = no_room.strained.then_some(class);
+            let wider = |f: &Failed| class.is_none() || f.class == class;
+            self.failed.retain(|f| !(wider(f) && need.fits(&f.need)));
             self.failed.push(Failed { class, need });
         }
         if waited && !self.reserved.contains_key(task) {
--- a/crates/parsleytally/src/placement/mod.rs
+++ b/crates/parsleytally/src/placement/mod.rs
@@ -63,10 +63,18 @@
 /// A need that found no room.
 #[derive(Debug)]
 struct Failed {
-    class: Arc<str>,
+    /// Set if interference ruled workers out, so that other classes may find room.
+    class: Option<Arc<str>>,
     need: Resources,
 }
 
+impl Failed {
+    /// Whether a task that needs no less would find no room either.
+    fn covers(&self, class: &str, need: &Resources) -> bool {
+        self.class.as_deref().is_none_or(|own| own == class) && self.need.fits(need)
+    }
+}
+
 /// The state of placement.
 #[derive(Debug)]
 pub struct Placement {
@@ -76,6 +84,8 @@
     tasks: HashMap<TaskKey, Entry>,
     parked: BTreeSet<TaskKey>,
     failed: Vec<Failed>,
+    /// Counts the times that remembered needs were forgotten.
+    forgotten: u64,
     spread: Spread,
     reserved: BTreeMap<TaskKey, Time>,
     cleared: Time,
@@ -92,6 +102,7 @@
             tasks: HashMap::new(),
             parked: BTreeSet::new(),
             failed: Vec::new(),
+            forgotten: 0,
             spread: Spread::default(),
             reserved: BTreeMap::new(),
             cleared: Time::ZERO,
@@ -198,7 +209,9 @@
     }
 
     fn set_quota(&mut self, team: &TeamName, quota: QuotaConfig) {
-        self.queue.team(team).quota = quota;
+        let queue = self.queue.team(team);
+        queue.quota = quota;
+        queue.set_hopeful();
         self.unpark();
     }
 
@@ -381,7 +394,9 @@
         }
         if let Some(worker) = self.fleet.get(at) {
             let free = worker.free;
+            let before = self.failed.len();
             self.failed.retain(|failed| !failed.need.fits(&free));
+            self.forgotten += u64::from(self.failed.len() < before);
         }
     }
 }
--- a/crates/parsleytally/src/placement/queue.rs
+++ b/crates/parsleytally/src/placement/queue.rs
@@ -32,24 +32,71 @@
     }
 }
 
+impl Line {
+    fn start(&self, state: u64) -> Order {
+        let cursor = self.cursor.filter(|_| self.state == state);
+        cursor.unwrap_or_default()
+    }
+}
+
 /// A team's quota, use and waiting tasks.
 #[derive(Debug, Default)]
 pub(super) struct Team {
     pub(super) quota: QuotaConfig,
     pub(super) used: Resources,
-    urgent: BTreeMap<Order, TaskKey>,
-    normal: BTreeMap<Order, TaskKey>,
+    urgent: Line,
+    normal: Line,
+}
+
+/// Waiting tasks of one lane.
+#[derive(Debug, Default)]
+struct Line {
+    tasks: BTreeMap<Order, TaskKey>,
+    /// State of the remembered needs at which no task was worth trying.
+    hopeless: Option<u64>,
+    /// Where the next look begins, if the state of the last one still holds.
+    cursor: Option<Order>,
+    state: u64,
+    /// Whether a task came in before the cursor.
+    missed: bool,
 }
 
 impl Team {
-    pub(super) fn lane(&self, lane: Lane) -> &BTreeMap<Order, TaskKey> {
+    /// The next `count` tasks to look at.
+    pub(super) fn look(&self, lane: Lane, count: usize, state: u64) -> Vec<&TaskKey> {
+        let line = self.line(lane);
+        let tasks = line.tasks.range(line.start(state)..);
+        tasks.take(count).map(|(_, task)| task).collect()
+    }
+
+    /// Looks past the next `count` tasks from now on, since none is worth trying.
+    ///
+    /// Once all have been looked at, the lane is skipped until it or the remembered
+    /// needs change.
+    pub(super) fn look_past(&mut self, lane: Lane, count: usize, state: u64) {
+        let line = self.line_mut(lane);
+        let next = line.tasks.range(line.start(state)..).nth(count);
+        line.cursor = next.map(|(order, _)| *order);
+        line.state = state;
+        if line.cursor.is_none() && !std::mem::take(&mut line.missed) {
+            line.hopeless = Some(state);
+        }
+    }
+
+    /// Looks at both lanes again.
+    pub(super) fn set_hopeful(&mut self) {
+        self.urgent.hopeless = None;
+        self.normal.hopeless = None;
+    }
+
+    fn line(&self, lane: Lane) -> &Line {
         match lane {
             Lane::Urgent => &self.urgent,
             Lane::Normal => &self.normal,
         }
     }
 
-    fn lane_mut(&mut self, lane: Lane) -> &mut BTreeMap<Order, TaskKey> {
+    fn line_mut(&mut self, lane: Lane) -> &mut Line {
         match lane {
             Lane::Urgent => &mut self.urgent,
             Lane::Normal => &mut self.normal,
@@ -110,7 +157,10 @@
         let order = (since.after(behind).as_micros(), self.sequence);
         let lane = Lane::of(request);
         let team = self.team(&request.task.team);
-        team.lane_mut(lane).insert(order, request.task.clone());
+        let line = team.line_mut(lane);
+        line.tasks.insert(order, request.task.clone());
+        line.hopeless = None;
+        line.missed |= line.cursor.is_some_and(|cursor| order < cursor);
         self.waiting(lane).insert(request.task.team.clone());
         order
     }
@@ -118,8 +168,10 @@
     pub(super) fn remove(&mut self, request: &Request, order: Order) {
         let lane = Lane::of(request);
         let team = self.team(&request.task.team);
-        team.lane_mut(lane).remove(&order);
-        if team.lane(lane).is_empty() {
+        let line = team.line_mut(lane);
+        line.tasks.remove(&order);
+        line.hopeless = None;
+        if team.line(lane).tasks.is_empty() {
             self.waiting(lane).remove(&request.task.team);
         }
     }
@@ -132,16 +184,26 @@
     pub(super) fn give_back(&mut self, team: &TeamName, need: &Resources) {
         let team = self.team(team);
         team.used = saturating_sub(&team.used, need);
+        team.set_hopeful();
     }
 
-    /// Teams with waiting tasks, the lowest share first.
-    pub(super) fn turns(&self, lane: Lane, total: &Resources) -> BTreeSet<(u64, TeamName)> {
+    /// Teams with tasks worth a look, the lowest share first.
+    pub(super) fn turns(
+        &self,
+        lane: Lane,
+        total: &Resources,
+        state: u64,
+    ) -> BTreeSet<(u64, TeamName)> {
         let names = match lane {
             Lane::Urgent => &self.urgent,
             Lane::Normal => &self.normal,
         };
         let place = |name: &TeamName| (self.share(name, total), name.clone());
-        names.iter().map(place).collect()
+        let hopeful = |name: &&TeamName| {
+            let team = self.teams.get(*name);
+            team.is_some_and(|team| team.line(lane).hopeless != Some(state))
+        };
+        names.iter().filter(hopeful).map(place).collect()
     }
 
     pub(super) fn share(&self, name: &TeamName, total: &Resources) -> u64 {
--- a/crates/parsleytally/src/placement/tests.rs
+++ b/crates/parsleytally/src/placement/tests.rs
@@ -409,3 +409,32 @@
     bench.feed(Input::Ended(key("a", "old")));
     assert_eq!(bench.tick()[0].0, "a/new");
 }
+
+#[test]
+fn a_long_backlog_without_room_blocks_nobody() {
+    let mut bench = Bench::new(3);
+    for at in 0..3 {
+        let mut busy = report(at, 0);
+        busy.granted = Resources::new(8_000, 30 * GIB, 0);
+        bench.feed(Input::Report(busy));
+    }
+    for at in 0..2_000 {
+        // All differ in size and class, and none fits.
+        let mut large = request("a", &format!("large{at}"), 9_000 + (at * 37) % 6_000);
+        large.class = format!("c{}", at % 20).into();
+        large.need.memory.0 += at * 1_000;
+        large.run_time = Duration::ZERO;
+        bench.feed(Input::Submit(large));
+    }
+    let mut rounds = 0;
+    bench.feed(Input::Submit(request("b", "small", 1_000)));
+    bench.feed(Input::Submit(request("a", "small", 1_000)));
+    let mut started = Vec::new();
+    while started.len() < 2 && rounds < 20 {
+        rounds += 1;
+        started.extend(bench.tick());
+    }
+    started.sort();
+    let tasks = started.iter().map(|(task, _)| task.as_str());
+    assert_eq!(tasks.collect::<Vec<_>>(), ["a/small", "b/small"]);
+}
