feat(settings): entries ask each other, for a start during an outage

Cause: an entry that started while the store was down had no settings, and the status did not tell which revision is in force at other entries. Change: [entry] peers; each entry dials its peers over the same authenticated links, tells its revision and asks for what it lacks. /v1/status shows the entries' revisions. The handshake lets two entries talk; its test of a refused kind used an entry that dials an entry, which is now wanted, and is replaced by an agent that dials an agent, with a new test that entries open links.

--- a/crates/parsleytally-entry/src/config.rs
+++ b/crates/parsleytally-entry/src/config.rs
@@ -23,6 +23,9 @@
     pub operators: SocketAddr,
     /// Address for the links of agents: `[entry] links`.
     pub links: SocketAddr,
+    /// Addresses for links of the other entries, split by commas; this entry's own
+    /// among them is left out: `[entry] peers`.
+    pub peers: Vec<SocketAddr>,
     /// Time between "not ready" and the end of accepting, so that the balancer
     /// notices: `[entry] grace`.
     pub grace: Duration,
@@ -65,6 +68,7 @@
             callers: loopback(CALLERS_PORT),
             operators: loopback(OPERATORS_PORT),
             links: loopback(LINKS_PORT),
+            peers: Vec::new(),
             grace: DEFAULT_GRACE,
             drain: DEFAULT_DRAIN,
             threads: DEFAULT_THREADS,
@@ -96,6 +100,7 @@
             callers: entry.take_or("callers", base.callers)?,
             operators: entry.take_or("operators", base.operators)?,
             links: entry.take_or("links", base.links)?,
+            peers: entry.take_with("peers", base.peers, parse_addresses)?,
             grace: entry.take_with("grace", base.grace, humantime::parse_duration)?,
             threads: entry.take_or("threads", base.threads)?,
             drain: entry.take_with("drain", base.drain, humantime::parse_duration)?,
@@ -114,6 +119,10 @@
     }
 }
 
+fn parse_addresses(text: &str) -> Result<Vec<SocketAddr>, std::net::AddrParseError> {
+    text.split(',').map(|part| part.trim().parse()).collect()
+}
+
 fn loopback(port: u16) -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], port))
 }
--- a/crates/parsleytally-entry/src/entry.rs
+++ b/crates/parsleytally-entry/src/entry.rs
@@ -19,6 +19,7 @@
 use crate::links::{Links, Shared};
 use crate::metrics::Metrics;
 use crate::operators::{Access, Operators, PATIENCE, SettingsPages};
+use crate::peers::{self, Peers};
 use crate::scheduler::Scheduler;
 use crate::settings::Settings;
 
@@ -66,6 +67,7 @@
     caller_server: HttpServer,
     operator_server: HttpServer,
     links: Links,
+    peers: Peers,
     settings: Settings,
     scheduler: Scheduler,
     directory: Directory,
@@ -94,7 +96,7 @@
         );
         let settings = settings.context(ThreadSnafu)?;
         let shared = Shared {
-            hello,
+            hello: hello.clone(),
             config: config.link.clone(),
             metrics: metrics.clone(),
             directory: directory.ring(),
@@ -105,6 +107,12 @@
         let links = Links::start(address, shared)
             .await
             .context(LinksSnafu { address })?;
+        let peers = peers::Shared {
+            hello,
+            config: config.link.clone(),
+            settings: settings.ring(),
+        };
+        let peers = Peers::start(&config.peers, peers);
         let draining = Arc::new(AtomicBool::new(false));
         let writer = Writer::new(store.clone(), rand::random(), PATIENCE);
         let pages = SettingsPages {
@@ -145,6 +153,7 @@
             caller_server,
             operator_server,
             links,
+            peers,
             settings,
             scheduler,
             directory,
@@ -187,6 +196,7 @@
         // Lets the last answers reach the sockets.
         sleep(DRAIN_STEP).await;
         self.caller_server.close().await;
+        self.peers.close().await;
         self.links.close().await;
         self.settings.close();
         self.scheduler.close();
--- a/crates/parsleytally-entry/src/lib.rs
+++ b/crates/parsleytally-entry/src/lib.rs
@@ -13,6 +13,7 @@
 mod links;
 mod metrics;
 mod operators;
+mod peers;
 mod scheduler;
 mod settings;
 pub mod standalone;
--- a/crates/parsleytally-entry/src/links.rs
+++ b/crates/parsleytally-entry/src/links.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use parsleytally::types::{Incarnation, NodeName};
-use parsleytally_link::{Calls, Frame, Hello, Incoming, LinkConfig, LinkError, accept};
+use parsleytally_link::{Calls, Frame, Hello, Incoming, LinkConfig, LinkError, Role, accept};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
@@ -147,6 +147,10 @@
             shared.scheduler.send(SchedulerInput::Report(node, report));
         }
         Frame::SettingsAsk(ask) => shared.settings.ask(calls.link().clone(), ask),
+        Frame::InForce(notice) if calls.link().peer().role == Role::Entry => {
+            let peer = calls.link().peer().node.clone();
+            shared.settings.peer_at(peer, notice.revision);
+        }
         Frame::InForce(notice) => {
             shared
                 .directory
--- a/crates/parsleytally-entry/src/operators/mod.rs
+++ b/crates/parsleytally-entry/src/operators/mod.rs
@@ -73,6 +73,12 @@
         let behind: Vec<_> = behind
             .map(|worker| value!({"worker": worker.worker, "revision": worker.settings}))
             .collect();
+        let peers: Vec<_> = state
+            .peers
+            .iter()
+            .map(|(entry, revision)| value!({"entry": entry, "revision": revision.0}))
+            .collect();
+        let peers_current = state.peers.values().filter(|at| at.0 >= revision).count();
         let bad: Vec<_> = state
             .bad
             .iter()
@@ -84,6 +90,8 @@
             "agents": workers.len(),
             "agents_in_force": current,
             "agents_behind": behind,
+            "entries": peers,
+            "entries_in_force": peers_current,
             "bad_settings": bad,
             "open": self.settings.access.is_open(),
         });
--- a/crates/parsleytally-entry/src/settings/duty.rs
+++ b/crates/parsleytally-entry/src/settings/duty.rs
@@ -1,12 +1,14 @@
 //! Applies what the store reports and passes it on.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use parsleytally::settings::{
-    Ask, Input as Update, Output, Scope, SettingPath, Settings, Update as Changes,
+    Ask, Assembler, Input as Update, Output, Part, Scope, SettingPath, Settings, Source,
+    Update as Changes,
 };
-use parsleytally::types::Revision;
-use parsleytally_link::{Frame, Link};
+use parsleytally::types::{NodeName, Revision};
+use parsleytally_link::{Frame, Link, Role, SettingsNotice};
 use tokio::sync::mpsc;
 
 use super::{InForce, Input, State};
@@ -17,6 +19,10 @@
 pub(super) struct Duty {
     settings: Settings,
     state: InForce,
+    /// Links to other entries, with the parts that have come.
+    links: BTreeMap<NodeName, (Link, Assembler)>,
+    /// Revisions in force at other entries.
+    peers: BTreeMap<NodeName, Revision>,
     directory: DirectoryRing,
     scheduler: SchedulerRing,
     metrics: Metrics,
@@ -32,6 +38,8 @@
         Self {
             settings: Settings::new(),
             state,
+            links: BTreeMap::new(),
+            peers: BTreeMap::new(),
             directory,
             scheduler,
             metrics,
@@ -45,6 +53,14 @@
                     let _ = reply.send(self.update(update));
                 }
                 Input::Ask(link, ask) => self.answer(&link, ask),
+                Input::PeerUp(link) => self.peer_up(link),
+                Input::PeerDown(peer) => {
+                    self.links.remove(&peer);
+                    self.peers.remove(&peer);
+                    self.publish();
+                }
+                Input::Part(link, part) => self.part(&link, part),
+                Input::PeerAt(peer, revision) => self.peer_at(peer, revision),
             }
         }
     }
@@ -71,6 +87,7 @@
             view: self.settings.view().clone(),
             confirmed: self.settings.confirmed(),
             bad: bad.collect(),
+            peers: self.peers.clone(),
         };
         let gauge = |n: u64| i64::try_from(n).unwrap_or(i64::MAX);
         self.metrics.revision.set(gauge(state.revision.0));
@@ -85,6 +102,7 @@
                     self.tell_scheduler(path);
                 }
                 self.tell_agents(before, revision);
+                self.tell_entries();
             }
             Output::Bad { key, reason } => {
                 self.metrics.bad_settings.inc();
@@ -128,7 +146,11 @@
             // The agents are told as soon as this entry has settings itself.
             return;
         }
-        let update = self.settings.since(ask, Scope::Agents);
+        let scope = match link.peer().role {
+            Role::Entry => Scope::All,
+            Role::Agent => Scope::Agents,
+        };
+        let update = self.settings.since(ask, scope);
         for part in update.into_parts() {
             if let Err(error) = link.send(Frame::Settings(part)) {
                 log::debug!("settings were not sent: {error}");
@@ -136,4 +158,56 @@
             }
         }
     }
+
+    fn peer_up(&mut self, link: Link) {
+        self.ask(&link);
+        tell_revision(&link, self.settings.revision());
+        let peer = link.peer().node.clone();
+        self.links.insert(peer, (link, Assembler::default()));
+    }
+
+    fn ask(&self, link: &Link) {
+        if let Err(error) = link.send(Frame::SettingsAsk(self.settings.ask())) {
+            log::debug!("settings were not asked for: {error}");
+        }
+    }
+
+    /// Takes a part of another entry's update.
+    fn part(&mut self, link: &Link, part: Part) {
+        let Some((_, assembler)) = self.links.get_mut(&link.peer().node) else {
+            return;
+        };
+        let Some(update) = assembler.take(part) else {
+            return;
+        };
+        if self.update(Update::Update(update, Source::Peer)) {
+            self.ask(link);
+        }
+    }
+
+    /// Notes another entry's revision, and asks it for what is lacking here.
+    ///
+    /// The store's own watch brings the changes as well; whichever is first counts.
+    fn peer_at(&mut self, peer: NodeName, revision: Revision) {
+        let ahead = revision > self.settings.revision();
+        if ahead && let Some((link, _)) = self.links.get(&peer) {
+            self.ask(link);
+        }
+        let known = self.peers.entry(peer).or_default();
+        *known = revision.max(*known);
+        self.publish();
+    }
+
+    fn tell_entries(&self) {
+        for (link, _) in self.links.values() {
+            tell_revision(link, self.settings.revision());
+        }
+    }
+}
+
+fn tell_revision(link: &Link, revision: Revision) {
+    let notice = Frame::InForce(SettingsNotice { revision });
+    if let Err(error) = link.send(notice) {
+        log::debug!("revision in force was not told: {error}");
+    }
 }
--- a/crates/parsleytally-entry/src/settings/mod.rs
+++ b/crates/parsleytally-entry/src/settings/mod.rs
@@ -7,12 +7,13 @@
 mod duty;
 mod follow;
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::thread;
 
 use arc_swap::ArcSwap;
-use parsleytally::settings::{Ask, Input as Update, View};
-use parsleytally::types::{Revision, Time};
+use parsleytally::settings::{Ask, Input as Update, Part, View};
+use parsleytally::types::{NodeName, Revision, Time};
 use parsleytally_link::Link;
 use parsleytally_platform::process::Clock;
 use parsleytally_platform::store::Store;
@@ -25,7 +26,8 @@
 use duty::Duty;
 use follow::Follower;
 
-/// Inputs that wait for the duty; a full ring drops an agent's question, which it asks again.
+/// Inputs that wait for the duty; a full ring drops news from links, which
+/// are asked for again.
 const INPUT_RING: usize = 1_024;
 
 /// What other duties see of the settings.
@@ -39,6 +41,8 @@
     pub(crate) confirmed: Option<Time>,
     /// Keys whose text is kept out of force, with the reason.
     pub(crate) bad: Vec<(String, String)>,
+    /// Revisions in force at the other entries that have told theirs.
+    pub(crate) peers: BTreeMap<NodeName, Revision>,
 }
 
 /// Settings in force at this entry; clones share them.
@@ -63,8 +67,16 @@
 enum Input {
     /// Settings, or news of them, have come; the reply tells whether changes were missed.
     Update(Update, oneshot::Sender<bool>),
-    /// An agent asks for what it lacks.
+    /// An agent or another entry asks for what it lacks.
     Ask(Link, Ask),
+    /// A link to another entry is open.
+    PeerUp(Link),
+    /// A link to another entry is gone.
+    PeerDown(NodeName),
+    /// Another entry has sent a part of an update.
+    Part(Link, Part),
+    /// Another entry has this revision in force.
+    PeerAt(NodeName, Revision),
 }
 
 /// Passes inputs to the duty.
@@ -72,10 +84,34 @@
 pub(crate) struct SettingsRing(mpsc::Sender<Input>);
 
 impl SettingsRing {
-    /// Passes an agent's question on.
+    /// Passes on what an agent or another entry lacks.
     pub(crate) fn ask(&self, link: Link, ask: Ask) {
-        if self.0.try_send(Input::Ask(link, ask)).is_err() {
-            log::debug!("question for settings is dropped: ring is full");
+        self.send(Input::Ask(link, ask));
+    }
+
+    /// Notes that a link to another entry is open.
+    pub(crate) fn peer_up(&self, link: Link) {
+        self.send(Input::PeerUp(link));
+    }
+
+    /// Notes that a link to another entry is gone.
+    pub(crate) fn peer_down(&self, peer: NodeName) {
+        self.send(Input::PeerDown(peer));
+    }
+
+    /// Passes on a part of another entry's update.
+    pub(crate) fn part(&self, link: Link, part: Part) {
+        self.send(Input::Part(link, part));
+    }
+
+    /// Passes on the revision in force at another entry.
+    pub(crate) fn peer_at(&self, peer: NodeName, revision: Revision) {
+        self.send(Input::PeerAt(peer, revision));
+    }
+
+    fn send(&self, input: Input) {
+        if self.0.try_send(input).is_err() {
+            log::debug!("news of settings is dropped: ring is full");
         }
     }
 }
--- a/crates/parsleytally-link/src/handshake.rs
+++ b/crates/parsleytally-link/src/handshake.rs
@@ -12,7 +12,7 @@
     DecodeSnafu, EncodeSnafu, IoSnafu, NotHelloSnafu, RoleSnafu, UnprovenSnafu, VersionSnafu,
 };
 use crate::wire::{Reader, UNIT_LIMIT_BYTES, Writer, codec, next_bytes};
-use crate::{Hello, LinkConfig, LinkError, PROTOCOL_VERSION};
+use crate::{Hello, LinkConfig, LinkError, PROTOCOL_VERSION, Role};
 
 /// Largest frame before the peer has proven itself, in bytes.
 const HELLO_LIMIT_BYTES: usize = 1_024;
@@ -74,6 +74,11 @@
     ensure!(theirs == ours, VersionSnafu { theirs, ours });
     let opening = postcard::from_bytes::<Opening>(bytes).ok();
     let peer = opening.context(NotHelloSnafu)?.hello;
-    ensure!(peer.role != own.role, RoleSnafu { role: peer.role });
+    ensure!(may_talk(own.role, peer.role), RoleSnafu { role: peer.role });
     Ok(peer)
 }
+
+/// Entries talk to agents and to each other; agents talk to entries only.
+fn may_talk(own: Role, peer: Role) -> bool {
+    own == Role::Entry || peer == Role::Entry
+}
--- a/crates/parsleytally-link/src/tests.rs
+++ b/crates/parsleytally-link/src/tests.rs
@@ -155,6 +155,8 @@
 struct RefusedCase {
     name: &'static str,
     agent: Hello,
+    /// Kind of the side that accepts.
+    accepting: Role,
     agent_keys: Keys,
     entry_keys: Keys,
     refused: fn(&LinkError) -> bool,
@@ -168,13 +170,15 @@
         RefusedCase {
             name: "version",
             agent: other,
+            accepting: Role::Entry,
             agent_keys: keys(1),
             entry_keys: keys(1),
             refused: |error| matches!(error, LinkError::Version { .. }),
         },
         RefusedCase {
             name: "kind",
-            agent: hello(Role::Entry, "agent"),
+            agent: hello(Role::Agent, "agent"),
+            accepting: Role::Agent,
             agent_keys: keys(1),
             entry_keys: keys(1),
             refused: |error| matches!(error, LinkError::Role { .. }),
@@ -182,6 +186,7 @@
         RefusedCase {
             name: "key",
             agent: hello(Role::Agent, "agent"),
+            accepting: Role::Entry,
             agent_keys: keys(2),
             entry_keys: keys(1),
             refused: |error| matches!(error, LinkError::Unproven { .. }),
@@ -189,6 +194,7 @@
         RefusedCase {
             name: "key that only the agent still accepts",
             agent: hello(Role::Agent, "agent"),
+            accepting: Role::Entry,
             agent_keys: Keys {
                 other: Some(keys(1).current),
                 ..keys(2)
@@ -203,13 +209,28 @@
         let dialled = tokio::spawn(async move { dial(address, &case.agent, &config).await });
         let (stream, _) = listener.accept().await.unwrap();
         let config = LinkConfig::new(case.entry_keys);
-        let accepted = accept(stream, &hello(Role::Entry, "entry"), &config).await;
+        let accepted = accept(stream, &hello(case.accepting, "entry"), &config).await;
         let error = accepted.expect_err(case.name);
         assert!((case.refused)(&error), "{}: {error}", case.name);
         drop(dialled.await);
     }
 }
 
+#[tokio::test]
+async fn entries_open_links_to_each_other() {
+    let (listener, address) = listen().await;
+    let dialled = tokio::spawn(async move {
+        let config = LinkConfig::new(keys(1));
+        dial(address, &hello(Role::Entry, "one"), &config).await
+    });
+    let (stream, _) = listener.accept().await.unwrap();
+    let config = LinkConfig::new(keys(1));
+    let accepted = accept(stream, &hello(Role::Entry, "two"), &config).await;
+    let (link, _incoming) = accepted.unwrap();
+    assert_eq!(link.peer().node.as_str(), "one");
+    assert!(dialled.await.unwrap().is_ok());
+}
+
 #[tokio::test]
 async fn two_keys_in_force_let_both_sides_in() {
     let (listener, address) = listen().await;
