test(path): garbage, oversized and unfinished requests on every port

Cause: hostile input was tested on the link's handshake only.

Change: garbage, oversized heads and bodies, short bodies on the ports of callers, operators, links and the agent's pages; after each a request is served, and no booking ran. 64 connections on each port that never finish stop nobody.

Conclusion: no fault found.

--- a/crates/parsleytally-entry/tests/request_path/main.rs
+++ b/crates/parsleytally-entry/tests/request_path/main.rs
@@ -2,6 +2,7 @@
 
 mod broken;
 mod faults;
+mod garbage;
 mod relay;
 mod system;
 
