--- a/crates/parsleytally/examples/routing_policies.rs
+++ b/crates/parsleytally/examples/routing_policies.rs
@@ -64,6 +64,7 @@
     latency: Histogram<u64>,
     refused: u64,
     slow: u64,
+    remote: u64,
     total: u64,
     pick: Duration,
 }
@@ -91,8 +92,18 @@
     let seed = seed.map_or(1, |text| text.parse().expect("the seed is a number"));
     println!("seed {seed}; latencies in ms; ratio is p99 against round-robin over all");
     println!(
-        "{:>5} {:>5} {:>22} {:>8} {:>8} {:>8} {:>7} {:>8} {:>8} {:>8}",
-        "slow", "load", "policy", "p50", "p99", "p99.9", "ratio", "to slow", "refused", "ns/pick"
+        "{:>5} {:>5} {:>22} {:>8} {:>8} {:>8} {:>7} {:>8} {:>8} {:>8} {:>8}",
+        "slow",
+        "load",
+        "policy",
+        "p50",
+        "p99",
+        "p99.9",
+        "ratio",
+        "to slow",
+        "remote",
+        "refused",
+        "ns/pick"
     );
     for slowness in SLOW_FACTORS {
         for load in LOADS {
@@ -127,11 +138,12 @@
 fn print_row(title: &str, ratio: f64, outcomes: &Outcomes) {
     let millis = |q| outcomes.latency.value_at_quantile(q) as f64 / 1e3;
     println!(
-        "{title:>22} {:>8.1} {:>8.1} {:>8.1} {ratio:>7.2} {:>7.2}% {:>8} {:>8.0}",
+        "{title:>22} {:>8.1} {:>8.1} {:>8.1} {ratio:>7.2} {:>7.2}% {:>7.1}% {:>8} {:>8.0}",
         millis(0.5),
         millis(0.99),
         millis(0.999),
         100.0 * outcomes.slow as f64 / outcomes.total as f64,
+        100.0 * outcomes.remote as f64 / outcomes.total as f64,
         outcomes.refused,
         outcomes.pick.as_nanos() as f64 / outcomes.total as f64,
     );
@@ -163,6 +175,7 @@
                 latency: Histogram::new_with_bounds(1, RUN_MICROS, 3).expect("valid bounds"),
                 refused: 0,
                 slow: 0,
+                remote: 0,
                 total: 0,
                 pick: Duration::ZERO,
             },
@@ -253,6 +266,7 @@
         let endpoint = self.workers.iter().position(|w| w == worker);
         let endpoint = endpoint.expect("the router knows these workers only");
         self.outcomes.slow += u64::from(endpoint == SLOW);
+        self.outcomes.remote += u64::from(zone(endpoint) != zone(entry));
         self.endpoints[endpoint].by_entry[entry] += 1;
         self.requests.push(Request {
             entry,
