feat(worker): border to the worker's control, with one in memory

Cause: the agent's runs need the platform's run, checkpoint, throttle and stop. Change: WorkerControl over the machine's monotonic clock, where a later life of the agent fences earlier ones; a stand-in that keeps results until forgotten. Presence of entries by counters in the store; releases are tried again; settings of ownership. Check: cargo test -p parsleytally-platform worker; cargo test -p parsleytally.

--- a/crates/parsleytally-platform/src/lib.rs
+++ b/crates/parsleytally-platform/src/lib.rs
@@ -1,7 +1,8 @@
 //! Borders to the platform that the scheduler runs on.
 //!
 //! Each border is a trait, so that the daemons can be run and tested against a
-//! stand-in. [`store`] is the platform's key-value service; [`process`] is what
+//! stand-in. [`store`] is the platform's key-value service; [`worker`] is the control
+//! of one worker; [`process`] is what
 //! surrounds the duties of a process; the other stand-ins of tests and of the
 //! standalone mode are in [`stand_in`].
 
@@ -9,3 +10,4 @@
 #[cfg(feature = "stand-in")]
 pub mod stand_in;
 pub mod store;
+pub mod worker;
--- a/crates/parsleytally/src/leases/messages.rs
+++ b/crates/parsleytally/src/leases/messages.rs
@@ -36,6 +36,8 @@
     pub need: Resources,
     /// What the worker runs, passed on unread.
     pub command: Arc<str>,
+    /// Declared run time, a hint only.
+    pub run_time: Duration,
     /// State to go on from.
     pub checkpoint: Option<Checkpoint>,
 }
--- a/crates/parsleytally/src/leases/tests.rs
+++ b/crates/parsleytally/src/leases/tests.rs
@@ -120,6 +120,7 @@
         run: run(n),
         need: NEED,
         command: Arc::from("sum"),
+        run_time: Duration::ZERO,
         checkpoint: None,
     };
     OrderKind::Start { proof, start }
@@ -291,6 +292,7 @@
         run: other.clone(),
         need: NEED,
         command: Arc::from(""),
+        run_time: Duration::ZERO,
         checkpoint: None,
     };
     let order = |proof| OrderKind::Start {
--- a/crates/parsleytally/src/ownership/holder.rs
+++ b/crates/parsleytally/src/ownership/holder.rs
@@ -26,6 +26,19 @@
 enum Owned {
     Active(Epoch),
     Draining(Epoch),
+    /// Stopped, with its journal written, until the release is in the store.
+    Drained {
+        epoch: Epoch,
+        settled: bool,
+    },
+}
+
+impl Owned {
+    fn epoch(self) -> Epoch {
+        match self {
+            Self::Active(epoch) | Self::Draining(epoch) | Self::Drained { epoch, .. } => epoch,
+        }
+    }
 }
 
 /// Shards of one entry.
@@ -103,6 +116,7 @@
             self.learn(now, shard, asked, Seen { record, revision }, out);
         }
         self.repeat(out);
+        self.release(out);
         self.take(out);
     }
 
@@ -131,7 +145,7 @@
             self.pending.remove(&shard);
         }
         match owned {
-            Some(Owned::Active(at) | Owned::Draining(at)) if mine && at == epoch => {
+            Some(owned) if mine && owned.epoch() == epoch => {
                 out.push(HolderOutput::Confirmed { shard, asked });
             }
             Some(_) => {
@@ -266,7 +280,7 @@
     /// Starts to give up shards that another reachable entry should have.
     fn give_up(&mut self, out: &mut Vec<HolderOutput>) {
         let drains = self.owned.values();
-        let drains = drains.filter(|o| matches!(o, Owned::Draining(_))).count();
+        let drains = drains.filter(|o| !matches!(o, Owned::Active(_))).count();
         let room = self.config.moves.saturating_sub(drains);
         let leaving = |shard| self.closing || !self.is_choice(shard);
         let active = self.owned.iter().filter_map(|(&shard, owned)| match owned {
@@ -281,12 +295,27 @@
     }
 
     fn drained(&mut self, shard: ShardId, settled: bool, out: &mut Vec<HolderOutput>) {
-        let draining = matches!(self.owned.get(&shard), Some(Owned::Draining(_)));
-        let Some(seen) = self.seen.get(&shard).filter(|_| draining) else {
-            return;
-        };
-        let record = seen.record.release(settled);
-        let expect = Some(seen.revision);
-        self.request(shard, expect, record, out);
+        if let Some(&Owned::Draining(epoch)) = self.owned.get(&shard) {
+            self.owned.insert(shard, Owned::Drained { epoch, settled });
+            self.release(out);
+        }
+    }
+
+    /// Asks for the release of every shard that is drained.
+    fn release(&mut self, out: &mut Vec<HolderOutput>) {
+        let drained = self.owned.iter().filter_map(|(&shard, owned)| match owned {
+            Owned::Drained { settled, .. } => Some((shard, *settled)),
+            _ => None,
+        });
+        let drained: Vec<_> = drained.collect();
+        for (shard, settled) in drained {
+            let seen = self.seen.get(&shard);
+            let Some(seen) = seen.filter(|_| !self.pending.contains_key(&shard)) else {
+                continue;
+            };
+            let record = seen.record.release(settled);
+            let expect = Some(seen.revision);
+            self.request(shard, expect, record, out);
+        }
     }
 }
--- a/crates/parsleytally/src/ownership/mod.rs
+++ b/crates/parsleytally/src/ownership/mod.rs
@@ -13,6 +13,7 @@
 mod holder;
 mod journal;
 mod owner;
+mod presence;
 mod shards;
 mod term;
 
@@ -22,6 +23,7 @@
     TaskEntry, segment_of,
 };
 pub use owner::{Owner, OwnerConfig, OwnerInput, OwnerOutput, Spec, Written};
+pub use presence::Presence;
 pub use shards::{SHARDS, choose, shard_of};
 pub use term::{OwnerRecord, Term};
 
--- a/crates/parsleytally/src/ownership/owner/messages.rs
+++ b/crates/parsleytally/src/ownership/owner/messages.rs
@@ -24,6 +24,8 @@
     pub need: Resources,
     /// What the worker runs, passed on unread.
     pub command: Arc<str>,
+    /// Declared run time, a hint only.
+    pub run_time: Duration,
 }
 
 /// What became of a journal batch.
--- a/crates/parsleytally/src/ownership/owner/runs.rs
+++ b/crates/parsleytally/src/ownership/owner/runs.rs
@@ -69,6 +69,7 @@
             run: run_id(task, run),
             need: spec.need,
             command: spec.command,
+            run_time: spec.run_time,
             checkpoint: slot.record.checkpoint,
         });
         slot.gate = Some(self.journal.mark(segment));
--- a/crates/parsleytally/src/ownership/tests/holder.rs
+++ b/crates/parsleytally/src/ownership/tests/holder.rs
@@ -5,7 +5,8 @@
 
 use super::node;
 use crate::ownership::{
-    Holder, HolderConfig, HolderInput, HolderOutput, OwnerRecord, SHARDS, Swap, choose, shard_of,
+    Holder, HolderConfig, HolderInput, HolderOutput, OwnerRecord, Presence, SHARDS, Swap, choose,
+    shard_of,
 };
 use crate::types::{Epoch, Incarnation, NodeName, Revision, ShardId, TeamName, Time};
 
@@ -257,3 +258,79 @@
     assert_eq!(short.release(true).longest, HOLD);
     assert!(!short.release(true).ahead);
 }
+
+#[test]
+fn a_release_that_lost_its_race_is_tried_again() {
+    let mut keys = Keys::default();
+    let mut entry = Entry::new("e1", 1);
+    entry.round(0, &mut keys, Answers::Arrive);
+    entry.step(1, HolderInput::Close);
+    let outputs = entry.round(2, &mut keys, Answers::Arrive);
+    let drain = |o: &HolderOutput| match o {
+        HolderOutput::Drain { shard } => Some(*shard),
+        _ => None,
+    };
+    let shard = outputs.iter().find_map(drain).unwrap();
+    let settled = true;
+    entry.step(3, HolderInput::Drained { shard, settled });
+    entry.out.clear();
+    let result = Swap::Lost;
+    entry.step(3, HolderInput::Swapped { shard, result });
+    entry.round(4, &mut keys, Answers::Arrive);
+    assert!(keys.records[&shard].0.released);
+}
+
+struct SightCase {
+    secs: u64,
+    counts: [u64; 2],
+    alive: usize,
+}
+
+#[test]
+fn an_entry_whose_counter_stands_still_is_taken_for_dead_after_the_grace() {
+    let cases = [
+        SightCase {
+            secs: 0,
+            counts: [1, 1],
+            alive: 2,
+        },
+        SightCase {
+            secs: 4,
+            counts: [2, 1],
+            alive: 2,
+        },
+        SightCase {
+            secs: 8,
+            counts: [3, 1],
+            alive: 1,
+        },
+        SightCase {
+            secs: 9,
+            counts: [3, 2],
+            alive: 2,
+        },
+        // The store was down: everybody has the whole grace again.
+        SightCase {
+            secs: 3609,
+            counts: [3, 2],
+            alive: 2,
+        },
+        SightCase {
+            secs: 3612,
+            counts: [4, 2],
+            alive: 2,
+        },
+        SightCase {
+            secs: 3615,
+            counts: [5, 2],
+            alive: 1,
+        },
+    ];
+    let mut presence = Presence::new(Duration::from_secs(6));
+    for case in cases {
+        let names = [node("e1"), node("e2")];
+        let counters = names.into_iter().zip(case.counts);
+        let alive = presence.observe(Time::from_secs(case.secs), counters);
+        assert_eq!(alive.len(), case.alive, "at {} s", case.secs);
+    }
+}
--- a/crates/parsleytally/src/ownership/tests/owner.rs
+++ b/crates/parsleytally/src/ownership/tests/owner.rs
@@ -117,6 +117,7 @@
             spec: Spec {
                 need: Resources::new(1, 1, 0),
                 command: Arc::from("sum"),
+                run_time: Duration::ZERO,
             },
         };
         self.step(secs, input);
--- a/crates/parsleytally/tests/small_state/world.rs
+++ b/crates/parsleytally/tests/small_state/world.rs
@@ -470,6 +470,7 @@
             spec: Spec {
                 need: NEED,
                 command: Arc::from(""),
+                run_time: Duration::ZERO,
             },
         };
         self.decide(entry, input);
