--- a/crates/parsleytally-agent/src/agent.rs
+++ b/crates/parsleytally-agent/src/agent.rs
@@ -5,11 +5,13 @@
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
+use parsleytally::leases::AgentConfig as LeaseConfig;
 use parsleytally::membership::Announcement;
 use parsleytally::types::Revision;
 use parsleytally_link::{HEARTBEAT_INTERVAL, Hello, PROTOCOL_VERSION, Role};
 use parsleytally_platform::process::Clock;
 use parsleytally_platform::process::http::{BindError, HttpServer};
+use parsleytally_platform::worker::{StandInWorker, WorkerControl};
 use snafu::{ResultExt, Snafu};
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep};
@@ -91,10 +93,24 @@
     ///
     /// Returns [`StartError`] when an address, a thread or a client is not to be had.
     pub async fn start(config: AgentConfig) -> Result<Self, StartError> {
+        Self::start_on(config, Arc::new(StandInWorker::default())).await
+    }
+
+    /// Starts over the control of its `worker`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StartError`] when an address, a thread or a client is not to be had.
+    pub async fn start_on(
+        config: AgentConfig,
+        worker: Arc<dyn WorkerControl>,
+    ) -> Result<Self, StartError> {
         let metrics = Metrics::new().context(error::MetricsSnafu)?;
         let requests = Arc::new(Requests::new(&config, metrics.clone())?);
-        let runs = Runs::start(config.capacity, metrics.clone()).context(error::ThreadSnafu)?;
         let settings = SettingsDuty::start().context(error::ThreadSnafu)?;
+        let hello = hello(&config);
+        let runs = Runs::start(leases(&config), hello.incarnation, worker, metrics.clone());
+        let runs = runs.context(error::ThreadSnafu)?;
         let operators = Operators {
             in_force: settings.in_force(),
             metrics: metrics.clone(),
@@ -104,15 +120,14 @@
         let pages = pages.await.context(error::BindSnafu)?;
         let stop = CancellationToken::new();
         let leave = CancellationToken::new();
-        let hello = hello(&config);
         let shared = Arc::new(Shared {
             announcement: announcement(&config, &hello),
             hello,
             config: config.link.clone(),
             clock: Clock::start(),
             requests: requests.clone(),
-            runs: runs.commands(),
             settings: settings.ring(),
+            runs: runs.ring(),
             sequence: AtomicU64::new(0),
             metrics,
             leave: leave.clone(),
@@ -168,6 +183,14 @@
     }
 }
 
+fn leases(config: &AgentConfig) -> LeaseConfig {
+    LeaseConfig {
+        name: config.name.clone(),
+        capacity: config.capacity,
+        margin: config.margin,
+    }
+}
+
 fn hello(config: &AgentConfig) -> Hello {
     Hello {
         version: PROTOCOL_VERSION,
--- a/crates/parsleytally-agent/src/config.rs
+++ b/crates/parsleytally-agent/src/config.rs
@@ -35,6 +35,8 @@
     pub link: LinkConfig,
     /// What the worker has: `[worker] cpu` (thousandths), `memory`, `accelerators`.
     pub capacity: Resources,
+    /// How long before its deadline a run saves its state and stops: `[worker] margin`.
+    pub margin: Duration,
 }
 
 /// The endpoint beside an agent.
@@ -53,6 +55,9 @@
 /// Default longest wait for requests in flight at shutdown.
 const DEFAULT_DRAIN: Duration = Duration::from_secs(30);
 
+/// Default time for a run to save its state and stop before its deadline.
+const DEFAULT_MARGIN: Duration = Duration::from_secs(5);
+
 impl AgentConfig {
     /// Parses a settings text.
     ///
@@ -89,6 +94,7 @@
                 memory: worker.require::<Bytes>("memory")?,
                 accelerators: worker.take_or("accelerators", 0)?,
             },
+            margin: worker.take_with("margin", DEFAULT_MARGIN, humantime::parse_duration)?,
         };
         agent.finish()?;
         endpoint.finish()?;
--- a/crates/parsleytally-agent/src/links.rs
+++ b/crates/parsleytally-agent/src/links.rs
@@ -14,7 +14,7 @@
 
 use crate::metrics::Metrics;
 use crate::requests::Requests;
-use crate::runs::RunCommands;
+use crate::runs::RunsRing;
 use crate::settings::SettingsRing;
 
 /// Wait after the first failed dial.
@@ -30,8 +30,8 @@
     /// Runs since the agent started.
     pub(crate) clock: Clock,
     pub(crate) requests: Arc<Requests>,
-    pub(crate) runs: RunCommands,
     pub(crate) settings: SettingsRing,
+    pub(crate) runs: RunsRing,
     /// Number of the last announcement or heartbeat of this life.
     pub(crate) sequence: AtomicU64,
     pub(crate) metrics: Metrics,
@@ -85,8 +85,10 @@
                 shared.metrics.links.inc();
                 serve(&link, incoming, &shared).await;
                 shared.metrics.links.dec();
-                log::info!("link to entry {} is closed", link.peer().node);
+                let node = link.peer().node.clone();
+                log::info!("link to entry {node} is closed");
                 link.close();
+                shared.runs.down(&node);
             }
             Err(error) => log::debug!("entry at {entry} was not reached: {error}"),
         }
@@ -106,6 +108,7 @@
         return;
     }
     shared.settings.up(link);
+    shared.runs.up(link);
     let mut beat = interval(shared.config.heartbeat);
     beat.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut told = false;
@@ -144,8 +147,8 @@
             let link = link.clone();
             tokio::spawn(async move { shared.requests.fence(fence, &link).await });
         }
-        Frame::Command(command) => shared.runs.send(command, link),
         Frame::Settings(part) => shared.settings.part(link, part),
+        Frame::Order(order) => shared.runs.order(order, link),
         other => log::debug!("frame is not for an agent: {other:?}"),
     }
 }
--- a/crates/parsleytally-entry/src/config.rs
+++ b/crates/parsleytally-entry/src/config.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use parsleytally::configs::{
-    ConfigError, Document, OnceConfig, RetryConfig, StoreConfig, TokenHash,
+    ConfigError, Document, OnceConfig, OwnershipConfig, RetryConfig, StoreConfig, TokenHash,
 };
 use parsleytally::types::{NodeName, ZoneName};
 use parsleytally_link::LinkConfig;
@@ -44,6 +44,8 @@
     /// BLAKE3 hash of the token that may change all settings; without it everyone
     /// may: `[operators] token-hash`.
     pub admin: Option<TokenHash>,
+    /// Ownership of shards, leases and journal: section `[ownership]`.
+    pub ownership: OwnershipConfig,
 }
 
 /// Default time for the balancer to notice a shutdown.
@@ -74,6 +76,7 @@
             threads: DEFAULT_THREADS,
             retry: RetryConfig::default(),
             once: OnceConfig::default(),
+            ownership: OwnershipConfig::default(),
             link,
             store: StoreConfig::default(),
             admin: None,
@@ -91,6 +94,7 @@
         let mut retry = document.take("retry");
         let mut once = document.take("once");
         let mut operators = document.take("operators");
+        let mut ownership = document.take("ownership");
         let base = Self::new(
             entry.require("name")?,
             entry.require("zone")?,
@@ -108,12 +112,14 @@
             once: OnceConfig::take(&mut once)?,
             store: StoreConfig::take(&mut document)?,
             admin: operators.take_with("token-hash", None, |text| text.parse().map(Some))?,
+            ownership: OwnershipConfig::take(&mut ownership)?,
             ..base
         };
         entry.finish()?;
         retry.finish()?;
         once.finish()?;
         operators.finish()?;
+        ownership.finish()?;
         document.finish()?;
         Ok(config)
     }
--- a/crates/parsleytally-entry/src/entry.rs
+++ b/crates/parsleytally-entry/src/entry.rs
@@ -20,7 +20,7 @@
 use crate::metrics::Metrics;
 use crate::operators::{Access, Operators, PATIENCE, SettingsPages};
 use crate::peers::{self, Peers};
-use crate::scheduler::Scheduler;
+use crate::scheduler::{Parts, Scheduler};
 use crate::settings::Settings;
 
 /// Time between two looks at the requests in flight during shutdown.
@@ -87,7 +87,14 @@
         let hello = hello(&config);
         let directory = Directory::start(&hello, config.once.ttl, metrics.clone());
         let directory = directory.context(ThreadSnafu)?;
-        let scheduler = Scheduler::start(metrics.clone()).context(ThreadSnafu)?;
+        let parts = Parts {
+            node: hello.node.clone(),
+            life: hello.incarnation,
+            config: config.ownership.clone(),
+            store: store.clone(),
+            metrics: metrics.clone(),
+        };
+        let scheduler = Scheduler::start(parts).context(ThreadSnafu)?;
         let settings = Settings::start(
             store.clone(),
             directory.ring(),
@@ -199,7 +206,7 @@
         self.peers.close().await;
         self.links.close().await;
         self.settings.close();
-        self.scheduler.close();
+        self.scheduler.close().await;
         self.directory.close();
         self.operator_server.close().await;
     }
--- a/crates/parsleytally-entry/src/links.rs
+++ b/crates/parsleytally-entry/src/links.rs
@@ -142,9 +142,12 @@
         Frame::Heartbeat(beat) if is_own(calls, &beat.worker, beat.incarnation) => {
             shared.directory.send(DirectoryInput::Beat(beat));
         }
-        Frame::Report(report) => {
+        Frame::Report(report) if is_own(calls, &report.agent, report.life) => {
+            shared.scheduler.send(SchedulerInput::Report(report));
+        }
+        Frame::RunBeat(beat) => {
             let node = calls.link().peer().node.clone();
-            shared.scheduler.send(SchedulerInput::Report(node, report));
+            shared.scheduler.send(SchedulerInput::Beat(node, beat));
         }
         Frame::SettingsAsk(ask) => shared.settings.ask(calls.link().clone(), ask),
         Frame::InForce(notice) if calls.link().peer().role == Role::Entry => {
--- a/crates/parsleytally-entry/src/scheduler.rs
+++ b/crates/parsleytally-entry/src/scheduler.rs
@@ -1,21 +1,38 @@
-//! The duty that places batch tasks on workers.
+//! The duty that decides about batch tasks.
 //!
-//! First version: the first worker with room by declared sizes takes the task.
+//! A thread drives the library's holder of shards and an owner for each shard
+//! that this entry holds; the store is called by tasks whose answers come back
+//! through the same ring as everything else. [`Placer`](placer::Placer) chooses
+//! the worker of a task.
 
-use std::collections::BTreeMap;
-use std::thread;
+mod duty;
+mod placer;
+mod store;
+mod view;
 
-use crossbeam_channel::{Receiver, Sender, bounded};
-use parsleytally::configs::BatchConfig;
-use parsleytally::types::{NodeName, Resources, RunId, RunNumber, TaskKey, TeamName};
-use parsleytally_link::{Frame, Link, TaskCommand, TaskReport};
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use crossbeam_channel::{Sender, bounded};
+use parsleytally::configs::{BatchConfig, OwnershipConfig};
+use parsleytally::leases::Report;
+use parsleytally::types::{Incarnation, NodeName, Resources, TaskKey, TeamName};
+use parsleytally_link::{Link, RunBeat};
+use parsleytally_platform::store::Store;
 use serde::Serialize;
+use tokio::runtime::Handle;
 use tokio::sync::oneshot;
 
 use crate::metrics::Metrics;
+use duty::Duty;
+use placer::FirstFit;
+use store::{Answer, Calls};
 
 /// Inputs that wait for the duty; a full ring holds their senders back.
 const INPUT_RING: usize = 4_096;
+/// Longest wait at shutdown until every shard is given up.
+const RELEASE_LIMIT: Duration = Duration::from_secs(5);
 
 /// A task as operators see it.
 #[derive(Debug, Clone, Serialize)]
@@ -38,13 +55,27 @@
     Up(Link, Resources),
     /// A worker's link is gone.
     Down(NodeName),
-    /// A worker reports about a run.
-    Report(NodeName, TaskReport),
+    /// A worker reports the runs of a shard.
+    Report(Report),
+    /// A worker tells its time.
+    Beat(NodeName, RunBeat),
+    /// The store answers.
+    Store(Answer),
     /// Operators ask for the tasks of a team.
     List(TeamName, oneshot::Sender<Vec<TaskView>>),
+    /// Give up every shard and end.
     Close,
 }
 
+/// What the duty is started with.
+pub(crate) struct Parts {
+    pub(crate) node: NodeName,
+    pub(crate) life: Incarnation,
+    pub(crate) config: OwnershipConfig,
+    pub(crate) store: Arc<dyn Store>,
+    pub(crate) metrics: Metrics,
+}
+
 /// Passes inputs to the duty.
 #[derive(Clone)]
 pub(crate) struct SchedulerRing(Sender<Input>);
@@ -72,228 +103,41 @@
 }
 
 /// The duty and its ring.
-#[derive(Debug)]
 pub(crate) struct Scheduler {
+    node: NodeName,
+    calls: Calls,
     inputs: Sender<Input>,
     thread: thread::JoinHandle<()>,
 }
 
 impl Scheduler {
-    pub(crate) fn start(metrics: Metrics) -> std::io::Result<Self> {
+    /// Starts the duty; its calls to the store run on the current runtime.
+    pub(crate) fn start(parts: Parts) -> std::io::Result<Self> {
         let (inputs, receiver) = bounded(INPUT_RING);
-        let mut duty = Duty {
-            tasks: BTreeMap::new(),
-            workers: BTreeMap::new(),
-            metrics,
-        };
+        let calls = Calls::new(parts.store.clone(), Handle::current(), inputs.clone());
+        let node = parts.node.clone();
+        let mut duty = Duty::new(parts, calls.clone(), Box::new(FirstFit::default()));
         let thread = thread::Builder::new()
             .name("scheduler".to_owned())
             .spawn(move || duty.run(&receiver))?;
-        Ok(Self { inputs, thread })
+        Ok(Self {
+            node,
+            calls,
+            inputs,
+            thread,
+        })
     }
 
     pub(crate) fn ring(&self) -> SchedulerRing {
         SchedulerRing(self.inputs.clone())
     }
 
-    /// Ends the duty.
-    pub(crate) fn close(self) {
+    /// Gives up every shard and ends the duty.
+    pub(crate) async fn close(self) {
         let _ = self.inputs.send(Input::Close);
-        let _ = self.thread.join();
-    }
-}
-
-#[derive(Debug, Clone, PartialEq, Eq)]
-enum State {
-    Waiting { reason: String },
-    Starting { worker: NodeName },
-    Running { worker: NodeName },
-    Finished,
-}
-
-struct Task {
-    config: BatchConfig,
-    run: RunNumber,
-    state: State,
-}
-
-struct Worker {
-    link: Link,
-    free: Resources,
-}
-
-struct Duty {
-    tasks: BTreeMap<TaskKey, Task>,
-    workers: BTreeMap<NodeName, Worker>,
-    metrics: Metrics,
-}
-
-impl Duty {
-    fn run(&mut self, inputs: &Receiver<Input>) {
-        for input in inputs {
-            match input {
-                Input::Declared(key, config) => self.declare(key, config),
-                Input::Deleted(key) => self.delete(&key),
-                Input::Up(link, capacity) => self.up(link, capacity),
-                Input::Down(worker) => drop(self.workers.remove(&worker)),
-                Input::Report(worker, report) => self.report(&worker, report),
-                Input::List(team, reply) => {
-                    let _ = reply.send(self.list(&team));
-                }
-                Input::Close => return,
-            }
-            self.place();
-        }
-    }
-
-    fn declare(&mut self, key: TaskKey, config: BatchConfig) {
-        if let Some(task) = self.tasks.get_mut(&key) {
-            task.config = config;
-            return;
-        }
-        self.count("declared");
-        let state = waiting("no worker has been tried");
-        self.tasks.insert(
-            key,
-            Task {
-                config,
-                run: RunNumber(0),
-                state,
-            },
-        );
-    }
-
-    fn delete(&mut self, key: &TaskKey) {
-        let Some(task) = self.tasks.remove(key) else {
-            return;
-        };
-        self.count("deleted");
-        let (State::Starting { worker } | State::Running { worker }) = &task.state else {
-            return;
-        };
-        let run = RunId {
-            task: key.clone(),
-            run: task.run,
-        };
-        if let Some(worker) = self.workers.get_mut(worker) {
-            command(&worker.link, TaskCommand::Stop { run });
-            give_back(worker, &task.config.need);
-        }
-    }
-
-    fn up(&mut self, link: Link, capacity: Resources) {
-        let name = link.peer().node.clone();
-        self.workers.insert(
-            name,
-            Worker {
-                link,
-                free: capacity,
-            },
-        );
-    }
-
-    fn report(&mut self, from: &NodeName, report: TaskReport) {
-        let (TaskReport::Started { run }
-        | TaskReport::Refused { run, .. }
-        | TaskReport::Finished { run }
-        | TaskReport::Stopped { run }) = &report;
-        let Some(task) = self
-            .tasks
-            .get_mut(&run.task)
-            .filter(|task| task.run == run.run)
-        else {
-            return;
-        };
-        let (event, state) = match report {
-            TaskReport::Started { .. } => (
-                "started",
-                State::Running {
-                    worker: from.clone(),
-                },
-            ),
-            TaskReport::Finished { .. } => ("finished", State::Finished),
-            TaskReport::Refused { reason, .. } => ("refused", waiting(&reason)),
-            TaskReport::Stopped { .. } => ("stopped", waiting("run was stopped")),
-        };
-        let ended = !matches!(state, State::Running { .. });
-        task.state = state;
-        let need = task.config.need;
-        if let Some(worker) = self.workers.get_mut(from).filter(|_| ended) {
-            give_back(worker, &need);
-        }
-        self.count(event);
-    }
-
-    fn place(&mut self) {
-        for (key, task) in &mut self.tasks {
-            if !matches!(task.state, State::Waiting { .. }) {
-                continue;
-            }
-            let need = task.config.need;
-            let found = self
-                .workers
-                .iter_mut()
-                .find(|(_, worker)| need.fits(&worker.free));
-            let Some((name, worker)) = found else {
-                task.state = waiting("no worker has room");
-                continue;
-            };
-            task.run = task.run.next();
-            let run = RunId {
-                task: key.clone(),
-                run: task.run,
-            };
-            let config = task.config.clone();
-            if !command(&worker.link, TaskCommand::Start { run, config }) {
-                task.state = waiting("link to the worker takes no command");
-                continue;
-            }
-            worker.free = worker.free.checked_sub(&need).unwrap_or(Resources::NONE);
-            task.state = State::Starting {
-                worker: name.clone(),
-            };
-        }
-    }
-
-    fn list(&self, team: &TeamName) -> Vec<TaskView> {
-        self.tasks
-            .iter()
-            .filter(|(key, _)| key.team == *team)
-            .map(|(key, task)| view(key, task))
-            .collect()
-    }
-
-    fn count(&self, event: &str) {
-        self.metrics.tasks.with_label_values(&[event]).inc();
-    }
-}
-
-fn waiting(reason: &str) -> State {
-    State::Waiting {
-        reason: reason.to_owned(),
-    }
-}
-
-fn give_back(worker: &mut Worker, need: &Resources) {
-    worker.free = worker.free.checked_add(need).unwrap_or(worker.free);
-}
-
-fn command(link: &Link, command: TaskCommand) -> bool {
-    link.send(Frame::Command(command)).is_ok()
-}
-
-fn view(key: &TaskKey, task: &Task) -> TaskView {
-    let (state, worker, reason) = match &task.state {
-        State::Waiting { reason } => ("waiting", None, Some(reason.clone())),
-        State::Starting { worker } => ("starting", Some(worker.clone()), None),
-        State::Running { worker } => ("running", Some(worker.clone()), None),
-        State::Finished => ("finished", None, None),
-    };
-    TaskView {
-        task: key.task.to_string(),
-        state,
-        worker,
-        run: task.run.0,
-        reason,
+        let thread = self.thread;
+        let joined = tokio::task::spawn_blocking(move || thread.join());
+        let _ = joined.await;
+        self.calls.leave(&self.node).await;
     }
 }
--- a/crates/parsleytally-link/src/frame.rs
+++ b/crates/parsleytally-link/src/frame.rs
@@ -2,13 +2,11 @@
 
 use bytes::Bytes;
 use derive_more::Display;
-use parsleytally::configs::BatchConfig;
+use parsleytally::leases::{Order, Report};
 use parsleytally::membership::{Announcement, Heartbeat};
 use parsleytally::once::KeyHash;
 use parsleytally::settings::{Ask, Part};
-use parsleytally::types::{
-    Incarnation, NodeName, RequestId, Revision, RunId, ServiceKey, ZoneName,
-};
+use parsleytally::types::{Incarnation, NodeName, RequestId, Revision, ServiceKey, Time, ZoneName};
 use serde::{Deserialize, Serialize};
 
 /// Which kind of process speaks.
@@ -114,48 +112,13 @@
     pub late: bool,
 }
 
-/// What an entry asks of a worker's agent about a run.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub enum TaskCommand {
-    /// Start the run.
-    Start {
-        /// The run.
-        run: RunId,
-        /// The task's settings.
-        config: BatchConfig,
-    },
-    /// Stop the run.
-    Stop {
-        /// The run.
-        run: RunId,
-    },
-}
-
-/// What an agent reports about a run.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub enum TaskReport {
-    /// The run has its grant and runs.
-    Started {
-        /// The run.
-        run: RunId,
-    },
-    /// The run did not start.
-    Refused {
-        /// The run.
-        run: RunId,
-        /// Why it was refused.
-        reason: String,
-    },
-    /// The run came to its end.
-    Finished {
-        /// The run.
-        run: RunId,
-    },
-    /// The run was stopped before its end.
-    Stopped {
-        /// The run.
-        run: RunId,
-    },
+/// An agent's time, for the proofs of owners.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunBeat {
+    /// Life of the agent.
+    pub life: Incarnation,
+    /// When this was sent, on the agent's clock.
+    pub sent: Time,
 }
 
 /// Revision of the settings in force at the sender.
@@ -186,14 +149,16 @@
     Fence(Fence),
     /// The entry no longer waits for this request.
     Cancel(RequestId),
-    /// A command about a run.
-    Command(TaskCommand),
-    /// A report about a run.
-    Report(TaskReport),
     /// Settings that came into force at the entry, or that an agent asked for.
     Settings(Part),
     /// What an agent tells of its settings to learn what it lacks.
     SettingsAsk(Ask),
+    /// An order of the owner of a shard.
+    Order(Order),
+    /// An agent's report to the owner of a shard.
+    Report(Report),
+    /// An agent's time.
+    RunBeat(RunBeat),
     /// Settings in force at the agent.
     InForce(SettingsNotice),
     /// Sent when nothing else was for a while; the link keeps it to itself.
--- a/crates/parsleytally-link/src/lib.rs
+++ b/crates/parsleytally-link/src/lib.rs
@@ -23,8 +23,7 @@
 pub use config::LinkConfig;
 pub use error::LinkError;
 pub use frame::{
-    Answer, Failure, Fence, Frame, Header, Hello, Refusal, Request, Role, SettingsNotice,
-    TaskCommand, TaskReport,
+    Answer, Failure, Fence, Frame, Header, Hello, Refusal, Request, Role, RunBeat, SettingsNotice,
 };
 pub use link::{
     FRAME_LIMIT_BYTES, HEARTBEAT_INTERVAL, IN_RING_BYTES, Incoming, Link, OUT_RING_BYTES,
--- a/crates/parsleytally/src/ownership/holder.rs
+++ b/crates/parsleytally/src/ownership/holder.rs
@@ -86,6 +86,11 @@
         self.owned.keys().copied()
     }
 
+    /// Forgets that `shard` is owned, so that the next read acquires it anew.
+    pub fn forget(&mut self, shard: ShardId) {
+        self.owned.remove(&shard);
+    }
+
     /// The entry that owns `shard` according to the latest read.
     pub fn owner_of(&self, shard: ShardId) -> Option<&OwnerRecord> {
         let seen = self.seen.get(&shard)?;
--- a/crates/parsleytally/src/ownership/owner.rs
+++ b/crates/parsleytally/src/ownership/owner.rs
@@ -204,6 +204,13 @@
         ready && self.fresh(now).is_some() && !self.recovery.is_open(task)
     }
 
+    /// Whether `task` is finished and the journal has that.
+    pub fn is_counted(&self, task: &TaskKey) -> bool {
+        let finished = |slot: &Slot| slot.record.phase == Phase::Finished;
+        let waits = |late: &Late| matches!(late, Late::Counted { task: t, .. } if t == task);
+        self.slots.get(task).is_some_and(finished) && !self.late.iter().any(|(_, l)| waits(l))
+    }
+
     /// Whether every change is in the store, so that the shard can be released.
     pub fn is_clean(&self) -> bool {
         self.journal.is_clean()
--- a/crates/parsleytally/src/ownership/tests/owner.rs
+++ b/crates/parsleytally/src/ownership/tests/owner.rs
@@ -328,6 +328,7 @@
     bench.report(3, "w1", &[(1, RunState::Finished)]);
     bench.report(4, "w1", &[(1, RunState::Finished)]);
     assert_eq!(bench.counted(), 0);
+    assert!(!bench.owner.is_counted(&task("count")));
     let forgets = |o: &&&Order| matches!(o.kind, OrderKind::Forget { .. });
     assert_eq!(bench.orders().iter().filter(forgets).count(), 0);
     let seq = bench.writes.last().unwrap().seq;
@@ -336,6 +337,7 @@
     };
     bench.step(5, OwnerInput::Written { seq, result });
     assert_eq!(bench.counted(), 1);
+    assert!(bench.owner.is_counted(&task("count")));
     assert_eq!(bench.orders().iter().filter(forgets).count(), 1);
     bench.report(6, "w1", &[(1, RunState::Finished)]);
     assert_eq!(bench.counted(), 0);
