--- a/crates/parsleytally-agent/src/runs.rs
+++ b/crates/parsleytally-agent/src/runs.rs
@@ -169,7 +169,9 @@
             }
             Err(error) => self.failed(&error),
         }
-        if self.worker.now().since(self.reported) >= REPORT_INTERVAL {
+        let now = self.worker.now();
+        let due = self.agent.wake().is_some_and(|wake| wake <= now);
+        if due || now.since(self.reported) >= REPORT_INTERVAL {
             self.report();
         }
     }
--- a/crates/parsleytally-entry/src/metrics.rs
+++ b/crates/parsleytally-entry/src/metrics.rs
@@ -28,6 +28,7 @@
     pub(crate) silent_watches: IntCounter,
     pub(crate) store_behind: IntCounter,
     pub(crate) tasks: IntCounterVec,
+    pub(crate) shards: IntGauge,
 }
 
 impl Metrics {
@@ -77,6 +78,10 @@
                 "parsleytally_entry_store_behind_total",
                 "Answers of the store below the revision in force here.",
             )?,
+            shards: IntGauge::new(
+                "parsleytally_entry_shards",
+                "Shards of teams that this entry decides about.",
+            )?,
             tasks: IntCounterVec::new(
                 Opts::new("parsleytally_entry_tasks_total", "Batch tasks by event."),
                 &["event"],
@@ -103,6 +108,7 @@
             .register(Box::new(self.silent_watches.clone()))?;
         self.registry
             .register(Box::new(self.store_behind.clone()))?;
+        self.registry.register(Box::new(self.shards.clone()))?;
         self.registry.register(Box::new(self.tasks.clone()))
     }
 
--- a/crates/parsleytally-entry/src/scheduler.rs
+++ b/crates/parsleytally-entry/src/scheduler.rs
@@ -51,6 +51,8 @@
     Declared(TaskKey, BatchConfig),
     /// A task was deleted from the settings.
     Deleted(TaskKey),
+    /// Every task of the settings has been declared, as the store has them.
+    Complete,
     /// A worker can run tasks.
     Up(Link, Resources),
     /// A worker's link is gone.
--- a/crates/parsleytally-entry/src/scheduler/duty.rs
+++ b/crates/parsleytally-entry/src/scheduler/duty.rs
@@ -57,6 +57,8 @@
     workers: BTreeMap<NodeName, Worker>,
     placer: Box<dyn Placer>,
     metrics: Metrics,
+    /// Whether a task that is not declared is known to be deleted.
+    complete: bool,
     closing: Option<Time>,
 }
 
@@ -87,6 +89,7 @@
             workers: BTreeMap::new(),
             placer,
             metrics: parts.metrics,
+            complete: false,
             closing: None,
         }
     }
@@ -123,6 +126,13 @@
         match input {
             Input::Declared(key, config) => self.declare(key, config),
             Input::Deleted(key) => self.delete(key),
+            Input::Complete => {
+                self.complete = true;
+                let shards: Vec<_> = self.shards.keys().copied().collect();
+                shards
+                    .into_iter()
+                    .for_each(|shard| self.remove_undeclared(shard));
+            }
             Input::Up(link, capacity) => self.up(link, capacity),
             Input::Down(worker) => self.down(&worker),
             Input::Report(report) => {
@@ -149,6 +159,8 @@
             self.drain(shard);
         }
         self.place();
+        let shards = i64::try_from(self.shards.len()).unwrap_or(i64::MAX);
+        self.metrics.shards.set(shards);
     }
 
     fn declare(&mut self, key: TaskKey, config: BatchConfig) {
@@ -314,10 +326,23 @@
         for task in tasks.cloned().collect::<Vec<_>>() {
             self.owner(shard, OwnerInput::Accept { task });
         }
+        self.remove_undeclared(shard);
         self.sweep(shard);
         self.owner(shard, OwnerInput::Tick);
     }
 
+    /// Removes tasks of the journal that the settings no longer have.
+    fn remove_undeclared(&mut self, shard: ShardId) {
+        let Some(entry) = self.shards.get(&shard).filter(|_| self.complete) else {
+            return;
+        };
+        let tasks = entry.owner.tasks().map(|(task, _)| task);
+        let gone = tasks.filter(|task| !self.tasks.contains_key(*task));
+        for task in gone.cloned().collect::<Vec<_>>() {
+            self.owner(shard, OwnerInput::Remove { task });
+        }
+    }
+
     /// Notes which workers hold the shard's tasks.
     fn sweep(&mut self, shard: ShardId) {
         let Some(entry) = self.shards.get(&shard) else {
--- a/crates/parsleytally-entry/src/settings/duty.rs
+++ b/crates/parsleytally-entry/src/settings/duty.rs
@@ -101,6 +101,9 @@
                 for path in &paths {
                     self.tell_scheduler(path);
                 }
+                if self.settings.confirmed().is_some() {
+                    self.scheduler.send(SchedulerInput::Complete);
+                }
                 self.tell_agents(before, revision);
                 self.tell_entries();
             }
