perf(ownership): tasks by worker, and smaller segments

Change: an index of tasks by worker; sixteen segments a shard; agents report every two seconds. Conclusion: a report costs by its runs, no longer by the shard.

--- a/crates/parsleytally-agent/src/runs.rs
+++ b/crates/parsleytally-agent/src/runs.rs
@@ -22,7 +22,7 @@
 /// Inputs that wait for the duty; a full ring drops orders, which owners repeat.
 const INPUT_RING: usize = 4_096;
 /// Time between two reports of all runs.
-const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+const REPORT_INTERVAL: Duration = Duration::from_secs(2);
 /// Time between two polls of the worker.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
--- a/crates/parsleytally/src/ownership/journal.rs
+++ b/crates/parsleytally/src/ownership/journal.rs
@@ -16,7 +16,7 @@
 use crate::types::{RunNumber, TaskKey, Time};
 
 /// Segments of a shard's journal; part of the stored format.
-pub const JOURNAL_SEGMENTS: u16 = 8;
+pub const JOURNAL_SEGMENTS: u16 = 16;
 
 /// Size at which a segment takes no further tasks, in bytes.
 pub const MAX_SEGMENT_BYTES: usize = 256 * 1024;
--- a/crates/parsleytally/src/ownership/owner.rs
+++ b/crates/parsleytally/src/ownership/owner.rs
@@ -4,7 +4,7 @@
 mod reports;
 mod runs;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 pub use messages::{OwnerConfig, OwnerInput, OwnerOutput, Spec, Written};
 
@@ -85,6 +85,8 @@
     deposed: bool,
     slots: BTreeMap<TaskKey, Slot>,
     beats: BTreeMap<NodeName, Beat>,
+    /// Tasks that each worker holds; also some that it no longer holds.
+    held: BTreeMap<NodeName, BTreeSet<TaskKey>>,
     bases: Vec<RunNumber>,
     journal: Journal,
     late: Vec<(Gate, Late)>,
@@ -121,6 +123,12 @@
                 slots.insert(entry.task, slot);
             }
         }
+        let mut held = BTreeMap::<_, BTreeSet<_>>::new();
+        for (task, slot) in &slots {
+            if let Some(agent) = slot.record.holder() {
+                held.entry(agent.clone()).or_default().insert(task.clone());
+            }
+        }
         let open = slots.iter().filter(|(_, slot)| slot.bound.is_some());
         let open = open.map(|(task, _)| task.clone()).collect();
         let until = term.unknown.then_some(term.settled);
@@ -132,6 +140,7 @@
             deposed: false,
             slots,
             beats: BTreeMap::new(),
+            held,
             bases,
             journal,
             late: Vec::new(),
@@ -289,6 +298,11 @@
         }
     }
 
+    fn hold(&mut self, agent: &NodeName, task: &TaskKey) {
+        let tasks = self.held.entry(agent.clone()).or_default();
+        tasks.insert(task.clone());
+    }
+
     fn select(&self, wanted: impl Fn(&Slot) -> bool) -> Vec<TaskKey> {
         let slots = self.slots.iter().filter(|(_, slot)| wanted(slot));
         slots.map(|(task, _)| task.clone()).collect()
--- a/crates/parsleytally/src/ownership/owner/reports.rs
+++ b/crates/parsleytally/src/ownership/owner/reports.rs
@@ -1,6 +1,6 @@
 //! What an owner does with an agent's report.
 
-use super::{Beat, Late, Owner, OwnerOutput, run_id};
+use super::{Beat, Late, Owner, OwnerOutput, Slot, run_id};
 use crate::leases::{Checkpoint, OrderKind, Phase, Proof, Report, RunReport, RunState, outlast};
 use crate::types::{Incarnation, NodeName, RunId, RunNumber, TaskKey, Time};
 
@@ -85,6 +85,7 @@
             && slot.record.adopt(run.run, agent).is_ok()
         {
             slot.bound = Some(bound);
+            self.hold(agent, &run.task);
             self.mark(&run.task);
         }
     }
@@ -178,11 +179,17 @@
 
     /// Handles the runs that should be on the agent and are not in its report.
     fn unlisted(&mut self, now: Time, report: &Report, out: &mut Vec<OwnerOutput>) {
-        let held = self.slots.iter().filter(|(task, slot)| {
-            let held = slot.record.holder() == Some(&report.agent);
-            held && slot.is_sent() && !lists(report, task, slot.record.run)
+        let Some(held) = self.held.get_mut(&report.agent) else {
+            return;
+        };
+        let slots = &self.slots;
+        let holds = |slot: &Slot| slot.record.holder() == Some(&report.agent);
+        held.retain(|task| slots.get(task).is_some_and(holds));
+        let missing = held.iter().filter(|task| {
+            let slot = &slots[*task];
+            slot.is_sent() && !lists(report, task, slot.record.run)
         });
-        let missing: Vec<_> = held.map(|(task, _)| task.clone()).collect();
+        let missing: Vec<_> = missing.cloned().collect();
         for task in missing {
             let slot = &self.slots[&task];
             let starting = matches!(slot.record.phase, Phase::Starting { .. });
--- a/crates/parsleytally/src/ownership/owner/runs.rs
+++ b/crates/parsleytally/src/ownership/owner/runs.rs
@@ -73,6 +73,7 @@
             checkpoint: slot.record.checkpoint,
         });
         slot.gate = Some(self.journal.mark(segment));
+        self.hold(agent, task);
         self.send(now, task, out);
     }
 
--- a/crates/parsleytally/src/ownership/tests/journal.rs
+++ b/crates/parsleytally/src/ownership/tests/journal.rs
@@ -19,7 +19,7 @@
     let mut writes = 0;
     for milli in 0..10_000 {
         let now = Time::from_millis(milli);
-        journal.mark(SegmentId(u16::try_from(milli % 8).unwrap()));
+        journal.mark(SegmentId(u16::try_from(milli % 16).unwrap()));
         if let Some(batch) = journal.poll(now, encode) {
             writes += 1;
             journal.settle(batch.seq, true);
