--- a/crates/parsleytally/src/configs/ownership.rs
+++ b/crates/parsleytally/src/configs/ownership.rs
@@ -26,11 +26,11 @@
 impl Default for OwnershipConfig {
     fn default() -> Self {
         Self {
-            hold: Duration::from_secs(60),
+            hold: Duration::from_secs(120),
             ahead: false,
             interval: Duration::from_secs(2),
             grace: Duration::from_secs(6),
-            flush: Duration::from_millis(250),
+            flush: Duration::from_millis(500),
             faults: 5,
         }
     }
