--- a/crates/parsleytally-entry/src/scheduler.rs
+++ b/crates/parsleytally-entry/src/scheduler.rs
@@ -8,6 +8,8 @@
 mod duty;
 mod placer;
 mod store;
+#[cfg(test)]
+mod tests;
 mod view;
 
 use std::sync::Arc;
--- a/crates/parsleytally-entry/src/scheduler/store.rs
+++ b/crates/parsleytally-entry/src/scheduler/store.rs
@@ -207,12 +207,16 @@
         let owner_key = owner_key(write.shard);
         let owner = owner.items.iter().find(|item| item.key == owner_key);
         let same = owner.is_some_and(|item| item.revision == write.owner);
+        if !same {
+            return (Written::Fenced, None);
+        }
+        // An earlier try may have taken effect before `asked`; that the epoch was
+        // current after `asked` is shown by the unchanged owner record.
         match head {
             Some(item) if found == Some(wanted) => {
                 let asked = write.asked;
                 (Written::Accepted { asked }, Some(item.revision))
             }
-            _ if !same => (Written::Fenced, None),
             head => (Written::Unknown, head.map(|item| item.revision)),
         }
     }
--- /dev/null
+++ b/crates/parsleytally-entry/src/scheduler/tests.rs
@@ -0,0 +1,113 @@
+//! Tests of the scheduler's calls to the store.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crossbeam_channel::{Receiver, bounded};
+use parsleytally::ownership::{Batch, OwnerRecord, SegmentId, Swap, Written};
+use parsleytally::types::{Epoch, Incarnation, NodeName, Revision, ShardId, Time};
+use parsleytally_platform::store::MemoryStore;
+use tokio::runtime::Handle;
+
+use super::Input;
+use super::store::{Answer, Calls, JournalWrite};
+
+const SHARD: ShardId = ShardId(7);
+const HOLD: Duration = Duration::from_secs(60);
+
+struct Bench {
+    store: Arc<MemoryStore>,
+    calls: Calls,
+    answers: Receiver<Input>,
+}
+
+impl Bench {
+    fn new() -> Self {
+        let store = Arc::new(MemoryStore::new());
+        let (sender, answers) = bounded(16);
+        Self {
+            calls: Calls::new(store.clone(), Handle::current(), sender),
+            store,
+            answers,
+        }
+    }
+
+    async fn answer(&self) -> Answer {
+        let answers = self.answers.clone();
+        let input = tokio::task::spawn_blocking(move || answers.recv()).await;
+        match input.unwrap().unwrap() {
+            Input::Store(answer) => answer,
+            _ => panic!("an input that is no answer"),
+        }
+    }
+
+    async fn swap(&self, expect: Option<Revision>, owner: &str, epoch: u64) -> Swap {
+        let node = NodeName::new(owner).unwrap();
+        let first = OwnerRecord::succeed(None, &node, Incarnation(1), HOLD, false);
+        let record = OwnerRecord {
+            epoch: Epoch(epoch),
+            ..first
+        };
+        self.calls.swap(SHARD, expect, &record, Time::ZERO);
+        match self.answer().await {
+            Answer::Swapped { result, .. } => result,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    async fn write(&self, owner: Revision, secs: u64) -> Written {
+        let batch = Batch {
+            seq: 1,
+            segments: vec![(SegmentId(3), vec![1, 2, 3])],
+        };
+        self.calls.write(JournalWrite {
+            shard: SHARD,
+            epoch: Epoch(1),
+            owner,
+            head: None,
+            batch,
+            asked: Time::from_secs(secs),
+        });
+        match self.answer().await {
+            Answer::Written { result, .. } => result,
+            other => panic!("{other:?}"),
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_write_whose_answer_was_lost_confirms_only_what_the_owner_record_shows() {
+    for replaced in [false, true] {
+        let bench = Bench::new();
+        let Swap::Won(owner) = bench.swap(None, "e1", 1).await else {
+            panic!("the first swap is won");
+        };
+        bench.store.lose_answers(1);
+        assert_eq!(bench.write(owner, 1).await, Written::Unknown);
+        if replaced {
+            let won = bench.swap(Some(owner), "e2", 2).await;
+            assert!(matches!(won, Swap::Won(_)));
+        }
+        let asked = Time::from_secs(9);
+        let expected = match replaced {
+            true => Written::Fenced,
+            false => Written::Accepted { asked },
+        };
+        assert_eq!(bench.write(owner, 9).await, expected);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_write_of_a_replaced_owner_is_fenced_and_leaves_nothing() {
+    let bench = Bench::new();
+    let Swap::Won(owner) = bench.swap(None, "e1", 1).await else {
+        panic!("the first swap is won");
+    };
+    assert_eq!(bench.swap(None, "e2", 1).await, Swap::Lost);
+    let won = bench.swap(Some(owner), "e2", 2).await;
+    assert!(matches!(won, Swap::Won(_)));
+    assert_eq!(bench.write(owner, 1).await, Written::Fenced);
+    let journal =
+        parsleytally_platform::store::Store::range(&*bench.store, "/parsleytally/journals/");
+    assert!(journal.await.unwrap().items.is_empty());
+}
