feat(configs): a hold time without room for a lost confirmation is refused

Cause: with hold near the interval, one lost answer of the store pauses all work. Change: hold must be at least four intervals; the error names section and key.

--- a/crates/parsleytally/src/configs/ownership.rs
+++ b/crates/parsleytally/src/configs/ownership.rs
@@ -6,6 +6,9 @@
 
 use super::{ConfigError, Section};
 
+/// Fewest confirmation intervals in a hold time.
+const MIN_INTERVALS: u32 = 4;
+
 /// How shards are owned and how long runs outlive a confirmation by the store.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OwnershipConfig {
@@ -44,13 +47,28 @@
     /// Returns [`ConfigError`] for the first value that is not accepted.
     pub fn take(section: &mut Section) -> Result<Self, ConfigError> {
         let base = Self::default();
-        Ok(Self {
+        let config = Self {
             hold: section.take_with("hold", base.hold, humantime::parse_duration)?,
             ahead: section.take_or("ahead", base.ahead)?,
             interval: section.take_with("interval", base.interval, humantime::parse_duration)?,
             grace: section.take_with("grace", base.grace, humantime::parse_duration)?,
             flush: section.take_with("flush", base.flush, humantime::parse_duration)?,
             faults: section.take_or("faults", base.faults)?,
+        };
+        config.check()?;
+        Ok(config)
+    }
+
+    /// Refuses a hold time that one lost confirmation would use up.
+    fn check(&self) -> Result<(), ConfigError> {
+        if self.hold >= self.interval * MIN_INTERVALS {
+            return Ok(());
+        }
+        Err(ConfigError::BadValue {
+            section: "ownership".to_owned(),
+            key: "hold".to_owned(),
+            value: humantime::format_duration(self.hold).to_string(),
+            reason: format!("it is shorter than {MIN_INTERVALS} times the interval"),
         })
     }
 }
--- a/crates/parsleytally/src/configs/tests.rs
+++ b/crates/parsleytally/src/configs/tests.rs
@@ -251,3 +251,18 @@
     assert!(QuotaConfig::parse(b"[quota]\nweight = 0\n").is_err());
     assert!(TokenConfig::parse(b"[token]\nhash = 12\n").is_err());
 }
+
+#[test]
+fn a_hold_time_without_room_for_a_lost_confirmation_is_refused() {
+    let parse = |text: &[u8]| {
+        let mut document = Document::parse(text).unwrap();
+        OwnershipConfig::take(&mut document.take("ownership"))
+    };
+    let error = parse(b"[ownership]\nhold = 7s\n").unwrap_err();
+    assert_eq!(
+        error.to_string(),
+        "value \"7s\" of key \"hold\" in section [ownership]: \
+         it is shorter than 4 times the interval"
+    );
+    assert!(parse(b"[ownership]\nhold = 7s\ninterval = 1s\n").is_ok());
+}
