test(settings): an entry over the gateway's client, past the store's faults

Cause: entries were tested over the store in memory only. Change: an entry over EtcdStore and the stand-in's gateway: a lost answer, a cut watch, an outage and the return.

--- a/crates/parsleytally-entry/tests/settings.rs
+++ b/crates/parsleytally-entry/tests/settings.rs
@@ -5,14 +5,18 @@
 use std::time::Duration;
 
 use http::{Method, StatusCode};
+use parsleytally::configs::StoreConfig;
 use parsleytally::types::Revision;
 use parsleytally_agent::Agent;
 use parsleytally_agent::config::AgentConfig;
 use parsleytally_entry::Entry;
 use parsleytally_entry::config::EntryConfig;
 use parsleytally_platform::process::http::read_body;
-use parsleytally_platform::store::{Commit, MemoryStore, Outcome, Store, Write};
+use parsleytally_platform::store::{
+    Commit, EtcdStore, MemoryStore, Outcome, Store, Write, gateway,
+};
 use serde_json::Value;
+use tokio::net::TcpListener;
 use volo_http::body::Body;
 use volo_http::client::Client;
 use volo_http::response::Response;
@@ -228,6 +232,61 @@
     }
 }
 
+/// An entry over the client of the gateway, which serves the system's store.
+async fn start_over_gateway(system: &mut System) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let config = StoreConfig {
+        endpoints: vec![listener.local_addr().unwrap()],
+        ..StoreConfig::default()
+    };
+    tokio::spawn(gateway::serve(system.store.clone(), listener));
+    let any = "127.0.0.1:0";
+    let text = format!(
+        "[entry]\nname = entry-g\nzone = a\ngrace = 0s\n\
+         callers = {any}\noperators = {any}\nlinks = {any}\n{LINK}"
+    );
+    let entry = EntryConfig::parse(text.as_bytes()).unwrap();
+    let store = Arc::new(EtcdStore::new(config, 1).unwrap());
+    system
+        .entries
+        .push(Entry::start(entry, store).await.unwrap());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn settings_come_into_force_over_the_gateway_past_its_faults() {
+    let mut system = System::start(0, 0, "").await;
+    start_over_gateway(&mut system).await;
+    system.start_agent(0).await;
+    let path = "demo/services/echo";
+    let first = system.put(0, path, "[service]\ntimeout = 9s\n").await;
+    assert_eq!(first.status, StatusCode::OK, "{}", first.body);
+    system.until_in_force(revision(&first)).await;
+    system.store.lose_answers(1);
+    let lost = system.put(0, path, "[service]\ntimeout = 8s\n").await;
+    assert_eq!(lost.status, StatusCode::OK, "{}", lost.body);
+    system.until_in_force(revision(&lost)).await;
+    system.store.cut_watches();
+    system.store.set_down(true);
+    let down = system.put(0, path, "[service]\ntimeout = 7s\n").await;
+    assert_eq!(down.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(down.body.starts_with("accepted: no\n"), "{}", down.body);
+    system.store.set_down(false);
+    for tries in 0.. {
+        let again = system.put(0, path, "[service]\ntimeout = 6s\n").await;
+        if again.status == StatusCode::OK {
+            system.until_in_force(revision(&again)).await;
+            break;
+        }
+        assert!(tries < TRIES, "{}", again.body);
+        tokio::time::sleep(STEP).await;
+    }
+    let metrics = system.get(0, "/metrics").await.body;
+    assert!(
+        metrics.contains("parsleytally_store_watches 1"),
+        "{metrics}"
+    );
+}
+
 /// The line that names the other entries.
 fn peers(entries: &[Entry]) -> String {
     let links: Vec<_> = entries.iter().map(|e| e.links().to_string()).collect();
