--- a/crates/parsleytally-platform/src/store/etcd/mod.rs
+++ b/crates/parsleytally-platform/src/store/etcd/mod.rs
@@ -6,7 +6,6 @@
 //! sent over a new connection, since an idle one may have gone silent; a write is
 //! never sent twice.
 
-use std::error::Error;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
@@ -20,22 +19,25 @@
 use serde::de::DeserializeOwned;
 use volo_http::body::Body;
 use volo_http::client::{Client, ClientBuilder};
-use volo_http::error::ClientError;
 use volo_http::response::Response;
 
 use self::budget::Budget;
+use self::convert::{
+    check_sizes, connection_error, decode, encode, item, lease_error, malformed, refusal,
+    txn_request,
+};
 use self::watch::{EtcdWatch, Lines};
 use self::wire::{
-    CompareMessage, DeleteMessage, Failure, LeaseMessage, Line, Operation, PutMessage,
-    RangeRequest, RangeResponse, TxnRequest, TxnResponse, WatchCreate, WatchRequest, prefix_range,
+    LeaseMessage, Line, RangeRequest, RangeResponse, TxnResponse, WatchCreate, WatchRequest,
+    prefix_range,
 };
 use super::calls::{CallKind, CallMetrics};
 use super::{
-    Commit, Compare, Item, LeaseId, MAX_VALUE_BYTES, Newest, Outcome, Snapshot, Store, StoreError,
-    StoreFuture, Watch, Write,
+    Commit, LeaseId, Newest, Outcome, Snapshot, Store, StoreError, StoreFuture, Watch, Write,
 };
 
 mod budget;
+mod convert;
 mod watch;
 pub(crate) mod wire;
 
@@ -356,129 +358,3 @@
         .set_pool_idle_timeout(IDLE_TIMEOUT);
     Connections(builder.build().expect("fixed options are valid"))
 }
-
-fn encode(kind: CallKind, request: &impl Serialize) -> Result<Bytes, StoreError> {
-    let body = serde_json::to_vec(request).map_err(|e| StoreError::Refused {
-        call: kind.name(),
-        reason: e.to_string(),
-    })?;
-    Ok(body.into())
-}
-
-fn decode<T: DeserializeOwned>(kind: CallKind, answer: &Answer) -> Result<T, StoreError> {
-    if !answer.success {
-        return Err(refusal(kind, &answer.body));
-    }
-    serde_json::from_slice(&answer.body).map_err(|e| malformed(kind, &e.to_string()))
-}
-
-/// Error of a call whose connection failed.
-///
-/// A connection that was never made reports an I/O error itself; one that broke
-/// later reports it wrapped, and the request may have arrived.
-fn connection_error(kind: CallKind, error: &ClientError) -> StoreError {
-    let reason = error.to_string();
-    if error.source().is_some_and(|e| e.is::<std::io::Error>()) {
-        return StoreError::Down { reason };
-    }
-    StoreError::Unknown {
-        call: kind.name(),
-        reason,
-    }
-}
-
-/// Error of a call that the gateway answered with a failure.
-fn refusal(kind: CallKind, body: &[u8]) -> StoreError {
-    let call = kind.name();
-    let Ok(failure) = serde_json::from_slice::<Failure>(body) else {
-        let reason = "failure without a reason".to_owned();
-        return StoreError::Unknown { call, reason };
-    };
-    failure_error(call, failure)
-}
-
-fn failure_error(call: &'static str, failure: Failure) -> StoreError {
-    let reason = failure.message;
-    match failure.code {
-        wire::CODE_INVALID
-        | wire::CODE_NOT_FOUND
-        | wire::CODE_EXHAUSTED
-        | wire::CODE_PRECONDITION
-        | wire::CODE_OUT_OF_RANGE => StoreError::Refused { call, reason },
-        _ => StoreError::Unknown { call, reason },
-    }
-}
-
-/// Recognises the refusal of a write whose lease has ended.
-fn lease_error(error: StoreError, lease: Option<LeaseId>) -> StoreError {
-    match (&error, lease) {
-        (StoreError::Refused { reason, .. }, Some(lease)) if reason.contains(LEASE_NOT_FOUND) => {
-            StoreError::LeaseGone { lease }
-        }
-        _ => error,
-    }
-}
-
-fn malformed(kind: CallKind, reason: &str) -> StoreError {
-    StoreError::Protocol {
-        call: kind.name(),
-        reason: reason.to_owned(),
-    }
-}
-
-fn item(kind: CallKind, kv: wire::KeyValue) -> Result<Item, StoreError> {
-    let key = String::from_utf8(kv.key).map_err(|_| malformed(kind, "key is not UTF-8"))?;
-    Ok(Item {
-        key,
-        value: kv.value,
-        revision: Revision(kv.mod_revision),
-        created: Revision(kv.create_revision),
-    })
-}
-
-fn check_sizes(commit: &Commit) -> Result<(), StoreError> {
-    for write in &commit.writes {
-        if let Write::Put { key, value, .. } = write
-            && value.len() > MAX_VALUE_BYTES
-        {
-            return Err(StoreError::TooLarge {
-                key: key.clone(),
-                size: value.len(),
-            });
-        }
-    }
-    Ok(())
-}
-
-fn txn_request(commit: Commit) -> TxnRequest {
-    let compare = commit.compares.into_iter().map(|compare| match compare {
-        Compare::Absent { key } => CompareMessage {
-            result: "EQUAL".to_owned(),
-            target: "CREATE".to_owned(),
-            key: key.into_bytes(),
-            create_revision: Some(0),
-            mod_revision: None,
-        },
-        Compare::Unchanged { key, revision } => CompareMessage {
-            result: "EQUAL".to_owned(),
-            target: "MOD".to_owned(),
-            key: key.into_bytes(),
-            create_revision: None,
-            mod_revision: Some(revision.0),
-        },
-    });
-    let success = commit.writes.into_iter().map(|write| match write {
-        Write::Put { key, value, lease } => Operation::Put(PutMessage {
-            key: key.into_bytes(),
-            value,
-            lease: lease.map_or(0, |lease| lease.0),
-        }),
-        Write::Delete { key } => Operation::Delete(DeleteMessage {
-            key: key.into_bytes(),
-        }),
-    });
-    TxnRequest {
-        compare: compare.collect(),
-        success: success.collect(),
-    }
-}
--- a/crates/parsleytally-platform/src/store/etcd/tests.rs
+++ b/crates/parsleytally-platform/src/store/etcd/tests.rs
@@ -5,7 +5,7 @@
 use tokio::net::TcpListener;
 
 use super::*;
-use crate::store::{Change, MemoryStore, gateway};
+use crate::store::{Change, Compare, Item, MemoryStore, gateway};
 
 /// A gateway in this process and a client for it.
 struct Setup {
--- a/crates/parsleytally-platform/src/store/etcd/watch.rs
+++ b/crates/parsleytally-platform/src/store/etcd/watch.rs
@@ -6,8 +6,8 @@
 use serde::de::DeserializeOwned;
 use volo_http::body::Body;
 
+use super::convert::{failure_error, item, malformed};
 use super::wire::{Event, Line, WatchResponse};
-use super::{failure_error, item, malformed};
 use crate::store::calls::{CallKind, OpenWatch};
 use crate::store::{Change, Changes, StoreError, StoreFuture, Watch};
 
