feat(scheduler): workers are chosen by the placement slice

Cause: the scheduler took the first worker by name with room, in order of names, and knew neither quotas nor urgency. Change: the placer keeps the library's placement: fair shares by quota and weight, urgent work first, a refused task kept off the worker that refused it, quotas passed from the settings, and an explanation with the reasons that ruled workers out in GET /v1/tasks/{team}/{task}.

--- a/crates/parsleytally-entry/src/scheduler.rs
+++ b/crates/parsleytally-entry/src/scheduler.rs
@@ -17,7 +17,7 @@
 use std::time::Duration;
 
 use crossbeam_channel::{Sender, bounded};
-use parsleytally::configs::{BatchConfig, OwnershipConfig};
+use parsleytally::configs::{BatchConfig, OwnershipConfig, QuotaConfig};
 use parsleytally::leases::Report;
 use parsleytally::types::{Incarnation, NodeName, Resources, TaskKey, TeamName};
 use parsleytally_link::{Link, RunBeat};
@@ -28,7 +28,7 @@
 
 use crate::metrics::Metrics;
 use duty::Duty;
-use placer::FirstFit;
+use placer::Balanced;
 use store::{Answer, Calls};
 
 /// Inputs that wait for the duty; a full ring holds their senders back.
@@ -53,6 +53,8 @@
     Declared(TaskKey, BatchConfig),
     /// A task was deleted from the settings.
     Deleted(TaskKey),
+    /// A team's quota is in force.
+    Quota(TeamName, QuotaConfig),
     /// Every task of the settings has been declared, as the store has them.
     Complete,
     /// A worker can run tasks.
@@ -120,7 +122,8 @@
         let (inputs, receiver) = bounded(INPUT_RING);
         let calls = Calls::new(parts.store.clone(), Handle::current(), inputs.clone());
         let node = parts.node.clone();
-        let mut duty = Duty::new(parts, calls.clone(), Box::new(FirstFit::default()));
+        let seed = parts.life.0;
+        let mut duty = Duty::new(parts, calls.clone(), Box::new(Balanced::new(seed)));
         let thread = thread::Builder::new()
             .name("scheduler".to_owned())
             .spawn(move || duty.run(&receiver))?;
--- a/crates/parsleytally-entry/src/scheduler/duty.rs
+++ b/crates/parsleytally-entry/src/scheduler/duty.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use crossbeam_channel::{Receiver, RecvTimeoutError};
-use parsleytally::configs::{BatchConfig, OwnershipConfig};
-use parsleytally::leases::Order;
+use parsleytally::configs::{BatchConfig, OwnershipConfig, QuotaConfig};
+use parsleytally::leases::{Order, TaskRecord};
 use parsleytally::ownership::{
     Batch, Holder, HolderConfig, HolderInput, HolderOutput, Owner, OwnerConfig, OwnerInput,
     OwnerOutput, Presence, Spec, Swap, shard_of,
@@ -17,7 +17,7 @@
 use parsleytally_link::{Frame, Link};
 use parsleytally_platform::process::Clock;
 
-use super::placer::Placer;
+use super::placer::{Choice, Placer};
 use super::store::{Answer, Calls, JournalWrite, Loaded, Owners};
 use super::{Input, Parts, RELEASE_LIMIT, TaskView, view};
 use crate::metrics::Metrics;
@@ -27,6 +27,9 @@
 /// Swaps and releases in flight.
 const MOVES: usize = 16;
 
+/// Why a task waits while the store is silent.
+const NOT_CONFIRMED: &str = "the store has not confirmed this entry lately";
+
 /// An owner with what its journal writes compare.
 struct Shard {
     owner: Owner,
@@ -126,6 +129,7 @@
         match input {
             Input::Declared(key, config) => self.declare(key, config),
             Input::Deleted(key) => self.delete(key),
+            Input::Quota(team, quota) => self.quota(team, quota),
             Input::Complete => {
                 self.complete = true;
                 let shards: Vec<_> = self.shards.keys().copied().collect();
@@ -172,6 +176,10 @@
         self.place();
     }
 
+    fn quota(&mut self, team: TeamName, quota: QuotaConfig) {
+        self.placer.quota(self.clock.now(), team, quota);
+    }
+
     fn delete(&mut self, key: TaskKey) {
         if self.tasks.remove(&key).is_none() {
             return;
@@ -179,13 +187,15 @@
         self.count("deleted");
         self.ready.remove(&key);
         self.reasons.remove(&key);
+        self.placer.drops(self.clock.now(), &key);
         let shard = shard_of(&key.team);
         self.owner(shard, OwnerInput::Remove { task: key });
     }
 
     fn up(&mut self, link: Link, capacity: Resources) {
         let name = link.peer().node.clone();
-        self.placer.up(&name, capacity);
+        let zone = link.peer().zone.clone();
+        self.placer.up(self.clock.now(), &name, &zone, capacity);
         let beat = self.workers.get(&name).and_then(|worker| worker.beat);
         self.workers.insert(name, Worker { link, beat });
     }
@@ -195,7 +205,7 @@
         let closed = |worker: &Worker| worker.link.is_closed();
         if self.workers.get(name).is_some_and(closed) {
             self.workers.remove(name);
-            self.placer.down(name);
+            self.placer.down(self.clock.now(), name);
         }
     }
 
@@ -204,6 +214,7 @@
             return;
         };
         worker.beat = worker.beat.max(Some((life, sent)));
+        self.placer.seen(self.clock.now(), name);
         let shards: Vec<_> = self.shards.keys().copied().collect();
         for shard in shards {
             let agent = name.clone();
@@ -345,14 +356,15 @@
 
     /// Notes which workers hold the shard's tasks.
     fn sweep(&mut self, shard: ShardId) {
+        let now = self.clock.now();
         let Some(entry) = self.shards.get(&shard) else {
             return;
         };
         for (task, record) in entry.owner.tasks() {
             let need = self.tasks.get(task).map(|config| config.need);
             match record.holder().zip(need) {
-                Some((worker, need)) => self.placer.held(task, worker, need),
-                None => self.placer.freed(task),
+                Some((worker, need)) => self.placer.held(now, task, worker, need),
+                None => self.placer.freed(now, task),
             }
         }
     }
@@ -392,13 +404,14 @@
     }
 
     fn drop_shard(&mut self, shard: ShardId) -> bool {
+        let now = self.clock.now();
         let Some(entry) = self.shards.remove(&shard) else {
             return false;
         };
         for (task, _) in entry.owner.tasks() {
             self.ready.remove(task);
             self.reasons.remove(task);
-            self.placer.freed(task);
+            self.placer.drops(now, task);
         }
         true
     }
@@ -420,11 +433,11 @@
             OwnerOutput::Order { agent, order } => self.order(&agent, order),
             OwnerOutput::Write(batch) => self.write(shard, batch),
             OwnerOutput::Ready { task } => {
-                self.placer.freed(&task);
+                self.placer.freed(self.clock.now(), &task);
                 self.ready.insert(task);
             }
             OwnerOutput::NotPlaced { task } => {
-                self.placer.freed(&task);
+                self.placer.freed(self.clock.now(), &task);
                 self.ready.insert(task);
             }
             OwnerOutput::Refused {
@@ -433,6 +446,7 @@
                 reason,
             } => {
                 self.count("refused");
+                self.placer.refused(&task, &agent);
                 let reason = format!("worker {agent} refused: {reason}");
                 self.reasons.insert(task, reason);
             }
@@ -450,7 +464,7 @@
                 log::warn!("run {run} is given up: its worker is silent or gone");
             }
             OwnerOutput::Counted { task, .. } => {
-                self.placer.freed(&task);
+                self.placer.freed(self.clock.now(), &task);
                 self.count("finished");
             }
             OwnerOutput::Recovered(recovered) => {
@@ -492,20 +506,50 @@
     fn place(&mut self) {
         let now = self.clock.now();
         for task in std::mem::take(&mut self.ready) {
-            self.place_one(now, task);
+            if self.offer(now, &task) {
+                self.ready.insert(task);
+            }
+        }
+        for choice in self.placer.choose(now) {
+            self.start(now, choice);
         }
     }
 
-    fn place_one(&mut self, now: Time, task: TaskKey) {
-        let shard = shard_of(&task.team);
-        let Some(config) = self.tasks.get(&task) else {
-            return;
-        };
-        let Some(entry) = self.shards.get(&shard).filter(|entry| !entry.draining) else {
-            return;
+    /// Tells the placer about a task that waits; returns whether it still does.
+    fn offer(&mut self, now: Time, task: &TaskKey) -> bool {
+        let entry = self.shards.get(&shard_of(&task.team));
+        let entry = entry.filter(|entry| !entry.draining);
+        let (Some(config), Some(entry)) = (self.tasks.get(task), entry) else {
+            self.placer.drops(now, task);
+            return false;
         };
-        let Some(record) = entry.owner.record(&task).filter(|r| r.is_ready()) else {
-            return;
+        if !entry.owner.record(task).is_some_and(TaskRecord::is_ready) {
+            return false;
+        }
+        if !entry.owner.is_ready(now, task) {
+            self.placer.drops(now, task);
+            self.reasons.insert(task.clone(), NOT_CONFIRMED.to_owned());
+            return true;
+        }
+        if self.reasons.get(task).is_some_and(|r| r == NOT_CONFIRMED) {
+            self.reasons.remove(task);
+        }
+        self.placer.wants(now, task, config);
+        true
+    }
+
+    /// Starts a task on the chosen worker.
+    fn start(&mut self, now: Time, choice: Choice) {
+        let Choice {
+            task,
+            worker: agent,
+        } = choice;
+        self.ready.remove(&task);
+        let shard = shard_of(&task.team);
+        let entry = self.shards.get(&shard);
+        let record = entry.and_then(|entry| entry.owner.record(&task));
+        let (Some(config), Some(record)) = (self.tasks.get(&task), record) else {
+            return self.placer.drops(now, &task);
         };
         let expect = record.run;
         let spec = Spec {
@@ -513,28 +557,23 @@
             command: Arc::from(config.command.as_str()),
             run_time: config.run_time,
         };
-        if !entry.owner.is_ready(now, &task) {
-            let reason = "the store has not confirmed this entry lately".to_owned();
-            self.reasons.insert(task.clone(), reason);
-            self.ready.insert(task);
-            return;
-        }
-        match self.placer.choose(&task, &spec.need) {
-            Err(reason) => {
-                self.reasons.insert(task.clone(), reason);
-                self.ready.insert(task);
-            }
-            Ok(agent) => {
-                self.placer.held(&task, &agent, spec.need);
-                self.count("placed");
-                let input = OwnerInput::Place {
-                    task,
-                    expect,
-                    agent,
-                    spec,
-                };
-                self.owner(shard, input);
-            }
+        self.count("placed");
+        let input = OwnerInput::Place {
+            task,
+            expect,
+            agent,
+            spec,
+        };
+        self.owner(shard, input);
+    }
+
+    /// Why a task waits.
+    fn why(&self, task: &TaskKey) -> Option<String> {
+        let last = self.reasons.get(task);
+        let waits = self.placer.explain(self.clock.now(), task);
+        match (waits, last) {
+            (Some(waits), Some(last)) => Some(format!("{waits}; last: {last}")),
+            (waits, last) => waits.or_else(|| last.cloned()),
         }
     }
 
@@ -543,7 +582,7 @@
         let owner = self.shards.get(&shard).map(|entry| &entry.owner);
         let keys = self.tasks.keys().filter(|key| key.team == *team);
         let views = keys.map(|key| match owner.and_then(|o| Some((o, o.record(key)?))) {
-            Some((owner, record)) => view::owned(key, owner, record, self.reasons.get(key)),
+            Some((owner, record)) => view::owned(key, owner, record, self.why(key)),
             None => view::elsewhere(key, self.whose(shard)),
         });
         views.collect()
--- a/crates/parsleytally-entry/src/scheduler/placer.rs
+++ b/crates/parsleytally-entry/src/scheduler/placer.rs
@@ -1,83 +1,241 @@
-//! The choice of a worker for a task.
+//! The choice of workers for tasks.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
-use parsleytally::types::{NodeName, Resources, TaskKey};
+use parsleytally::configs::{BatchConfig, PlacementConfig, QuotaConfig};
+use parsleytally::placement::{Input, NoSlowdown, Output, Placement, Report, Request};
+use parsleytally::types::{NodeName, RackName, Resources, TaskKey, TeamName, Time, ZoneName};
+
+/// Refusals of one task that are remembered.
+const MAX_REFUSALS: usize = 3;
+
+/// A worker for a task.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Choice {
+    pub(crate) task: TaskKey,
+    pub(crate) worker: NodeName,
+}
 
 /// Chooses workers; it may be wrong about their room, the agents refuse then.
 pub(crate) trait Placer: Send {
     /// A worker can be reached.
-    fn up(&mut self, worker: &NodeName, capacity: Resources);
+    fn up(&mut self, now: Time, worker: &NodeName, zone: &ZoneName, capacity: Resources);
+
+    /// A worker was heard of.
+    fn seen(&mut self, now: Time, worker: &NodeName);
 
     /// A worker can't be reached.
-    fn down(&mut self, worker: &NodeName);
+    fn down(&mut self, now: Time, worker: &NodeName);
 
-    /// A worker that may take a task, or why none does.
-    fn choose(&mut self, task: &TaskKey, need: &Resources) -> Result<NodeName, String>;
+    /// A team's quota is in force.
+    fn quota(&mut self, now: Time, team: TeamName, quota: QuotaConfig);
 
-    /// A task was given to a worker, or was found on it.
-    fn held(&mut self, task: &TaskKey, worker: &NodeName, need: Resources);
+    /// A task wants a worker.
+    fn wants(&mut self, now: Time, task: &TaskKey, config: &BatchConfig);
 
     /// A task's run has ended.
-    fn freed(&mut self, task: &TaskKey);
+    fn freed(&mut self, now: Time, task: &TaskKey);
+
+    /// A task no longer wants a worker and holds none.
+    fn drops(&mut self, now: Time, task: &TaskKey);
+
+    /// Chooses workers for tasks that want one.
+    fn choose(&mut self, now: Time) -> Vec<Choice>;
+
+    /// Why a task waits, and what ruled the workers out.
+    fn explain(&self, now: Time, task: &TaskKey) -> Option<String>;
+
+    /// A worker refused a task.
+    fn refused(&mut self, task: &TaskKey, worker: &NodeName);
+
+    /// A task was found on a worker.
+    fn held(&mut self, now: Time, task: &TaskKey, worker: &NodeName, need: Resources);
 }
 
+/// What a task holds.
 #[derive(Debug, Clone)]
 struct Grant {
     worker: NodeName,
     need: Resources,
 }
 
-/// Takes the first worker, by name, with room by declared sizes.
-#[derive(Debug, Default)]
-pub(crate) struct FirstFit {
-    workers: BTreeMap<NodeName, Resources>,
-    used: BTreeMap<NodeName, Resources>,
+/// A worker as it is known here.
+#[derive(Debug, Clone)]
+struct Worker {
+    zone: ZoneName,
+    capacity: Resources,
+    tasks: BTreeMap<TaskKey, Resources>,
+}
+
+/// Places by the library's placement.
+#[derive(Debug)]
+pub(crate) struct Balanced {
+    placement: Placement,
+    workers: BTreeMap<NodeName, Worker>,
     grants: BTreeMap<TaskKey, Grant>,
+    refusals: BTreeMap<TaskKey, Vec<NodeName>>,
 }
 
-impl FirstFit {
-    fn has_room(&self, worker: &NodeName, capacity: &Resources, need: &Resources) -> bool {
-        let used = self.used.get(worker).copied().unwrap_or(Resources::NONE);
-        let sum = used.checked_add(need);
-        sum.is_some_and(|sum| sum.fits(capacity))
+impl Balanced {
+    /// Creates a placer that knows no workers.
+    pub(crate) fn new(seed: u64) -> Self {
+        Self {
+            placement: Placement::new(PlacementConfig::default(), seed),
+            workers: BTreeMap::new(),
+            grants: BTreeMap::new(),
+            refusals: BTreeMap::new(),
+        }
     }
-}
 
-impl Placer for FirstFit {
-    fn up(&mut self, worker: &NodeName, capacity: Resources) {
-        self.workers.insert(worker.clone(), capacity);
+    fn step(&mut self, now: Time, input: Input) -> Vec<Output> {
+        let mut out = Vec::new();
+        self.placement.step(now, input, &NoSlowdown, &mut out);
+        out
     }
 
-    fn down(&mut self, worker: &NodeName) {
-        self.workers.remove(worker);
+    fn note(&mut self, task: &TaskKey, worker: &NodeName, need: Resources) {
+        self.forget(task);
+        if let Some(known) = self.workers.get_mut(worker) {
+            known.tasks.insert(task.clone(), need);
+        }
+        let worker = worker.clone();
+        self.grants.insert(task.clone(), Grant { worker, need });
     }
 
-    fn choose(&mut self, _task: &TaskKey, need: &Resources) -> Result<NodeName, String> {
-        if self.workers.is_empty() {
-            return Err("no worker is known".to_owned());
+    fn forget(&mut self, task: &TaskKey) {
+        let grant = self.grants.remove(task);
+        if let Some(known) = grant.and_then(|grant| self.workers.get_mut(&grant.worker)) {
+            known.tasks.remove(task);
         }
-        let mut workers = self.workers.iter();
-        let found = workers.find(|(name, capacity)| self.has_room(name, capacity, need));
-        found
-            .map(|(name, _)| name.clone())
-            .ok_or_else(|| "no worker has room".to_owned())
     }
+}
 
-    fn held(&mut self, task: &TaskKey, worker: &NodeName, need: Resources) {
-        self.freed(task);
-        let used = self.used.entry(worker.clone()).or_default();
-        *used = used.checked_add(&need).unwrap_or(*used);
-        let worker = worker.clone();
-        self.grants.insert(task.clone(), Grant { worker, need });
+impl Placer for Balanced {
+    fn up(&mut self, now: Time, worker: &NodeName, zone: &ZoneName, capacity: Resources) {
+        let held = self.grants.iter().filter(|(_, g)| g.worker == *worker);
+        let known = Worker {
+            zone: zone.clone(),
+            capacity,
+            tasks: held.map(|(task, g)| (task.clone(), g.need)).collect(),
+        };
+        self.workers.insert(worker.clone(), known);
+        self.seen(now, worker);
+    }
+
+    fn seen(&mut self, now: Time, worker: &NodeName) {
+        let Some(known) = self.workers.get(worker) else {
+            return;
+        };
+        // Racks are not announced, so each worker counts as its own.
+        let Ok(rack) = RackName::new(worker.as_str()) else {
+            return;
+        };
+        let sum = |sum: Resources, need: &Resources| sum.checked_add(need).unwrap_or(sum);
+        let report = Report {
+            worker: worker.clone(),
+            zone: known.zone.clone(),
+            rack,
+            total: known.capacity,
+            granted: known.tasks.values().fold(Resources::NONE, sum),
+            tasks: known.tasks.keys().cloned().collect(),
+            services: Vec::new(),
+            ready: true,
+        };
+        self.step(now, Input::Report(report));
     }
 
-    fn freed(&mut self, task: &TaskKey) {
-        let Some(grant) = self.grants.remove(task) else {
+    fn down(&mut self, now: Time, worker: &NodeName) {
+        // Its tasks stay where they are until their owner gives them up.
+        let Some(known) = self.workers.remove(worker) else {
             return;
         };
-        if let Some(used) = self.used.get_mut(&grant.worker) {
-            *used = used.checked_sub(&grant.need).unwrap_or_default();
+        self.step(now, Input::Gone(worker.clone()));
+        for (task, need) in known.tasks {
+            self.adopt(now, &task, worker, need);
         }
     }
+
+    fn quota(&mut self, now: Time, team: TeamName, quota: QuotaConfig) {
+        self.step(now, Input::Quota { team, quota });
+    }
+
+    fn wants(&mut self, now: Time, task: &TaskKey, config: &BatchConfig) {
+        self.freed(now, task);
+        let request = Request {
+            task: task.clone(),
+            class: Arc::from(config.class.as_str()),
+            need: config.need,
+            run_time: config.run_time,
+            urgent: config.urgent,
+            group: None,
+            avoid: self.refusals.get(task).cloned().unwrap_or_default(),
+        };
+        self.step(now, Input::Submit(request));
+    }
+
+    fn freed(&mut self, now: Time, task: &TaskKey) {
+        if self.grants.contains_key(task) {
+            self.forget(task);
+            self.step(now, Input::Ended(task.clone()));
+        }
+    }
+
+    fn drops(&mut self, now: Time, task: &TaskKey) {
+        self.forget(task);
+        self.refusals.remove(task);
+        self.step(now, Input::Cancel(task.clone()));
+    }
+
+    fn choose(&mut self, now: Time) -> Vec<Choice> {
+        let mut choices = Vec::new();
+        for output in self.step(now, Input::Tick) {
+            if let Output::Start { task, worker, need } = output {
+                self.note(&task, &worker, need);
+                choices.push(Choice { task, worker });
+            }
+        }
+        choices
+    }
+
+    fn explain(&self, now: Time, task: &TaskKey) -> Option<String> {
+        let explanation = self.placement.explain(now, task, &NoSlowdown)?;
+        Some(explanation.to_string())
+    }
+
+    fn refused(&mut self, task: &TaskKey, worker: &NodeName) {
+        let refusals = self.refusals.entry(task.clone()).or_default();
+        refusals.retain(|known| known != worker);
+        refusals.push(worker.clone());
+        if refusals.len() > MAX_REFUSALS {
+            refusals.remove(0);
+        }
+    }
+
+    fn held(&mut self, now: Time, task: &TaskKey, worker: &NodeName, need: Resources) {
+        if self.grants.get(task).is_some_and(|g| g.worker == *worker) {
+            return;
+        }
+        self.note(task, worker, need);
+        self.adopt(now, task, worker, need);
+    }
 }
+
+impl Balanced {
+    fn adopt(&mut self, now: Time, task: &TaskKey, worker: &NodeName, need: Resources) {
+        let request = Request {
+            task: task.clone(),
+            class: Arc::from(""),
+            need,
+            run_time: std::time::Duration::ZERO,
+            urgent: false,
+            group: None,
+            avoid: Vec::new(),
+        };
+        let worker = worker.clone();
+        self.step(now, Input::Adopt { request, worker });
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/parsleytally-entry/src/scheduler/view.rs
+++ b/crates/parsleytally-entry/src/scheduler/view.rs
@@ -13,7 +13,7 @@
     key: &TaskKey,
     owner: &Owner,
     record: &TaskRecord,
-    reason: Option<&String>,
+    reason: Option<String>,
 ) -> TaskView {
     let finishing = record.phase == Phase::Finished && !owner.is_counted(key);
     let waits = record.is_ready() || record.phase == Phase::Failed;
@@ -26,7 +26,7 @@
         },
         worker: record.holder().cloned(),
         run: record.run.0,
-        reason: reason.filter(|_| waits).cloned(),
+        reason: reason.filter(|_| waits),
     }
 }
 
--- a/crates/parsleytally-entry/src/settings/duty.rs
+++ b/crates/parsleytally-entry/src/settings/duty.rs
@@ -122,10 +122,16 @@
     }
 
     fn tell_scheduler(&self, path: &SettingPath) {
+        let view = self.settings.view();
+        if let SettingPath::Quota(team) = path {
+            let quota = view.quotas.get(team).cloned().unwrap_or_default();
+            self.scheduler
+                .send(SchedulerInput::Quota(team.clone(), quota));
+        }
         let SettingPath::Batch(task) = path else {
             return;
         };
-        let config = self.settings.view().tasks.get(task).cloned();
+        let config = view.tasks.get(task).cloned();
         self.scheduler.send(match config {
             Some(config) => SchedulerInput::Declared(task.clone(), config),
             None => SchedulerInput::Deleted(task.clone()),
