--- a/crates/parsleytally-agent/src/agent.rs
+++ b/crates/parsleytally-agent/src/agent.rs
@@ -9,12 +9,12 @@
 use parsleytally::membership::Announcement;
 use parsleytally::types::Revision;
 use parsleytally_link::{HEARTBEAT_INTERVAL, Hello, PROTOCOL_VERSION, Role};
-use parsleytally_platform::process::Clock;
 use parsleytally_platform::process::http::{BindError, HttpServer};
+use parsleytally_platform::process::{Clock, drain};
 use parsleytally_platform::worker::{StandInWorker, WorkerControl};
 use snafu::{ResultExt, Snafu};
 use tokio::task::JoinSet;
-use tokio::time::{Instant, sleep};
+use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
 use crate::config::AgentConfig;
@@ -26,9 +26,6 @@
 use crate::runs::Runs;
 use crate::settings::SettingsDuty;
 
-/// Time between two looks at the requests in flight during shutdown.
-const DRAIN_STEP: Duration = Duration::from_millis(20);
-
 /// Why an agent could not start.
 #[derive(Debug, Snafu)]
 #[snafu(module(error))]
@@ -165,16 +162,7 @@
         self.leave.cancel();
         // Entries hear of it at once; one whose link is just being dialled, a little later.
         sleep(HEARTBEAT_INTERVAL * 2).await;
-        let limit = Instant::now() + self.drain;
-        while self.requests.in_flight() > 0 && Instant::now() < limit {
-            sleep(DRAIN_STEP).await;
-        }
-        let left = self.requests.in_flight();
-        if left > 0 {
-            log::warn!("{left} requests are still in flight at the drain limit");
-        }
-        // Lets the last answers reach the sockets.
-        sleep(DRAIN_STEP).await;
+        drain(|| self.requests.in_flight(), self.drain).await;
         self.stop.cancel();
         while self.links.join_next().await.is_some() {}
         self.runs.close();
--- a/crates/parsleytally-agent/src/endpoint.rs
+++ b/crates/parsleytally-agent/src/endpoint.rs
@@ -2,9 +2,10 @@
 
 use std::net::SocketAddr;
 
-use http::header::{CONNECTION, CONTENT_LENGTH, HOST, HeaderName, TRANSFER_ENCODING};
+use http::header::HeaderName;
 use http::{HeaderMap, HeaderValue, Method};
 use parsleytally_link::{Answer, Header, Request};
+use parsleytally_platform::process::end_to_end;
 use parsleytally_platform::process::http::{BodyError, read_body};
 use snafu::{ResultExt, Snafu};
 use volo_http::body::Body;
@@ -83,7 +84,7 @@
         Ok(Answer {
             id: request.id,
             status: parts.status.as_u16(),
-            headers: end_to_end(&parts.headers),
+            headers: passed_on(&parts.headers),
             body,
         })
     }
@@ -116,21 +117,11 @@
     Ok(())
 }
 
-fn end_to_end(headers: &HeaderMap) -> Vec<Header> {
-    headers
-        .iter()
-        .filter(|(name, _)| !is_hop_by_hop(name))
+fn passed_on(headers: &HeaderMap) -> Vec<Header> {
+    end_to_end(headers)
         .map(|(name, value)| Header {
             name: name.as_str().to_owned(),
             value: bytes::Bytes::copy_from_slice(value.as_bytes()),
         })
         .collect()
 }
-
-fn is_hop_by_hop(name: &HeaderName) -> bool {
-    [CONNECTION, TRANSFER_ENCODING, CONTENT_LENGTH, HOST].contains(name)
-        || matches!(
-            name.as_str(),
-            "keep-alive" | "te" | "trailer" | "upgrade" | "proxy-connection"
-        )
-}
--- a/crates/parsleytally-entry/src/callers.rs
+++ b/crates/parsleytally-entry/src/callers.rs
@@ -1,7 +1,7 @@
 //! Callers' HTTP: `ANY /{team}/{service}/…` goes to an endpoint of that service.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use fastrace::Span;
@@ -14,6 +14,7 @@
 use parsleytally::types::{Incarnation, ServiceKey, ServiceName, TeamName};
 use parsleytally_link::{Answer, Header};
 use parsleytally_platform::process::Clock;
+use parsleytally_platform::process::end_to_end;
 use parsleytally_platform::process::http::{Answering, BodyError, Handler, json, read_body};
 use parsleytally_platform::process::spans;
 use serde::Serialize;
@@ -42,7 +43,7 @@
 pub(crate) struct Callers {
     attempts: Attempts,
     metrics: Metrics,
-    in_flight: AtomicU64,
+    in_flight: AtomicUsize,
     draining: Arc<AtomicBool>,
 }
 
@@ -103,13 +104,13 @@
         Self {
             attempts: Attempts::new(directory, retry, seed),
             metrics,
-            in_flight: AtomicU64::new(0),
+            in_flight: AtomicUsize::new(0),
             draining,
         }
     }
 
     /// Requests that have not been answered yet.
-    pub(crate) fn in_flight(&self) -> u64 {
+    pub(crate) fn in_flight(&self) -> usize {
         self.in_flight.load(Ordering::SeqCst)
     }
 
@@ -148,7 +149,7 @@
             service,
             method: parts.method.as_str().to_owned(),
             path,
-            headers: end_to_end(&parts.headers),
+            headers: passed_on(&parts.headers),
             body,
             trace,
             repeatable,
@@ -288,10 +289,8 @@
     }
 }
 
-fn end_to_end(headers: &HeaderMap) -> Vec<Header> {
-    headers
-        .iter()
-        .filter(|(name, _)| !is_hop_by_hop(name))
+fn passed_on(headers: &HeaderMap) -> Vec<Header> {
+    end_to_end(headers)
         .map(|(name, value)| Header {
             name: name.as_str().to_owned(),
             value: bytes::Bytes::copy_from_slice(value.as_bytes()),
@@ -299,23 +298,6 @@
         .collect()
 }
 
-fn is_hop_by_hop(name: &HeaderName) -> bool {
-    matches!(
-        name.as_str(),
-        "connection"
-            | "content-length"
-            | "expect"
-            | "host"
-            | "keep-alive"
-            | "proxy-connection"
-            | "te"
-            | "traceparent"
-            | "trailer"
-            | "transfer-encoding"
-            | "upgrade"
-    )
-}
-
 fn into_response(answer: Answer) -> Response {
     let mut response = Response::new(Body::from(answer.body));
     *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
--- a/crates/parsleytally-entry/src/entry.rs
+++ b/crates/parsleytally-entry/src/entry.rs
@@ -3,15 +3,14 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
 
 use parsleytally::types::Revision;
 use parsleytally_link::{Hello, PROTOCOL_VERSION, Role};
-use parsleytally_platform::process::Clock;
 use parsleytally_platform::process::http::{BindError, HttpServer};
+use parsleytally_platform::process::{Clock, drain};
 use parsleytally_platform::store::{Store, Writer};
 use snafu::{ResultExt, Snafu};
-use tokio::time::{Instant, sleep};
+use tokio::time::sleep;
 
 use crate::callers::Callers;
 use crate::config::EntryConfig;
@@ -23,9 +22,6 @@
 use crate::scheduler::{Parts, Scheduler};
 use crate::settings::Settings;
 
-/// Time between two looks at the requests in flight during shutdown.
-const DRAIN_STEP: Duration = Duration::from_millis(20);
-
 /// Why an entry could not start.
 #[derive(Debug, Snafu)]
 pub enum StartError {
@@ -192,16 +188,7 @@
         self.draining.store(true, Ordering::SeqCst);
         sleep(self.config.grace).await;
         self.caller_server.stop_accepting();
-        let limit = Instant::now() + self.config.drain;
-        while self.callers.in_flight() > 0 && Instant::now() < limit {
-            sleep(DRAIN_STEP).await;
-        }
-        let left = self.callers.in_flight();
-        if left > 0 {
-            log::warn!("{left} requests are still in flight at the drain limit");
-        }
-        // Lets the last answers reach the sockets.
-        sleep(DRAIN_STEP).await;
+        drain(|| self.callers.in_flight(), self.config.drain).await;
         self.caller_server.close().await;
         self.peers.close().await;
         self.links.close().await;
--- a/crates/parsleytally-entry/src/metrics.rs
+++ b/crates/parsleytally-entry/src/metrics.rs
@@ -1,10 +1,8 @@
 //! Counters and gauges of an entry.
 
+use parsleytally_platform::process::metrics::MetricSet;
 use parsleytally_platform::store::CallMetrics;
-use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
-};
+use prometheus::{Histogram, IntCounter, IntCounterVec, IntGauge};
 
 /// Upper bounds of the latency buckets, in seconds.
 const LATENCY_BUCKETS_S: [f64; 12] = [
@@ -14,7 +12,7 @@
 /// Metrics of one entry; clones share them.
 #[derive(Debug, Clone)]
 pub(crate) struct Metrics {
-    registry: Registry,
+    set: MetricSet,
     pub(crate) requests: IntCounterVec,
     pub(crate) latency: Histogram,
     pub(crate) in_flight: IntGauge,
@@ -33,97 +31,72 @@
 
 impl Metrics {
     pub(crate) fn new() -> prometheus::Result<Self> {
-        let latency = HistogramOpts::new(
-            "parsleytally_entry_request_seconds",
-            "Time from a caller's request to its answer, in seconds.",
-        );
-        let metrics = Self {
-            registry: Registry::new(),
-            requests: IntCounterVec::new(
-                Opts::new("parsleytally_entry_requests_total", "Requests by outcome."),
-                &["outcome"],
+        let set = MetricSet::default();
+        Ok(Self {
+            requests: set.counters(
+                "parsleytally_entry_requests_total",
+                "Requests by outcome.",
+                "outcome",
             )?,
-            latency: Histogram::with_opts(latency.buckets(LATENCY_BUCKETS_S.to_vec()))?,
-            in_flight: IntGauge::new("parsleytally_entry_in_flight", "Requests in flight.")?,
-            endpoints: IntGauge::new("parsleytally_entry_endpoints", "Known endpoints.")?,
-            ejected: IntCounter::new(
+            latency: set.histogram(
+                "parsleytally_entry_request_seconds",
+                "Time from a caller's request to its answer, in seconds.",
+                &LATENCY_BUCKETS_S,
+            )?,
+            in_flight: set.gauge("parsleytally_entry_in_flight", "Requests in flight.")?,
+            endpoints: set.gauge("parsleytally_entry_endpoints", "Known endpoints.")?,
+            ejected: set.counter(
                 "parsleytally_entry_ejections_total",
                 "Endpoints set aside after failures.",
             )?,
-            refused_links: IntCounter::new(
+            refused_links: set.counter(
                 "parsleytally_entry_refused_links_total",
                 "Connections that did not become links: no key, another version, garbage.",
             )?,
-            stale_news: IntGauge::new(
+            stale_news: set.gauge(
                 "parsleytally_entry_stale_news",
                 "Announcements and heartbeats that came late, doubled or of an earlier life.",
             )?,
-            revision: IntGauge::new(
+            revision: set.gauge(
                 "parsleytally_entry_settings_revision",
                 "Revision of the settings in force here.",
             )?,
-            bad_settings: IntCounter::new(
+            bad_settings: set.counter(
                 "parsleytally_entry_bad_settings_total",
                 "Values in the store that were kept out of force.",
             )?,
-            bad_texts: IntGauge::new(
+            bad_texts: set.gauge(
                 "parsleytally_entry_bad_settings",
                 "Values in the store that are kept out of force now.",
             )?,
-            silent_watches: IntCounter::new(
+            silent_watches: set.counter(
                 "parsleytally_entry_silent_watches_total",
                 "Watches of the settings that missed a change and were replaced.",
             )?,
-            store_behind: IntCounter::new(
+            store_behind: set.counter(
                 "parsleytally_entry_store_behind_total",
                 "Answers of the store below the revision in force here.",
             )?,
-            shards: IntGauge::new(
+            shards: set.gauge(
                 "parsleytally_entry_shards",
                 "Shards of teams that this entry decides about.",
             )?,
-            tasks: IntCounterVec::new(
-                Opts::new("parsleytally_entry_tasks_total", "Batch tasks by event."),
-                &["event"],
+            tasks: set.counters(
+                "parsleytally_entry_tasks_total",
+                "Batch tasks by event.",
+                "event",
             )?,
-        };
-        metrics.register()?;
-        Ok(metrics)
-    }
-
-    fn register(&self) -> prometheus::Result<()> {
-        self.registry.register(Box::new(self.requests.clone()))?;
-        self.registry.register(Box::new(self.latency.clone()))?;
-        self.registry.register(Box::new(self.in_flight.clone()))?;
-        self.registry.register(Box::new(self.ejected.clone()))?;
-        self.registry
-            .register(Box::new(self.refused_links.clone()))?;
-        self.registry.register(Box::new(self.stale_news.clone()))?;
-        self.registry.register(Box::new(self.endpoints.clone()))?;
-        self.registry.register(Box::new(self.revision.clone()))?;
-        self.registry
-            .register(Box::new(self.bad_settings.clone()))?;
-        self.registry.register(Box::new(self.bad_texts.clone()))?;
-        self.registry
-            .register(Box::new(self.silent_watches.clone()))?;
-        self.registry
-            .register(Box::new(self.store_behind.clone()))?;
-        self.registry.register(Box::new(self.shards.clone()))?;
-        self.registry.register(Box::new(self.tasks.clone()))
+            set,
+        })
     }
 
     /// Shows the calls to the platform's store as well.
     pub(crate) fn show_calls(&self, calls: &CallMetrics) -> prometheus::Result<()> {
-        calls.register(&self.registry)
+        calls.register(self.set.registry())
     }
 
     /// All metrics in the text format of Prometheus.
     pub(crate) fn text(&self) -> String {
-        let mut bytes = Vec::new();
-        let encoded = TextEncoder::new().encode(&self.registry.gather(), &mut bytes);
-        if let Err(error) = encoded {
-            log::error!("metrics do not encode: {error}");
-        }
-        String::from_utf8_lossy(&bytes).into_owned()
+        self.set.text()
     }
 }
--- a/crates/parsleytally-entry/src/standalone.rs
+++ b/crates/parsleytally-entry/src/standalone.rs
@@ -114,6 +114,11 @@
         &self.entry
     }
 
+    /// The agent.
+    pub fn agent(&self) -> &Agent {
+        &self.agent
+    }
+
     /// Drains the entry, then the agent, and stops.
     pub async fn close(self) {
         self.entry.close().await;
--- /dev/null
+++ b/crates/parsleytally-platform/src/process/metrics.rs
@@ -0,0 +1,75 @@
+//! The metrics of a process, by `prometheus`.
+
+use prometheus::core::Collector;
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry, Result,
+    TextEncoder,
+};
+
+/// Metrics that are shown together; clones share them.
+///
+/// Each method that makes a metric registers it, and fails when its name is not
+/// valid or is taken.
+#[derive(Debug, Clone, Default)]
+pub struct MetricSet {
+    registry: Registry,
+}
+
+impl MetricSet {
+    /// Makes a counter.
+    ///
+    /// # Errors
+    ///
+    /// Returns what the library reports on a wrong or taken name.
+    pub fn counter(&self, name: &str, help: &str) -> Result<IntCounter> {
+        self.add(IntCounter::new(name, help)?)
+    }
+
+    /// Makes a counter for each value of `label`.
+    ///
+    /// # Errors
+    ///
+    /// Returns what the library reports on a wrong or taken name.
+    pub fn counters(&self, name: &str, help: &str, label: &str) -> Result<IntCounterVec> {
+        self.add(IntCounterVec::new(Opts::new(name, help), &[label])?)
+    }
+
+    /// Makes a gauge.
+    ///
+    /// # Errors
+    ///
+    /// Returns what the library reports on a wrong or taken name.
+    pub fn gauge(&self, name: &str, help: &str) -> Result<IntGauge> {
+        self.add(IntGauge::new(name, help)?)
+    }
+
+    /// Makes a histogram with the upper bounds `buckets`.
+    ///
+    /// # Errors
+    ///
+    /// Returns what the library reports on a wrong or taken name, or wrong bounds.
+    pub fn histogram(&self, name: &str, help: &str, buckets: &[f64]) -> Result<Histogram> {
+        let options = HistogramOpts::new(name, help).buckets(buckets.to_vec());
+        self.add(Histogram::with_opts(options)?)
+    }
+
+    /// Where further metrics can be registered.
+    pub fn registry(&self) -> &Registry {
+        &self.registry
+    }
+
+    /// All metrics in the text format of Prometheus.
+    pub fn text(&self) -> String {
+        let mut bytes = Vec::new();
+        let encoded = TextEncoder::new().encode(&self.registry.gather(), &mut bytes);
+        if let Err(error) = encoded {
+            log::error!("metrics do not encode: {error}");
+        }
+        String::from_utf8_lossy(&bytes).into_owned()
+    }
+
+    fn add<M: Collector + Clone + 'static>(&self, metric: M) -> Result<M> {
+        self.registry.register(Box::new(metric.clone()))?;
+        Ok(metric)
+    }
+}
--- a/crates/parsleytally-platform/src/process/mod.rs
+++ b/crates/parsleytally-platform/src/process/mod.rs
@@ -2,8 +2,13 @@
 
 mod clock;
 pub mod command;
+mod drain;
+mod headers;
 pub mod http;
 pub mod logs;
+pub mod metrics;
 pub mod spans;
 
 pub use clock::Clock;
+pub use drain::drain;
+pub use headers::end_to_end;
