feat(load): silent links and a slow endpoint while the load runs

Cause: connections that go silent while new ones work, and a slow endpoint, are among what fails, and the tool could only end agents.

Change: faults `silence` (a relay before each entry's links swallows what comes on open connections), `slow` and `fast` for the first endpoint. Bookings are checked 64 at a time: one by one against an endpoint left slow, the check went on past 100 s after the load.

--- a/crates/parsleytally-entry/examples/load/main.rs
+++ b/crates/parsleytally-entry/examples/load/main.rs
@@ -5,9 +5,14 @@
 //! Arrivals are open-loop, and latency counts from the time a request was due.
 //! The exit code is 1 when a promise broke: an answer that is not the request's
 //! own, a "not run" that ran, a booking that is doubled or lost.
+//!
+//! Faults of a system in this process, `--faults kill@4,restart@7`: an agent is
+//! killed, leaves or comes back; the open links go silent while new ones work;
+//! one endpoint is slow, or fast again.
 
 mod caller;
 mod options;
+mod relay;
 mod report;
 mod system;
 mod traffic;
--- a/crates/parsleytally-entry/examples/load/options.rs
+++ b/crates/parsleytally-entry/examples/load/options.rs
@@ -54,6 +54,12 @@
     Leave,
     /// A new agent starts in the place of the last one that ended.
     Restart,
+    /// Every open link goes silent for good; new ones work.
+    Silence,
+    /// The first endpoint takes longer for each answer.
+    Slow,
+    /// The first endpoint is fast again.
+    Fast,
 }
 
 impl Options {
@@ -126,7 +132,7 @@
     option("agents", "agents to start in this process (1)", "N");
     option(
         "faults",
-        "kill, leave or restart at a second of the run",
+        "kill, leave, restart, silence, slow, fast at a second",
         "kill@5,restart@8",
     );
     option("rate", "requests a second (1000)", "R");
@@ -189,6 +195,9 @@
         "kill" => Fault::Kill,
         "leave" => Fault::Leave,
         "restart" => Fault::Restart,
+        "silence" => Fault::Silence,
+        "slow" => Fault::Slow,
+        "fast" => Fault::Fast,
         _ => return Err(unknown()),
     };
     let second = second.parse().map_err(|_| unknown())?;
--- a/crates/parsleytally-entry/examples/load/report.rs
+++ b/crates/parsleytally-entry/examples/load/report.rs
@@ -3,12 +3,16 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
+use futures::future::join_all;
+use futures::stream::{self, StreamExt};
 use hdrhistogram::Histogram;
 use serde_json::{Value, json};
 
 use crate::caller::{Caller, Kind, Outcome};
 use crate::traffic::{Ended, Paced};
 
+/// Bookings that are checked at the same time.
+const CHECKS_AT_ONCE: usize = 64;
 /// Longest latency that a histogram tells apart, in microseconds.
 const MAX_LATENCY: u64 = 120_000_000;
 
@@ -91,15 +95,18 @@
 
     /// Asks the endpoints what they have counted.
     pub(crate) async fn check(&mut self, caller: &Caller, endpoints: &[SocketAddr]) {
-        for (token, told) in &self.booked {
-            let mut count = 0;
-            let mut whole = true;
-            for endpoint in endpoints {
-                match caller.booked(*endpoint, token).await {
-                    Some(more) => count += more,
-                    None => whole = false,
-                }
-            }
+        let counts = self.booked.keys().map(|token| async move {
+            let asked = endpoints.iter().map(|at| caller.booked(*at, token));
+            (token, join_all(asked).await)
+        });
+        let counts: Vec<_> = stream::iter(counts)
+            .buffer_unordered(CHECKS_AT_ONCE)
+            .collect()
+            .await;
+        for (token, counts) in counts {
+            let told = &self.booked[token];
+            let whole = counts.iter().all(Option::is_some);
+            let count: u64 = counts.into_iter().flatten().sum();
             self.unchecked += u64::from(!whole);
             self.doubled += u64::from(count > 1);
             let only_not_run = told.answered + told.unknown == 0;
--- a/crates/parsleytally-entry/examples/load/system.rs
+++ b/crates/parsleytally-entry/examples/load/system.rs
@@ -2,20 +2,25 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use parsleytally_agent::Agent;
 use parsleytally_agent::config::AgentConfig;
 use parsleytally_entry::Entry;
 use parsleytally_entry::config::EntryConfig;
-use parsleytally_platform::process::http::HttpServer;
+use parsleytally_platform::process::http::{Answering, Handler, HttpServer};
 use parsleytally_platform::stand_in::SampleEndpoint;
 use parsleytally_platform::store::MemoryStore;
+use volo_http::request::Request;
 
 use crate::options::{Fault, Options};
+use crate::relay::Relay;
 
 type Failure = Box<dyn std::error::Error + Send + Sync>;
 
+/// What a slow endpoint adds to each answer.
+const SLOW: Duration = Duration::from_millis(100);
 /// Settings of links, for this process only.
 const LINK: &str = "\
 [link]\nkey = 00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff\n";
@@ -25,8 +30,12 @@
 /// A running system.
 pub(crate) struct System {
     entries: Vec<Entry>,
+    /// One before the links of each entry.
+    relays: Vec<Relay>,
     agents: Vec<Option<Agent>>,
     endpoints: Vec<HttpServer>,
+    /// Whether the first endpoint is slow.
+    slow: Arc<AtomicBool>,
     ttl: u64,
 }
 
@@ -35,19 +44,21 @@
         let store = Arc::new(MemoryStore::new());
         let mut system = Self {
             entries: Vec::new(),
+            relays: Vec::new(),
+            slow: Arc::default(),
             agents: Vec::new(),
             endpoints: Vec::new(),
             ttl: options.ttl,
         };
         for n in 0..options.entries {
             let config = EntryConfig::parse(entry_text(n, options.ttl).as_bytes())?;
-            system
-                .entries
-                .push(Entry::start(config, store.clone()).await?);
+            let entry = Entry::start(config, store.clone()).await?;
+            system.relays.push(Relay::start(entry.links()).await?);
+            system.entries.push(entry);
         }
         for n in 0..options.agents {
             let any = SocketAddr::from(([127, 0, 0, 1], 0));
-            let endpoint = HttpServer::start(any, Arc::new(SampleEndpoint::default())).await?;
+            let endpoint = HttpServer::start(any, system.endpoint(n)).await?;
             system.endpoints.push(endpoint);
             let agent = system.start_agent(n).await?;
             system.agents.push(Some(agent));
@@ -73,6 +84,9 @@
                     tokio::spawn(agent.close());
                 }
             }
+            Fault::Silence => self.relays.iter().for_each(Relay::silence),
+            Fault::Slow => self.slow.store(true, Ordering::SeqCst),
+            Fault::Fast => self.slow.store(false, Ordering::SeqCst),
             Fault::Restart => {
                 let ended = self.agents.iter().rposition(Option::is_none);
                 if let Some(n) = ended {
@@ -83,12 +97,28 @@
         Ok(())
     }
 
+    /// Endpoint number `n`; only the first one can be slow.
+    fn endpoint(&self, n: usize) -> Arc<dyn Handler> {
+        let sample = SampleEndpoint::default();
+        match n {
+            0 => Arc::new(SlowEndpoint {
+                sample,
+                slow: self.slow.clone(),
+            }),
+            _ => Arc::new(sample),
+        }
+    }
+
     fn take_agent(&mut self) -> Option<Agent> {
         self.agents.iter_mut().find_map(Option::take)
     }
 
     async fn start_agent(&self, n: usize) -> Result<Agent, Failure> {
-        let links: Vec<_> = self.entries.iter().map(|e| e.links().to_string()).collect();
+        let links: Vec<_> = self
+            .relays
+            .iter()
+            .map(|r| r.address().to_string())
+            .collect();
         let endpoint = self.endpoints[n].address();
         let text = agent_text(n, &links.join(","), endpoint, self.ttl);
         let config = AgentConfig::parse(text.as_bytes())?;
@@ -96,6 +126,23 @@
     }
 }
 
+/// A sample endpoint that can be made slow.
+struct SlowEndpoint {
+    sample: SampleEndpoint,
+    slow: Arc<AtomicBool>,
+}
+
+impl Handler for SlowEndpoint {
+    fn answer(&self, request: Request) -> Answering<'_> {
+        Box::pin(async move {
+            if self.slow.load(Ordering::SeqCst) {
+                tokio::time::sleep(SLOW).await;
+            }
+            self.sample.answer(request).await
+        })
+    }
+}
+
 fn entry_text(n: usize, ttl: u64) -> String {
     format!(
         "[entry]\nname = entry-{n}\nzone = a\ncallers = 127.0.0.1:0\n\
