fix(entry): a body that does not arrive in time is answered 408, not run

Cause: the body of a request was awaited without end, so a caller that sends slowly, or whose connection went silent, kept its request in flight for good, and a shutdown waited for it until the drain limit. Conclusion: slow senders hold nothing past their limit.

--- a/crates/parsleytally-entry/src/callers.rs
+++ b/crates/parsleytally-entry/src/callers.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use fastrace::Span;
 use fastrace::collector::SpanContext;
 use fastrace::future::FutureExt;
@@ -18,6 +19,7 @@
 use parsleytally_platform::process::http::{Answering, BodyError, Handler, json, read_body};
 use parsleytally_platform::process::spans;
 use serde::Serialize;
+use tokio::time::timeout;
 use volo_http::body::Body;
 use volo_http::request::Request;
 use volo_http::response::Response;
@@ -135,9 +137,9 @@
     async fn forward(&self, request: Request, span: &Span) -> Result<Answer, Problem> {
         let (parts, body) = request.into_parts();
         let (service, path) = split_path(&parts.uri)?;
-        let body = read_body(body, BODY_LIMIT_BYTES)
-            .await
-            .map_err(|error| refuse_body(&error))?;
+        let limit = limit_of(&parts.headers)?;
+        let start = Instant::now();
+        let body = receive(body, limit).await?;
         let hop = Span::enter_with_parent("entry.link", span);
         let trace = SpanContext::from_span(&hop)
             .map(|context| context.encode_w3c_traceparent())
@@ -145,7 +147,7 @@
         let repeatable = is_repeatable(&parts.method, &parts.headers);
         let order = Order {
             key: key_of(&service, &parts.headers, repeatable)?,
-            limit: limit_of(&parts.headers)?,
+            limit: limit.saturating_sub(start.elapsed()),
             service,
             method: parts.method.as_str().to_owned(),
             path,
@@ -200,6 +202,17 @@
     Problem::not_run(StatusCode::NOT_FOUND, reason)
 }
 
+/// Reads the whole body of a request within `limit`.
+async fn receive(body: Body, limit: Duration) -> Result<Bytes, Problem> {
+    match timeout(limit, read_body(body, BODY_LIMIT_BYTES)).await {
+        Ok(body) => body.map_err(|error| refuse_body(&error)),
+        Err(_) => {
+            let reason = "body did not arrive in time";
+            Err(Problem::not_run(StatusCode::REQUEST_TIMEOUT, reason))
+        }
+    }
+}
+
 fn refuse_body(error: &BodyError) -> Problem {
     let status = match error {
         BodyError::TooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
--- a/crates/parsleytally-entry/tests/whole_path.rs
+++ b/crates/parsleytally-entry/tests/whole_path.rs
@@ -252,3 +252,21 @@
     );
     assert!(TcpStream::connect(callers).await.is_err());
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_body_that_does_not_arrive_in_time_did_not_run() {
+    let system = System::start().await;
+    let mut caller = TcpStream::connect(system.all.entry().callers())
+        .await
+        .unwrap();
+    let request = b"POST /demo/echo/book/slow HTTP/1.1\r\nhost: demo\r\n\
+        content-length: 10\r\nparsleytally-timeout: 100ms\r\n\r\nfour";
+    caller.write_all(request).await.unwrap();
+    let mut answer = vec![0; 4096];
+    let size = caller.read(&mut answer).await.unwrap();
+    let answer = String::from_utf8_lossy(&answer[..size]);
+    assert!(answer.starts_with("HTTP/1.1 408"), "{answer}");
+    assert!(answer.contains("parsleytally-outcome: not-run"), "{answer}");
+    assert_eq!(system.all.sample.booked("slow"), 0);
+    system.all.close().await;
+}
