docs(library): an example that embeds one duty, run as a test

Cause: a reader had no example of a duty in another program. Change: the crate's page embeds retry. Figures: the doc test passes. Conclusion: text and one test.

--- a/crates/parsleytally/src/lib.rs
+++ b/crates/parsleytally/src/lib.rs
@@ -8,6 +8,40 @@
 //!
 //! [`types`] holds what several duties share: names, numbers, resources and time.
 //! [`configs`] holds the settings of operators, one file per kind.
+//!
+//! # Embedding a duty
+//!
+//! A client of some other protocol can take [`retry`] alone. It feeds in what happens
+//! and does what comes out:
+//!
+//! ```
+//! use std::time::Duration;
+//!
+//! use parsleytally::configs::RetryConfig;
+//! use parsleytally::retry::{Failure, Input, Outcome, Output, Reason, Retry};
+//! use parsleytally::types::{RequestId, Time};
+//! use rand::{SeedableRng, rngs::SmallRng};
+//!
+//! let mut retry = Retry::new(RetryConfig::default());
+//! let mut rng = SmallRng::seed_from_u64(1);
+//! let mut out = Vec::new();
+//! let now = Time::from_secs(1);
+//!
+//! // A booking may not run twice.
+//! let booking = RequestId(1);
+//! let deadline = now.after(Duration::from_secs(2));
+//! let begin = Input::Begin { id: booking, deadline, repeatable: false };
+//! retry.step(now, begin, &mut rng, &mut out);
+//! assert!(matches!(out.pop(), Some(Output::Send { attempt: 1, .. })));
+//!
+//! // Its outcome is unknown: it is given up on at once.
+//! let failed = Input::Failed { id: booking, failure: Failure::Unknown };
+//! retry.step(now, failed, &mut rng, &mut out);
+//! let Some(Output::GiveUp { outcome, reason, .. }) = out.pop() else {
+//!     panic!("expected a final answer");
+//! };
+//! assert_eq!((outcome, reason), (Outcome::Unknown, Reason::NotRepeatable));
+//! ```
 
 pub mod configs;
 pub mod estimates;
