fix(settings): an entry tells its revision to those that dialled it

Cause: a run of all checks in a fresh clone failed in all_entries_replaced_at_once_lose_no_setting: the dialled entry read the store at revision 149, the one that had dialled at 134, and nothing told the latter, since revisions went only over links that an entry had dialled itself. /v1/status then showed it as behind until the next change, though it lacked nothing. Ruled out: a change that was lost (both had all settings); counting from the last change of settings, which would call an entry up to date that had missed a deletion. Change: an entry answers a lower revision by its own, tells changes also on links that others dialled, and hears revisions on those that it dialled. Conclusion: one-sided peers settle too.

--- a/crates/parsleytally-entry/src/links.rs
+++ b/crates/parsleytally-entry/src/links.rs
@@ -151,8 +151,8 @@
         }
         Frame::SettingsAsk(ask) => shared.settings.ask(calls.link().clone(), ask),
         Frame::InForce(notice) if calls.link().peer().role == Role::Entry => {
-            let peer = calls.link().peer().node.clone();
-            shared.settings.peer_at(peer, notice.revision);
+            let link = calls.link().clone();
+            shared.settings.peer_at(link, notice.revision);
         }
         Frame::InForce(notice) => {
             shared
--- a/crates/parsleytally-entry/src/settings/duty.rs
+++ b/crates/parsleytally-entry/src/settings/duty.rs
@@ -21,6 +21,8 @@
     state: InForce,
     /// Links to other entries, with the parts that have come.
     links: BTreeMap<NodeName, (Link, Assembler)>,
+    /// Links from entries that dialled this one and were not dialled by it.
+    heard: BTreeMap<NodeName, Link>,
     /// Revisions in force at other entries.
     peers: BTreeMap<NodeName, Revision>,
     directory: DirectoryRing,
@@ -39,6 +41,7 @@
             settings: Settings::new(),
             state,
             links: BTreeMap::new(),
+            heard: BTreeMap::new(),
             peers: BTreeMap::new(),
             directory,
             scheduler,
@@ -60,7 +63,7 @@
                     self.publish();
                 }
                 Input::Part(link, part) => self.part(&link, part),
-                Input::PeerAt(peer, revision) => self.peer_at(peer, revision),
+                Input::PeerAt(link, revision) => self.peer_at(link, revision),
             }
         }
     }
@@ -95,7 +98,7 @@
         self.state.state.store(Arc::new(state));
     }
 
-    fn follow(&self, before: Revision, output: Output) {
+    fn follow(&mut self, before: Revision, output: Output) {
         match output {
             Output::Applied { revision, paths } => {
                 for path in &paths {
@@ -194,21 +197,34 @@
         }
     }
 
-    /// Notes another entry's revision, and asks it for what is lacking here.
+    /// Notes another entry's revision, asks it for what is lacking here, and tells it
+    /// of a higher one.
     ///
     /// The store's own watch brings the changes as well; whichever is first counts.
-    fn peer_at(&mut self, peer: NodeName, revision: Revision) {
-        let ahead = revision > self.settings.revision();
-        if ahead && let Some((link, _)) = self.links.get(&peer) {
+    fn peer_at(&mut self, link: Link, revision: Revision) {
+        let peer = link.peer().node.clone();
+        let held = self.settings.revision();
+        if revision > held
+            && let Some((link, _)) = self.links.get(&peer)
+        {
             self.ask(link);
         }
+        if revision < held {
+            tell_revision(&link, held);
+        }
+        if !self.links.contains_key(&peer) {
+            self.heard.insert(peer.clone(), link);
+        }
         let known = self.peers.entry(peer).or_default();
         *known = revision.max(*known);
         self.publish();
     }
 
-    fn tell_entries(&self) {
-        for (link, _) in self.links.values() {
+    /// Tells the revision to the entries that were dialled and to those that dialled.
+    fn tell_entries(&mut self) {
+        self.heard.retain(|_, link| !link.is_closed());
+        let dialled = self.links.values().map(|(link, _)| link);
+        for link in dialled.chain(self.heard.values()) {
             tell_revision(link, self.settings.revision());
         }
     }
--- a/crates/parsleytally-entry/src/settings/mod.rs
+++ b/crates/parsleytally-entry/src/settings/mod.rs
@@ -75,8 +75,8 @@
     PeerDown(NodeName),
     /// Another entry has sent a part of an update.
     Part(Link, Part),
-    /// Another entry has this revision in force.
-    PeerAt(NodeName, Revision),
+    /// Another entry has this revision in force, told on this link.
+    PeerAt(Link, Revision),
 }
 
 /// Passes inputs to the duty.
@@ -105,8 +105,8 @@
     }
 
     /// Passes on the revision in force at another entry.
-    pub(crate) fn peer_at(&self, peer: NodeName, revision: Revision) {
-        self.send(Input::PeerAt(peer, revision));
+    pub(crate) fn peer_at(&self, link: Link, revision: Revision) {
+        self.send(Input::PeerAt(link, revision));
     }
 
     fn send(&self, input: Input) {
--- a/crates/parsleytally-entry/tests/settings.rs
+++ b/crates/parsleytally-entry/tests/settings.rs
@@ -133,6 +133,22 @@
     }
 }
 
+impl System {
+    /// Waits until the status of an entry is as expected.
+    async fn until_status(&self, entry: usize, reached: impl Fn(&Value) -> bool) {
+        let mut status = Value::Null;
+        for _ in 0..TRIES {
+            let body = self.get(entry, "/v1/status").await.body;
+            status = serde_json::from_str(&body).unwrap();
+            if reached(&status) {
+                return;
+            }
+            tokio::time::sleep(STEP).await;
+        }
+        panic!("status never came to be as expected: {status}");
+    }
+}
+
 fn revision(reply: &Reply) -> Revision {
     let etag = reply
         .etag
@@ -353,6 +369,50 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_that_was_dialled_tells_its_higher_revision() {
+    let mut system = System::start(0, 0, "").await;
+    let dialled = system.store.clone();
+    put_raw(&dialled, "services/echo").await;
+    // Changes of other keys raise the revision of one store above the other's.
+    for key in ["a", "b", "c"] {
+        let key = format!("/elsewhere/{key}");
+        commit_raw(&dialled, &key).await;
+    }
+    dialled.set_down(true);
+    system.start_entry(0, "127.0.0.1:0", "").await;
+    system.store = MemoryStore::new();
+    put_raw(&system.store, "services/echo").await;
+    let known = peers(&system.entries);
+    system.start_entry(1, "127.0.0.1:0", &known).await;
+    system
+        .until_status(0, |status| status["entries"][0]["entry"] == "entry-1")
+        .await;
+    dialled.set_down(false);
+    system
+        .until_status(0, |status| {
+            status["confirmed"] == true && status["entries_in_force"] == 1
+        })
+        .await;
+}
+
+async fn put_raw(store: &MemoryStore, path: &str) {
+    commit_raw(store, &format!("/parsleytally/teams/demo/{path}")).await;
+}
+
+async fn commit_raw(store: &MemoryStore, key: &str) {
+    let write = Write::Put {
+        key: key.to_owned(),
+        value: b"[service]\n".to_vec(),
+        lease: None,
+    };
+    let commit = Commit {
+        compares: Vec::new(),
+        writes: vec![write],
+    };
+    store.commit(commit).await.unwrap();
+}
+
 struct RefusalCase {
     path: &'static str,
     body: &'static [u8],
