refactor(store,link): one way for reads and writes, one way to copy a header

Cause: the gateway's reads and writes differed only in whether the call is hedged and repeated budget, counting, deadline and decoding; entry and agent copied headers alike. Change: EtcdStore::call takes the call to send; Header::new copies name and value.

--- a/crates/parsleytally-agent/src/endpoint.rs
+++ b/crates/parsleytally-agent/src/endpoint.rs
@@ -119,9 +119,6 @@
 
 fn passed_on(headers: &HeaderMap) -> Vec<Header> {
     end_to_end(headers)
-        .map(|(name, value)| Header {
-            name: name.as_str().to_owned(),
-            value: bytes::Bytes::copy_from_slice(value.as_bytes()),
-        })
+        .map(|(name, value)| Header::new(name.as_str(), value.as_bytes()))
         .collect()
 }
--- a/crates/parsleytally-entry/src/callers.rs
+++ b/crates/parsleytally-entry/src/callers.rs
@@ -304,10 +304,7 @@
 
 fn passed_on(headers: &HeaderMap) -> Vec<Header> {
     end_to_end(headers)
-        .map(|(name, value)| Header {
-            name: name.as_str().to_owned(),
-            value: bytes::Bytes::copy_from_slice(value.as_bytes()),
-        })
+        .map(|(name, value)| Header::new(name.as_str(), value.as_bytes()))
         .collect()
 }
 
--- a/crates/parsleytally-link/src/frame.rs
+++ b/crates/parsleytally-link/src/frame.rs
@@ -44,6 +44,16 @@
     pub value: Bytes,
 }
 
+impl Header {
+    /// Copies a header from its name in lower case and its value.
+    pub fn new(name: &str, value: &[u8]) -> Self {
+        Self {
+            name: name.to_owned(),
+            value: Bytes::copy_from_slice(value),
+        }
+    }
+}
+
 /// A caller's request on its way to an endpoint.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Request {
--- a/crates/parsleytally-platform/src/store/etcd/mod.rs
+++ b/crates/parsleytally-platform/src/store/etcd/mod.rs
@@ -116,15 +116,7 @@
         request: &(impl Serialize + Sync),
     ) -> Result<T, StoreError> {
         let body = encode(kind, request)?;
-        self.budget
-            .acquire(kind.name(), self.config.deadline)
-            .await?;
-        self.metrics.sent(kind);
-        let answer = self
-            .within_deadline(kind, self.post(kind, path, body))
-            .await;
-        self.settle(kind, &answer);
-        decode(kind, &answer?)
+        self.call(kind, self.post(kind, path, body)).await
     }
 
     /// Sends a call that may be sent twice.
@@ -135,13 +127,20 @@
         request: &(impl Serialize + Sync),
     ) -> Result<T, StoreError> {
         let body = encode(kind, request)?;
+        self.call(kind, self.hedged(kind, path, body)).await
+    }
+
+    /// Waits for the budget, then sends `call` and settles its answer.
+    async fn call<T: DeserializeOwned>(
+        &self,
+        kind: CallKind,
+        call: impl Future<Output = Result<Answer, StoreError>>,
+    ) -> Result<T, StoreError> {
         self.budget
             .acquire(kind.name(), self.config.deadline)
             .await?;
         self.metrics.sent(kind);
-        let answer = self
-            .within_deadline(kind, self.hedged(kind, path, body))
-            .await;
+        let answer = self.within_deadline(kind, call).await;
         self.settle(kind, &answer);
         decode(kind, &answer?)
     }
