--- a/crates/parsleytally-agent/src/lib.rs
+++ b/crates/parsleytally-agent/src/lib.rs
@@ -15,5 +15,6 @@
 mod requests;
 mod runs;
 mod settings;
+pub mod site;
 
 pub use agent::{Agent, StartError};
--- a/crates/parsleytally-agent/src/main.rs
+++ b/crates/parsleytally-agent/src/main.rs
@@ -1,10 +1,14 @@
 //! The agent binary.
 
 use std::process::ExitCode;
+use std::sync::Arc;
 
+use parsleytally_adapter::{KvStore, Reports, Worker};
 use parsleytally_agent::Agent;
 use parsleytally_agent::config::AgentConfig;
+use parsleytally_agent::site::{Site, SiteConfig};
 use parsleytally_platform::process::command;
+use parsleytally_platform::process::http::HttpServer;
 use parsleytally_platform::process::{logs, spans};
 
 const USAGE: &str = "parsleytally-agent --config FILE [--check]";
@@ -14,6 +18,15 @@
         Ok(command) => command,
         Err(exit) => return exit,
     };
+    if command
+        .config_text()
+        .is_some_and(|text| SiteConfig::is_meant(&text))
+    {
+        return match command.load(SiteConfig::parse) {
+            Ok(config) => run_site(&config),
+            Err(exit) => exit,
+        };
+    }
     let config = match command.load(AgentConfig::parse) {
         Ok(config) => config,
         Err(exit) => return exit,
@@ -21,6 +34,35 @@
     run(config)
 }
 
+/// Runs the agent for batch jobs on the users' platform, in one thread.
+#[tokio::main(flavor = "current_thread")]
+async fn run_site(config: &SiteConfig) -> ExitCode {
+    logs::start();
+    match serve_site(config).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn serve_site(config: &SiteConfig) -> Result<(), Box<dyn std::error::Error>> {
+    let stop = command::terminated();
+    tokio::spawn(command::note_reloads());
+    let store = Arc::new(KvStore::new(config.store));
+    let worker = Arc::new(Worker::new(config.worker));
+    let site = Site::start(config, store, worker).await?;
+    let reports = Arc::new(Reports::new(site.reports()));
+    let reports = HttpServer::start(config.reports, reports).await?;
+    log::info!(node:% = config.name; "agent started");
+    stop.await;
+    log::info!("agent stops");
+    reports.close().await;
+    site.close().await;
+    Ok(())
+}
+
 fn run(config: AgentConfig) -> ExitCode {
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(config.threads.get())
--- a/crates/parsleytally-agent/src/requests.rs
+++ b/crates/parsleytally-agent/src/requests.rs
@@ -4,15 +4,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use fastrace::Span;
-use fastrace::collector::SpanContext;
-use fastrace::future::FutureExt;
 use parsleytally::limits::{Class, End};
 use parsleytally::once::{Conflict, KeyHash, RequestHash};
 use parsleytally::retry::is_idempotent;
 use parsleytally::types::{RequestId, ServiceKey};
 use parsleytally_link::{Answer, Failure, Fence, Frame, Header, Link, LinkError, Refusal, Request};
 use parsleytally_platform::process::spans;
+use parsleytally_platform::process::spans::{FutureExt, Span, SpanContext};
 use tokio::time::{Instant, timeout};
 
 use crate::admission::{Admission, Slot};
--- a/crates/parsleytally-entry/src/callers.rs
+++ b/crates/parsleytally-entry/src/callers.rs
@@ -5,9 +5,6 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use fastrace::Span;
-use fastrace::collector::SpanContext;
-use fastrace::future::FutureExt;
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
 use parsleytally::configs::RetryConfig;
 use parsleytally::once::{KeyHash, MAX_KEY_BYTES};
@@ -18,6 +15,7 @@
 use parsleytally_platform::process::end_to_end;
 use parsleytally_platform::process::http::{Answering, BodyError, Handler, json, read_body};
 use parsleytally_platform::process::spans;
+use parsleytally_platform::process::spans::{FutureExt, Span, SpanContext};
 use serde::Serialize;
 use tokio::time::timeout;
 use volo_http::body::Body;
--- a/crates/parsleytally-entry/src/main.rs
+++ b/crates/parsleytally-entry/src/main.rs
@@ -4,11 +4,14 @@
 use std::process::ExitCode;
 use std::sync::Arc;
 
+use parsleytally_adapter::{Clients, KvStore, Queues, Readiness};
 use parsleytally_entry::Entry;
 use parsleytally_entry::config::EntryConfig;
+use parsleytally_entry::site::{Site, SiteConfig};
 use parsleytally_entry::standalone::{Addresses, Standalone};
 use parsleytally_platform::process::command::{self, Command, ExtraOption};
-use parsleytally_platform::process::{logs, spans};
+use parsleytally_platform::process::http::HttpServer;
+use parsleytally_platform::process::{drain, logs, spans};
 use parsleytally_platform::store::{EtcdStore, MemoryStore, Store, StoreError};
 
 const USAGE: &str = "parsleytally-entry --config FILE [--check] | --standalone \
@@ -48,10 +51,44 @@
         };
         return run_standalone(addresses);
     }
+    if command
+        .config_text()
+        .is_some_and(|text| SiteConfig::is_meant(&text))
+    {
+        return run_site(&command.load(SiteConfig::parse)?);
+    }
     let config = command.load(EntryConfig::parse)?;
     run(config)
 }
 
+/// Runs the entry for batch jobs on the users' platform, in one thread.
+#[tokio::main(flavor = "current_thread")]
+async fn run_site(config: &SiteConfig) -> Result<(), ExitCode> {
+    logs::start();
+    let stop = command::terminated();
+    tokio::spawn(command::note_reloads());
+    let store = Arc::new(KvStore::new(config.store));
+    let site = Site::start(config, store, Arc::new(Queues)).await;
+    let site = site.map_err(|error| failed(&error))?;
+    let answers = Arc::new(Clients::new(site.desk()));
+    let clients = HttpServer::start(config.clients, answers.clone()).await;
+    let clients = clients.map_err(|error| failed(&error))?;
+    let ready = HttpServer::start(config.ready, Arc::new(Readiness::new(site.desk()))).await;
+    let ready = ready.map_err(|error| failed(&error))?;
+    log::info!(node:% = config.name; "entry started");
+    stop.await;
+    log::info!("entry drains");
+    site.drain();
+    tokio::time::sleep(config.grace).await;
+    clients.stop_accepting();
+    drain(|| answers.in_flight(), config.drain).await;
+    clients.close().await;
+    ready.close().await;
+    site.close().await;
+    log::info!("entry stopped");
+    Ok(())
+}
+
 fn address(command: &Command, name: &str) -> Result<Option<SocketAddr>, ExitCode> {
     let Some(value) = command.value(name) else {
         return Ok(None);
--- /dev/null
+++ b/crates/parsleytally-entry/src/site/desk.rs
@@ -0,0 +1,228 @@
+//! What an entry does for clients: accepts jobs, cancels them, tells their state.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use parsleytally::jobs::{
+    JobId, JobProgress, JobRecord, JobSpec, JobState, Question, QueueName, QueueTable, Reply,
+};
+use parsleytally_platform::jobs::{Cancelled, JobDesk, JobFuture, Submitted, Told};
+use parsleytally_platform::store::{Commit, Compare, Item, Outcome, Store, StoreError, Write};
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep, timeout};
+
+use super::keys;
+use super::peer::Peer;
+
+/// Time before the client stops waiting at which an answer is owed.
+const ANSWER_MARGIN: Duration = Duration::from_millis(150);
+/// Pause after a call that the store refused.
+const RETRY_PAUSE: Duration = Duration::from_millis(60);
+/// Longest time for which a refused call is repeated.
+const PATIENCE: Duration = Duration::from_millis(400);
+/// Calls whose outcome is unknown before the client is told so.
+const UNKNOWN_CALLS: u32 = 2;
+/// Time to come back after while the store refuses.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Longest wait for the owner's answer.
+const OWNER_PATIENCE: Duration = Duration::from_millis(500);
+
+/// The desk of one entry.
+pub(super) struct Desk {
+    pub(super) store: Arc<dyn Store>,
+    pub(super) queues: watch::Receiver<Option<Arc<QueueTable>>>,
+    pub(super) owner: Arc<Peer>,
+    pub(super) draining: Arc<AtomicBool>,
+    /// Whether the store has answered lately.
+    pub(super) reaches_store: Arc<AtomicBool>,
+}
+
+/// Why a change was not made.
+enum Failed {
+    /// The store does not have it and will not.
+    Refused,
+    /// The store may have it.
+    Unknown,
+}
+
+impl Desk {
+    /// Commits, and repeats while that can help; a repeated commit must be idempotent.
+    async fn commit(&self, commit: &Commit, deadline: Instant) -> Result<Outcome, Failed> {
+        let deadline = deadline - ANSWER_MARGIN;
+        let began = Instant::now();
+        let mut unknown = 0;
+        loop {
+            let call = self.store.commit(commit.clone());
+            let outcome = tokio::time::timeout_at(deadline, call).await;
+            let error = match outcome {
+                Ok(Ok(outcome)) => return Ok(outcome),
+                Ok(Err(error)) => error,
+                Err(_) => StoreError::Timeout { call: "commit" },
+            };
+            log::warn!(error:% = error; "change is not stored yet");
+            if error.is_unknown() {
+                unknown += 1;
+            }
+            let late = Instant::now() + RETRY_PAUSE >= deadline;
+            if unknown > 0 && (unknown >= UNKNOWN_CALLS || late) {
+                return Err(Failed::Unknown);
+            }
+            if unknown == 0 && (late || began.elapsed() >= PATIENCE) {
+                return Err(Failed::Refused);
+            }
+            sleep(RETRY_PAUSE).await;
+        }
+    }
+
+    async fn submit_job(&self, id: JobId, spec: JobSpec, deadline: Instant) -> Submitted {
+        let record = JobRecord {
+            spec,
+            cancelled: false,
+        };
+        let key = keys::job(id);
+        let commit = Commit {
+            compares: vec![Compare::Absent { key: key.clone() }],
+            writes: vec![Write::Put {
+                key,
+                value: record.encode(),
+                lease: None,
+            }],
+        };
+        match self.commit(&commit, deadline).await {
+            // A job of that number is there: it is the same job.
+            Ok(Outcome::Committed(_) | Outcome::Conflict(_)) => Submitted::Accepted,
+            Err(Failed::Refused) => Submitted::Refused {
+                retry_after: RETRY_AFTER,
+            },
+            Err(Failed::Unknown) => Submitted::Unknown,
+        }
+    }
+
+    async fn cancel_job(&self, id: JobId, deadline: Instant) -> Cancelled {
+        loop {
+            let item = match self.read(&keys::job(id), deadline).await {
+                Ok(Some(item)) => item,
+                Ok(None) => return Cancelled::NoJob,
+                Err(_) => return Cancelled::Unknown,
+            };
+            let mut record = match JobRecord::decode(&item.value) {
+                Ok(record) => record,
+                Err(error) => {
+                    log::error!(job:% = id, error:% = error; "job is unreadable");
+                    return Cancelled::Unknown;
+                }
+            };
+            if record.cancelled {
+                return Cancelled::Accepted;
+            }
+            record.cancelled = true;
+            let commit = Commit {
+                compares: vec![Compare::Unchanged {
+                    key: item.key.clone(),
+                    revision: item.revision,
+                }],
+                writes: vec![Write::Put {
+                    key: item.key,
+                    value: record.encode(),
+                    lease: None,
+                }],
+            };
+            match self.commit(&commit, deadline).await {
+                Ok(Outcome::Committed(_)) => return Cancelled::Accepted,
+                // Another copy of this request came first, or a late one of its own.
+                Ok(Outcome::Conflict(_)) => {}
+                Err(_) => return Cancelled::Unknown,
+            }
+        }
+    }
+
+    async fn read(&self, key: &str, deadline: Instant) -> Result<Option<Item>, StoreError> {
+        let deadline = deadline - ANSWER_MARGIN;
+        loop {
+            let read = tokio::time::timeout_at(deadline, self.store.range(key)).await;
+            match read {
+                Ok(Ok(found)) => {
+                    let mut items = found.items.into_iter();
+                    return Ok(items.find(|item| item.key == key));
+                }
+                Ok(Err(error)) if Instant::now() + RETRY_PAUSE >= deadline => return Err(error),
+                Ok(Err(_)) => sleep(RETRY_PAUSE).await,
+                Err(_) => return Err(StoreError::Timeout { call: "range" }),
+            }
+        }
+    }
+
+    async fn ask(&self, question: Question) -> Option<Reply> {
+        let reply = timeout(OWNER_PATIENCE, self.owner.ask(question)).await;
+        reply.ok().flatten()
+    }
+
+    async fn job_state(&self, id: JobId, deadline: Instant) -> Told<JobState> {
+        if let Some(Reply::State(Some(state))) = self.ask(Question::State(id)).await {
+            return Told::Known(state);
+        }
+        // The owner is away, or does not have the job yet.
+        let record = match self.read(&keys::job(id), deadline).await {
+            Ok(Some(item)) => JobRecord::decode(&item.value),
+            Ok(None) => return Told::Absent,
+            Err(_) => return Told::Unknown,
+        };
+        let Ok(record) = record else {
+            return Told::Unknown;
+        };
+        let progress = match self.read(&keys::progress(id), deadline).await {
+            Ok(item) => item.and_then(|item| JobProgress::decode(&item.value).ok()),
+            Err(_) => return Told::Unknown,
+        };
+        let state = progress.map_or(JobState::Queued, |progress| progress.state);
+        if record.cancelled && !state.is_final() {
+            return Told::Known(JobState::Cancelled);
+        }
+        Told::Known(state)
+    }
+
+    async fn pending_jobs(&self, queue: &QueueName) -> Told<u64> {
+        match self.ask(Question::Pending(queue.clone())).await {
+            Some(Reply::Pending(pending)) => Told::Known(pending),
+            _ => Told::Unknown,
+        }
+    }
+}
+
+impl JobDesk for Desk {
+    fn queues(&self) -> Option<Arc<QueueTable>> {
+        self.queues.borrow().clone()
+    }
+
+    fn submit(&self, id: JobId, spec: JobSpec, deadline: Instant) -> JobFuture<'_, Submitted> {
+        Box::pin(async move {
+            let queue = spec.queue.clone();
+            let submitted = self.submit_job(id, spec, deadline).await;
+            log::info!(job:% = id, queue:% = queue, outcome:? = submitted; "job submitted");
+            submitted
+        })
+    }
+
+    fn cancel(&self, id: JobId, deadline: Instant) -> JobFuture<'_, Cancelled> {
+        Box::pin(async move {
+            let cancelled = self.cancel_job(id, deadline).await;
+            log::info!(job:% = id, outcome:? = cancelled; "job cancelled");
+            cancelled
+        })
+    }
+
+    fn state(&self, id: JobId, deadline: Instant) -> JobFuture<'_, Told<JobState>> {
+        Box::pin(self.job_state(id, deadline))
+    }
+
+    fn pending<'a>(&'a self, queue: &'a QueueName, _: Instant) -> JobFuture<'a, Told<u64>> {
+        Box::pin(self.pending_jobs(queue))
+    }
+
+    fn is_ready(&self) -> bool {
+        !self.draining.load(Ordering::Relaxed)
+            && self.reaches_store.load(Ordering::Relaxed)
+            && self.queues.borrow().is_some()
+    }
+}
--- /dev/null
+++ b/crates/parsleytally-entry/src/site/mod.rs
@@ -0,0 +1,273 @@
+//! An entry for batch jobs: accepts them, and decides about all of them while it is
+//! their owner.
+//!
+//! The machines give an entry a tenth of a core, so its duties are tasks of one
+//! thread, joined by bounded rings, instead of a thread each.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use parsleytally::types::Revision;
+use parsleytally_link::{Hello, PROTOCOL_VERSION, Role};
+use parsleytally_platform::jobs::{JobDesk, QueueSource};
+use parsleytally_platform::process::Clock;
+use parsleytally_platform::store::Store;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep};
+use tokio_util::sync::CancellationToken;
+
+mod agents;
+mod config;
+mod desk;
+mod keys;
+mod lead;
+mod owner;
+mod peer;
+mod queues;
+mod saver;
+
+pub use config::SiteConfig;
+
+use desk::Desk;
+use lead::{Candidate, Owner, View};
+use owner::{Ownership, Parts};
+use peer::{Peer, Whereabouts, serve_peers};
+use queues::QueueFollower;
+
+/// Time without an answer of the store after which an entry is not ready.
+const STORE_PATIENCE: Duration = Duration::from_secs(2);
+
+/// Time for the store to take the end of an ownership.
+const RESIGN_LIMIT: Duration = Duration::from_millis(500);
+
+/// A running entry for batch jobs.
+pub struct Site {
+    desk: Arc<Desk>,
+    draining: Arc<AtomicBool>,
+    /// Hands the ownership over, where another entry takes it.
+    yields: CancellationToken,
+    resign: CancellationToken,
+    leader: tokio::task::JoinHandle<()>,
+    tasks: JoinSet<()>,
+}
+
+impl Site {
+    /// Starts the duties over the platform's `store`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the address for links is not available.
+    pub async fn start(
+        config: &SiteConfig,
+        store: Arc<dyn Store>,
+        source: Arc<dyn QueueSource>,
+    ) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(config.links).await?;
+        let hello = hello(config);
+        let (queues, queues_seen) = watch::channel(None);
+        let (whereabouts, owner_seen) = watch::channel(Whereabouts::Unknown);
+        let reaches_store = Arc::new(AtomicBool::new(false));
+        let draining = Arc::new(AtomicBool::new(false));
+        let resign = CancellationToken::new();
+        let yields = CancellationToken::new();
+        let peer = Peer::new(owner_seen.clone());
+        let desk = Arc::new(Desk {
+            store: store.clone(),
+            queues: queues_seen.clone(),
+            owner: peer.clone(),
+            draining: draining.clone(),
+            reaches_store: reaches_store.clone(),
+        });
+        let mut tasks = JoinSet::new();
+        let follower = QueueFollower {
+            store: store.clone(),
+            source,
+            queues,
+        };
+        tasks.spawn(follower.run());
+        tasks.spawn(peer.keep(hello.clone(), config.link.clone()));
+        let link = config.link.clone();
+        tasks.spawn(serve_peers(listener, hello.clone(), link, owner_seen));
+        let leader = Leader {
+            candidate: Candidate::new(
+                store.clone(),
+                hello.node.clone(),
+                config.links,
+                hello.incarnation.0,
+                config.jobs.owner_ttl,
+            ),
+            parts: Parts {
+                hello,
+                link: config.link.clone(),
+                jobs: config.jobs.clone(),
+                store,
+                queues: queues_seen,
+            },
+            whereabouts,
+            reaches_store,
+            ownership: None,
+            answered: Instant::now(),
+        };
+        let leader = tokio::spawn(leader.run(yields.clone(), resign.clone()));
+        Ok(Self {
+            desk,
+            draining,
+            yields,
+            resign,
+            leader,
+            tasks,
+        })
+    }
+
+    /// What clients are served by.
+    pub fn desk(&self) -> Arc<dyn JobDesk> {
+        self.desk.clone()
+    }
+
+    /// Tells the balancer to send no further connections, and hands over what this
+    /// entry owns.
+    pub fn drain(&self) {
+        self.draining.store(true, Ordering::Relaxed);
+        self.yields.cancel();
+    }
+
+    /// Ends the duties.
+    pub async fn close(mut self) {
+        self.resign.cancel();
+        if tokio::time::timeout(RESIGN_LIMIT, &mut self.leader)
+            .await
+            .is_err()
+        {
+            self.leader.abort();
+        }
+        self.tasks.shutdown().await;
+    }
+}
+
+fn hello(config: &SiteConfig) -> Hello {
+    Hello {
+        version: PROTOCOL_VERSION,
+        role: Role::Entry,
+        node: config.name.clone(),
+        zone: config.zone.clone(),
+        incarnation: Clock::incarnation(),
+    }
+}
+
+/// Waits for `pause`, or until the entry begins to drain.
+async fn yields_first(pause: impl Future<Output = ()>, yields: &CancellationToken, drains: bool) {
+    if drains {
+        pause.await;
+    } else {
+        let _ = yields.run_until_cancelled(pause).await;
+    }
+}
+
+/// Follows the ownership, and exercises it while it is this entry's.
+struct Leader {
+    candidate: Candidate,
+    parts: Parts,
+    whereabouts: watch::Sender<Whereabouts>,
+    reaches_store: Arc<AtomicBool>,
+    ownership: Option<Ownership>,
+    /// When the store last answered.
+    answered: Instant,
+}
+
+impl Leader {
+    async fn run(mut self, yields: CancellationToken, resign: CancellationToken) {
+        while !resign.is_cancelled() {
+            if yields.is_cancelled() && !self.candidate.reluctant {
+                self.hand_over().await;
+            }
+            let looked = resign.run_until_cancelled(self.look()).await;
+            if looked.is_some() {
+                let pause = sleep(self.parts.jobs.owner_renew);
+                let pause = yields_first(pause, &yields, self.candidate.reluctant);
+                let _ = resign.run_until_cancelled(pause).await;
+            }
+        }
+        if let Some(since) = self.step_down().await {
+            self.candidate.resign(since).await;
+        }
+    }
+
+    /// Ends the ownership; it is taken again where no other entry does so.
+    async fn hand_over(&mut self) {
+        self.candidate.reluctant = true;
+        if let Some(since) = self.step_down().await {
+            self.candidate.retire(since);
+            self.candidate.resign(since).await;
+        }
+    }
+
+    async fn look(&mut self) {
+        match self.candidate.look().await {
+            Ok((view, sent)) => {
+                self.answered = sent;
+                self.reaches_store.store(true, Ordering::Relaxed);
+                self.take(view, sent).await;
+            }
+            Err(error) => {
+                log::warn!(error:% = error; "ownership is not confirmed");
+                let fresh = self.answered.elapsed() < STORE_PATIENCE;
+                self.reaches_store.store(fresh, Ordering::Relaxed);
+            }
+        }
+    }
+
+    async fn take(&mut self, view: View, sent: Instant) {
+        match view {
+            View::Mine(owner, since) => self.own(owner, since, sent).await,
+            View::Other(owner) => {
+                self.step_down().await;
+                self.tell(Whereabouts::At(owner.links));
+            }
+            View::Nobody => {
+                self.step_down().await;
+            }
+        }
+    }
+
+    async fn own(&mut self, owner: Owner, since: Revision, sent: Instant) {
+        if let Some(ownership) = &self.ownership
+            && ownership.since == since
+        {
+            if ownership.is_over() {
+                self.step_down().await;
+                self.candidate.retire(since);
+            } else {
+                ownership.confirmed.renew(sent);
+            }
+            return;
+        }
+        self.step_down().await;
+        let ownership = Ownership::start(self.parts.clone(), owner, since, sent);
+        self.tell(Whereabouts::Here(ownership.ring()));
+        self.ownership = Some(ownership);
+    }
+
+    /// Ends an ownership; returns the revision at which it began.
+    async fn step_down(&mut self) -> Option<Revision> {
+        let ownership = self.ownership.take()?;
+        let since = ownership.since;
+        log::info!(revision:% = since; "ownership ends");
+        self.tell(Whereabouts::Unknown);
+        ownership.close().await;
+        Some(since)
+    }
+
+    fn tell(&self, whereabouts: Whereabouts) {
+        let same = match (&*self.whereabouts.borrow(), &whereabouts) {
+            (Whereabouts::At(old), Whereabouts::At(new)) => old == new,
+            (Whereabouts::Unknown, Whereabouts::Unknown) => true,
+            _ => false,
+        };
+        if !same {
+            self.whereabouts.send_replace(whereabouts);
+        }
+    }
+}
--- /dev/null
+++ b/crates/parsleytally-entry/src/site/peer.rs
@@ -0,0 +1,169 @@
+//! Questions to the owner of the jobs, here or on another entry.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use parsleytally::jobs::{Question, Reply};
+use parsleytally::types::RequestId;
+use parsleytally_link::{Frame, Hello, Incoming, Link, LinkConfig, accept, dial};
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::sleep;
+
+use super::owner::OwnerInput;
+
+/// Pause between two attempts to link.
+const DIAL_PAUSE: Duration = Duration::from_millis(150);
+
+/// Who owns the jobs, as far as this entry knows.
+#[derive(Debug, Clone)]
+pub(super) enum Whereabouts {
+    /// Nobody is known.
+    Unknown,
+    /// This process.
+    Here(mpsc::Sender<OwnerInput>),
+    /// The entry that accepts links there.
+    At(SocketAddr),
+}
+
+/// The link to the owner and the questions that wait on it.
+#[derive(Debug, Default)]
+struct Asking {
+    link: Option<Link>,
+    next: u64,
+    waiting: HashMap<RequestId, oneshot::Sender<Reply>>,
+}
+
+/// The way to the owner.
+#[derive(Debug)]
+pub(super) struct Peer {
+    whereabouts: watch::Receiver<Whereabouts>,
+    asking: Mutex<Asking>,
+}
+
+impl Peer {
+    pub(super) fn new(whereabouts: watch::Receiver<Whereabouts>) -> Arc<Self> {
+        Arc::new(Self {
+            whereabouts,
+            asking: Mutex::default(),
+        })
+    }
+
+    /// The owner's answer; none where it is not reached.
+    pub(super) async fn ask(&self, question: Question) -> Option<Reply> {
+        let whereabouts = self.whereabouts.borrow().clone();
+        if let Whereabouts::Here(owner) = whereabouts {
+            return ask_here(&owner, question).await;
+        }
+        let (sender, receiver) = oneshot::channel();
+        {
+            let mut asking = self.asking();
+            asking.next += 1;
+            let id = RequestId(asking.next);
+            asking
+                .link
+                .as_ref()?
+                .send(Frame::JobAsk(id, question))
+                .ok()?;
+            asking.waiting.insert(id, sender);
+        }
+        let reply = receiver.await.ok()?;
+        (reply != Reply::NotOwner).then_some(reply)
+    }
+
+    /// Keeps a link to the owner while it is another entry.
+    pub(super) async fn keep(self: Arc<Self>, hello: Hello, config: LinkConfig) {
+        let mut whereabouts = self.whereabouts.clone();
+        loop {
+            let current = whereabouts.borrow_and_update().clone();
+            let Whereabouts::At(address) = current else {
+                if whereabouts.changed().await.is_err() {
+                    return;
+                }
+                continue;
+            };
+            if let Ok((link, incoming)) = dial(address, &hello, &config).await {
+                self.asking().link = Some(link.clone());
+                self.serve(incoming, &mut whereabouts).await;
+                link.close();
+                *self.asking() = Asking::default();
+            }
+            sleep(DIAL_PAUSE).await;
+        }
+    }
+
+    async fn serve(&self, mut incoming: Incoming, moved: &mut watch::Receiver<Whereabouts>) {
+        loop {
+            tokio::select! {
+                frame = incoming.next() => match frame {
+                    Some(Frame::JobReply(id, reply)) => {
+                        if let Some(waiting) = self.asking().waiting.remove(&id) {
+                            // A client that no longer waits has dropped its end.
+                            let _ = waiting.send(reply);
+                        }
+                    }
+                    Some(_) => log::warn!("owner sent a frame that owners do not send"),
+                    None => return,
+                },
+                _ = moved.changed() => return,
+            }
+        }
+    }
+
+    fn asking(&self) -> MutexGuard<'_, Asking> {
+        self.asking.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+async fn ask_here(owner: &mpsc::Sender<OwnerInput>, question: Question) -> Option<Reply> {
+    let (sender, receiver) = oneshot::channel();
+    let ask = OwnerInput::Ask(question, sender);
+    owner.send(ask).await.ok()?;
+    receiver.await.ok()
+}
+
+/// Answers the questions of other entries.
+pub(super) async fn serve_peers(
+    listener: TcpListener,
+    hello: Hello,
+    config: LinkConfig,
+    whereabouts: watch::Receiver<Whereabouts>,
+) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!(error:% = error; "link of an entry is not accepted");
+                sleep(DIAL_PAUSE).await;
+                continue;
+            }
+        };
+        let (hello, config) = (hello.clone(), config.clone());
+        let whereabouts = whereabouts.clone();
+        tokio::spawn(async move {
+            if let Ok((link, incoming)) = accept(stream, &hello, &config).await {
+                answer(link, incoming, whereabouts).await;
+            }
+        });
+    }
+}
+
+async fn answer(link: Link, mut incoming: Incoming, whereabouts: watch::Receiver<Whereabouts>) {
+    while let Some(frame) = incoming.next().await {
+        let Frame::JobAsk(id, question) = frame else {
+            log::warn!("entry sent a frame that entries do not send");
+            continue;
+        };
+        let owner = whereabouts.borrow().clone();
+        let reply = match owner {
+            Whereabouts::Here(owner) => ask_here(&owner, question).await,
+            _ => None,
+        };
+        let reply = Frame::JobReply(id, reply.unwrap_or(Reply::NotOwner));
+        if link.deliver(reply).await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/parsleytally-entry/src/site/queues.rs
@@ -0,0 +1,72 @@
+//! Follows the queues that operators set.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use parsleytally::jobs::QueueTable;
+use parsleytally::types::Revision;
+use parsleytally_platform::jobs::QueueSource;
+use parsleytally_platform::store::{Change, Store, StoreError};
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+/// Pause after a failed call.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+/// Follows the queues; never goes back to an earlier version.
+pub(super) struct QueueFollower {
+    pub(super) store: Arc<dyn Store>,
+    pub(super) source: Arc<dyn QueueSource>,
+    pub(super) queues: watch::Sender<Option<Arc<QueueTable>>>,
+}
+
+impl QueueFollower {
+    pub(super) async fn run(self) {
+        loop {
+            if let Err(error) = self.follow().await {
+                log::warn!(error:% = error; "watch of the queues ended");
+            }
+            sleep(RETRY_PAUSE).await;
+        }
+    }
+
+    async fn follow(&self) -> Result<(), StoreError> {
+        let key = self.source.key();
+        let read = self.store.range(key).await?;
+        for item in read.items.iter().filter(|item| item.key == key) {
+            self.take(&item.value, item.revision);
+        }
+        let mut watch = self.store.watch(key, read.revision).await?;
+        loop {
+            for change in watch.next().await?.changes {
+                if let Change::Put(item) = change
+                    && item.key == key
+                {
+                    self.take(&item.value, item.revision);
+                }
+            }
+        }
+    }
+
+    fn take(&self, value: &[u8], revision: Revision) {
+        let table = match self.source.read(value) {
+            Ok(table) => table,
+            Err(reason) => {
+                log::error!(revision:% = revision, reason = reason.as_str();
+                    "queues are unreadable: the last ones stay in force");
+                return;
+            }
+        };
+        let version = table.version;
+        let taken = self.queues.send_if_modified(|queues| {
+            let newer = queues.as_ref().is_none_or(|old| old.version < version);
+            if newer {
+                *queues = Some(Arc::new(table));
+            }
+            newer
+        });
+        if taken {
+            log::info!(version, revision:% = revision; "queues are in force");
+        }
+    }
+}
--- a/crates/parsleytally-link/src/frame.rs
+++ b/crates/parsleytally-link/src/frame.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use derive_more::Display;
+use parsleytally::jobs::{AgentMessage, OrderMessage, Question, Reply};
 use parsleytally::leases::{Order, Report};
 use parsleytally::membership::{Announcement, Heartbeat};
 use parsleytally::once::KeyHash;
@@ -171,6 +172,14 @@
     RunBeat(RunBeat),
     /// Settings in force at the agent.
     InForce(SettingsNotice),
+    /// What an agent tells the owner of the jobs, in order.
+    JobReports(Vec<AgentMessage>),
+    /// What the owner of the jobs orders, in order.
+    JobOrders(Vec<OrderMessage>),
+    /// A question to the owner of the jobs.
+    JobAsk(RequestId, Question),
+    /// Answer to a question.
+    JobReply(RequestId, Reply),
     /// Sent when nothing else was for a while; the link keeps it to itself.
     Alive,
 }
--- a/crates/parsleytally-link/src/lib.rs
+++ b/crates/parsleytally-link/src/lib.rs
@@ -31,7 +31,7 @@
 };
 
 /// Version of the frames; both sides must have the same.
-pub const PROTOCOL_VERSION: u16 = 2;
+pub const PROTOCOL_VERSION: u16 = 3;
 
 #[cfg(test)]
 mod tests;
--- a/crates/parsleytally-platform/src/lib.rs
+++ b/crates/parsleytally-platform/src/lib.rs
@@ -6,6 +6,7 @@
 //! surrounds the duties of a process; the other stand-ins of tests and of the
 //! standalone mode are in [`stand_in`].
 
+pub mod jobs;
 pub mod process;
 #[cfg(feature = "stand-in")]
 pub mod stand_in;
--- a/crates/parsleytally-platform/src/process/command.rs
+++ b/crates/parsleytally-platform/src/process/command.rs
@@ -73,6 +73,11 @@
         self.matches.opt_str(name)
     }
 
+    /// Bytes of the settings file; none where it is not given or not readable.
+    pub fn config_text(&self) -> Option<Vec<u8>> {
+        std::fs::read(self.value("config")?).ok()
+    }
+
     /// Reads the settings file with `parse`; with `--check` the process ends here.
     ///
     /// # Errors
@@ -113,6 +118,16 @@
     }
 }
 
+/// Logs each SIGHUP; the settings of this process are read at its start only.
+pub async fn note_reloads() {
+    let Ok(mut hangup) = signal(SignalKind::hangup()) else {
+        return;
+    };
+    while hangup.recv().await.is_some() {
+        log::info!("settings file has changed: it is read at the next start");
+    }
+}
+
 async fn first_of(mut term: Signal, mut interrupt: Signal) {
     tokio::select! {
         _ = term.recv() => {}
--- a/crates/parsleytally-platform/src/process/logs.rs
+++ b/crates/parsleytally-platform/src/process/logs.rs
@@ -1,7 +1,6 @@
-//! Structured log lines on standard error.
+//! Structured log lines on standard output.
 
-use logforth::append::Stderr;
-use logforth::diagnostic::FastraceDiagnostic;
+use logforth::append::Stdout;
 use logforth::filter::rustlog::RustLogFilterBuilder;
 use logforth::layout::LogfmtLayout;
 
@@ -9,9 +8,10 @@
 pub fn start() {
     logforth::starter_log::builder()
         .dispatch(|d| {
-            d.filter(RustLogFilterBuilder::from_default_env_or("info").build())
-                .diagnostic(FastraceDiagnostic::default())
-                .append(Stderr::default().with_layout(LogfmtLayout::default()))
+            let d = d.filter(RustLogFilterBuilder::from_default_env_or("info").build());
+            #[cfg(feature = "spans")]
+            let d = d.diagnostic(logforth::diagnostic::FastraceDiagnostic::default());
+            d.append(Stdout::default().with_layout(LogfmtLayout::default()))
         })
         .apply();
 }
--- a/crates/parsleytally-platform/src/process/spans.rs
+++ b/crates/parsleytally-platform/src/process/spans/kept.rs
@@ -1,15 +1,15 @@
-//! The latest spans of this process, kept in memory for operators.
-//!
-//! Each hop of a request has a span; all spans of a request share one trace id,
-//! which travels as W3C `traceparent`.
+//! Spans that are recorded, the latest in memory.
 
 use std::collections::VecDeque;
 use std::sync::{Mutex, OnceLock, PoisonError};
 use std::time::Duration;
 
+pub use fastrace::Span;
 use fastrace::collector::{Config, Reporter, SpanRecord};
-use fastrace::prelude::SpanContext;
-use serde::Serialize;
+pub use fastrace::future::FutureExt;
+pub use fastrace::prelude::SpanContext;
+
+use super::SpanView;
 
 /// Spans kept; the oldest are dropped first.
 const KEPT_SPANS: usize = 1_000;
@@ -19,23 +19,6 @@
 static KEPT: Mutex<VecDeque<SpanView>> = Mutex::new(VecDeque::new());
 static STARTED: OnceLock<()> = OnceLock::new();
 
-/// One finished span.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
-pub struct SpanView {
-    /// Trace id in hexadecimal.
-    pub trace: String,
-    /// Span id in hexadecimal.
-    pub span: String,
-    /// Id of the parent span in hexadecimal; zeros for none.
-    pub parent: String,
-    /// Name of the hop.
-    pub name: String,
-    /// Start, in nanoseconds since the Unix epoch.
-    pub start_ns: u64,
-    /// Duration, in nanoseconds.
-    pub duration_ns: u64,
-}
-
 struct Keeper;
 
 impl Reporter for Keeper {
@@ -75,10 +58,3 @@
     let kept = KEPT.lock().unwrap_or_else(PoisonError::into_inner);
     kept.iter().cloned().collect()
 }
-
-/// The context in a `traceparent`, or a new trace when there is none.
-pub fn context(traceparent: Option<&str>) -> SpanContext {
-    traceparent
-        .and_then(SpanContext::decode_w3c_traceparent)
-        .unwrap_or_else(SpanContext::random)
-}
--- a/crates/parsleytally-platform/src/stand_in/endpoint.rs
+++ b/crates/parsleytally-platform/src/stand_in/endpoint.rs
@@ -4,8 +4,6 @@
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
-use fastrace::Span;
-use fastrace::future::FutureExt;
 use http::{Method, StatusCode};
 use serde_json::json;
 use volo_http::request::Request;
@@ -13,6 +11,7 @@
 
 use crate::process::http::{Answering, Handler, json as json_answer, read_body, text};
 use crate::process::spans;
+use crate::process::spans::{FutureExt, Span};
 
 /// Largest accepted body, in bytes.
 const BODY_LIMIT_BYTES: usize = 2 << 20;
--- /dev/null
+++ b/crates/parsleytally/src/configs/jobs.rs
@@ -0,0 +1,60 @@
+//! Ownership of batch jobs and leases on workers: section `[jobs]`.
+
+use std::time::Duration;
+
+use super::check::duration;
+use super::{ConfigError, Section};
+
+/// Longest time that any of these settings may have.
+const MAX_TIME: Duration = Duration::from_secs(600);
+
+/// Times of the owner of jobs and of the agents.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct JobsConfig {
+    /// Length of a lease on a worker: key `lease`.
+    pub lease: Duration,
+    /// Time for which an agent keeps runs alive without the owner: key `agent-hold`.
+    pub agent_hold: Duration,
+    /// Time for which an owner that lost the store lets runs go on: key `owner-hold`.
+    pub owner_hold: Duration,
+    /// Time after which an owner that says nothing to the store is replaced: key
+    /// `owner-ttl`.
+    pub owner_ttl: Duration,
+    /// Time between two confirmations of the owner by the store: key `owner-renew`.
+    pub owner_renew: Duration,
+    /// Time for which the state of an ended job is told: key `keep-ended`.
+    pub keep_ended: Duration,
+}
+
+impl Default for JobsConfig {
+    fn default() -> Self {
+        Self {
+            lease: Duration::from_secs(4),
+            agent_hold: Duration::from_secs(5),
+            owner_hold: Duration::from_secs(12),
+            owner_ttl: Duration::from_millis(1_500),
+            owner_renew: Duration::from_millis(400),
+            keep_ended: Duration::from_secs(240),
+        }
+    }
+}
+
+impl JobsConfig {
+    /// Takes the settings from the section `[jobs]`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ConfigError`] for the first problem.
+    pub fn take(section: &mut Section) -> Result<Self, ConfigError> {
+        let base = Self::default();
+        let time = duration(MAX_TIME);
+        Ok(Self {
+            lease: section.take_with("lease", base.lease, &time)?,
+            agent_hold: section.take_with("agent-hold", base.agent_hold, &time)?,
+            owner_hold: section.take_with("owner-hold", base.owner_hold, &time)?,
+            owner_ttl: section.take_with("owner-ttl", base.owner_ttl, &time)?,
+            owner_renew: section.take_with("owner-renew", base.owner_renew, &time)?,
+            keep_ended: section.take_with("keep-ended", base.keep_ended, &time)?,
+        })
+    }
+}
--- /dev/null
+++ b/crates/parsleytally/src/jobs/agent/lists.rs
@@ -0,0 +1,192 @@
+//! Looks at the worker: what they renew, prove and tell.
+
+use std::collections::HashSet;
+
+use super::{
+    AgentMessage, AgentOutput, AgentTasks, CallError, EndedRun, GAUGE_INTERVAL, LOOK_PAUSE,
+    LOOK_WAIT, Listing, LookCall, MIXED_LOOK_WAIT, NotStarted, Ordered, PACE_INTERVAL, PaceCall,
+    Progress, RunRef, RunningTask, refuse,
+};
+use crate::jobs::Gauge;
+use crate::types::Time;
+
+impl AgentTasks {
+    /// Sends a look where none is under way or the last one proves too little.
+    pub(super) fn look(&mut self, now: Time, out: &mut Vec<AgentOutput>) {
+        let stale = self.looked_at < self.fence;
+        if self.looking > usize::from(stale) || now < self.next_look {
+            return;
+        }
+        if self.owner.is_none() && self.runs.is_empty() {
+            return;
+        }
+        let lease_end = self.lease.end(now, self.times.lease);
+        let quick = stale || !self.listed || lease_end.is_none();
+        let wait = match (quick, self.pacer.is_mixed()) {
+            (true, _) => 0,
+            (false, true) => MIXED_LOOK_WAIT.as_millis(),
+            (false, false) => LOOK_WAIT.as_millis(),
+        };
+        self.looking += 1;
+        self.looked_at = self.fence;
+        self.next_look = now.after(LOOK_PAUSE);
+        out.push(AgentOutput::Look(LookCall {
+            fence: self.fence,
+            lease_end,
+            stored: self.stored,
+            wait_ms: u64::try_from(wait).unwrap_or(u64::MAX),
+            sent: now,
+        }));
+    }
+
+    pub(super) fn looked(
+        &mut self,
+        now: Time,
+        call: LookCall,
+        answer: Result<Listing, CallError>,
+        out: &mut Vec<AgentOutput>,
+    ) {
+        self.looking = self.looking.saturating_sub(1);
+        self.silent = answer.is_err();
+        let Ok(listing) = answer else {
+            self.next_look = now.after(LOOK_PAUSE);
+            return;
+        };
+        let born = self.report.as_ref().map(|report| report.life.born);
+        if born != Some(listing.born) {
+            // Its own report tells the rest of the new life.
+            if born.is_some_and(|born| born < listing.born) {
+                self.begin_life(out);
+                self.report = None;
+                out.push(AgentOutput::Send(AgentMessage::Lapsed));
+            }
+            self.next_look = now.after(LOOK_PAUSE);
+            return;
+        }
+        self.lease.read(now, listing.clock_ms);
+        // While ends are listed that are not stored yet, looks do not wait.
+        let waits = listing.ended.iter().all(|end| end.number > self.told);
+        if waits && (call.wait_ms > 0 || !self.listed) {
+            self.next_look = now;
+        }
+        self.settle(call, &listing, out);
+        self.pace(now, &listing.running, out);
+        if self.owner.is_none() {
+            return;
+        }
+        if self.listed {
+            self.tell_ends(&listing, out);
+            self.tell_gauges(now, &listing.running, out);
+        } else if call.fence >= self.fence {
+            self.tell_all(listing, out);
+        }
+    }
+
+    /// Takes from the lists what became of the orders that they prove.
+    fn settle(&mut self, call: LookCall, listing: &Listing, out: &mut Vec<AgentOutput>) {
+        let ended: HashSet<RunRef> = listing.ended.iter().map(|end| end.run).collect();
+        let running: HashSet<RunRef> = listing.running.iter().map(|task| task.run).collect();
+        for run in &running {
+            let found = Ordered {
+                progress: Progress::Confirmed { at: call.sent },
+                order: None,
+                stopped: None,
+                wants_stop: false,
+            };
+            let ordered = self.runs.entry(*run).or_insert(found);
+            ordered.progress = Progress::Confirmed { at: call.sent };
+        }
+        self.runs.retain(|run, ordered| {
+            if ended.contains(run) {
+                return false;
+            }
+            if running.contains(run) {
+                return true;
+            }
+            match ordered.progress {
+                Progress::Sent { .. } => true,
+                Progress::Unclear { fence } if call.fence > fence => {
+                    refuse(*run, NotStarted::Unanswered, out);
+                    false
+                }
+                Progress::Unclear { .. } => true,
+                Progress::Confirmed { at } if at < call.sent => {
+                    out.push(AgentOutput::Send(AgentMessage::Vanished(*run)));
+                    false
+                }
+                Progress::Confirmed { .. } => true,
+            }
+        });
+    }
+
+    fn pace(&mut self, now: Time, running: &[RunningTask], out: &mut Vec<AgentOutput>) {
+        if !self.pacer.is_mixed() || now.since(self.paced) < PACE_INTERVAL {
+            return;
+        }
+        self.paced = now;
+        let fence = self.fence;
+        let changes = self.pacer.measured(running).into_iter();
+        let calls = changes.map(|(run, percent)| PaceCall {
+            run,
+            percent,
+            fence,
+        });
+        out.extend(calls.map(AgentOutput::Pace));
+    }
+
+    fn tell_all(&mut self, listing: Listing, out: &mut Vec<AgentOutput>) {
+        let Some(report) = &self.report else {
+            return;
+        };
+        self.listed = true;
+        self.told = last_number(&listing.ended);
+        out.push(AgentOutput::Send(AgentMessage::Listed {
+            life: report.life.clone(),
+            running: listing.running,
+            ended: listing.ended,
+        }));
+    }
+
+    fn tell_ends(&mut self, listing: &Listing, out: &mut Vec<AgentOutput>) {
+        let Some(report) = &self.report else {
+            return;
+        };
+        let fresh = listing.ended.iter().filter(|end| end.number > self.told);
+        let ended: Vec<EndedRun> = fresh.cloned().collect();
+        if ended.is_empty() {
+            return;
+        }
+        self.told = last_number(&ended);
+        let life = report.life.clone();
+        out.push(AgentOutput::Send(AgentMessage::Ended { life, ended }));
+    }
+
+    fn tell_gauges(&mut self, now: Time, running: &[RunningTask], out: &mut Vec<AgentOutput>) {
+        let interval = if self.pacer.is_mixed() {
+            PACE_INTERVAL
+        } else {
+            GAUGE_INTERVAL
+        };
+        if running.is_empty() || now.since(self.gauged) < interval {
+            return;
+        }
+        self.gauged = now;
+        let gauges = running.iter().map(|run| Gauge { run: run.clone() });
+        out.push(AgentOutput::Send(AgentMessage::Gauges(gauges.collect())));
+    }
+
+    /// Tells the owner when the worker is silent and all leases on it have run out.
+    pub(super) fn check_lapse(&mut self, now: Time, out: &mut Vec<AgentOutput>) {
+        let certain = self.silent && self.lease.has_run_out(now);
+        if !self.listed || !certain || self.owner.is_none() {
+            return;
+        }
+        self.listed = false;
+        self.runs.clear();
+        out.push(AgentOutput::Send(AgentMessage::Lapsed));
+    }
+}
+
+fn last_number(ended: &[EndedRun]) -> u64 {
+    ended.iter().map(|end| end.number).max().unwrap_or(0)
+}
--- /dev/null
+++ b/crates/parsleytally/src/jobs/messages.rs
@@ -0,0 +1,268 @@
+//! Messages between the scheduler, the agents and the store.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use super::{
+    JobId, JobProgress, JobRecord, JobState, QueueName, QueueTable, TaskId, WorkerLife,
+    WorkerReport,
+};
+use crate::types::{NodeName, Revision};
+
+/// One run of a task.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct RunRef {
+    /// The task.
+    pub task: TaskId,
+    /// Number of the run; it rises with each start of the task.
+    pub run: u32,
+}
+
+/// How a run ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum HowEnded {
+    /// Its work is done.
+    Done,
+    /// It failed, by its own fault or the worker's.
+    Failed,
+    /// It was stopped.
+    Stopped,
+    /// Its lease ran out.
+    Lapsed,
+    /// Another member of its gang ended.
+    Broken,
+    /// The other members of its gang did not come in time.
+    Alone,
+}
+
+/// A run that has ended, as its worker lists it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndedRun {
+    /// Number of the end in this life of the worker.
+    pub number: u64,
+    /// The run.
+    pub run: RunRef,
+    /// How it ended.
+    pub how: HowEnded,
+    /// Its last checkpoint; empty without one.
+    pub checkpoint: String,
+}
+
+/// A run that goes on, as its worker lists it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunningTask {
+    /// The run.
+    pub run: RunRef,
+    /// Its last checkpoint; empty without one.
+    pub checkpoint: String,
+    /// Share of its work that is done, in percent; 100 for a task that lasts and is at
+    /// work.
+    pub percent: u32,
+    /// Rough figure of the last half second: tail latency in milliseconds for a task
+    /// that serves, thousandths of processors in use otherwise.
+    pub figure: u64,
+}
+
+/// A measurement of a run that goes on.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Gauge {
+    /// The run as listed.
+    pub run: RunningTask,
+}
+
+/// Why a run did not start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum NotStarted {
+    /// The worker has no room for it.
+    Room,
+    /// The worker holds that a later order has been given.
+    Fenced,
+    /// A run with this number or a higher one has been there.
+    Old,
+    /// The order came after its time.
+    Late,
+    /// The worker's ticket for the step is missing or has run out.
+    Ticket,
+    /// The worker is not well or leaves.
+    Unwell,
+    /// The worker did not answer, and by now it is certain that it will not start.
+    Unanswered,
+    /// The order makes no sense to the worker.
+    Invalid,
+}
+
+/// An order to start a run.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StartOrder {
+    /// Life of the worker that it is meant for.
+    pub life: WorkerLife,
+    /// The run.
+    pub run: RunRef,
+    /// What the task is told to do.
+    pub payload: Arc<str>,
+    /// Checkpoint to resume from; empty without one.
+    pub checkpoint: String,
+    /// Bound of its tail latency, in milliseconds; 0 is none.
+    pub target_ms: u64,
+    /// Whether it only uses processors that others leave idle.
+    pub filler: bool,
+}
+
+/// An owner's message to an agent.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum OrderMessage {
+    /// First message of an owner; `fence` is higher than that of each message before.
+    Begin {
+        /// Number that fences all orders of lower ones.
+        fence: u64,
+    },
+    /// Starts a run.
+    Start(StartOrder),
+    /// Stops a run.
+    Stop(RunRef),
+    /// What matters of a run that the agent found on its worker.
+    Describe {
+        /// The run.
+        run: RunRef,
+        /// Bound of its tail latency, in milliseconds; 0 is none.
+        target_ms: u64,
+        /// Whether it only uses processors that others leave idle.
+        filler: bool,
+    },
+    /// Changes the pace of a run.
+    Pace {
+        /// The run.
+        run: RunRef,
+        /// Share of its speed, in percent.
+        percent: u32,
+    },
+    /// Ends up to this number are stored.
+    Stored {
+        /// Life of the worker that listed them.
+        life: WorkerLife,
+        /// The number.
+        number: u64,
+    },
+    /// Answer to [`AgentMessage::Ping`].
+    Pong {
+        /// When the agent sent its ping, on the agent's clock, in microseconds.
+        sent: u64,
+        /// Time since the store last confirmed the owner, in microseconds.
+        age: u64,
+    },
+}
+
+/// An agent's message to the owner.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum AgentMessage {
+    /// Asks for a sign of life of the owner.
+    Ping {
+        /// When this was sent, on the agent's clock, in microseconds.
+        sent: u64,
+    },
+    /// What the worker says of itself.
+    Worker(WorkerReport),
+    /// All that runs and has ended on the worker, after it was fenced.
+    Listed {
+        /// Life of the worker.
+        life: WorkerLife,
+        /// What runs.
+        running: Vec<RunningTask>,
+        /// What has ended and was not acknowledged.
+        ended: Vec<EndedRun>,
+    },
+    /// A run goes on.
+    Started(RunRef),
+    /// A run did not start, and will not.
+    Refused {
+        /// The run.
+        run: RunRef,
+        /// Why.
+        reason: NotStarted,
+    },
+    /// Runs have ended.
+    Ended {
+        /// Life of the worker.
+        life: WorkerLife,
+        /// The ends.
+        ended: Vec<EndedRun>,
+    },
+    /// A run is gone without an end.
+    Vanished(RunRef),
+    /// Measurements.
+    Gauges(Vec<Gauge>),
+    /// The worker does not answer, and all leases on it have run out.
+    Lapsed,
+}
+
+/// A question of an entry to the owner.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Question {
+    /// State of a job.
+    State(JobId),
+    /// Number of jobs of a queue that have not begun.
+    Pending(QueueName),
+}
+
+/// Answer to a [`Question`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Reply {
+    /// State of a job; none when the owner does not know it.
+    State(Option<JobState>),
+    /// Number of jobs that have not begun.
+    Pending(u64),
+    /// The asked one is not the owner.
+    NotOwner,
+}
+
+/// What the scheduler is told.
+#[derive(Debug, Clone)]
+pub enum Input {
+    /// The queues in force have changed.
+    Queues(Arc<QueueTable>),
+    /// A job in the store, new or changed.
+    Job {
+        /// Its number.
+        id: JobId,
+        /// Its record.
+        record: JobRecord,
+        /// Revision at which it was accepted.
+        accepted: Revision,
+        /// What has become of it, where the store says so.
+        progress: Option<JobProgress>,
+    },
+    /// An agent that may run tasks of a predecessor.
+    Expected(NodeName),
+    /// An agent is linked.
+    Linked(NodeName),
+    /// The link of an agent is lost.
+    Unlinked(NodeName),
+    /// A message of an agent.
+    Agent(NodeName, AgentMessage),
+    /// The store has the record of a job up to this version.
+    Saved {
+        /// The job.
+        job: JobId,
+        /// Version of the record.
+        version: u64,
+    },
+    /// Time has passed.
+    Tick,
+}
+
+/// What the scheduler wants done.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Output {
+    /// A message for an agent.
+    Order(NodeName, OrderMessage),
+    /// A record for the store.
+    Save {
+        /// The job.
+        job: JobId,
+        /// Version of the record.
+        version: u64,
+        /// The record.
+        progress: JobProgress,
+    },
+}
--- /dev/null
+++ b/crates/parsleytally/src/jobs/scheduler/protect.rs
@@ -0,0 +1,59 @@
+//! Paces fillers where they would hold up tasks that serve users, and takes off those
+//! that would stand still.
+
+use super::super::{Gauge, OrderMessage, Output, RunRef};
+use super::Scheduler;
+use crate::types::{NodeName, Time};
+
+/// Pace below which a filler is better started elsewhere, in percent.
+const LEAST_PACE: u32 = 20;
+/// Share of its work, in percent, past which a filler is left to end where it is.
+const NEARLY_DONE: u32 = 85;
+
+impl Scheduler {
+    /// Learns from measurements, and paces the fillers of the worker by it.
+    pub(super) fn protect(
+        &mut self,
+        now: Time,
+        node: &NodeName,
+        gauges: &[Gauge],
+        out: &mut Vec<Output>,
+    ) {
+        let Some(worker) = self.workers.get_mut(node) else {
+            return;
+        };
+        for gauge in gauges {
+            if let Some(load) = worker.runs.get_mut(&gauge.run.run) {
+                load.percent = gauge.run.percent;
+            }
+        }
+        if worker.serving == 0 {
+            return;
+        }
+        self.contention.measured(now, node, worker, gauges);
+        for (run, percent) in self.contention.paces(node, worker) {
+            self.pace(node, run, percent, out);
+        }
+        if let Some(worker) = self.workers.get(node) {
+            self.contention.occupied(now, node, worker);
+        }
+    }
+
+    fn pace(&mut self, node: &NodeName, run: RunRef, percent: u32, out: &mut Vec<Output>) {
+        let Some(worker) = self.workers.get_mut(node) else {
+            return;
+        };
+        let Some(load) = worker.runs.get_mut(&run) else {
+            return;
+        };
+        let stands = percent < LEAST_PACE && load.percent < NEARLY_DONE;
+        if load.pace != percent {
+            load.pace = percent;
+            let pace = OrderMessage::Pace { run, percent };
+            out.push(Output::Order(node.clone(), pace));
+        }
+        if stands {
+            self.stop_run(run, out);
+        }
+    }
+}
--- /dev/null
+++ b/crates/parsleytally/src/jobs/scheduler/start.rs
@@ -0,0 +1,253 @@
+//! Gives room to steps that are ready, the most urgent first.
+
+use std::sync::Arc;
+
+use super::super::fleet::Load;
+use super::super::job::{Job, LiveRun, ReadyStep};
+use super::super::order::{Urgency, urgency};
+use super::super::place::{Wanted, choose};
+use super::super::{JobId, JobState, OrderMessage, Output, RunRef, StartOrder, TaskId};
+use super::{RUNS_PER_EPOCH, Scheduler};
+use crate::types::{NodeName, Resources, Time};
+
+/// A need that found no room; what needs as much does not either.
+#[derive(Debug, Default)]
+struct Full {
+    /// Needs, each with the image for fillers, which differ in what they disturb.
+    smallest: Vec<(Resources, Option<Arc<str>>)>,
+}
+
+impl Full {
+    fn covers(&self, load: &Load) -> bool {
+        let kind = kind(load);
+        let tried =
+            |(need, tried): &(Resources, Option<Arc<str>>)| *tried == kind && need.fits(&load.need);
+
+        self.smallest.iter().any(tried)
+    }
+
+    fn add(&mut self, load: &Load) {
+        self.smallest.push((load.need, kind(load)));
+    }
+}
+
+fn kind(load: &Load) -> Option<Arc<str>> {
+    load.filler.then(|| load.image.clone())
+}
+
+impl Scheduler {
+    /// Starts every waiting task for which there is room.
+    pub(super) fn place_all(&mut self, now: Time, wall_ms: u64, out: &mut Vec<Output>) {
+        self.open_rounds(wall_ms);
+        let mut ready = self.ready_steps(wall_ms);
+        ready.sort_by_key(|(urgency, step)| (*urgency, step.job, step.round, step.step));
+        let mut full = Full::default();
+        for (_, step) in ready {
+            self.place_step(now, step, &mut full, out);
+        }
+    }
+
+    fn ready_steps(&self, wall_ms: u64) -> Vec<(Urgency, ReadyStep)> {
+        let mut ready = Vec::new();
+        for id in &self.open {
+            let job = &self.jobs[id];
+            if !self.may_start(job) {
+                continue;
+            }
+            for step in waiting_steps(*id, job) {
+                ready.push((urgency(job, step, wall_ms), step));
+            }
+        }
+        ready
+    }
+
+    /// Whether no run of a predecessor can be hidden on an agent that has not reported.
+    fn may_start(&self, job: &Job) -> bool {
+        self.unheard.is_empty() || job.accepted > self.start.since
+    }
+
+    fn place_step(&mut self, now: Time, step: ReadyStep, full: &mut Full, out: &mut Vec<Output>) {
+        let Some(load) = self.jobs[&step.job].load(step.step as u16) else {
+            return;
+        };
+        if full.covers(&load) {
+            return;
+        }
+        let spec = self.jobs[&step.job].spec.clone();
+        if spec.steps[step.step].gang {
+            self.place_gang(now, step, &load, out);
+            return;
+        }
+        let tasks = self.jobs[&step.job].rounds[step.round].steps[step.step]
+            .tasks
+            .len();
+        for index in 0..tasks {
+            let task = &self.jobs[&step.job].rounds[step.round].steps[step.step].tasks[index];
+            if !task.waits() {
+                continue;
+            }
+            let Some(node) = self.choose_for(now, step, index, &load, None) else {
+                let spec = &spec.steps[step.step];
+                if spec.label.is_none() && spec.per_worker == 0 {
+                    full.add(&load);
+                }
+                return;
+            };
+            let run = self.next_run(step, index);
+            self.begin_run(now, step, index, run, &node, &load, out);
+        }
+    }
+
+    /// Starts all members of a gang with one run number, or none.
+    fn place_gang(&mut self, now: Time, step: ReadyStep, load: &Load, out: &mut Vec<Output>) {
+        let tasks = &self.jobs[&step.job].rounds[step.round].steps[step.step].tasks;
+        let members = tasks.len();
+        if !tasks.iter().all(super::super::job::Task::waits) {
+            return;
+        }
+        let run = (0..members).map(|index| self.next_run(step, index)).max();
+        let run = run.unwrap_or(1);
+        let mut started = Vec::new();
+        let mut rack = None;
+        for index in 0..members {
+            let chosen = self.choose_for(now, step, index, load, rack.as_deref());
+            let Some(node) = chosen else {
+                self.undo(step, run, &started);
+                return;
+            };
+            if rack.is_none() {
+                rack = self
+                    .workers
+                    .get(&node)
+                    .and_then(|worker| worker.rack().cloned());
+            }
+            let mut orders = Vec::new();
+            self.begin_run(now, step, index, run, &node, load, &mut orders);
+            started.push((index, node, orders));
+        }
+        out.extend(started.into_iter().flat_map(|(_, _, orders)| orders));
+    }
+
+    /// Takes back the members of a gang that does not fit whole.
+    fn undo(&mut self, step: ReadyStep, run: u32, started: &[(usize, NodeName, Vec<Output>)]) {
+        for (index, node, _) in started {
+            let run = RunRef {
+                task: task_id(step, *index),
+                run,
+            };
+            if let Some(worker) = self.workers.get_mut(node) {
+                worker.release(run);
+            }
+            self.forget_run(node, run);
+        }
+    }
+
+    fn choose_for(
+        &self,
+        now: Time,
+        step: ReadyStep,
+        index: usize,
+        load: &Load,
+        shared_rack: Option<&str>,
+    ) -> Option<NodeName> {
+        let job = &self.jobs[&step.job];
+        let run = &job.rounds[step.round].steps[step.step];
+        let spec = &job.spec.steps[step.step];
+        let wanted = Wanted {
+            contention: &self.contention,
+            policy: &job.policy,
+            step: spec,
+            load,
+            failed_on: run.tasks[index].failed_on.as_ref(),
+            shared_rack: shared_rack.filter(|_| spec.one_rack),
+        };
+        choose(&self.workers, &wanted, run, now).cloned()
+    }
+
+    fn next_run(&self, step: ReadyStep, index: usize) -> u32 {
+        let task = &self.jobs[&step.job].rounds[step.round].steps[step.step].tasks[index];
+        let first = u32::try_from(self.start.epoch).unwrap_or(u32::MAX / RUNS_PER_EPOCH);
+        let first = first.saturating_mul(RUNS_PER_EPOCH).saturating_add(1);
+        first.max(task.last_run.saturating_add(1))
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn begin_run(
+        &mut self,
+        now: Time,
+        step: ReadyStep,
+        index: usize,
+        run: u32,
+        node: &NodeName,
+        load: &Load,
+        out: &mut Vec<Output>,
+    ) {
+        let run = RunRef {
+            task: task_id(step, index),
+            run,
+        };
+        let Some(worker) = self.workers.get_mut(node) else {
+            return;
+        };
+        let Some(life) = worker.report.as_ref().map(|report| report.life.clone()) else {
+            return;
+        };
+        if load.filler {
+            self.contention.started(now, node, worker, load);
+        }
+        worker.take(run, load);
+        self.contention.occupied(now, node, worker);
+        let Some(job) = self.jobs.get_mut(&step.job) else {
+            return;
+        };
+        let payload = job.spec.payload.clone();
+        let target_ms = job.spec.steps[step.step].target_ms;
+        if job.state == JobState::Queued {
+            job.state = JobState::Running;
+        }
+        let task = &mut job.rounds[step.round].steps[step.step].tasks[index];
+        task.last_run = run.run;
+        task.runs.push(LiveRun {
+            node: node.clone(),
+            run: run.run,
+            stopping: false,
+        });
+        let order = StartOrder {
+            life,
+            run,
+            payload,
+            checkpoint: task.checkpoint.clone(),
+            target_ms,
+            filler: load.filler,
+        };
+        out.push(Output::Order(node.clone(), OrderMessage::Start(order)));
+    }
+}
+
+fn task_id(step: ReadyStep, index: usize) -> TaskId {
+    TaskId {
+        job: step.job,
+        round: step.round as u32,
+        step: step.step as u16,
+        index: index as u32,
+    }
+}
+
+/// Steps of a job that may run and have tasks without a run.
+fn waiting_steps(id: JobId, job: &Job) -> Vec<ReadyStep> {
+    let mut found = Vec::new();
+    for (round, open) in job.rounds.iter().enumerate() {
+        for (step, run) in open.steps.iter().enumerate() {
+            let spec = &job.spec.steps[step];
+            let waits = run.left > 0 && run.tasks.iter().any(super::super::job::Task::waits);
+            if waits && open.is_ready(spec) {
+                found.push(ReadyStep {
+                    job: id,
+                    round,
+                    step,
+                });
+            }
+        }
+    }
+    found
+}
--- /dev/null
+++ b/crates/parsleytally/src/jobs/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of jobs.
--- a/crates/parsleytally/src/lib.rs
+++ b/crates/parsleytally/src/lib.rs
@@ -48,6 +48,7 @@
 pub mod grants;
 pub mod health;
 pub mod interference;
+pub mod jobs;
 pub mod leases;
 pub mod limits;
 pub mod membership;
