fix(jobs): the lease of a silent worker runs out, and nothing is started there

Ruled out: a lost link (the agent was linked all the time). Change: a silent worker is asked for its lists only; the agent tells the owner of the silence; a start that is turned away rests the worker.

--- a/crates/parsleytally-agent/src/site/mod.rs
+++ b/crates/parsleytally-agent/src/site/mod.rs
@@ -372,6 +372,8 @@
                     number = end.number; "run ended");
             }
         }
+        AgentMessage::Silent(true) => log::warn!("worker does not answer"),
+        AgentMessage::Silent(false) => log::info!("worker answers again"),
         AgentMessage::Lapsed => log::warn!("worker is silent: its leases have run out"),
         AgentMessage::Started(_) | AgentMessage::Gauges(_) | AgentMessage::Ping { .. } => {}
     }
--- a/crates/parsleytally/src/jobs/agent/lists.rs
+++ b/crates/parsleytally/src/jobs/agent/lists.rs
@@ -20,7 +20,12 @@
         if self.owner.is_none() && self.runs.is_empty() {
             return;
         }
-        let lease_end = self.lease.end(now, self.times.lease);
+        // A silent worker is asked for its lists only, so that its lease runs out.
+        let lease_end = if self.silent {
+            None
+        } else {
+            self.lease.end(now, self.times.lease)
+        };
         let quick = stale || !self.listed || lease_end.is_none();
         let wait = match (quick, self.pacer.is_mixed()) {
             (true, _) => 0,
@@ -47,7 +52,7 @@
         out: &mut Vec<AgentOutput>,
     ) {
         self.looking = self.looking.saturating_sub(1);
-        self.silent = answer.is_err();
+        self.note_silence(answer.is_err(), out);
         let Ok(listing) = answer else {
             self.next_look = now.after(LOOK_PAUSE);
             return;
@@ -82,6 +87,17 @@
         }
     }
 
+    /// Tells the owner when the worker ceases to answer, and when it answers again.
+    fn note_silence(&mut self, silent: bool, out: &mut Vec<AgentOutput>) {
+        if self.silent == silent {
+            return;
+        }
+        self.silent = silent;
+        if self.listed {
+            out.push(AgentOutput::Send(AgentMessage::Silent(silent)));
+        }
+    }
+
     /// Takes from the lists what became of the orders that they prove.
     fn settle(&mut self, call: LookCall, listing: &Listing, out: &mut Vec<AgentOutput>) {
         let ended: HashSet<RunRef> = listing.ended.iter().map(|end| end.run).collect();
--- a/crates/parsleytally/src/jobs/agent/mod.rs
+++ b/crates/parsleytally/src/jobs/agent/mod.rs
@@ -285,7 +285,8 @@
     fn start(&mut self, now: Time, order: StartOrder, out: &mut Vec<AgentOutput>) {
         let run = order.run;
         let state = self.report.as_ref().map(|report| report.state);
-        let fit = self.listed && self.is_life(&order.life) && state == Some(WorkerState::Ready);
+        let answers = self.listed && !self.silent;
+        let fit = answers && self.is_life(&order.life) && state == Some(WorkerState::Ready);
         if !fit {
             refuse(run, NotStarted::Unwell, out);
             return;
--- a/crates/parsleytally/src/jobs/fleet.rs
+++ b/crates/parsleytally/src/jobs/fleet.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
@@ -96,6 +97,8 @@
 const AVOID_MS: u64 = 2_000;
 /// Most doublings of that time.
 const AVOID_DOUBLINGS: u32 = 3;
+/// Time for which a worker that turned a start away gets no other.
+const TURNED_AWAY: Duration = Duration::from_millis(400);
 
 impl Failures {
     pub(super) fn failed(&mut self, now: Time, job: JobId) {
@@ -106,7 +109,7 @@
             return;
         }
         let span = AVOID_MS << self.rounds.min(AVOID_DOUBLINGS);
-        self.avoided = Some(now.after(std::time::Duration::from_millis(span)));
+        self.avoided = Some(now.after(Duration::from_millis(span)));
         self.rounds += 1;
         // One more failure after the pause sets it aside again.
         self.jobs.truncate(SICK_JOBS - 1);
@@ -120,6 +123,12 @@
         self.avoided.is_some_and(|until| now < until)
     }
 
+    /// Starts nothing there for a while, after it turned a start away.
+    pub(super) fn turned_away(&mut self, now: Time) {
+        let until = now.after(TURNED_AWAY);
+        self.avoided = Some(self.avoided.map_or(until, |at| at.max(until)));
+    }
+
     /// Whether the worker has failed without a success since.
     pub(super) fn is_doubtful(&self) -> bool {
         !self.jobs.is_empty()
@@ -134,6 +143,8 @@
     pub(super) linked: bool,
     /// Whether all that runs there is known.
     pub(super) listed: bool,
+    /// Whether it has ceased to answer its agent.
+    pub(super) silent: bool,
     /// When runs of a lost agent have ended for certain.
     pub(super) expires: Option<Time>,
     /// Runs that take room there.
@@ -186,6 +197,7 @@
         let ready = self.report.as_ref().map(|report| report.state);
         self.linked
             && self.listed
+            && !self.silent
             && ready == Some(WorkerState::Ready)
             && !self.failures.is_avoided(now)
     }
@@ -244,6 +256,7 @@
         self.ends.clear();
         self.seen = 0;
         self.listed = false;
+        self.silent = false;
         self.failures = Failures::default();
     }
 }
--- a/crates/parsleytally/src/jobs/messages.rs
+++ b/crates/parsleytally/src/jobs/messages.rs
@@ -192,6 +192,8 @@
     Vanished(RunRef),
     /// Measurements.
     Gauges(Vec<Gauge>),
+    /// Whether the worker has ceased to answer.
+    Silent(bool),
     /// The worker does not answer, and all leases on it have run out.
     Lapsed,
 }
--- a/crates/parsleytally/src/jobs/scheduler/ends.rs
+++ b/crates/parsleytally/src/jobs/scheduler/ends.rs
@@ -299,7 +299,7 @@
         if reason == NotStarted::Unwell
             && let Some(worker) = self.workers.get_mut(node)
         {
-            worker.failures.failed(now, run.task.job);
+            worker.failures.turned_away(now);
         }
         self.gone(now, node, run);
     }
--- a/crates/parsleytally/src/jobs/scheduler/mod.rs
+++ b/crates/parsleytally/src/jobs/scheduler/mod.rs
@@ -245,6 +245,7 @@
         let worker = self.workers.entry(node).or_default();
         worker.linked = true;
         worker.listed = false;
+        worker.silent = false;
         worker.expires = None;
     }
 
@@ -273,10 +274,18 @@
             AgentMessage::Vanished(run) => self.gone(now, node, run),
             AgentMessage::Gauges(gauges) => self.measured(now, node, &gauges, out),
             AgentMessage::Ping { .. } => {}
+            AgentMessage::Silent(silent) => self.silent(node, silent),
             AgentMessage::Lapsed => self.lapsed(node),
         }
     }
 
+    fn silent(&mut self, node: &NodeName, silent: bool) {
+        if let Some(worker) = self.workers.get_mut(node) {
+            worker.silent = silent;
+        }
+        self.stirred = true;
+    }
+
     fn reported(&mut self, node: &NodeName, report: WorkerReport, out: &mut Vec<Output>) {
         let Some(worker) = self.workers.get_mut(node) else {
             return;
