--- a/crates/parsleytally/src/jobs/agent/pace.rs
+++ b/crates/parsleytally/src/jobs/agent/pace.rs
@@ -1,7 +1,7 @@
 //! Holds fillers where tasks that serve users stay over their targets.
 //!
 //! The owner takes off the fillers that do harm, by what it learned on all workers.
-//! This is for the time in which its orders do not come.
+//! This is for the time in which its orders do not come or do not suffice.
 
 use std::collections::HashMap;
 
@@ -11,11 +11,11 @@
 /// Tail latency over target at which a measurement counts against fillers.
 const HIGH_STRAIN: f64 = 1.0;
 /// Tail latency over target below which fillers may go on.
-const LOW_STRAIN: f64 = 0.7;
+const LOW_STRAIN: f64 = 0.9;
 /// Measurements in a row over the target after which fillers are held.
-const PATIENCE: u32 = 4;
+const PATIENCE: u32 = 5;
 /// Measurements in a row below it after which they go on.
-const CALM: u32 = 4;
+const CALM: u32 = 2;
 
 /// What matters of a run beside others.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/parsleytally/src/jobs/fleet.rs
+++ b/crates/parsleytally/src/jobs/fleet.rs
@@ -50,7 +50,7 @@
 }
 
 /// What one run takes from its worker.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub(super) struct Load {
     pub(super) need: Resources,
     /// Whether it only uses processors that others leave idle.
@@ -61,17 +61,12 @@
     pub(super) image: Arc<str>,
     /// Share of its speed that it was given, in percent.
     pub(super) pace: u32,
+    /// Processors that it uses at full pace.
+    pub(super) cores: f64,
     /// Share of its work that was done when last seen, in percent.
     pub(super) percent: u32,
 }
 
-impl Load {
-    /// Processors at full speed.
-    pub(super) fn cores(&self) -> f64 {
-        self.need.cpu.0 as f64 / 1_000.0
-    }
-}
-
 /// An end that its worker still lists.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct PendingEnd {
--- a/crates/parsleytally/src/jobs/job.rs
+++ b/crates/parsleytally/src/jobs/job.rs
@@ -10,6 +10,9 @@
 use super::{JobId, JobProgress, JobSpec, QueuePolicy, StepSpec, TaskId};
 use crate::types::{NodeName, Revision, Time};
 
+/// Thousandths in one.
+const MILLI: f64 = 1_000.0;
+
 /// State of a job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display, Serialize, Deserialize)]
 pub enum JobState {
@@ -256,6 +259,7 @@
             target_ms: step.target_ms,
             image: step.image.clone().unwrap_or_default(),
             pace: 100,
+            cores: step.need.cpu.0 as f64 / MILLI,
             percent: 0,
         })
     }
--- a/crates/parsleytally/src/jobs/scheduler/ends.rs
+++ b/crates/parsleytally/src/jobs/scheduler/ends.rs
@@ -79,6 +79,7 @@
             target_ms: 0,
             image: "".into(),
             pace: 100,
+            cores: 0.0,
             percent: 0,
         });
         if let Some(worker) = self.workers.get_mut(node) {
--- a/crates/parsleytally/src/jobs/scheduler/mod.rs
+++ b/crates/parsleytally/src/jobs/scheduler/mod.rs
@@ -374,6 +374,8 @@
     }
 
     fn drop_ended(&mut self, now: Time) {
+        let open = &self.open;
+        self.contention.retain_jobs(|job| open.contains(job));
         let keep = self.start.keep_ended;
         self.jobs.retain(|_, job| {
             if !job.state.is_final() || job.saved < job.version {
--- a/crates/parsleytally/src/jobs/scheduler/protect.rs
+++ b/crates/parsleytally/src/jobs/scheduler/protect.rs
@@ -1,6 +1,7 @@
 //! Paces fillers where they would hold up tasks that serve users, and takes off those
 //! that would stand still.
 
+use super::super::fleet::Load;
 use super::super::{Gauge, OrderMessage, Output, RunRef};
 use super::Scheduler;
 use crate::types::{NodeName, Time};
@@ -10,6 +11,16 @@
 /// Share of its work, in percent, past which a filler is left to end where it is.
 const NEARLY_DONE: u32 = 85;
 
+/// Least pace at which the use of a filler tells of its use at full pace, in percent.
+const TELLING_PACE: u32 = 40;
+
+/// Takes what a filler uses, in thousandths of a processor.
+fn note_use(load: &mut Load, used: u64) {
+    if load.filler && load.pace >= TELLING_PACE && used > 0 {
+        load.cores = used as f64 / 10.0 / f64::from(load.pace);
+    }
+}
+
 impl Scheduler {
     /// Learns from measurements, and paces the fillers of the worker by it.
     pub(super) fn protect(
@@ -25,6 +36,7 @@
         for gauge in gauges {
             if let Some(load) = worker.runs.get_mut(&gauge.run.run) {
                 load.percent = gauge.run.percent;
+                note_use(load, gauge.run.figure);
             }
         }
         if worker.serving == 0 {
