fix(jobs): ends are acknowledged only by what the present owner has stored

Ruled out: reordered writes of the store (the model guards them as the saver does). Change: a round that a worker lists is opened; an agent forgets what an earlier owner held to be stored. Planted faults (acknowledged before stored, no fence raised, no wait for agents that have not reported) are found.

--- a/crates/parsleytally/src/jobs/agent/mod.rs
+++ b/crates/parsleytally/src/jobs/agent/mod.rs
@@ -227,6 +227,8 @@
         }
         self.fence = fence;
         self.listed = false;
+        // What an earlier owner held to be stored need not be.
+        self.stored = 0;
         self.told = 0;
         self.next_look = now;
         if let Some(report) = &self.report {
--- a/crates/parsleytally/src/jobs/job.rs
+++ b/crates/parsleytally/src/jobs/job.rs
@@ -184,8 +184,15 @@
         (next < repeat.count && due <= wall_ms).then_some(next)
     }
 
-    /// The task called `id`, where its round is open.
+    /// The task called `id`; a round that a worker knows of was due.
     pub(super) fn task(&mut self, id: TaskId) -> Option<&mut Task> {
+        if self.state.is_final() || id.round >= self.spec.rounds() {
+            return None;
+        }
+        while self.rounds.len() <= id.round as usize {
+            let number = self.rounds.len() as u32;
+            self.rounds.push(Round::new(number, &self.spec));
+        }
         let round = self.rounds.get_mut(usize::try_from(id.round).ok()?)?;
         let step = round.steps.get_mut(usize::from(id.step))?;
         step.tasks.get_mut(usize::try_from(id.index).ok()?)
--- a/crates/parsleytally/src/jobs/tests.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Tests of jobs.
--- /dev/null
+++ b/crates/parsleytally/src/jobs/tests/agent.rs
@@ -0,0 +1,324 @@
+//! An agent's leases, fences and proofs.
+
+use std::time::Duration;
+
+use super::*;
+use crate::types::Time;
+
+/// An agent beside worker 0, driven by hand.
+struct Bench {
+    agent: AgentTasks,
+    now: Time,
+    /// Looks that have no answer yet.
+    looks: Vec<LookCall>,
+}
+
+const FENCE: u64 = 1 << 32;
+
+impl Bench {
+    /// An agent whose owner has vouched for it and knows what is on the worker.
+    fn ready() -> Self {
+        let times = AgentTimes {
+            lease: Duration::from_secs(4),
+            agent_hold: Duration::from_secs(5),
+            owner_hold: Duration::from_secs(12),
+        };
+        let mut bench = Self {
+            agent: AgentTasks::new(times),
+            now: Time::from_secs(1),
+            looks: Vec::new(),
+        };
+        bench.feed(AgentInput::Report(report(0, 7)));
+        bench.begin(1, FENCE);
+        bench.vouch(Duration::ZERO);
+        let call = bench.last_look();
+        bench.looked(call, vec![], vec![]);
+        bench
+    }
+
+    fn feed(&mut self, input: AgentInput) -> Vec<AgentOutput> {
+        let mut out = Vec::new();
+        self.agent.step(self.now, input, &mut out);
+        let looks = out.iter().filter_map(|output| match output {
+            AgentOutput::Look(call) => Some(*call),
+            _ => None,
+        });
+        self.looks.extend(looks);
+        out
+    }
+
+    fn begin(&mut self, link: u64, fence: u64) -> Vec<AgentOutput> {
+        let begin = OrderMessage::Begin { fence };
+        self.feed(AgentInput::Owner(OwnerLink(link), begin))
+    }
+
+    fn vouch(&mut self, age: Duration) -> Vec<AgentOutput> {
+        let pong = OrderMessage::Pong {
+            sent: self.now.as_micros(),
+            age: age.as_micros() as u64,
+        };
+        self.feed(AgentInput::Owner(OwnerLink(1), pong))
+    }
+
+    fn wait(&mut self, millis: u64) -> Vec<AgentOutput> {
+        self.now = self.now.after(Duration::from_millis(millis));
+        self.feed(AgentInput::Tick)
+    }
+
+    /// The latest look without an answer, sent within a second.
+    fn last_look(&mut self) -> LookCall {
+        for _ in 0..20 {
+            if let Some(call) = self.looks.pop() {
+                return call;
+            }
+            self.wait(50);
+        }
+        panic!("no look was sent");
+    }
+
+    fn looked(
+        &mut self,
+        call: LookCall,
+        running: Vec<RunRef>,
+        ended: Vec<EndedRun>,
+    ) -> Vec<AgentOutput> {
+        let running = running.into_iter().map(|run| RunningTask {
+            run,
+            checkpoint: String::new(),
+            percent: 10,
+            figure: 0,
+        });
+        let answer = Ok(Listing {
+            born: 7,
+            clock_ms: self.now.as_micros() / 1_000,
+            running: running.collect(),
+            ended,
+        });
+        self.feed(AgentInput::Looked { call, answer })
+    }
+
+    fn unanswered(&mut self, call: LookCall) -> Vec<AgentOutput> {
+        let answer = Err(CallError::Unanswered);
+        self.feed(AgentInput::Looked { call, answer })
+    }
+
+    fn start(&mut self, run: RunRef) -> Vec<AgentOutput> {
+        let order = StartOrder {
+            life: life(0, 7),
+            run,
+            payload: "do".into(),
+            checkpoint: String::new(),
+            target_ms: 0,
+            filler: false,
+        };
+        let start = OrderMessage::Start(order);
+        self.feed(AgentInput::Owner(OwnerLink(1), start))
+    }
+}
+
+fn sent(out: &[AgentOutput], wanted: &AgentMessage) -> bool {
+    let message = |output: &AgentOutput| matches!(output, AgentOutput::Send(m) if m == wanted);
+    out.iter().any(message)
+}
+
+fn start_fence(out: &[AgentOutput]) -> Option<u64> {
+    out.iter().find_map(|output| match output {
+        AgentOutput::Start(call) => Some(call.fence),
+        _ => None,
+    })
+}
+
+/// A worker was gone, and each look that it did not answer moved the end of its lease.
+#[test]
+fn the_lease_of_a_silent_worker_runs_out() {
+    let mut bench = Bench::ready();
+    bench.start(run(1, 0, 0, 1));
+    let mut lapsed_after = None;
+    for tick in 0..200 {
+        bench.vouch(Duration::ZERO);
+        if sent(&bench.wait(50), &AgentMessage::Lapsed) {
+            lapsed_after = Some(tick * 50);
+        }
+        if let Some(call) = bench.looks.pop() {
+            bench.unanswered(call);
+        }
+    }
+    let after = lapsed_after.expect("the owner is told");
+    assert!((3_900..5_000).contains(&after), "{after} ms");
+}
+
+#[test]
+fn a_silent_worker_is_told_of_and_starts_nothing() {
+    let mut bench = Bench::ready();
+    let call = bench.last_look();
+    assert!(sent(&bench.unanswered(call), &AgentMessage::Silent(true)));
+    let refused = AgentMessage::Refused {
+        run: run(1, 0, 0, 1),
+        reason: NotStarted::Unwell,
+    };
+    assert!(sent(&bench.start(run(1, 0, 0, 1)), &refused));
+    let call = bench.last_look();
+    assert_eq!(call.lease_end, None);
+    assert!(sent(
+        &bench.looked(call, vec![], vec![]),
+        &AgentMessage::Silent(false)
+    ));
+}
+
+#[test]
+fn an_order_without_answer_is_settled_by_a_look_under_a_higher_fence() {
+    struct Case {
+        what: &'static str,
+        raised: bool,
+        running: bool,
+        refused: bool,
+    }
+    let cases = [
+        Case {
+            what: "seen running",
+            raised: true,
+            running: true,
+            refused: false,
+        },
+        Case {
+            what: "proved not to start",
+            raised: true,
+            running: false,
+            refused: true,
+        },
+        Case {
+            what: "not proved by an older look",
+            raised: false,
+            running: false,
+            refused: false,
+        },
+    ];
+    for case in cases {
+        let mut bench = Bench::ready();
+        let old = bench.last_look();
+        let order = run(1, 0, 0, 1);
+        let out = bench.start(order);
+        let fence = start_fence(&out).expect("the order goes out");
+        bench.feed(AgentInput::Start {
+            run: order,
+            fence,
+            answer: Err(CallError::Unanswered),
+        });
+        let call = if case.raised { bench.last_look() } else { old };
+        assert_eq!(call.fence > fence, case.raised, "{}", case.what);
+        let running = if case.running { vec![order] } else { vec![] };
+        let out = bench.looked(call, running, vec![]);
+        let reason = NotStarted::Unanswered;
+        let refused = AgentMessage::Refused { run: order, reason };
+        assert_eq!(sent(&out, &refused), case.refused, "{}", case.what);
+    }
+}
+
+#[test]
+fn orders_of_an_earlier_owner_are_not_sent_again() {
+    let mut bench = Bench::ready();
+    let order = run(1, 0, 0, 1);
+    let out = bench.start(order);
+    let fence = start_fence(&out).expect("the order goes out");
+    bench.begin(2, FENCE << 1);
+    let out = bench.feed(AgentInput::Start {
+        run: order,
+        fence,
+        answer: Err(CallError::Refused(NotStarted::Fenced)),
+    });
+    assert_eq!(start_fence(&out), None);
+}
+
+#[test]
+fn an_owner_with_a_lower_fence_is_turned_away() {
+    let mut bench = Bench::ready();
+    let out = bench.begin(2, FENCE - 1);
+    assert_eq!(out, [AgentOutput::Close(OwnerLink(2))]);
+    assert!(start_fence(&bench.start(run(1, 0, 0, 1))).is_some());
+}
+
+/// No lease may reach past what the next owner counts with.
+#[test]
+fn leases_end_with_the_time_that_the_owner_vouched_for() {
+    struct Case {
+        what: &'static str,
+        age_ms: u64,
+        silent_ms: u64,
+        most_ms: u64,
+    }
+    let cases = [
+        Case {
+            what: "fresh",
+            age_ms: 0,
+            silent_ms: 0,
+            most_ms: 4_000,
+        },
+        Case {
+            what: "owner silent for 3 s",
+            age_ms: 0,
+            silent_ms: 3_000,
+            most_ms: 2_000,
+        },
+        Case {
+            what: "owner without store for 10 s",
+            age_ms: 10_000,
+            silent_ms: 0,
+            most_ms: 2_000,
+        },
+        Case {
+            what: "owner without store for 13 s",
+            age_ms: 13_000,
+            silent_ms: 0,
+            most_ms: 0,
+        },
+    ];
+    for case in cases {
+        let mut bench = Bench::ready();
+        // What was vouched for before is used up.
+        bench.wait(6_000);
+        bench.vouch(Duration::from_millis(case.age_ms));
+        bench.wait(case.silent_ms);
+        let call = bench.last_look();
+        bench.looked(call, vec![], vec![]);
+        let call = bench.last_look();
+        let now_ms = bench.now.as_micros() / 1_000;
+        let length = call.lease_end.map_or(0, |end| end.saturating_sub(now_ms));
+        assert!(length <= case.most_ms, "{}: {length} ms", case.what);
+        assert_eq!(length > 0, case.most_ms > 0, "{}", case.what);
+    }
+}
+
+#[test]
+fn looks_pause_while_ends_wait_to_be_stored() {
+    let mut bench = Bench::ready();
+    let end = EndedRun {
+        number: 1,
+        run: run(1, 0, 0, 1),
+        how: HowEnded::Done,
+        checkpoint: String::new(),
+    };
+    let call = bench.last_look();
+    let first = bench.looked(call, vec![], vec![end.clone()]);
+    let ended = AgentMessage::Ended {
+        life: life(0, 7),
+        ended: vec![end.clone()],
+    };
+    assert!(sent(&first, &ended), "a new end is told at once");
+    let call = bench.last_look();
+    let again = bench.looked(call, vec![], vec![end]);
+    let looks = |out: &[AgentOutput]| out.iter().any(|o| matches!(o, AgentOutput::Look(_)));
+    assert!(!looks(&again), "the worker would answer at once again");
+    let stored = OrderMessage::Stored {
+        life: life(0, 7),
+        number: 1,
+    };
+    let out = bench.feed(AgentInput::Owner(OwnerLink(1), stored));
+    assert!(looks(&out), "the end can be forgotten now");
+}
+
+#[test]
+fn a_late_report_of_an_earlier_life_changes_nothing() {
+    let mut bench = Bench::ready();
+    assert_eq!(bench.feed(AgentInput::Report(report(0, 6))), []);
+    assert!(start_fence(&bench.start(run(1, 0, 0, 1))).is_some());
+}
--- /dev/null
+++ b/crates/parsleytally/src/jobs/tests/mod.rs
@@ -0,0 +1,89 @@
+//! Tests of jobs: single decisions by tables, and whole days in a model of the platform.
+
+mod agent;
+mod contention;
+mod model;
+mod records;
+mod scheduler;
+mod worker;
+
+use std::sync::Arc;
+
+use super::*;
+use crate::types::{NodeName, Resources, ZoneName};
+
+/// Bytes of a megabyte.
+const MEGABYTE: u64 = 1 << 20;
+
+fn node(at: usize) -> NodeName {
+    NodeName::new(&format!("w{at}")).expect("a valid name")
+}
+
+fn need(cpu: u64, mem_mb: u64) -> Resources {
+    Resources::new(cpu, mem_mb * MEGABYTE, 0)
+}
+
+fn life(at: usize, born: u64) -> WorkerLife {
+    let id = format!("i-{at}").into();
+    WorkerLife { id, born }
+}
+
+fn report(at: usize, born: u64) -> WorkerReport {
+    WorkerReport {
+        life: life(at, born),
+        service: "pool".into(),
+        zone: ZoneName::new("a").expect("a valid name"),
+        state: WorkerState::Ready,
+        capacity: need(4_000, 8_000),
+        labels: vec!["kind".into(), format!("r{}", at / 3).into()],
+        rack: Some(format!("r{}", at / 3).into()),
+    }
+}
+
+fn queues(version: u64) -> QueueTable {
+    let queue = QueuePolicy {
+        name: QueueName("q".into()),
+        host: "h".to_owned(),
+        prefix: "/q/".to_owned(),
+        service: "pool".into(),
+        priority: 0,
+        max_attempts: 2,
+        stretch: 2.0,
+        slack_ms: 1_000,
+        timeout_ms: 3_000,
+    };
+    QueueTable::new(version, 1 << 18, vec![queue])
+}
+
+fn step(count: u32, after: &[u16]) -> StepSpec {
+    StepSpec {
+        count,
+        need: need(1_000, 1_000),
+        estimate_ms: 1_000,
+        after: after.to_vec(),
+        ..StepSpec::default()
+    }
+}
+
+fn job(steps: Vec<StepSpec>) -> JobRecord {
+    JobRecord {
+        spec: JobSpec {
+            queue: QueueName("q".into()),
+            payload: Arc::from("do"),
+            steps,
+            repeat: None,
+            submitted_ms: 0,
+        },
+        cancelled: false,
+    }
+}
+
+fn run(job: u64, step: u16, index: u32, run: u32) -> RunRef {
+    let task = TaskId {
+        job: JobId(job),
+        round: 0,
+        step,
+        index,
+    };
+    RunRef { task, run }
+}
--- /dev/null
+++ b/crates/parsleytally/src/jobs/tests/scheduler.rs
@@ -0,0 +1,501 @@
+//! The owner's decisions, one at a time.
+
+use std::time::Duration;
+
+use super::*;
+use crate::types::{Revision, Time};
+
+/// An owner whose epoch began at revision 10, driven by hand.
+struct Bench {
+    scheduler: Scheduler,
+    now: Time,
+    wall_ms: u64,
+}
+
+impl Bench {
+    fn new() -> Self {
+        let mut bench = Self {
+            scheduler: Scheduler::new(SchedulerStart {
+                epoch: 0,
+                since: Revision(10),
+                agent_hold: Duration::from_secs(5),
+                owner_hold: Duration::from_secs(12),
+                keep_ended: Duration::from_secs(60),
+            }),
+            now: Time::from_secs(100),
+            wall_ms: 0,
+        };
+        bench.feed(Input::Queues(Arc::new(queues(1))));
+        bench
+    }
+
+    fn with_workers(count: usize) -> Self {
+        let mut bench = Self::new();
+        for at in 0..count {
+            bench.join(at, report(at, 7));
+        }
+        bench
+    }
+
+    fn feed(&mut self, input: Input) -> Vec<Output> {
+        let mut out = Vec::new();
+        self.scheduler.step(self.now, self.wall_ms, input, &mut out);
+        self.now = self.now.after(Duration::from_millis(20));
+        self.wall_ms += 20;
+        self.scheduler.decide(self.now, self.wall_ms, &mut out);
+        out
+    }
+
+    fn wait(&mut self, millis: u64) -> Vec<Output> {
+        self.now = self.now.after(Duration::from_millis(millis));
+        self.wall_ms += millis;
+        self.feed(Input::Tick)
+    }
+
+    fn join(&mut self, at: usize, report: WorkerReport) -> Vec<Output> {
+        let life = report.life.clone();
+        self.feed(Input::Linked(node(at)));
+        self.agent(at, AgentMessage::Worker(report));
+        self.agent(
+            at,
+            AgentMessage::Listed {
+                life,
+                running: vec![],
+                ended: vec![],
+            },
+        )
+    }
+
+    fn agent(&mut self, at: usize, message: AgentMessage) -> Vec<Output> {
+        self.feed(Input::Agent(node(at), message))
+    }
+
+    fn submit(&mut self, id: u64, record: JobRecord, accepted: u64) -> Vec<Output> {
+        self.feed(Input::Job {
+            id: JobId(id),
+            record,
+            accepted: Revision(accepted),
+            progress: None,
+        })
+    }
+
+    fn end(&mut self, at: usize, number: u64, run: RunRef, how: HowEnded) -> Vec<Output> {
+        let end = EndedRun {
+            number,
+            run,
+            how,
+            checkpoint: String::new(),
+        };
+        let life = life(at, 7);
+        self.agent(
+            at,
+            AgentMessage::Ended {
+                life,
+                ended: vec![end],
+            },
+        )
+    }
+}
+
+fn starts(out: &[Output]) -> Vec<(NodeName, RunRef)> {
+    let start = |output: &Output| match output {
+        Output::Order(node, OrderMessage::Start(order)) => Some((node.clone(), order.run)),
+        _ => None,
+    };
+    out.iter().filter_map(start).collect()
+}
+
+fn stops(out: &[Output]) -> Vec<RunRef> {
+    let stop = |output: &Output| match output {
+        Output::Order(_, OrderMessage::Stop(run)) => Some(*run),
+        _ => None,
+    };
+    out.iter().filter_map(stop).collect()
+}
+
+fn acknowledged(out: &[Output]) -> Option<u64> {
+    out.iter().find_map(|output| match output {
+        Output::Order(_, OrderMessage::Stored { number, .. }) => Some(*number),
+        _ => None,
+    })
+}
+
+fn saves(out: &[Output]) -> Vec<(JobId, u64, JobState)> {
+    let save = |output: &Output| match output {
+        Output::Save {
+            job,
+            version,
+            progress,
+        } => Some((*job, *version, progress.state)),
+        _ => None,
+    };
+    out.iter().filter_map(save).collect()
+}
+
+#[test]
+fn a_worker_gets_no_more_than_it_has() {
+    let mut bench = Bench::with_workers(2);
+    let out = bench.submit(1, job(vec![step(20, &[])]), 11);
+    assert_eq!(starts(&out).len(), 8, "two workers of four processors");
+    let first = starts(&out)[0].clone();
+    let at = usize::from(first.0 == node(1));
+    let out = bench.end(at, 1, first.1, HowEnded::Done);
+    assert_eq!(starts(&out).len(), 1);
+}
+
+#[test]
+fn a_step_waits_for_all_tasks_of_those_before_it() {
+    let mut bench = Bench::with_workers(1);
+    let out = bench.submit(1, job(vec![step(2, &[]), step(1, &[0])]), 11);
+    assert_eq!(starts(&out).len(), 2);
+    assert_eq!(
+        starts(&bench.end(0, 1, run(1, 0, 0, 1), HowEnded::Done)),
+        []
+    );
+    let out = bench.end(0, 2, run(1, 0, 1, 1), HowEnded::Done);
+    assert_eq!(starts(&out), [(node(0), run(1, 1, 0, 1))]);
+}
+
+/// An end that its worker forgot, and the store never had, would run again.
+#[test]
+fn an_end_is_acknowledged_only_after_the_store_has_it() {
+    let mut bench = Bench::with_workers(1);
+    bench.submit(1, job(vec![step(1, &[])]), 11);
+    let out = bench.end(0, 1, run(1, 0, 0, 1), HowEnded::Done);
+    assert_eq!(acknowledged(&out), None);
+    let saved = saves(&out);
+    assert_eq!(saved, [(JobId(1), 1, JobState::Completed)]);
+    assert_eq!(bench.scheduler.state(JobId(1)), Some(JobState::Running));
+    let out = bench.feed(Input::Saved {
+        job: JobId(1),
+        version: 1,
+    });
+    assert_eq!(acknowledged(&out), Some(1));
+    assert_eq!(bench.scheduler.state(JobId(1)), Some(JobState::Completed));
+}
+
+#[test]
+fn a_job_fails_with_its_last_attempt_and_repeated_ends_count_once() {
+    let mut bench = Bench::with_workers(2);
+    bench.submit(1, job(vec![step(1, &[])]), 11);
+    let holder = |bench: &mut Bench, number, run_number| {
+        let mut out = Vec::new();
+        for at in 0..2 {
+            out.extend(bench.end(at, number, run(1, 0, 0, run_number), HowEnded::Failed));
+        }
+        out
+    };
+    let out = holder(&mut bench, 1, 1);
+    assert_eq!(starts(&out).len(), 1, "the second attempt");
+    assert_eq!(bench.scheduler.state(JobId(1)), Some(JobState::Running));
+    holder(&mut bench, 2, 2);
+    bench.feed(Input::Saved {
+        job: JobId(1),
+        version: 9,
+    });
+    assert_eq!(bench.scheduler.state(JobId(1)), Some(JobState::Failed));
+}
+
+/// The predecessor may have started a task on an agent that has not reported.
+#[test]
+fn older_jobs_wait_for_agents_that_have_not_reported() {
+    struct Case {
+        what: &'static str,
+        accepted: u64,
+        heard: bool,
+        waited_ms: u64,
+        starts: usize,
+    }
+    let cases = [
+        Case {
+            what: "a newer job",
+            accepted: 11,
+            heard: false,
+            waited_ms: 0,
+            starts: 1,
+        },
+        Case {
+            what: "an older job",
+            accepted: 9,
+            heard: false,
+            waited_ms: 0,
+            starts: 0,
+        },
+        Case {
+            what: "an older job, all heard",
+            accepted: 9,
+            heard: true,
+            waited_ms: 0,
+            starts: 1,
+        },
+        Case {
+            what: "an older job, just before the end",
+            accepted: 9,
+            heard: false,
+            waited_ms: 11_000,
+            starts: 0,
+        },
+        Case {
+            what: "an older job, leases run out",
+            accepted: 9,
+            heard: false,
+            waited_ms: 12_100,
+            starts: 1,
+        },
+    ];
+    for case in cases {
+        let mut bench = Bench::new();
+        bench.feed(Input::Expected(node(1)));
+        bench.join(0, report(0, 7));
+        if case.heard {
+            bench.join(1, report(1, 7));
+        }
+        let mut out = bench.submit(1, job(vec![step(1, &[])]), case.accepted);
+        out.extend(bench.wait(case.waited_ms));
+        assert_eq!(starts(&out).len(), case.starts, "{}", case.what);
+    }
+}
+
+#[test]
+fn a_successor_keeps_what_runs_and_stops_what_is_not_wanted() {
+    let mut bench = Bench::new();
+    bench.submit(1, job(vec![step(1, &[])]), 9);
+    let mut cancelled = job(vec![step(1, &[])]);
+    cancelled.cancelled = true;
+    bench.submit(2, cancelled, 9);
+    bench.feed(Input::Linked(node(0)));
+    bench.agent(0, AgentMessage::Worker(report(0, 7)));
+    let running = |run| RunningTask {
+        run,
+        checkpoint: "c".to_owned(),
+        percent: 5,
+        figure: 0,
+    };
+    let out = bench.agent(
+        0,
+        AgentMessage::Listed {
+            life: life(0, 7),
+            running: vec![running(run(1, 0, 0, 3)), running(run(2, 0, 0, 1))],
+            ended: vec![],
+        },
+    );
+    assert_eq!(stops(&out), [run(2, 0, 0, 1)]);
+    assert_eq!(starts(&out), [], "task 1 runs already");
+    let out = bench.end(0, 1, run(1, 0, 0, 3), HowEnded::Stopped);
+    assert_eq!(
+        starts(&out),
+        [(node(0), run(1, 0, 0, 4))],
+        "numbers of runs rise"
+    );
+}
+
+#[test]
+fn a_cancelled_job_stops_and_starts_nothing() {
+    let mut bench = Bench::with_workers(1);
+    let record = job(vec![step(6, &[])]);
+    assert_eq!(starts(&bench.submit(1, record.clone(), 11)).len(), 4);
+    let cancelled = JobRecord {
+        cancelled: true,
+        ..record
+    };
+    let out = bench.submit(1, cancelled, 11);
+    assert_eq!(stops(&out).len(), 4);
+    let out = bench.end(0, 1, run(1, 0, 0, 1), HowEnded::Stopped);
+    assert_eq!(starts(&out), []);
+    assert_eq!(bench.scheduler.state(JobId(1)), Some(JobState::Cancelled));
+}
+
+/// Orders to a worker that turned one away every 10 ms filled logs and links.
+#[test]
+fn a_worker_that_turns_a_start_away_gets_a_rest() {
+    let mut bench = Bench::with_workers(1);
+    let out = bench.submit(1, job(vec![step(1, &[])]), 11);
+    let (_, run) = starts(&out)[0].clone();
+    let reason = NotStarted::Unwell;
+    let out = bench.agent(0, AgentMessage::Refused { run, reason });
+    assert_eq!(starts(&out), []);
+    assert_eq!(starts(&bench.wait(100)), []);
+    assert_eq!(starts(&bench.wait(400)).len(), 1);
+}
+
+/// Pattern: one worker fails all that it starts.
+#[test]
+fn a_worker_that_fails_everything_is_set_aside() {
+    let mut bench = Bench::with_workers(2);
+    let mut number = 0;
+    let mut sick_starts = 0;
+    for id in 1..=12 {
+        let out = bench.submit(id, job(vec![step(1, &[])]), 10 + id);
+        let mut pending = starts(&out);
+        while let Some((at, run)) = pending.pop() {
+            number += 1;
+            let sick = at == node(1);
+            sick_starts += usize::from(sick);
+            let how = if sick {
+                HowEnded::Failed
+            } else {
+                HowEnded::Done
+            };
+            pending.extend(starts(&bench.end(usize::from(sick), number, run, how)));
+        }
+    }
+    assert!(sick_starts <= 4, "{sick_starts} starts on the sick worker");
+    let done = (1..=12).filter(|id| {
+        bench.feed(Input::Saved {
+            job: JobId(*id),
+            version: 9,
+        });
+        bench.scheduler.state(JobId(*id)) == Some(JobState::Completed)
+    });
+    assert_eq!(done.count(), 12);
+}
+
+/// Pattern: many jobs that can never be done.
+#[test]
+fn a_job_that_fits_nowhere_blocks_nobody() {
+    let mut bench = Bench::with_workers(1);
+    let mut large = step(1, &[]);
+    large.need = need(64_000, 1_000);
+    assert_eq!(starts(&bench.submit(1, job(vec![large]), 11)), []);
+    assert_eq!(
+        starts(&bench.submit(2, job(vec![step(1, &[])]), 12)).len(),
+        1
+    );
+    assert_eq!(bench.scheduler.state(JobId(1)), Some(JobState::Queued));
+    assert_eq!(bench.scheduler.pending(&QueueName("q".into())), 1);
+}
+
+#[test]
+fn members_of_a_gang_start_together_or_not_at_all() {
+    let mut gang = step(6, &[]);
+    gang.gang = true;
+    let mut bench = Bench::with_workers(1);
+    assert_eq!(starts(&bench.submit(1, job(vec![gang]), 11)), []);
+    let out = bench.join(1, report(1, 7));
+    let started = starts(&out);
+    assert_eq!(started.len(), 6);
+    assert!(started.iter().all(|(_, run)| run.run == started[0].1.run));
+}
+
+/// Pattern: workers leave within seconds.
+#[test]
+fn tasks_that_would_not_finish_leave_a_worker_that_drains() {
+    struct Case {
+        what: &'static str,
+        estimate_ms: u64,
+        lasts: bool,
+        checkpoints: bool,
+        moved: bool,
+    }
+    let cases = [
+        Case {
+            what: "ends in time",
+            estimate_ms: 1_000,
+            lasts: false,
+            checkpoints: false,
+            moved: false,
+        },
+        Case {
+            what: "long",
+            estimate_ms: 9_000,
+            lasts: false,
+            checkpoints: false,
+            moved: true,
+        },
+        Case {
+            what: "long with checkpoints",
+            estimate_ms: 3_000,
+            lasts: false,
+            checkpoints: true,
+            moved: true,
+        },
+        Case {
+            what: "lasts",
+            estimate_ms: 100,
+            lasts: true,
+            checkpoints: false,
+            moved: true,
+        },
+    ];
+    for case in cases {
+        let mut bench = Bench::with_workers(1);
+        let mut spec = step(1, &[]);
+        spec.estimate_ms = case.estimate_ms;
+        spec.lasts = case.lasts;
+        spec.checkpoints = case.checkpoints;
+        bench.submit(1, job(vec![spec]), 11);
+        let mut leaving = report(0, 7);
+        leaving.state = WorkerState::Draining {
+            remaining_ms: 2_000,
+        };
+        let out = bench.agent(0, AgentMessage::Worker(leaving));
+        assert_eq!(!stops(&out).is_empty(), case.moved, "{}", case.what);
+        bench.join(1, report(1, 7));
+        let out = bench.end(0, 1, run(1, 0, 0, 1), HowEnded::Stopped);
+        assert_eq!(starts(&out).len(), 1, "{}", case.what);
+        assert_eq!(
+            starts(&out)[0].0,
+            node(1),
+            "{}: nothing starts on it",
+            case.what
+        );
+    }
+}
+
+#[test]
+fn rounds_of_a_repeated_job_start_when_they_are_due() {
+    let mut bench = Bench::with_workers(1);
+    let mut record = job(vec![step(1, &[])]);
+    record.spec.repeat = Some(Repeat {
+        count: 2,
+        start_ms: 2_000,
+        interval_ms: 3_000,
+    });
+    assert_eq!(starts(&bench.submit(1, record, 11)), []);
+    assert_eq!(starts(&bench.wait(1_700)), []);
+    assert_eq!(starts(&bench.wait(300)).len(), 1);
+    assert_eq!(starts(&bench.wait(2_000)), []);
+    assert_eq!(starts(&bench.wait(1_000)).len(), 1, "rounds may overlap");
+}
+
+/// Runs of a lost agent go on until what it may renew has run out.
+#[test]
+fn tasks_of_a_lost_agent_start_elsewhere_after_its_hold() {
+    let mut bench = Bench::with_workers(1);
+    bench.submit(1, job(vec![step(1, &[])]), 11);
+    bench.feed(Input::Unlinked(node(0)));
+    bench.join(1, report(1, 7));
+    assert_eq!(starts(&bench.wait(4_000)), []);
+    assert_eq!(starts(&bench.wait(1_100)), [(node(1), run(1, 0, 0, 2))]);
+}
+
+#[test]
+fn a_new_life_of_a_worker_frees_the_tasks_of_the_last() {
+    let mut bench = Bench::with_workers(1);
+    bench.submit(1, job(vec![step(1, &[])]), 11);
+    let out = bench.agent(0, AgentMessage::Worker(report(0, 8)));
+    assert_eq!(starts(&out), [], "what is on the new life is not known yet");
+    let listed = AgentMessage::Listed {
+        life: life(0, 8),
+        running: vec![],
+        ended: vec![],
+    };
+    assert_eq!(
+        starts(&bench.agent(0, listed)),
+        [(node(0), run(1, 0, 0, 2))]
+    );
+}
+
+#[test]
+fn the_urgent_go_before_those_that_cannot_meet_their_objective() {
+    let mut bench = Bench::new();
+    bench.wall_ms = 100_000;
+    let mut late = job(vec![step(4, &[])]);
+    late.spec.submitted_ms = 0;
+    let mut fresh = job(vec![step(4, &[])]);
+    fresh.spec.submitted_ms = 100_000;
+    bench.submit(1, late, 11);
+    bench.submit(2, fresh, 12);
+    let out = bench.join(0, report(0, 7));
+    assert!(starts(&out).iter().all(|(_, run)| run.task.job == JobId(2)));
+}
--- /dev/null
+++ b/crates/parsleytally/src/jobs/tests/worker.rs
@@ -0,0 +1,192 @@
+//! A worker of the model: runs tasks under one lease, fences orders, lists ends.
+
+use std::collections::{BTreeMap, HashMap};
+
+use super::*;
+use crate::types::Time;
+
+/// Milliseconds of work of every task.
+const WORK_MS: u64 = 800;
+
+/// A run in progress.
+#[derive(Debug, Clone)]
+struct Running {
+    /// When its work is done.
+    done: Time,
+    /// When a stop takes effect.
+    stops: Option<Time>,
+}
+
+/// A worker with its own clock, which starts at 0 with each life.
+#[derive(Debug)]
+pub(super) struct ModelWorker {
+    pub(super) up: bool,
+    pub(super) born: u64,
+    /// When its clock showed 0.
+    began: Time,
+    fence: u64,
+    lease_end: u64,
+    running: BTreeMap<RunRef, Running>,
+    ended: Vec<EndedRun>,
+    next_end: u64,
+    /// Highest run of each task that was stopped or ended here.
+    past: HashMap<TaskId, u32>,
+}
+
+/// What a worker did that the checks look at.
+#[derive(Debug, Clone, PartialEq)]
+pub(super) enum Deed {
+    Started(RunRef),
+    Ended(RunRef, HowEnded),
+    /// Ends that may be forgotten now.
+    Noted(Vec<EndedRun>),
+}
+
+impl ModelWorker {
+    pub(super) fn new(now: Time, born: u64) -> Self {
+        Self {
+            up: true,
+            born,
+            began: now,
+            fence: 0,
+            lease_end: 0,
+            running: BTreeMap::new(),
+            ended: Vec::new(),
+            next_end: 1,
+            past: HashMap::new(),
+        }
+    }
+
+    pub(super) fn runs(&self) -> impl Iterator<Item = &RunRef> {
+        self.running.keys().filter(|_| self.up)
+    }
+
+    fn clock_ms(&self, now: Time) -> u64 {
+        // A clock that is 2% slow.
+        now.since(self.began).as_millis() as u64 * 98 / 100
+    }
+
+    /// Lets time pass.
+    pub(super) fn advance(&mut self, now: Time, fails: bool) -> Vec<Deed> {
+        let lapsed = self.clock_ms(now) >= self.lease_end;
+        let mut over = Vec::new();
+        for (run, state) in &self.running {
+            if state.done <= now {
+                let how = if fails {
+                    HowEnded::Failed
+                } else {
+                    HowEnded::Done
+                };
+                over.push((*run, how));
+            } else if state.stops.is_some_and(|stops| stops <= now) {
+                over.push((*run, HowEnded::Stopped));
+            } else if lapsed {
+                over.push((*run, HowEnded::Lapsed));
+            }
+        }
+        over.into_iter()
+            .map(|(run, how)| self.end(run, how))
+            .collect()
+    }
+
+    fn end(&mut self, run: RunRef, how: HowEnded) -> Deed {
+        self.running.remove(&run);
+        let past = self.past.entry(run.task).or_default();
+        *past = run.run.max(*past);
+        let number = self.next_end;
+        self.next_end += 1;
+        self.ended.push(EndedRun {
+            number,
+            run,
+            how,
+            checkpoint: String::new(),
+        });
+        Deed::Ended(run, how)
+    }
+
+    /// Carries out an order to start.
+    pub(super) fn start(
+        &mut self,
+        now: Time,
+        call: &StartCall,
+        deeds: &mut Vec<Deed>,
+    ) -> Result<(), CallError> {
+        let run = call.order.run;
+        let refuse = |reason| Err(CallError::Refused(reason));
+        if call.order.life.born != self.born {
+            return Err(CallError::OtherLife);
+        }
+        if call.fence < self.fence {
+            return refuse(NotStarted::Fenced);
+        }
+        self.fence = call.fence;
+        if call.lease_end <= self.clock_ms(now) {
+            return refuse(NotStarted::Late);
+        }
+        self.lease_end = self.lease_end.max(call.lease_end);
+        if self.running.contains_key(&run) {
+            return Ok(());
+        }
+        if self
+            .past
+            .get(&run.task)
+            .is_some_and(|past| run.run <= *past)
+        {
+            return refuse(NotStarted::Old);
+        }
+        let done = now.after(std::time::Duration::from_millis(WORK_MS));
+        self.running.insert(run, Running { done, stops: None });
+        deeds.push(Deed::Started(run));
+        Ok(())
+    }
+
+    /// Carries out an order to stop.
+    pub(super) fn stop(&mut self, now: Time, call: StopCall) -> Result<(), CallError> {
+        if call.fence < self.fence {
+            return Err(CallError::Refused(NotStarted::Fenced));
+        }
+        self.fence = call.fence;
+        let past = self.past.entry(call.run.task).or_default();
+        *past = call.run.run.max(*past);
+        if let Some(running) = self.running.get_mut(&call.run) {
+            let stops = now.after(std::time::Duration::from_millis(300));
+            running.stops.get_or_insert(stops);
+        }
+        Ok(())
+    }
+
+    /// Lists what runs and has ended; `fenced` is a fault that is planted.
+    pub(super) fn look(
+        &mut self,
+        now: Time,
+        call: LookCall,
+        fenced: bool,
+        deeds: &mut Vec<Deed>,
+    ) -> Listing {
+        if call.fence >= self.fence {
+            if fenced {
+                self.fence = call.fence;
+            }
+            if let Some(end) = call.lease_end {
+                self.lease_end = self.lease_end.max(end);
+            }
+            let (noted, kept) = std::mem::take(&mut self.ended)
+                .into_iter()
+                .partition(|end| end.number <= call.stored);
+            self.ended = kept;
+            deeds.push(Deed::Noted(noted));
+        }
+        let running = self.running.keys().map(|run| RunningTask {
+            run: *run,
+            checkpoint: String::new(),
+            percent: 0,
+            figure: 0,
+        });
+        Listing {
+            born: self.born,
+            clock_ms: self.clock_ms(now),
+            running: running.collect(),
+            ended: self.ended.clone(),
+        }
+    }
+}
