fix(entry): jobs are refused at once, unsent, while the store does not answer

Change: while the last call to the store had no answer, a job is refused with 503 and Retry-After without a call, which is true for certain; the leader's look finds the store again within 150 ms of its return. Kept for the rule that a request that can't be served is refused at once.

--- a/crates/parsleytally-entry/src/site/desk.rs
+++ b/crates/parsleytally-entry/src/site/desk.rs
@@ -36,6 +36,8 @@
     pub(super) draining: Arc<AtomicBool>,
     /// Whether the store has answered lately.
     pub(super) reaches_store: Arc<AtomicBool>,
+    /// Whether the last call to the store was answered.
+    pub(super) answered: Arc<AtomicBool>,
 }
 
 /// Why a change was not made.
@@ -56,10 +58,14 @@
             let call = self.store.commit(commit.clone());
             let outcome = tokio::time::timeout_at(deadline, call).await;
             let error = match outcome {
-                Ok(Ok(outcome)) => return Ok(outcome),
+                Ok(Ok(outcome)) => {
+                    self.answered.store(true, Ordering::Relaxed);
+                    return Ok(outcome);
+                }
                 Ok(Err(error)) => error,
                 Err(_) => StoreError::Timeout { call: "commit" },
             };
+            self.answered.store(false, Ordering::Relaxed);
             log::warn!(error:% = error; "change is not stored yet");
             if error.is_unknown() {
                 unknown += 1;
@@ -76,6 +82,12 @@
     }
 
     async fn submit_job(&self, id: JobId, spec: JobSpec, deadline: Instant) -> Submitted {
+        // Without a call there is no doubt that the job was not accepted.
+        if !self.answered.load(Ordering::Relaxed) {
+            return Submitted::Refused {
+                retry_after: RETRY_AFTER,
+            };
+        }
         let record = JobRecord {
             spec,
             cancelled: false,
--- a/crates/parsleytally-entry/src/site/mod.rs
+++ b/crates/parsleytally-entry/src/site/mod.rs
@@ -40,6 +40,8 @@
 /// Time without an answer of the store after which an entry is not ready.
 const STORE_PATIENCE: Duration = Duration::from_secs(2);
 
+/// Time after a look at the store that failed until the next.
+const LOOK_AGAIN: Duration = Duration::from_millis(150);
 /// Time for the store to take the end of an ownership.
 const RESIGN_LIMIT: Duration = Duration::from_millis(500);
 
@@ -70,6 +72,7 @@
         let (queues, queues_seen) = watch::channel(None);
         let (whereabouts, owner_seen) = watch::channel(Whereabouts::Unknown);
         let reaches_store = Arc::new(AtomicBool::new(false));
+        let answered = Arc::new(AtomicBool::new(true));
         let draining = Arc::new(AtomicBool::new(false));
         let resign = CancellationToken::new();
         let yields = CancellationToken::new();
@@ -80,6 +83,7 @@
             owner: peer.clone(),
             draining: draining.clone(),
             reaches_store: reaches_store.clone(),
+            answered: answered.clone(),
         });
         let mut tasks = JoinSet::new();
         let follower = QueueFollower {
@@ -108,6 +112,7 @@
             },
             whereabouts,
             reaches_store,
+            answers: answered,
             ownership: None,
             answered: Instant::now(),
         };
@@ -172,6 +177,8 @@
     parts: Parts,
     whereabouts: watch::Sender<Whereabouts>,
     reaches_store: Arc<AtomicBool>,
+    /// Whether the last call to the store was answered.
+    answers: Arc<AtomicBool>,
     ownership: Option<Ownership>,
     /// When the store last answered.
     answered: Instant,
@@ -185,7 +192,12 @@
             }
             let looked = resign.run_until_cancelled(self.look()).await;
             if looked.is_some() {
-                let pause = sleep(self.parts.jobs.owner_renew);
+                let answers = self.answers.load(Ordering::Relaxed);
+                let pause = sleep(if answers {
+                    self.parts.jobs.owner_renew
+                } else {
+                    LOOK_AGAIN
+                });
                 let pause = yields_first(pause, &yields, self.candidate.reluctant);
                 let _ = resign.run_until_cancelled(pause).await;
             }
@@ -209,10 +221,12 @@
             Ok((view, sent)) => {
                 self.answered = sent;
                 self.reaches_store.store(true, Ordering::Relaxed);
+                self.answers.store(true, Ordering::Relaxed);
                 self.take(view, sent).await;
             }
             Err(error) => {
                 log::warn!(error:% = error; "ownership is not confirmed");
+                self.answers.store(false, Ordering::Relaxed);
                 let fresh = self.answered.elapsed() < STORE_PATIENCE;
                 self.reaches_store.store(fresh, Ordering::Relaxed);
             }
