--- a/crates/parsleytally-entry/src/site/desk.rs
+++ b/crates/parsleytally-entry/src/site/desk.rs
@@ -210,8 +210,10 @@
     fn submit(&self, id: JobId, spec: JobSpec, deadline: Instant) -> JobFuture<'_, Submitted> {
         Box::pin(async move {
             let queue = spec.queue.clone();
+            let answered = self.answered.load(Ordering::Relaxed);
             let submitted = self.submit_job(id, spec, deadline).await;
-            log::info!(job:% = id, queue:% = queue, outcome:? = submitted; "job submitted");
+            log::info!(job:% = id, queue:% = queue, store_answers = answered, outcome:? = submitted;
+                "job submitted");
             submitted
         })
     }
--- a/crates/parsleytally-entry/src/site/owner.rs
+++ b/crates/parsleytally-entry/src/site/owner.rs
@@ -449,6 +449,12 @@
         OrderMessage::Stop(run) => {
             log::info!(task:% = run.task, run = run.run, agent:% = node; "stop ordered");
         }
+        OrderMessage::Pace { run, percent } => {
+            log::info!(task:% = run.task, run = run.run, percent, agent:% = node; "pace ordered");
+        }
+        OrderMessage::Stored { number, .. } => {
+            log::debug!("ends up to {number} of {node} are stored");
+        }
         _ => {}
     }
 }
