fix(jobs): a deposed owner neither takes agents for dead nor gets a restarted one

Ruled out: the saver (its records were right). Change: time runs out for a lost agent only up to the store's last confirmation of the owner; an agent reports to an owner, and takes its orders, once the store has confirmed one since the agent began.

--- a/crates/parsleytally-agent/src/site/mod.rs
+++ b/crates/parsleytally-agent/src/site/mod.rs
@@ -88,13 +88,15 @@
         let listener = TcpListener::bind(config.links).await?;
         let (ring, inputs) = mpsc::channel(RING);
         let (has_owner, owner_seen) = watch::channel(false);
+        let clock = Clock::start();
+        let times = AgentTimes {
+            lease: config.jobs.lease,
+            agent_hold: config.jobs.agent_hold,
+            owner_hold: config.jobs.owner_hold,
+        };
         let duty = Duty {
-            clock: Clock::start(),
-            tasks: AgentTasks::new(AgentTimes {
-                lease: config.jobs.lease,
-                agent_hold: config.jobs.agent_hold,
-                owner_hold: config.jobs.owner_hold,
-            }),
+            clock,
+            tasks: AgentTasks::new(times, clock.now()),
             host,
             ring: ring.clone(),
             links: HashMap::new(),
@@ -243,6 +245,7 @@
                     && *fence > self.tasks.fence()
                 {
                     self.owner = Some(*id);
+                    self.ping();
                 }
                 let lost = match &input {
                     AgentInput::OwnerLost(id) => Some(*id),
--- a/crates/parsleytally-entry/src/site/owner.rs
+++ b/crates/parsleytally-entry/src/site/owner.rs
@@ -216,7 +216,7 @@
                     }
                 }
                 Ok(()) = queues.changed() => self.take_queues(&mut queues),
-                _ = tick.tick() => self.step(Input::Tick),
+                _ = tick.tick() => self.tick(),
                 () = until(wake) => {}
             }
             self.decide(&records);
@@ -403,6 +403,14 @@
         true
     }
 
+    fn tick(&mut self) {
+        let age = self.confirmed.age().as_micros();
+        let age = u64::try_from(age).unwrap_or(u64::MAX);
+        let at = self.clock.now().as_micros().saturating_sub(age);
+        self.step(Input::Confirmed(Time::from_micros(at)));
+        self.step(Input::Tick);
+    }
+
     fn step(&mut self, input: Input) {
         let now = self.clock.now();
         self.scheduler.step(now, wall_ms(), input, &mut self.out);
--- a/crates/parsleytally/src/jobs/agent/lists.rs
+++ b/crates/parsleytally/src/jobs/agent/lists.rs
@@ -82,7 +82,7 @@
         if self.listed {
             self.tell_ends(&listing, out);
             self.tell_gauges(now, &listing.running, out);
-        } else if call.fence >= self.fence {
+        } else if self.trusts && call.fence >= self.fence {
             self.tell_all(listing, out);
         }
     }
--- a/crates/parsleytally/src/jobs/agent/mod.rs
+++ b/crates/parsleytally/src/jobs/agent/mod.rs
@@ -84,6 +84,10 @@
 #[derive(Debug)]
 pub struct AgentTasks {
     times: AgentTimes,
+    began: Time,
+    /// Whether an owner was confirmed by the store since this agent began. Until then it
+    /// may have forgotten a later one.
+    trusts: bool,
     owner: Option<OwnerLink>,
     /// Number under which orders go to the worker.
     fence: u64,
@@ -110,10 +114,12 @@
 }
 
 impl AgentTasks {
-    /// Creates an agent that knows neither its worker nor an owner.
-    pub fn new(times: AgentTimes) -> Self {
+    /// Creates an agent that knows neither its worker nor an owner, at the time `began`.
+    pub fn new(times: AgentTimes, began: Time) -> Self {
         Self {
             times,
+            began,
+            trusts: false,
             owner: None,
             fence: 0,
             report: None,
@@ -238,6 +244,7 @@
 
     /// The owner was confirmed by the store `age` before it answered a ping.
     fn vouched(&mut self, sent: u64, age: u64) {
+        self.trusts |= sent.saturating_sub(age) >= self.began.as_micros();
         let age = Duration::from_micros(age);
         let left = self.times.owner_hold.saturating_sub(age);
         let left = left.min(self.times.agent_hold);
--- a/crates/parsleytally/src/jobs/messages.rs
+++ b/crates/parsleytally/src/jobs/messages.rs
@@ -8,7 +8,7 @@
     JobId, JobProgress, JobRecord, JobState, QueueName, QueueTable, TaskId, WorkerLife,
     WorkerReport,
 };
-use crate::types::{NodeName, Revision};
+use crate::types::{NodeName, Revision, Time};
 
 /// One run of a task.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -249,6 +249,8 @@
         /// Version of the record.
         version: u64,
     },
+    /// The store confirmed the ownership at this time.
+    Confirmed(Time),
     /// Time has passed.
     Tick,
 }
--- a/crates/parsleytally/src/jobs/scheduler/mod.rs
+++ b/crates/parsleytally/src/jobs/scheduler/mod.rs
@@ -54,6 +54,8 @@
     /// Agents of the predecessor that have not reported, and when their runs have ended.
     unheard: BTreeMap<NodeName, Time>,
     contention: Contention,
+    /// When the store last confirmed the ownership.
+    confirmed: Time,
     /// Whether something changed that may let a task start.
     stirred: bool,
     /// Time before which nothing is placed, so that a burst is decided together.
@@ -73,6 +75,7 @@
             workers: BTreeMap::new(),
             unheard: BTreeMap::new(),
             contention: Contention::default(),
+            confirmed: Time::ZERO,
             stirred: false,
             next_pass: Time::ZERO,
         }
@@ -96,6 +99,7 @@
             Input::Unlinked(node) => self.unlinked(now, &node),
             Input::Agent(node, message) => self.agent(now, &node, message, out),
             Input::Saved { job, version } => self.saved(job, version, out),
+            Input::Confirmed(at) => self.confirmed = self.confirmed.max(at),
             Input::Tick => self.tick(now, wall_ms),
         }
     }
@@ -343,8 +347,11 @@
     }
 
     fn tick(&mut self, now: Time, wall_ms: u64) {
+        // An agent that is lost may have gone over to another owner, unless the store
+        // said since that there is none.
+        let certain = now.min(self.confirmed);
         let expired = |(_, worker): &(&NodeName, &Worker)| {
-            worker.expires.is_some_and(|expires| expires <= now)
+            worker.expires.is_some_and(|expires| expires <= certain)
         };
         let lost: Vec<NodeName> = {
             let lost = self.workers.iter().filter(expired);
@@ -357,7 +364,7 @@
             }
         }
         let before = self.unheard.len();
-        self.unheard.retain(|_, until| *until > now);
+        self.unheard.retain(|_, until| *until > certain);
         self.stirred |= self.unheard.len() < before;
         self.open_rounds(wall_ms);
         self.drop_ended(now);
--- a/crates/parsleytally/src/jobs/tests/agent.rs
+++ b/crates/parsleytally/src/jobs/tests/agent.rs
@@ -16,18 +16,23 @@
 const FENCE: u64 = 1 << 32;
 
 impl Bench {
-    /// An agent whose owner has vouched for it and knows what is on the worker.
-    fn ready() -> Self {
+    /// An agent that has just begun.
+    fn new() -> Self {
         let times = AgentTimes {
             lease: Duration::from_secs(4),
             agent_hold: Duration::from_secs(5),
             owner_hold: Duration::from_secs(12),
         };
-        let mut bench = Self {
-            agent: AgentTasks::new(times),
+        Self {
+            agent: AgentTasks::new(times, Time::from_secs(1)),
             now: Time::from_secs(1),
             looks: Vec::new(),
-        };
+        }
+    }
+
+    /// An agent whose owner has vouched for it and knows what is on the worker.
+    fn ready() -> Self {
+        let mut bench = Self::new();
         bench.feed(AgentInput::Report(report(0, 7)));
         bench.begin(1, FENCE);
         bench.vouch(Duration::ZERO);
@@ -229,6 +234,44 @@
     assert_eq!(start_fence(&out), None);
 }
 
+/// An agent that restarted took orders of a deposed owner, whose look the worker did
+/// not honour.
+#[test]
+fn an_agent_that_restarted_waits_for_an_owner_that_the_store_confirmed_since() {
+    struct Case {
+        what: &'static str,
+        age_ms: u64,
+        listed: bool,
+    }
+    let cases = [
+        Case {
+            what: "confirmed before",
+            age_ms: 600,
+            listed: false,
+        },
+        Case {
+            what: "confirmed since",
+            age_ms: 400,
+            listed: true,
+        },
+    ];
+    for case in cases {
+        let mut bench = Bench::new();
+        bench.feed(AgentInput::Report(report(0, 7)));
+        bench.begin(1, FENCE);
+        bench.wait(500);
+        bench.vouch(Duration::from_millis(case.age_ms));
+        let call = bench.last_look();
+        let out = bench.looked(call, vec![], vec![]);
+        let listed = AgentMessage::Listed {
+            life: life(0, 7),
+            running: vec![],
+            ended: vec![],
+        };
+        assert_eq!(sent(&out, &listed), case.listed, "{}", case.what);
+    }
+}
+
 #[test]
 fn an_owner_with_a_lower_fence_is_turned_away() {
     let mut bench = Bench::ready();
--- a/crates/parsleytally/src/jobs/tests/model.rs
+++ b/crates/parsleytally/src/jobs/tests/model.rs
@@ -150,7 +150,7 @@
             queue: BinaryHeap::new(),
             sequence: 0,
             workers: (0..WORKERS).map(|_| ModelWorker::new(now, 1)).collect(),
-            agents: (0..WORKERS).map(|_| agent(1)).collect(),
+            agents: (0..WORKERS).map(|_| agent(1, now)).collect(),
             owners: Vec::new(),
             jobs: BTreeMap::new(),
             revision: 10,
@@ -241,7 +241,7 @@
                     self.lost(link);
                 }
                 let life = self.agents[at].life + 1;
-                self.agents[at] = agent(life);
+                self.agents[at] = agent(life, self.now);
                 let born = self.workers[at].born;
                 self.tell_agent(at, AgentInput::Report(report(at, born)));
             }
@@ -349,6 +349,8 @@
                 if self.owners[owner].reaches_store && !self.store_down && self.is_current(owner) {
                     self.owners[owner].confirmed = self.now;
                 }
+                let confirmed = self.owners[owner].confirmed;
+                self.tell_owner(owner, Input::Confirmed(confirmed));
                 self.tell_owner(owner, Input::Tick);
             }
         }
@@ -726,13 +728,16 @@
     }
 }
 
-fn agent(life: u64) -> ModelAgent {
+fn agent(life: u64, began: Time) -> ModelAgent {
     ModelAgent {
-        tasks: AgentTasks::new(AgentTimes {
-            lease: LEASE,
-            agent_hold: AGENT_HOLD,
-            owner_hold: OWNER_HOLD,
-        }),
+        tasks: AgentTasks::new(
+            AgentTimes {
+                lease: LEASE,
+                agent_hold: AGENT_HOLD,
+                owner_hold: OWNER_HOLD,
+            },
+            began,
+        ),
         life,
         up: true,
         links: HashSet::new(),
--- a/crates/parsleytally/src/jobs/tests/scheduler.rs
+++ b/crates/parsleytally/src/jobs/tests/scheduler.rs
@@ -49,6 +49,7 @@
     fn wait(&mut self, millis: u64) -> Vec<Output> {
         self.now = self.now.after(Duration::from_millis(millis));
         self.wall_ms += millis;
+        self.feed(Input::Confirmed(self.now));
         self.feed(Input::Tick)
     }
 
@@ -469,6 +470,19 @@
     assert_eq!(starts(&bench.wait(1_100)), [(node(1), run(1, 0, 0, 2))]);
 }
 
+/// A deposed owner took the agents that went over to its successor for dead.
+#[test]
+fn an_owner_without_the_store_takes_no_agent_for_dead() {
+    let mut bench = Bench::with_workers(1);
+    bench.submit(1, job(vec![step(1, &[])]), 11);
+    bench.feed(Input::Unlinked(node(0)));
+    bench.join(1, report(1, 7));
+    bench.now = bench.now.after(Duration::from_secs(11));
+    assert_eq!(starts(&bench.feed(Input::Tick)), []);
+    bench.feed(Input::Confirmed(bench.now));
+    assert_eq!(starts(&bench.feed(Input::Tick)).len(), 1);
+}
+
 #[test]
 fn a_new_life_of_a_worker_frees_the_tasks_of_the_last() {
     let mut bench = Bench::with_workers(1);
