feat(entry): an entry that the store turns away lets the owner store its jobs

Ruled out: handing over faster (the entry that is turned away need not own anything). Change: such an entry asks the owner over its link; a question that was not sent is a refusal, one without an answer is unknown.

--- a/crates/parsleytally-entry/src/site/desk.rs
+++ b/crates/parsleytally-entry/src/site/desk.rs
@@ -6,6 +6,7 @@
 
 use parsleytally::jobs::{
     JobId, JobProgress, JobRecord, JobSpec, JobState, Question, QueueName, QueueTable, Reply,
+    Stored,
 };
 use parsleytally_platform::jobs::{Cancelled, JobDesk, JobFuture, Submitted, Told};
 use parsleytally_platform::store::{Commit, Compare, Item, Outcome, Store, StoreError, Write};
@@ -13,7 +14,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use super::keys;
-use super::peer::Peer;
+use super::peer::{Asked, Peer};
 
 /// Time before the client stops waiting at which an answer is owed.
 const ANSWER_MARGIN: Duration = Duration::from_millis(150);
@@ -25,6 +26,8 @@
 const UNKNOWN_CALLS: u32 = 2;
 /// Time to come back after while the store refuses.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Longest time for storing another entry's job.
+const RELAY_LIMIT: Duration = Duration::from_millis(1_200);
 /// Longest wait for the owner's answer.
 const OWNER_PATIENCE: Duration = Duration::from_millis(500);
 
@@ -82,12 +85,42 @@
     }
 
     async fn submit_job(&self, id: JobId, spec: JobSpec, deadline: Instant) -> Submitted {
-        // Without a call there is no doubt that the job was not accepted.
         if !self.answered.load(Ordering::Relaxed) {
-            return Submitted::Refused {
-                retry_after: RETRY_AFTER,
-            };
+            return self.submit_by_owner(id, spec, deadline).await;
+        }
+        self.store_job(id, spec, deadline).await
+    }
+
+    /// Asks the owner to store the job, since the store does not answer here.
+    ///
+    /// Where the question is not sent there is no doubt that the job was not accepted.
+    async fn submit_by_owner(&self, id: JobId, spec: JobSpec, deadline: Instant) -> Submitted {
+        let question = Question::Submit(id, spec);
+        let asked = self.owner.ask_elsewhere(question, deadline - ANSWER_MARGIN);
+        match asked.await {
+            Asked::Answered(Reply::Submitted(Stored::Yes)) => Submitted::Accepted,
+            Asked::Answered(Reply::Submitted(Stored::No) | Reply::NotOwner) | Asked::NotSent => {
+                Submitted::Refused {
+                    retry_after: RETRY_AFTER,
+                }
+            }
+            Asked::Answered(_) | Asked::Unanswered => Submitted::Unknown,
         }
+    }
+
+    /// Stores a job for another entry.
+    pub(super) async fn store_for(&self, id: JobId, spec: JobSpec) -> Stored {
+        if !self.answered.load(Ordering::Relaxed) {
+            return Stored::No;
+        }
+        match self.store_job(id, spec, Instant::now() + RELAY_LIMIT).await {
+            Submitted::Accepted => Stored::Yes,
+            Submitted::Refused { .. } => Stored::No,
+            Submitted::Unknown => Stored::Unknown,
+        }
+    }
+
+    async fn store_job(&self, id: JobId, spec: JobSpec, deadline: Instant) -> Submitted {
         let record = JobRecord {
             spec,
             cancelled: false,
--- a/crates/parsleytally-entry/src/site/mod.rs
+++ b/crates/parsleytally-entry/src/site/mod.rs
@@ -94,7 +94,13 @@
         tasks.spawn(follower.run());
         tasks.spawn(peer.keep(hello.clone(), config.link.clone()));
         let link = config.link.clone();
-        tasks.spawn(serve_peers(listener, hello.clone(), link, owner_seen));
+        tasks.spawn(serve_peers(
+            listener,
+            hello.clone(),
+            link,
+            owner_seen,
+            desk.clone(),
+        ));
         let leader = Leader {
             candidate: Candidate::new(
                 store.clone(),
--- a/crates/parsleytally-entry/src/site/peer.rs
+++ b/crates/parsleytally-entry/src/site/peer.rs
@@ -5,13 +5,14 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use parsleytally::jobs::{Question, Reply};
+use parsleytally::jobs::{JobId, JobSpec, Question, Reply};
 use parsleytally::types::RequestId;
 use parsleytally_link::{Frame, Hello, Incoming, Link, LinkConfig, accept, dial};
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot, watch};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep, timeout_at};
 
+use super::desk::Desk;
 use super::owner::OwnerInput;
 
 /// Pause between two attempts to link.
@@ -28,6 +29,17 @@
     At(SocketAddr),
 }
 
+/// What became of a question to another entry.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Asked {
+    /// The answer.
+    Answered(Reply),
+    /// It was not sent.
+    NotSent,
+    /// It was sent and has no answer.
+    Unanswered,
+}
+
 /// The link to the owner and the questions that wait on it.
 #[derive(Debug, Default)]
 struct Asking {
@@ -57,22 +69,33 @@
         if let Whereabouts::Here(owner) = whereabouts {
             return ask_here(&owner, question).await;
         }
-        let (sender, receiver) = oneshot::channel();
-        {
-            let mut asking = self.asking();
-            asking.next += 1;
-            let id = RequestId(asking.next);
-            asking
-                .link
-                .as_ref()?
-                .send(Frame::JobAsk(id, question))
-                .ok()?;
-            asking.waiting.insert(id, sender);
-        }
-        let reply = receiver.await.ok()?;
+        let reply = self.send(question)?.await.ok()?;
         (reply != Reply::NotOwner).then_some(reply)
     }
 
+    /// Asks the owner on another entry, and says whether the question was sent.
+    pub(super) async fn ask_elsewhere(&self, question: Question, deadline: Instant) -> Asked {
+        let Some(receiver) = self.send(question) else {
+            return Asked::NotSent;
+        };
+        match timeout_at(deadline, receiver).await {
+            Ok(Ok(reply)) => Asked::Answered(reply),
+            _ => Asked::Unanswered,
+        }
+    }
+
+    /// Sends a question on the link, where there is one.
+    fn send(&self, question: Question) -> Option<oneshot::Receiver<Reply>> {
+        let (sender, receiver) = oneshot::channel();
+        let mut asking = self.asking();
+        asking.next += 1;
+        let id = RequestId(asking.next);
+        let link = asking.link.as_ref()?;
+        link.send(Frame::JobAsk(id, question)).ok()?;
+        asking.waiting.insert(id, sender);
+        Some(receiver)
+    }
+
     /// Keeps a link to the owner while it is another entry.
     pub(super) async fn keep(self: Arc<Self>, hello: Hello, config: LinkConfig) {
         let mut whereabouts = self.whereabouts.clone();
@@ -130,6 +153,7 @@
     hello: Hello,
     config: LinkConfig,
     whereabouts: watch::Receiver<Whereabouts>,
+    desk: Arc<Desk>,
 ) {
     loop {
         let stream = match listener.accept().await {
@@ -141,21 +165,31 @@
             }
         };
         let (hello, config) = (hello.clone(), config.clone());
-        let whereabouts = whereabouts.clone();
+        let (whereabouts, desk) = (whereabouts.clone(), desk.clone());
         tokio::spawn(async move {
             if let Ok((link, incoming)) = accept(stream, &hello, &config).await {
-                answer(link, incoming, whereabouts).await;
+                answer(link, incoming, whereabouts, desk).await;
             }
         });
     }
 }
 
-async fn answer(link: Link, mut incoming: Incoming, whereabouts: watch::Receiver<Whereabouts>) {
+async fn answer(
+    link: Link,
+    mut incoming: Incoming,
+    whereabouts: watch::Receiver<Whereabouts>,
+    desk: Arc<Desk>,
+) {
     while let Some(frame) = incoming.next().await {
         let Frame::JobAsk(id, question) = frame else {
             log::warn!("entry sent a frame that entries do not send");
             continue;
         };
+        if let Question::Submit(job, spec) = question {
+            // Storing takes a while; other questions do not wait for it.
+            tokio::spawn(store_for(link.clone(), id, desk.clone(), job, spec));
+            continue;
+        }
         let owner = whereabouts.borrow().clone();
         let reply = match owner {
             Whereabouts::Here(owner) => ask_here(&owner, question).await,
@@ -167,3 +201,13 @@
         }
     }
 }
+
+/// Stores a job for another entry and answers it.
+async fn store_for(link: Link, id: RequestId, desk: Arc<Desk>, job: JobId, spec: JobSpec) {
+    let stored = desk.store_for(job, spec).await;
+    log::info!(job:% = job, entry:% = link.peer().node, outcome:? = stored; "job relayed");
+    // A link that has ended leaves the outcome unknown to the other entry.
+    let _ = link
+        .deliver(Frame::JobReply(id, Reply::Submitted(stored)))
+        .await;
+}
--- a/crates/parsleytally/src/jobs/messages.rs
+++ b/crates/parsleytally/src/jobs/messages.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    JobId, JobProgress, JobRecord, JobState, QueueName, QueueTable, TaskId, WorkerLife,
+    JobId, JobProgress, JobRecord, JobSpec, JobState, QueueName, QueueTable, TaskId, WorkerLife,
     WorkerReport,
 };
 use crate::types::{NodeName, Revision, Time};
@@ -205,6 +205,19 @@
     State(JobId),
     /// Number of jobs of a queue that have not begun.
     Pending(QueueName),
+    /// Store this job for an entry that the store does not answer.
+    Submit(JobId, JobSpec),
+}
+
+/// What became of a job that was to be stored.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Stored {
+    /// The store has it.
+    Yes,
+    /// The store does not have it and will not.
+    No,
+    /// The store may have it.
+    Unknown,
 }
 
 /// Answer to a [`Question`].
@@ -214,6 +227,8 @@
     State(Option<JobState>),
     /// Number of jobs that have not begun.
     Pending(u64),
+    /// What became of a job that was to be stored.
+    Submitted(Stored),
     /// The asked one is not the owner.
     NotOwner,
 }
--- a/crates/parsleytally/src/jobs/scheduler/mod.rs
+++ b/crates/parsleytally/src/jobs/scheduler/mod.rs
@@ -128,6 +128,8 @@
         match question {
             Question::State(id) => Reply::State(self.state(*id)),
             Question::Pending(queue) => Reply::Pending(self.pending(queue)),
+            // The entry stores jobs itself.
+            Question::Submit(..) => Reply::Submitted(super::Stored::No),
         }
     }
 
