--- a/crates/parsleytally/src/jobs/contention.rs
+++ b/crates/parsleytally/src/jobs/contention.rs
@@ -288,10 +288,11 @@
         self.effect(&room.image, &filler.image) * filler.cores
     }
 
-    /// The same with a margin for what is not known.
+    /// Share by which it does so at its present pace, with a margin for what is not known.
     fn cautious(&self, room: &Room, filler: &Load) -> f64 {
         let effect = self.model.effect(&room.image, &filler.image);
-        (effect.mean + CAUTION * effect.doubt).max(0.0) * filler.cores
+        (effect.mean + CAUTION * effect.doubt).max(0.0) * filler.cores * f64::from(filler.pace)
+            / 100.0
     }
 
     /// Largest share of a task's room that a filler takes at full speed.
--- a/crates/parsleytally/src/jobs/scheduler/protect.rs
+++ b/crates/parsleytally/src/jobs/scheduler/protect.rs
@@ -2,6 +2,7 @@
 //! that would stand still.
 
 use super::super::fleet::Load;
+use super::super::place::{Wanted, choose};
 use super::super::{Gauge, OrderMessage, Output, RunRef};
 use super::Scheduler;
 use crate::types::{NodeName, Time};
@@ -44,14 +45,21 @@
         }
         self.contention.measured(now, node, worker, gauges);
         for (run, percent) in self.contention.paces(node, worker) {
-            self.pace(node, run, percent, out);
+            self.pace(now, node, run, percent, out);
         }
         if let Some(worker) = self.workers.get(node) {
             self.contention.occupied(now, node, worker);
         }
     }
 
-    fn pace(&mut self, node: &NodeName, run: RunRef, percent: u32, out: &mut Vec<Output>) {
+    fn pace(
+        &mut self,
+        now: Time,
+        node: &NodeName,
+        run: RunRef,
+        percent: u32,
+        out: &mut Vec<Output>,
+    ) {
         let Some(worker) = self.workers.get_mut(node) else {
             return;
         };
@@ -64,8 +72,30 @@
             let pace = OrderMessage::Pace { run, percent };
             out.push(Output::Order(node.clone(), pace));
         }
-        if stands {
+        // Without room elsewhere it keeps its progress where it is.
+        if stands && self.has_room_elsewhere(now, node, run) {
             self.stop_run(run, out);
         }
     }
+
+    /// Whether another worker would take the task of a run now.
+    fn has_room_elsewhere(&self, now: Time, node: &NodeName, run: RunRef) -> bool {
+        let Some(job) = self.jobs.get(&run.task.job) else {
+            return false;
+        };
+        let step = usize::from(run.task.step);
+        let round = job.rounds.get(run.task.round as usize);
+        let (Some(round), Some(load)) = (round, job.load(run.task.step)) else {
+            return false;
+        };
+        let wanted = Wanted {
+            contention: &self.contention,
+            policy: &job.policy,
+            step: &job.spec.steps[step],
+            load: &load,
+            failed_on: None,
+            shared_rack: None,
+        };
+        choose(&self.workers, &wanted, &round.steps[step], now).is_some_and(|best| best != node)
+    }
 }
