fix(entry): an entry that drains does not take its ended ownership up again

Cause, found by a new test of the ownership over a store in memory: after it resigned, an entry that drains fell through to renewing its old epoch, and began to order under fences that every agent had already seen, so nobody gave orders until it had gone. Change: a retired ownership is left to others, then followed by the next epoch. Also: one place tells what kind of settings a file holds, one makes a hello; measurements travel as the rows that they are.

--- a/crates/parsleytally-agent/src/agent.rs
+++ b/crates/parsleytally-agent/src/agent.rs
@@ -8,7 +8,7 @@
 use parsleytally::leases::AgentConfig as LeaseConfig;
 use parsleytally::membership::Announcement;
 use parsleytally::types::Revision;
-use parsleytally_link::{HEARTBEAT_INTERVAL, Hello, PROTOCOL_VERSION, Role};
+use parsleytally_link::{HEARTBEAT_INTERVAL, Hello, Role};
 use parsleytally_platform::process::http::{BindError, HttpServer};
 use parsleytally_platform::process::{Clock, drain};
 use parsleytally_platform::worker::{StandInWorker, WorkerControl};
@@ -180,13 +180,8 @@
 }
 
 fn hello(config: &AgentConfig) -> Hello {
-    Hello {
-        version: PROTOCOL_VERSION,
-        role: Role::Agent,
-        node: config.name.clone(),
-        zone: config.zone.clone(),
-        incarnation: Clock::incarnation(),
-    }
+    let (node, zone) = (config.name.clone(), config.zone.clone());
+    Hello::new(Role::Agent, node, zone, Clock::incarnation())
 }
 
 fn announcement(config: &AgentConfig, hello: &Hello) -> Announcement {
--- a/crates/parsleytally-agent/src/main.rs
+++ b/crates/parsleytally-agent/src/main.rs
@@ -3,6 +3,7 @@
 use std::process::ExitCode;
 use std::sync::Arc;
 
+use parsleytally::configs::is_site;
 use parsleytally_adapter::{KvStore, Reports, Worker};
 use parsleytally_agent::Agent;
 use parsleytally_agent::config::AgentConfig;
@@ -18,10 +19,7 @@
         Ok(command) => command,
         Err(exit) => return exit,
     };
-    if command
-        .config_text()
-        .is_some_and(|text| SiteConfig::is_meant(&text))
-    {
+    if command.config_text().is_some_and(|text| is_site(&text)) {
         return match command.load(SiteConfig::parse) {
             Ok(config) => run_site(&config),
             Err(exit) => exit,
--- a/crates/parsleytally-agent/src/site/config.rs
+++ b/crates/parsleytally-agent/src/site/config.rs
@@ -52,13 +52,4 @@
         document.finish()?;
         Ok(config)
     }
-
-    /// Whether a settings text is for batch jobs on the users' platform.
-    pub fn is_meant(text: &[u8]) -> bool {
-        Document::parse(text).is_ok_and(|mut document| {
-            let mut site = document.take("site");
-            site.take_or("name", String::new())
-                .is_ok_and(|name| !name.is_empty())
-        })
-    }
 }
--- a/crates/parsleytally-agent/src/site/mod.rs
+++ b/crates/parsleytally-agent/src/site/mod.rs
@@ -10,7 +10,7 @@
 use parsleytally::jobs::{
     AgentInput, AgentMessage, AgentOutput, AgentTasks, AgentTimes, OwnerLink, WorkerReport,
 };
-use parsleytally_link::{Frame, Hello, Incoming, Link, LinkConfig, PROTOCOL_VERSION, Role, accept};
+use parsleytally_link::{Frame, Hello, Incoming, Link, LinkConfig, Role, accept};
 use parsleytally_platform::jobs::{TaskHost, WorkerReports};
 use parsleytally_platform::process::Clock;
 use parsleytally_platform::store::Store;
@@ -138,13 +138,8 @@
 }
 
 fn hello(config: &SiteConfig) -> Hello {
-    Hello {
-        version: PROTOCOL_VERSION,
-        role: Role::Agent,
-        node: config.name.clone(),
-        zone: config.zone.clone(),
-        incarnation: Clock::incarnation(),
-    }
+    let (node, zone) = (config.name.clone(), config.zone.clone());
+    Hello::new(Role::Agent, node, zone, Clock::incarnation())
 }
 
 async fn accept_owners(
@@ -378,6 +373,9 @@
         AgentMessage::Silent(true) => log::warn!("worker does not answer"),
         AgentMessage::Silent(false) => log::info!("worker answers again"),
         AgentMessage::Lapsed => log::warn!("worker is silent: its leases have run out"),
-        AgentMessage::Started(_) | AgentMessage::Gauges(_) | AgentMessage::Ping { .. } => {}
+        AgentMessage::Gauges(_) | AgentMessage::Ping { .. } => {}
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/parsleytally-agent/src/site/tests.rs
@@ -0,0 +1,20 @@
+//! Settings of an agent.
+
+use super::config::SiteConfig;
+
+#[test]
+fn the_deployed_template_is_accepted() {
+    let template = include_str!("../../../../deploy/agent.ini");
+    let text = template
+        .replace("{{node}}", "side-a-1")
+        .replace("{{zone}}", "a")
+        .replace("{{listen.control}}", "127.0.0.1:8166")
+        .replace("{{ip}}:{{internal_ports.0}}", "127.0.0.1:7720")
+        .replace("{{app}}", "127.0.0.1:8165")
+        .replace("{{platform.address}}", "127.0.0.1:8169");
+    let config = SiteConfig::parse(text.as_bytes()).expect("the template is valid");
+    assert_eq!(
+        (config.worker.port(), config.reports.port()),
+        (8_165, 8_166)
+    );
+}
--- a/crates/parsleytally-entry/src/entry.rs
+++ b/crates/parsleytally-entry/src/entry.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use parsleytally::types::Revision;
-use parsleytally_link::{Hello, PROTOCOL_VERSION, Role};
+use parsleytally_link::{Hello, Role};
 use parsleytally_platform::process::http::{BindError, HttpServer};
 use parsleytally_platform::process::{Clock, drain};
 use parsleytally_platform::store::{Store, Writer};
@@ -200,11 +200,6 @@
 }
 
 fn hello(config: &EntryConfig) -> Hello {
-    Hello {
-        version: PROTOCOL_VERSION,
-        role: Role::Entry,
-        node: config.name.clone(),
-        zone: config.zone.clone(),
-        incarnation: Clock::incarnation(),
-    }
+    let (node, zone) = (config.name.clone(), config.zone.clone());
+    Hello::new(Role::Entry, node, zone, Clock::incarnation())
 }
--- a/crates/parsleytally-entry/src/main.rs
+++ b/crates/parsleytally-entry/src/main.rs
@@ -4,6 +4,7 @@
 use std::process::ExitCode;
 use std::sync::Arc;
 
+use parsleytally::configs::is_site;
 use parsleytally_adapter::{Clients, KvStore, Queues, Readiness};
 use parsleytally_entry::Entry;
 use parsleytally_entry::config::EntryConfig;
@@ -51,10 +52,7 @@
         };
         return run_standalone(addresses);
     }
-    if command
-        .config_text()
-        .is_some_and(|text| SiteConfig::is_meant(&text))
-    {
+    if command.config_text().is_some_and(|text| is_site(&text)) {
         return run_site(&command.load(SiteConfig::parse)?);
     }
     let config = command.load(EntryConfig::parse)?;
--- a/crates/parsleytally-entry/src/site/lead.rs
+++ b/crates/parsleytally-entry/src/site/lead.rs
@@ -102,9 +102,10 @@
         });
         let alive = find(&lead, keys::ALIVE).is_some();
         match owner {
-            Some((_, since))
-                if self.retired == Some(since) && !(self.reluctant && self.gives_way()) =>
-            {
+            Some((_, since)) if self.retired == Some(since) => {
+                if self.gives_way() {
+                    return Ok((View::Nobody, sent));
+                }
                 self.take(owner, alive).await.map(|view| (view, sent))
             }
             Some((owner, since)) if owner.life == self.life && owner.node == self.node => {
--- a/crates/parsleytally-entry/src/site/mod.rs
+++ b/crates/parsleytally-entry/src/site/mod.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use parsleytally::types::Revision;
-use parsleytally_link::{Hello, PROTOCOL_VERSION, Role};
+use parsleytally_link::{Hello, Role};
 use parsleytally_platform::jobs::{JobDesk, QueueSource};
 use parsleytally_platform::process::Clock;
 use parsleytally_platform::store::Store;
@@ -159,13 +159,8 @@
 }
 
 fn hello(config: &SiteConfig) -> Hello {
-    Hello {
-        version: PROTOCOL_VERSION,
-        role: Role::Entry,
-        node: config.name.clone(),
-        zone: config.zone.clone(),
-        incarnation: Clock::incarnation(),
-    }
+    let (node, zone) = (config.name.clone(), config.zone.clone());
+    Hello::new(Role::Entry, node, zone, Clock::incarnation())
 }
 
 /// Waits for `pause`, or until the entry begins to drain.
@@ -291,3 +286,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/parsleytally-entry/src/site/tests.rs
@@ -0,0 +1,195 @@
+//! Ownership, acceptance and settings of an entry, over a store in memory with faults.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::time::Duration;
+
+use parsleytally::jobs::{JobId, JobSpec, JobState, QueueName, StepSpec};
+use parsleytally::types::{Epoch, NodeName};
+use parsleytally_platform::jobs::{Cancelled, JobDesk, Submitted, Told};
+use parsleytally_platform::store::{MemoryStore, Store};
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use super::config::SiteConfig;
+use super::desk::Desk;
+use super::lead::{Candidate, View};
+use super::peer::{Peer, Whereabouts};
+
+const TTL: Duration = Duration::from_secs(2);
+
+fn candidate(store: &Arc<MemoryStore>, name: &str) -> Candidate {
+    let store: Arc<dyn Store> = store.clone();
+    let node = NodeName::new(name).expect("a valid name");
+    let links = "127.0.0.1:7000".parse().expect("an address");
+    Candidate::new(store, node, links, 1, TTL)
+}
+
+async fn look(candidate: &mut Candidate) -> View {
+    candidate.look().await.expect("the store answers").0
+}
+
+fn epoch(view: &View) -> Option<Epoch> {
+    match view {
+        View::Mine(owner, _) => Some(owner.epoch),
+        _ => None,
+    }
+}
+
+#[tokio::test]
+async fn one_candidate_owns_the_jobs_until_it_resigns() {
+    let store = Arc::new(MemoryStore::new());
+    let (mut a, mut b) = (candidate(&store, "a"), candidate(&store, "b"));
+    let View::Mine(owner, since) = look(&mut a).await else {
+        panic!("nobody else wants it");
+    };
+    assert_eq!(owner.epoch, Epoch(0));
+    assert_eq!(look(&mut b).await, View::Other(owner));
+    assert_eq!(epoch(&look(&mut a).await), Some(Epoch(0)));
+    a.retire(since);
+    a.reluctant = true;
+    a.resign(since).await;
+    assert_eq!(look(&mut a).await, View::Nobody, "others go first");
+    assert_eq!(epoch(&look(&mut b).await), Some(Epoch(1)));
+    assert!(matches!(look(&mut a).await, View::Other(_)));
+}
+
+#[tokio::test]
+async fn an_ownership_that_ended_is_followed_by_one_with_the_next_epoch() {
+    let store = Arc::new(MemoryStore::new());
+    let mut a = candidate(&store, "a");
+    let View::Mine(_, since) = look(&mut a).await else {
+        panic!("nobody else wants it");
+    };
+    a.retire(since);
+    assert_eq!(epoch(&look(&mut a).await), Some(Epoch(1)));
+}
+
+/// The desk of an entry that reaches the store but no owner.
+fn desk(store: &Arc<MemoryStore>) -> Desk {
+    let (_, queues) = watch::channel(None);
+    let (_, whereabouts) = watch::channel(Whereabouts::Unknown);
+    Desk {
+        store: store.clone(),
+        queues,
+        owner: Peer::new(whereabouts),
+        draining: Arc::new(AtomicBool::new(false)),
+        reaches_store: Arc::new(AtomicBool::new(true)),
+        answered: Arc::new(AtomicBool::new(true)),
+    }
+}
+
+fn spec() -> JobSpec {
+    JobSpec {
+        queue: QueueName("q".into()),
+        payload: "do".into(),
+        steps: vec![StepSpec {
+            count: 1,
+            ..StepSpec::default()
+        }],
+        repeat: None,
+        submitted_ms: 0,
+    }
+}
+
+fn soon() -> Instant {
+    Instant::now() + Duration::from_secs(3)
+}
+
+const JOB: JobId = JobId(7);
+
+#[tokio::test]
+async fn a_job_is_accepted_once_and_stays_cancelled() {
+    let store = Arc::new(MemoryStore::new());
+    let desk = desk(&store);
+    assert_eq!(desk.state(JOB, soon()).await, Told::Absent);
+    assert_eq!(desk.cancel(JOB, soon()).await, Cancelled::NoJob);
+    assert_eq!(desk.submit(JOB, spec(), soon()).await, Submitted::Accepted);
+    assert_eq!(desk.state(JOB, soon()).await, Told::Known(JobState::Queued));
+    assert_eq!(desk.cancel(JOB, soon()).await, Cancelled::Accepted);
+    let late_copy = desk.submit(JOB, spec(), soon()).await;
+    assert_eq!(late_copy, Submitted::Accepted, "it is the same job");
+    let state = desk.state(JOB, soon()).await;
+    assert_eq!(state, Told::Known(JobState::Cancelled));
+}
+
+/// A refusal must be true: what may have been stored is never refused.
+#[tokio::test(start_paused = true)]
+async fn what_the_client_is_told_is_what_the_store_has() {
+    struct Case {
+        what: &'static str,
+        down: bool,
+        lost: u32,
+        told: Submitted,
+        stored: bool,
+    }
+    let retry_after = Duration::from_secs(1);
+    let cases = [
+        Case {
+            what: "the store is down",
+            down: true,
+            lost: 0,
+            told: Submitted::Refused { retry_after },
+            stored: false,
+        },
+        Case {
+            what: "one answer is lost",
+            down: false,
+            lost: 1,
+            told: Submitted::Accepted,
+            stored: true,
+        },
+        Case {
+            what: "all answers are lost",
+            down: false,
+            lost: 9,
+            told: Submitted::Unknown,
+            stored: true,
+        },
+    ];
+    for case in cases {
+        let store = Arc::new(MemoryStore::new());
+        let desk = desk(&store);
+        store.set_down(case.down);
+        store.lose_answers(case.lost);
+        let told = desk.submit(JOB, spec(), soon()).await;
+        assert_eq!(told, case.told, "{}", case.what);
+        store.set_down(false);
+        store.lose_answers(0);
+        let stored = desk.state(JOB, soon()).await != Told::Absent;
+        assert_eq!(stored, case.stored, "{}", case.what);
+    }
+}
+
+/// A job that came while the store was silent waited for two call limits.
+#[tokio::test(start_paused = true)]
+async fn a_job_is_refused_unsent_while_the_store_does_not_answer() {
+    let store = Arc::new(MemoryStore::new());
+    let desk = desk(&store);
+    store.set_down(true);
+    desk.submit(JOB, spec(), soon()).await;
+    store.set_down(false);
+    let began = Instant::now();
+    let told = desk.submit(JOB, spec(), soon()).await;
+    assert!(matches!(told, Submitted::Refused { .. }));
+    assert_eq!(began.elapsed(), Duration::ZERO);
+    assert_eq!(desk.state(JOB, soon()).await, Told::Absent);
+}
+
+#[test]
+fn the_deployed_template_is_accepted_and_unknown_keys_are_not() {
+    let template = include_str!("../../../../deploy/entry.ini");
+    let text = template
+        .replace("{{node}}", "edge-a-1")
+        .replace("{{zone}}", "a")
+        .replace("{{listen.front}}", "127.0.0.1:8161")
+        .replace("{{listen.ready}}", "127.0.0.1:8167")
+        .replace("{{ip}}:{{internal_ports.0}}", "127.0.0.1:7720")
+        .replace("{{platform.address}}", "127.0.0.1:8169");
+    let config = SiteConfig::parse(text.as_bytes()).expect("the template is valid");
+    assert_eq!(config.clients.port(), 8_161);
+    assert!(parsleytally::configs::is_site(text.as_bytes()));
+    let other = text.replace("ready =", "readi =");
+    let error = SiteConfig::parse(other.as_bytes()).expect_err("an unknown key");
+    assert!(error.to_string().contains("read"), "{error}");
+}
--- a/crates/parsleytally-link/src/frame.rs
+++ b/crates/parsleytally-link/src/frame.rs
@@ -36,6 +36,19 @@
     pub incarnation: Incarnation,
 }
 
+impl Hello {
+    /// What a process of this version says of itself.
+    pub fn new(role: Role, node: NodeName, zone: ZoneName, incarnation: Incarnation) -> Self {
+        Self {
+            version: crate::PROTOCOL_VERSION,
+            role,
+            node,
+            zone,
+            incarnation,
+        }
+    }
+}
+
 /// One header of a request or an answer.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Header {
--- a/crates/parsleytally/src/configs/jobs.rs
+++ b/crates/parsleytally/src/configs/jobs.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::check::duration;
-use super::{ConfigError, Section};
+use super::{ConfigError, Document, Section};
 
 /// Longest time that any of these settings may have.
 const MAX_TIME: Duration = Duration::from_secs(600);
@@ -58,3 +58,11 @@
         })
     }
 }
+
+/// Whether a process's settings are for batch jobs on the users' platform.
+pub fn is_site(text: &[u8]) -> bool {
+    Document::parse(text).is_ok_and(|mut document| {
+        let name = document.take("site").take_or("name", String::new());
+        name.is_ok_and(|name| !name.is_empty())
+    })
+}
--- a/crates/parsleytally/src/jobs/agent/lists.rs
+++ b/crates/parsleytally/src/jobs/agent/lists.rs
@@ -7,7 +7,6 @@
     LOOK_WAIT, Listing, LookCall, MIXED_LOOK_WAIT, NotStarted, Ordered, PACE_INTERVAL, PaceCall,
     Progress, RunRef, RunningTask, refuse,
 };
-use crate::jobs::Gauge;
 use crate::types::Time;
 
 impl AgentTasks {
@@ -187,8 +186,8 @@
             return;
         }
         self.gauged = now;
-        let gauges = running.iter().map(|run| Gauge { run: run.clone() });
-        out.push(AgentOutput::Send(AgentMessage::Gauges(gauges.collect())));
+        let gauges = AgentMessage::Gauges(running.to_vec());
+        out.push(AgentOutput::Send(gauges));
     }
 
     /// Tells the owner when the worker is silent and all leases on it have run out.
--- a/crates/parsleytally/src/jobs/contention.rs
+++ b/crates/parsleytally/src/jobs/contention.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use super::fleet::{Load, Worker};
-use super::{Gauge, JobId, RunRef, TaskId};
+use super::{JobId, RunRef, RunningTask, TaskId};
 use crate::configs::InterferenceConfig;
 use crate::interference::{Input, Interference, Occupant};
 use crate::types::{NodeName, Time};
@@ -138,7 +138,7 @@
         now: Time,
         node: &NodeName,
         worker: &Worker,
-        gauges: &[Gauge],
+        gauges: &[RunningTask],
     ) {
         let lag = u64::try_from(MEASURE_LAG.as_micros()).unwrap_or(u64::MAX);
         let at = Time::from_micros(now.as_micros().saturating_sub(lag));
@@ -350,12 +350,12 @@
 /// Tasks at work that serve users, each with its tail latency over target.
 fn strains<'a>(
     worker: &'a Worker,
-    gauges: &'a [Gauge],
+    gauges: &'a [RunningTask],
 ) -> impl Iterator<Item = (RunRef, &'a Load, f64)> + 'a {
     gauges.iter().filter_map(|gauge| {
-        let run = gauge.run.run;
+        let run = gauge.run;
         let load = worker.runs.get(&run)?;
-        let at_work = load.target_ms > 0 && gauge.run.percent >= 100 && gauge.run.figure > 0;
-        at_work.then(|| (run, load, gauge.run.figure as f64 / load.target_ms as f64))
+        let at_work = load.target_ms > 0 && gauge.percent >= 100 && gauge.figure > 0;
+        at_work.then(|| (run, load, gauge.figure as f64 / load.target_ms as f64))
     })
 }
--- a/crates/parsleytally/src/jobs/messages.rs
+++ b/crates/parsleytally/src/jobs/messages.rs
@@ -64,13 +64,6 @@
     pub figure: u64,
 }
 
-/// A measurement of a run that goes on.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Gauge {
-    /// The run as listed.
-    pub run: RunningTask,
-}
-
 /// Why a run did not start.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum NotStarted {
@@ -172,8 +165,6 @@
         /// What has ended and was not acknowledged.
         ended: Vec<EndedRun>,
     },
-    /// A run goes on.
-    Started(RunRef),
     /// A run did not start, and will not.
     Refused {
         /// The run.
@@ -190,8 +181,8 @@
     },
     /// A run is gone without an end.
     Vanished(RunRef),
-    /// Measurements.
-    Gauges(Vec<Gauge>),
+    /// What runs, with new measurements.
+    Gauges(Vec<RunningTask>),
     /// Whether the worker has ceased to answer.
     Silent(bool),
     /// The worker does not answer, and all leases on it have run out.
--- a/crates/parsleytally/src/jobs/mod.rs
+++ b/crates/parsleytally/src/jobs/mod.rs
@@ -28,8 +28,8 @@
 pub use fleet::{WorkerLife, WorkerReport, WorkerState};
 pub use job::JobState;
 pub use messages::{
-    AgentMessage, EndedRun, Gauge, HowEnded, Input, NotStarted, OrderMessage, Output, Question,
-    Reply, RunRef, RunningTask, StartOrder, Stored,
+    AgentMessage, EndedRun, HowEnded, Input, NotStarted, OrderMessage, Output, Question, Reply,
+    RunRef, RunningTask, StartOrder, Stored,
 };
 pub use progress::{JobProgress, StepProgress, TaskProgress};
 pub use queues::{QueueName, QueuePolicy, QueueTable};
--- a/crates/parsleytally/src/jobs/scheduler/mod.rs
+++ b/crates/parsleytally/src/jobs/scheduler/mod.rs
@@ -274,7 +274,6 @@
                 running,
                 ended,
             } => self.listed(now, node, &life, &running, &ended, out),
-            AgentMessage::Started(run) => self.started(run),
             AgentMessage::Refused { run, reason } => self.refused(now, node, run, reason),
             AgentMessage::Ended { life, ended } => self.ended(now, node, &life, &ended, out),
             AgentMessage::Vanished(run) => self.gone(now, node, run),
@@ -319,10 +318,10 @@
         &mut self,
         now: Time,
         node: &NodeName,
-        gauges: &[super::Gauge],
+        gauges: &[super::RunningTask],
         out: &mut Vec<Output>,
     ) {
-        for super::Gauge { run: listed } in gauges {
+        for listed in gauges {
             let job = self.jobs.get_mut(&listed.run.task.job);
             let task = job.and_then(|job| job.task(listed.run.task));
             if let Some(task) = task
--- a/crates/parsleytally/src/jobs/scheduler/protect.rs
+++ b/crates/parsleytally/src/jobs/scheduler/protect.rs
@@ -3,7 +3,7 @@
 
 use super::super::fleet::Load;
 use super::super::place::{Wanted, choose};
-use super::super::{Gauge, OrderMessage, Output, RunRef};
+use super::super::{OrderMessage, Output, RunRef, RunningTask};
 use super::Scheduler;
 use crate::types::{NodeName, Time};
 
@@ -28,16 +28,16 @@
         &mut self,
         now: Time,
         node: &NodeName,
-        gauges: &[Gauge],
+        gauges: &[RunningTask],
         out: &mut Vec<Output>,
     ) {
         let Some(worker) = self.workers.get_mut(node) else {
             return;
         };
         for gauge in gauges {
-            if let Some(load) = worker.runs.get_mut(&gauge.run.run) {
-                load.percent = gauge.run.percent;
-                note_use(load, gauge.run.figure);
+            if let Some(load) = worker.runs.get_mut(&gauge.run) {
+                load.percent = gauge.percent;
+                note_use(load, gauge.figure);
             }
         }
         if worker.serving == 0 {
--- a/crates/parsleytally/src/jobs/tests/contention.rs
+++ b/crates/parsleytally/src/jobs/tests/contention.rs
@@ -88,13 +88,11 @@
 
     fn measured(&mut self, at: usize, strain: f64) {
         let worker = self.workers.get_mut(&node(at)).expect("a worker");
-        let gauge = Gauge {
-            run: RunningTask {
-                run: run(100 + at as u64, 0, 0, 1),
-                checkpoint: String::new(),
-                percent: 100,
-                figure: (strain * TARGET_MS as f64) as u64,
-            },
+        let gauge = RunningTask {
+            run: run(100 + at as u64, 0, 0, 1),
+            checkpoint: String::new(),
+            percent: 100,
+            figure: (strain * TARGET_MS as f64) as u64,
         };
         self.contention
             .measured(self.now, &node(at), worker, &[gauge]);
