fix(jobs): a job carries its queue, so that a new owner keeps what runs

By reading: an owner that had not read the queues knew no job, so it stopped all that agents listed and counted no room for it, and started it again as the queues came; and a report of an earlier life of a worker that arrives late freed what runs there. Change: the queue's policy is stored with the job and used until the table names the queue; older reports are dropped. Tests for both fail without it.

--- a/crates/parsleytally-entry/src/site/desk.rs
+++ b/crates/parsleytally-entry/src/site/desk.rs
@@ -242,7 +242,7 @@
 
     fn submit(&self, id: JobId, spec: JobSpec, deadline: Instant) -> JobFuture<'_, Submitted> {
         Box::pin(async move {
-            let queue = spec.queue.clone();
+            let queue = spec.queue.name.clone();
             let answered = self.answered.load(Ordering::Relaxed);
             let submitted = self.submit_job(id, spec, deadline).await;
             log::info!(job:% = id, queue:% = queue, store_answers = answered, outcome:? = submitted;
--- a/crates/parsleytally-entry/src/site/tests.rs
+++ b/crates/parsleytally-entry/src/site/tests.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
-use parsleytally::jobs::{JobId, JobSpec, JobState, QueueName, StepSpec};
+use parsleytally::jobs::{JobId, JobSpec, JobState, QueueName, QueuePolicy, StepSpec};
 use parsleytally::types::{Epoch, NodeName};
 use parsleytally_platform::jobs::{Cancelled, JobDesk, Submitted, Told};
 use parsleytally_platform::store::{MemoryStore, Store};
@@ -81,7 +81,17 @@
 
 fn spec() -> JobSpec {
     JobSpec {
-        queue: QueueName("q".into()),
+        queue: Arc::new(QueuePolicy {
+            name: QueueName("q".into()),
+            host: "h".to_owned(),
+            prefix: "/q/".to_owned(),
+            service: "pool".into(),
+            priority: 0,
+            max_attempts: 2,
+            stretch_percent: 200,
+            slack_ms: 1_000,
+            timeout_ms: 3_000,
+        }),
         payload: "do".into(),
         steps: vec![StepSpec {
             count: 1,
--- a/crates/parsleytally/src/jobs/job.rs
+++ b/crates/parsleytally/src/jobs/job.rs
@@ -138,7 +138,7 @@
 impl Job {
     pub(super) fn new(spec: JobSpec, policy: Arc<QueuePolicy>, accepted: Revision) -> Self {
         let chain_ms = chain_ms(&spec);
-        let allowed = policy.slack_ms + (chain_ms as f64 * policy.stretch) as u64;
+        let allowed = policy.slack_ms + chain_ms * policy.stretch_percent / 100;
         let goal_ms = spec.submitted_ms + allowed;
         Self {
             spec: Arc::new(spec),
--- a/crates/parsleytally/src/jobs/queues.rs
+++ b/crates/parsleytally/src/jobs/queues.rs
@@ -13,7 +13,7 @@
 pub struct QueueName(pub Arc<str>);
 
 /// How the jobs of one queue are treated.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct QueuePolicy {
     /// Name of the queue.
     pub name: QueueName,
@@ -27,8 +27,8 @@
     pub priority: u32,
     /// Runs of one task that may fail before the job has failed.
     pub max_attempts: u32,
-    /// Share of the longest chain of work that the objective allows.
-    pub stretch: f64,
+    /// Time that the objective allows, in percent of the longest chain of work.
+    pub stretch_percent: u64,
     /// Time beside the work that the objective allows, in milliseconds.
     pub slack_ms: u64,
     /// Longest time for the answer to a client, in milliseconds.
@@ -36,7 +36,7 @@
 }
 
 /// The queues of one version of the settings.
-#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct QueueTable {
     /// Version of the settings.
     pub version: u64,
--- a/crates/parsleytally/src/jobs/scheduler/mod.rs
+++ b/crates/parsleytally/src/jobs/scheduler/mod.rs
@@ -9,7 +9,7 @@
 use super::job::Job;
 use super::{
     AgentMessage, Input, JobId, JobProgress, JobRecord, JobState, OrderMessage, Output, Question,
-    QueueName, QueuePolicy, QueueTable, Reply, RunRef, WorkerReport, WorkerState,
+    QueueName, QueueTable, Reply, RunRef, WorkerReport, WorkerState,
 };
 use crate::types::{NodeName, Revision, Time};
 
@@ -43,13 +43,9 @@
 pub struct Scheduler {
     start: SchedulerStart,
     queues: Arc<QueueTable>,
-    /// Last policy of each queue, also of those that were dropped.
-    policies: HashMap<QueueName, Arc<QueuePolicy>>,
     jobs: HashMap<JobId, Job>,
     /// Jobs that have not ended.
     open: BTreeSet<JobId>,
-    /// Jobs in the store whose queue is not known yet.
-    unknown: HashMap<JobId, (JobRecord, Revision, Option<JobProgress>)>,
     workers: BTreeMap<NodeName, Worker>,
     /// Agents of the predecessor that have not reported, and when their runs have ended.
     unheard: BTreeMap<NodeName, Time>,
@@ -68,10 +64,8 @@
         Self {
             start,
             queues: Arc::default(),
-            policies: HashMap::new(),
             jobs: HashMap::new(),
             open: BTreeSet::new(),
-            unknown: HashMap::new(),
             workers: BTreeMap::new(),
             unheard: BTreeMap::new(),
             contention: Contention::default(),
@@ -90,7 +84,7 @@
                 record,
                 accepted,
                 progress,
-            } => self.take_job(id, record, accepted, progress, out),
+            } => self.take_job(id, record, accepted, progress.as_ref(), out),
             Input::Expected(node) => {
                 let until = now.after(self.start.owner_hold);
                 self.unheard.insert(node, until);
@@ -135,22 +129,14 @@
 
     /// State of a job as clients may see it.
     pub fn state(&self, id: JobId) -> Option<JobState> {
-        if let Some(job) = self.jobs.get(&id) {
-            return Some(job.shown());
-        }
-        let (record, ..) = self.unknown.get(&id)?;
-        Some(if record.cancelled {
-            JobState::Cancelled
-        } else {
-            JobState::Queued
-        })
+        self.jobs.get(&id).map(Job::shown)
     }
 
     /// Number of jobs of `queue` that have not begun.
     pub fn pending(&self, queue: &QueueName) -> u64 {
         let waiting = |id: &&JobId| {
             let job = &self.jobs[*id];
-            job.state == JobState::Queued && job.spec.queue == *queue
+            job.state == JobState::Queued && job.policy.name == *queue
         };
         self.open.iter().filter(waiting).count() as u64
     }
@@ -166,18 +152,12 @@
     }
 
     fn take_queues(&mut self, queues: Arc<QueueTable>) {
-        for policy in queues.iter() {
-            self.policies.insert(policy.name.clone(), policy.clone());
-        }
         for job in self.jobs.values_mut() {
-            if let Some(policy) = self.policies.get(&job.spec.queue) {
+            if let Some(policy) = queues.get(&job.policy.name) {
                 job.policy = policy.clone();
             }
         }
         self.queues = queues;
-        for (id, (record, accepted, progress)) in std::mem::take(&mut self.unknown) {
-            self.add_job(id, record, accepted, progress);
-        }
         self.stirred = true;
     }
 
@@ -186,7 +166,7 @@
         id: JobId,
         record: JobRecord,
         accepted: Revision,
-        progress: Option<JobProgress>,
+        progress: Option<&JobProgress>,
         out: &mut Vec<Output>,
     ) {
         if !self.jobs.contains_key(&id) {
@@ -201,14 +181,12 @@
         id: JobId,
         record: JobRecord,
         accepted: Revision,
-        progress: Option<JobProgress>,
+        progress: Option<&JobProgress>,
     ) {
-        let Some(policy) = self.policies.get(&record.spec.queue) else {
-            self.unknown.insert(id, (record, accepted, progress));
-            return;
-        };
-        let mut job = Job::new(record.spec, policy.clone(), accepted);
-        if let Some(progress) = &progress {
+        let policy = self.queues.get(&record.spec.queue.name);
+        let policy = policy.unwrap_or(&record.spec.queue).clone();
+        let mut job = Job::new(record.spec, policy, accepted);
+        if let Some(progress) = progress {
             job.restore(progress);
         }
         if record.cancelled && !job.state.is_final() {
@@ -296,6 +274,10 @@
             return;
         };
         let known = worker.report.as_ref().map(|known| &known.life);
+        // What an earlier life said may arrive late.
+        if known.is_some_and(|known| known.born > report.life.born) {
+            return;
+        }
         if known.is_some_and(|known| *known != report.life) {
             self.lapsed(node);
         }
--- a/crates/parsleytally/src/jobs/spec.rs
+++ b/crates/parsleytally/src/jobs/spec.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu};
 
-use super::QueueName;
+use super::QueuePolicy;
 use crate::types::Resources;
 
 /// Version of the stored records that this code writes.
@@ -140,8 +140,9 @@
 /// A job as its client described it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobSpec {
-    /// The queue that it was submitted to.
-    pub queue: QueueName,
+    /// The queue that it was submitted to, as it was then: an owner that does not know
+    /// the queue, or no longer, goes by it.
+    pub queue: Arc<QueuePolicy>,
     /// What each task is told to do, unread.
     pub payload: Arc<str>,
     /// Its steps.
--- a/crates/parsleytally/src/jobs/tests/mod.rs
+++ b/crates/parsleytally/src/jobs/tests/mod.rs
@@ -40,19 +40,22 @@
     }
 }
 
-fn queues(version: u64) -> QueueTable {
-    let queue = QueuePolicy {
+fn queue() -> QueuePolicy {
+    QueuePolicy {
         name: QueueName("q".into()),
         host: "h".to_owned(),
         prefix: "/q/".to_owned(),
         service: "pool".into(),
         priority: 0,
         max_attempts: 2,
-        stretch: 2.0,
+        stretch_percent: 200,
         slack_ms: 1_000,
         timeout_ms: 3_000,
-    };
-    QueueTable::new(version, 1 << 18, vec![queue])
+    }
+}
+
+fn queues(version: u64) -> QueueTable {
+    QueueTable::new(version, 1 << 18, vec![queue()])
 }
 
 fn step(count: u32, after: &[u16]) -> StepSpec {
@@ -68,7 +71,7 @@
 fn job(steps: Vec<StepSpec>) -> JobRecord {
     JobRecord {
         spec: JobSpec {
-            queue: QueueName("q".into()),
+            queue: Arc::new(queue()),
             payload: Arc::from("do"),
             steps,
             repeat: None,
--- a/crates/parsleytally/src/jobs/tests/model.rs
+++ b/crates/parsleytally/src/jobs/tests/model.rs
@@ -15,6 +15,8 @@
 /// Days that a run of the tests plays.
 const DAYS: u64 = 300;
 const WORKERS: usize = 4;
+/// Share of looks whose answer is lost.
+const LOST_LOOKS: f64 = 0.02;
 const JOBS: u64 = 14;
 /// Faults begin and jobs arrive until then.
 const TROUBLE: Duration = Duration::from_secs(25);
@@ -438,8 +440,14 @@
                 )
             }
             AgentOutput::Look(call) => {
+                let lost = self.rng.random_bool(LOST_LOOKS);
                 let answer = if worker.up {
-                    Ok(worker.look(self.now, *call, fenced, &mut deeds))
+                    let listing = worker.look(self.now, *call, fenced, &mut deeds);
+                    if lost {
+                        Err(CallError::Unanswered)
+                    } else {
+                        Ok(listing)
+                    }
                 } else {
                     Err(CallError::Unanswered)
                 };
--- a/crates/parsleytally/src/jobs/tests/records.rs
+++ b/crates/parsleytally/src/jobs/tests/records.rs
@@ -124,8 +124,7 @@
 #[test]
 fn the_longest_prefix_of_a_host_wins() {
     let queue = |name: &str, prefix: &str| {
-        let base = queues(1);
-        let mut queue = QueuePolicy::clone(base.iter().next().expect("one queue"));
+        let mut queue = queue();
         queue.name = QueueName(name.into());
         queue.prefix = prefix.to_owned();
         queue
--- a/crates/parsleytally/src/jobs/tests/scheduler.rs
+++ b/crates/parsleytally/src/jobs/tests/scheduler.rs
@@ -290,6 +290,49 @@
     );
 }
 
+/// An owner that had not read the queues yet stopped all that its predecessor ran.
+#[test]
+fn an_owner_without_queues_keeps_what_runs() {
+    let mut bench = Bench::new();
+    bench.scheduler = Scheduler::new(SchedulerStart {
+        epoch: 1,
+        since: Revision(10),
+        agent_hold: Duration::from_secs(5),
+        owner_hold: Duration::from_secs(12),
+        keep_ended: Duration::from_secs(60),
+    });
+    bench.submit(1, job(vec![step(4, &[])]), 9);
+    bench.feed(Input::Linked(node(0)));
+    bench.agent(0, AgentMessage::Worker(report(0, 7)));
+    let running = (0..4).map(|index| RunningTask {
+        run: run(1, 0, index, 1),
+        checkpoint: String::new(),
+        percent: 5,
+        figure: 0,
+    });
+    let listed = AgentMessage::Listed {
+        life: life(0, 7),
+        running: running.collect(),
+        ended: vec![],
+    };
+    assert_eq!(stops(&bench.agent(0, listed)), []);
+    let out = bench.feed(Input::Queues(Arc::new(queues(1))));
+    assert_eq!(starts(&out), [], "the worker is full");
+}
+
+#[test]
+fn a_late_report_of_an_earlier_life_frees_nothing() {
+    let mut bench = Bench::with_workers(1);
+    bench.submit(1, job(vec![step(1, &[])]), 11);
+    bench.agent(0, AgentMessage::Worker(report(0, 6)));
+    let listed = AgentMessage::Listed {
+        life: life(0, 6),
+        running: vec![],
+        ended: vec![],
+    };
+    assert_eq!(starts(&bench.agent(0, listed)), []);
+}
+
 #[test]
 fn a_cancelled_job_stops_and_starts_nothing() {
     let mut bench = Bench::with_workers(1);
