fix(jobs): an agent that is gone is forgotten, so that successors do not wait for it

Ruled out: room (the worker on which it failed had it), the failing worker set aside. Change: once nothing runs on an agent's worker for certain, the owner takes its address out of the store; the agent tells it again if it lives. The owner's hold goes from 12 to 8 s, which bounds the wait of owners that change before that.

--- a/crates/parsleytally-entry/src/site/keys.rs
+++ b/crates/parsleytally-entry/src/site/keys.rs
@@ -33,6 +33,11 @@
     key.strip_prefix(prefix)?.parse().ok()
 }
 
+/// Key of an agent's address.
+pub(crate) fn agent(node: &NodeName) -> String {
+    format!("{AGENTS}{node}")
+}
+
 /// The agent that a key belongs to.
 pub(crate) fn agent_of(key: &str) -> Option<NodeName> {
     NodeName::new(key.strip_prefix(AGENTS)?).ok()
--- a/crates/parsleytally-entry/src/site/owner.rs
+++ b/crates/parsleytally-entry/src/site/owner.rs
@@ -12,7 +12,9 @@
 use parsleytally::types::{NodeName, Revision, Time};
 use parsleytally_link::{Hello, LinkConfig};
 use parsleytally_platform::process::Clock;
-use parsleytally_platform::store::{Change, Changes, Item, Snapshot, Store, StoreError};
+use parsleytally_platform::store::{
+    Change, Changes, Commit, Compare, Item, Snapshot, Store, StoreError, Write,
+};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinSet;
 use tokio::time::{Instant, interval, sleep};
@@ -411,6 +413,30 @@
         self.step(Input::Tick);
     }
 
+    /// Ends the link to an agent that is gone, and takes its address out of the store; an
+    /// agent without an owner tells it again.
+    fn forget(&mut self, node: &NodeName) {
+        if let Some((_, stop)) = self.agents.remove(node) {
+            stop.cancel();
+        }
+        log::warn!(agent:% = node; "agent is gone: its address is taken out of the store");
+        let commit = Commit {
+            compares: vec![Compare::Unchanged {
+                key: keys::EPOCH.to_owned(),
+                revision: self.since,
+            }],
+            writes: vec![Write::Delete {
+                key: keys::agent(node),
+            }],
+        };
+        let store = self.parts.store.clone();
+        self.links.spawn(async move {
+            if let Err(error) = store.commit(commit).await {
+                log::warn!(error:% = error; "address of a gone agent stays in the store");
+            }
+        });
+    }
+
     fn step(&mut self, input: Input) {
         let now = self.clock.now();
         self.scheduler.step(now, wall_ms(), input, &mut self.out);
@@ -420,9 +446,11 @@
         let now: Time = self.clock.now();
         self.scheduler.decide(now, wall_ms(), &mut self.out);
         let mut orders: BTreeMap<NodeName, Orders> = BTreeMap::new();
+        let mut forgotten = Vec::new();
         for output in self.out.drain(..) {
             match output {
                 Output::Order(node, message) => orders.entry(node).or_default().push(message),
+                Output::Forget(node) => forgotten.push(node),
                 Output::Save {
                     job,
                     version,
@@ -437,6 +465,9 @@
                 }
             }
         }
+        for node in forgotten {
+            self.forget(&node);
+        }
         for (node, messages) in orders {
             for message in &messages {
                 tell_order(&node, message);
--- a/crates/parsleytally/src/configs/jobs.rs
+++ b/crates/parsleytally/src/configs/jobs.rs
@@ -31,7 +31,7 @@
         Self {
             lease: Duration::from_secs(4),
             agent_hold: Duration::from_secs(5),
-            owner_hold: Duration::from_secs(12),
+            owner_hold: Duration::from_secs(8),
             owner_ttl: Duration::from_millis(1_500),
             owner_renew: Duration::from_millis(400),
             keep_ended: Duration::from_secs(240),
--- a/crates/parsleytally/src/jobs/messages.rs
+++ b/crates/parsleytally/src/jobs/messages.rs
@@ -266,6 +266,9 @@
 pub enum Output {
     /// A message for an agent.
     Order(NodeName, OrderMessage),
+    /// Nothing runs on this agent's worker for certain, and it is not linked: a successor
+    /// need not wait for it until it tells its address again.
+    Forget(NodeName),
     /// A record for the store.
     Save {
         /// The job.
--- a/crates/parsleytally/src/jobs/scheduler/mod.rs
+++ b/crates/parsleytally/src/jobs/scheduler/mod.rs
@@ -94,7 +94,7 @@
             Input::Agent(node, message) => self.agent(now, &node, message, out),
             Input::Saved { job, version } => self.saved(job, version, out),
             Input::Confirmed(at) => self.confirmed = self.confirmed.max(at),
-            Input::Tick => self.tick(now, wall_ms),
+            Input::Tick => self.tick(now, wall_ms, out),
         }
     }
 
@@ -329,7 +329,7 @@
         self.stirred = true;
     }
 
-    fn tick(&mut self, now: Time, wall_ms: u64) {
+    fn tick(&mut self, now: Time, wall_ms: u64, out: &mut Vec<Output>) {
         // An agent that is lost may have gone over to another owner, unless the store
         // said since that there is none.
         let certain = now.min(self.confirmed);
@@ -345,10 +345,17 @@
             if let Some(worker) = self.workers.get_mut(&node) {
                 worker.expires = None;
             }
+            out.push(Output::Forget(node));
+        }
+        let over = self.unheard.iter().filter(|(_, until)| **until <= certain);
+        let over: Vec<NodeName> = over.map(|(node, _)| node.clone()).collect();
+        self.stirred |= !over.is_empty();
+        for node in over {
+            self.unheard.remove(&node);
+            if !self.workers.get(&node).is_some_and(|worker| worker.linked) {
+                out.push(Output::Forget(node));
+            }
         }
-        let before = self.unheard.len();
-        self.unheard.retain(|_, until| *until > certain);
-        self.stirred |= self.unheard.len() < before;
         self.open_rounds(wall_ms);
         self.drop_ended(now);
         // Pauses of workers end and objectives become unreachable as time passes.
--- a/crates/parsleytally/src/jobs/tests/model.rs
+++ b/crates/parsleytally/src/jobs/tests/model.rs
@@ -24,7 +24,7 @@
 const END: Duration = Duration::from_secs(80);
 const LEASE: Duration = Duration::from_secs(4);
 const AGENT_HOLD: Duration = Duration::from_secs(5);
-const OWNER_HOLD: Duration = Duration::from_secs(12);
+const OWNER_HOLD: Duration = Duration::from_secs(8);
 
 /// A fault in the system under test that the checks must find.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -526,6 +526,7 @@
                         self.order(link, message);
                     }
                 }
+                Output::Forget(_) => {}
                 Output::Save {
                     job,
                     version,
--- a/crates/parsleytally/src/jobs/tests/scheduler.rs
+++ b/crates/parsleytally/src/jobs/tests/scheduler.rs
@@ -513,6 +513,18 @@
     assert_eq!(starts(&bench.wait(1_100)), [(node(1), run(1, 0, 0, 2))]);
 }
 
+/// Each successor waited for an agent whose VM had been taken away long ago.
+#[test]
+fn an_agent_that_is_gone_for_certain_is_forgotten() {
+    let mut bench = Bench::new();
+    bench.feed(Input::Expected(node(1)));
+    bench.join(0, report(0, 7));
+    assert!(!bench.wait(11_800).contains(&Output::Forget(node(1))));
+    assert!(bench.wait(300).contains(&Output::Forget(node(1))));
+    bench.feed(Input::Unlinked(node(0)));
+    assert!(bench.wait(5_100).contains(&Output::Forget(node(0))));
+}
+
 /// A deposed owner took the agents that went over to its successor for dead.
 #[test]
 fn an_owner_without_the_store_takes_no_agent_for_dead() {
