--- a/crates/parsleytally/src/jobs/scheduler/mod.rs
+++ b/crates/parsleytally/src/jobs/scheduler/mod.rs
@@ -141,16 +141,6 @@
         self.open.iter().filter(waiting).count() as u64
     }
 
-    /// Agents that may still run tasks of the predecessor.
-    pub fn unheard(&self) -> impl Iterator<Item = &NodeName> {
-        self.unheard.keys()
-    }
-
-    /// Jobs that have not ended.
-    pub fn open_jobs(&self) -> usize {
-        self.open.len()
-    }
-
     fn take_queues(&mut self, queues: Arc<QueueTable>) {
         for job in self.jobs.values_mut() {
             if let Some(policy) = queues.get(&job.policy.name) {
--- a/crates/parsleytally/src/jobs/tests/model.rs
+++ b/crates/parsleytally/src/jobs/tests/model.rs
@@ -138,7 +138,6 @@
     late_orders: bool,
     done: HashSet<TaskId>,
     noted: HashSet<TaskId>,
-    failed: HashMap<TaskId, u32>,
     broken: Vec<String>,
 }
 
@@ -163,7 +162,6 @@
             late_orders: false,
             done: HashSet::new(),
             noted: HashSet::new(),
-            failed: HashMap::new(),
             broken: Vec::new(),
         };
         for at in 0..WORKERS {
@@ -257,11 +255,10 @@
 
     fn advance_workers(&mut self) {
         for at in 0..WORKERS {
-            // One task in thirteen fails at its first run.
             let deeds = {
                 let worker = &mut self.workers[at];
                 if worker.up {
-                    worker.advance(self.now, false)
+                    worker.advance(self.now)
                 } else {
                     Vec::new()
                 }
@@ -278,9 +275,6 @@
                 Deed::Ended(run, HowEnded::Done) => {
                     self.done.insert(run.task);
                 }
-                Deed::Ended(run, HowEnded::Failed) => {
-                    *self.failed.entry(run.task).or_default() += 1;
-                }
                 Deed::Ended(..) => {}
                 Deed::Noted(ends) => {
                     let done = ends.iter().filter(|end| end.how == HowEnded::Done);
--- a/crates/parsleytally/src/jobs/tests/worker.rs
+++ b/crates/parsleytally/src/jobs/tests/worker.rs
@@ -67,17 +67,12 @@
     }
 
     /// Lets time pass.
-    pub(super) fn advance(&mut self, now: Time, fails: bool) -> Vec<Deed> {
+    pub(super) fn advance(&mut self, now: Time) -> Vec<Deed> {
         let lapsed = self.clock_ms(now) >= self.lease_end;
         let mut over = Vec::new();
         for (run, state) in &self.running {
             if state.done <= now {
-                let how = if fails {
-                    HowEnded::Failed
-                } else {
-                    HowEnded::Done
-                };
-                over.push((*run, how));
+                over.push((*run, HowEnded::Done));
             } else if state.stops.is_some_and(|stops| stops <= now) {
                 over.push((*run, HowEnded::Stopped));
             } else if lapsed {
