fix(jobs): a new owner sets the pace of the fillers that it finds

Ruled out: room (memory was free), the order of steps. Change: the pace of a run that is found is unknown, so it is ordered; fillers alone are paced too; an agent that never met its worker tells when every lease of its predecessor has run out.

--- a/crates/parsleytally/src/jobs/agent/lease.rs
+++ b/crates/parsleytally/src/jobs/agent/lease.rs
@@ -7,6 +7,11 @@
 /// Bound on how slowly the worker's clock may run, in percent.
 const CLOCK_DRIFT_PERCENT: u32 = 3;
 
+/// A time on the worker's clock as the longest that it can take on this one.
+pub(super) fn with_drift(span: Duration) -> Duration {
+    span + span * CLOCK_DRIFT_PERCENT / 100
+}
+
 /// The worker's steady clock, read at some time.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct WorkerClock {
@@ -45,8 +50,7 @@
             return None;
         }
         let span = until.since(clock.read);
-        let slow = span + span * CLOCK_DRIFT_PERCENT / 100;
-        self.ends = self.ends.max(clock.read.after(slow));
+        self.ends = self.ends.max(clock.read.after(with_drift(span)));
         let span_ms = u64::try_from(span.as_millis()).unwrap_or(u64::MAX);
         Some(clock.shown_ms.saturating_add(span_ms))
     }
--- a/crates/parsleytally/src/jobs/agent/lists.rs
+++ b/crates/parsleytally/src/jobs/agent/lists.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashSet;
 
+use super::lease::with_drift;
 use super::{
     AgentMessage, AgentOutput, AgentTasks, CallError, EndedRun, GAUGE_INTERVAL, LOOK_PAUSE,
     LOOK_WAIT, Listing, LookCall, MIXED_LOOK_WAIT, NotStarted, Ordered, PACE_INTERVAL, PaceCall,
@@ -192,14 +193,22 @@
 
     /// Tells the owner when the worker is silent and all leases on it have run out.
     pub(super) fn check_lapse(&mut self, now: Time, out: &mut Vec<AgentOutput>) {
-        let certain = self.silent && self.lease.has_run_out(now);
-        if !self.listed || !certain || self.owner.is_none() {
+        let silent = self.silent || self.report.is_none();
+        let untold = self.listed || (self.trusts && !self.cleared);
+        if !silent || !untold || self.owner.is_none() || !self.leases_are_over(now) {
             return;
         }
         self.listed = false;
+        self.cleared = true;
         self.runs.clear();
         out.push(AgentOutput::Send(AgentMessage::Lapsed));
     }
+
+    /// Whether all leases have run out that this agent or one before it granted.
+    fn leases_are_over(&self, now: Time) -> bool {
+        let inherited = self.began.after(with_drift(self.times.lease));
+        self.lease.has_run_out(now) && inherited < now
+    }
 }
 
 fn last_number(ended: &[EndedRun]) -> u64 {
--- a/crates/parsleytally/src/jobs/agent/mod.rs
+++ b/crates/parsleytally/src/jobs/agent/mod.rs
@@ -111,6 +111,8 @@
     paced: Time,
     /// Whether the last look had no answer.
     silent: bool,
+    /// Whether the owner was told that nothing runs on a worker that is not listed.
+    cleared: bool,
 }
 
 impl AgentTasks {
@@ -135,6 +137,7 @@
             pacer: Pacer::default(),
             paced: Time::ZERO,
             silent: false,
+            cleared: false,
         }
     }
 
@@ -233,6 +236,7 @@
         }
         self.fence = fence;
         self.listed = false;
+        self.cleared = false;
         // What an earlier owner held to be stored need not be.
         self.stored = 0;
         self.told = 0;
@@ -271,6 +275,7 @@
     fn worker_gone(&mut self, out: &mut Vec<AgentOutput>) {
         self.begin_life(out);
         self.report = None;
+        self.cleared = true;
         out.push(AgentOutput::Send(AgentMessage::Lapsed));
     }
 
@@ -307,7 +312,7 @@
             target_ms: order.target_ms,
             filler: order.filler,
         };
-        self.pacer.describe(run, kind);
+        self.pacer.started(run, kind);
         let ordered = Ordered {
             progress: Progress::Sent { fence: self.fence },
             order: Some(order),
--- a/crates/parsleytally/src/jobs/agent/pace.rs
+++ b/crates/parsleytally/src/jobs/agent/pace.rs
@@ -7,6 +7,7 @@
 
 use super::RunRef;
 use crate::jobs::RunningTask;
+use crate::jobs::fleet::FULL_PACE;
 
 /// Tail latency over target at which a measurement counts against fillers.
 const HIGH_STRAIN: f64 = 1.0;
@@ -29,9 +30,9 @@
 #[derive(Debug, Default)]
 pub(super) struct Pacer {
     kinds: HashMap<RunRef, Kind>,
-    /// Pace that the owner ordered, in percent; 100 where it did not.
+    /// Pace that the owner ordered, in percent; none where it did not.
     wanted: HashMap<RunRef, u32>,
-    /// Pace that the worker was last told, in percent.
+    /// Pace that the worker was last told, in percent; none of a run that was found.
     told: HashMap<RunRef, u32>,
     /// Whether fillers are held.
     held: bool,
@@ -46,6 +47,12 @@
         }
     }
 
+    /// Takes a run that starts, and so at full pace.
+    pub(super) fn started(&mut self, run: RunRef, kind: Kind) {
+        self.describe(run, kind);
+        self.told.insert(run, FULL_PACE);
+    }
+
     pub(super) fn clear(&mut self) {
         *self = Self::default();
     }
@@ -72,11 +79,9 @@
         self.judge(strain.fold(0.0, f64::max));
         let mut changes = Vec::new();
         for (run, _) in self.kinds.iter().filter(|(_, kind)| kind.filler) {
-            let wanted = self.wanted.get(run).copied().unwrap_or(100);
+            let wanted = self.wanted.get(run).copied().unwrap_or(FULL_PACE);
             let percent = if self.held { 0 } else { wanted };
-            let told = self.told.entry(*run).or_insert(100);
-            if *told != percent {
-                *told = percent;
+            if self.told.insert(*run, percent) != Some(percent) {
                 changes.push((*run, percent));
             }
         }
--- a/crates/parsleytally/src/jobs/contention.rs
+++ b/crates/parsleytally/src/jobs/contention.rs
@@ -291,8 +291,7 @@
     /// Share by which it does so at its present pace, with a margin for what is not known.
     fn cautious(&self, room: &Room, filler: &Load) -> f64 {
         let effect = self.model.effect(&room.image, &filler.image);
-        (effect.mean + CAUTION * effect.doubt).max(0.0) * filler.cores * f64::from(filler.pace)
-            / 100.0
+        (effect.mean + CAUTION * effect.doubt).max(0.0) * filler.cores * filler.speed()
     }
 
     /// Largest share of a task's room that a filler takes at full speed.
@@ -338,7 +337,7 @@
 fn occupants(worker: &Worker) -> Vec<Occupant> {
     let mut cores: BTreeMap<&Arc<str>, f64> = BTreeMap::new();
     for filler in worker.runs.values().filter(|run| run.filler) {
-        *cores.entry(&filler.image).or_default() += filler.cores * f64::from(filler.pace) / 100.0;
+        *cores.entry(&filler.image).or_default() += filler.cores * filler.speed();
     }
     let occupant = |(class, cores): (&Arc<str>, f64)| Occupant {
         class: class.clone(),
--- a/crates/parsleytally/src/jobs/fleet.rs
+++ b/crates/parsleytally/src/jobs/fleet.rs
@@ -49,6 +49,9 @@
     pub rack: Option<Arc<str>>,
 }
 
+/// Pace of a run that is not slowed, in percent.
+pub(super) const FULL_PACE: u32 = 100;
+
 /// What one run takes from its worker.
 #[derive(Debug, Clone, PartialEq)]
 pub(super) struct Load {
@@ -59,14 +62,21 @@
     pub(super) target_ms: u64,
     /// Name of what it runs.
     pub(super) image: Arc<str>,
-    /// Share of its speed that it was given, in percent.
-    pub(super) pace: u32,
+    /// Share of its speed that it was given, in percent; none where a predecessor gave it.
+    pub(super) pace: Option<u32>,
     /// Processors that it uses at full pace.
     pub(super) cores: f64,
     /// Share of its work that was done when last seen, in percent.
     pub(super) percent: u32,
 }
 
+impl Load {
+    /// Share of its speed that it is taken to have.
+    pub(super) fn speed(&self) -> f64 {
+        f64::from(self.pace.unwrap_or(FULL_PACE)) / f64::from(FULL_PACE)
+    }
+}
+
 /// An end that its worker still lists.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct PendingEnd {
--- a/crates/parsleytally/src/jobs/job.rs
+++ b/crates/parsleytally/src/jobs/job.rs
@@ -5,13 +5,13 @@
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
-use super::fleet::Load;
+use super::fleet::{FULL_PACE, Load};
 use super::progress::{StepProgress, TaskProgress};
 use super::{JobId, JobProgress, JobSpec, QueuePolicy, StepSpec, TaskId};
 use crate::types::{NodeName, Revision, Time};
 
 /// Thousandths in one.
-const MILLI: f64 = 1_000.0;
+pub(super) const MILLI: f64 = 1_000.0;
 
 /// State of a job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display, Serialize, Deserialize)]
@@ -265,7 +265,7 @@
             filler: step.filler,
             target_ms: step.target_ms,
             image: step.image.clone().unwrap_or_default(),
-            pace: 100,
+            pace: Some(FULL_PACE),
             cores: step.need.cpu.0 as f64 / MILLI,
             percent: 0,
         })
--- a/crates/parsleytally/src/jobs/scheduler/ends.rs
+++ b/crates/parsleytally/src/jobs/scheduler/ends.rs
@@ -73,15 +73,16 @@
         }
         let load = self.jobs.get(&run.task.job);
         let load = load.and_then(|job| job.load(run.task.step));
-        let load = load.unwrap_or(Load {
+        let mut load = load.unwrap_or(Load {
             need: Resources::NONE,
             filler: false,
             target_ms: 0,
             image: "".into(),
-            pace: 100,
+            pace: None,
             cores: 0.0,
             percent: 0,
         });
+        load.pace = None;
         if let Some(worker) = self.workers.get_mut(node) {
             worker.take(run, &load);
         }
--- a/crates/parsleytally/src/jobs/scheduler/protect.rs
+++ b/crates/parsleytally/src/jobs/scheduler/protect.rs
@@ -2,6 +2,7 @@
 //! that would stand still.
 
 use super::super::fleet::Load;
+use super::super::job::MILLI;
 use super::super::place::{Wanted, choose};
 use super::super::{OrderMessage, Output, RunRef, RunningTask};
 use super::Scheduler;
@@ -17,8 +18,9 @@
 
 /// Takes what a filler uses, in thousandths of a processor.
 fn note_use(load: &mut Load, used: u64) {
-    if load.filler && load.pace >= TELLING_PACE && used > 0 {
-        load.cores = used as f64 / 10.0 / f64::from(load.pace);
+    let tells = load.pace.is_some_and(|pace| pace >= TELLING_PACE);
+    if load.filler && tells && used > 0 {
+        load.cores = used as f64 / MILLI / load.speed();
     }
 }
 
@@ -40,7 +42,7 @@
                 note_use(load, gauge.figure);
             }
         }
-        if worker.serving == 0 {
+        if worker.fillers == 0 && worker.serving == 0 {
             return;
         }
         self.contention.measured(now, node, worker, gauges);
@@ -67,8 +69,8 @@
             return;
         };
         let stands = percent < LEAST_PACE && load.percent < NEARLY_DONE;
-        if load.pace != percent {
-            load.pace = percent;
+        if load.pace != Some(percent) {
+            load.pace = Some(percent);
             let pace = OrderMessage::Pace { run, percent };
             out.push(Output::Order(node.clone(), pace));
         }
--- a/crates/parsleytally/src/jobs/tests/agent.rs
+++ b/crates/parsleytally/src/jobs/tests/agent.rs
@@ -152,6 +152,49 @@
     assert!((3_900..5_000).contains(&after), "{after} ms");
 }
 
+/// An agent restarted beside a worker that was gone for good, and each new owner waited
+/// for the runs that might be hidden there until its hold was over.
+#[test]
+fn an_agent_that_never_met_its_worker_tells_when_all_leases_have_run_out() {
+    struct Case {
+        what: &'static str,
+        reported: bool,
+    }
+    let cases = [
+        Case {
+            what: "the worker says nothing",
+            reported: false,
+        },
+        Case {
+            what: "the worker has reported, and answers no look",
+            reported: true,
+        },
+    ];
+    for case in cases {
+        let mut bench = Bench::new();
+        if case.reported {
+            bench.feed(AgentInput::Report(report(0, 7)));
+        }
+        bench.begin(1, FENCE);
+        let mut lapsed = Vec::new();
+        for tick in 0..160 {
+            bench.vouch(Duration::ZERO);
+            if sent(&bench.wait(50), &AgentMessage::Lapsed) {
+                lapsed.push(tick * 50);
+            }
+            if let Some(call) = bench.looks.pop() {
+                bench.unanswered(call);
+            }
+        }
+        assert_eq!(lapsed.len(), 1, "{}: {lapsed:?}", case.what);
+        assert!(
+            (4_000..5_000).contains(&lapsed[0]),
+            "{}: {lapsed:?}",
+            case.what
+        );
+    }
+}
+
 #[test]
 fn a_silent_worker_is_told_of_and_starts_nothing() {
     let mut bench = Bench::ready();
--- a/crates/parsleytally/src/jobs/tests/contention.rs
+++ b/crates/parsleytally/src/jobs/tests/contention.rs
@@ -25,7 +25,7 @@
         filler: target_ms == 0,
         target_ms,
         image: image.into(),
-        pace: 100,
+        pace: Some(100),
         cores: 1.8,
         percent: 0,
     }
@@ -66,7 +66,7 @@
             .runs
             .values()
             .filter(|run| run.filler);
-        let raise = fillers.map(|f| effect(&f.image) * f.cores * f64::from(f.pace) / 100.0);
+        let raise = fillers.map(|f| effect(&f.image) * f.cores * f.speed());
         let utilization = use_alone * (1.0 + raise.sum::<f64>());
         BEST_MS / (1.0 - utilization.min(0.985)) / TARGET_MS as f64
     }
@@ -97,13 +97,15 @@
         self.contention
             .measured(self.now, &node(at), worker, &[gauge]);
         for (run, percent) in self.contention.paces(&node(at), worker) {
-            worker.runs.get_mut(&run).expect("a run").pace = percent;
+            worker.runs.get_mut(&run).expect("a run").pace = Some(percent);
         }
         self.contention.occupied(self.now, &node(at), worker);
     }
 
     fn pace(&self, at: usize, index: u32) -> u32 {
-        self.workers[&node(at)].runs[&run(1, 0, index, 1)].pace
+        self.workers[&node(at)].runs[&run(1, 0, index, 1)]
+            .pace
+            .unwrap_or(100)
     }
 
     fn may_start(&self, at: usize, image: &str) -> bool {
--- a/crates/parsleytally/src/jobs/tests/mod.rs
+++ b/crates/parsleytally/src/jobs/tests/mod.rs
@@ -3,6 +3,7 @@
 mod agent;
 mod contention;
 mod model;
+mod protect;
 mod records;
 mod scheduler;
 mod worker;
--- a/crates/parsleytally/src/jobs/tests/scheduler.rs
+++ b/crates/parsleytally/src/jobs/tests/scheduler.rs
@@ -6,14 +6,14 @@
 use crate::types::{Revision, Time};
 
 /// An owner whose epoch began at revision 10, driven by hand.
-struct Bench {
+pub(super) struct Bench {
     scheduler: Scheduler,
     now: Time,
     wall_ms: u64,
 }
 
 impl Bench {
-    fn new() -> Self {
+    pub(super) fn new() -> Self {
         let mut bench = Self {
             scheduler: Scheduler::new(SchedulerStart {
                 epoch: 0,
@@ -29,7 +29,7 @@
         bench
     }
 
-    fn with_workers(count: usize) -> Self {
+    pub(super) fn with_workers(count: usize) -> Self {
         let mut bench = Self::new();
         for at in 0..count {
             bench.join(at, report(at, 7));
@@ -37,7 +37,7 @@
         bench
     }
 
-    fn feed(&mut self, input: Input) -> Vec<Output> {
+    pub(super) fn feed(&mut self, input: Input) -> Vec<Output> {
         let mut out = Vec::new();
         self.scheduler.step(self.now, self.wall_ms, input, &mut out);
         self.now = self.now.after(Duration::from_millis(20));
@@ -46,14 +46,14 @@
         out
     }
 
-    fn wait(&mut self, millis: u64) -> Vec<Output> {
+    pub(super) fn wait(&mut self, millis: u64) -> Vec<Output> {
         self.now = self.now.after(Duration::from_millis(millis));
         self.wall_ms += millis;
         self.feed(Input::Confirmed(self.now));
         self.feed(Input::Tick)
     }
 
-    fn join(&mut self, at: usize, report: WorkerReport) -> Vec<Output> {
+    pub(super) fn join(&mut self, at: usize, report: WorkerReport) -> Vec<Output> {
         let life = report.life.clone();
         self.feed(Input::Linked(node(at)));
         self.agent(at, AgentMessage::Worker(report));
@@ -67,11 +67,11 @@
         )
     }
 
-    fn agent(&mut self, at: usize, message: AgentMessage) -> Vec<Output> {
+    pub(super) fn agent(&mut self, at: usize, message: AgentMessage) -> Vec<Output> {
         self.feed(Input::Agent(node(at), message))
     }
 
-    fn submit(&mut self, id: u64, record: JobRecord, accepted: u64) -> Vec<Output> {
+    pub(super) fn submit(&mut self, id: u64, record: JobRecord, accepted: u64) -> Vec<Output> {
         self.feed(Input::Job {
             id: JobId(id),
             record,
@@ -80,7 +80,13 @@
         })
     }
 
-    fn end(&mut self, at: usize, number: u64, run: RunRef, how: HowEnded) -> Vec<Output> {
+    pub(super) fn end(
+        &mut self,
+        at: usize,
+        number: u64,
+        run: RunRef,
+        how: HowEnded,
+    ) -> Vec<Output> {
         let end = EndedRun {
             number,
             run,
@@ -98,7 +104,7 @@
     }
 }
 
-fn starts(out: &[Output]) -> Vec<(NodeName, RunRef)> {
+pub(super) fn starts(out: &[Output]) -> Vec<(NodeName, RunRef)> {
     let start = |output: &Output| match output {
         Output::Order(node, OrderMessage::Start(order)) => Some((node.clone(), order.run)),
         _ => None,
@@ -106,7 +112,7 @@
     out.iter().filter_map(start).collect()
 }
 
-fn stops(out: &[Output]) -> Vec<RunRef> {
+pub(super) fn stops(out: &[Output]) -> Vec<RunRef> {
     let stop = |output: &Output| match output {
         Output::Order(_, OrderMessage::Stop(run)) => Some(*run),
         _ => None,
