perf(jobs): tasks that serve share workers, so that others stay free for fillers

Ruled out: processors (fillers are not held to what is left of them) and memory (150 GB free). Change: a task that serves goes where its image is already, then where most images are mixed, and last to a worker that serves nothing.

--- a/crates/parsleytally/src/jobs/place.rs
+++ b/crates/parsleytally/src/jobs/place.rs
@@ -1,6 +1,6 @@
 //! Choice of a worker for one task.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use super::contention::Contention;
 use super::fleet::{Load, Worker};
@@ -30,8 +30,8 @@
     healthy: bool,
     fresh: bool,
     near: bool,
-    /// Room that neighbours leave for a filler, like neighbours for a task that
-    /// serves users.
+    /// Room that neighbours leave for a filler, or how little a task that serves users
+    /// takes from fillers.
     company: i64,
     free: i64,
 }
@@ -54,13 +54,15 @@
     fits.max_by_key(|(fit, _)| *fit).map(|(_, name)| name)
 }
 
-/// Tasks that serve users on the worker of the same image, less those of others: so
-/// fillers that disturb an image find workers without it.
-fn like_neighbours(worker: &Worker, load: &Load) -> i64 {
+/// How little room for fillers a task that serves takes away on the worker: least where
+/// its image is there already, then where there are many others.
+fn shared_images(worker: &Worker, load: &Load) -> i64 {
     let serving = worker.runs.values().filter(|run| run.target_ms > 0);
-    serving
-        .map(|run| if run.image == load.image { 1 } else { -1 })
-        .sum()
+    let images: BTreeSet<&str> = serving.map(|run| &*run.image).collect();
+    if images.contains(&*load.image) {
+        return i64::MAX;
+    }
+    i64::try_from(images.len()).unwrap_or(i64::MAX)
 }
 
 /// Whether the settings and the step let `worker` run the task.
@@ -88,7 +90,7 @@
             .taken_with(now, name, worker, wanted.load)?;
         -(taken * ROOM_STEPS).round() as i64
     } else if wanted.load.target_ms > 0 {
-        like_neighbours(worker, wanted.load)
+        shared_images(worker, wanted.load)
     } else {
         0
     };
