perf(jobs): the load of a service is followed by job, and fillers add to it

The model before followed each task alone, multiplied effects by the load, and took every spike for harm. Change: one filter for each image that serves estimates the loads of its jobs and the effects of fillers together, by the lower middle of what a job shows on a worker and what fillers used in the same half second; paces aim at 0.8 of the target.

--- a/crates/parsleytally/src/interference/filter.rs
+++ b/crates/parsleytally/src/interference/filter.rs
@@ -7,7 +7,7 @@
 
 /// Estimated coefficients of one linear model.
 #[derive(Debug)]
-pub(super) struct Filter {
+pub(crate) struct Filter {
     means: Vec<f64>,
     /// Variance that each coefficient gains within the time of forgetting.
     drifts: Vec<f64>,
@@ -17,7 +17,7 @@
 }
 
 impl Filter {
-    pub(super) fn new(noise: f64) -> Self {
+    pub(crate) fn new(noise: f64) -> Self {
         Self {
             means: Vec::new(),
             drifts: Vec::new(),
@@ -28,7 +28,7 @@
 
     /// Adds a coefficient with its prior mean and standard deviation, and the
     /// standard deviation of its change within the time of forgetting.
-    pub(super) fn add(&mut self, mean: f64, doubt: f64, drift: f64) {
+    pub(crate) fn add(&mut self, mean: f64, doubt: f64, drift: f64) {
         let old = self.means.len();
         let size = old + 1;
         let mut spread = vec![0.0; size * size];
@@ -43,7 +43,7 @@
     }
 
     /// Lets each variance grow by `share` of its drift, up to the drift.
-    pub(super) fn loosen(&mut self, share: f64) {
+    pub(crate) fn loosen(&mut self, share: f64) {
         let size = self.means.len();
         for (at, drift) in self.drifts.iter().enumerate() {
             let variance = &mut self.spread[at * size + at];
@@ -51,12 +51,35 @@
         }
     }
 
-    pub(super) fn predict(&self, row: &[f64]) -> f64 {
+    /// Lets the variance of one coefficient grow by `variance`, up to `most`.
+    pub(crate) fn widen(&mut self, at: usize, variance: f64, most: f64) {
+        let size = self.means.len();
+        let own = &mut self.spread[at * size + at];
+        *own = (*own + variance).min(most.max(*own));
+    }
+
+    /// Forgets what is known of one coefficient.
+    pub(crate) fn reset(&mut self, at: usize, mean: f64, doubt: f64) {
+        let size = self.means.len();
+        for other in 0..size {
+            self.spread[at * size + other] = 0.0;
+            self.spread[other * size + at] = 0.0;
+        }
+        self.spread[at * size + at] = doubt * doubt;
+        self.means[at] = mean;
+    }
+
+    /// Number of coefficients.
+    pub(crate) fn len(&self) -> usize {
+        self.means.len()
+    }
+
+    pub(crate) fn predict(&self, row: &[f64]) -> f64 {
         row.iter().zip(&self.means).map(|(x, mean)| x * mean).sum()
     }
 
     /// Corrects the coefficients by one measurement.
-    pub(super) fn update(&mut self, row: &[f64], measured: f64) {
+    pub(crate) fn update(&mut self, row: &[f64], measured: f64) {
         let size = self.means.len();
         let weighted = self.weigh(row);
         let known: f64 = row.iter().zip(&weighted).map(|(x, w)| x * w).sum();
@@ -73,7 +96,7 @@
         }
     }
 
-    pub(super) fn effect(&self, at: usize) -> Effect {
+    pub(crate) fn effect(&self, at: usize) -> Effect {
         let size = self.means.len();
         Effect {
             mean: self.means[at],
--- a/crates/parsleytally/src/interference/mod.rs
+++ b/crates/parsleytally/src/interference/mod.rs
@@ -8,7 +8,7 @@
 //! that classes that tend to run side by side are told apart, and each carries its
 //! variance. The variance grows back with time: what shifts is learned anew.
 
-mod filter;
+pub(crate) mod filter;
 mod history;
 
 use std::collections::HashMap;
--- a/crates/parsleytally/src/jobs/contention/mod.rs
+++ b/crates/parsleytally/src/jobs/contention/mod.rs
@@ -1,25 +1,24 @@
 //! Which fillers slow which tasks that serve users, learned while they run.
 //!
-//! The tail latency of a task that serves is taken as that of a queue: without
-//! neighbours it follows the task's own load, and it grows without bound as its
-//! utilization comes near 1. Each processor that fillers of one image use raises the
-//! utilization by a share, which [`Interference`] estimates for each pair of images.
-//! A worker has room for fillers until one of its tasks would come near its target.
+//! The tail latency of a task that serves is taken as that of a queue: it follows the
+//! utilization, and grows without bound as that comes near 1. [`Pressure`] tells the
+//! load of each job and what fillers add to it. A worker has room for fillers until one
+//! of its tasks would come near its target.
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
 use super::fleet::{Load, Worker};
-use super::{JobId, RunRef, RunningTask, TaskId};
-use crate::configs::InterferenceConfig;
-use crate::interference::{Input, Interference, Occupant};
+use super::job::MILLI;
+use super::{JobId, RunRef, RunningTask};
+use crate::interference::Occupant;
 use crate::types::{NodeName, Time};
 
-/// Load that the model is told; the load of a task is divided out before.
-const MODEL_LOAD: f64 = 1.0;
-/// Utilization that is assumed of a task of which nothing is known.
-const UNKNOWN_USE: f64 = 0.5;
+mod pressure;
+
+use pressure::Pressure;
+
 /// Least utilization that is counted with.
 const LEAST_USE: f64 = 0.05;
 /// Utilization past which a measured tail grows with the excess instead.
@@ -31,33 +30,27 @@
 /// Part of the least tail latency seen that a task would show without any load.
 const BEST_SHARE: f64 = 0.76;
 /// Tail latency over target that paces of fillers aim at.
-const PACE_STRAIN: f64 = 0.95;
-/// Growth of a task's load that a new filler leaves room for.
-const LOAD_MARGIN: f64 = 0.03;
-/// Share of a measurement in the load of a task without disturbance.
-const LOAD_GAIN: f64 = 0.5;
-/// How much less a measurement counts by the disturbance that is expected in it.
-const DISTURBED_GAIN: f64 = 6.0;
-/// How long before its arrival a measurement was taken: half of its window and the way.
-const MEASURE_LAG: Duration = Duration::from_millis(260);
+const PACE_STRAIN: f64 = 0.8;
+/// Growth of a task's utilization that a new filler leaves room for.
+const LOAD_MARGIN: f64 = 0.02;
 /// Least standard deviation of an effect that counts as unknown.
-const UNKNOWN_DOUBT: f64 = 0.15;
+const UNKNOWN_DOUBT: f64 = 0.09;
 /// Time in which an unknown pair is tried on one worker only.
 const TRIAL_TIME: Duration = Duration::from_millis(800);
-/// Least room that is counted with, as a share of a task's load.
-const LEAST_ROOM: f64 = 0.01;
+/// Least room that is counted with.
+const LEAST_ROOM: f64 = 0.005;
 /// Standard deviations that are added to an effect where a filler is placed.
 const CAUTION: f64 = 0.2;
-/// Least expected raise of a utilization by which the model is judged.
-const LEAST_RAISE: f64 = 0.1;
-/// Raise that a measurement may show without cause.
-const RAISE_NOISE: f64 = 0.1;
-/// Share of a measurement in that judgement.
+/// Share of a measurement in what a worker shows beyond the model.
 const EXCESS_GAIN: f64 = 0.5;
-/// Most that the model is taken to fall short, as a factor.
-const LARGEST_EXCESS: f64 = 4.0;
+/// Most that a worker is taken to show beyond the model.
+const LARGEST_EXCESS: f64 = 0.4;
+/// Least processors of fillers that may cause what a worker shows beyond the model.
+const LEAST_CORES: f64 = 0.1;
 /// Steps in which paces are ordered, in percent.
 const PACE_STEP: f64 = 20.0;
+/// Progress of a task that serves from which on it is at work, in percent.
+const AT_WORK: u32 = 100;
 
 /// A trial of an unknown pair.
 #[derive(Debug, Clone)]
@@ -70,66 +63,48 @@
 type Pair = (Arc<str>, Arc<str>);
 
 /// What is learned of fillers and their neighbours.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub(super) struct Contention {
-    model: Interference,
+    pressure: Pressure,
     trials: HashMap<Pair, Trial>,
     /// Least tail latency over target of each image.
     best: HashMap<Arc<str>, f64>,
-    /// Tasks that serve.
-    tasks: HashMap<TaskId, Serving>,
-    /// For each worker, what fillers may add to each task that serves there.
+    /// By how much the utilization of a job's tasks on a worker is beyond the model.
+    excess: HashMap<(NodeName, JobId), f64>,
+    /// For each worker, what fillers may add to each job that serves there.
     rooms: HashMap<NodeName, Vec<Room>>,
 }
 
-/// What is known of a task that serves.
-#[derive(Debug, Clone, Copy)]
-struct Serving {
-    /// Utilization without fillers beside it.
-    load: f64,
-    /// By how much fillers raised it beyond what the model said, as a factor of 1 or
-    /// more.
-    excess: f64,
-}
-
-/// What fillers may add beside one task.
+/// What fillers may add beside the tasks of one job.
 #[derive(Debug, Clone)]
 struct Room {
     image: Arc<str>,
-    /// Share by which they may raise the utilization.
-    share: f64,
+    /// Utilization that is left for them.
+    left: f64,
 }
 
-impl Default for Contention {
-    fn default() -> Self {
-        let config = InterferenceConfig {
-            window: Duration::from_secs(10),
-            forget: Duration::from_secs(30),
-            prior: 0.06,
-            doubt: 0.2,
-            noise: 0.15,
-            ..InterferenceConfig::default()
-        };
-        Self {
-            model: Interference::new(config),
-            trials: HashMap::new(),
-            best: HashMap::new(),
-            tasks: HashMap::new(),
-            rooms: HashMap::new(),
-        }
-    }
+/// What a worker shows of the tasks of one job that serves.
+#[derive(Debug)]
+struct Shown {
+    image: Arc<str>,
+    /// Tail latencies over target.
+    strains: Vec<f64>,
 }
 
 impl Contention {
     /// Takes what runs on a worker from now on.
-    pub(super) fn occupied(&mut self, now: Time, node: &NodeName, worker: &Worker) {
-        let input = Input::Occupied {
-            worker: node.clone(),
-            at: now,
-            occupants: occupants(worker),
-        };
-        self.model.step(now, input);
-        self.update_rooms(node, worker);
+    pub(super) fn occupied(&mut self, node: &NodeName, worker: &Worker) {
+        let mut jobs: BTreeMap<JobId, &Load> = BTreeMap::new();
+        for (run, load) in &worker.runs {
+            if load.target_ms > 0 {
+                jobs.entry(run.task.job).or_insert(load);
+            }
+        }
+        let rooms = jobs
+            .into_iter()
+            .map(|(job, load)| self.room(node, job, load));
+        let rooms = rooms.collect();
+        self.rooms.insert(node.clone(), rooms);
     }
 
     /// Takes what a worker measured of its runs.
@@ -140,52 +115,29 @@
         worker: &Worker,
         gauges: &[RunningTask],
     ) {
-        let lag = u64::try_from(MEASURE_LAG.as_micros()).unwrap_or(u64::MAX);
-        let at = Time::from_micros(now.as_micros().saturating_sub(lag));
-        let occupants = occupants(worker);
-        for (run, load, strain) in strains(worker, gauges) {
-            let best = self.best.entry(load.image.clone()).or_insert(UNKNOWN_BEST);
+        let fillers = fillers_in_use(worker, gauges);
+        for (job, mut shown) in shown(worker, gauges) {
+            let strain = low_median(&mut shown.strains);
+            let best = self.best.entry(shown.image.clone()).or_insert(UNKNOWN_BEST);
             *best = best.min(strain * BEST_SHARE);
             let measured = utilization(strain, *best).max(LEAST_USE);
-            let raised = self.raised(&load.image, &occupants);
-            let known = self.tasks.get(&run.task).copied();
-            if let Some(Serving { load: known, .. }) = known {
-                let input = Input::Measured {
-                    worker: node.clone(),
-                    at,
-                    service: load.image.clone(),
-                    load: MODEL_LOAD,
-                    // The model takes the logarithm.
-                    strain: (measured / known - 1.0).exp(),
-                };
-                self.model.step(now, input);
-            }
-            let alone = measured / (1.0 + raised);
-            let known = known.unwrap_or(Serving {
-                load: alone,
-                excess: 1.0,
-            });
-            let excess = excess(known, measured, raised);
-            let known = known.load;
-            let gain = LOAD_GAIN / (1.0 + DISTURBED_GAIN * raised);
-            let next = known + gain * (alone - known);
-            // Fillers only ever raise the utilization.
-            let next = next.min(measured).clamp(LEAST_USE, FULL_USE);
-            let serving = Serving { load: next, excess };
-            self.tasks.insert(run.task, serving);
+            let beyond = self
+                .pressure
+                .learn(now, &shown.image, job, measured, &fillers);
+            self.note_excess(node, job, beyond, &fillers);
         }
-        self.update_rooms(node, worker);
-    }
-
-    /// Share by which `occupants` raise the utilization of `image`.
-    fn raised(&self, image: &str, occupants: &[Occupant]) -> f64 {
-        let effect = |occupant: &Occupant| self.effect(image, &occupant.class) * occupant.cores;
-        occupants.iter().map(effect).sum()
+        self.occupied(node, worker);
     }
 
-    /// Share by which one processor of `filler` raises the utilization of `image`.
-    fn effect(&self, image: &str, filler: &str) -> f64 {
-        self.model.effect(image, filler).mean.max(0.0)
+    fn note_excess(&mut self, node: &NodeName, job: JobId, beyond: f64, fillers: &[Occupant]) {
+        let cores: f64 = fillers.iter().map(|filler| filler.cores).sum();
+        let excess = self.excess.entry((node.clone(), job)).or_default();
+        if cores < LEAST_CORES {
+            *excess = 0.0;
+            return;
+        }
+        *excess += EXCESS_GAIN * (beyond - *excess);
+        *excess = excess.clamp(0.0, LARGEST_EXCESS);
     }
 
     /// Share of the room for fillers on `worker` that is taken with one more of `load`;
@@ -207,8 +159,8 @@
             }
             let fillers = worker.runs.values().filter(|run| run.filler);
             let raised = fillers.chain([load]).map(|run| self.cautious(room, run));
-            let share = (room.share - LOAD_MARGIN).max(LEAST_ROOM);
-            taken = taken.max(raised.sum::<f64>() / share);
+            let left = (room.left - LOAD_MARGIN).max(LEAST_ROOM);
+            taken = taken.max(raised.sum::<f64>() / left);
             if taken > 1.0 {
                 return None;
             }
@@ -237,7 +189,7 @@
         let Some(rooms) = self.rooms.get(node) else {
             return Vec::new();
         };
-        let mut left: Vec<(&Room, f64)> = rooms.iter().map(|room| (room, room.share)).collect();
+        let mut left: Vec<(&Room, f64)> = rooms.iter().map(|room| (room, room.left)).collect();
         let fillers = worker.runs.iter().filter(|(_, load)| load.filler);
         let mut fillers: Vec<(f64, &RunRef, &Load)> = fillers
             .map(|(run, load)| (self.weight(rooms, load), run, load))
@@ -263,47 +215,43 @@
 
     /// Forgets tasks of jobs that have ended.
     pub(super) fn retain_jobs(&mut self, is_open: impl Fn(&JobId) -> bool) {
-        self.tasks.retain(|task, _| is_open(&task.job));
+        self.excess.retain(|(_, job), _| is_open(job));
+        self.pressure.retain_jobs(is_open);
     }
 
-    fn update_rooms(&mut self, node: &NodeName, worker: &Worker) {
-        let mut rooms = Vec::new();
-        let serving = worker.runs.iter().filter(|(_, load)| load.target_ms > 0);
-        for (run, load) in serving {
-            let best = self.best.get(&load.image).copied().unwrap_or(UNKNOWN_BEST);
-            let task = self.tasks.get(&run.task).copied().unwrap_or(Serving {
-                load: UNKNOWN_USE,
-                excess: 1.0,
-            });
-            let share = (utilization(PACE_STRAIN, best) / task.load - 1.0) / task.excess;
-            let image = load.image.clone();
-            let share = share.max(LEAST_ROOM);
-            rooms.push(Room { image, share });
+    fn room(&self, node: &NodeName, job: JobId, load: &Load) -> Room {
+        let best = self.best.get(&load.image).copied().unwrap_or(UNKNOWN_BEST);
+        let excess = self.excess.get(&(node.clone(), job));
+        let taken = self.pressure.load(&load.image, job) + excess.copied().unwrap_or(0.0);
+        let left = utilization(PACE_STRAIN, best) - taken;
+        Room {
+            image: load.image.clone(),
+            left: left.max(LEAST_ROOM),
         }
-        self.rooms.insert(node.clone(), rooms);
     }
 
-    /// Share by which a filler at full speed raises the utilization of a task.
+    /// What a filler at full speed adds to the utilization of a job.
     fn raise(&self, room: &Room, filler: &Load) -> f64 {
-        self.effect(&room.image, &filler.image) * filler.cores
+        let effect = self.pressure.effect(&room.image, &filler.image);
+        effect.mean.max(0.0) * filler.cores
     }
 
-    /// Share by which it does so at its present pace, with a margin for what is not known.
+    /// What it adds at its present pace, with a margin for what is not known.
     fn cautious(&self, room: &Room, filler: &Load) -> f64 {
-        let effect = self.model.effect(&room.image, &filler.image);
+        let effect = self.pressure.effect(&room.image, &filler.image);
         (effect.mean + CAUTION * effect.doubt).max(0.0) * filler.cores * filler.speed()
     }
 
-    /// Largest share of a task's room that a filler takes at full speed.
+    /// Largest share of a job's room that a filler takes at full speed.
     fn weight(&self, rooms: &[Room], filler: &Load) -> f64 {
         let shares = rooms
             .iter()
-            .map(|room| self.raise(room, filler) / room.share);
+            .map(|room| self.raise(room, filler) / room.left);
         shares.fold(0.0, f64::max)
     }
 
     fn is_unknown(&self, image: &str, filler: &str) -> bool {
-        self.model.effect(image, filler).doubt >= UNKNOWN_DOUBT
+        self.pressure.effect(image, filler).doubt >= UNKNOWN_DOUBT
     }
 
     /// Whether an unknown pair is being tried on another worker.
@@ -316,13 +264,6 @@
     }
 }
 
-/// How far the model falls short beside a task, after one more measurement.
-fn excess(known: Serving, measured: f64, raised: f64) -> f64 {
-    let actual = (measured / known.load - 1.0 - RAISE_NOISE) / raised.max(LEAST_RAISE);
-    let next = known.excess + EXCESS_GAIN * (actual - known.excess);
-    next.clamp(1.0, LARGEST_EXCESS)
-}
-
 /// Utilization at which a queue shows `strain`, whose best is `best`.
 fn utilization(strain: f64, best: f64) -> f64 {
     let by_queue = 1.0 - best / strain;
@@ -333,11 +274,14 @@
     (FULL_USE * strain / full).min(LARGEST_USE)
 }
 
-/// Processors that fillers use now, by image.
-fn occupants(worker: &Worker) -> Vec<Occupant> {
+/// Processors that the fillers of a worker used while it measured, by image.
+fn fillers_in_use(worker: &Worker, gauges: &[RunningTask]) -> Vec<Occupant> {
     let mut cores: BTreeMap<&Arc<str>, f64> = BTreeMap::new();
-    for filler in worker.runs.values().filter(|run| run.filler) {
-        *cores.entry(&filler.image).or_default() += filler.cores * filler.speed();
+    for gauge in gauges {
+        let load = worker.runs.get(&gauge.run);
+        if let Some(load) = load.filter(|load| load.filler) {
+            *cores.entry(&load.image).or_default() += gauge.figure as f64 / MILLI;
+        }
     }
     let occupant = |(class, cores): (&Arc<str>, f64)| Occupant {
         class: class.clone(),
@@ -346,15 +290,29 @@
     cores.into_iter().map(occupant).collect()
 }
 
-/// Tasks at work that serve users, each with its tail latency over target.
-fn strains<'a>(
-    worker: &'a Worker,
-    gauges: &'a [RunningTask],
-) -> impl Iterator<Item = (RunRef, &'a Load, f64)> + 'a {
-    gauges.iter().filter_map(|gauge| {
-        let run = gauge.run;
-        let load = worker.runs.get(&run)?;
-        let at_work = load.target_ms > 0 && gauge.percent >= 100 && gauge.figure > 0;
-        at_work.then(|| (run, load, gauge.figure as f64 / load.target_ms as f64))
-    })
+/// What a worker shows of its tasks at work that serve users, by job.
+fn shown(worker: &Worker, gauges: &[RunningTask]) -> BTreeMap<JobId, Shown> {
+    let mut jobs: BTreeMap<JobId, Shown> = BTreeMap::new();
+    for gauge in gauges {
+        let Some(load) = worker.runs.get(&gauge.run) else {
+            continue;
+        };
+        if load.target_ms == 0 || gauge.percent < AT_WORK || gauge.figure == 0 {
+            continue;
+        }
+        let shown = jobs.entry(gauge.run.task.job).or_insert_with(|| Shown {
+            image: load.image.clone(),
+            strains: Vec::new(),
+        });
+        let strain = gauge.figure as f64 / load.target_ms as f64;
+        shown.strains.push(strain);
+    }
+    jobs
+}
+
+/// The middle of `strains`, the lower one of two: single measurements are at times far
+/// too high.
+fn low_median(strains: &mut [f64]) -> f64 {
+    strains.sort_by(f64::total_cmp);
+    strains[(strains.len() - 1) / 2]
 }
--- a/crates/parsleytally/src/jobs/scheduler/ends.rs
+++ b/crates/parsleytally/src/jobs/scheduler/ends.rs
@@ -36,7 +36,7 @@
         let runs: HashSet<RunRef> = running.iter().map(|task| task.run).collect();
         for run in given {
             if !runs.contains(&run) {
-                self.gone(now, node, run);
+                self.gone(node, run);
             }
         }
         for task in running {
@@ -153,7 +153,7 @@
             return;
         }
         worker.seen = end.number;
-        self.release(now, node, end.run);
+        self.release(node, end.run);
         self.stirred = true;
         self.note_health(now, node, end);
         let saved_by = self.note_end(node, end, out);
@@ -303,21 +303,21 @@
         {
             worker.failures.turned_away(now);
         }
-        self.gone(now, node, run);
+        self.gone(node, run);
     }
 
     /// A run is no longer on its worker, without an end.
-    pub(super) fn gone(&mut self, now: Time, node: &NodeName, run: RunRef) {
-        self.release(now, node, run);
+    pub(super) fn gone(&mut self, node: &NodeName, run: RunRef) {
+        self.release(node, run);
         self.forget_run(node, run);
         self.stirred = true;
     }
 
     /// Gives the room of a run back.
-    fn release(&mut self, now: Time, node: &NodeName, run: RunRef) {
+    fn release(&mut self, node: &NodeName, run: RunRef) {
         if let Some(worker) = self.workers.get_mut(node) {
             worker.release(run);
-            self.contention.occupied(now, node, worker);
+            self.contention.occupied(node, worker);
         }
     }
 
--- a/crates/parsleytally/src/jobs/scheduler/mod.rs
+++ b/crates/parsleytally/src/jobs/scheduler/mod.rs
@@ -244,7 +244,7 @@
             } => self.listed(now, node, &life, &running, &ended, out),
             AgentMessage::Refused { run, reason } => self.refused(now, node, run, reason),
             AgentMessage::Ended { life, ended } => self.ended(now, node, &life, &ended, out),
-            AgentMessage::Vanished(run) => self.gone(now, node, run),
+            AgentMessage::Vanished(run) => self.gone(node, run),
             AgentMessage::Gauges(gauges) => self.measured(now, node, &gauges, out),
             AgentMessage::Ping { .. } => {}
             AgentMessage::Silent(silent) => self.silent(node, silent),
--- a/crates/parsleytally/src/jobs/scheduler/protect.rs
+++ b/crates/parsleytally/src/jobs/scheduler/protect.rs
@@ -50,7 +50,7 @@
             self.pace(now, node, run, percent, out);
         }
         if let Some(worker) = self.workers.get(node) {
-            self.contention.occupied(now, node, worker);
+            self.contention.occupied(node, worker);
         }
     }
 
--- a/crates/parsleytally/src/jobs/scheduler/start.rs
+++ b/crates/parsleytally/src/jobs/scheduler/start.rs
@@ -196,7 +196,7 @@
             self.contention.started(now, node, worker, load);
         }
         worker.take(run, load);
-        self.contention.occupied(now, node, worker);
+        self.contention.occupied(node, worker);
         let Some(job) = self.jobs.get_mut(&step.job) else {
             return;
         };
--- a/crates/parsleytally/src/jobs/tests/protect.rs
+++ b/crates/parsleytally/src/jobs/tests/protect.rs
@@ -98,3 +98,49 @@
     let out = bench.agent(0, AgentMessage::Gauges(vec![gauge(filler, 5, 0)]));
     assert_eq!(paces(&out), [(filler, 100)]);
 }
+
+/// Pattern: services of several images on a fleet with room to spare. Each went to a
+/// worker of its own, and fillers found none without a service to hold up.
+#[test]
+fn tasks_that_serve_leave_workers_free_for_fillers() {
+    struct Case {
+        image: &'static str,
+        worker: usize,
+    }
+    let cases = [
+        Case {
+            image: "first",
+            worker: 2,
+        },
+        Case {
+            image: "second",
+            worker: 2,
+        },
+        Case {
+            image: "first",
+            worker: 2,
+        },
+        Case {
+            image: "third",
+            worker: 2,
+        },
+        Case {
+            image: "third",
+            worker: 1,
+        },
+    ];
+    let mut bench = Bench::with_workers(3);
+    for (id, case) in cases.iter().enumerate() {
+        let serving = StepSpec {
+            image: Some(case.image.into()),
+            ..serving_step()
+        };
+        let out = bench.submit(id as u64, job(vec![serving]), 11);
+        assert_eq!(
+            starts(&out)[0].0,
+            node(case.worker),
+            "job {id}: {}",
+            case.image
+        );
+    }
+}
