feat(jobs): run times are learned, and goals and order follow them

Jobs with low estimates were taken to be hopeless, and those with high ones left for last. Ruled out: images (durations differ by job, not by image). Change: the owner feeds `estimates` with the time that each task worked, as at full pace, by queue; a step with tasks that are done goes by those. Goals, the order of steps and evacuation use the expected times; rounds of repeated jobs count from their time. `estimates` takes times to the millisecond, and its median is kept between runs. Test: run_times_follow_what_was_seen.

--- a/crates/parsleytally/src/estimates/mod.rs
+++ b/crates/parsleytally/src/estimates/mod.rs
@@ -22,8 +22,10 @@
 /// Smallest memory that is granted, in bytes.
 const MIN_MEMORY: u64 = 16 << 20;
 
-/// Longest run time that is expected, in seconds.
-const MAX_RUN_SECONDS: f64 = 30.0 * 86_400.0;
+/// Shortest run time that is expected, in milliseconds.
+const MIN_RUN_MS: f64 = 1.0;
+/// Longest run time that is expected, in milliseconds.
+const MAX_RUN_MS: f64 = 30.0 * 86_400.0 * 1_000.0;
 
 /// What one run was seen to use.
 #[derive(Debug, Clone, PartialEq)]
@@ -55,9 +57,29 @@
     cpu: Uses,
     memory: Uses,
     time: Uses,
+    /// What run times follow, as of the latest of them.
+    run_time: Option<Predictor>,
     seen: Time,
 }
 
+/// What the amounts of a class follow.
+#[derive(Debug, Clone, Copy)]
+enum Predictor {
+    /// They are alike, whatever was declared.
+    Amount(f64),
+    /// They are a share of what was declared.
+    Ratio(f64),
+}
+
+impl Predictor {
+    fn apply(self, declared: f64) -> f64 {
+        match self {
+            Self::Amount(amount) => amount,
+            Self::Ratio(ratio) => ratio * declared,
+        }
+    }
+}
+
 /// The state of the estimates.
 #[derive(Debug)]
 pub struct Estimates {
@@ -81,13 +103,15 @@
         let class = self.classes.entry(usage.class).or_default();
         class.seen = now;
         let (declared, peak) = (&usage.declared, &usage.peak);
-        class.cpu.push(peak.cpu.0 as f64, declared.cpu.0, most);
+        class
+            .cpu
+            .push(peak.cpu.0 as f64, declared.cpu.0 as f64, most);
         let factor = if usage.killed { KILLED_FACTOR } else { 1.0 };
         let memory = peak.memory.0 as f64 * factor;
-        class.memory.push(memory, declared.memory.0, most);
+        class.memory.push(memory, declared.memory.0 as f64, most);
         if let Some(taken) = usage.taken {
-            let planned = usage.planned.as_secs();
-            class.time.push(taken.as_secs_f64(), planned, most);
+            class.time.push(millis(taken), millis(usage.planned), most);
+            class.run_time = Some(class.time.predictor(0.5));
         }
     }
 
@@ -114,13 +138,15 @@
 
     /// Expected run time of a task that declares `declared`.
     pub fn run_time(&self, class: &str, declared: Duration) -> Duration {
-        match self.classes.get(class).map(|class| &class.time) {
-            Some(uses) if uses.ratios.len() >= self.config.few => {
-                let expected = uses.predict(declared.as_secs(), 0.5);
-                Duration::from_secs_f64(expected.clamp(1.0, MAX_RUN_SECONDS))
-            }
-            _ => declared,
-        }
+        let Some(class) = self.classes.get(class) else {
+            return declared;
+        };
+        let few = class.time.ratios.len() < self.config.few;
+        let Some(predictor) = class.run_time.filter(|_| !few) else {
+            return declared;
+        };
+        let expected = predictor.apply(millis(declared));
+        Duration::from_millis(expected.clamp(MIN_RUN_MS, MAX_RUN_MS) as u64)
     }
 
     /// Amount that covers `share` of the runs, with caution while there are few.
@@ -132,9 +158,9 @@
         }
         let few = self.config.few as f64;
         if count < few {
-            return plain.max(uses.predict(declared, 1.0));
+            return plain.max(uses.predictor(1.0).apply(plain));
         }
-        let covered = uses.predict(declared, share) * self.config.margin;
+        let covered = uses.predictor(share).apply(plain) * self.config.margin;
         let trust = 1.0 - few / (2.0 * count);
         if covered >= plain {
             return covered;
@@ -154,24 +180,28 @@
 }
 
 impl Uses {
-    fn push(&mut self, used: f64, declared: u64, most: usize) {
+    fn push(&mut self, used: f64, declared: f64, most: usize) {
         if self.ratios.len() >= most {
             self.ratios.pop_front();
             self.amounts.pop_front();
         }
-        self.ratios.push_back(used / declared.max(1) as f64);
+        self.ratios.push_back(used / declared.max(1.0));
         self.amounts.push_back(used);
     }
 
-    /// Amount that covers `share` of the runs, by the predictor that varies less.
-    fn predict(&self, declared: u64, share: f64) -> f64 {
+    /// Predictor of the amount that covers `share` of the runs, the one that varies less.
+    fn predictor(&self, share: f64) -> Predictor {
         if spread(&self.amounts) < spread(&self.ratios) {
-            return quantile(&self.amounts, share);
+            return Predictor::Amount(quantile(&self.amounts, share));
         }
-        quantile(&self.ratios, share) * declared as f64
+        Predictor::Ratio(quantile(&self.ratios, share))
     }
 }
 
+fn millis(time: Duration) -> f64 {
+    time.as_secs_f64() * 1_000.0
+}
+
 /// How far the values lie apart, as a factor.
 fn spread(values: &VecDeque<f64>) -> f64 {
     quantile(values, 0.85) / quantile(values, 0.15).max(f64::MIN_POSITIVE)
--- a/crates/parsleytally/src/jobs/fleet.rs
+++ b/crates/parsleytally/src/jobs/fleet.rs
@@ -68,6 +68,26 @@
     pub(super) cores: f64,
     /// Share of its work that was done when last seen, in percent.
     pub(super) percent: u32,
+    /// Time that it has worked; none of a run whose beginning is not known.
+    pub(super) worked: Option<Worked>,
+}
+
+/// Time that a run has worked, as at full pace.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(super) struct Worked {
+    sum: Duration,
+    /// Up to when it is counted.
+    until: Time,
+}
+
+impl Worked {
+    /// A run that begins.
+    pub(super) fn from(now: Time) -> Self {
+        Self {
+            sum: Duration::ZERO,
+            until: now,
+        }
+    }
 }
 
 impl Load {
@@ -77,6 +97,24 @@
     }
 }
 
+impl Load {
+    /// Gives it another pace.
+    pub(super) fn set_pace(&mut self, now: Time, percent: u32) {
+        let speed = self.speed();
+        if let Some(worked) = &mut self.worked {
+            worked.sum += now.since(worked.until).mul_f64(speed);
+            worked.until = now;
+        }
+        self.pace = Some(percent);
+    }
+
+    /// Time that it has worked by `now`.
+    pub(super) fn worked_by(&self, now: Time) -> Option<Duration> {
+        let worked = self.worked?;
+        Some(worked.sum + now.since(worked.until).mul_f64(self.speed()))
+    }
+}
+
 /// An end that its worker still lists.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct PendingEnd {
@@ -176,10 +214,10 @@
     }
 
     /// Gives the room of a run back.
-    pub(super) fn release(&mut self, run: RunRef) {
-        if let Some(load) = self.runs.remove(&run) {
-            self.count(&load, -1);
-        }
+    pub(super) fn release(&mut self, run: RunRef) -> Option<Load> {
+        let load = self.runs.remove(&run)?;
+        self.count(&load, -1);
+        Some(load)
     }
 
     fn count(&mut self, load: &Load, sign: i64) {
--- a/crates/parsleytally/src/jobs/job.rs
+++ b/crates/parsleytally/src/jobs/job.rs
@@ -1,6 +1,7 @@
 //! A job in memory: rounds of steps of tasks.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
@@ -75,6 +76,28 @@
     pub(super) tasks: Vec<Task>,
     /// Tasks that are not done.
     pub(super) left: usize,
+    /// Times that its tasks worked.
+    pub(super) worked: WorkTimes,
+}
+
+/// Times that tasks of a step worked until they were done.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct WorkTimes {
+    count: u32,
+    sum: Duration,
+}
+
+impl WorkTimes {
+    pub(super) fn add(&mut self, taken: Duration) {
+        self.count += 1;
+        self.sum += taken;
+    }
+
+    /// Their mean, in milliseconds; none before the first.
+    pub(super) fn mean_ms(&self) -> Option<u64> {
+        let mean = self.sum.checked_div(self.count)?;
+        u64::try_from(mean.as_millis()).ok()
+    }
 }
 
 /// A round of a job.
@@ -91,6 +114,7 @@
             StepRun {
                 tasks: vec![Task::default(); count],
                 left: count,
+                worked: WorkTimes::default(),
             }
         };
         Self {
@@ -129,17 +153,12 @@
     pub(super) saved: u64,
     /// Version that was last given out to be saved.
     pub(super) sent: u64,
-    /// When the job shall have ended, in milliseconds since 1970.
-    pub(super) goal_ms: u64,
     /// When it ended.
     pub(super) ended: Option<Time>,
 }
 
 impl Job {
     pub(super) fn new(spec: JobSpec, policy: Arc<QueuePolicy>, accepted: Revision) -> Self {
-        let chain_ms = chain_ms(&spec);
-        let allowed = policy.slack_ms + chain_ms * policy.stretch_percent / 100;
-        let goal_ms = spec.submitted_ms + allowed;
         Self {
             spec: Arc::new(spec),
             policy,
@@ -150,11 +169,19 @@
             version: 0,
             saved: 0,
             sent: 0,
-            goal_ms,
             ended: None,
         }
     }
 
+    /// When a round was due, in milliseconds since 1970: the submission, or its time.
+    pub(super) fn due_ms(&self, round: usize) -> u64 {
+        let round = round as u64;
+        match self.spec.repeat {
+            Some(repeat) => repeat.start_ms + round * repeat.interval_ms,
+            None => self.spec.submitted_ms,
+        }
+    }
+
     /// State that clients may see.
     pub(super) fn shown(&self) -> JobState {
         if self.state.is_final() && self.saved < self.version {
@@ -268,6 +295,7 @@
             pace: Some(FULL_PACE),
             cores: step.need.cpu.0 as f64 / MILLI,
             percent: 0,
+            worked: None,
         })
     }
 }
@@ -294,20 +322,6 @@
     (!empty).then_some(progress)
 }
 
-/// Length of the longest chain of steps by their estimates, in milliseconds.
-fn chain_ms(spec: &JobSpec) -> u64 {
-    let mut ends: Vec<u64> = Vec::with_capacity(spec.steps.len());
-    for step in &spec.steps {
-        let begin = step
-            .after
-            .iter()
-            .filter_map(|after| ends.get(usize::from(*after)));
-        let begin = begin.copied().max().unwrap_or(0);
-        ends.push(begin + step.estimate_ms);
-    }
-    ends.into_iter().max().unwrap_or(0)
-}
-
 /// A step that wants runs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct ReadyStep {
--- a/crates/parsleytally/src/jobs/mod.rs
+++ b/crates/parsleytally/src/jobs/mod.rs
@@ -11,6 +11,7 @@
 
 mod agent;
 mod contention;
+mod durations;
 mod fleet;
 mod job;
 mod messages;
--- a/crates/parsleytally/src/jobs/order.rs
+++ b/crates/parsleytally/src/jobs/order.rs
@@ -1,5 +1,6 @@
 //! In which order steps get room.
 
+use super::durations::Durations;
 use super::job::{Job, ReadyStep};
 
 /// Multiple of the objective after which an ended job is worth nothing.
@@ -14,16 +15,19 @@
     goal_ms: u64,
 }
 
-/// How urgent `job` is at `wall_ms`.
-pub(super) fn urgency(job: &Job, step: ReadyStep, wall_ms: u64) -> Urgency {
-    let left_ms = left_ms(job, step);
-    let allowed = job.goal_ms - job.spec.submitted_ms;
-    let last = job.spec.submitted_ms + LATE_FACTOR * allowed;
+/// How urgent a step of `job` is at `wall_ms`.
+pub(super) fn urgency(job: &Job, step: ReadyStep, durations: &Durations, wall_ms: u64) -> Urgency {
+    let expected = durations.of_round(job, step.round);
+    let left_ms = chain_ms(job, &expected, Some(step.step));
+    let chain = chain_ms(job, &expected, None);
+    let allowed = job.policy.slack_ms + chain * job.policy.stretch_percent / 100;
+    let due = job.due_ms(step.round);
+    let goal = due + allowed;
     let end = wall_ms + left_ms;
     let lasts = job.spec.steps[step.step].lasts;
-    let chance = if lasts || end <= job.goal_ms {
+    let chance = if lasts || end <= goal {
         0
-    } else if end <= last {
+    } else if end <= due + LATE_FACTOR * allowed {
         1
     } else {
         2
@@ -31,21 +35,21 @@
     Urgency {
         chance,
         priority: job.policy.priority,
-        goal_ms: job.goal_ms.saturating_sub(left_ms),
+        goal_ms: goal.saturating_sub(left_ms),
     }
 }
 
-/// Longest chain of work from `step` on, in milliseconds.
-fn left_ms(job: &Job, step: ReadyStep) -> u64 {
-    let steps = &job.spec.steps;
-    let mut chains = vec![0_u64; steps.len()];
-    chains[step.step] = steps[step.step].estimate_ms;
-    for (number, spec) in steps.iter().enumerate().skip(step.step + 1) {
-        let before = spec.after.iter().map(|after| chains[usize::from(*after)]);
-        let before = before.max().unwrap_or(0);
-        if before > 0 {
-            chains[number] = before + spec.estimate_ms;
-        }
+/// Longest chain of work, in milliseconds: of the whole job, or from one step on.
+fn chain_ms(job: &Job, expected: &[u64], from: Option<usize>) -> u64 {
+    let mut ends: Vec<Option<u64>> = Vec::with_capacity(expected.len());
+    for (number, (step, expected)) in job.spec.steps.iter().zip(expected).enumerate() {
+        let before = step
+            .after
+            .iter()
+            .filter_map(|after| ends[usize::from(*after)]);
+        let begin = before.max();
+        let counts = from.is_none_or(|from| from == number) || begin.is_some();
+        ends.push(counts.then_some(begin.unwrap_or(0) + expected));
     }
-    chains.into_iter().max().unwrap_or(0)
+    ends.into_iter().flatten().max().unwrap_or(0)
 }
--- a/crates/parsleytally/src/jobs/scheduler/ends.rs
+++ b/crates/parsleytally/src/jobs/scheduler/ends.rs
@@ -81,6 +81,7 @@
             pace: None,
             cores: 0.0,
             percent: 0,
+            worked: None,
         });
         load.pace = None;
         if let Some(worker) = self.workers.get_mut(node) {
@@ -153,7 +154,8 @@
             return;
         }
         worker.seen = end.number;
-        self.release(node, end.run);
+        let load = self.release(node, end.run);
+        self.note_duration(now, end, load.as_ref());
         self.stirred = true;
         self.note_health(now, node, end);
         let saved_by = self.note_end(node, end, out);
@@ -163,6 +165,24 @@
         }
     }
 
+    /// Learns from the time that a task worked until it was done.
+    fn note_duration(&mut self, now: Time, end: &EndedRun, load: Option<&Load>) {
+        let taken = load.and_then(|load| load.worked_by(now));
+        let job = self.jobs.get_mut(&end.run.task.job);
+        let (HowEnded::Done, Some(taken), Some(job)) = (end.how, taken, job) else {
+            return;
+        };
+        let number = usize::from(end.run.task.step);
+        let Some(step) = job.spec.steps.get(number) else {
+            return;
+        };
+        self.durations.done(now, &job.policy.name, step, taken);
+        let round = job.rounds.get_mut(end.run.task.round as usize);
+        if let Some(run) = round.and_then(|round| round.steps.get_mut(number)) {
+            run.worked.add(taken);
+        }
+    }
+
     fn note_health(&mut self, now: Time, node: &NodeName, end: &EndedRun) {
         let Some(worker) = self.workers.get_mut(node) else {
             return;
@@ -314,11 +334,11 @@
     }
 
     /// Gives the room of a run back.
-    fn release(&mut self, node: &NodeName, run: RunRef) {
-        if let Some(worker) = self.workers.get_mut(node) {
-            worker.release(run);
-            self.contention.occupied(node, worker);
-        }
+    fn release(&mut self, node: &NodeName, run: RunRef) -> Option<Load> {
+        let worker = self.workers.get_mut(node)?;
+        let load = worker.release(run);
+        self.contention.occupied(node, worker);
+        load
     }
 
     /// Takes a run off its task, which may start again.
--- a/crates/parsleytally/src/jobs/scheduler/evacuate.rs
+++ b/crates/parsleytally/src/jobs/scheduler/evacuate.rs
@@ -27,10 +27,13 @@
         let Some(job) = self.jobs.get(&run.task.job) else {
             return false;
         };
-        let Some(step) = job.spec.steps.get(usize::from(run.task.step)) else {
+        let number = usize::from(run.task.step);
+        let round = job.rounds.get(run.task.round as usize);
+        let (Some(step), Some(round)) = (job.spec.steps.get(number), round) else {
             return false;
         };
-        let wanted = step.estimate_ms as f64;
+        let steps = &round.steps[number];
+        let wanted = self.durations.expected_ms(&job.policy.name, step, steps) as f64;
         let share = if step.checkpoints { 1.0 } else { FINISH_SHARE };
         step.lasts || wanted * share > remaining_ms as f64
     }
--- a/crates/parsleytally/src/jobs/scheduler/mod.rs
+++ b/crates/parsleytally/src/jobs/scheduler/mod.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use super::contention::Contention;
+use super::durations::Durations;
 use super::fleet::Worker;
 use super::job::Job;
 use super::{
@@ -50,6 +51,7 @@
     /// Agents of the predecessor that have not reported, and when their runs have ended.
     unheard: BTreeMap<NodeName, Time>,
     contention: Contention,
+    durations: Durations,
     /// When the store last confirmed the ownership.
     confirmed: Time,
     /// Whether something changed that may let a task start.
@@ -69,6 +71,7 @@
             workers: BTreeMap::new(),
             unheard: BTreeMap::new(),
             contention: Contention::default(),
+            durations: Durations::default(),
             confirmed: Time::ZERO,
             stirred: false,
             next_pass: Time::ZERO,
--- a/crates/parsleytally/src/jobs/scheduler/protect.rs
+++ b/crates/parsleytally/src/jobs/scheduler/protect.rs
@@ -70,7 +70,7 @@
         };
         let stands = percent < LEAST_PACE && load.percent < NEARLY_DONE;
         if load.pace != Some(percent) {
-            load.pace = Some(percent);
+            load.set_pace(now, percent);
             let pace = OrderMessage::Pace { run, percent };
             out.push(Output::Order(node.clone(), pace));
         }
--- a/crates/parsleytally/src/jobs/scheduler/start.rs
+++ b/crates/parsleytally/src/jobs/scheduler/start.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::super::fleet::Load;
+use super::super::fleet::{Load, Worked};
 use super::super::job::{Job, LiveRun, ReadyStep};
 use super::super::order::{Urgency, urgency};
 use super::super::place::{Wanted, choose};
@@ -55,7 +55,7 @@
                 continue;
             }
             for step in waiting_steps(*id, job) {
-                ready.push((urgency(job, step, wall_ms), step));
+                ready.push((urgency(job, step, &self.durations, wall_ms), step));
             }
         }
         ready
@@ -186,6 +186,8 @@
             task: task_id(step, index),
             run,
         };
+        let task = &self.jobs[&step.job].rounds[step.round].steps[step.step].tasks[index];
+        let afresh = task.checkpoint.is_empty();
         let Some(worker) = self.workers.get_mut(node) else {
             return;
         };
@@ -195,7 +197,11 @@
         if load.filler {
             self.contention.started(now, node, worker, load);
         }
-        worker.take(run, load);
+        let mut load = load.clone();
+        if afresh {
+            load.worked = Some(Worked::from(now));
+        }
+        worker.take(run, &load);
         self.contention.occupied(node, worker);
         let Some(job) = self.jobs.get_mut(&step.job) else {
             return;
--- a/crates/parsleytally/src/jobs/tests/contention.rs
+++ b/crates/parsleytally/src/jobs/tests/contention.rs
@@ -33,6 +33,7 @@
         pace: Some(100),
         cores: 1.8,
         percent: 0,
+        worked: None,
     }
 }
 
--- a/crates/parsleytally/src/jobs/tests/mod.rs
+++ b/crates/parsleytally/src/jobs/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod agent;
 mod contention;
+mod durations;
 mod model;
 mod protect;
 mod records;
