feat(entry,agent): metrics of batch jobs, and logs that hold up nothing

Cause: an on-call engineer had logs only, and a reader that stands still would have held up each duty. Change: borders that count and time what passes them (clients, store, worker), metrics of the owner, a page at `[site] metrics`, set in the deploy file; log lines go through a ring of 4,096 to a thread of their own, at most 2,000 a second below WARN, and drops are counted in a line and a metric. A page that does not start is logged and done without. A look that finds another owner than before has its line. Also: what follows the store's news is a module of its own.

fix(entry): an owner of long standing leaves the jobs to others as it drains

Ruled out: the other entries (they looked each 400 ms). Change: the count begins anew with each ownership. Test: an_owner_of_long_standing_leaves_the_jobs_to_others (fails before).

--- a/crates/parsleytally-agent/src/main.rs
+++ b/crates/parsleytally-agent/src/main.rs
@@ -8,13 +8,21 @@
 use parsleytally_agent::Agent;
 use parsleytally_agent::config::AgentConfig;
 use parsleytally_agent::site::{Site, SiteConfig};
+use parsleytally_platform::measured::{MeasuredHost, MeasuredStore};
 use parsleytally_platform::process::command;
-use parsleytally_platform::process::http::HttpServer;
+use parsleytally_platform::process::http::{HttpServer, start_optional};
+use parsleytally_platform::process::metrics::MetricSet;
 use parsleytally_platform::process::{logs, spans};
 
 const USAGE: &str = "parsleytally-agent --config FILE [--check]";
 
 fn main() -> ExitCode {
+    let exit = start();
+    logs::flush();
+    exit
+}
+
+fn start() -> ExitCode {
     let command = match command::parse(USAGE, env!("CARGO_PKG_VERSION"), &[]) {
         Ok(command) => command,
         Err(exit) => return exit,
@@ -48,16 +56,21 @@
 async fn serve_site(config: &SiteConfig) -> Result<(), Box<dyn std::error::Error>> {
     let stop = command::terminated();
     tokio::spawn(command::note_reloads());
-    let store = Arc::new(KvStore::new(config.store));
-    let worker = Arc::new(Worker::new(config.worker));
-    let site = Site::start(config, store, worker).await?;
+    let metrics = MetricSet::of_process()?;
+    let store = MeasuredStore::new(Arc::new(KvStore::new(config.store)), metrics.registry())?;
+    let worker = MeasuredHost::new(Arc::new(Worker::new(config.worker)), metrics.registry())?;
+    let site = Site::start(config, Arc::new(store), Arc::new(worker)).await?;
     let reports = Arc::new(Reports::new(site.reports()));
     let reports = HttpServer::start(config.reports, reports).await?;
+    let page = start_optional(config.metrics, Arc::new(metrics)).await;
     log::info!(node:% = config.name; "agent started");
     stop.await;
     log::info!("agent stops");
     reports.close().await;
     site.close().await;
+    if let Some(page) = page {
+        page.close().await;
+    }
     Ok(())
 }
 
--- a/crates/parsleytally-agent/src/site/config.rs
+++ b/crates/parsleytally-agent/src/site/config.rs
@@ -21,6 +21,8 @@
     pub worker: SocketAddr,
     /// Address of the platform's store: `[site] store`.
     pub store: SocketAddr,
+    /// Address of the metrics page: `[site] metrics`; none is served without it.
+    pub metrics: Option<SocketAddr>,
     /// Times of ownership and leases: section `[jobs]`.
     pub jobs: JobsConfig,
     /// Key and times of links: section `[link]`.
@@ -44,6 +46,7 @@
             reports: site.require("reports")?,
             worker: site.require("worker")?,
             store: site.require("store")?,
+            metrics: site.take_with("metrics", None, |text| text.parse().map(Some))?,
             jobs: JobsConfig::take(&mut jobs)?,
             link: LinkConfig::take(document.take("link"))?,
         };
--- a/crates/parsleytally-agent/src/site/tests.rs
+++ b/crates/parsleytally-agent/src/site/tests.rs
@@ -9,7 +9,8 @@
         .replace("{{node}}", "side-a-1")
         .replace("{{zone}}", "a")
         .replace("{{listen.control}}", "127.0.0.1:8166")
-        .replace("{{ip}}:{{internal_ports.0}}", "127.0.0.1:7720")
+        .replace("{{ip}}", "127.0.0.1")
+        .replace("{{internal_ports.0}}", "7720")
         .replace("{{app}}", "127.0.0.1:8165")
         .replace("{{platform.address}}", "127.0.0.1:8169");
     let config = SiteConfig::parse(text.as_bytes()).expect("the template is valid");
--- a/crates/parsleytally-entry/src/main.rs
+++ b/crates/parsleytally-entry/src/main.rs
@@ -10,8 +10,10 @@
 use parsleytally_entry::config::EntryConfig;
 use parsleytally_entry::site::{Site, SiteConfig};
 use parsleytally_entry::standalone::{Addresses, Standalone};
+use parsleytally_platform::measured::{MeasuredDesk, MeasuredStore};
 use parsleytally_platform::process::command::{self, Command, ExtraOption};
-use parsleytally_platform::process::http::HttpServer;
+use parsleytally_platform::process::http::{HttpServer, start_optional};
+use parsleytally_platform::process::metrics::MetricSet;
 use parsleytally_platform::process::{drain, logs, spans};
 use parsleytally_platform::store::{EtcdStore, MemoryStore, Store, StoreError};
 
@@ -37,7 +39,9 @@
 ];
 
 fn main() -> ExitCode {
-    match start() {
+    let ended = start();
+    logs::flush();
+    match ended {
         Ok(()) => ExitCode::SUCCESS,
         Err(exit) => exit,
     }
@@ -65,14 +69,19 @@
     logs::start();
     let stop = command::terminated();
     tokio::spawn(command::note_reloads());
-    let store = Arc::new(KvStore::new(config.store));
-    let site = Site::start(config, store, Arc::new(Queues)).await;
+    let metrics = MetricSet::of_process().map_err(|error| failed(&error))?;
+    let store = MeasuredStore::new(Arc::new(KvStore::new(config.store)), metrics.registry());
+    let store = Arc::new(store.map_err(|error| failed(&error))?);
+    let site = Site::start(config, store, Arc::new(Queues), &metrics).await;
     let site = site.map_err(|error| failed(&error))?;
-    let answers = Arc::new(Clients::new(site.desk()));
+    let desk = MeasuredDesk::new(site.desk(), metrics.registry());
+    let desk = desk.map_err(|error| failed(&error))?;
+    let answers = Arc::new(Clients::new(Arc::new(desk)));
     let clients = HttpServer::start(config.clients, answers.clone()).await;
     let clients = clients.map_err(|error| failed(&error))?;
     let ready = HttpServer::start(config.ready, Arc::new(Readiness::new(site.desk()))).await;
     let ready = ready.map_err(|error| failed(&error))?;
+    let page = start_optional(config.metrics, Arc::new(metrics)).await;
     log::info!(node:% = config.name; "entry started");
     stop.await;
     log::info!("entry drains");
@@ -83,6 +92,9 @@
     clients.close().await;
     ready.close().await;
     site.close().await;
+    if let Some(page) = page {
+        page.close().await;
+    }
     log::info!("entry stopped");
     Ok(())
 }
--- a/crates/parsleytally-entry/src/site/config.rs
+++ b/crates/parsleytally-entry/src/site/config.rs
@@ -27,6 +27,8 @@
     pub links: SocketAddr,
     /// Address of the platform's store: `[site] store`.
     pub store: SocketAddr,
+    /// Address of the metrics page: `[site] metrics`; none is served without it.
+    pub metrics: Option<SocketAddr>,
     /// Time between "not ready" and the end of accepting: `[site] grace`.
     pub grace: Duration,
     /// Longest wait for requests in flight at shutdown: `[site] drain`.
@@ -54,6 +56,7 @@
             ready: site.require("ready")?,
             links: site.require("links")?,
             store: site.require("store")?,
+            metrics: site.take_with("metrics", None, |text| text.parse().map(Some))?,
             grace: site.take_with("grace", DEFAULT_GRACE, humantime::parse_duration)?,
             drain: site.take_with("drain", DEFAULT_DRAIN, humantime::parse_duration)?,
             jobs: JobsConfig::take(&mut jobs)?,
--- a/crates/parsleytally-entry/src/site/lead.rs
+++ b/crates/parsleytally-entry/src/site/lead.rs
@@ -109,6 +109,7 @@
                 self.take(owner, alive).await.map(|view| (view, sent))
             }
             Some((owner, since)) if owner.life == self.life && owner.node == self.node => {
+                self.vacant = None;
                 self.stay(alive, since).await?;
                 Ok((View::Mine(owner, since), sent))
             }
@@ -187,7 +188,10 @@
             writes: vec![epoch_key, self.alive(lease)],
         };
         match self.store.commit(commit).await? {
-            Outcome::Committed(since) => Ok(View::Mine(owner, since)),
+            Outcome::Committed(since) => {
+                self.vacant = None;
+                Ok(View::Mine(owner, since))
+            }
             Outcome::Conflict(_) => Ok(View::Nobody),
         }
     }
--- a/crates/parsleytally-entry/src/site/mod.rs
+++ b/crates/parsleytally-entry/src/site/mod.rs
@@ -4,6 +4,7 @@
 //! The machines give an entry a tenth of a core, so its duties are tasks of one
 //! thread, joined by bounded rings, instead of a thread each.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -12,7 +13,9 @@
 use parsleytally_link::{Hello, Role};
 use parsleytally_platform::jobs::{JobDesk, QueueSource};
 use parsleytally_platform::process::Clock;
+use parsleytally_platform::process::metrics::MetricSet;
 use parsleytally_platform::store::Store;
+use snafu::{ResultExt, Snafu};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
@@ -22,8 +25,10 @@
 mod agents;
 mod config;
 mod desk;
+mod follow;
 mod keys;
 mod lead;
+mod metrics;
 mod owner;
 mod peer;
 mod queues;
@@ -33,6 +38,7 @@
 
 use desk::Desk;
 use lead::{Candidate, Owner, View};
+use metrics::OwnerMetrics;
 use owner::{Ownership, Parts};
 use peer::{Peer, Whereabouts, serve_peers};
 use queues::QueueFollower;
@@ -45,6 +51,25 @@
 /// Time for the store to take the end of an ownership.
 const RESIGN_LIMIT: Duration = Duration::from_millis(500);
 
+/// Why an entry did not start.
+#[derive(Debug, Snafu)]
+pub enum StartError {
+    /// The address for links is not available.
+    #[snafu(display("address {address} for links is not available: {source}"))]
+    Bind {
+        /// The address.
+        address: SocketAddr,
+        /// What the system reported.
+        source: std::io::Error,
+    },
+    /// A name of a metric is taken.
+    #[snafu(display("metrics are not registered: {source}"))]
+    Metrics {
+        /// What the library reported.
+        source: prometheus::Error,
+    },
+}
+
 /// A running entry for batch jobs.
 pub struct Site {
     desk: Arc<Desk>,
@@ -61,13 +86,18 @@
     ///
     /// # Errors
     ///
-    /// Returns an error when the address for links is not available.
+    /// Returns an error when the address for links is not available, or the names of
+    /// metrics are taken.
     pub async fn start(
         config: &SiteConfig,
         store: Arc<dyn Store>,
         source: Arc<dyn QueueSource>,
-    ) -> std::io::Result<Self> {
-        let listener = TcpListener::bind(config.links).await?;
+        set: &MetricSet,
+    ) -> Result<Self, StartError> {
+        let metrics = OwnerMetrics::new(set).context(MetricsSnafu)?;
+        let address = config.links;
+        let listener = TcpListener::bind(address).await;
+        let listener = listener.context(BindSnafu { address })?;
         let hello = hello(config);
         let (queues, queues_seen) = watch::channel(None);
         let (whereabouts, owner_seen) = watch::channel(Whereabouts::Unknown);
@@ -115,11 +145,13 @@
                 jobs: config.jobs.clone(),
                 store,
                 queues: queues_seen,
+                metrics,
             },
             whereabouts,
             reaches_store,
             answers: answered,
             ownership: None,
+            seen: None,
             answered: Instant::now(),
         };
         let leader = tokio::spawn(leader.run(yields.clone(), resign.clone()));
@@ -181,6 +213,8 @@
     /// Whether the last call to the store was answered.
     answers: Arc<AtomicBool>,
     ownership: Option<Ownership>,
+    /// What the last look that was answered found.
+    seen: Option<View>,
     /// When the store last answered.
     answered: Instant,
 }
@@ -235,6 +269,7 @@
     }
 
     async fn take(&mut self, view: View, sent: Instant) {
+        self.note_view(&view, sent);
         match view {
             View::Mine(owner, since) => self.own(owner, since, sent).await,
             View::Other(owner) => {
@@ -247,6 +282,23 @@
         }
     }
 
+    /// Tells of a look that found something else than the one before.
+    fn note_view(&mut self, view: &View, sent: Instant) {
+        if self.seen.as_ref() == Some(view) {
+            return;
+        }
+        let age_ms = u64::try_from(sent.elapsed().as_millis()).unwrap_or(u64::MAX);
+        let drains = self.candidate.reluctant;
+        match view {
+            View::Mine(owner, since) => log::info!(epoch:% = owner.epoch, revision:% = since,
+                age_ms, drains; "ownership is this entry's"),
+            View::Other(owner) => log::info!(owner:% = owner.node, epoch:% = owner.epoch, age_ms,
+                drains; "ownership is another entry's"),
+            View::Nobody => log::info!(age_ms, drains; "ownership is left to others"),
+        }
+        self.seen = Some(view.clone());
+    }
+
     async fn own(&mut self, owner: Owner, since: Revision, sent: Instant) {
         if let Some(ownership) = &self.ownership
             && ownership.since == since
--- a/crates/parsleytally-entry/src/site/owner.rs
+++ b/crates/parsleytally-entry/src/site/owner.rs
@@ -13,7 +13,7 @@
 use parsleytally_link::{Hello, LinkConfig};
 use parsleytally_platform::process::Clock;
 use parsleytally_platform::store::{
-    Change, Changes, Commit, Compare, Item, Snapshot, Store, StoreError, Write,
+    Change, Commit, Compare, Item, Snapshot, Store, StoreError, Write,
 };
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinSet;
@@ -21,8 +21,10 @@
 use tokio_util::sync::CancellationToken;
 
 use super::agents::{AgentLink, Orders};
+use super::follow::{News, follow};
 use super::keys;
 use super::lead::Owner;
+use super::metrics::OwnerMetrics;
 use super::saver::{Record, Saver};
 
 /// Inputs that wait for the owner; senders wait beyond them.
@@ -79,6 +81,7 @@
     pub(crate) jobs: JobsConfig,
     pub(crate) store: Arc<dyn Store>,
     pub(crate) queues: watch::Receiver<Option<Arc<QueueTable>>>,
+    pub(crate) metrics: OwnerMetrics,
 }
 
 /// A running ownership.
@@ -179,6 +182,7 @@
         let stop = self.stop.clone();
         let _ = stop.run_until_cancelled(self.serve()).await;
         self.stop.cancel();
+        self.parts.metrics.ended();
         self.links.shutdown().await;
     }
 
@@ -186,6 +190,7 @@
         let (fleet, progress) = self.read_all().await;
         log::info!(epoch:% = self.owner.epoch, revision:% = self.since,
             jobs = progress.items.len(); "ownership begins");
+        self.parts.metrics.began(self.owner.epoch.0);
         let (records, saver_records) = mpsc::unbounded_channel();
         let saver = Saver {
             store: self.parts.store.clone(),
@@ -354,6 +359,7 @@
             }
             OwnerInput::Agent(node, messages) => {
                 for message in messages {
+                    self.parts.metrics.heard(&message);
                     self.step(Input::Agent(node.clone(), message));
                 }
             }
@@ -406,8 +412,10 @@
     }
 
     fn tick(&mut self) {
-        let age = self.confirmed.age().as_micros();
-        let age = u64::try_from(age).unwrap_or(u64::MAX);
+        let age = self.confirmed.age();
+        let linked = self.orders.len();
+        self.parts.metrics.show(&self.scheduler, linked, age);
+        let age = u64::try_from(age.as_micros()).unwrap_or(u64::MAX);
         let at = self.clock.now().as_micros().saturating_sub(age);
         self.step(Input::Confirmed(Time::from_micros(at)));
         self.step(Input::Tick);
@@ -471,6 +479,7 @@
         for (node, messages) in orders {
             for message in &messages {
                 tell_order(&node, message);
+                self.parts.metrics.ordered(message);
             }
             if let Some(link) = self.orders.get(&node) {
                 // A link that has ended is told of as lost, and compared when it is back.
@@ -518,48 +527,3 @@
     let now = SystemTime::now().duration_since(UNIX_EPOCH);
     u64::try_from(now.unwrap_or_default().as_millis()).unwrap_or(u64::MAX)
 }
-
-/// What the store tells of the fleet.
-#[derive(Debug)]
-enum News {
-    /// Everything, after the history was lost.
-    All(Snapshot),
-    /// What has changed.
-    Changes(Changes),
-}
-
-/// Follows the fleet's keys from `revision` on.
-async fn follow(store: Arc<dyn Store>, mut revision: Revision, news: mpsc::Sender<News>) {
-    loop {
-        if let Err(error) = follow_watch(&store, &mut revision, &news).await {
-            log::warn!(error:% = error, revision:% = revision; "watch of the fleet ended");
-            sleep(RETRY_PAUSE).await;
-            if !matches!(error, StoreError::Compacted { .. }) {
-                continue;
-            }
-            if let Ok(fleet) = store.range(keys::FLEET).await {
-                revision = fleet.revision;
-                if news.send(News::All(fleet)).await.is_err() {
-                    return;
-                }
-            }
-        } else {
-            return;
-        }
-    }
-}
-
-async fn follow_watch(
-    store: &Arc<dyn Store>,
-    revision: &mut Revision,
-    news: &mpsc::Sender<News>,
-) -> Result<(), StoreError> {
-    let mut watch = store.watch(keys::FLEET, *revision).await?;
-    loop {
-        let changes = watch.next().await?;
-        *revision = changes.revision.max(*revision);
-        if !changes.changes.is_empty() && news.send(News::Changes(changes)).await.is_err() {
-            return Ok(());
-        }
-    }
-}
--- a/crates/parsleytally-entry/src/site/tests.rs
+++ b/crates/parsleytally-entry/src/site/tests.rs
@@ -1,12 +1,19 @@
 //! Ownership, acceptance and settings of an entry, over a store in memory with faults.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
-use parsleytally::jobs::{JobId, JobSpec, JobState, QueueName, QueuePolicy, StepSpec};
+use parsleytally::jobs::{
+    AgentMessage, CallError, EndedRun, HowEnded, JobId, JobSpec, JobState, Listing, LookCall,
+    OrderMessage, PaceCall, QueueName, QueuePolicy, RunRef, StartCall, StepSpec, StopCall, TaskId,
+    WorkerLife,
+};
 use parsleytally::types::{Epoch, NodeName};
-use parsleytally_platform::jobs::{Cancelled, JobDesk, Submitted, Told};
+use parsleytally_platform::jobs::{Cancelled, JobDesk, JobFuture, Submitted, TaskHost, Told};
+use parsleytally_platform::measured::{MeasuredDesk, MeasuredHost, MeasuredStore};
+use parsleytally_platform::process::metrics::MetricSet;
 use parsleytally_platform::store::{MemoryStore, Store};
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -14,6 +21,7 @@
 use super::config::SiteConfig;
 use super::desk::Desk;
 use super::lead::{Candidate, View};
+use super::metrics::OwnerMetrics;
 use super::peer::{Peer, Whereabouts};
 
 const TTL: Duration = Duration::from_secs(2);
@@ -54,6 +62,26 @@
     assert!(matches!(look(&mut a).await, View::Other(_)));
 }
 
+/// An entry that had owned the jobs for long took them again as soon as it drained: it
+/// counted the time for which it left them to others from its start.
+#[tokio::test(start_paused = true)]
+async fn an_owner_of_long_standing_leaves_the_jobs_to_others() {
+    let store = Arc::new(MemoryStore::new());
+    let (mut a, mut b) = (candidate(&store, "a"), candidate(&store, "b"));
+    let View::Mine(_, since) = look(&mut a).await else {
+        panic!("nobody else wants it");
+    };
+    for _ in 0..20 {
+        tokio::time::advance(TTL / 2).await;
+        assert_eq!(epoch(&look(&mut a).await), Some(Epoch(0)));
+    }
+    a.reluctant = true;
+    a.retire(since);
+    a.resign(since).await;
+    assert_eq!(look(&mut a).await, View::Nobody, "others go first");
+    assert_eq!(epoch(&look(&mut b).await), Some(Epoch(1)));
+}
+
 #[tokio::test]
 async fn an_ownership_that_ended_is_followed_by_one_with_the_next_epoch() {
     let store = Arc::new(MemoryStore::new());
@@ -67,10 +95,14 @@
 
 /// The desk of an entry that reaches the store but no owner.
 fn desk(store: &Arc<MemoryStore>) -> Desk {
+    desk_over(store.clone())
+}
+
+fn desk_over(store: Arc<dyn Store>) -> Desk {
     let (_, queues) = watch::channel(None);
     let (_, whereabouts) = watch::channel(Whereabouts::Unknown);
     Desk {
-        store: store.clone(),
+        store,
         queues,
         owner: Peer::new(whereabouts),
         draining: Arc::new(AtomicBool::new(false)),
@@ -194,7 +226,8 @@
         .replace("{{zone}}", "a")
         .replace("{{listen.front}}", "127.0.0.1:8161")
         .replace("{{listen.ready}}", "127.0.0.1:8167")
-        .replace("{{ip}}:{{internal_ports.0}}", "127.0.0.1:7720")
+        .replace("{{ip}}", "127.0.0.1")
+        .replace("{{internal_ports.0}}", "7720")
         .replace("{{platform.address}}", "127.0.0.1:8169");
     let config = SiteConfig::parse(text.as_bytes()).expect("the template is valid");
     assert_eq!(config.clients.port(), 8_161);
@@ -203,3 +236,76 @@
     let error = SiteConfig::parse(other.as_bytes()).expect_err("an unknown key");
     assert!(error.to_string().contains("read"), "{error}");
 }
+
+const METRICS_PAGE: &str = include_str!("../../../../docs/operators/jobs-metrics.md");
+
+/// A worker that answers nothing.
+struct NoWorker;
+
+impl TaskHost for NoWorker {
+    fn look(&self, _: LookCall) -> JobFuture<'_, Result<Listing, CallError>> {
+        Box::pin(async { Err(CallError::Unanswered) })
+    }
+
+    fn start<'a>(&'a self, _: &'a StartCall) -> JobFuture<'a, Result<(), CallError>> {
+        Box::pin(async { Err(CallError::Unanswered) })
+    }
+
+    fn stop(&self, _: StopCall) -> JobFuture<'_, Result<(), CallError>> {
+        Box::pin(async { Err(CallError::Unanswered) })
+    }
+
+    fn pace(&self, _: PaceCall) -> JobFuture<'_, Result<(), CallError>> {
+        Box::pin(async { Err(CallError::Unanswered) })
+    }
+}
+
+#[tokio::test]
+async fn every_metric_of_batch_jobs_stands_on_the_page() {
+    let set = MetricSet::of_process().expect("names are free");
+    let owner = OwnerMetrics::new(&set).expect("names are free");
+    let store = MeasuredStore::new(Arc::new(MemoryStore::new()), set.registry());
+    let store: Arc<dyn Store> = Arc::new(store.expect("names are free"));
+    let desk =
+        MeasuredDesk::new(Arc::new(desk_over(store)), set.registry()).expect("names are free");
+    let host = MeasuredHost::new(Arc::new(NoWorker), set.registry()).expect("names are free");
+    // Metrics with labels are shown from their first value on.
+    let run = RunRef {
+        task: TaskId {
+            job: JobId(1),
+            round: 0,
+            step: 0,
+            index: 0,
+        },
+        run: 1,
+    };
+    owner.ordered(&OrderMessage::Stop(run));
+    let end = EndedRun {
+        number: 1,
+        run,
+        how: HowEnded::Done,
+        checkpoint: String::new(),
+    };
+    owner.heard(&AgentMessage::Ended {
+        life: WorkerLife {
+            id: "i-1".into(),
+            born: 1,
+        },
+        ended: vec![end],
+    });
+    desk.state(JobId(1), Instant::now() + Duration::from_secs(1))
+        .await;
+    let stop = StopCall { run, fence: 1 };
+    assert_eq!(host.stop(stop).await, Err(CallError::Unanswered));
+    let text = set.text();
+    let names = text.lines().filter_map(|line| line.strip_prefix("# TYPE "));
+    let shown: BTreeSet<&str> = names.filter_map(|rest| rest.split(' ').next()).collect();
+    let rows = METRICS_PAGE
+        .lines()
+        .filter_map(|line| line.strip_prefix("| `"));
+    let documented: BTreeSet<&str> = rows
+        .filter_map(|row| row.split('`').next())
+        .filter(|name| name.starts_with("parsleytally_"))
+        .collect();
+    assert_eq!(shown, documented);
+}
--- a/crates/parsleytally-platform/src/lib.rs
+++ b/crates/parsleytally-platform/src/lib.rs
@@ -7,6 +7,7 @@
 //! standalone mode are in [`stand_in`].
 
 pub mod jobs;
+pub mod measured;
 pub mod process;
 #[cfg(feature = "stand-in")]
 pub mod stand_in;
--- /dev/null
+++ b/crates/parsleytally-platform/src/measured/host.rs
@@ -0,0 +1,68 @@
+//! What an agent asks its worker.
+
+use std::sync::Arc;
+
+use parsleytally::jobs::{CallError, Listing, LookCall, NotStarted, PaceCall, StartCall, StopCall};
+use prometheus::Registry;
+use tokio::time::Instant;
+
+use super::Calls;
+use crate::jobs::{JobFuture, TaskHost};
+
+/// A worker whose calls are counted and timed.
+pub struct MeasuredHost {
+    host: Arc<dyn TaskHost>,
+    calls: Calls,
+}
+
+impl MeasuredHost {
+    /// Wraps `host`.
+    ///
+    /// # Errors
+    ///
+    /// Returns what the library reports on names that are taken.
+    pub fn new(host: Arc<dyn TaskHost>, registry: &Registry) -> prometheus::Result<Self> {
+        let calls = Calls::register(registry, "parsleytally_worker_calls", "Calls to the worker")?;
+        Ok(Self { host, calls })
+    }
+
+    async fn note<T>(
+        &self,
+        call: &str,
+        answer: JobFuture<'_, Result<T, CallError>>,
+    ) -> Result<T, CallError> {
+        let began = Instant::now();
+        let answer = answer.await;
+        let outcome = answer.as_ref().err().map_or("done", error_name);
+        self.calls.note(call, outcome, began.elapsed());
+        answer
+    }
+}
+
+impl TaskHost for MeasuredHost {
+    fn look(&self, call: LookCall) -> JobFuture<'_, Result<Listing, CallError>> {
+        Box::pin(self.note("look", self.host.look(call)))
+    }
+
+    fn start<'a>(&'a self, call: &'a StartCall) -> JobFuture<'a, Result<(), CallError>> {
+        Box::pin(self.note("start", self.host.start(call)))
+    }
+
+    fn stop(&self, call: StopCall) -> JobFuture<'_, Result<(), CallError>> {
+        Box::pin(self.note("stop", self.host.stop(call)))
+    }
+
+    fn pace(&self, call: PaceCall) -> JobFuture<'_, Result<(), CallError>> {
+        Box::pin(self.note("pace", self.host.pace(call)))
+    }
+}
+
+fn error_name(error: &CallError) -> &'static str {
+    match error {
+        CallError::Refused(NotStarted::Fenced) => "fenced",
+        CallError::Refused(_) => "refused",
+        CallError::OtherLife => "other-life",
+        CallError::Unreachable => "unreachable",
+        CallError::Unanswered => "unanswered",
+    }
+}
--- a/crates/parsleytally-platform/src/process/http.rs
+++ b/crates/parsleytally-platform/src/process/http.rs
@@ -31,6 +31,20 @@
     fn answer(&self, request: Request) -> Answering<'_>;
 }
 
+/// A server that the process can do without: a log line tells where it does not start.
+pub async fn start_optional(
+    address: Option<SocketAddr>,
+    handler: Arc<dyn Handler>,
+) -> Option<HttpServer> {
+    match HttpServer::start(address?, handler).await {
+        Ok(server) => Some(server),
+        Err(error) => {
+            log::error!(error:% = error; "page is not served");
+            None
+        }
+    }
+}
+
 /// Why a server could not start.
 #[derive(Debug, Snafu)]
 #[snafu(display("address {address} is not available: {source}"))]
--- a/crates/parsleytally-platform/src/process/metrics.rs
+++ b/crates/parsleytally-platform/src/process/metrics.rs
@@ -1,10 +1,15 @@
 //! The metrics of a process, by `prometheus`.
 
+use ::http::{Method, StatusCode};
 use prometheus::core::Collector;
 use prometheus::{
     Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry, Result,
     TextEncoder,
 };
+use volo_http::request::Request;
+
+use super::http::{self, Answering, Handler};
+use super::logs;
 
 /// Metrics that are shown together; clones share them.
 ///
@@ -16,6 +21,18 @@
 }
 
 impl MetricSet {
+    /// Begins with what is counted in each process.
+    ///
+    /// # Errors
+    ///
+    /// Returns what the library reports on a taken name.
+    pub fn of_process() -> Result<Self> {
+        let set = Self::default();
+        let dropped = logs::dropped().clone();
+        set.registry.register(Box::new(dropped))?;
+        Ok(set)
+    }
+
     /// Makes a counter.
     ///
     /// # Errors
@@ -73,3 +90,15 @@
         Ok(metric)
     }
 }
+
+/// Serves the metrics of a process for batch jobs.
+impl Handler for MetricSet {
+    fn answer(&self, request: Request) -> Answering<'_> {
+        Box::pin(async move {
+            if request.method() != Method::GET {
+                return http::text(StatusCode::METHOD_NOT_ALLOWED, "only GET is answered\n");
+            }
+            http::text(StatusCode::OK, self.text())
+        })
+    }
+}
--- a/crates/parsleytally/src/jobs/job.rs
+++ b/crates/parsleytally/src/jobs/job.rs
@@ -182,6 +182,18 @@
         }
     }
 
+    /// Number of tasks without a run whose turn has come.
+    pub(super) fn waiting_tasks(&self) -> usize {
+        let steps = |round: &Round| -> usize {
+            let steps = self.spec.steps.iter().zip(&round.steps);
+            let ready = steps.filter(|(spec, _)| round.is_ready(spec));
+            ready
+                .map(|(_, step)| step.tasks.iter().filter(|task| task.waits()).count())
+                .sum()
+        };
+        self.rounds.iter().map(steps).sum()
+    }
+
     /// State that clients may see.
     pub(super) fn shown(&self) -> JobState {
         if self.state.is_final() && self.saved < self.version {
--- a/crates/parsleytally/src/jobs/scheduler/mod.rs
+++ b/crates/parsleytally/src/jobs/scheduler/mod.rs
@@ -144,6 +144,17 @@
         self.open.iter().filter(waiting).count() as u64
     }
 
+    /// Number of jobs that have not ended.
+    pub fn open_jobs(&self) -> usize {
+        self.open.len()
+    }
+
+    /// Number of tasks that could run if there were room.
+    pub fn waiting_tasks(&self) -> usize {
+        let jobs = self.open.iter().map(|id| &self.jobs[id]);
+        jobs.map(Job::waiting_tasks).sum()
+    }
+
     fn take_queues(&mut self, queues: Arc<QueueTable>) {
         for job in self.jobs.values_mut() {
             if let Some(policy) = queues.get(&job.policy.name) {
