fix(logs): each line is written by a call of its own

Cause: seen in the log of a grown site: lines gathered into one write are cut where the pipe is full, and the pieces of two processes mix. Change: one write a line. Test: those of the ring hold.

--- a/crates/parsleytally-platform/src/process/logs/ring.rs
+++ b/crates/parsleytally-platform/src/process/logs/ring.rs
@@ -141,16 +141,16 @@
             if matches!(first, Message::Line(_)) {
                 std::thread::sleep(GATHER);
             }
-            let mut bytes = Vec::new();
+            let mut lines = Vec::new();
             let mut flushed = Vec::new();
             for message in std::iter::once(first).chain(messages.try_iter()) {
                 match message {
-                    Message::Line(line) => bytes.extend_from_slice(&line),
+                    Message::Line(line) => lines.push(line),
                     Message::Flush(answer) => flushed.push(answer),
                 }
             }
-            self.tell_dropped(&mut bytes);
-            if let Err(error) = self.out.write_all(&bytes).and_then(|()| self.out.flush()) {
+            lines.extend(self.dropped_line());
+            if let Err(error) = self.write(&lines) {
                 eprintln!("log lines are lost: standard output reports {error}");
             }
             for answer in flushed {
@@ -160,12 +160,19 @@
         }
     }
 
-    /// Adds a line on those that were dropped since the last.
-    fn tell_dropped(&self, bytes: &mut Vec<u8>) {
-        let dropped = self.untold.swap(0, Ordering::Relaxed);
-        if dropped > 0 {
-            let line = format!("level=WARN message=\"log lines dropped\" lines={dropped}\n");
-            bytes.extend_from_slice(line.as_bytes());
+    /// Writes each line by one call, so that lines of several processes do not mix.
+    fn write(&mut self, lines: &[Vec<u8>]) -> std::io::Result<()> {
+        for line in lines {
+            self.out.write_all(line)?;
+            self.out.flush()?;
         }
+        Ok(())
+    }
+
+    /// A line on those that were dropped since the last.
+    fn dropped_line(&self) -> Option<Vec<u8>> {
+        let dropped = self.untold.swap(0, Ordering::Relaxed);
+        let line = format!("level=WARN message=\"log lines dropped\" lines={dropped}\n");
+        (dropped > 0).then(|| line.into_bytes())
     }
 }
