perf(jobs): changed jobs only are saved, and one filter follows 32 jobs at most

Each decision looked at every job in memory, ended ones included (3,600 at 15 jobs a second), each saved job of a batch had all workers acknowledged, and the filter of an image grew with the square of its jobs, of which a large fleet has hundreds. Change: a set of changed jobs, one acknowledgement a pass, groups of 32 jobs an image. Also: a task's id is built in one place. Test: filters_stay_small_however_many_jobs_share_an_image.

--- a/crates/parsleytally/src/jobs/contention/mod.rs
+++ b/crates/parsleytally/src/jobs/contention/mod.rs
@@ -15,7 +15,7 @@
 use crate::interference::Occupant;
 use crate::types::{NodeName, Time};
 
-mod pressure;
+pub(super) mod pressure;
 
 use pressure::Pressure;
 
--- a/crates/parsleytally/src/jobs/contention/pressure.rs
+++ b/crates/parsleytally/src/jobs/contention/pressure.rs
@@ -28,18 +28,21 @@
 const EFFECT_DRIFT: f64 = 0.03;
 /// Standard deviation of a measured utilization.
 const NOISE: f64 = 0.05;
+/// Jobs whose loads one filter follows: the cost of a measurement grows with the square.
+const MAX_LOADS: usize = 32;
 /// Images of fillers told apart beside one image that serves; the others count as unknown.
 const MAX_FILLERS: usize = 32;
 
 /// What is learned of all images.
 #[derive(Debug, Default)]
-pub(super) struct Pressure {
-    images: HashMap<Arc<str>, Image>,
+pub(in crate::jobs) struct Pressure {
+    /// Filters of each image that serves, one for each [`MAX_LOADS`] of its jobs.
+    images: HashMap<Arc<str>, Vec<Group>>,
 }
 
-/// What is learned of one image that serves.
+/// What is learned of some jobs of one image that serves.
 #[derive(Debug)]
-struct Image {
+struct Group {
     filter: Filter,
     /// Coefficients that are the loads of jobs.
     loads: HashMap<JobId, usize>,
@@ -53,7 +56,7 @@
 impl Pressure {
     /// Takes a measured utilization of a job's tasks on one worker, at `at`; returns by
     /// how much it was above what was expected.
-    pub(super) fn learn(
+    pub(in crate::jobs) fn learn(
         &mut self,
         at: Time,
         image: &Arc<str>,
@@ -61,48 +64,43 @@
         utilization: f64,
         fillers: &[Occupant],
     ) -> f64 {
-        let model = self.images.entry(image.clone()).or_insert_with(|| Image {
-            filter: Filter::new(NOISE),
-            loads: HashMap::new(),
-            effects: HashMap::new(),
-            free: Vec::new(),
-            updated: at,
-        });
-        model.advance(at);
-        let row = model.row(job, fillers);
-        let surprise = utilization - model.filter.predict(&row);
-        model.filter.update(&row, utilization);
+        let groups = self.images.entry(image.clone()).or_default();
+        let group = group_of(groups, job, at);
+        group.advance(at);
+        let row = group.row(job, fillers);
+        let surprise = utilization - group.filter.predict(&row);
+        group.filter.update(&row, utilization);
         surprise
     }
 
     /// Utilization of a job's tasks without fillers.
-    pub(super) fn load(&self, image: &str, job: JobId) -> f64 {
-        let model = self.images.get(image);
-        let load = model.and_then(|model| {
-            let at = model.loads.get(&job)?;
-            Some(model.filter.effect(*at).mean)
+    pub(in crate::jobs) fn load(&self, image: &str, job: JobId) -> f64 {
+        let load = self.groups(image).find_map(|group| {
+            let at = group.loads.get(&job)?;
+            Some(group.filter.effect(*at).mean)
         });
         load.unwrap_or(UNKNOWN_LOAD)
     }
 
-    /// What one processor of `filler` adds to the utilization of `image`.
-    pub(super) fn effect(&self, image: &str, filler: &str) -> Effect {
-        let model = self.images.get(image);
-        let known = model.and_then(|model| {
-            let at = model.effects.get(filler)?;
-            Some(model.filter.effect(*at))
+    /// What one processor of `filler` adds to the utilization of `image`, by the filter
+    /// that knows it best.
+    pub(in crate::jobs) fn effect(&self, image: &str, filler: &str) -> Effect {
+        let known = self.groups(image).filter_map(|group| {
+            let at = group.effects.get(filler)?;
+            Some(group.filter.effect(*at))
         });
-        known.unwrap_or(Effect {
+        let best = known.min_by(|a, b| a.doubt.total_cmp(&b.doubt));
+        best.unwrap_or(Effect {
             mean: UNKNOWN_EFFECT,
             doubt: EFFECT_DOUBT,
         })
     }
 
     /// Forgets the loads of jobs that have ended.
-    pub(super) fn retain_jobs(&mut self, is_open: impl Fn(&JobId) -> bool) {
-        for model in self.images.values_mut() {
-            let free = &mut model.free;
-            model.loads.retain(|job, at| {
+    pub(in crate::jobs) fn retain_jobs(&mut self, is_open: impl Fn(&JobId) -> bool) {
+        for group in self.images.values_mut().flatten() {
+            let free = &mut group.free;
+            group.loads.retain(|job, at| {
                 let open = is_open(job);
                 if !open {
                     free.push(*at);
@@ -111,9 +109,47 @@
             });
         }
     }
+
+    fn groups(&self, image: &str) -> impl Iterator<Item = &Group> {
+        self.images.get(image).into_iter().flatten()
+    }
+
+    /// Coefficients of the largest filter.
+    #[cfg(test)]
+    pub(in crate::jobs) fn largest(&self) -> usize {
+        let groups = self.images.values().flatten();
+        groups.map(|group| group.filter.len()).max().unwrap_or(0)
+    }
+}
+
+/// The group that follows `job`, or the first that has room for it.
+fn group_of(groups: &mut Vec<Group>, job: JobId, at: Time) -> &mut Group {
+    let own = groups
+        .iter()
+        .position(|group| group.loads.contains_key(&job));
+    let spare = || {
+        groups
+            .iter()
+            .position(|group| group.loads.len() < MAX_LOADS)
+    };
+    let position = own.or_else(spare).unwrap_or(groups.len());
+    if position == groups.len() {
+        groups.push(Group::new(at));
+    }
+    &mut groups[position]
 }
 
-impl Image {
+impl Group {
+    fn new(at: Time) -> Self {
+        Self {
+            filter: Filter::new(NOISE),
+            loads: HashMap::new(),
+            effects: HashMap::new(),
+            free: Vec::new(),
+            updated: at,
+        }
+    }
+
     /// Lets what is known age up to `at`.
     fn advance(&mut self, at: Time) {
         let passed = at.since(self.updated).as_secs_f64();
--- a/crates/parsleytally/src/jobs/job.rs
+++ b/crates/parsleytally/src/jobs/job.rs
@@ -151,8 +151,6 @@
     pub(super) version: u64,
     /// Version that the store has.
     pub(super) saved: u64,
-    /// Version that was last given out to be saved.
-    pub(super) sent: u64,
     /// When it ended.
     pub(super) ended: Option<Time>,
 }
@@ -168,7 +166,6 @@
             rounds_done: 0,
             version: 0,
             saved: 0,
-            sent: 0,
             ended: None,
         }
     }
@@ -334,10 +331,22 @@
     (!empty).then_some(progress)
 }
 
-/// A step that wants runs.
+/// A step of one round of a job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) struct ReadyStep {
+pub(super) struct StepAt {
     pub(super) job: JobId,
     pub(super) round: usize,
     pub(super) step: usize,
 }
+
+impl StepAt {
+    /// The task `index` of the step.
+    pub(super) fn task(self, index: usize) -> TaskId {
+        TaskId {
+            job: self.job,
+            round: self.round as u32,
+            step: self.step as u16,
+            index: index as u32,
+        }
+    }
+}
--- a/crates/parsleytally/src/jobs/scheduler/ends.rs
+++ b/crates/parsleytally/src/jobs/scheduler/ends.rs
@@ -231,6 +231,7 @@
             _ => {}
         }
         job.version += 1;
+        self.changed.insert(id);
         let version = job.version;
         if done {
             self.task_done(end.run, out);
--- a/crates/parsleytally/src/jobs/scheduler/mod.rs
+++ b/crates/parsleytally/src/jobs/scheduler/mod.rs
@@ -7,7 +7,7 @@
 use super::contention::Contention;
 use super::durations::Durations;
 use super::fleet::Worker;
-use super::job::Job;
+use super::job::{Job, StepAt};
 use super::{
     AgentMessage, Input, JobId, JobProgress, JobRecord, JobState, OrderMessage, Output, Question,
     QueueName, QueueTable, Reply, RunRef, WorkerReport, WorkerState,
@@ -47,6 +47,10 @@
     jobs: HashMap<JobId, Job>,
     /// Jobs that have not ended.
     open: BTreeSet<JobId>,
+    /// Jobs whose record has changed since it was last given out.
+    changed: BTreeSet<JobId>,
+    /// Whether the store has taken records since ends were last acknowledged.
+    stored: bool,
     workers: BTreeMap<NodeName, Worker>,
     /// Agents of the predecessor that have not reported, and when their runs have ended.
     unheard: BTreeMap<NodeName, Time>,
@@ -68,6 +72,8 @@
             queues: Arc::default(),
             jobs: HashMap::new(),
             open: BTreeSet::new(),
+            changed: BTreeSet::new(),
+            stored: false,
             workers: BTreeMap::new(),
             unheard: BTreeMap::new(),
             contention: Contention::default(),
@@ -95,7 +101,7 @@
             Input::Linked(node) => self.linked(node),
             Input::Unlinked(node) => self.unlinked(now, &node),
             Input::Agent(node, message) => self.agent(now, &node, message, out),
-            Input::Saved { job, version } => self.saved(job, version, out),
+            Input::Saved { job, version } => self.saved(job, version),
             Input::Confirmed(at) => self.confirmed = self.confirmed.max(at),
             Input::Tick => self.tick(now, wall_ms, out),
         }
@@ -111,6 +117,9 @@
             self.next_pass = now.after(PASS_PAUSE);
             self.place_all(now, wall_ms, out);
         }
+        if std::mem::take(&mut self.stored) {
+            self.acknowledge_all(out);
+        }
         self.save_changes(out);
     }
 
@@ -387,25 +396,24 @@
         });
     }
 
-    fn saved(&mut self, id: JobId, version: u64, out: &mut Vec<Output>) {
+    fn saved(&mut self, id: JobId, version: u64) {
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
         job.saved = job.saved.max(version);
-        self.acknowledge_all(out);
+        self.stored = true;
     }
 
     fn save_changes(&mut self, out: &mut Vec<Output>) {
-        // Jobs that ended in this step are no longer open, so all are looked at.
-        for (id, job) in &mut self.jobs {
-            if job.version > job.sent {
-                job.sent = job.version;
-                out.push(Output::Save {
-                    job: *id,
-                    version: job.version,
-                    progress: job.progress(),
-                });
-            }
+        for id in std::mem::take(&mut self.changed) {
+            let Some(job) = self.jobs.get(&id) else {
+                continue;
+            };
+            out.push(Output::Save {
+                job: id,
+                version: job.version,
+                progress: job.progress(),
+            });
         }
     }
 }
@@ -415,13 +423,13 @@
     let mut found = Vec::new();
     for (round, open) in job.rounds.iter().enumerate() {
         for (step, run) in open.steps.iter().enumerate() {
+            let of_step = StepAt {
+                job: id,
+                round,
+                step,
+            };
             for (index, task) in run.tasks.iter().enumerate() {
-                let task_id = super::TaskId {
-                    job: id,
-                    round: round as u32,
-                    step: step as u16,
-                    index: index as u32,
-                };
+                let task_id = of_step.task(index);
                 let runs = task.runs.iter().map(|live| {
                     let run = RunRef {
                         task: task_id,
--- a/crates/parsleytally/src/jobs/scheduler/start.rs
+++ b/crates/parsleytally/src/jobs/scheduler/start.rs
@@ -3,10 +3,10 @@
 use std::sync::Arc;
 
 use super::super::fleet::{Load, Worked};
-use super::super::job::{Job, LiveRun, ReadyStep};
+use super::super::job::{Job, LiveRun, StepAt};
 use super::super::order::{Urgency, urgency};
 use super::super::place::{Wanted, choose};
-use super::super::{JobId, JobState, OrderMessage, Output, RunRef, StartOrder, TaskId};
+use super::super::{JobId, JobState, OrderMessage, Output, RunRef, StartOrder};
 use super::{RUNS_PER_EPOCH, Scheduler};
 use crate::types::{NodeName, Resources, Time};
 
@@ -47,7 +47,7 @@
         }
     }
 
-    fn ready_steps(&self, wall_ms: u64) -> Vec<(Urgency, ReadyStep)> {
+    fn ready_steps(&self, wall_ms: u64) -> Vec<(Urgency, StepAt)> {
         let mut ready = Vec::new();
         for id in &self.open {
             let job = &self.jobs[id];
@@ -66,7 +66,7 @@
         self.unheard.is_empty() || job.accepted > self.start.since
     }
 
-    fn place_step(&mut self, now: Time, step: ReadyStep, full: &mut Full, out: &mut Vec<Output>) {
+    fn place_step(&mut self, now: Time, step: StepAt, full: &mut Full, out: &mut Vec<Output>) {
         let Some(load) = self.jobs[&step.job].load(step.step as u16) else {
             return;
         };
@@ -99,7 +99,7 @@
     }
 
     /// Starts all members of a gang with one run number, or none.
-    fn place_gang(&mut self, now: Time, step: ReadyStep, load: &Load, out: &mut Vec<Output>) {
+    fn place_gang(&mut self, now: Time, step: StepAt, load: &Load, out: &mut Vec<Output>) {
         let tasks = &self.jobs[&step.job].rounds[step.round].steps[step.step].tasks;
         let members = tasks.len();
         if !tasks.iter().all(super::super::job::Task::waits) {
@@ -129,10 +129,10 @@
     }
 
     /// Takes back the members of a gang that does not fit whole.
-    fn undo(&mut self, step: ReadyStep, run: u32, started: &[(usize, NodeName, Vec<Output>)]) {
+    fn undo(&mut self, step: StepAt, run: u32, started: &[(usize, NodeName, Vec<Output>)]) {
         for (index, node, _) in started {
             let run = RunRef {
-                task: task_id(step, *index),
+                task: step.task(*index),
                 run,
             };
             if let Some(worker) = self.workers.get_mut(node) {
@@ -145,7 +145,7 @@
     fn choose_for(
         &self,
         now: Time,
-        step: ReadyStep,
+        step: StepAt,
         index: usize,
         load: &Load,
         shared_rack: Option<&str>,
@@ -164,7 +164,7 @@
         choose(&self.workers, &wanted, run, now).cloned()
     }
 
-    fn next_run(&self, step: ReadyStep, index: usize) -> u32 {
+    fn next_run(&self, step: StepAt, index: usize) -> u32 {
         let task = &self.jobs[&step.job].rounds[step.round].steps[step.step].tasks[index];
         let first = u32::try_from(self.start.epoch).unwrap_or(u32::MAX / RUNS_PER_EPOCH);
         let first = first.saturating_mul(RUNS_PER_EPOCH).saturating_add(1);
@@ -175,7 +175,7 @@
     fn begin_run(
         &mut self,
         now: Time,
-        step: ReadyStep,
+        step: StepAt,
         index: usize,
         run: u32,
         node: &NodeName,
@@ -183,7 +183,7 @@
         out: &mut Vec<Output>,
     ) {
         let run = RunRef {
-            task: task_id(step, index),
+            task: step.task(index),
             run,
         };
         let task = &self.jobs[&step.job].rounds[step.round].steps[step.step].tasks[index];
@@ -230,24 +230,15 @@
     }
 }
 
-fn task_id(step: ReadyStep, index: usize) -> TaskId {
-    TaskId {
-        job: step.job,
-        round: step.round as u32,
-        step: step.step as u16,
-        index: index as u32,
-    }
-}
-
 /// Steps of a job that may run and have tasks without a run.
-fn waiting_steps(id: JobId, job: &Job) -> Vec<ReadyStep> {
+fn waiting_steps(id: JobId, job: &Job) -> Vec<StepAt> {
     let mut found = Vec::new();
     for (round, open) in job.rounds.iter().enumerate() {
         for (step, run) in open.steps.iter().enumerate() {
             let spec = &job.spec.steps[step];
             let waits = run.left > 0 && run.tasks.iter().any(super::super::job::Task::waits);
             if waits && open.is_ready(spec) {
-                found.push(ReadyStep {
+                found.push(StepAt {
                     job: id,
                     round,
                     step,
--- a/crates/parsleytally/src/jobs/tests/contention.rs
+++ b/crates/parsleytally/src/jobs/tests/contention.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::super::contention::Contention;
+use super::super::contention::pressure::Pressure;
 use super::super::fleet::{Load, Worker};
 use super::*;
 use crate::types::Time;
@@ -224,3 +225,33 @@
     bench.measured(0, &gauges);
     assert_eq!(bench.pace(0, 0), 100);
 }
+
+/// Pattern: a large fleet, on which hundreds of jobs of one image serve.
+#[test]
+fn filters_stay_small_however_many_jobs_share_an_image() {
+    const JOBS: u64 = 300;
+    let mut pressure = Pressure::default();
+    let image: Arc<str> = "service".into();
+    for round in 0..3 {
+        let now = Time::from_secs(round);
+        for job in 0..JOBS {
+            let load = 0.2 + 0.5 * (job % 2) as f64;
+            pressure.learn(now, &image, JobId(job), load, &[]);
+        }
+    }
+    assert!(
+        pressure.largest() < 100,
+        "{} coefficients",
+        pressure.largest()
+    );
+    assert!((pressure.load("service", JobId(JOBS - 1)) - 0.7).abs() < 0.05);
+    pressure.retain_jobs(|job| job.0 < 10);
+    for job in JOBS..2 * JOBS {
+        pressure.learn(Time::from_secs(4), &image, JobId(job), 0.4, &[]);
+    }
+    assert!(
+        pressure.largest() < 100,
+        "{} coefficients",
+        pressure.largest()
+    );
+}
