--- a/crates/parsleytally/src/jobs/scheduler/mod.rs
+++ b/crates/parsleytally/src/jobs/scheduler/mod.rs
@@ -259,7 +259,7 @@
             return;
         }
         match message {
-            AgentMessage::Worker(report) => self.reported(node, report, out),
+            AgentMessage::Worker(report) => self.reported(now, node, report, out),
             AgentMessage::Listed {
                 life,
                 running,
@@ -282,7 +282,13 @@
         self.stirred = true;
     }
 
-    fn reported(&mut self, node: &NodeName, report: WorkerReport, out: &mut Vec<Output>) {
+    fn reported(
+        &mut self,
+        now: Time,
+        node: &NodeName,
+        report: WorkerReport,
+        out: &mut Vec<Output>,
+    ) {
         let Some(worker) = self.workers.get_mut(node) else {
             return;
         };
@@ -303,7 +309,7 @@
         if let WorkerState::Draining { remaining_ms } = state
             && !was_draining
         {
-            self.evacuate(node, remaining_ms, out);
+            self.evacuate(now, node, remaining_ms, out);
         }
         self.stirred = true;
     }
--- a/crates/parsleytally/src/jobs/tests/scheduler.rs
+++ b/crates/parsleytally/src/jobs/tests/scheduler.rs
@@ -435,6 +435,8 @@
         estimate_ms: u64,
         lasts: bool,
         checkpoints: bool,
+        /// Time that it has worked, in milliseconds.
+        worked_ms: u64,
         moved: bool,
     }
     let cases = [
@@ -443,6 +445,7 @@
             estimate_ms: 1_000,
             lasts: false,
             checkpoints: false,
+            worked_ms: 0,
             moved: false,
         },
         Case {
@@ -450,6 +453,7 @@
             estimate_ms: 9_000,
             lasts: false,
             checkpoints: false,
+            worked_ms: 0,
             moved: true,
         },
         Case {
@@ -457,13 +461,23 @@
             estimate_ms: 3_000,
             lasts: false,
             checkpoints: true,
+            worked_ms: 0,
             moved: true,
         },
+        Case {
+            what: "long with checkpoints, most of it done",
+            estimate_ms: 3_000,
+            lasts: false,
+            checkpoints: true,
+            worked_ms: 2_000,
+            moved: false,
+        },
         Case {
             what: "lasts",
             estimate_ms: 100,
             lasts: true,
             checkpoints: false,
+            worked_ms: 0,
             moved: true,
         },
     ];
@@ -474,6 +488,7 @@
         spec.lasts = case.lasts;
         spec.checkpoints = case.checkpoints;
         bench.submit(1, job(vec![spec]), 11);
+        bench.wait(case.worked_ms);
         let mut leaving = report(0, 7);
         leaving.state = WorkerState::Draining {
             remaining_ms: 2_000,
