--- a/crates/parsleytally/src/jobs/scheduler/start.rs
+++ b/crates/parsleytally/src/jobs/scheduler/start.rs
@@ -10,6 +10,17 @@
 use super::{RUNS_PER_EPOCH, Scheduler};
 use crate::types::{NodeName, Resources, Time};
 
+/// A run that begins.
+struct Start<'a> {
+    step: StepAt,
+    /// Task of the step.
+    index: usize,
+    /// Number of the run.
+    run: u32,
+    node: &'a NodeName,
+    load: &'a Load,
+}
+
 /// A need that found no room; what needs as much does not either.
 #[derive(Debug, Default)]
 struct Full {
@@ -93,8 +104,14 @@
                 }
                 return;
             };
-            let run = self.next_run(step, index);
-            self.begin_run(now, step, index, run, &node, &load, out);
+            let start = Start {
+                step,
+                index,
+                run: self.next_run(step, index),
+                node: &node,
+                load: &load,
+            };
+            self.begin_run(now, &start, out);
         }
     }
 
@@ -121,8 +138,15 @@
                     .get(&node)
                     .and_then(|worker| worker.rack().cloned());
             }
+            let start = Start {
+                step,
+                index,
+                run,
+                node: &node,
+                load,
+            };
             let mut orders = Vec::new();
-            self.begin_run(now, step, index, run, &node, load, &mut orders);
+            self.begin_run(now, &start, &mut orders);
             started.push((index, node, orders));
         }
         out.extend(started.into_iter().flat_map(|(_, _, orders)| orders));
@@ -171,20 +195,17 @@
         first.max(task.last_run.saturating_add(1))
     }
 
-    #[allow(clippy::too_many_arguments)]
-    fn begin_run(
-        &mut self,
-        now: Time,
-        step: StepAt,
-        index: usize,
-        run: u32,
-        node: &NodeName,
-        load: &Load,
-        out: &mut Vec<Output>,
-    ) {
+    fn begin_run(&mut self, now: Time, start: &Start<'_>, out: &mut Vec<Output>) {
+        let Start {
+            step,
+            index,
+            node,
+            load,
+            ..
+        } = *start;
         let run = RunRef {
             task: step.task(index),
-            run,
+            run: start.run,
         };
         let task = &self.jobs[&step.job].rounds[step.round].steps[step.step].tasks[index];
         let afresh = task.checkpoint.is_empty();
