fix(jobs): filters learn new images of fillers, however many came before

Change: the image seen longest ago gives its place to a new one; past 256 images those without open jobs are forgotten. Test: new_images_of_fillers_are_learned_however_many_came_before.

--- a/crates/parsleytally/src/jobs/contention/pressure.rs
+++ b/crates/parsleytally/src/jobs/contention/pressure.rs
@@ -30,8 +30,10 @@
 const NOISE: f64 = 0.05;
 /// Jobs whose loads one filter follows: the cost of a measurement grows with the square.
 const MAX_LOADS: usize = 32;
-/// Images of fillers told apart beside one image that serves; the others count as unknown.
+/// Images of fillers that one filter tells apart; the least recently seen goes first.
 const MAX_FILLERS: usize = 32;
+/// Images that serve; past them those without open jobs are forgotten.
+const MAX_IMAGES: usize = 256;
 
 /// What is learned of all images.
 #[derive(Debug, Default)]
@@ -40,14 +42,22 @@
     images: HashMap<Arc<str>, Vec<Group>>,
 }
 
+/// Coefficient that is the effect of a filler.
+#[derive(Debug, Clone, Copy)]
+struct EffectAt {
+    at: usize,
+    /// When the filler was last measured.
+    seen: Time,
+}
+
 /// What is learned of some jobs of one image that serves.
 #[derive(Debug)]
 struct Group {
     filter: Filter,
     /// Coefficients that are the loads of jobs.
     loads: HashMap<JobId, usize>,
-    /// Coefficients that are the effects of fillers.
-    effects: HashMap<Arc<str>, usize>,
+    /// Effects of fillers.
+    effects: HashMap<Arc<str>, EffectAt>,
     /// Coefficients of jobs that have ended.
     free: Vec<usize>,
     updated: Time,
@@ -86,8 +96,8 @@
     /// that knows it best.
     pub(in crate::jobs) fn effect(&self, image: &str, filler: &str) -> Effect {
         let known = self.groups(image).filter_map(|group| {
-            let at = group.effects.get(filler)?;
-            Some(group.filter.effect(*at))
+            let effect = group.effects.get(filler)?;
+            Some(group.filter.effect(effect.at))
         });
         let best = known.min_by(|a, b| a.doubt.total_cmp(&b.doubt));
         best.unwrap_or(Effect {
@@ -108,6 +118,10 @@
                 open
             });
         }
+        if self.images.len() > MAX_IMAGES {
+            let serves = |groups: &Vec<Group>| groups.iter().any(|group| !group.loads.is_empty());
+            self.images.retain(|_, groups| serves(groups));
+        }
     }
 
     fn groups(&self, image: &str) -> impl Iterator<Item = &Group> {
@@ -161,23 +175,22 @@
         for effect in self.effects.values() {
             let variance = EFFECT_DRIFT * EFFECT_DRIFT * passed;
             self.filter
-                .widen(*effect, variance, EFFECT_DOUBT * EFFECT_DOUBT);
+                .widen(effect.at, variance, EFFECT_DOUBT * EFFECT_DOUBT);
         }
     }
 
     /// Coefficients of one measurement.
     fn row(&mut self, job: JobId, fillers: &[Occupant]) -> Vec<f64> {
         let load = self.load_of(job);
-        let effects: Vec<Option<usize>> = fillers
+        let known = fillers.len().min(MAX_FILLERS);
+        let effects: Vec<usize> = fillers[..known]
             .iter()
             .map(|filler| self.effect_of(&filler.class))
             .collect();
         let mut row = vec![0.0; self.filter.len()];
         row[load] = 1.0;
         for (filler, at) in fillers.iter().zip(effects) {
-            if let Some(at) = at {
-                row[at] += filler.cores;
-            }
+            row[at] += filler.cores;
         }
         row
     }
@@ -200,16 +213,29 @@
         at
     }
 
-    fn effect_of(&mut self, filler: &Arc<str>) -> Option<usize> {
-        if let Some(at) = self.effects.get(filler) {
-            return Some(*at);
+    fn effect_of(&mut self, filler: &Arc<str>) -> usize {
+        let seen = self.updated;
+        if let Some(effect) = self.effects.get_mut(filler) {
+            effect.seen = seen;
+            return effect.at;
         }
-        if self.effects.len() == MAX_FILLERS {
-            return None;
+        let at = self.free_effect();
+        self.effects.insert(filler.clone(), EffectAt { at, seen });
+        at
+    }
+
+    /// A coefficient for a filler that is new, if need be that of another.
+    fn free_effect(&mut self) -> usize {
+        if self.effects.len() < MAX_FILLERS {
+            self.filter.add(UNKNOWN_EFFECT, EFFECT_DOUBT, 0.0);
+            return self.filter.len() - 1;
         }
-        self.filter.add(UNKNOWN_EFFECT, EFFECT_DOUBT, 0.0);
-        let at = self.filter.len() - 1;
-        self.effects.insert(filler.clone(), at);
-        Some(at)
+        let oldest = self.effects.iter().min_by_key(|(name, e)| (e.seen, *name));
+        let oldest = oldest.map(|(name, effect)| (name.clone(), effect.at));
+        // There are as many as may be, so there is an oldest.
+        let (name, at) = oldest.expect("an effect");
+        self.effects.remove(&name);
+        self.filter.reset(at, UNKNOWN_EFFECT, EFFECT_DOUBT);
+        at
     }
 }
--- a/crates/parsleytally/src/jobs/fleet.rs
+++ b/crates/parsleytally/src/jobs/fleet.rs
@@ -95,9 +95,7 @@
     pub(super) fn speed(&self) -> f64 {
         f64::from(self.pace.unwrap_or(FULL_PACE)) / f64::from(FULL_PACE)
     }
-}
 
-impl Load {
     /// Gives it another pace.
     pub(super) fn set_pace(&mut self, now: Time, percent: u32) {
         let speed = self.speed();
--- a/crates/parsleytally/src/jobs/tests/contention.rs
+++ b/crates/parsleytally/src/jobs/tests/contention.rs
@@ -7,6 +7,7 @@
 use super::super::contention::pressure::Pressure;
 use super::super::fleet::{Load, Worker};
 use super::*;
+use crate::interference::Occupant;
 use crate::types::Time;
 
 /// Best tail latency of the modelled tasks, in milliseconds.
@@ -255,3 +256,30 @@
         pressure.largest()
     );
 }
+
+/// Images of fillers come and go; those that are seen last are known.
+#[test]
+fn new_images_of_fillers_are_learned_however_many_came_before() {
+    let mut pressure = Pressure::default();
+    let service: Arc<str> = "service".into();
+    for number in 0..100_u64 {
+        let now = Time::from_secs(4 * number);
+        let filler = Occupant {
+            class: format!("filler-{number}").into(),
+            cores: 2.0,
+        };
+        pressure.learn(now, &service, JobId(1), 0.4, &[]);
+        for half in 1..6 {
+            let at = now.after(Duration::from_millis(500 * half));
+            pressure.learn(at, &service, JobId(1), 0.4, &[]);
+            pressure.learn(at, &service, JobId(1), 0.8, std::slice::from_ref(&filler));
+        }
+    }
+    let effect = pressure.effect("service", "filler-99").mean;
+    assert!((0.15..0.25).contains(&effect), "{effect} a processor");
+    assert!(
+        pressure.largest() < 100,
+        "{} coefficients",
+        pressure.largest()
+    );
+}
