refactor: one piece for what stood twice, and state that is derived

State that could be derived: the agent's duty kept the owner's link beside AgentTasks and knew the message that begins one; the log ring counted drops twice. Work done twice: a worker's rooms were computed again after its paces, which do not enter them; the settings file was read twice at each start.

--- a/crates/parsleytally-agent/src/main.rs
+++ b/crates/parsleytally-agent/src/main.rs
@@ -3,7 +3,7 @@
 use std::process::ExitCode;
 use std::sync::Arc;
 
-use parsleytally::configs::is_site;
+use parsleytally::configs::{ConfigError, is_site};
 use parsleytally_adapter::{KvStore, Reports, Worker};
 use parsleytally_agent::Agent;
 use parsleytally_agent::config::AgentConfig;
@@ -27,17 +27,27 @@
         Ok(command) => command,
         Err(exit) => return exit,
     };
-    if command.config_text().is_some_and(|text| is_site(&text)) {
-        return match command.load(SiteConfig::parse) {
-            Ok(config) => run_site(&config),
-            Err(exit) => exit,
-        };
+    match command.load(Config::parse) {
+        Ok(Config::Site(config)) => run_site(&config),
+        Ok(Config::Plain(config)) => run(config),
+        Err(exit) => exit,
+    }
+}
+
+/// Settings of either mode.
+enum Config {
+    /// For batch jobs on the users' platform.
+    Site(SiteConfig),
+    Plain(AgentConfig),
+}
+
+impl Config {
+    fn parse(text: &[u8]) -> Result<Self, ConfigError> {
+        if is_site(text) {
+            return SiteConfig::parse(text).map(Self::Site);
+        }
+        AgentConfig::parse(text).map(Self::Plain)
     }
-    let config = match command.load(AgentConfig::parse) {
-        Ok(config) => config,
-        Err(exit) => return exit,
-    };
-    run(config)
 }
 
 /// Runs the agent for batch jobs on the users' platform, in one thread.
@@ -56,14 +66,15 @@
 async fn serve_site(config: &SiteConfig) -> Result<(), Box<dyn std::error::Error>> {
     let stop = command::terminated();
     tokio::spawn(command::note_reloads());
+    let base = &config.base;
     let metrics = MetricSet::of_process()?;
-    let store = MeasuredStore::new(Arc::new(KvStore::new(config.store)), metrics.registry())?;
+    let store = MeasuredStore::new(Arc::new(KvStore::new(base.store)), metrics.registry())?;
     let worker = MeasuredHost::new(Arc::new(Worker::new(config.worker)), metrics.registry())?;
     let site = Site::start(config, Arc::new(store), Arc::new(worker)).await?;
     let reports = Arc::new(Reports::new(site.reports()));
     let reports = HttpServer::start(config.reports, reports).await?;
-    let page = start_optional(config.metrics, Arc::new(metrics)).await;
-    log::info!(node:% = config.name; "agent started");
+    let page = start_optional(base.metrics, Arc::new(metrics)).await;
+    log::info!(node:% = base.name; "agent started");
     stop.await;
     log::info!("agent stops");
     reports.close().await;
--- a/crates/parsleytally-agent/src/site/mod.rs
+++ b/crates/parsleytally-agent/src/site/mod.rs
@@ -85,14 +85,14 @@
         store: Arc<dyn Store>,
         host: Arc<dyn TaskHost>,
     ) -> std::io::Result<Self> {
-        let listener = TcpListener::bind(config.links).await?;
+        let listener = TcpListener::bind(config.base.links).await?;
         let (ring, inputs) = mpsc::channel(RING);
         let (has_owner, owner_seen) = watch::channel(false);
         let clock = Clock::start();
         let times = AgentTimes {
-            lease: config.jobs.lease,
-            agent_hold: config.jobs.agent_hold,
-            owner_hold: config.jobs.owner_hold,
+            lease: config.base.jobs.lease,
+            agent_hold: config.base.jobs.agent_hold,
+            owner_hold: config.base.jobs.owner_hold,
         };
         let duty = Duty {
             clock,
@@ -100,14 +100,13 @@
             host,
             ring: ring.clone(),
             links: HashMap::new(),
-            owner: None,
             has_owner,
             out: Vec::new(),
         };
         let presence = Presence {
             store,
-            node: config.name.clone(),
-            links: config.links,
+            node: config.base.name.clone(),
+            links: config.base.links,
             has_owner: owner_seen,
         };
         let mut tasks = JoinSet::new();
@@ -138,7 +137,7 @@
 }
 
 fn hello(config: &SiteConfig) -> Hello {
-    let (node, zone) = (config.name.clone(), config.zone.clone());
+    let (node, zone) = (config.base.name.clone(), config.base.zone.clone());
     Hello::new(Role::Agent, node, zone, Clock::incarnation())
 }
 
@@ -201,8 +200,6 @@
     host: Arc<dyn TaskHost>,
     ring: mpsc::Sender<DutyInput>,
     links: HashMap<u64, Link>,
-    /// Link of the owner whose orders are taken.
-    owner: Option<OwnerLink>,
     has_owner: watch::Sender<bool>,
     out: Vec<AgentOutput>,
 }
@@ -234,40 +231,26 @@
                 log::info!(owner:% = link.peer().node; "owner linked");
                 self.links.insert(id.0, link);
             }
-            DutyInput::Agent(input) => {
-                if let AgentInput::Owner(id, parsleytally::jobs::OrderMessage::Begin { fence }) =
-                    &input
-                    && *fence > self.tasks.fence()
-                {
-                    self.owner = Some(*id);
-                    self.ping();
-                }
-                let lost = match &input {
-                    AgentInput::OwnerLost(id) => Some(*id),
-                    _ => None,
-                };
-                self.step(input);
-                if let Some(id) = lost {
-                    self.lost(id);
-                }
-            }
-        }
-    }
-
-    fn lost(&mut self, id: OwnerLink) {
-        self.links.remove(&id.0);
-        if self.owner == Some(id) {
-            log::warn!("owner lost");
-            self.owner = None;
+            DutyInput::Agent(input) => self.step(input),
         }
     }
 
     fn step(&mut self, input: AgentInput) {
+        if let AgentInput::OwnerLost(id) = &input {
+            self.links.remove(&id.0);
+        }
+        let before = self.tasks.owner();
         self.tasks.step(self.clock.now(), input, &mut self.out);
-        self.has_owner.send_if_modified(|has| {
-            let now = self.tasks.has_owner();
-            std::mem::replace(has, now) != now
-        });
+        let owner = self.tasks.owner();
+        if owner == before {
+            return;
+        }
+        self.has_owner.send_replace(owner.is_some());
+        if owner.is_some() {
+            self.ping();
+        } else {
+            log::warn!("owner lost");
+        }
     }
 
     fn ping(&mut self) {
@@ -297,7 +280,7 @@
     }
 
     fn report(&mut self, messages: Vec<AgentMessage>) {
-        let Some(link) = self.owner.and_then(|id| self.links.get(&id.0)) else {
+        let Some(link) = self.tasks.owner().and_then(|id| self.links.get(&id.0)) else {
             return;
         };
         if let Err(error) = link.send(Frame::JobReports(messages)) {
--- a/crates/parsleytally-agent/src/site/presence.rs
+++ b/crates/parsleytally-agent/src/site/presence.rs
@@ -51,11 +51,7 @@
         let value = self.links.to_string().into_bytes();
         if look_first {
             let found = self.store.range(&key).await?;
-            if found
-                .items
-                .iter()
-                .any(|item| item.key == key && item.value == value)
-            {
+            if found.item(&key).is_some_and(|item| item.value == value) {
                 return Ok(());
             }
         }
--- a/crates/parsleytally-entry/src/main.rs
+++ b/crates/parsleytally-entry/src/main.rs
@@ -1,10 +1,11 @@
 //! The entry binary.
 
+use std::error::Error;
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::sync::Arc;
 
-use parsleytally::configs::is_site;
+use parsleytally::configs::{ConfigError, is_site};
 use parsleytally_adapter::{Clients, KvStore, Queues, Readiness};
 use parsleytally_entry::Entry;
 use parsleytally_entry::config::EntryConfig;
@@ -56,33 +57,48 @@
         };
         return run_standalone(addresses);
     }
-    if command.config_text().is_some_and(|text| is_site(&text)) {
-        return run_site(&command.load(SiteConfig::parse)?);
+    match command.load(Config::parse)? {
+        Config::Site(config) => run_site(&config),
+        Config::Plain(config) => run(config),
+    }
+}
+
+/// Settings of either mode.
+enum Config {
+    /// For batch jobs on the users' platform.
+    Site(SiteConfig),
+    Plain(EntryConfig),
+}
+
+impl Config {
+    fn parse(text: &[u8]) -> Result<Self, ConfigError> {
+        if is_site(text) {
+            return SiteConfig::parse(text).map(Self::Site);
+        }
+        EntryConfig::parse(text).map(Self::Plain)
     }
-    let config = command.load(EntryConfig::parse)?;
-    run(config)
 }
 
 /// Runs the entry for batch jobs on the users' platform, in one thread.
 #[tokio::main(flavor = "current_thread")]
 async fn run_site(config: &SiteConfig) -> Result<(), ExitCode> {
     logs::start();
+    serve_site(config).await.map_err(|error| failed(&*error))
+}
+
+async fn serve_site(config: &SiteConfig) -> Result<(), Box<dyn Error>> {
     let stop = command::terminated();
     tokio::spawn(command::note_reloads());
-    let metrics = MetricSet::of_process().map_err(|error| failed(&error))?;
-    let store = MeasuredStore::new(Arc::new(KvStore::new(config.store)), metrics.registry());
-    let store = Arc::new(store.map_err(|error| failed(&error))?);
-    let site = Site::start(config, store, Arc::new(Queues), &metrics).await;
-    let site = site.map_err(|error| failed(&error))?;
-    let desk = MeasuredDesk::new(site.desk(), metrics.registry());
-    let desk = desk.map_err(|error| failed(&error))?;
+    let base = &config.base;
+    let metrics = MetricSet::of_process()?;
+    let store = MeasuredStore::new(Arc::new(KvStore::new(base.store)), metrics.registry())?;
+    let site = Site::start(config, Arc::new(store), Arc::new(Queues), &metrics).await?;
+    let desk = MeasuredDesk::new(site.desk(), metrics.registry())?;
     let answers = Arc::new(Clients::new(Arc::new(desk)));
-    let clients = HttpServer::start(config.clients, answers.clone()).await;
-    let clients = clients.map_err(|error| failed(&error))?;
-    let ready = HttpServer::start(config.ready, Arc::new(Readiness::new(site.desk()))).await;
-    let ready = ready.map_err(|error| failed(&error))?;
-    let page = start_optional(config.metrics, Arc::new(metrics)).await;
-    log::info!(node:% = config.name; "entry started");
+    let clients = HttpServer::start(config.clients, answers.clone()).await?;
+    let ready = HttpServer::start(config.ready, Arc::new(Readiness::new(site.desk()))).await?;
+    let page = start_optional(base.metrics, Arc::new(metrics)).await;
+    log::info!(node:% = base.name; "entry started");
     stop.await;
     log::info!("entry drains");
     site.drain();
@@ -166,7 +182,7 @@
     println!("links {}", entry.links());
 }
 
-fn failed(error: &dyn std::error::Error) -> ExitCode {
+fn failed(error: &dyn Error) -> ExitCode {
     eprintln!("{error}");
     ExitCode::FAILURE
 }
--- a/crates/parsleytally-entry/src/operators/settings.rs
+++ b/crates/parsleytally-entry/src/operators/settings.rs
@@ -78,7 +78,7 @@
             Ok(snapshot) => snapshot,
             Err(error) => return unavailable(&error, None),
         };
-        match snapshot.items.into_iter().find(|item| item.key == key) {
+        match snapshot.item(&key) {
             Some(item) => {
                 let body = String::from_utf8_lossy(&item.value).into_owned();
                 with_etag(text(StatusCode::OK, body), item.revision)
--- a/crates/parsleytally-entry/src/scheduler/store.rs
+++ b/crates/parsleytally-entry/src/scheduler/store.rs
@@ -202,10 +202,9 @@
             epoch: write.epoch,
             seq: write.batch.seq,
         };
-        let head = head.items.iter().find(|item| item.key == key);
+        let head = head.item(&key);
         let found = head.and_then(|item| serde_json::from_slice::<Head>(&item.value).ok());
-        let owner_key = owner_key(write.shard);
-        let owner = owner.items.iter().find(|item| item.key == owner_key);
+        let owner = owner.item(&owner_key(write.shard));
         let same = owner.is_some_and(|item| item.revision == write.owner);
         if !same {
             return (Written::Fenced, None);
--- a/crates/parsleytally-entry/src/site/desk.rs
+++ b/crates/parsleytally-entry/src/site/desk.rs
@@ -187,10 +187,7 @@
         loop {
             let read = tokio::time::timeout_at(deadline, self.store.range(key)).await;
             match read {
-                Ok(Ok(found)) => {
-                    let mut items = found.items.into_iter();
-                    return Ok(items.find(|item| item.key == key));
-                }
+                Ok(Ok(found)) => return Ok(found.item(key).cloned()),
                 Ok(Err(error)) if Instant::now() + RETRY_PAUSE >= deadline => return Err(error),
                 Ok(Err(_)) => sleep(RETRY_PAUSE).await,
                 Err(_) => return Err(StoreError::Timeout { call: "range" }),
--- a/crates/parsleytally-entry/src/site/lead.rs
+++ b/crates/parsleytally-entry/src/site/lead.rs
@@ -9,9 +9,7 @@
 use std::time::Duration;
 
 use parsleytally::types::{Epoch, NodeName, Revision};
-use parsleytally_platform::store::{
-    Commit, Compare, Item, LeaseId, Outcome, Snapshot, Store, StoreError, Write,
-};
+use parsleytally_platform::store::{Commit, Compare, LeaseId, Outcome, Store, StoreError, Write};
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
@@ -93,14 +91,14 @@
     pub(crate) async fn look(&mut self) -> Result<(View, Instant), StoreError> {
         let sent = Instant::now();
         let lead = self.store.range(keys::LEAD).await?;
-        let owner = find(&lead, keys::EPOCH).and_then(|item| {
+        let owner = lead.item(keys::EPOCH).and_then(|item| {
             let owner = postcard::from_bytes::<Owner>(&item.value);
             let owner = owner.map_err(|error| {
                 log::error!(key = keys::EPOCH, error:% = error; "owner is unreadable");
             });
             Some((owner.ok()?, item.revision))
         });
-        let alive = find(&lead, keys::ALIVE).is_some();
+        let alive = lead.item(keys::ALIVE).is_some();
         match owner {
             Some((_, since)) if self.retired == Some(since) => {
                 if self.gives_way() {
@@ -238,7 +236,3 @@
         key: key.to_owned(),
     }
 }
-
-fn find<'a>(lead: &'a Snapshot, key: &str) -> Option<&'a Item> {
-    lead.items.iter().find(|item| item.key == key)
-}
--- a/crates/parsleytally-entry/src/site/mod.rs
+++ b/crates/parsleytally-entry/src/site/mod.rs
@@ -95,7 +95,7 @@
         set: &MetricSet,
     ) -> Result<Self, StartError> {
         let metrics = OwnerMetrics::new(set).context(MetricsSnafu)?;
-        let address = config.links;
+        let address = config.base.links;
         let listener = TcpListener::bind(address).await;
         let listener = listener.context(BindSnafu { address })?;
         let hello = hello(config);
@@ -135,14 +135,14 @@
             candidate: Candidate::new(
                 store.clone(),
                 hello.node.clone(),
-                config.links,
+                config.base.links,
                 hello.incarnation.0,
-                config.jobs.owner_ttl,
+                config.base.jobs.owner_ttl,
             ),
             parts: Parts {
                 hello,
                 link: config.link.clone(),
-                jobs: config.jobs.clone(),
+                jobs: config.base.jobs.clone(),
                 store,
                 queues: queues_seen,
                 metrics,
@@ -191,7 +191,7 @@
 }
 
 fn hello(config: &SiteConfig) -> Hello {
-    let (node, zone) = (config.name.clone(), config.zone.clone());
+    let (node, zone) = (config.base.name.clone(), config.base.zone.clone());
     Hello::new(Role::Entry, node, zone, Clock::incarnation())
 }
 
--- a/crates/parsleytally-entry/src/site/owner.rs
+++ b/crates/parsleytally-entry/src/site/owner.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use parsleytally::configs::JobsConfig;
 use parsleytally::jobs::{
@@ -25,7 +25,7 @@
 use super::keys;
 use super::lead::Owner;
 use super::metrics::OwnerMetrics;
-use super::saver::{Record, Saver};
+use super::saver::{Record, Saver, revisions};
 
 /// Inputs that wait for the owner; senders wait beyond them.
 const RING: usize = 4_096;
@@ -447,12 +447,13 @@
 
     fn step(&mut self, input: Input) {
         let now = self.clock.now();
-        self.scheduler.step(now, wall_ms(), input, &mut self.out);
+        self.scheduler
+            .step(now, Clock::wall_ms(), input, &mut self.out);
     }
 
     fn decide(&mut self, records: &mpsc::UnboundedSender<Record>) {
         let now: Time = self.clock.now();
-        self.scheduler.decide(now, wall_ms(), &mut self.out);
+        self.scheduler.decide(now, Clock::wall_ms(), &mut self.out);
         let mut orders: BTreeMap<NodeName, Orders> = BTreeMap::new();
         let mut forgotten = Vec::new();
         for output in self.out.drain(..) {
@@ -514,16 +515,3 @@
         None => std::future::pending().await,
     }
 }
-
-fn revisions(progress: &Snapshot) -> HashMap<JobId, Revision> {
-    let known = progress.items.iter().filter_map(|item| {
-        let id = keys::job_of(keys::PROGRESS, &item.key)?;
-        Some((id, item.revision))
-    });
-    known.collect()
-}
-
-fn wall_ms() -> u64 {
-    let now = SystemTime::now().duration_since(UNIX_EPOCH);
-    u64::try_from(now.unwrap_or_default().as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/parsleytally-entry/src/site/queues.rs
+++ b/crates/parsleytally-entry/src/site/queues.rs
@@ -33,7 +33,7 @@
     async fn follow(&self) -> Result<(), StoreError> {
         let key = self.source.key();
         let read = self.store.range(key).await?;
-        for item in read.items.iter().filter(|item| item.key == key) {
+        if let Some(item) = read.item(key) {
             self.take(&item.value, item.revision);
         }
         let mut watch = self.store.watch(key, read.revision).await?;
--- a/crates/parsleytally-entry/src/site/saver.rs
+++ b/crates/parsleytally-entry/src/site/saver.rs
@@ -7,7 +7,7 @@
 
 use parsleytally::jobs::{JobId, JobProgress};
 use parsleytally::types::Revision;
-use parsleytally_platform::store::{Commit, Compare, Outcome, Store, StoreError, Write};
+use parsleytally_platform::store::{Commit, Compare, Outcome, Snapshot, Store, StoreError, Write};
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
@@ -132,18 +132,22 @@
 
     async fn read_revisions(&mut self) -> Result<bool, StoreError> {
         let lead = self.store.range(keys::LEAD).await?;
-        let epoch = lead.items.iter().find(|item| item.key == keys::EPOCH);
-        if epoch.map(|item| item.revision) != Some(self.since) {
+        if lead.item(keys::EPOCH).map(|item| item.revision) != Some(self.since) {
             log::warn!("another entry owns the jobs: writes stop");
             let _ = self.owner.send(OwnerInput::Replaced).await;
             return Ok(false);
         }
         let records = self.store.range(keys::PROGRESS).await?;
-        self.revisions = records
-            .items
-            .iter()
-            .filter_map(|item| Some((keys::job_of(keys::PROGRESS, &item.key)?, item.revision)))
-            .collect();
+        self.revisions = revisions(&records);
         Ok(true)
     }
 }
+
+/// Revision of each record of a job.
+pub(super) fn revisions(progress: &Snapshot) -> HashMap<JobId, Revision> {
+    let known = progress.items.iter().filter_map(|item| {
+        let id = keys::job_of(keys::PROGRESS, &item.key)?;
+        Some((id, item.revision))
+    });
+    known.collect()
+}
--- a/crates/parsleytally-platform/src/process/clock.rs
+++ b/crates/parsleytally-platform/src/process/clock.rs
@@ -1,6 +1,6 @@
 //! The monotonic clock of a process.
 
-use std::time::Instant;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use parsleytally::types::{Incarnation, Time};
 
@@ -25,8 +25,17 @@
 
     /// A number for this life of the process: wall-clock microseconds at its start.
     pub fn incarnation() -> Incarnation {
-        let wall = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
-        let micros = wall.unwrap_or_default().as_micros();
-        Incarnation(u64::try_from(micros).unwrap_or(u64::MAX))
+        Incarnation(u64::try_from(wall().as_micros()).unwrap_or(u64::MAX))
     }
+
+    /// Time of day, in milliseconds since 1970.
+    pub fn wall_ms() -> u64 {
+        u64::try_from(wall().as_millis()).unwrap_or(u64::MAX)
+    }
+}
+
+/// Time since 1970; zero on a clock that is before it.
+fn wall() -> Duration {
+    let wall = SystemTime::now().duration_since(UNIX_EPOCH);
+    wall.unwrap_or_default()
 }
--- a/crates/parsleytally-platform/src/process/command.rs
+++ b/crates/parsleytally-platform/src/process/command.rs
@@ -73,11 +73,6 @@
         self.matches.opt_str(name)
     }
 
-    /// Bytes of the settings file; none where it is not given or not readable.
-    pub fn config_text(&self) -> Option<Vec<u8>> {
-        std::fs::read(self.value("config")?).ok()
-    }
-
     /// Reads the settings file with `parse`; with `--check` the process ends here.
     ///
     /// # Errors
--- a/crates/parsleytally-platform/src/process/logs/mod.rs
+++ b/crates/parsleytally-platform/src/process/logs/mod.rs
@@ -4,8 +4,7 @@
 //! never waits for the reader of the log. What the ring or the rate leaves no room for is
 //! dropped and counted, and the count is a line of its own.
 
-use std::sync::atomic::AtomicU64;
-use std::sync::{Arc, LazyLock};
+use std::sync::LazyLock;
 
 use logforth::filter::rustlog::RustLogFilterBuilder;
 use prometheus::IntCounter;
@@ -42,7 +41,11 @@
 
 /// Starts logging in logfmt; `RUST_LOG` chooses what is written, by default `info`.
 pub fn start() {
-    let ring = Ring::start(LogBounds::default(), Box::new(std::io::stdout()), &DROPPED);
+    let ring = Ring::start(
+        LogBounds::default(),
+        Box::new(std::io::stdout()),
+        DROPPED.clone(),
+    );
     logforth::starter_log::builder()
         .dispatch(|d| {
             let d = d.filter(RustLogFilterBuilder::from_default_env_or("info").build());
@@ -62,6 +65,3 @@
 pub fn dropped() -> &'static IntCounter {
     &DROPPED
 }
-
-/// Lines that were dropped and have not been told of.
-type Untold = Arc<AtomicU64>;
--- a/crates/parsleytally-platform/src/process/logs/ring.rs
+++ b/crates/parsleytally-platform/src/process/logs/ring.rs
@@ -1,9 +1,8 @@
 //! The ring between what logs and the thread that writes.
 
 use std::io::Write;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use logforth::layout::LogfmtLayout;
@@ -11,7 +10,7 @@
 use logforth::{Append, Diagnostic, Error, Layout};
 use prometheus::IntCounter;
 
-use super::{LogBounds, Untold};
+use super::LogBounds;
 
 /// Time over which lines are gathered before they are written.
 const GATHER: Duration = Duration::from_millis(50);
@@ -33,8 +32,8 @@
     bounds: LogBounds,
     messages: SyncSender<Message>,
     rate: Mutex<Rate>,
-    untold: Untold,
-    dropped: &'static IntCounter,
+    /// Lines that were dropped.
+    dropped: IntCounter,
 }
 
 /// Lines of the present second.
@@ -61,13 +60,13 @@
     pub(super) fn start(
         bounds: LogBounds,
         out: Box<dyn Write + Send>,
-        dropped: &'static IntCounter,
+        dropped: IntCounter,
     ) -> Self {
         let (messages, waiting) = sync_channel(bounds.waiting);
-        let untold = Arc::new(AtomicU64::new(0));
         let writer = Writer {
             out,
-            untold: untold.clone(),
+            told: dropped.get(),
+            dropped: dropped.clone(),
         };
         let started = std::thread::Builder::new()
             .name("log".to_owned())
@@ -84,7 +83,6 @@
             bounds,
             messages,
             rate: Mutex::new(rate),
-            untold,
             dropped,
         }
     }
@@ -92,15 +90,10 @@
     /// Hands a line to the writer, or drops it.
     fn pass(&self, line: Vec<u8>) {
         if self.messages.try_send(Message::Line(line)).is_err() {
-            self.drop_line();
+            self.dropped.inc();
         }
     }
 
-    fn drop_line(&self) {
-        self.untold.fetch_add(1, Ordering::Relaxed);
-        self.dropped.inc();
-    }
-
     fn is_within_rate(&self) -> bool {
         let mut rate = self.rate.lock().unwrap_or_else(PoisonError::into_inner);
         rate.allows(Instant::now(), self.bounds.per_second)
@@ -110,7 +103,7 @@
 impl Append for Ring {
     fn append(&self, record: &Record, diags: &[Box<dyn Diagnostic>]) -> Result<(), Error> {
         if record.level() < Level::Warn && !self.is_within_rate() {
-            self.drop_line();
+            self.dropped.inc();
             return Ok(());
         }
         let mut line = self.layout.format(record, diags)?;
@@ -132,7 +125,9 @@
 /// Writes what comes out of the ring.
 struct Writer {
     out: Box<dyn Write + Send>,
-    untold: Untold,
+    dropped: IntCounter,
+    /// How many of the dropped lines have been told of.
+    told: u64,
 }
 
 impl Writer {
@@ -170,8 +165,9 @@
     }
 
     /// A line on those that were dropped since the last.
-    fn dropped_line(&self) -> Option<Vec<u8>> {
-        let dropped = self.untold.swap(0, Ordering::Relaxed);
+    fn dropped_line(&mut self) -> Option<Vec<u8>> {
+        let all = self.dropped.get();
+        let dropped = all - std::mem::replace(&mut self.told, all);
         let line = format!("level=WARN message=\"log lines dropped\" lines={dropped}\n");
         (dropped > 0).then(|| line.into_bytes())
     }
--- a/crates/parsleytally-platform/src/process/logs/tests.rs
+++ b/crates/parsleytally-platform/src/process/logs/tests.rs
@@ -5,6 +5,7 @@
 
 use logforth::Append;
 use logforth::record::{Level, Record};
+use prometheus::IntCounter;
 
 use super::LogBounds;
 use super::ring::Ring;
@@ -38,6 +39,10 @@
     }
 }
 
+fn dropped() -> IntCounter {
+    IntCounter::new("dropped", "Dropped lines.").unwrap()
+}
+
 /// Lines that were written, and lines that were said to be dropped.
 fn counts(text: &str) -> (usize, usize) {
     let dropped = text.split("dropped\" lines=").skip(1);
@@ -66,7 +71,7 @@
         per_second: u64::MAX,
         waiting: 8,
     };
-    let ring = Ring::start(bounds, Box::new(Reader { gate, text }), super::dropped());
+    let ring = Ring::start(bounds, Box::new(Reader { gate, text }), dropped());
     log(&ring, Level::Info, 10_000);
     drop(open);
     let (kept, _) = settle(&ring, &written, 10_000);
@@ -82,7 +87,7 @@
         per_second: 0,
         waiting: 64,
     };
-    let ring = Ring::start(bounds, Box::new(Reader { gate, text }), super::dropped());
+    let ring = Ring::start(bounds, Box::new(Reader { gate, text }), dropped());
     log(&ring, Level::Info, 5);
     log(&ring, Level::Warn, 2);
     assert_eq!(settle(&ring, &written, 7), (2, 5));
--- a/crates/parsleytally-platform/src/store/mod.rs
+++ b/crates/parsleytally-platform/src/store/mod.rs
@@ -79,6 +79,13 @@
     pub items: Vec<Item>,
 }
 
+impl Snapshot {
+    /// The item under exactly `key`.
+    pub fn item(&self, key: &str) -> Option<&Item> {
+        self.items.iter().find(|item| item.key == key)
+    }
+}
+
 /// What tells whether a holder of the items under a prefix has missed a change.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Newest {
--- a/crates/parsleytally-platform/src/store/writer/mod.rs
+++ b/crates/parsleytally-platform/src/store/writer/mod.rs
@@ -61,7 +61,7 @@
     /// Returns the store's error, or [`StoreError::Protocol`] for a malformed log.
     pub async fn guard(&self, key: &str) -> Result<Guard, StoreError> {
         let snapshot = self.store.range(key).await?;
-        let Some(item) = snapshot.items.into_iter().find(|item| item.key == key) else {
+        let Some(item) = snapshot.item(key) else {
             return Ok(Guard::default());
         };
         let log = WriteLog::parse(&item.value).map_err(|e| StoreError::Protocol {
--- a/crates/parsleytally/src/configs/jobs.rs
+++ b/crates/parsleytally/src/configs/jobs.rs
@@ -1,9 +1,11 @@
 //! Ownership of batch jobs and leases on workers: section `[jobs]`.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use super::check::duration;
 use super::{ConfigError, Document, Section};
+use crate::types::{NodeName, ZoneName};
 
 /// Longest time that any of these settings may have.
 const MAX_TIME: Duration = Duration::from_secs(600);
@@ -59,6 +61,44 @@
     }
 }
 
+/// What the settings of entries and agents for batch jobs share.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SiteBase {
+    /// Name of the process's VM: `[site] name`.
+    pub name: NodeName,
+    /// Its availability zone: `[site] zone`.
+    pub zone: ZoneName,
+    /// Address for links of entries: `[site] links`.
+    pub links: SocketAddr,
+    /// Address of the platform's store: `[site] store`.
+    pub store: SocketAddr,
+    /// Address of the metrics page: `[site] metrics`; none is served without it.
+    pub metrics: Option<SocketAddr>,
+    /// Times of ownership and leases: section `[jobs]`.
+    pub jobs: JobsConfig,
+}
+
+impl SiteBase {
+    /// Takes the shared settings from the section `[site]`, and all of `[jobs]`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ConfigError`] for the first problem.
+    pub fn take(document: &mut Document, site: &mut Section) -> Result<Self, ConfigError> {
+        let mut jobs = document.take("jobs");
+        let base = Self {
+            name: site.require("name")?,
+            zone: site.require("zone")?,
+            links: site.require("links")?,
+            store: site.require("store")?,
+            metrics: site.take_with("metrics", None, |text| text.parse().map(Some))?,
+            jobs: JobsConfig::take(&mut jobs)?,
+        };
+        jobs.finish()?;
+        Ok(base)
+    }
+}
+
 /// Whether a process's settings are for batch jobs on the users' platform.
 pub fn is_site(text: &[u8]) -> bool {
     Document::parse(text).is_ok_and(|mut document| {
--- a/crates/parsleytally/src/interference/filter.rs
+++ b/crates/parsleytally/src/interference/filter.rs
@@ -44,10 +44,9 @@
 
     /// Lets each variance grow by `share` of its drift, up to the drift.
     pub(crate) fn loosen(&mut self, share: f64) {
-        let size = self.means.len();
-        for (at, drift) in self.drifts.iter().enumerate() {
-            let variance = &mut self.spread[at * size + at];
-            *variance = (*variance + drift * share).min(drift.max(*variance));
+        for at in 0..self.means.len() {
+            let drift = self.drifts[at];
+            self.widen(at, drift * share, drift);
         }
     }
 
--- a/crates/parsleytally/src/jobs/agent/mod.rs
+++ b/crates/parsleytally/src/jobs/agent/mod.rs
@@ -165,9 +165,9 @@
         self.check_lapse(now, out);
     }
 
-    /// Whether an owner is linked.
-    pub fn has_owner(&self) -> bool {
-        self.owner.is_some()
+    /// Link of the owner whose orders are taken.
+    pub fn owner(&self) -> Option<OwnerLink> {
+        self.owner
     }
 
     /// Highest fence of an owner so far.
--- a/crates/parsleytally/src/jobs/fleet.rs
+++ b/crates/parsleytally/src/jobs/fleet.rs
@@ -53,7 +53,7 @@
 pub(super) const FULL_PACE: u32 = 100;
 
 /// What one run takes from its worker.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub(super) struct Load {
     pub(super) need: Resources,
     /// Whether it only uses processors that others leave idle.
--- a/crates/parsleytally/src/jobs/job.rs
+++ b/crates/parsleytally/src/jobs/job.rs
@@ -80,6 +80,13 @@
     pub(super) worked: WorkTimes,
 }
 
+impl StepRun {
+    /// Whether a task of it wants a run.
+    fn waits(&self) -> bool {
+        self.left > 0 && self.tasks.iter().any(Task::waits)
+    }
+}
+
 /// Times that tasks of a step worked until they were done.
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct WorkTimes {
@@ -179,16 +186,20 @@
         }
     }
 
+    /// Steps whose turn has come and that have tasks without a run, each with its round
+    /// and number.
+    pub(super) fn waiting_steps(&self) -> impl Iterator<Item = (usize, usize, &StepRun)> {
+        self.rounds.iter().enumerate().flat_map(|(number, round)| {
+            let steps = self.spec.steps.iter().zip(&round.steps).enumerate();
+            let waiting = steps.filter(|(_, (spec, run))| run.waits() && round.is_ready(spec));
+            waiting.map(move |(step, (_, run))| (number, step, run))
+        })
+    }
+
     /// Number of tasks without a run whose turn has come.
     pub(super) fn waiting_tasks(&self) -> usize {
-        let steps = |round: &Round| -> usize {
-            let steps = self.spec.steps.iter().zip(&round.steps);
-            let ready = steps.filter(|(spec, _)| round.is_ready(spec));
-            ready
-                .map(|(_, step)| step.tasks.iter().filter(|task| task.waits()).count())
-                .sum()
-        };
-        self.rounds.iter().map(steps).sum()
+        let waiting = |run: &StepRun| run.tasks.iter().filter(|task| task.waits()).count();
+        self.waiting_steps().map(|(_, _, run)| waiting(run)).sum()
     }
 
     /// State that clients may see.
--- a/crates/parsleytally/src/jobs/scheduler/ends.rs
+++ b/crates/parsleytally/src/jobs/scheduler/ends.rs
@@ -8,7 +8,7 @@
     EndedRun, HowEnded, JobState, NotStarted, OrderMessage, Output, RunRef, RunningTask, WorkerLife,
 };
 use super::Scheduler;
-use crate::types::{NodeName, Resources, Time};
+use crate::types::{NodeName, Time};
 
 impl Scheduler {
     /// Compares all that a worker lists with what was given to it.
@@ -73,16 +73,7 @@
         }
         let load = self.jobs.get(&run.task.job);
         let load = load.and_then(|job| job.load(run.task.step));
-        let mut load = load.unwrap_or(Load {
-            need: Resources::NONE,
-            filler: false,
-            target_ms: 0,
-            image: "".into(),
-            pace: None,
-            cores: 0.0,
-            percent: 0,
-            worked: None,
-        });
+        let mut load = load.unwrap_or_default();
         load.pace = None;
         if let Some(worker) = self.workers.get_mut(node) {
             worker.take(run, &load);
--- a/crates/parsleytally/src/jobs/scheduler/protect.rs
+++ b/crates/parsleytally/src/jobs/scheduler/protect.rs
@@ -49,9 +49,6 @@
         for (run, percent) in self.contention.paces(node, worker) {
             self.pace(now, node, run, percent, out);
         }
-        if let Some(worker) = self.workers.get(node) {
-            self.contention.occupied(node, worker);
-        }
     }
 
     fn pace(
--- a/crates/parsleytally/src/jobs/scheduler/start.rs
+++ b/crates/parsleytally/src/jobs/scheduler/start.rs
@@ -6,7 +6,7 @@
 use super::super::job::{Job, LiveRun, StepAt};
 use super::super::order::{Urgency, urgency};
 use super::super::place::{Wanted, choose};
-use super::super::{JobId, JobState, OrderMessage, Output, RunRef, StartOrder};
+use super::super::{JobState, OrderMessage, Output, RunRef, StartOrder};
 use super::{RUNS_PER_EPOCH, Scheduler};
 use crate::types::{NodeName, Resources, Time};
 
@@ -65,7 +65,12 @@
             if !self.may_start(job) {
                 continue;
             }
-            for step in waiting_steps(*id, job) {
+            for (round, step, _) in job.waiting_steps() {
+                let step = StepAt {
+                    job: *id,
+                    round,
+                    step,
+                };
                 ready.push((urgency(job, step, &self.durations, wall_ms), step));
             }
         }
@@ -250,22 +255,3 @@
         out.push(Output::Order(node.clone(), OrderMessage::Start(order)));
     }
 }
-
-/// Steps of a job that may run and have tasks without a run.
-fn waiting_steps(id: JobId, job: &Job) -> Vec<StepAt> {
-    let mut found = Vec::new();
-    for (round, open) in job.rounds.iter().enumerate() {
-        for (step, run) in open.steps.iter().enumerate() {
-            let spec = &job.spec.steps[step];
-            let waits = run.left > 0 && run.tasks.iter().any(super::super::job::Task::waits);
-            if waits && open.is_ready(spec) {
-                found.push(StepAt {
-                    job: id,
-                    round,
-                    step,
-                });
-            }
-        }
-    }
-    found
-}
