perf(jobs): a placement pass scores workers once a step, and a blocked step only those that changed

Every ended run began a pass over the whole backlog, so the cost grew with workers x starts and with workers x waiting steps.

Change: the candidates of a step are scored once and checked when they are the best; the headroom that runs use is kept for each worker and updated when its runs, measurements or shares change; a step that found no worker considers only the workers that have changed since, and all of them at each tick (150 ms). Steps, order and scores are the same.

--- a/crates/parsleytally/src/jobs/contention/mod.rs
+++ b/crates/parsleytally/src/jobs/contention/mod.rs
@@ -12,12 +12,16 @@
 
 use super::fleet::{Load, Worker};
 use super::job::MILLI;
-use super::{JobId, RunRef, RunStatus, TaskId};
+use super::{JobId, RunStatus, TaskId};
 use crate::interference::Occupant;
 use crate::types::{NodeName, Time};
 
+mod headroom;
 pub(super) mod utilization;
 
+pub(super) use headroom::LoadEffects;
+
+use headroom::Headroom;
 use utilization::UtilizationModel;
 
 /// Minimum utilization that a measurement counts as.
@@ -32,22 +36,14 @@
 const BEST_SHARE: f64 = 0.76;
 /// Slowdown of service tasks up to which best-effort tasks may run.
 const TARGET_SLOWDOWN: f64 = 0.8;
-/// Headroom that stays free when a best-effort task is placed, for growth of the load.
-const HEADROOM_MARGIN: f64 = 0.02;
 /// Standard deviation at and above which an effect counts as unknown.
 const MIN_UNKNOWN_DEVIATION: f64 = 0.09;
 /// Duration for which a pair with an unknown effect is tried on one worker only.
 const TRIAL_DURATION: Duration = Duration::from_millis(800);
-/// Minimum headroom, as shares are computed by dividing by it.
-const MIN_HEADROOM: f64 = 0.005;
-/// Standard deviations that are added to an effect when a best-effort task is placed.
-const UNCERTAINTY_MARGIN: f64 = 0.2;
 /// Upper bound of the excess of a task's utilization over the model.
 const MAX_EXCESS: f64 = 0.4;
 /// Minimum processors in use by best-effort tasks to attribute an excess to them.
 const MIN_BEST_EFFORT_CORES: f64 = 0.1;
-/// CPU shares are multiples of this, in percent.
-const CPU_SHARE_STEP: f64 = 20.0;
 /// Progress of a service task that has started up, in percent.
 const STARTED_UP_PERCENT: u32 = 100;
 
@@ -70,7 +66,7 @@
     best_slowdowns: HashMap<Arc<str>, f64>,
     /// Excess of each service task over the model while best-effort tasks run beside it.
     excesses: HashMap<TaskId, Excess>,
-    /// For each worker, the headroom of each job with service tasks there.
+    /// For each worker, the headroom beside each image of service tasks there.
     headrooms: HashMap<NodeName, Vec<Headroom>>,
 }
 
@@ -88,14 +84,6 @@
     }
 }
 
-/// Headroom beside the tasks of one job.
-#[derive(Debug, Clone)]
-struct Headroom {
-    image: Arc<str>,
-    /// Utilization that best-effort tasks may add.
-    available: f64,
-}
-
 /// Measurements of the service tasks of one job on a worker.
 #[derive(Debug)]
 struct JobSlowdowns {
@@ -105,21 +93,6 @@
 }
 
 impl Contention {
-    /// Recomputes the headrooms of a worker from its present runs.
-    pub(super) fn update_headrooms(&mut self, node: &NodeName, worker: &Worker) {
-        let mut jobs: BTreeMap<JobId, (&Load, f64)> = BTreeMap::new();
-        for (run, load) in worker.runs.iter().filter(|(_, load)| load.target_ms > 0) {
-            let excess = self.excesses.get(&run.task);
-            let excess = excess.map_or(0.0, |excess| excess.sustained());
-            let (_, max) = jobs.entry(run.task.job).or_insert((load, 0.0));
-            *max = max.max(excess);
-        }
-        let headrooms = jobs.into_iter();
-        let headrooms = headrooms.map(|(job, (load, excess))| self.headroom(job, load, excess));
-        let headrooms = headrooms.collect();
-        self.headrooms.insert(node.clone(), headrooms);
-    }
-
     /// Updates the model with the measurements of the runs on a worker.
     pub(super) fn update(
         &mut self,
@@ -160,37 +133,6 @@
         };
     }
 
-    /// Share of the headroom of `worker` that its best-effort runs would use together with
-    /// `load`. Returns `None` if the headroom doesn't suffice, or while the effect of `load`
-    /// on a service there is unknown and tried on another worker.
-    pub(super) fn headroom_used_with(
-        &self,
-        now: Time,
-        node: &NodeName,
-        worker: &Worker,
-        load: &Load,
-    ) -> Option<f64> {
-        let Some(headrooms) = self.headrooms.get(node) else {
-            return Some(0.0);
-        };
-        let mut max_used: f64 = 0.0;
-        for headroom in headrooms {
-            if self.is_tried_elsewhere(now, node, &headroom.image, load) {
-                return None;
-            }
-            let best_effort = worker.runs.values().filter(|run| run.best_effort);
-            let added = best_effort
-                .chain([load])
-                .map(|run| self.added_with_margin(headroom, run));
-            let available = (headroom.available - HEADROOM_MARGIN).max(MIN_HEADROOM);
-            max_used = max_used.max(added.sum::<f64>() / available);
-            if max_used > 1.0 {
-                return None;
-            }
-        }
-        Some(max_used)
-    }
-
     /// Starts trials of `load`, a best-effort task that starts on `worker`, beside the services
     /// on which its effect is unknown.
     pub(super) fn start_trials(
@@ -213,100 +155,15 @@
         }
     }
 
-    /// CPU shares of the best-effort runs of `worker`, in percent, with which all its service
-    /// tasks meet their targets. Runs that use the least headroom are served first.
-    pub(super) fn cpu_shares(&self, node: &NodeName, worker: &Worker) -> Vec<(RunRef, u32)> {
-        let Some(headrooms) = self.headrooms.get(node) else {
-            return Vec::new();
-        };
-        let mut remaining: Vec<(&Headroom, f64)> = headrooms
-            .iter()
-            .map(|headroom| (headroom, headroom.available))
-            .collect();
-        let best_effort = worker.runs.iter().filter(|(_, load)| load.best_effort);
-        let mut best_effort: Vec<(f64, &RunRef, &Load)> = best_effort
-            .map(|(run, load)| (self.largest_share(headrooms, load), run, load))
-            .collect();
-        best_effort.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(b.1)));
-        let mut cpu_shares = Vec::with_capacity(best_effort.len());
-        for (_, run, load) in best_effort {
-            let added: Vec<f64> = remaining
-                .iter()
-                .map(|(headroom, _)| self.added_unthrottled(headroom, load))
-                .collect();
-            let pairs = remaining.iter().zip(&added);
-            let share = pairs.map(|((_, left), added)| left / added.max(f64::MIN_POSITIVE));
-            let share = share.fold(1.0, f64::min);
-            for ((_, left), added) in remaining.iter_mut().zip(&added) {
-                *left = (*left - share * added).max(0.0);
-            }
-            let steps = (share * 100.0 / CPU_SHARE_STEP).floor();
-            cpu_shares.push((*run, (steps * CPU_SHARE_STEP) as u32));
-        }
-        cpu_shares
-    }
-
     /// Drops the state of ended jobs.
     pub(super) fn retain_jobs(&mut self, is_open: impl Fn(&JobId) -> bool) {
         self.excesses.retain(|task, _| is_open(&task.job));
         self.model.retain_jobs(is_open);
     }
 
-    fn headroom(&self, job: JobId, load: &Load, excess: f64) -> Headroom {
-        let best = self
-            .best_slowdowns
-            .get(&load.image)
-            .copied()
-            .unwrap_or(PRIOR_BEST_SLOWDOWN);
-        let used = self.model.base(&load.image, job) + excess;
-        let available = utilization(TARGET_SLOWDOWN, best) - used;
-        Headroom {
-            image: load.image.clone(),
-            available: available.max(MIN_HEADROOM),
-        }
-    }
-
-    /// Utilization that an unthrottled best-effort run adds to a job.
-    fn added_unthrottled(&self, headroom: &Headroom, best_effort: &Load) -> f64 {
-        let effect = self.model.effect(&headroom.image, &best_effort.image);
-        effect.mean.max(0.0) * best_effort.cores
-    }
-
-    /// Utilization that a best-effort run adds to a job at its present CPU share, with a
-    /// margin for the uncertainty of the effect.
-    fn added_with_margin(&self, headroom: &Headroom, best_effort: &Load) -> f64 {
-        let effect = self.model.effect(&headroom.image, &best_effort.image);
-        (effect.mean + UNCERTAINTY_MARGIN * effect.uncertainty).max(0.0)
-            * best_effort.cores
-            * best_effort.speed()
-    }
-
-    /// Largest share of a job's headroom that an unthrottled best-effort run uses.
-    fn largest_share(&self, headrooms: &[Headroom], best_effort: &Load) -> f64 {
-        let shares = headrooms
-            .iter()
-            .map(|headroom| self.added_unthrottled(headroom, best_effort) / headroom.available);
-        shares.fold(0.0, f64::max)
-    }
-
     fn is_unknown(&self, image: &str, best_effort: &str) -> bool {
         self.model.effect(image, best_effort).uncertainty >= MIN_UNKNOWN_DEVIATION
     }
-
-    /// Whether the effect of `load` on `image` is unknown and being tried on another worker.
-    fn is_tried_elsewhere(
-        &self,
-        now: Time,
-        node: &NodeName,
-        image: &Arc<str>,
-        load: &Load,
-    ) -> bool {
-        if !self.is_unknown(image, &load.image) {
-            return false;
-        }
-        let trial = self.trials.get(&(image.clone(), load.image.clone()));
-        trial.is_some_and(|trial| trial.node != *node && now.since(trial.started) < TRIAL_DURATION)
-    }
 }
 
 /// Utilization at which a queue has the given slowdown, if it has `best` at zero utilization.
--- a/crates/parsleytally/src/jobs/fleet.rs
+++ b/crates/parsleytally/src/jobs/fleet.rs
@@ -91,6 +91,11 @@
 }
 
 impl Load {
+    /// Whether it may slow down other runs on its worker, or be slowed down by them.
+    pub(super) fn shares_processors(&self) -> bool {
+        self.best_effort || self.target_ms > 0
+    }
+
     /// Fraction of its full speed; an unknown CPU share counts as the full one.
     pub(super) fn speed(&self) -> f64 {
         f64::from(self.cpu_share.unwrap_or(FULL_CPU_SHARE)) / f64::from(FULL_CPU_SHARE)
--- a/crates/parsleytally/src/jobs/job.rs
+++ b/crates/parsleytally/src/jobs/job.rs
@@ -78,13 +78,22 @@
     pub(super) remaining: usize,
     /// Run times of its tasks.
     pub(super) run_times: RunTimes,
+    /// Whether no worker could take its waiting tasks when all were last considered.
+    pub(super) blocked: bool,
 }
 
 impl StepRun {
     /// Whether any task is neither done nor running.
-    fn needs_run(&self) -> bool {
+    pub(super) fn needs_run(&self) -> bool {
         self.remaining > 0 && self.tasks.iter().any(Task::needs_run)
     }
+
+    /// Indexes of the tasks that are neither done nor running.
+    pub(super) fn waiting_tasks(&self) -> impl Iterator<Item = usize> {
+        let tasks = self.tasks.iter().enumerate();
+        let waiting = tasks.filter(|(_, task)| task.needs_run());
+        waiting.map(|(index, _)| index)
+    }
 }
 
 /// Sum and number of the run times of a step's completed tasks.
@@ -122,6 +131,7 @@
                 tasks: vec![Task::default(); count],
                 remaining: count,
                 run_times: RunTimes::default(),
+                blocked: false,
             }
         };
         Self {
@@ -199,8 +209,13 @@
 
     /// Number of tasks in ready steps that need a run.
     pub(super) fn waiting_tasks(&self) -> usize {
-        let waiting = |run: &StepRun| run.tasks.iter().filter(|task| task.needs_run()).count();
-        self.waiting_steps().map(|(_, _, run)| waiting(run)).sum()
+        let waiting = self.waiting_steps();
+        waiting.map(|(_, _, run)| run.waiting_tasks().count()).sum()
+    }
+
+    /// State of the step `at`, of an open round.
+    pub(super) fn step_run(&self, at: StepRef) -> &StepRun {
+        &self.rounds[at.round].steps[at.step]
     }
 
     /// State for clients: `Running` instead of a final state that is not saved yet.
@@ -346,7 +361,7 @@
 }
 
 /// Position of a step: its job, round and number.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct StepRef {
     pub(super) job: JobId,
     pub(super) round: usize,
--- a/crates/parsleytally/src/jobs/place.rs
+++ b/crates/parsleytally/src/jobs/place.rs
@@ -1,8 +1,12 @@
-//! Selection of a worker for one task.
+//! Selection of workers for the tasks of a step.
+//!
+//! The tasks of a step differ only in where they failed before, so the workers are scored
+//! once for all of them. After that, a placement changes the scores of few workers: they
+//! are checked when they are the best.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 
-use super::contention::Contention;
+use super::contention::{Contention, LoadEffects};
 use super::fleet::{Load, Worker};
 use super::job::StepRun;
 use super::{QueuePolicy, StepSpec};
@@ -19,6 +23,8 @@
     pub(super) policy: &'a QueuePolicy,
     pub(super) step: &'a StepSpec,
     pub(super) load: &'a Load,
+    /// Effects of the load on services, for a best-effort load.
+    pub(super) effects: Option<&'a LoadEffects>,
     /// Worker on which the task last failed.
     pub(super) failed_on: Option<&'a NodeName>,
     /// Rack on which the other tasks of the step run, if all must share one.
@@ -42,23 +48,96 @@
 
 /// Chooses the worker for one more task of a step; `run` holds the placed tasks of the step.
 pub(super) fn choose_worker<'a>(
-    workers: &'a BTreeMap<NodeName, Worker>,
+    workers: impl Iterator<Item = (&'a NodeName, &'a Worker)>,
     request: &PlacementRequest<'_>,
     run: &StepRun,
     now: Time,
 ) -> Option<&'a NodeName> {
-    let eligible = |(name, worker): &(&NodeName, &Worker)| {
-        worker.accepts_tasks(now)
-            && worker.fits(request.load)
-            && may_run(worker, request)
-            && below_limit(name, request.step, run)
-    };
-    let workers = workers.iter().filter(eligible);
-    let scores =
-        workers.filter_map(|(name, worker)| Some((score(now, name, worker, request)?, name)));
+    let scores = workers.filter_map(|(name, worker)| {
+        Some((eligible_score(now, name, worker, request, run)?, name))
+    });
     scores.max_by_key(|(score, _)| *score).map(|(_, name)| name)
 }
 
+/// Workers that may take tasks of a step, ordered by their scores.
+#[derive(Debug)]
+pub(super) struct Candidates {
+    scores: BinaryHeap<(Score, NodeName)>,
+}
+
+impl Candidates {
+    /// Scores `workers` for the tasks of a step.
+    pub(super) fn new<'a>(
+        workers: impl Iterator<Item = (&'a NodeName, &'a Worker)>,
+        request: &PlacementRequest<'_>,
+        run: &StepRun,
+        now: Time,
+    ) -> Self {
+        let scores = workers.filter_map(|(name, worker)| {
+            Some((
+                eligible_score(now, name, worker, request, run)?,
+                name.clone(),
+            ))
+        });
+        Self {
+            scores: scores.collect(),
+        }
+    }
+
+    /// Chooses the best worker at present, which is no candidate any more until it is
+    /// offered again.
+    pub(super) fn choose(
+        &mut self,
+        workers: &BTreeMap<NodeName, Worker>,
+        request: &PlacementRequest<'_>,
+        run: &StepRun,
+        now: Time,
+    ) -> Option<NodeName> {
+        while let Some((score, name)) = self.scores.pop() {
+            let worker = workers.get(&name)?;
+            let current = eligible_score(now, &name, worker, request, run);
+            match current {
+                Some(current) if current == score => return Some(name),
+                Some(current) => self.scores.push((current, name)),
+                None => {}
+            }
+        }
+        None
+    }
+
+    /// Makes the worker `name` a candidate again if it can take another task.
+    pub(super) fn offer(
+        &mut self,
+        name: &NodeName,
+        worker: &Worker,
+        request: &PlacementRequest<'_>,
+        run: &StepRun,
+        now: Time,
+    ) {
+        if let Some(score) = eligible_score(now, name, worker, request, run) {
+            self.scores.push((score, name.clone()));
+        }
+    }
+}
+
+/// Score of a worker for one more task of a step; none if it can't take one.
+fn eligible_score(
+    now: Time,
+    name: &NodeName,
+    worker: &Worker,
+    request: &PlacementRequest<'_>,
+    run: &StepRun,
+) -> Option<Score> {
+    let eligible = worker.accepts_tasks(now)
+        && worker.fits(request.load)
+        && may_run(worker, request)
+        && below_limit(name, request.step, run);
+    if !eligible {
+        return None;
+    }
+    score(now, name, worker, request)
+}
+
 /// Score of how little headroom for best-effort tasks a service task takes on the worker:
 /// best if a service task of its image runs there already, else higher with more images of
 /// service tasks.
@@ -99,10 +178,8 @@
         .preferred_rack
         .as_deref()
         .or(request.shared_rack);
-    let headroom = if request.load.best_effort {
-        let used = request
-            .contention
-            .headroom_used_with(now, name, worker, request.load)?;
+    let headroom = if let Some(effects) = request.effects {
+        let used = request.contention.headroom_used_with(now, name, effects)?;
         -(used * HEADROOM_STEPS).round() as i64
     } else if request.load.target_ms > 0 {
         service_score(worker, request.load)
--- a/crates/parsleytally/src/jobs/scheduler/ended.rs
+++ b/crates/parsleytally/src/jobs/scheduler/ended.rs
@@ -350,9 +350,11 @@
     /// Releases the resources of a run.
     fn release(&mut self, node: &NodeName, run: RunRef) -> Option<Load> {
         let worker = self.workers.get_mut(node)?;
-        let load = worker.release(run);
-        self.contention.update_headrooms(node, worker);
-        load
+        let load = worker.release(run)?;
+        if load.shares_processors() {
+            self.contention.update_headrooms(node, worker);
+        }
+        Some(load)
     }
 
     /// Removes a run from its task, so that the task can start again.
--- a/crates/parsleytally/src/jobs/scheduler/mod.rs
+++ b/crates/parsleytally/src/jobs/scheduler/mod.rs
@@ -17,6 +17,7 @@
 
 mod ended;
 mod evacuate;
+pub(super) mod pass;
 mod start;
 mod throttle;
 
@@ -62,6 +63,10 @@
     confirmed: Time,
     /// Whether a change since the last pass may allow a task to start.
     pass_due: bool,
+    /// Whether the next pass must consider all workers for each step.
+    full_pass_due: bool,
+    /// Workers whose runs, state or measurements have changed since the last pass.
+    changed_workers: BTreeSet<NodeName>,
     /// Earliest time of the next placement pass, so that a burst of inputs needs only one.
     next_pass: Time,
 }
@@ -82,6 +87,8 @@
             durations: Durations::default(),
             confirmed: Time::ZERO,
             pass_due: false,
+            full_pass_due: true,
+            changed_workers: BTreeSet::new(),
             next_pass: Time::ZERO,
         }
     }
@@ -173,6 +180,7 @@
         }
         self.queues = queues;
         self.pass_due = true;
+        self.full_pass_due = true;
     }
 
     fn update_job(
@@ -278,10 +286,11 @@
             }
             AgentMessage::Missing(run) => self.run_missing(node, run),
             AgentMessage::Measurements(gauges) => self.update_gauges(now, node, &gauges, out),
-            AgentMessage::Ping { .. } => {}
+            AgentMessage::Ping { .. } => return,
             AgentMessage::Unresponsive(silent) => self.set_unresponsive(node, silent),
             AgentMessage::LeasesExpired => self.drop_runs(node),
         }
+        self.changed_workers.insert(node.clone());
     }
 
     fn set_unresponsive(&mut self, node: &NodeName, unresponsive: bool) {
@@ -355,6 +364,7 @@
         for run in runs {
             self.detach_run(node, run);
         }
+        self.changed_workers.insert(node.clone());
         self.pass_due = true;
     }
 
@@ -390,8 +400,9 @@
         }
         self.open_rounds(wall_ms);
         self.remove_ended(now);
-        // Quarantines end and objectives become unreachable as time passes.
+        // Quarantines and trials end, and objectives become unreachable as time passes.
         self.pass_due = true;
+        self.full_pass_due = true;
     }
 
     fn open_rounds(&mut self, wall_ms: u64) {
--- a/crates/parsleytally/src/jobs/scheduler/start.rs
+++ b/crates/parsleytally/src/jobs/scheduler/start.rs
@@ -1,14 +1,14 @@
 //! Places ready steps on workers, the most urgent first.
 
-use std::sync::Arc;
-
+use super::super::contention::LoadEffects;
 use super::super::fleet::{Load, WorkTime};
-use super::super::job::{Job, LiveRun, StepRef};
-use super::super::place::{PlacementRequest, choose_worker};
+use super::super::job::{Job, LiveRun, StepRef, StepRun};
+use super::super::place::{Candidates, PlacementRequest, choose_worker};
 use super::super::urgency::{Urgency, urgency};
 use super::super::{JobState, OrderMessage, Output, RunRef, StartOrder};
+use super::pass::Pass;
 use super::{RUNS_PER_EPOCH, Scheduler};
-use crate::types::{NodeName, Resources, Time};
+use crate::types::{NodeName, Time};
 
 /// A run to start.
 struct RunStart<'a> {
@@ -20,31 +20,12 @@
     load: &'a Load,
 }
 
-/// Loads that no worker could take in this pass. Loads that need at least as much are
-/// skipped.
-#[derive(Debug, Default)]
-struct Unplaceable {
-    /// Needs, each with the image for best-effort loads, as their interference differs.
-    loads: Vec<(Resources, Option<Arc<str>>)>,
-}
-
-impl Unplaceable {
-    fn covers(&self, load: &Load) -> bool {
-        let image = best_effort_image(load);
-        let covered = |(need, other): &(Resources, Option<Arc<str>>)| {
-            *other == image && need.fits(&load.need)
-        };
-
-        self.loads.iter().any(covered)
-    }
-
-    fn add(&mut self, load: &Load) {
-        self.loads.push((load.need, best_effort_image(load)));
-    }
-}
-
-fn best_effort_image(load: &Load) -> Option<Arc<str>> {
-    load.best_effort.then(|| load.image.clone())
+/// A ready step with the load of each of its tasks.
+struct ReadyStep {
+    at: StepRef,
+    load: Load,
+    /// Effects of a best-effort load on services.
+    effects: Option<LoadEffects>,
 }
 
 impl Scheduler {
@@ -52,10 +33,12 @@
     pub(super) fn place_waiting(&mut self, now: Time, wall_ms: u64, out: &mut Vec<Output>) {
         self.open_rounds(wall_ms);
         let mut ready = self.ready_steps(wall_ms);
-        ready.sort_by_key(|(urgency, step)| (*urgency, step.job, step.round, step.step));
-        let mut unplaceable = Unplaceable::default();
+        ready.sort_by_key(|(urgency, step)| (*urgency, *step));
+        let changed = std::mem::take(&mut self.changed_workers);
+        let consider_all = std::mem::take(&mut self.full_pass_due);
+        let mut pass = Pass::new(now, (!consider_all).then_some(changed));
         for (_, step) in ready {
-            self.place_step(now, step, &mut unplaceable, out);
+            self.place_step(step, &mut pass, out);
         }
     }
 
@@ -83,67 +66,93 @@
         self.unreported.is_empty() || job.accepted > self.options.start_revision
     }
 
-    fn place_step(
-        &mut self,
-        now: Time,
-        step: StepRef,
-        unplaceable: &mut Unplaceable,
-        out: &mut Vec<Output>,
-    ) {
-        let Some(load) = self.jobs[&step.job].load(step.step as u16) else {
+    fn place_step(&mut self, at: StepRef, pass: &mut Pass, out: &mut Vec<Output>) {
+        let job = &self.jobs[&at.job];
+        let Some(load) = job.load(at.step as u16) else {
             return;
         };
-        if unplaceable.covers(&load) {
+        let blocked = job.step_run(at).blocked;
+        if pass.covers(&load, blocked) {
+            self.set_blocked(at, true);
             return;
         }
-        let spec = self.jobs[&step.job].spec.clone();
-        if spec.steps[step.step].gang {
-            self.place_gang(now, step, &load, out);
+        let spec = job.spec.clone();
+        let spec = &spec.steps[at.step];
+        let effects = load.best_effort.then(|| self.contention.effects(&load));
+        let step = ReadyStep { at, load, effects };
+        if spec.gang {
+            self.place_gang(pass.now, &step, out);
             return;
         }
-        let tasks = self.jobs[&step.job].rounds[step.round].steps[step.step]
-            .tasks
-            .len();
-        for index in 0..tasks {
-            let task = &self.jobs[&step.job].rounds[step.round].steps[step.step].tasks[index];
-            if !task.needs_run() {
-                continue;
-            }
-            let Some(node) = self.choose_worker_for(now, step, index, &load, None) else {
-                let spec = &spec.steps[step.step];
-                if spec.required_label.is_none() && spec.max_per_worker == 0 {
-                    unplaceable.add(&load);
-                }
-                return;
+        let placed_all = self.place_tasks(&step, pass, blocked, out);
+        self.set_blocked(at, !placed_all);
+        if !placed_all && spec.required_label.is_none() && spec.max_per_worker == 0 {
+            pass.add_unplaceable(&step.load, blocked);
+        }
+    }
+
+    fn set_blocked(&mut self, at: StepRef, blocked: bool) {
+        if let Some(job) = self.jobs.get_mut(&at.job) {
+            job.rounds[at.round].steps[at.step].blocked = blocked;
+        }
+    }
+
+    /// Starts the waiting tasks of a step; returns whether there was a worker for each.
+    fn place_tasks(
+        &mut self,
+        step: &ReadyStep,
+        pass: &mut Pass,
+        blocked: bool,
+        out: &mut Vec<Output>,
+    ) -> bool {
+        let now = pass.now;
+        let workers = pass.workers(&self.workers, blocked);
+        let run = self.step_run(step.at);
+        let mut candidates = Candidates::new(workers, &self.request(step, None), run, now);
+        let waiting: Vec<usize> = run.waiting_tasks().collect();
+        for index in waiting {
+            let run = self.step_run(step.at);
+            let failed_on = run.tasks[index].failed_on.as_ref();
+            let request = self.request(step, failed_on);
+            let node = if failed_on.is_none() {
+                candidates.choose(&self.workers, &request, run, now)
+            } else {
+                let workers = pass.workers(&self.workers, blocked);
+                choose_worker(workers, &request, run, now).cloned()
+            };
+            let Some(node) = node else {
+                return false;
             };
             let start = RunStart {
-                step,
+                step: step.at,
                 index,
-                run: self.next_run_number(step, index),
+                run: self.next_run_number(step.at, index),
                 node: &node,
-                load: &load,
+                load: &step.load,
             };
             self.start_run(now, &start, out);
+            let (request, run) = (self.request(step, None), self.step_run(step.at));
+            candidates.offer(&node, &self.workers[&node], &request, run, now);
         }
+        true
     }
 
     /// Starts all members of a gang with the same run number, or none of them.
-    fn place_gang(&mut self, now: Time, step: StepRef, load: &Load, out: &mut Vec<Output>) {
-        let tasks = &self.jobs[&step.job].rounds[step.round].steps[step.step].tasks;
+    fn place_gang(&mut self, now: Time, step: &ReadyStep, out: &mut Vec<Output>) {
+        let tasks = &self.step_run(step.at).tasks;
         let members = tasks.len();
         if !tasks.iter().all(super::super::job::Task::needs_run) {
             return;
         }
         let run = (0..members)
-            .map(|index| self.next_run_number(step, index))
+            .map(|index| self.next_run_number(step.at, index))
             .max();
         let run = run.unwrap_or(1);
         let mut started = Vec::new();
         let mut rack = None;
         for index in 0..members {
-            let chosen = self.choose_worker_for(now, step, index, load, rack.as_deref());
-            let Some(node) = chosen else {
-                self.roll_back_gang(step, run, &started);
+            let Some(node) = self.choose_for_member(now, step, index, rack.as_deref()) else {
+                self.roll_back_gang(step.at, run, &started);
                 return;
             };
             if rack.is_none() {
@@ -153,11 +162,11 @@
                     .and_then(|worker| worker.rack().cloned());
             }
             let start = RunStart {
-                step,
+                step: step.at,
                 index,
                 run,
                 node: &node,
-                load,
+                load: &step.load,
             };
             let mut orders = Vec::new();
             self.start_run(now, &start, &mut orders);
@@ -185,26 +194,40 @@
         }
     }
 
-    fn choose_worker_for(
+    /// Chooses the worker for a gang member, in `shared_rack` if the gang must share one.
+    fn choose_for_member(
         &self,
         now: Time,
-        step: StepRef,
+        step: &ReadyStep,
         index: usize,
-        load: &Load,
         shared_rack: Option<&str>,
     ) -> Option<NodeName> {
-        let job = &self.jobs[&step.job];
-        let run = &job.rounds[step.round].steps[step.step];
-        let spec = &job.spec.steps[step.step];
-        let request = PlacementRequest {
+        let run = self.step_run(step.at);
+        let mut request = self.request(step, run.tasks[index].failed_on.as_ref());
+        request.shared_rack = shared_rack.filter(|_| request.step.same_rack);
+        choose_worker(self.workers.iter(), &request, run, now).cloned()
+    }
+
+    /// Request for a worker for a task of `step` that last failed on `failed_on`.
+    fn request<'a>(
+        &'a self,
+        step: &'a ReadyStep,
+        failed_on: Option<&'a NodeName>,
+    ) -> PlacementRequest<'a> {
+        let job = &self.jobs[&step.at.job];
+        PlacementRequest {
             contention: &self.contention,
             policy: &job.policy,
-            step: spec,
-            load,
-            failed_on: run.tasks[index].failed_on.as_ref(),
-            shared_rack: shared_rack.filter(|_| spec.same_rack),
-        };
-        choose_worker(&self.workers, &request, run, now).cloned()
+            step: &job.spec.steps[step.at.step],
+            load: &step.load,
+            effects: step.effects.as_ref(),
+            failed_on,
+            shared_rack: None,
+        }
+    }
+
+    fn step_run(&self, at: StepRef) -> &StepRun {
+        self.jobs[&at.job].step_run(at)
     }
 
     fn next_run_number(&self, step: StepRef, index: usize) -> u32 {
@@ -246,7 +269,9 @@
             load.work_time = Some(WorkTime::starting_at(now));
         }
         worker.reserve(run, &load);
-        self.contention.update_headrooms(node, worker);
+        if load.shares_processors() {
+            self.contention.update_headrooms(node, worker);
+        }
         let Some(job) = self.jobs.get_mut(&step.job) else {
             return;
         };
--- a/crates/parsleytally/src/jobs/scheduler/throttle.rs
+++ b/crates/parsleytally/src/jobs/scheduler/throttle.rs
@@ -51,9 +51,20 @@
             return;
         }
         self.contention.update(now, node, worker, gauges);
+        self.apply_cpu_shares(now, node, out);
+    }
+
+    /// Sets the CPU shares of the best-effort runs of a worker.
+    pub(super) fn apply_cpu_shares(&mut self, now: Time, node: &NodeName, out: &mut Vec<Output>) {
+        let Some(worker) = self.workers.get(node) else {
+            return;
+        };
         for (run, percent) in self.contention.cpu_shares(node, worker) {
             self.set_cpu_share(now, node, run, percent, out);
         }
+        if let Some(worker) = self.workers.get(node) {
+            self.contention.update_headrooms(node, worker);
+        }
     }
 
     fn set_cpu_share(
@@ -95,15 +106,17 @@
         let (Some(round), Some(load)) = (round, job.load(run.task.step)) else {
             return false;
         };
+        let effects = self.contention.effects(&load);
         let request = PlacementRequest {
             contention: &self.contention,
             policy: &job.policy,
             step: &job.spec.steps[step],
             load: &load,
+            effects: Some(&effects),
             failed_on: None,
             shared_rack: None,
         };
-        choose_worker(&self.workers, &request, &round.steps[step], now)
+        choose_worker(self.workers.iter(), &request, &round.steps[step], now)
             .is_some_and(|best| best != node)
     }
 }
--- a/crates/parsleytally/src/jobs/tests/contention.rs
+++ b/crates/parsleytally/src/jobs/tests/contention.rs
@@ -147,10 +147,10 @@
     }
 
     fn may_start(&self, at: usize, image: &str) -> bool {
-        let worker = &self.workers[&node(at)];
+        let effects = self.contention.effects(&load(image, 0));
         let used = self
             .contention
-            .headroom_used_with(self.now, &node(at), worker, &load(image, 0));
+            .headroom_used_with(self.now, &node(at), &effects);
         used.is_some()
     }
 }
--- a/crates/parsleytally/src/jobs/tests/durations.rs
+++ b/crates/parsleytally/src/jobs/tests/durations.rs
@@ -80,6 +80,7 @@
             tasks: Vec::new(),
             remaining: 1,
             run_times: worked,
+            blocked: false,
         };
         let step = StepSpec {
             estimate_ms: case.estimate_ms,
--- a/crates/parsleytally/src/jobs/tests/mod.rs
+++ b/crates/parsleytally/src/jobs/tests/mod.rs
@@ -4,6 +4,7 @@
 mod contention;
 mod durations;
 mod model;
+mod placement;
 mod records;
 mod scheduler;
 mod throttle;
