feat(entry): entries with more processors own the jobs

Change: the owner's record tells its processors ([site] processors, from the platform's settings). An entry with twice as many replaces a living owner after 1.2 s; one with half or fewer than the last owner leaves a vacant ownership to the others for 0.5 s. Among equal entries nothing changes. Records of the version before are read, as having none.

Ruled out: a delay for all small entries, which would leave sites with only small ones without an owner for longer.

--- a/crates/parsleytally-entry/src/site/config.rs
+++ b/crates/parsleytally-entry/src/site/config.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use parsleytally::configs::{ConfigError, Document, SiteBase};
+use parsleytally::types::MilliCpu;
 use parsleytally_link::LinkConfig;
 
 /// Default time from reporting "not ready" to closing the listener for clients.
@@ -11,6 +12,11 @@
 /// Default longest wait for requests in flight at shutdown.
 const DEFAULT_DRAIN: Duration = Duration::from_millis(2_000);
 
+/// Factor from processors to thousandths of them.
+const MILLI: f64 = 1_000.0;
+/// Most processors that a VM may be said to have.
+const MAX_PROCESSORS: f64 = 1_024.0;
+
 /// Settings of an entry for batch jobs.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct SiteConfig {
@@ -24,6 +30,9 @@
     pub grace: Duration,
     /// Longest wait for requests in flight at shutdown: `[site] drain`.
     pub drain: Duration,
+    /// Processors that this process may use, such as 0.5: `[site] processors`. An entry with
+    /// more of them is preferred as the owner of the jobs.
+    pub cpu: MilliCpu,
     /// Key and timeouts of links: section `[link]`.
     pub link: LinkConfig,
 }
@@ -43,6 +52,7 @@
             ready: site.require("ready")?,
             grace: site.take_with("grace", DEFAULT_GRACE, humantime::parse_duration)?,
             drain: site.take_with("drain", DEFAULT_DRAIN, humantime::parse_duration)?,
+            cpu: site.take_with("processors", MilliCpu(1_000), parse_processors)?,
             link: LinkConfig::take(document.take("link"))?,
         };
         site.finish()?;
@@ -50,3 +60,12 @@
         Ok(config)
     }
 }
+
+/// Parses a number of processors, such as `0.5`.
+pub(super) fn parse_processors(text: &str) -> Result<MilliCpu, String> {
+    let processors: f64 = text.parse().map_err(|_| "not a number".to_owned())?;
+    if processors > 0.0 && processors <= MAX_PROCESSORS {
+        return Ok(MilliCpu((processors * MILLI).ceil() as u64));
+    }
+    Err(format!("not above 0 and at most {MAX_PROCESSORS}"))
+}
--- a/crates/parsleytally-entry/src/site/election.rs
+++ b/crates/parsleytally-entry/src/site/election.rs
@@ -3,20 +3,32 @@
 //!
 //! Writes of an owner are conditional on the revision of its epoch key, so writes of a
 //! replaced owner fail. The leased key only determines when the owner may be replaced.
+//!
+//! The owner's work grows with the fleet, and entries can differ much in their processors.
+//! The record therefore tells the owner's processors: an entry with far more of them
+//! replaces the owner, and one with far fewer leaves a vacant ownership to the others for a
+//! while.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use parsleytally::types::{Epoch, NodeName, Revision};
+use parsleytally::types::{Epoch, MilliCpu, NodeName, Revision};
 use parsleytally_platform::store::{Commit, Compare, LeaseId, Outcome, Store, StoreError, Write};
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
 use super::keys;
 
-/// Time for which a draining entry leaves a free ownership to other candidates.
+/// Time for which a draining entry leaves a vacant ownership to other candidates.
 const YIELD_TIME: Duration = Duration::from_millis(700);
+/// Same for an entry with far fewer processors than the last owner.
+const WEAK_YIELD_TIME: Duration = Duration::from_millis(500);
+/// Factor between the processors of two entries from which on the better one should own
+/// the jobs.
+const MIN_CPU_FACTOR: u64 = 2;
+/// Time for which an entry knows an owner with far fewer processors before it replaces it.
+const REPLACE_DELAY: Duration = Duration::from_millis(1_200);
 
 /// Record of the owner in the store.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -29,6 +41,38 @@
     pub(crate) links: SocketAddr,
     /// Incarnation of the entry's process.
     pub(crate) incarnation: u64,
+    /// Processors of the entry; 0 in a record of an earlier program version.
+    pub(crate) cpu: MilliCpu,
+}
+
+/// Record of the owner as earlier program versions write it.
+#[derive(Deserialize)]
+struct OwnerWithoutCpu {
+    epoch: Epoch,
+    node: NodeName,
+    links: SocketAddr,
+    incarnation: u64,
+}
+
+impl Owner {
+    fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
+        if let Ok(owner) = postcard::from_bytes(bytes) {
+            return Ok(owner);
+        }
+        let old: OwnerWithoutCpu = postcard::from_bytes(bytes)?;
+        Ok(Self {
+            epoch: old.epoch,
+            node: old.node,
+            links: old.links,
+            incarnation: old.incarnation,
+            cpu: MilliCpu(0),
+        })
+    }
+}
+
+/// Whether `better` is so many more processors than `cpu` that its entry should own the jobs.
+fn outclasses(better: MilliCpu, cpu: MilliCpu) -> bool {
+    better.0 >= cpu.0.saturating_mul(MIN_CPU_FACTOR) && better.0 > 0
 }
 
 /// Result of a check of the ownership in the store.
@@ -49,12 +93,16 @@
     node: NodeName,
     links: SocketAddr,
     incarnation: u64,
+    cpu: MilliCpu,
     ttl: Duration,
     lease: Option<LeaseId>,
     /// Revision at which the last ended ownership of this process began.
     ended: Option<Revision>,
     /// When this process first found the jobs without an owner.
     vacant_since: Option<Instant>,
+    /// Owner with far fewer processors than this process, by the revision of its epoch key,
+    /// and when this process first found it.
+    weak_owner: Option<(Revision, Instant)>,
     /// Whether this process drains and leaves a free ownership to other candidates first.
     pub(crate) yielding: bool,
 }
@@ -65,6 +113,7 @@
         node: NodeName,
         links: SocketAddr,
         incarnation: u64,
+        cpu: MilliCpu,
         ttl: Duration,
     ) -> Self {
         Self {
@@ -72,10 +121,12 @@
             node,
             links,
             incarnation,
+            cpu,
             ttl,
             lease: None,
             ended: None,
             vacant_since: None,
+            weak_owner: None,
             yielding: false,
         }
     }
@@ -95,8 +146,7 @@
         let sent = Instant::now();
         let ownership = self.store.range(keys::OWNERSHIP).await?;
         let owner = ownership.item(keys::EPOCH).and_then(|item| {
-            let owner = postcard::from_bytes::<Owner>(&item.value);
-            let owner = owner.map_err(|error| {
+            let owner = Owner::decode(&item.value).map_err(|error| {
                 log::error!(key = keys::EPOCH, error:% = error; "owner record is invalid");
             });
             Some((owner.ok()?, item.revision))
@@ -104,7 +154,7 @@
         let alive = ownership.item(keys::ALIVE).is_some();
         match owner {
             Some((_, since)) if self.ended == Some(since) => {
-                if self.must_yield() {
+                if self.must_yield(None) {
                     return Ok((OwnerView::Unknown, sent));
                 }
                 self.acquire(owner, alive).await.map(|view| (view, sent))
@@ -116,19 +166,45 @@
                 self.renew_lease(alive, since).await?;
                 Ok((OwnerView::Own(owner, since), sent))
             }
-            Some((owner, _)) if alive => {
+            Some((owner, since)) if alive => {
                 self.vacant_since = None;
+                if self.must_replace(&owner, since) {
+                    log::info!(owner:% = owner.node, owner_cpu:% = owner.cpu, cpu:% = self.cpu;
+                        "replacing the owner: this entry has more processors");
+                    let view = self.acquire(Some((owner, since)), true).await?;
+                    return Ok((view, sent));
+                }
                 Ok((OwnerView::Other(owner), sent))
             }
-            _ if self.must_yield() => Ok((OwnerView::Unknown, sent)),
+            last if self.must_yield(last.as_ref().map(|(owner, _)| owner)) => {
+                Ok((OwnerView::Unknown, sent))
+            }
             last => self.acquire(last, false).await.map(|view| (view, sent)),
         }
     }
 
-    /// Whether this process must still leave a free ownership to other candidates.
-    fn must_yield(&mut self) -> bool {
+    /// Whether this process must still leave a vacant ownership, last held by `last`, to
+    /// other candidates.
+    fn must_yield(&mut self, last: Option<&Owner>) -> bool {
         let since = *self.vacant_since.get_or_insert_with(Instant::now);
-        self.yielding && since.elapsed() < YIELD_TIME
+        let is_weak = last.is_some_and(|last| outclasses(last.cpu, self.cpu));
+        let yields = self.yielding && since.elapsed() < YIELD_TIME;
+        yields || (is_weak && since.elapsed() < WEAK_YIELD_TIME)
+    }
+
+    /// Whether this process must replace a living owner that has far fewer processors.
+    fn must_replace(&mut self, owner: &Owner, since: Revision) -> bool {
+        if self.yielding || owner.cpu.0 == 0 || !outclasses(self.cpu, owner.cpu) {
+            self.weak_owner = None;
+            return false;
+        }
+        match self.weak_owner {
+            Some((known, found)) if known == since => found.elapsed() >= REPLACE_DELAY,
+            _ => {
+                self.weak_owner = Some((since, Instant::now()));
+                false
+            }
+        }
     }
 
     /// Renews the lease; writes the liveness key under a new lease if the key or the lease
@@ -175,6 +251,7 @@
             node: self.node.clone(),
             links: self.links,
             incarnation: self.incarnation,
+            cpu: self.cpu,
         };
         // Encoding to memory fails only for types that postcard does not support.
         let value = postcard::to_stdvec(&owner).expect("an owner consists of plain data");
--- a/crates/parsleytally-entry/src/site/mod.rs
+++ b/crates/parsleytally-entry/src/site/mod.rs
@@ -138,6 +138,7 @@
                 hello.node.clone(),
                 config.base.links,
                 hello.incarnation.0,
+                config.cpu,
                 config.base.jobs.owner_ttl,
             ),
             context: OwnerContext {
--- a/crates/parsleytally-entry/src/site/tests.rs
+++ b/crates/parsleytally-entry/src/site/tests.rs
@@ -2,6 +2,7 @@
 //! store with injected faults.
 
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::time::Duration;
@@ -11,29 +12,34 @@
     PollCall, QueueName, QueuePolicy, RunRef, StartCall, StepSpec, StopCall, TaskId, ThrottleCall,
     WorkerIncarnation,
 };
-use parsleytally::types::{Epoch, NodeName};
+use parsleytally::types::{Epoch, MilliCpu, NodeName};
 use parsleytally_platform::jobs::{
     CancelAnswer, JobAnswer, JobFuture, JobService, SubmitAnswer, TaskHost,
 };
 use parsleytally_platform::measured::{MeasuredDesk, MeasuredHost, MeasuredStore};
 use parsleytally_platform::process::metrics::MetricSet;
-use parsleytally_platform::store::{MemoryStore, Store};
+use parsleytally_platform::store::{Commit, MemoryStore, Store, Write};
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-use super::config::SiteConfig;
+use super::config::{SiteConfig, parse_processors};
 use super::election::{Candidate, OwnerView};
 use super::job_service::EntryJobService;
+use super::keys;
 use super::metrics::OwnerMetrics;
 use super::peer::{OwnerClient, OwnerLocation};
 
 const TTL: Duration = Duration::from_secs(2);
 
 fn candidate(store: &Arc<MemoryStore>, name: &str) -> Candidate {
+    candidate_with(store, name, MilliCpu(1_000))
+}
+
+fn candidate_with(store: &Arc<MemoryStore>, name: &str, cpu: MilliCpu) -> Candidate {
     let store: Arc<dyn Store> = store.clone();
     let node = NodeName::new(name).expect("a valid name");
     let links = "127.0.0.1:7000".parse().expect("an address");
-    Candidate::new(store, node, links, 1, TTL)
+    Candidate::new(store, node, links, 1, cpu, TTL)
 }
 
 async fn check(candidate: &mut Candidate) -> OwnerView {
@@ -104,6 +110,137 @@
     assert_eq!(epoch(&check(&mut a).await), Some(Epoch(1)));
 }
 
+/// Guards against an owner that stays on one of the smallest entries of a large fleet, whose
+/// processors its work exceeds, while others are idle.
+#[tokio::test(start_paused = true)]
+async fn an_entry_with_far_more_processors_replaces_the_owner() {
+    struct Case {
+        owner: u64,
+        other: u64,
+        replaced: bool,
+    }
+    let cases = [
+        Case {
+            owner: 69,
+            other: 500,
+            replaced: true,
+        },
+        Case {
+            owner: 250,
+            other: 499,
+            replaced: false,
+        },
+        Case {
+            owner: 100,
+            other: 100,
+            replaced: false,
+        },
+        Case {
+            owner: 500,
+            other: 69,
+            replaced: false,
+        },
+    ];
+    for case in cases {
+        let store = Arc::new(MemoryStore::new());
+        let mut owner = candidate_with(&store, "owner", MilliCpu(case.owner));
+        let mut other = candidate_with(&store, "other", MilliCpu(case.other));
+        assert_eq!(epoch(&check(&mut owner).await), Some(Epoch(0)));
+        let mut replaced = false;
+        for _ in 0..10 {
+            tokio::time::advance(TTL / 4).await;
+            check(&mut owner).await;
+            replaced |= epoch(&check(&mut other).await) == Some(Epoch(1));
+        }
+        assert_eq!(
+            replaced, case.replaced,
+            "owner {} and other {}",
+            case.owner, case.other
+        );
+        let left = matches!(check(&mut owner).await, OwnerView::Other(_));
+        assert_eq!(left, case.replaced, "the owner must notice it");
+    }
+}
+
+/// Guards against a killed owner whose work passes to one of the smallest entries because
+/// these are many, and against a fleet without an owner if only these are left.
+#[tokio::test(start_paused = true)]
+async fn an_entry_with_far_fewer_processors_acquires_a_vacant_ownership_last() {
+    let store = Arc::new(MemoryStore::new());
+    let mut killed = candidate_with(&store, "killed", MilliCpu(500));
+    let mut weak = candidate_with(&store, "weak", MilliCpu(69));
+    let OwnerView::Own(_, since) = check(&mut killed).await else {
+        panic!("the only candidate did not acquire the ownership");
+    };
+    killed.resign(since).await;
+    assert_eq!(check(&mut weak).await, OwnerView::Unknown);
+    tokio::time::advance(TTL / 2).await;
+    assert_eq!(epoch(&check(&mut weak).await), Some(Epoch(1)));
+}
+
+/// Guards against a rolling upgrade in which new entries can't read the owner's record.
+#[tokio::test]
+async fn the_record_of_an_owner_of_an_earlier_version_is_read() {
+    let store = Arc::new(MemoryStore::new());
+    let links: SocketAddr = "127.0.0.1:7000".parse().expect("an address");
+    let old = (
+        Epoch(4),
+        NodeName::new("old").expect("a valid name"),
+        links,
+        1_u64,
+    );
+    let value = postcard::to_stdvec(&old).expect("plain data");
+    let put = |key: &str, value: Vec<u8>| Write::Put {
+        key: key.to_owned(),
+        value,
+        lease: None,
+    };
+    let commit = Commit {
+        compares: vec![],
+        writes: vec![put(keys::EPOCH, value), put(keys::ALIVE, b"old".to_vec())],
+    };
+    store.commit(commit).await.expect("the store answers");
+    let mut new = candidate(&store, "new");
+    let OwnerView::Other(owner) = check(&mut new).await else {
+        panic!("the owner's record was not read");
+    };
+    assert_eq!((owner.epoch, owner.cpu), (Epoch(4), MilliCpu(0)));
+}
+
+#[test]
+fn processors_of_an_entry_are_parsed() {
+    struct Case {
+        text: &'static str,
+        cpu: Option<u64>,
+    }
+    let cases = [
+        Case {
+            text: "0.069",
+            cpu: Some(69),
+        },
+        Case {
+            text: "2",
+            cpu: Some(2_000),
+        },
+        Case {
+            text: "0",
+            cpu: None,
+        },
+        Case {
+            text: "NaN",
+            cpu: None,
+        },
+        Case {
+            text: "many",
+            cpu: None,
+        },
+    ];
+    for case in cases {
+        let cpu = parse_processors(case.text).ok();
+        assert_eq!(cpu, case.cpu.map(MilliCpu), "{}", case.text);
+    }
+}
+
 /// Job service of an entry that reaches the store but knows no owner.
 fn job_service(store: &Arc<MemoryStore>) -> EntryJobService {
     job_service_on(store.clone())
@@ -250,9 +387,11 @@
         .replace("{{listen.ready}}", "127.0.0.1:8167")
         .replace("{{ip}}", "127.0.0.1")
         .replace("{{internal_ports.0}}", "7720")
+        .replace("{{limits.cpu_share}}", "0.069")
         .replace("{{platform.address}}", "127.0.0.1:8169");
     let config = SiteConfig::parse(text.as_bytes()).expect("the template is valid");
     assert_eq!(config.clients.port(), 8_161);
+    assert_eq!(config.cpu, MilliCpu(69));
     assert!(parsleytally::configs::is_site(text.as_bytes()));
     let misspelled = text.replace("ready =", "readi =");
     let error = SiteConfig::parse(misspelled.as_bytes()).expect_err("an unknown key");
