feat(jobs): a successor takes up what its predecessor learned of contention

Cause: after each change of the owner the effects between images were learned anew beside running services: unknown pairs are tried one worker at a time, and harmful ones show only by what they slow down.

Change: the owner records the effects that are not unknown every 2 s, on condition that it is still the owner; a successor uses them as priors, with the drift of 4 s added to their uncertainty. The base utilizations of jobs are not recorded, they follow from the first measurements. One read at a take-over, one write in 2 s.

Ruled out: recording run times of queues too; they are learned within some tasks.

--- a/crates/parsleytally-entry/src/site/keys.rs
+++ b/crates/parsleytally-entry/src/site/keys.rs
@@ -16,6 +16,9 @@
 /// Prefix of the keys of progress records of jobs.
 pub(crate) const PROGRESS: &str = "/parsleytally/progress/";
 
+/// Key of what owners have learned about the contention between images.
+pub(crate) const LEARNED: &str = "/parsleytally/learned/contention";
+
 pub(crate) use parsleytally_platform::jobs::AGENTS;
 
 /// Key of a job's record.
--- a/crates/parsleytally-entry/src/site/owner.rs
+++ b/crates/parsleytally-entry/src/site/owner.rs
@@ -6,8 +6,8 @@
 
 use parsleytally::configs::JobsConfig;
 use parsleytally::jobs::{
-    AgentMessage, Input, JobId, JobProgress, JobRecord, JobReply, JobRequest, OrderMessage, Output,
-    QueueTable, Scheduler, SchedulerOptions,
+    AgentMessage, ContentionRecord, Input, JobId, JobProgress, JobRecord, JobReply, JobRequest,
+    OrderMessage, Output, QueueTable, Scheduler, SchedulerOptions,
 };
 use parsleytally::types::{NodeName, Revision, Time};
 use parsleytally_link::{Hello, LinkConfig};
@@ -185,6 +185,13 @@
     job_revisions: HashMap<JobId, Revision>,
 }
 
+/// What a new owner reads from the store.
+struct StoredState {
+    fleet: Snapshot,
+    progress: Snapshot,
+    learned: Snapshot,
+}
+
 impl OwnerActor {
     async fn run(mut self) {
         let stop = self.stop.clone();
@@ -195,7 +202,11 @@
     }
 
     async fn serve(&mut self) {
-        let (fleet, progress) = self.read_all().await;
+        let StoredState {
+            fleet,
+            progress,
+            learned,
+        } = self.read_all().await;
         log::info!(epoch:% = self.owner.epoch, revision:% = self.since,
             jobs = progress.items.len(); "ownership started");
         self.context.metrics.began(self.owner.epoch.0);
@@ -212,6 +223,7 @@
         let mut queues = self.context.queues.clone();
         self.apply_queues(&mut queues);
         self.load(&fleet, &progress);
+        self.load_learned(&learned);
         let (updates, mut fleet_updates) = mpsc::channel(16);
         let follower = follow_fleet(self.context.store.clone(), fleet.revision, updates);
         self.tasks.spawn(follower);
@@ -238,7 +250,7 @@
         }
     }
 
-    async fn read_all(&self) -> (Snapshot, Snapshot) {
+    async fn read_all(&self) -> StoredState {
         loop {
             match self.try_read().await {
                 Ok(all) => return all,
@@ -250,10 +262,25 @@
         }
     }
 
-    async fn try_read(&self) -> Result<(Snapshot, Snapshot), StoreError> {
-        let fleet = self.context.store.range(keys::FLEET).await?;
-        let progress = self.context.store.range(keys::PROGRESS).await?;
-        Ok((fleet, progress))
+    async fn try_read(&self) -> Result<StoredState, StoreError> {
+        let store = &self.context.store;
+        Ok(StoredState {
+            fleet: store.range(keys::FLEET).await?,
+            progress: store.range(keys::PROGRESS).await?,
+            learned: store.range(keys::LEARNED).await?,
+        })
+    }
+
+    fn load_learned(&mut self, learned: &Snapshot) {
+        let Some(item) = learned.item(keys::LEARNED) else {
+            return;
+        };
+        match ContentionRecord::decode(&item.value) {
+            Ok(record) => self.step(Input::Learned(record)),
+            Err(error) => {
+                log::warn!(error:% = error; "record of learned effects is invalid, learning anew");
+            }
+        }
     }
 
     fn load(&mut self, fleet: &Snapshot, progress: &Snapshot) {
@@ -437,19 +464,32 @@
             stop.cancel();
         }
         log::warn!(agent:% = node; "agent forgotten, deleting its address from the store");
+        let key = keys::agent(node);
+        self.write_once(Write::Delete { key }, "address of a forgotten agent");
+    }
+
+    fn save_learned(&mut self, record: &ContentionRecord) {
+        let put = Write::Put {
+            key: keys::LEARNED.to_owned(),
+            value: record.encode(),
+            lease: None,
+        };
+        self.write_once(put, "learned effects");
+    }
+
+    /// Writes to the store on condition that the owner has not changed; a failure is logged.
+    fn write_once(&mut self, write: Write, what: &'static str) {
         let commit = Commit {
             compares: vec![Compare::Unchanged {
                 key: keys::EPOCH.to_owned(),
                 revision: self.since,
             }],
-            writes: vec![Write::Delete {
-                key: keys::agent(node),
-            }],
+            writes: vec![write],
         };
         let store = self.context.store.clone();
         self.tasks.spawn(async move {
             if let Err(error) = store.commit(commit).await {
-                log::warn!(error:% = error; "deleting the address of a forgotten agent failed");
+                log::warn!(what, error:% = error; "writing to the store failed");
             }
         });
     }
@@ -465,10 +505,12 @@
         self.scheduler.decide(now, Clock::wall_ms(), &mut self.out);
         let mut orders: BTreeMap<NodeName, Orders> = BTreeMap::new();
         let mut forgotten = Vec::new();
+        let mut learned = None;
         for output in self.out.drain(..) {
             match output {
                 Output::Order(node, message) => orders.entry(node).or_default().push(message),
                 Output::Forget(node) => forgotten.push(node),
+                Output::SaveLearned(record) => learned = Some(record),
                 Output::Save {
                     job,
                     version,
@@ -486,6 +528,9 @@
         for node in forgotten {
             self.forget(&node);
         }
+        if let Some(record) = learned {
+            self.save_learned(&record);
+        }
         for (node, messages) in orders {
             for message in &messages {
                 log_order(&node, message);
--- a/crates/parsleytally/src/jobs/contention/mod.rs
+++ b/crates/parsleytally/src/jobs/contention/mod.rs
@@ -17,9 +17,11 @@
 use crate::types::{NodeName, Time};
 
 mod headroom;
+mod record;
 pub(super) mod utilization;
 
 pub(super) use headroom::LoadEffects;
+pub use record::ContentionRecord;
 
 use headroom::Headroom;
 use utilization::UtilizationModel;
--- a/crates/parsleytally/src/jobs/contention/utilization.rs
+++ b/crates/parsleytally/src/jobs/contention/utilization.rs
@@ -8,7 +8,7 @@
 //! base utilization, and a higher one of other tasks of the same job is attributed to
 //! their neighbours.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 
 use crate::interference::kalman::KalmanFilter;
@@ -40,11 +40,17 @@
 /// Number of service images above which those without open jobs are dropped.
 const MAX_SERVICE_IMAGES: usize = 256;
 
+/// Time that has usually passed since a predecessor recorded the effects it learned, in
+/// seconds.
+const RECORD_AGE: f64 = 4.0;
+
 /// Utilization model of all service images.
 #[derive(Debug, Default)]
 pub(in crate::jobs) struct UtilizationModel {
     /// Groups of each service image, one for every [`MAX_JOBS`] of its jobs.
     images: HashMap<Arc<str>, Vec<Group>>,
+    /// Effects on each service image that a predecessor learned.
+    restored: HashMap<Arc<str>, HashMap<Arc<str>, Effect>>,
 }
 
 /// Coefficient of the effect of a best-effort image.
@@ -79,10 +85,12 @@
         utilization: f64,
         best_effort: &[Occupant],
     ) -> f64 {
+        let restored = self.restored.get(image);
+        let prior = |class: &str| prior_effect(restored, class);
         let groups = self.images.entry(image.clone()).or_default();
         let group = group_of(groups, job, at);
         group.advance(at);
-        let row = group.observation_row(job, best_effort);
+        let row = group.observation_row(job, best_effort, prior);
         let excess = utilization - group.filter.predict(&row);
         group.filter.update(&row, utilization);
         excess
@@ -105,10 +113,30 @@
             Some(group.filter.effect(coefficient.index))
         });
         let best = known.min_by(|a, b| a.uncertainty.total_cmp(&b.uncertainty));
-        best.unwrap_or(Effect {
-            mean: PRIOR_EFFECT,
-            uncertainty: PRIOR_EFFECT_DEVIATION,
-        })
+        best.unwrap_or_else(|| prior_effect(self.restored.get(image), best_effort))
+    }
+
+    /// Effects of all best-effort images on `image` that were measured or restored.
+    pub(in crate::jobs) fn known_effects(
+        &self,
+        image: &str,
+    ) -> impl Iterator<Item = (Arc<str>, Effect)> {
+        let measured = self.groups(image).flat_map(|group| group.effects.keys());
+        let restored = self.restored.get(image).into_iter().flat_map(HashMap::keys);
+        let best_effort: BTreeSet<Arc<str>> = measured.chain(restored).cloned().collect();
+        let known = best_effort.into_iter();
+        known.map(|name| (name.clone(), self.effect(image, &name)))
+    }
+
+    /// Sets the effects on `image` that a predecessor learned.
+    pub(in crate::jobs) fn restore(
+        &mut self,
+        image: Arc<str>,
+        effects: impl Iterator<Item = (Arc<str>, Effect)>,
+    ) {
+        let effects = effects.take(MAX_BEST_EFFORT_IMAGES);
+        let effects = effects.map(|(name, effect)| (name, aged(effect)));
+        self.restored.insert(image, effects.collect());
     }
 
     /// Drops the base utilization of ended jobs.
@@ -141,6 +169,24 @@
     }
 }
 
+/// Effect of the best-effort image `class` before its first measurement.
+fn prior_effect(restored: Option<&HashMap<Arc<str>, Effect>>, class: &str) -> Effect {
+    let restored = restored.and_then(|effects| effects.get(class));
+    restored.copied().unwrap_or(Effect {
+        mean: PRIOR_EFFECT,
+        uncertainty: PRIOR_EFFECT_DEVIATION,
+    })
+}
+
+/// An effect after [`RECORD_AGE`], in which it has drifted.
+fn aged(effect: Effect) -> Effect {
+    let variance = effect.uncertainty.powi(2) + EFFECT_DRIFT.powi(2) * RECORD_AGE;
+    Effect {
+        mean: effect.mean,
+        uncertainty: variance.sqrt().min(PRIOR_EFFECT_DEVIATION),
+    }
+}
+
 /// Returns the group of `job`, or the first that can take it; adds one if all are full.
 fn group_of(groups: &mut Vec<Group>, job: JobId, at: Time) -> &mut Group {
     let current = groups
@@ -187,13 +233,19 @@
         }
     }
 
-    /// Row of the observation matrix for one measurement.
-    fn observation_row(&mut self, job: JobId, best_effort: &[Occupant]) -> Vec<f64> {
+    /// Row of the observation matrix for one measurement; `prior` gives the effect of a
+    /// best-effort image that was not measured before.
+    fn observation_row(
+        &mut self,
+        job: JobId,
+        best_effort: &[Occupant],
+        prior: impl Fn(&str) -> Effect,
+    ) -> Vec<f64> {
         let base = self.base_index(job);
         let count = best_effort.len().min(MAX_BEST_EFFORT_IMAGES);
         let effects: Vec<usize> = best_effort[..count]
             .iter()
-            .map(|occupant| self.effect_index(&occupant.class))
+            .map(|occupant| self.effect_index(&occupant.class, &prior))
             .collect();
         let mut row = vec![0.0; self.filter.len()];
         row[base] = 1.0;
@@ -223,13 +275,13 @@
         index
     }
 
-    fn effect_index(&mut self, image: &Arc<str>) -> usize {
+    fn effect_index(&mut self, image: &Arc<str>, prior: impl Fn(&str) -> Effect) -> usize {
         let measured = self.updated;
         if let Some(effect) = self.effects.get_mut(image) {
             effect.measured = measured;
             return effect.index;
         }
-        let index = self.free_effect_index();
+        let index = self.free_effect_index(prior(image));
         self.effects
             .insert(image.clone(), EffectCoefficient { index, measured });
         index
@@ -237,10 +289,10 @@
 
     /// Returns a coefficient for a new best-effort image: an added one, or that of the least
     /// recently measured image once the filter is full.
-    fn free_effect_index(&mut self) -> usize {
+    fn free_effect_index(&mut self, prior: Effect) -> usize {
         if self.effects.len() < MAX_BEST_EFFORT_IMAGES {
             self.filter
-                .add_coefficient(PRIOR_EFFECT, PRIOR_EFFECT_DEVIATION, 0.0);
+                .add_coefficient(prior.mean, prior.uncertainty, 0.0);
             return self.filter.len() - 1;
         }
         let oldest = self
@@ -252,7 +304,7 @@
         let (name, index) = oldest.expect("a full filter has effects");
         self.effects.remove(&name);
         self.filter
-            .reset_coefficient(index, PRIOR_EFFECT, PRIOR_EFFECT_DEVIATION);
+            .reset_coefficient(index, prior.mean, prior.uncertainty);
         index
     }
 }
--- a/crates/parsleytally/src/jobs/messages.rs
+++ b/crates/parsleytally/src/jobs/messages.rs
@@ -5,8 +5,8 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    JobId, JobProgress, JobRecord, JobSpec, JobState, QueueName, QueueTable, TaskId,
-    WorkerIncarnation, WorkerReport,
+    ContentionRecord, JobId, JobProgress, JobRecord, JobSpec, JobState, QueueName, QueueTable,
+    TaskId, WorkerIncarnation, WorkerReport,
 };
 use crate::types::{NodeName, Revision, Time};
 
@@ -243,6 +243,8 @@
         /// Stored progress; none if nothing was saved yet.
         progress: Option<JobProgress>,
     },
+    /// What the previous owner learned about the contention between images.
+    Learned(ContentionRecord),
     /// An agent whose worker may still run tasks of the previous owner.
     Expected(NodeName),
     /// The link to an agent is open.
@@ -272,6 +274,8 @@
     /// Remove an agent from those that a successor has to wait for, until it registers its
     /// address again: it is not linked and all runs of its worker have ended for certain.
     Forget(NodeName),
+    /// Save in the store what was learned about the contention between images.
+    SaveLearned(ContentionRecord),
     /// Save a job's progress in the store.
     Save {
         /// The job.
--- a/crates/parsleytally/src/jobs/mod.rs
+++ b/crates/parsleytally/src/jobs/mod.rs
@@ -29,6 +29,7 @@
     AgentInput, AgentOutput, AgentTimes, CallError, JobAgent, Listing, OwnerLink, PollCall,
     StartCall, StopCall, ThrottleCall,
 };
+pub use contention::ContentionRecord;
 pub use fleet::{WorkerIncarnation, WorkerReport, WorkerState};
 pub use job::JobState;
 pub use messages::{
--- a/crates/parsleytally/src/jobs/scheduler/mod.rs
+++ b/crates/parsleytally/src/jobs/scheduler/mod.rs
@@ -23,6 +23,8 @@
 
 /// Minimum time between two placement passes.
 const MIN_PASS_INTERVAL: Duration = Duration::from_millis(10);
+/// Time between two records of what was learned.
+const LEARNED_INTERVAL: Duration = Duration::from_secs(2);
 /// Run numbers of a task that are reserved for each epoch.
 const RUNS_PER_EPOCH: u32 = 1_000;
 
@@ -59,6 +61,8 @@
     unreported: BTreeMap<NodeName, Time>,
     contention: Contention,
     durations: Durations,
+    /// When what was learned was last recorded.
+    learned_saved: Time,
     /// Time of the last confirmation of the ownership by the store.
     confirmed: Time,
     /// Whether a change since the last pass may allow a task to start.
@@ -85,6 +89,7 @@
             unreported: BTreeMap::new(),
             contention: Contention::default(),
             durations: Durations::default(),
+            learned_saved: Time::ZERO,
             confirmed: Time::ZERO,
             pass_due: false,
             full_pass_due: true,
@@ -103,6 +108,7 @@
                 accepted,
                 progress,
             } => self.update_job(id, record, accepted, progress.as_ref(), out),
+            Input::Learned(record) => self.contention.restore(record),
             Input::Expected(node) => {
                 let until = now.after(self.options.owner_hold);
                 self.unreported.insert(node, until);
@@ -400,11 +406,23 @@
         }
         self.open_rounds(wall_ms);
         self.remove_ended(now);
+        self.save_learned(now, out);
         // Quarantines and trials end, and objectives become unreachable as time passes.
         self.pass_due = true;
         self.full_pass_due = true;
     }
 
+    fn save_learned(&mut self, now: Time, out: &mut Vec<Output>) {
+        if now.since(self.learned_saved) < LEARNED_INTERVAL {
+            return;
+        }
+        self.learned_saved = now;
+        let record = self.contention.record();
+        if !record.is_empty() {
+            out.push(Output::SaveLearned(record));
+        }
+    }
+
     fn open_rounds(&mut self, wall_ms: u64) {
         for id in &self.open {
             if let Some(job) = self.jobs.get_mut(id) {
--- a/crates/parsleytally/src/jobs/tests/contention.rs
+++ b/crates/parsleytally/src/jobs/tests/contention.rs
@@ -300,3 +300,25 @@
         model.largest_filter()
     );
 }
+
+/// A new owner beside running services, after the predecessor was killed under a load of
+/// best-effort tasks: it must not try out again which images are harmful.
+#[test]
+fn a_successor_knows_the_effects_that_its_predecessor_learned() {
+    let mut bench = Bench::new(3);
+    bench.measure(2_000, 0.6);
+    bench.add(0, 0, "harmful");
+    bench.add(1, 1, "harmless");
+    bench.measure(4_000, 0.65);
+    let record = bench.contention.record().encode();
+    let mut successor = Bench::new(3);
+    let record = ContentionRecord::decode(&record).expect("a valid record");
+    successor.contention.restore(record);
+    successor.measure(1_000, 0.65);
+    assert!(!successor.may_start(2, "harmful"));
+    assert!(successor.may_start(2, "harmless"));
+    assert!(
+        successor.may_start(1, "harmless"),
+        "a known image is not tried on one worker at a time"
+    );
+}
--- a/crates/parsleytally/src/jobs/tests/model.rs
+++ b/crates/parsleytally/src/jobs/tests/model.rs
@@ -537,7 +537,7 @@
                         self.send_to_agent(link, message);
                     }
                 }
-                Output::Forget(_) => {}
+                Output::Forget(_) | Output::SaveLearned(_) => {}
                 Output::Save {
                     job,
                     version,
