fix(jobs): an owner ends once an agent tells it of a later owner; pings go with reports

Change: an agent tells a superseded owner the fencing token of the later one and leaves the closing to it. An owner that hears of a later epoch ends at once, also while it can't ask the store. An agent also sends its ping with a report where one is due within 100 ms: two frames a second instead of four beside best-effort tasks.

Test: an_owner_ends_once_an_agent_has_a_later_owner.

--- a/crates/parsleytally-agent/src/site/mod.rs
+++ b/crates/parsleytally-agent/src/site/mod.rs
@@ -10,6 +10,7 @@
 use parsleytally::jobs::{
     AgentInput, AgentMessage, AgentOutput, AgentTimes, JobAgent, OwnerLink, WorkerReport,
 };
+use parsleytally::types::Time;
 use parsleytally_link::{Frame, Hello, Incoming, Link, LinkConfig, Role, accept};
 use parsleytally_platform::jobs::{TaskHost, WorkerReports};
 use parsleytally_platform::process::Clock;
@@ -33,8 +34,11 @@
 const BATCH_SIZE: usize = 128;
 /// Time between two timer events of the state machine.
 const TICK_INTERVAL: Duration = Duration::from_millis(200);
-/// Time between two pings to the owner.
+/// Longest time between two pings to the owner, to within [`TICK_INTERVAL`].
 const PING_INTERVAL: Duration = Duration::from_millis(500);
+/// Least time between two pings. Within the two times, a ping is sent with a report and
+/// costs the owner no frame of its own.
+const MIN_PING_INTERVAL: Duration = Duration::from_millis(400);
 /// Pause after a failed `accept` of a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
@@ -102,6 +106,7 @@
             sender: sender.clone(),
             links: HashMap::new(),
             has_owner,
+            pinged: Time::ZERO,
             out: Vec::new(),
         };
         let registration = Registration {
@@ -206,13 +211,14 @@
     /// Open links by the number of their [`OwnerLink`].
     links: HashMap<u64, Link>,
     has_owner: watch::Sender<bool>,
+    /// When the last ping was sent.
+    pinged: Time,
     out: Vec<AgentOutput>,
 }
 
 impl SiteActor {
     async fn run(mut self, mut inputs: mpsc::Receiver<ActorInput>) {
         let mut tick = interval(TICK_INTERVAL);
-        let mut ping = interval(PING_INTERVAL);
         loop {
             tokio::select! {
                 input = inputs.recv() => {
@@ -223,8 +229,10 @@
                         self.handle(input);
                     }
                 }
-                _ = tick.tick() => self.step(AgentInput::Tick),
-                _ = ping.tick() => self.ping(),
+                _ = tick.tick() => {
+                    self.step(AgentInput::Tick);
+                    self.ping_if_due();
+                }
             }
             self.execute_outputs();
         }
@@ -252,15 +260,40 @@
         }
         self.has_owner.send_replace(owner.is_some());
         if owner.is_some() {
-            self.ping();
+            self.ping(Vec::new());
         } else {
             log::warn!("owner lost");
         }
     }
 
-    fn ping(&mut self) {
-        let sent = self.clock.now().as_micros();
-        self.send_to_owner(vec![AgentMessage::Ping { sent }]);
+    /// Sends a ping unless one was sent with a report within [`PING_INTERVAL`].
+    fn ping_if_due(&mut self) {
+        if self.clock.now().since(self.pinged) >= PING_INTERVAL {
+            self.ping(Vec::new());
+        }
+    }
+
+    /// Sends `messages` with a ping.
+    fn ping(&mut self, mut messages: Vec<AgentMessage>) {
+        let now = self.clock.now();
+        self.pinged = now;
+        messages.push(AgentMessage::Ping {
+            sent: now.as_micros(),
+        });
+        self.send_to_owner(messages);
+    }
+
+    /// Tells the owner on a link that another one has taken over. Without that, an owner
+    /// that can't reach the store would connect again and again.
+    fn supersede(&self, id: OwnerLink) {
+        let Some(link) = self.links.get(&id.0) else {
+            return;
+        };
+        let fencing_token = self.agent.fencing_token();
+        let message = AgentMessage::Superseded { fencing_token };
+        if link.send(Frame::JobReports(vec![message])).is_err() {
+            link.clone().close();
+        }
     }
 
     fn execute_outputs(&mut self) {
@@ -271,15 +304,16 @@
                     log_message(&message);
                     messages.push(message);
                 }
-                AgentOutput::Close(id) => {
-                    if let Some(link) = self.links.remove(&id.0) {
-                        link.close();
-                    }
-                }
+                AgentOutput::Supersede(id) => self.supersede(id),
                 call => self.call_worker(call),
             }
         }
-        if !messages.is_empty() {
+        if messages.is_empty() {
+            return;
+        }
+        if self.clock.now().since(self.pinged) >= MIN_PING_INTERVAL {
+            self.ping(messages);
+        } else {
             self.send_to_owner(messages);
         }
     }
@@ -324,7 +358,7 @@
                         return;
                     }
                 }
-                AgentOutput::Send(_) | AgentOutput::Close(_) => return,
+                AgentOutput::Send(_) | AgentOutput::Supersede(_) => return,
             };
             // Fails only when the actor has stopped, at the end of the process.
             let _ = sender.send(ActorInput::Agent(input)).await;
@@ -361,7 +395,9 @@
         AgentMessage::Unresponsive(true) => log::warn!("worker does not respond"),
         AgentMessage::Unresponsive(false) => log::info!("worker responds again"),
         AgentMessage::LeasesExpired => log::warn!("all earlier runs of the worker have ended"),
-        AgentMessage::Measurements(_) | AgentMessage::Ping { .. } => {}
+        AgentMessage::Measurements(_)
+        | AgentMessage::Ping { .. }
+        | AgentMessage::Superseded { .. } => {}
     }
 }
 
--- a/crates/parsleytally-entry/src/site/agents.rs
+++ b/crates/parsleytally-entry/src/site/agents.rs
@@ -81,6 +81,24 @@
             .await;
     }
 
+    fn pong(&self, sent: u64) -> Frame {
+        let age = self.confirmation.age().as_micros();
+        Frame::JobOrders(vec![OrderMessage::Pong {
+            sent,
+            confirmation_age: u64::try_from(age).unwrap_or(u64::MAX),
+        }])
+    }
+
+    /// Ends the ownership if the agent's token shows that a later one has begun.
+    async fn superseded(&self, fencing_token: u64) {
+        if fencing_token >> EPOCH_SHIFT <= self.epoch.0 + 1 {
+            return;
+        }
+        log::warn!(agent:% = self.node, epoch:% = self.epoch, fencing_token;
+            "a later owner has taken over an agent");
+        let _ = self.owner.send(OwnerInput::Replaced).await;
+    }
+
     /// Handles one frame of the agent; returns false once the link or the owner's channel is
     /// closed.
     async fn handle_frame(&self, link: &Link, frame: Frame) -> bool {
@@ -90,18 +108,17 @@
         };
         let mut reports = Vec::with_capacity(messages.len());
         for message in messages {
-            if let AgentMessage::Ping { sent } = message {
-                let confirmation_age =
-                    u64::try_from(self.confirmation.age().as_micros()).unwrap_or(u64::MAX);
-                let pong = Frame::JobOrders(vec![OrderMessage::Pong {
-                    sent,
-                    confirmation_age,
-                }]);
-                if link.deliver(pong).await.is_err() {
+            match message {
+                AgentMessage::Ping { sent } => {
+                    if link.deliver(self.pong(sent)).await.is_err() {
+                        return false;
+                    }
+                }
+                AgentMessage::Superseded { fencing_token } => {
+                    self.superseded(fencing_token).await;
                     return false;
                 }
-            } else {
-                reports.push(message);
+                message => reports.push(message),
             }
         }
         if reports.is_empty() {
--- a/crates/parsleytally-entry/src/site/mod.rs
+++ b/crates/parsleytally-entry/src/site/mod.rs
@@ -268,6 +268,7 @@
             Err(error) => {
                 log::warn!(error:% = error; "checking the ownership failed");
                 self.store_answers.store(false, Ordering::Relaxed);
+                self.end_if_replaced().await;
                 let fresh = self.last_answer.elapsed() < STORE_TIMEOUT;
                 self.store_reachable.store(fresh, Ordering::Relaxed);
             }
@@ -309,12 +310,8 @@
         if let Some(ownership) = &self.ownership
             && ownership.since == since
         {
-            if ownership.is_finished() {
-                self.step_down().await;
-                self.candidate.mark_ended(since);
-            } else {
-                ownership.confirmation.renew(sent);
-            }
+            ownership.confirmation.renew(sent);
+            self.end_if_replaced().await;
             return;
         }
         self.step_down().await;
@@ -323,6 +320,16 @@
         self.ownership = Some(ownership);
     }
 
+    /// Ends an ownership whose actor has found that another entry owns the jobs.
+    async fn end_if_replaced(&mut self) {
+        if !self.ownership.as_ref().is_some_and(Ownership::is_finished) {
+            return;
+        }
+        if let Some(since) = self.step_down().await {
+            self.candidate.mark_ended(since);
+        }
+    }
+
     /// Ends the running ownership, if any, and returns the revision at which it began.
     async fn step_down(&mut self) -> Option<Revision> {
         let ownership = self.ownership.take()?;
--- a/crates/parsleytally-entry/src/site/tests.rs
+++ b/crates/parsleytally-entry/src/site/tests.rs
@@ -12,21 +12,25 @@
     PollCall, QueueName, QueuePolicy, RunRef, StartCall, StepSpec, StopCall, TaskId, ThrottleCall,
     WorkerIncarnation,
 };
-use parsleytally::types::{Epoch, MilliCpu, NodeName};
+use parsleytally::types::{Epoch, Incarnation, MilliCpu, NodeName, ZoneName};
+use parsleytally_link::{Frame, Hello, Keys, LinkConfig, Role, accept};
 use parsleytally_platform::jobs::{
     CancelAnswer, JobAnswer, JobFuture, JobService, SubmitAnswer, TaskHost,
 };
 use parsleytally_platform::measured::{MeasuredDesk, MeasuredHost, MeasuredStore};
 use parsleytally_platform::process::metrics::MetricSet;
 use parsleytally_platform::store::{Commit, MemoryStore, Store, Write};
-use tokio::sync::watch;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
+use super::agents::AgentLink;
 use super::config::{SiteConfig, parse_processors};
 use super::election::{Candidate, OwnerView};
 use super::job_service::EntryJobService;
 use super::keys;
 use super::metrics::OwnerMetrics;
+use super::owner::{LastConfirmation, OwnerInput};
 use super::peer::{OwnerClient, OwnerLocation};
 
 const TTL: Duration = Duration::from_secs(2);
@@ -241,6 +245,67 @@
     }
 }
 
+fn hello(role: Role, name: &str) -> Hello {
+    let node = NodeName::new(name).expect("a valid name");
+    let zone = ZoneName::new("a").expect("a valid name");
+    Hello::new(role, node, zone, Incarnation(1))
+}
+
+fn link_config() -> LinkConfig {
+    let key = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff";
+    LinkConfig::new(Keys {
+        current: key.parse().expect("a key"),
+        other: None,
+    })
+}
+
+/// Guards against an owner that the store turns away and that connects to all agents again
+/// and again after another entry has taken over: on a large fleet, thousands of handshakes.
+#[tokio::test]
+async fn an_owner_ends_once_an_agent_has_a_later_owner() {
+    struct Case {
+        agent_epoch: u64,
+        ends: bool,
+    }
+    let cases = [
+        Case {
+            agent_epoch: 4,
+            ends: true,
+        },
+        Case {
+            agent_epoch: 3,
+            ends: false,
+        },
+    ];
+    for case in cases {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let (sender, mut inputs) = mpsc::channel(16);
+        let link = AgentLink {
+            node: NodeName::new("agent").expect("a valid name"),
+            address: listener.local_addr().expect("an address"),
+            epoch: Epoch(3),
+            hello: hello(Role::Entry, "owner"),
+            config: link_config(),
+            confirmation: LastConfirmation::at(Instant::now()),
+            owner: sender,
+        };
+        let owner = tokio::spawn(link.run());
+        let (stream, _) = listener.accept().await.expect("a connection");
+        let accepted = accept(stream, &hello(Role::Agent, "agent"), &link_config()).await;
+        let (agent, _incoming) = accepted.expect("a link");
+        let message = AgentMessage::Superseded {
+            fencing_token: (case.agent_epoch + 1) << 32,
+        };
+        let sent = agent.send(Frame::JobReports(vec![message]));
+        sent.expect("the link is open");
+        assert!(matches!(inputs.recv().await, Some(OwnerInput::Linked(..))));
+        let input = inputs.recv().await;
+        let ended = matches!(input, Some(OwnerInput::Replaced));
+        assert_eq!(ended, case.ends, "{input:?} for epoch {}", case.agent_epoch);
+        owner.abort();
+    }
+}
+
 /// Job service of an entry that reaches the store but knows no owner.
 fn job_service(store: &Arc<MemoryStore>) -> EntryJobService {
     job_service_on(store.clone())
--- a/crates/parsleytally/src/jobs/agent/messages.rs
+++ b/crates/parsleytally/src/jobs/agent/messages.rs
@@ -121,8 +121,8 @@
 pub enum AgentOutput {
     /// Send a message to the owner.
     Send(AgentMessage),
-    /// Close the link of an owner that is superseded.
-    Close(OwnerLink),
+    /// Tell the owner on this link that it is superseded; it closes the link.
+    Supersede(OwnerLink),
     /// Poll the worker.
     Poll(PollCall),
     /// Start a run.
--- a/crates/parsleytally/src/jobs/agent/mod.rs
+++ b/crates/parsleytally/src/jobs/agent/mod.rs
@@ -249,11 +249,11 @@
         out: &mut Vec<AgentOutput>,
     ) {
         if fencing_token <= self.fencing_token {
-            out.push(AgentOutput::Close(link));
+            out.push(AgentOutput::Supersede(link));
             return;
         }
         if let Some(old) = self.owner.replace(link) {
-            out.push(AgentOutput::Close(old));
+            out.push(AgentOutput::Supersede(old));
         }
         // The first answered poll with this token shows which runs of the earlier owner's
         // orders have started.
--- a/crates/parsleytally/src/jobs/messages.rs
+++ b/crates/parsleytally/src/jobs/messages.rs
@@ -190,6 +190,11 @@
     /// Earlier runs of the worker have ended for certain: it does not answer and all its
     /// leases have expired, it shut down, or it restarted.
     LeasesExpired,
+    /// Another owner has taken over the agent, with this higher fencing token.
+    Superseded {
+        /// The agent's fencing token.
+        fencing_token: u64,
+    },
 }
 
 /// Request of an entry to the owner of the jobs.
--- a/crates/parsleytally/src/jobs/scheduler/mod.rs
+++ b/crates/parsleytally/src/jobs/scheduler/mod.rs
@@ -292,7 +292,8 @@
             }
             AgentMessage::Missing(run) => self.run_missing(node, run),
             AgentMessage::Measurements(gauges) => self.update_gauges(now, node, &gauges, out),
-            AgentMessage::Ping { .. } => return,
+            // The owner's links handle these two.
+            AgentMessage::Ping { .. } | AgentMessage::Superseded { .. } => return,
             AgentMessage::Unresponsive(silent) => self.set_unresponsive(node, silent),
             AgentMessage::LeasesExpired => self.drop_runs(node),
         }
--- a/crates/parsleytally/src/jobs/tests/agent.rs
+++ b/crates/parsleytally/src/jobs/tests/agent.rs
@@ -373,7 +373,7 @@
 fn owner_with_a_lower_token_is_refused() {
     let mut agent = TestAgent::ready();
     let out = agent.connect_owner(2, TOKEN - 1);
-    assert_eq!(out, [AgentOutput::Close(OwnerLink(2))]);
+    assert_eq!(out, [AgentOutput::Supersede(OwnerLink(2))]);
     assert!(start_token(&agent.start(run(1, 0, 0, 1))).is_some());
 }
 
--- a/crates/parsleytally/src/jobs/tests/model.rs
+++ b/crates/parsleytally/src/jobs/tests/model.rs
@@ -375,7 +375,7 @@
         for output in out {
             match output {
                 AgentOutput::Send(message) => self.send_to_owner(at, message),
-                AgentOutput::Close(number) => {
+                AgentOutput::Supersede(number) => {
                     let links = self.agents[at].links.iter();
                     let closed = links.copied().find(|link| link.number == number.0);
                     if let Some(link) = closed {
