fix(jobs): headroom follows runs that are dropped, adopted or rolled back

Cause: the headroom of a worker was recomputed at starts, ends and measurements only. A worker that restarted empty measures nothing, so it kept the headroom of its earlier incarnation and took no best-effort task until a service started there; a new owner placed best-effort tasks beside adopted services as if there were none, until the first measurement.

Test: a_restarted_worker_takes_best_effort_tasks_again (no start before, one after).

--- a/crates/parsleytally/src/jobs/scheduler/ended.rs
+++ b/crates/parsleytally/src/jobs/scheduler/ended.rs
@@ -44,6 +44,9 @@
             self.adopt(node, task, out);
             self.send_description(node, task.run, out);
         }
+        if let Some(worker) = self.workers.get(node) {
+            self.contention.update_headrooms(node, worker);
+        }
         self.unreported.remove(node);
         self.pass_due = true;
     }
@@ -348,7 +351,7 @@
     }
 
     /// Releases the resources of a run.
-    fn release(&mut self, node: &NodeName, run: RunRef) -> Option<Load> {
+    pub(super) fn release(&mut self, node: &NodeName, run: RunRef) -> Option<Load> {
         let worker = self.workers.get_mut(node)?;
         let load = worker.release(run)?;
         if load.shares_processors() {
--- a/crates/parsleytally/src/jobs/scheduler/mod.rs
+++ b/crates/parsleytally/src/jobs/scheduler/mod.rs
@@ -367,6 +367,7 @@
         };
         let runs: Vec<RunRef> = worker.runs.keys().copied().collect();
         worker.reset();
+        self.contention.update_headrooms(node, worker);
         self.unreported.remove(node);
         for run in runs {
             self.detach_run(node, run);
--- a/crates/parsleytally/src/jobs/scheduler/start.rs
+++ b/crates/parsleytally/src/jobs/scheduler/start.rs
@@ -187,9 +187,7 @@
                 task: step.task(*index),
                 run,
             };
-            if let Some(worker) = self.workers.get_mut(node) {
-                worker.release(run);
-            }
+            self.release(node, run);
             self.detach_run(node, run);
         }
     }
--- a/crates/parsleytally/src/jobs/tests/throttle.rs
+++ b/crates/parsleytally/src/jobs/tests/throttle.rs
@@ -109,6 +109,26 @@
     assert_eq!(cpu_shares(&out), [(best_effort, 100)]);
 }
 
+/// Guards against headroom that is kept for the runs of a worker's earlier incarnation: an
+/// empty worker measures nothing, so no best-effort task would start there any more.
+#[test]
+fn a_restarted_worker_takes_best_effort_tasks_again() {
+    let mut bench = Bench::with_workers(1);
+    let service = starts(&bench.submit(1, job(vec![service_step()]), 11))[0].1;
+    let best_effort = starts(&bench.submit(2, job(vec![best_effort_step()]), 12))[0].1;
+    for _ in 0..6 {
+        let gauges = vec![gauge(service, 100, SLOWED_MS), gauge(best_effort, 5, 0)];
+        bench.agent(0, AgentMessage::Measurements(gauges));
+        bench.wait(500);
+    }
+    let mut cancelled = job(vec![service_step()]);
+    cancelled.cancelled = true;
+    bench.submit(1, cancelled, 11);
+    bench.agent(0, AgentMessage::LeasesExpired);
+    let started = starts(&bench.join(0, report(0, 8)));
+    assert_eq!(started.len(), 1, "the best-effort task starts again");
+}
+
 /// Guards against services of several images that spread over all workers of a fleet with
 /// spare capacity, so that no worker without a service is left for best-effort tasks.
 #[test]
