fix(jobs): the backlog of one pool does not delay another; candidates and service jobs are types

Cause: loads that found no worker in a pass were remembered by need and image only. With several pools, the waiting tasks of a full one kept equal tasks of another from being considered. Found by reading; no deployment so far has two pools.

Test: the_backlog_of_one_pool_does_not_delay_another_pool (fails before, passes after).

--- a/crates/parsleytally-entry/src/site/election.rs
+++ b/crates/parsleytally-entry/src/site/election.rs
@@ -70,9 +70,9 @@
     }
 }
 
-/// Whether `better` is so many more processors than `cpu` that its entry should own the jobs.
-fn outclasses(better: MilliCpu, cpu: MilliCpu) -> bool {
-    better.0 >= cpu.0.saturating_mul(MIN_CPU_FACTOR) && better.0 > 0
+/// Whether an entry with `cpu` should own the jobs rather than one with `other`.
+fn far_exceeds(cpu: MilliCpu, other: MilliCpu) -> bool {
+    cpu.0 > 0 && cpu.0 >= other.0.saturating_mul(MIN_CPU_FACTOR)
 }
 
 /// Result of a check of the ownership in the store.
@@ -187,14 +187,14 @@
     /// other candidates.
     fn must_yield(&mut self, last: Option<&Owner>) -> bool {
         let since = *self.vacant_since.get_or_insert_with(Instant::now);
-        let is_weak = last.is_some_and(|last| outclasses(last.cpu, self.cpu));
+        let is_weak = last.is_some_and(|last| far_exceeds(last.cpu, self.cpu));
         let yields = self.yielding && since.elapsed() < YIELD_TIME;
         yields || (is_weak && since.elapsed() < WEAK_YIELD_TIME)
     }
 
     /// Whether this process must replace a living owner that has far fewer processors.
     fn must_replace(&mut self, owner: &Owner, since: Revision) -> bool {
-        if self.yielding || owner.cpu.0 == 0 || !outclasses(self.cpu, owner.cpu) {
+        if self.yielding || owner.cpu.0 == 0 || !far_exceeds(self.cpu, owner.cpu) {
             self.weak_owner = None;
             return false;
         }
--- a/crates/parsleytally/src/jobs/contention/headroom.rs
+++ b/crates/parsleytally/src/jobs/contention/headroom.rs
@@ -32,6 +32,15 @@
     used: f64,
 }
 
+/// Service tasks of one job on a worker.
+#[derive(Debug)]
+struct ServiceJob<'a> {
+    /// Load of one of the tasks.
+    load: &'a Load,
+    /// Highest excess of their utilization over the model.
+    excess: f64,
+}
+
 /// Processors in use by the best-effort runs on a worker, by image.
 type UsedCores = BTreeMap<Arc<str>, f64>;
 
@@ -64,14 +73,15 @@
     pub(in crate::jobs) fn update_headrooms(&mut self, node: &NodeName, worker: &Worker) {
         let mut headrooms: Vec<Headroom> = Vec::new();
         let used = used_cores(worker);
-        for (job, (load, excess)) in self.service_jobs(worker) {
-            let available = self.available(job, load, excess);
-            match headrooms.iter_mut().find(|known| known.image == load.image) {
+        for (job, service) in self.service_jobs(worker) {
+            let available = self.available(job, &service);
+            let image = &service.load.image;
+            match headrooms.iter_mut().find(|known| known.image == *image) {
                 Some(known) => known.available = known.available.min(available),
                 None => headrooms.push(Headroom {
-                    image: load.image.clone(),
+                    image: image.clone(),
                     available,
-                    used: self.used_headroom(&load.image, &used),
+                    used: self.used_headroom(image, &used),
                 }),
             }
         }
@@ -155,26 +165,25 @@
         cpu_shares
     }
 
-    /// Jobs with service tasks on a worker, each with the load of one of them and the highest
-    /// excess of their utilization over the model.
-    fn service_jobs<'a>(&self, worker: &'a Worker) -> BTreeMap<JobId, (&'a Load, f64)> {
+    /// Jobs with service tasks on a worker.
+    fn service_jobs<'a>(&self, worker: &'a Worker) -> BTreeMap<JobId, ServiceJob<'a>> {
         let mut jobs = BTreeMap::new();
         for (run, load) in worker.runs.iter().filter(|(_, load)| load.target_ms > 0) {
             let excess = self.excesses.get(&run.task);
             let excess = excess.map_or(0.0, |excess| excess.sustained());
-            let (_, max) = jobs.entry(run.task.job).or_insert((load, 0.0));
-            *max = f64::max(*max, excess);
+            let first = ServiceJob { load, excess: 0.0 };
+            let job = jobs.entry(run.task.job).or_insert(first);
+            job.excess = job.excess.max(excess);
         }
         jobs
     }
 
-    fn available(&self, job: JobId, load: &Load, excess: f64) -> f64 {
-        let best = self
-            .best_slowdowns
-            .get(&load.image)
-            .copied()
-            .unwrap_or(PRIOR_BEST_SLOWDOWN);
-        let used = self.model.base(&load.image, job) + excess;
+    /// Utilization that best-effort tasks may add to the tasks of a job on a worker.
+    fn available(&self, job: JobId, service: &ServiceJob<'_>) -> f64 {
+        let image = &service.load.image;
+        let best = self.best_slowdowns.get(image).copied();
+        let best = best.unwrap_or(PRIOR_BEST_SLOWDOWN);
+        let used = self.model.base(image, job) + service.excess;
         let available = utilization(TARGET_SLOWDOWN, best) - used;
         available.max(MIN_HEADROOM)
     }
--- a/crates/parsleytally/src/jobs/place.rs
+++ b/crates/parsleytally/src/jobs/place.rs
@@ -59,10 +59,17 @@
     scores.max_by_key(|(score, _)| *score).map(|(_, name)| name)
 }
 
+/// A worker that may take a task of a step; the greatest is the best.
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Candidate {
+    score: Score,
+    name: NodeName,
+}
+
 /// Workers that may take tasks of a step, ordered by their scores.
 #[derive(Debug)]
 pub(super) struct Candidates {
-    scores: BinaryHeap<(Score, NodeName)>,
+    heap: BinaryHeap<Candidate>,
 }
 
 impl Candidates {
@@ -73,14 +80,13 @@
         run: &StepRun,
         now: Time,
     ) -> Self {
-        let scores = workers.filter_map(|(name, worker)| {
-            Some((
-                eligible_score(now, name, worker, request, run)?,
-                name.clone(),
-            ))
+        let candidates = workers.filter_map(|(name, worker)| {
+            let score = eligible_score(now, name, worker, request, run)?;
+            let name = name.clone();
+            Some(Candidate { score, name })
         });
         Self {
-            scores: scores.collect(),
+            heap: candidates.collect(),
         }
     }
 
@@ -93,12 +99,14 @@
         run: &StepRun,
         now: Time,
     ) -> Option<NodeName> {
-        while let Some((score, name)) = self.scores.pop() {
+        while let Some(Candidate { score, name }) = self.heap.pop() {
             let worker = workers.get(&name)?;
-            let current = eligible_score(now, &name, worker, request, run);
-            match current {
+            match eligible_score(now, &name, worker, request, run) {
                 Some(current) if current == score => return Some(name),
-                Some(current) => self.scores.push((current, name)),
+                Some(current) => self.heap.push(Candidate {
+                    score: current,
+                    name,
+                }),
                 None => {}
             }
         }
@@ -115,7 +123,8 @@
         now: Time,
     ) {
         if let Some(score) = eligible_score(now, name, worker, request, run) {
-            self.scores.push((score, name.clone()));
+            let name = name.clone();
+            self.heap.push(Candidate { score, name });
         }
     }
 }
--- a/crates/parsleytally/src/jobs/scheduler/pass.rs
+++ b/crates/parsleytally/src/jobs/scheduler/pass.rs
@@ -33,16 +33,17 @@
         }
     }
 
-    /// Whether no worker can take `load`, of a step that is `blocked` or not.
-    pub(super) fn covers(&self, load: &Load, blocked: bool) -> bool {
-        self.unplaceable.covers(load) || (blocked && self.unplaceable_on_changed.covers(load))
+    /// Whether no worker of `pool` can take `load`, of a step that is `blocked` or not.
+    pub(super) fn covers(&self, load: &Load, pool: &str, blocked: bool) -> bool {
+        let on_changed = || self.unplaceable_on_changed.covers(load, pool);
+        self.unplaceable.covers(load, pool) || (blocked && on_changed())
     }
 
-    pub(super) fn add_unplaceable(&mut self, load: &Load, blocked: bool) {
+    pub(super) fn add_unplaceable(&mut self, load: &Load, pool: &Arc<str>, blocked: bool) {
         if blocked && self.changed.is_some() {
-            self.unplaceable_on_changed.add(load);
+            self.unplaceable_on_changed.add(load, pool);
         } else {
-            self.unplaceable.add(load);
+            self.unplaceable.add(load, pool);
         }
     }
 
@@ -61,26 +62,35 @@
     }
 }
 
-/// Loads that no worker could take in this pass. Loads that need at least as much are
-/// skipped.
+/// Loads that no worker could take in this pass. Loads of the same kind that need at least
+/// as much are skipped.
 #[derive(Debug, Default)]
 struct Unplaceable {
-    /// Needs, each with the image for best-effort loads, as their interference differs.
-    loads: Vec<(Resources, Option<Arc<str>>)>,
+    loads: Vec<UnplaceableLoad>,
+}
+
+#[derive(Debug)]
+struct UnplaceableLoad {
+    need: Resources,
+    pool: Arc<str>,
+    /// Image of a best-effort load, as their effects on services differ.
+    image: Option<Arc<str>>,
 }
 
 impl Unplaceable {
-    fn covers(&self, load: &Load) -> bool {
+    fn covers(&self, load: &Load, pool: &str) -> bool {
         let image = best_effort_image(load);
-        let covered = |(need, other): &(Resources, Option<Arc<str>>)| {
-            *other == image && need.fits(&load.need)
-        };
-
-        self.loads.iter().any(covered)
+        self.loads.iter().any(|known| {
+            *known.pool == *pool && known.image == image && known.need.fits(&load.need)
+        })
     }
 
-    fn add(&mut self, load: &Load) {
-        self.loads.push((load.need, best_effort_image(load)));
+    fn add(&mut self, load: &Load, pool: &Arc<str>) {
+        self.loads.push(UnplaceableLoad {
+            need: load.need,
+            pool: pool.clone(),
+            image: best_effort_image(load),
+        });
     }
 }
 
--- a/crates/parsleytally/src/jobs/scheduler/start.rs
+++ b/crates/parsleytally/src/jobs/scheduler/start.rs
@@ -72,7 +72,8 @@
             return;
         };
         let blocked = job.step_run(at).blocked;
-        if pass.covers(&load, blocked) {
+        let pool = job.policy.service.clone();
+        if pass.covers(&load, &pool, blocked) {
             self.set_blocked(at, true);
             return;
         }
@@ -87,7 +88,7 @@
         let placed_all = self.place_tasks(&step, pass, blocked, out);
         self.set_blocked(at, !placed_all);
         if !placed_all && spec.required_label.is_none() && spec.max_per_worker == 0 {
-            pass.add_unplaceable(&step.load, blocked);
+            pass.add_unplaceable(&step.load, &pool, blocked);
         }
     }
 
--- a/crates/parsleytally/src/jobs/tests/placement.rs
+++ b/crates/parsleytally/src/jobs/tests/placement.rs
@@ -260,3 +260,30 @@
     let pause = Duration::from_millis(600).as_millis() as u64;
     assert_eq!(starts(&bench.wait(pause)).len(), 1);
 }
+
+/// Guards against a full pool whose backlog keeps the tasks of another pool waiting.
+#[test]
+fn the_backlog_of_one_pool_does_not_delay_another_pool() {
+    let mut bench = Bench::with_workers(1);
+    let full = StepSpec {
+        need: need(4_000, 100),
+        ..step(1, &[])
+    };
+    let mut other = job(vec![full.clone()]);
+    other.spec.queue = Arc::new(QueuePolicy {
+        name: QueueName("other".into()),
+        service: "other".into(),
+        ..queue()
+    });
+    let running = bench.submit(1, job(vec![full.clone()]), 11);
+    assert_eq!(starts(&running).len(), 1);
+    for (id, waiting) in [(2, job(vec![full])), (3, other)] {
+        assert!(starts(&bench.submit(id, waiting, 10 + id)).is_empty());
+    }
+    let worker = WorkerReport {
+        service: "other".into(),
+        ..report(1, 7)
+    };
+    let started = starts(&bench.join(1, worker));
+    assert_eq!(started.first().map(|(at, _)| at), Some(&node(1)));
+}
