--- a/crates/parsleytally-entry/src/site/agents.rs
+++ b/crates/parsleytally-entry/src/site/agents.rs
@@ -9,7 +9,8 @@
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 
-use super::owner::{LastConfirmation, OwnerInput};
+use super::confirmation::LastConfirmation;
+use super::owner::OwnerInput;
 
 /// Pause before the next attempt to connect to the agent.
 const DIAL_PAUSE: Duration = Duration::from_millis(200);
--- a/crates/parsleytally-entry/src/site/mod.rs
+++ b/crates/parsleytally-entry/src/site/mod.rs
@@ -24,6 +24,7 @@
 
 mod agents;
 mod config;
+mod confirmation;
 mod election;
 mod follow;
 mod job_service;
@@ -33,6 +34,7 @@
 mod peer;
 mod queues;
 mod saver;
+mod stored_state;
 
 pub use config::SiteConfig;
 
--- a/crates/parsleytally-entry/src/site/owner.rs
+++ b/crates/parsleytally-entry/src/site/owner.rs
@@ -1,7 +1,7 @@
 //! The owner's actor: passes events to the scheduler and carries out its effects.
 
 use std::collections::{BTreeMap, HashMap};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
 
 use parsleytally::configs::JobsConfig;
@@ -12,20 +12,20 @@
 use parsleytally::types::{NodeName, Revision, Time};
 use parsleytally_link::{Hello, LinkConfig};
 use parsleytally_platform::process::Clock;
-use parsleytally_platform::store::{
-    Change, Commit, Compare, Item, Snapshot, Store, StoreError, Write,
-};
+use parsleytally_platform::store::{Change, Commit, Compare, Item, Store, Write};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinSet;
 use tokio::time::{Instant, interval, sleep};
 use tokio_util::sync::CancellationToken;
 
 use super::agents::{AgentLink, Orders};
+use super::confirmation::LastConfirmation;
 use super::election::Owner;
 use super::follow::{FleetUpdate, follow_fleet};
 use super::keys;
 use super::metrics::OwnerMetrics;
 use super::saver::{ProgressRecord, Saver, revisions};
+use super::stored_state::StoredState;
 
 /// Capacity of the owner's channel; senders wait while it is full.
 const CHANNEL_CAPACITY: usize = 4_096;
@@ -33,8 +33,6 @@
 const MAX_BATCH: usize = 256;
 /// Time between two ticks of the scheduler.
 const TICK: Duration = Duration::from_millis(150);
-/// Pause after a failed read of the store.
-const RETRY_PAUSE: Duration = Duration::from_millis(80);
 
 /// Input of the owner's actor.
 #[derive(Debug)]
@@ -53,26 +51,6 @@
     Replaced,
 }
 
-/// Time at which the store last confirmed the ownership; clones share it.
-#[derive(Debug, Clone)]
-pub(crate) struct LastConfirmation(Arc<Mutex<Instant>>);
-
-impl LastConfirmation {
-    pub(crate) fn at(instant: Instant) -> Self {
-        Self(Arc::new(Mutex::new(instant)))
-    }
-
-    pub(crate) fn renew(&self, instant: Instant) {
-        let mut at = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        *at = instant.max(*at);
-    }
-
-    pub(crate) fn age(&self) -> Duration {
-        let at = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        at.elapsed()
-    }
-}
-
 /// Settings and components that every ownership of an entry uses.
 #[derive(Clone)]
 pub(crate) struct OwnerContext {
@@ -185,13 +163,6 @@
     job_revisions: HashMap<JobId, Revision>,
 }
 
-/// What a new owner reads from the store.
-struct StoredState {
-    fleet: Snapshot,
-    progress: Snapshot,
-    learned: Snapshot,
-}
-
 impl OwnerActor {
     async fn run(mut self) {
         let stop = self.stop.clone();
@@ -202,19 +173,15 @@
     }
 
     async fn serve(&mut self) {
-        let StoredState {
-            fleet,
-            progress,
-            learned,
-        } = self.read_all().await;
+        let state = StoredState::read(&*self.context.store).await;
         log::info!(epoch:% = self.owner.epoch, revision:% = self.since,
-            jobs = progress.items.len(); "ownership started");
+            jobs = state.progress.items.len(); "ownership started");
         self.context.metrics.began(self.owner.epoch.0);
         let (records, records_receiver) = mpsc::unbounded_channel();
         let saver = Saver {
             store: self.context.store.clone(),
             since: self.since,
-            revisions: revisions(&progress),
+            revisions: revisions(&state.progress),
             records: records_receiver,
             owner: self.sender.clone(),
             stop: self.stop.clone(),
@@ -222,10 +189,9 @@
         self.tasks.spawn(saver.run());
         let mut queues = self.context.queues.clone();
         self.apply_queues(&mut queues);
-        self.load(&fleet, &progress);
-        self.load_learned(&learned);
+        self.load(&state);
         let (updates, mut fleet_updates) = mpsc::channel(16);
-        let follower = follow_fleet(self.context.store.clone(), fleet.revision, updates);
+        let follower = follow_fleet(self.context.store.clone(), state.fleet.revision, updates);
         self.tasks.spawn(follower);
         let mut tick = interval(TICK);
         loop {
@@ -250,62 +216,19 @@
         }
     }
 
-    async fn read_all(&self) -> StoredState {
-        loop {
-            match self.try_read().await {
-                Ok(all) => return all,
-                Err(error) => {
-                    log::warn!(error:% = error; "reading the jobs failed, retrying");
-                    sleep(RETRY_PAUSE).await;
-                }
-            }
-        }
-    }
-
-    async fn try_read(&self) -> Result<StoredState, StoreError> {
-        let store = &self.context.store;
-        Ok(StoredState {
-            fleet: store.range(keys::FLEET).await?,
-            progress: store.range(keys::PROGRESS).await?,
-            learned: store.range(keys::LEARNED).await?,
-        })
-    }
-
-    fn load_learned(&mut self, learned: &Snapshot) {
-        let Some(item) = learned.item(keys::LEARNED) else {
-            return;
-        };
-        match ContentionRecord::decode(&item.value) {
-            Ok(record) => self.step(Input::Learned(record)),
-            Err(error) => {
-                log::warn!(error:% = error; "record of learned effects is invalid, learning anew");
-            }
-        }
-    }
-
-    fn load(&mut self, fleet: &Snapshot, progress: &Snapshot) {
-        let mut stored_progress: HashMap<JobId, JobProgress> = HashMap::new();
-        for item in &progress.items {
-            let Some(id) = keys::parse_job(keys::PROGRESS, &item.key) else {
-                continue;
-            };
-            match JobProgress::decode(&item.value) {
-                Ok(progress) => {
-                    stored_progress.insert(id, progress);
-                }
-                Err(error) => {
-                    log::error!(job:% = id, error:% = error; "progress record of a job is invalid");
-                }
-            }
-        }
-        for item in &fleet.items {
+    fn load(&mut self, state: &StoredState) {
+        let mut progress = state.progress();
+        for item in &state.fleet.items {
             if let Some(node) = keys::parse_agent(&item.key) {
                 self.step(Input::Expected(node.clone()));
                 self.connect_agent(node, &item.value);
             } else if let Some(id) = keys::parse_job(keys::JOBS, &item.key) {
-                self.apply_job(id, item, stored_progress.remove(&id));
+                self.apply_job(id, item, progress.remove(&id));
             }
         }
+        if let Some(record) = state.learned() {
+            self.step(Input::Learned(record));
+        }
     }
 
     fn connect_agent(&mut self, node: NodeName, value: &[u8]) {
--- a/crates/parsleytally-entry/src/site/tests.rs
+++ b/crates/parsleytally-entry/src/site/tests.rs
@@ -26,11 +26,12 @@
 
 use super::agents::AgentLink;
 use super::config::{SiteConfig, parse_processors};
+use super::confirmation::LastConfirmation;
 use super::election::{Candidate, OwnerView};
 use super::job_service::EntryJobService;
 use super::keys;
 use super::metrics::OwnerMetrics;
-use super::owner::{LastConfirmation, OwnerInput};
+use super::owner::OwnerInput;
 use super::peer::{OwnerClient, OwnerLocation};
 
 const TTL: Duration = Duration::from_secs(2);
