refactor(jobs): one place for an incarnation, for the condition of an owner, for the headroom after new shares

The incarnation of a worker and the condition "the epoch has not changed" stood in several places; each has one function now. The headroom of a worker was computed twice for each measurement; the second time is needed only if a share has changed. A dropped worker was noted as changed twice. Nothing decides differently.

--- a/crates/parsleytally-entry/src/site/election.rs
+++ b/crates/parsleytally-entry/src/site/election.rs
@@ -218,10 +218,7 @@
             }
         }
         let lease = self.ensure_lease().await?;
-        let mut compares = vec![Compare::Unchanged {
-            key: keys::EPOCH.to_owned(),
-            revision: since,
-        }];
+        let mut compares = vec![epoch_unchanged(since)];
         if !alive {
             compares.push(absent(keys::ALIVE));
         }
@@ -240,10 +237,7 @@
     ) -> Result<OwnerView, StoreError> {
         let lease = self.ensure_lease().await?;
         let (epoch, compare) = match last {
-            Some((owner, revision)) => {
-                let key = keys::EPOCH.to_owned();
-                (owner.epoch.next(), Compare::Unchanged { key, revision })
-            }
+            Some((owner, revision)) => (owner.epoch.next(), epoch_unchanged(revision)),
             None => (Epoch(0), absent(keys::EPOCH)),
         };
         let owner = Owner {
@@ -279,12 +273,8 @@
 
     /// Deletes the liveness key, so that another entry can take over at once.
     pub(crate) async fn resign(&mut self, since: Revision) {
-        let unchanged = Compare::Unchanged {
-            key: keys::EPOCH.to_owned(),
-            revision: since,
-        };
         let commit = Commit {
-            compares: vec![unchanged],
+            compares: vec![epoch_unchanged(since)],
             writes: vec![Write::Delete {
                 key: keys::ALIVE.to_owned(),
             }],
@@ -314,6 +304,14 @@
     }
 }
 
+/// Condition that the ownership that began at revision `since` has not been replaced.
+pub(super) fn epoch_unchanged(since: Revision) -> Compare {
+    Compare::Unchanged {
+        key: keys::EPOCH.to_owned(),
+        revision: since,
+    }
+}
+
 fn absent(key: &str) -> Compare {
     Compare::Absent {
         key: key.to_owned(),
--- a/crates/parsleytally-entry/src/site/owner.rs
+++ b/crates/parsleytally-entry/src/site/owner.rs
@@ -12,7 +12,7 @@
 use parsleytally::types::{NodeName, Revision, Time};
 use parsleytally_link::{Hello, LinkConfig};
 use parsleytally_platform::process::Clock;
-use parsleytally_platform::store::{Change, Commit, Compare, Item, Store, Write};
+use parsleytally_platform::store::{Change, Commit, Item, Store, Write};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinSet;
 use tokio::time::{Instant, interval, sleep};
@@ -20,7 +20,7 @@
 
 use super::agents::{AgentLink, Orders};
 use super::confirmation::LastConfirmation;
-use super::election::Owner;
+use super::election::{Owner, epoch_unchanged};
 use super::follow::{FleetUpdate, follow_fleet};
 use super::keys;
 use super::metrics::OwnerMetrics;
@@ -403,10 +403,7 @@
     /// Writes to the store on condition that the owner has not changed; a failure is logged.
     fn write_once(&mut self, write: Write, what: &'static str) {
         let commit = Commit {
-            compares: vec![Compare::Unchanged {
-                key: keys::EPOCH.to_owned(),
-                revision: self.since,
-            }],
+            compares: vec![epoch_unchanged(self.since)],
             writes: vec![write],
         };
         let store = self.context.store.clone();
--- a/crates/parsleytally-entry/src/site/saver.rs
+++ b/crates/parsleytally-entry/src/site/saver.rs
@@ -11,6 +11,7 @@
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
+use super::election::epoch_unchanged;
 use super::keys;
 use super::owner::OwnerInput;
 
@@ -76,10 +77,7 @@
 
     fn commit(&self, batch: &[JobId], pending: &BTreeMap<JobId, ProgressRecord>) -> Commit {
         let mut commit = Commit::default();
-        commit.compares.push(Compare::Unchanged {
-            key: keys::EPOCH.to_owned(),
-            revision: self.since,
-        });
+        commit.compares.push(epoch_unchanged(self.since));
         for job in batch {
             let key = keys::progress(*job);
             // A delayed duplicate of an earlier write must not overwrite a later one.
--- a/crates/parsleytally/src/jobs/fleet.rs
+++ b/crates/parsleytally/src/jobs/fleet.rs
@@ -297,10 +297,13 @@
         matches!(state, Some(WorkerState::Draining { .. }))
     }
 
+    /// Incarnation of its last report.
+    pub(super) fn incarnation(&self) -> Option<&WorkerIncarnation> {
+        self.report.as_ref().map(|report| &report.incarnation)
+    }
+
     pub(super) fn is_incarnation(&self, incarnation: &WorkerIncarnation) -> bool {
-        self.report
-            .as_ref()
-            .is_some_and(|own| own.incarnation == *incarnation)
+        self.incarnation() == Some(incarnation)
     }
 
     /// Drops the runs, failures and pending acknowledgements; keeps the report and the link.
--- a/crates/parsleytally/src/jobs/job.rs
+++ b/crates/parsleytally/src/jobs/job.rs
@@ -84,7 +84,7 @@
 
 impl StepRun {
     /// Whether any task is neither done nor running.
-    pub(super) fn needs_run(&self) -> bool {
+    fn needs_run(&self) -> bool {
         self.remaining > 0 && self.tasks.iter().any(Task::needs_run)
     }
 
--- a/crates/parsleytally/src/jobs/scheduler/ended.rs
+++ b/crates/parsleytally/src/jobs/scheduler/ended.rs
@@ -407,11 +407,7 @@
         let Some(number) = last else {
             return;
         };
-        let Some(incarnation) = worker
-            .report
-            .as_ref()
-            .map(|report| report.incarnation.clone())
-        else {
+        let Some(incarnation) = worker.incarnation().cloned() else {
             return;
         };
         let stored = OrderMessage::AcknowledgeEnds {
--- a/crates/parsleytally/src/jobs/scheduler/mod.rs
+++ b/crates/parsleytally/src/jobs/scheduler/mod.rs
@@ -317,7 +317,7 @@
         let Some(worker) = self.workers.get_mut(node) else {
             return;
         };
-        let known = worker.report.as_ref().map(|known| &known.incarnation);
+        let known = worker.incarnation();
         // A report of an earlier incarnation may arrive late.
         if known.is_some_and(|known| known.started_ms > report.incarnation.started_ms) {
             return;
@@ -372,7 +372,6 @@
         for run in runs {
             self.detach_run(node, run);
         }
-        self.changed_workers.insert(node.clone());
         self.pass_due = true;
     }
 
--- a/crates/parsleytally/src/jobs/scheduler/start.rs
+++ b/crates/parsleytally/src/jobs/scheduler/start.rs
@@ -230,7 +230,7 @@
     }
 
     fn next_run_number(&self, step: StepRef, index: usize) -> u32 {
-        let task = &self.jobs[&step.job].rounds[step.round].steps[step.step].tasks[index];
+        let task = &self.step_run(step).tasks[index];
         let first = u32::try_from(self.options.epoch).unwrap_or(u32::MAX / RUNS_PER_EPOCH);
         let first = first.saturating_mul(RUNS_PER_EPOCH).saturating_add(1);
         first.max(task.last_run.saturating_add(1))
@@ -248,16 +248,12 @@
             task: step.task(index),
             run: start.run,
         };
-        let task = &self.jobs[&step.job].rounds[step.round].steps[step.step].tasks[index];
+        let task = &self.step_run(step).tasks[index];
         let from_scratch = task.checkpoint.is_empty();
         let Some(worker) = self.workers.get_mut(node) else {
             return;
         };
-        let Some(incarnation) = worker
-            .report
-            .as_ref()
-            .map(|report| report.incarnation.clone())
-        else {
+        let Some(incarnation) = worker.incarnation().cloned() else {
             return;
         };
         if load.best_effort {
--- a/crates/parsleytally/src/jobs/scheduler/throttle.rs
+++ b/crates/parsleytally/src/jobs/scheduler/throttle.rs
@@ -51,18 +51,14 @@
             return;
         }
         self.contention.update(now, node, worker, gauges);
-        self.apply_cpu_shares(now, node, out);
-    }
-
-    /// Sets the CPU shares of the best-effort runs of a worker.
-    pub(super) fn apply_cpu_shares(&mut self, now: Time, node: &NodeName, out: &mut Vec<Output>) {
-        let Some(worker) = self.workers.get(node) else {
-            return;
-        };
+        let orders = out.len();
         for (run, percent) in self.contention.cpu_shares(node, worker) {
             self.set_cpu_share(now, node, run, percent, out);
         }
-        if let Some(worker) = self.workers.get(node) {
+        // The update above is up to date unless a share has changed.
+        if out.len() > orders
+            && let Some(worker) = self.workers.get(node)
+        {
             self.contention.update_headrooms(node, worker);
         }
     }
