feat(jobs): logs tell from what a run counts as ended, and what becomes of listed runs

The record's lines can't tell the hypotheses of the incident apart. No decision changes; new lines: - agent, "runs of the worker count as ended": incarnation, number of runs and the evidence (notice of shutdown, later report, later listing, expired leases); - owner, the same for its own conclusion, with evidence; - owner, "runs of a worker compared": kept, missing, adopted and stopped runs of a listing; - owner, orders that had no link: "stop ordered" was written also for those that went nowhere; - agent, a report that can't be read: whether its id is that of the worker beside it.

--- a/crates/parsleytally-agent/src/site/mod.rs
+++ b/crates/parsleytally-agent/src/site/mod.rs
@@ -8,7 +8,8 @@
 use std::time::Duration;
 
 use parsleytally::jobs::{
-    AgentInput, AgentMessage, AgentOutput, AgentTimes, JobAgent, OwnerLink, WorkerReport,
+    AgentInput, AgentMessage, AgentOutput, AgentTimes, EndEvidence, JobAgent, OwnerLink,
+    WorkerIncarnation, WorkerReport,
 };
 use parsleytally::types::Time;
 use parsleytally_link::{Frame, Hello, Incoming, Link, LinkConfig, Role, accept};
@@ -49,6 +50,8 @@
     LinkOpened(OwnerLink, Link),
     /// Input of the library's agent.
     Agent(AgentInput),
+    /// A report with this worker id can't be read, with the reason.
+    Unreadable(String, String),
 }
 
 /// A running agent for batch jobs.
@@ -62,18 +65,22 @@
 
 impl WorkerReports for ReportSender {
     fn reported(&self, report: WorkerReport) {
-        self.send(AgentInput::Report(report));
+        self.send(ActorInput::Agent(AgentInput::Report(report)));
     }
 
     fn stopped(&self, id: &str) {
         log::info!(worker = id; "worker is leaving");
-        self.send(AgentInput::WorkerLeft);
+        self.send(ActorInput::Agent(AgentInput::WorkerLeft));
+    }
+
+    fn unreadable(&self, id: &str, reason: &str) {
+        self.send(ActorInput::Unreadable(id.to_owned(), reason.to_owned()));
     }
 }
 
 impl ReportSender {
-    fn send(&self, input: AgentInput) {
-        if self.0.try_send(ActorInput::Agent(input)).is_err() {
+    fn send(&self, input: ActorInput) {
+        if self.0.try_send(input).is_err() {
             log::error!("dropped a report of the worker: the channel of the agent is full");
         }
     }
@@ -245,6 +252,10 @@
                 self.links.insert(id.0, link);
             }
             ActorInput::Agent(input) => self.step(input),
+            ActorInput::Unreadable(id, reason) => {
+                let known = self.agent.is_worker(&id);
+                log::warn!(worker = id, known, reason; "report of a worker can't be read");
+            }
         }
     }
 
@@ -305,6 +316,11 @@
                     messages.push(message);
                 }
                 AgentOutput::Supersede(id) => self.supersede(id),
+                AgentOutput::RunsEnded {
+                    incarnation,
+                    runs,
+                    evidence,
+                } => log_runs_ended(incarnation.as_ref(), runs, evidence),
                 call => self.call_worker(call),
             }
         }
@@ -358,7 +374,9 @@
                         return;
                     }
                 }
-                AgentOutput::Send(_) | AgentOutput::Supersede(_) => return,
+                AgentOutput::Send(_)
+                | AgentOutput::Supersede(_)
+                | AgentOutput::RunsEnded { .. } => return,
             };
             // Fails only when the actor has stopped, at the end of the process.
             let _ = sender.send(ActorInput::Agent(input)).await;
@@ -366,6 +384,12 @@
     }
 }
 
+fn log_runs_ended(incarnation: Option<&WorkerIncarnation>, runs: usize, evidence: EndEvidence) {
+    let worker = incarnation.map_or("", |incarnation| &*incarnation.id);
+    let born = incarnation.map_or(0, |incarnation| incarnation.started_ms);
+    log::warn!(worker, born, runs, evidence:? = evidence; "runs of the worker count as ended");
+}
+
 fn log_message(message: &AgentMessage) {
     match message {
         AgentMessage::Report(report) => {
--- a/crates/parsleytally-entry/src/site/owner.rs
+++ b/crates/parsleytally-entry/src/site/owner.rs
@@ -6,8 +6,8 @@
 
 use parsleytally::configs::JobsConfig;
 use parsleytally::jobs::{
-    AgentMessage, ContentionRecord, Input, JobId, JobProgress, JobRecord, JobReply, JobRequest,
-    OrderMessage, Output, QueueTable, Scheduler, SchedulerOptions,
+    AgentMessage, ContentionRecord, EndEvidence, Input, JobId, JobProgress, JobRecord, JobReply,
+    JobRequest, ListingOutcome, OrderMessage, Output, QueueTable, Scheduler, SchedulerOptions,
 };
 use parsleytally::types::{NodeName, Revision, Time};
 use parsleytally_link::{Hello, LinkConfig};
@@ -431,6 +431,12 @@
                 Output::Order(node, message) => orders.entry(node).or_default().push(message),
                 Output::Forget(node) => forgotten.push(node),
                 Output::SaveLearned(record) => learned = Some(record),
+                Output::RunsDropped {
+                    node,
+                    runs,
+                    evidence,
+                } => log_dropped(&node, runs, evidence),
+                Output::Reconciled(node, outcome) => log_reconciled(&node, &outcome),
                 Output::Save {
                     job,
                     version,
@@ -460,11 +466,31 @@
                 // If the link is closed, `Unlinked` follows, and the agent's runs are compared
                 // with the orders once it is linked again.
                 let _ = link.send(messages);
+            } else {
+                log_undelivered(&node, &messages);
             }
         }
     }
 }
 
+fn log_dropped(node: &NodeName, runs: usize, evidence: EndEvidence) {
+    log::warn!(agent:% = node, runs, evidence:? = evidence; "runs of a worker count as ended");
+}
+
+fn log_reconciled(node: &NodeName, outcome: &ListingOutcome) {
+    let ListingOutcome {
+        kept,
+        missing,
+        adopted,
+        stopped,
+    } = outcome;
+    log::info!(agent:% = node, kept, missing, adopted, stopped; "runs of a worker compared");
+}
+
+fn log_undelivered(node: &NodeName, messages: &[OrderMessage]) {
+    log::warn!(agent:% = node, orders = messages.len(); "orders not sent: the agent is not linked");
+}
+
 fn log_order(node: &NodeName, message: &OrderMessage) {
     match message {
         OrderMessage::Start(order) => {
--- a/crates/parsleytally-platform/src/jobs.rs
+++ b/crates/parsleytally-platform/src/jobs.rs
@@ -37,6 +37,9 @@
 
     /// Handles the announcement that the worker with this ID ends.
     fn stopped(&self, id: &str);
+
+    /// Notes a report with this worker ID that can't be read.
+    fn unreadable(&self, id: &str, reason: &str);
 }
 
 /// Outcome of a submission.
--- a/crates/parsleytally/examples/owner_cost/fleet.rs
+++ b/crates/parsleytally/examples/owner_cost/fleet.rs
@@ -135,7 +135,10 @@
                     let saved = Input::Saved { job, version };
                     self.scheduler.step(self.now, 0, saved, &mut out);
                 }
-                Output::Forget(_) | Output::SaveLearned(_) => {}
+                Output::Forget(_)
+                | Output::SaveLearned(_)
+                | Output::RunsDropped { .. }
+                | Output::Reconciled(..) => {}
             }
         }
         starts
--- a/crates/parsleytally/src/jobs/agent/messages.rs
+++ b/crates/parsleytally/src/jobs/agent/messages.rs
@@ -1,7 +1,10 @@
 //! Inputs and outputs of [`JobAgent`](super::JobAgent), and its calls to the worker.
 
 use super::{EndedRun, OwnerLink, RunStatus};
-use crate::jobs::{AgentMessage, OrderMessage, RefusalReason, RunRef, StartOrder, WorkerReport};
+use crate::jobs::{
+    AgentMessage, EndEvidence, OrderMessage, RefusalReason, RunRef, StartOrder, WorkerIncarnation,
+    WorkerReport,
+};
 use crate::types::Time;
 
 /// Why a call to the worker did not succeed.
@@ -123,6 +126,15 @@
     Send(AgentMessage),
     /// Tell the owner on this link that it is superseded; it closes the link.
     Supersede(OwnerLink),
+    /// The runs of an incarnation of the worker count as ended; only logged.
+    RunsEnded {
+        /// The incarnation; none if it has not reported itself.
+        incarnation: Option<WorkerIncarnation>,
+        /// Number of runs that the agent has tracked.
+        runs: usize,
+        /// From what the agent concludes so.
+        evidence: EndEvidence,
+    },
     /// Poll the worker.
     Poll(PollCall),
     /// Start a run.
--- a/crates/parsleytally/src/jobs/agent/mod.rs
+++ b/crates/parsleytally/src/jobs/agent/mod.rs
@@ -15,8 +15,8 @@
 use std::time::Duration;
 
 use super::{
-    AgentMessage, EndedRun, OrderMessage, RefusalReason, RunRef, RunStatus, StartOrder,
-    WorkerIncarnation, WorkerReport, WorkerState,
+    AgentMessage, EndEvidence, EndedRun, OrderMessage, RefusalReason, RunRef, RunStatus,
+    StartOrder, WorkerIncarnation, WorkerReport, WorkerState,
 };
 use crate::types::Time;
 
@@ -297,7 +297,7 @@
             if known.is_some_and(|known| known.started_ms > report.incarnation.started_ms) {
                 return;
             }
-            self.reset_incarnation(out);
+            self.reset_incarnation(EndEvidence::LaterReport, out);
         }
         out.push(AgentOutput::Send(AgentMessage::Report(report.clone())));
         self.report = Some(report);
@@ -305,14 +305,15 @@
 
     /// Handles the worker's notice that it shuts down.
     fn worker_left(&mut self, out: &mut Vec<AgentOutput>) {
-        self.reset_incarnation(out);
+        self.reset_incarnation(EndEvidence::ShutdownNotice, out);
         self.report = None;
         self.expiry_reported = true;
         out.push(AgentOutput::Send(AgentMessage::LeasesExpired));
     }
 
     /// Drops the state of the worker's earlier incarnation and reports its runs missing.
-    fn reset_incarnation(&mut self, out: &mut Vec<AgentOutput>) {
+    fn reset_incarnation(&mut self, evidence: EndEvidence, out: &mut Vec<AgentOutput>) {
+        self.push_runs_ended(evidence, out);
         for run in std::mem::take(&mut self.runs).into_keys() {
             out.push(AgentOutput::Send(AgentMessage::Missing(run)));
         }
@@ -324,6 +325,21 @@
         self.next_poll = Time::ZERO;
     }
 
+    fn push_runs_ended(&self, evidence: EndEvidence, out: &mut Vec<AgentOutput>) {
+        let report = self.report.as_ref();
+        out.push(AgentOutput::RunsEnded {
+            incarnation: report.map(|report| report.incarnation.clone()),
+            runs: self.runs.len(),
+            evidence,
+        });
+    }
+
+    /// Whether this is the id of the worker's present incarnation.
+    pub fn is_worker(&self, id: &str) -> bool {
+        let report = self.report.as_ref();
+        report.is_some_and(|report| *report.incarnation.id == *id)
+    }
+
     fn is_current_incarnation(&self, incarnation: &WorkerIncarnation) -> bool {
         self.report
             .as_ref()
--- a/crates/parsleytally/src/jobs/agent/poll.rs
+++ b/crates/parsleytally/src/jobs/agent/poll.rs
@@ -4,9 +4,9 @@
 
 use super::lease::with_drift;
 use super::{
-    AgentMessage, AgentOutput, CallError, EndedRun, JobAgent, Listing, MEASUREMENT_INTERVAL,
-    MIXED_POLL_WAIT, POLL_PAUSE, POLL_WAIT, PollCall, RefusalReason, RunRef, RunStatus, StartState,
-    THROTTLE_INTERVAL, ThrottleCall, TrackedRun, refuse,
+    AgentMessage, AgentOutput, CallError, EndEvidence, EndedRun, JobAgent, Listing,
+    MEASUREMENT_INTERVAL, MIXED_POLL_WAIT, POLL_PAUSE, POLL_WAIT, PollCall, RefusalReason, RunRef,
+    RunStatus, StartState, THROTTLE_INTERVAL, ThrottleCall, TrackedRun, refuse,
 };
 use crate::types::Time;
 
@@ -65,7 +65,7 @@
         if born != Some(listing.born) {
             // The rest of the new incarnation's state comes with the worker's own report.
             if born.is_some_and(|born| born < listing.born) {
-                self.reset_incarnation(out);
+                self.reset_incarnation(EndEvidence::LaterListing, out);
                 self.report = None;
                 out.push(AgentOutput::Send(AgentMessage::LeasesExpired));
             }
@@ -224,6 +224,7 @@
         if !unresponsive || !unreported || self.owner.is_none() || !self.all_leases_expired(now) {
             return;
         }
+        self.push_runs_ended(EndEvidence::ExpiredLeases, out);
         self.listed = false;
         self.expiry_reported = true;
         self.runs.clear();
--- a/crates/parsleytally/src/jobs/messages.rs
+++ b/crates/parsleytally/src/jobs/messages.rs
@@ -103,6 +103,36 @@
     pub best_effort: bool,
 }
 
+/// From what an agent or an owner concludes that the runs of a worker have ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EndEvidence {
+    /// The worker gave notice of its shutdown.
+    ShutdownNotice,
+    /// A later incarnation of the worker reported itself.
+    LaterReport,
+    /// The worker listed its runs as a later incarnation.
+    LaterListing,
+    /// The worker does not answer, and all its leases have expired.
+    ExpiredLeases,
+    /// The agent has told the owner.
+    AgentMessage,
+    /// The agent is not linked, and its hold time has passed.
+    PassedHold,
+}
+
+/// What became of the runs on a worker whose agent has listed them.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct ListingOutcome {
+    /// Runs that the owner had placed there and that are still running.
+    pub kept: usize,
+    /// Runs that the owner had placed there and that the worker does not have.
+    pub missing: usize,
+    /// Runs of an earlier owner that were taken over.
+    pub adopted: usize,
+    /// Runs that no task needs, ordered to stop.
+    pub stopped: usize,
+}
+
 /// An owner's message to an agent.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum OrderMessage {
@@ -279,6 +309,17 @@
     /// Remove an agent from those that a successor has to wait for, until it registers its
     /// address again: it is not linked and all runs of its worker have ended for certain.
     Forget(NodeName),
+    /// The runs on a worker count as ended; only logged.
+    RunsDropped {
+        /// The worker's agent.
+        node: NodeName,
+        /// Number of runs.
+        runs: usize,
+        /// From what the owner concludes so.
+        evidence: EndEvidence,
+    },
+    /// An agent has listed the runs of its worker; only logged.
+    Reconciled(NodeName, ListingOutcome),
     /// Save in the store what was learned about the contention between images.
     SaveLearned(ContentionRecord),
     /// Save a job's progress in the store.
--- a/crates/parsleytally/src/jobs/mod.rs
+++ b/crates/parsleytally/src/jobs/mod.rs
@@ -33,8 +33,8 @@
 pub use fleet::{WorkerIncarnation, WorkerReport, WorkerState};
 pub use job::JobState;
 pub use messages::{
-    AgentMessage, EndReason, EndedRun, Input, JobReply, JobRequest, OrderMessage, Output,
-    RefusalReason, RunRef, RunStatus, StartOrder, SubmitOutcome,
+    AgentMessage, EndEvidence, EndReason, EndedRun, Input, JobReply, JobRequest, ListingOutcome,
+    OrderMessage, Output, RefusalReason, RunRef, RunStatus, StartOrder, SubmitOutcome,
 };
 pub use progress::{JobProgress, StepProgress, TaskProgress};
 pub use queues::{QueueName, QueuePolicy, QueueTable};
--- a/crates/parsleytally/src/jobs/scheduler/ended.rs
+++ b/crates/parsleytally/src/jobs/scheduler/ended.rs
@@ -5,8 +5,8 @@
 use super::super::fleet::{Load, PendingAck};
 use super::super::job::LiveRun;
 use super::super::{
-    EndReason, EndedRun, JobState, OrderMessage, Output, RefusalReason, RunRef, RunStatus,
-    WorkerIncarnation,
+    EndReason, EndedRun, JobState, ListingOutcome, OrderMessage, Output, RefusalReason, RunRef,
+    RunStatus, WorkerIncarnation,
 };
 use super::Scheduler;
 use crate::types::{NodeName, Time};
@@ -35,15 +35,18 @@
         let placed: Vec<RunRef> = worker.runs.keys().copied().collect();
         self.handle_ended(now, node, incarnation, ended, out);
         let runs: HashSet<RunRef> = running.iter().map(|task| task.run).collect();
+        let mut outcome = ListingOutcome::default();
         for run in placed {
             if !runs.contains(&run) {
                 self.run_missing(node, run);
+                outcome.missing += 1;
             }
         }
         for task in running {
-            self.adopt(node, task, out);
+            self.adopt(node, task, &mut outcome, out);
             self.send_description(node, task.run, out);
         }
+        out.push(Output::Reconciled(node.clone(), outcome));
         if let Some(worker) = self.workers.get(node) {
             self.contention.update_headrooms(node, worker);
         }
@@ -68,11 +71,18 @@
     }
 
     /// Adopts a run that a worker lists, or stops it.
-    fn adopt(&mut self, node: &NodeName, listed: &RunStatus, out: &mut Vec<Output>) {
+    fn adopt(
+        &mut self,
+        node: &NodeName,
+        listed: &RunStatus,
+        outcome: &mut ListingOutcome,
+        out: &mut Vec<Output>,
+    ) {
         let run = listed.run;
         let known = self.workers.get(node);
         if known.is_some_and(|worker| worker.runs.contains_key(&run)) {
             self.mark_started(run);
+            outcome.kept += 1;
             return;
         }
         let load = self.jobs.get(&run.task.job);
@@ -82,7 +92,10 @@
         if let Some(worker) = self.workers.get_mut(node) {
             worker.reserve(run, &load);
         }
-        if !self.add_adopted(node, listed) {
+        if self.add_adopted(node, listed) {
+            outcome.adopted += 1;
+        } else {
+            outcome.stopped += 1;
             out.push(Output::Order(node.clone(), OrderMessage::Stop(run)));
         }
     }
--- a/crates/parsleytally/src/jobs/scheduler/mod.rs
+++ b/crates/parsleytally/src/jobs/scheduler/mod.rs
@@ -10,8 +10,8 @@
 use super::fleet::Worker;
 use super::job::{Job, StepRef};
 use super::{
-    AgentMessage, Input, JobId, JobProgress, JobRecord, JobReply, JobRequest, JobState,
-    OrderMessage, Output, QueueName, QueueTable, RunRef, WorkerReport, WorkerState,
+    AgentMessage, EndEvidence, Input, JobId, JobProgress, JobRecord, JobReply, JobRequest,
+    JobState, OrderMessage, Output, QueueName, QueueTable, RunRef, WorkerReport, WorkerState,
 };
 use crate::types::{NodeName, Revision, Time};
 
@@ -295,7 +295,7 @@
             // The owner's links handle these two.
             AgentMessage::Ping { .. } | AgentMessage::Superseded { .. } => return,
             AgentMessage::Unresponsive(silent) => self.set_unresponsive(node, silent),
-            AgentMessage::LeasesExpired => self.drop_runs(node),
+            AgentMessage::LeasesExpired => self.drop_runs(node, EndEvidence::AgentMessage, out),
         }
         self.changed_workers.insert(node.clone());
     }
@@ -323,7 +323,7 @@
             return;
         }
         if known.is_some_and(|known| *known != report.incarnation) {
-            self.drop_runs(node);
+            self.drop_runs(node, EndEvidence::LaterReport, out);
         }
         let Some(worker) = self.workers.get_mut(node) else {
             return;
@@ -361,11 +361,16 @@
     }
 
     /// Drops all runs of a worker, so that their tasks can start again.
-    fn drop_runs(&mut self, node: &NodeName) {
+    fn drop_runs(&mut self, node: &NodeName, evidence: EndEvidence, out: &mut Vec<Output>) {
         let Some(worker) = self.workers.get_mut(node) else {
             return;
         };
         let runs: Vec<RunRef> = worker.runs.keys().copied().collect();
+        out.push(Output::RunsDropped {
+            node: node.clone(),
+            runs: runs.len(),
+            evidence,
+        });
         worker.reset();
         self.contention.update_headrooms(node, worker);
         self.unreported.remove(node);
@@ -387,7 +392,7 @@
             lost.map(|(node, _)| node.clone()).collect()
         };
         for node in lost {
-            self.drop_runs(&node);
+            self.drop_runs(&node, EndEvidence::PassedHold, out);
             if let Some(worker) = self.workers.get_mut(&node) {
                 worker.runs_expire_at = None;
             }
--- a/crates/parsleytally/src/jobs/tests/model.rs
+++ b/crates/parsleytally/src/jobs/tests/model.rs
@@ -537,7 +537,10 @@
                         self.send_to_agent(link, message);
                     }
                 }
-                Output::Forget(_) | Output::SaveLearned(_) => {}
+                Output::Forget(_)
+                | Output::SaveLearned(_)
+                | Output::RunsDropped { .. }
+                | Output::Reconciled(..) => {}
                 Output::Save {
                     job,
                     version,
