--- a/crates/parsleytally/src/jobs/tests/agent.rs
+++ b/crates/parsleytally/src/jobs/tests/agent.rs
@@ -462,3 +462,19 @@
     assert_eq!(agent.step(AgentInput::Report(report(0, 6))), []);
     assert!(start_token(&agent.start(run(1, 0, 0, 1))).is_some());
 }
+
+/// Guards against tasks that run twice: a worker that gives notice of its shutdown runs its
+/// tasks on until it ends, so its notice does not free them.
+#[test]
+fn a_notice_of_shutdown_frees_no_run_that_is_still_listed() {
+    let mut agent = TestAgent::ready();
+    let order = run(1, 0, 0, 1);
+    agent.start(order);
+    let call = agent.next_poll();
+    agent.answer_poll(call, vec![order], vec![]);
+    let mut out = agent.step(AgentInput::WorkerLeft);
+    let call = agent.next_poll();
+    out.extend(agent.answer_poll(call, vec![order], vec![]));
+    assert!(!sent(&out, &AgentMessage::LeasesExpired), "{out:?}");
+    assert!(!sent(&out, &AgentMessage::Missing(order)), "{out:?}");
+}
--- a/crates/parsleytally/src/jobs/tests/scheduler.rs
+++ b/crates/parsleytally/src/jobs/tests/scheduler.rs
@@ -71,6 +71,22 @@
         self.feed(Input::Agent(node(at), message))
     }
 
+    /// Lists the runs in progress on worker `at`.
+    pub(super) fn list(&mut self, at: usize, running: Vec<RunRef>) -> Vec<Output> {
+        let status = |run| RunStatus {
+            run,
+            checkpoint: String::new(),
+            percent: 10,
+            measurement: 0,
+        };
+        let listed = AgentMessage::Listed {
+            incarnation: incarnation(at, 7),
+            running: running.into_iter().map(status).collect(),
+            ended: vec![],
+        };
+        self.agent(at, listed)
+    }
+
     pub(super) fn submit(&mut self, id: u64, record: JobRecord, accepted: u64) -> Vec<Output> {
         self.feed(Input::Job {
             id: JobId(id),
@@ -364,6 +380,24 @@
 
 /// Guards against a new start order every 10 ms to a worker that refuses each, which floods
 /// the logs and links.
+/// Guards against tasks of cancelled jobs that run on: an order to stop is lost together
+/// with the link on which it was sent.
+#[test]
+fn a_stop_that_was_lost_with_its_link_is_repeated() {
+    let mut bench = Bench::with_workers(1);
+    let record = job(vec![step(1, &[])]);
+    bench.submit(1, record.clone(), 11);
+    bench.feed(Input::Unlinked(node(0)));
+    let cancelled = JobRecord {
+        cancelled: true,
+        ..record
+    };
+    bench.submit(1, cancelled, 11);
+    bench.feed(Input::Linked(node(0)));
+    let out = bench.list(0, vec![run(1, 0, 0, 1)]);
+    assert_eq!(stops(&out), [run(1, 0, 0, 1)]);
+}
+
 #[test]
 fn a_worker_that_refuses_a_start_gets_no_other_for_a_while() {
     let mut bench = Bench::with_workers(1);
