fix(jobs): a stop that was lost with its link is repeated when the agent lists the run

Cause: the owner orders a stop once. An agent whose link is dead or ends before delivery never gets it, and also an agent that got it forgets it with the next `Begin`. When the agent lists the run on its next link, the owner finds it among the runs that it placed there and took that for enough; it went on renewing it and even set its CPU share. Stops of evacuations and moves were lost in the same way.

The test failed on the code before, in all three cases.

The listing is now compared with what tasks need instead of with what was placed: a run that no task needs, or that was ordered to stop, is ordered to stop again. This holds whichever way the order was lost, since every link begins with a listing.

--- a/crates/parsleytally/src/jobs/scheduler/ended.rs
+++ b/crates/parsleytally/src/jobs/scheduler/ended.rs
@@ -70,7 +70,9 @@
         }
     }
 
-    /// Adopts a run that a worker lists, or stops it.
+    /// Keeps or adopts a run that a worker lists, or stops it.
+    ///
+    /// An earlier order to stop it may have been lost together with its link.
     fn adopt(
         &mut self,
         node: &NodeName,
@@ -81,8 +83,13 @@
         let run = listed.run;
         let known = self.workers.get(node);
         if known.is_some_and(|worker| worker.runs.contains_key(&run)) {
-            self.mark_started(run);
-            outcome.kept += 1;
+            if self.is_needed(node, run) {
+                self.mark_started(run);
+                outcome.kept += 1;
+            } else {
+                outcome.stopped += 1;
+                out.push(Output::Order(node.clone(), OrderMessage::Stop(run)));
+            }
             return;
         }
         let load = self.jobs.get(&run.task.job);
@@ -100,6 +107,14 @@
         }
     }
 
+    /// Whether a task needs this run and it was not ordered to stop.
+    fn is_needed(&mut self, node: &NodeName, run: RunRef) -> bool {
+        let job = self.jobs.get_mut(&run.task.job);
+        let task = job.and_then(|job| job.task(run.task));
+        let is_run = |live: &LiveRun| live.run == run.run && live.node == *node;
+        task.is_some_and(|task| task.runs.iter().any(|live| is_run(live) && !live.stopping))
+    }
+
     /// Adds an unknown run to its task; returns false if the task doesn't need it.
     fn add_adopted(&mut self, node: &NodeName, listed: &RunStatus) -> bool {
         let run = listed.run;
--- a/crates/parsleytally/src/jobs/tests/scheduler.rs
+++ b/crates/parsleytally/src/jobs/tests/scheduler.rs
@@ -384,18 +384,55 @@
 /// with the link on which it was sent.
 #[test]
 fn a_stop_that_was_lost_with_its_link_is_repeated() {
-    let mut bench = Bench::with_workers(1);
-    let record = job(vec![step(1, &[])]);
-    bench.submit(1, record.clone(), 11);
-    bench.feed(Input::Unlinked(node(0)));
-    let cancelled = JobRecord {
-        cancelled: true,
-        ..record
+    struct Case {
+        what: &'static str,
+        /// Orders the stop of the only run, on worker 0.
+        stop: fn(&mut Bench) -> Vec<Output>,
+        /// Whether the link is lost before the order.
+        unlinked: bool,
+    }
+    let cancel = |bench: &mut Bench| {
+        let cancelled = JobRecord {
+            cancelled: true,
+            ..job(vec![step(1, &[])])
+        };
+        bench.submit(1, cancelled, 11)
     };
-    bench.submit(1, cancelled, 11);
-    bench.feed(Input::Linked(node(0)));
-    let out = bench.list(0, vec![run(1, 0, 0, 1)]);
-    assert_eq!(stops(&out), [run(1, 0, 0, 1)]);
+    let evacuate = |bench: &mut Bench| {
+        let mut report = report(0, 7);
+        report.state = WorkerState::Draining { remaining_ms: 10 };
+        bench.agent(0, AgentMessage::Report(report))
+    };
+    let cases = [
+        Case {
+            what: "the job is cancelled while the agent is not linked",
+            stop: cancel,
+            unlinked: true,
+        },
+        Case {
+            what: "the job is cancelled just before the link is lost",
+            stop: cancel,
+            unlinked: false,
+        },
+        Case {
+            what: "the worker is evacuated just before the link is lost",
+            stop: evacuate,
+            unlinked: false,
+        },
+    ];
+    for case in cases {
+        let mut bench = Bench::with_workers(1);
+        bench.submit(1, job(vec![step(1, &[])]), 11);
+        if case.unlinked {
+            bench.feed(Input::Unlinked(node(0)));
+        }
+        let out = (case.stop)(&mut bench);
+        assert_eq!(stops(&out), [run(1, 0, 0, 1)], "{}", case.what);
+        bench.feed(Input::Unlinked(node(0)));
+        bench.feed(Input::Linked(node(0)));
+        let out = bench.list(0, vec![run(1, 0, 0, 1)]);
+        assert_eq!(stops(&out), [run(1, 0, 0, 1)], "{}", case.what);
+    }
 }
 
 #[test]
