fix(jobs): a worker's notice of shutdown does not free its runs

Cause: a worker that shuts down says so and ends some time after. The agent took the notice for the end: it told the owner that all runs had ended, the owner started their tasks elsewhere within milliseconds, and the worker ran them on. It also did so for a notice with another worker's id, and took a report sent before the notice for a worker that had come back.

The test failed on the code before.

Class: an announcement taken for a fact. A run now counts as ended only if the worker lists its end or lists it no more, if all leases of the worker have expired, or if the worker answers as a later incarnation. After its notice a worker gets no start and no lease, its runs are stopped, and it is polled until then. So that this does not hold tasks back for a whole lease, a draining worker gets leases of 0.6 s, which have expired 0.77 s after the last of them. Expiry has a margin of 0.15 s for a worker that ends its runs a little late.

--- a/crates/parsleytally-agent/src/site/mod.rs
+++ b/crates/parsleytally-agent/src/site/mod.rs
@@ -69,8 +69,7 @@
     }
 
     fn stopped(&self, id: &str) {
-        log::info!(worker = id; "worker is leaving");
-        self.send(ActorInput::Agent(AgentInput::WorkerLeft));
+        self.send(ActorInput::Agent(AgentInput::ShutdownNotice(id.into())));
     }
 
     fn unreadable(&self, id: &str, reason: &str) {
@@ -251,7 +250,13 @@
                 log::info!(owner:% = link.peer().node; "owner connected");
                 self.links.insert(id.0, link);
             }
-            ActorInput::Agent(input) => self.step(input),
+            ActorInput::Agent(input) => {
+                if let AgentInput::ShutdownNotice(id) = &input {
+                    let known = self.agent.is_worker(id);
+                    log::info!(worker:% = id, known; "worker gave notice of its shutdown");
+                }
+                self.step(input);
+            }
             ActorInput::Unreadable(id, reason) => {
                 let known = self.agent.is_worker(&id);
                 log::warn!(worker = id, known, reason; "report of a worker can't be read");
--- a/crates/parsleytally/src/jobs/agent/lease.rs
+++ b/crates/parsleytally/src/jobs/agent/lease.rs
@@ -8,10 +8,18 @@
 const CLOCK_DRIFT_PERCENT: u32 = 3;
 
 /// Longest time on our clock in which the worker's clock advances by `span`.
-pub(super) fn with_drift(span: Duration) -> Duration {
+fn with_drift(span: Duration) -> Duration {
     span + span * CLOCK_DRIFT_PERCENT / 100
 }
 
+/// Time after the end of a lease by which its worker has ended the runs.
+const EXPIRY_MARGIN: Duration = Duration::from_millis(150);
+
+/// Longest time on our clock until a worker has ended the runs of a lease of `length`.
+pub(super) fn expiry_after(length: Duration) -> Duration {
+    with_drift(length) + EXPIRY_MARGIN
+}
+
 /// A reading of the worker's monotonic clock.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct WorkerClock {
@@ -51,7 +59,8 @@
             return None;
         }
         let span = until.since(clock.read_at);
-        self.expires = self.expires.max(clock.read_at.after(with_drift(span)));
+        let expires = clock.read_at.after(expiry_after(span));
+        self.expires = self.expires.max(expires);
         let span_ms = u64::try_from(span.as_millis()).unwrap_or(u64::MAX);
         Some(clock.value_ms.saturating_add(span_ms))
     }
--- a/crates/parsleytally/src/jobs/agent/messages.rs
+++ b/crates/parsleytally/src/jobs/agent/messages.rs
@@ -1,5 +1,7 @@
 //! Inputs and outputs of [`JobAgent`](super::JobAgent), and its calls to the worker.
 
+use std::sync::Arc;
+
 use super::{EndedRun, OwnerLink, RunStatus};
 use crate::jobs::{
     AgentMessage, EndEvidence, OrderMessage, RefusalReason, RunRef, StartOrder, WorkerIncarnation,
@@ -88,8 +90,8 @@
     OwnerLost(OwnerLink),
     /// The worker reported its state.
     Report(WorkerReport),
-    /// The worker shuts down.
-    WorkerLeft,
+    /// The worker with this id gave notice of its shutdown; its runs go on until it ends.
+    ShutdownNotice(Arc<str>),
     /// Result of a poll.
     Polled {
         /// The poll.
--- a/crates/parsleytally/src/jobs/agent/mod.rs
+++ b/crates/parsleytally/src/jobs/agent/mod.rs
@@ -10,6 +10,10 @@
 //! fencing token and polls again: the worker refuses orders with a lower token than the
 //! highest it has received, so an answered poll with the higher token shows whether the
 //! run started, and it can't start afterwards.
+//!
+//! A run has ended only if the worker lists its end or does not list it any more, if all
+//! leases of the worker have expired, or if the worker answers as a later incarnation. A
+//! notice of shutdown is none of these: the worker runs its tasks until it has ended.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -42,6 +46,10 @@
 const MEASUREMENT_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Time after which a stop order is sent again while the run has not ended.
 const STOP_RETRY: Duration = Duration::from_millis(700);
+/// Length of a lease while the worker drains, so that it soon expires after the shutdown.
+const DRAIN_LEASE: Duration = Duration::from_millis(600);
+/// Longest time for which a draining worker may delay the answer to a poll.
+const DRAIN_POLL_WAIT: Duration = Duration::from_millis(200);
 /// Pause between two polls, unless an answer or an order makes the next one due sooner.
 const POLL_PAUSE: Duration = Duration::from_millis(150);
 
@@ -97,6 +105,8 @@
     /// Token of the orders and polls that are sent to the worker.
     fencing_token: u64,
     report: Option<WorkerReport>,
+    /// Whether the present incarnation of the worker gave notice of its shutdown.
+    leaving: bool,
     lease: Lease,
     /// Whether the owner has received all runs of the worker, with
     /// [`AgentMessage::Listed`].
@@ -132,6 +142,7 @@
             owner: None,
             fencing_token: 0,
             report: None,
+            leaving: false,
             lease: Lease::default(),
             listed: false,
             runs: BTreeMap::new(),
@@ -158,7 +169,7 @@
                 }
             }
             AgentInput::Report(report) => self.worker_reported(report, out),
-            AgentInput::WorkerLeft => self.worker_left(out),
+            AgentInput::ShutdownNotice(id) => self.worker_leaves(now, &id, out),
             AgentInput::Polled { call, answer } => self.handle_poll(now, call, answer, out),
             AgentInput::StartAnswered {
                 run,
@@ -291,6 +302,10 @@
         if self.report.as_ref() == Some(&report) {
             return;
         }
+        if self.leaving && self.is_current_incarnation(&report.incarnation) {
+            // It was sent before the notice of shutdown.
+            return;
+        }
         let known = self.report.as_ref().map(|known| known.incarnation.clone());
         if known.as_ref() != Some(&report.incarnation) {
             // A report of an earlier incarnation may arrive late.
@@ -303,17 +318,41 @@
         self.report = Some(report);
     }
 
-    /// Handles the worker's notice that it shuts down.
-    fn worker_left(&mut self, out: &mut Vec<AgentOutput>) {
-        self.reset_incarnation(EndEvidence::ShutdownNotice, out);
-        self.report = None;
-        self.expiry_reported = true;
-        out.push(AgentOutput::Send(AgentMessage::LeasesExpired));
+    /// Handles the worker's notice of its shutdown: it gets no more runs and no more
+    /// leases, and its runs are stopped, so that they save a checkpoint.
+    fn worker_leaves(&mut self, now: Time, id: &str, out: &mut Vec<AgentOutput>) {
+        if self.leaving || !self.is_worker(id) {
+            return;
+        }
+        self.leaving = true;
+        self.next_poll = now;
+        if let Some(report) = &mut self.report {
+            report.state = WorkerState::Draining { remaining_ms: 0 };
+            out.push(AgentOutput::Send(AgentMessage::Report(report.clone())));
+        }
+        for run in self.runs.keys().copied().collect::<Vec<_>>() {
+            self.stop(now, run, out);
+        }
+    }
+
+    /// Length of the next lease of the worker.
+    fn lease_length(&self) -> Duration {
+        if self.is_draining() {
+            DRAIN_LEASE
+        } else {
+            self.times.lease
+        }
+    }
+
+    fn is_draining(&self) -> bool {
+        let state = self.report.as_ref().map(|report| report.state);
+        matches!(state, Some(WorkerState::Draining { .. }))
     }
 
     /// Drops the state of the worker's earlier incarnation and reports its runs missing.
     fn reset_incarnation(&mut self, evidence: EndEvidence, out: &mut Vec<AgentOutput>) {
         self.push_runs_ended(evidence, out);
+        self.leaving = false;
         for run in std::mem::take(&mut self.runs).into_keys() {
             out.push(AgentOutput::Send(AgentMessage::Missing(run)));
         }
@@ -326,6 +365,9 @@
     }
 
     fn push_runs_ended(&self, evidence: EndEvidence, out: &mut Vec<AgentOutput>) {
+        if self.report.is_none() && self.runs.is_empty() {
+            return;
+        }
         let report = self.report.as_ref();
         out.push(AgentOutput::RunsEnded {
             incarnation: report.map(|report| report.incarnation.clone()),
@@ -378,7 +420,7 @@
     }
 
     fn send_start(&mut self, now: Time, run: RunRef, out: &mut Vec<AgentOutput>) {
-        let Some(lease_end) = self.lease.grant(now, self.times.lease) else {
+        let Some(lease_end) = self.lease.grant(now, self.lease_length()) else {
             self.runs.remove(&run);
             refuse(run, RefusalReason::Unwell, out);
             return;
--- a/crates/parsleytally/src/jobs/agent/poll.rs
+++ b/crates/parsleytally/src/jobs/agent/poll.rs
@@ -1,12 +1,13 @@
 //! Polls of the worker: lease renewal, reconciliation of runs, reports to the owner.
 
 use std::collections::HashSet;
+use std::time::Duration;
 
-use super::lease::with_drift;
+use super::lease::expiry_after;
 use super::{
-    AgentMessage, AgentOutput, CallError, EndEvidence, EndedRun, JobAgent, Listing,
-    MEASUREMENT_INTERVAL, MIXED_POLL_WAIT, POLL_PAUSE, POLL_WAIT, PollCall, RefusalReason, RunRef,
-    RunStatus, StartState, THROTTLE_INTERVAL, ThrottleCall, TrackedRun, refuse,
+    AgentMessage, AgentOutput, CallError, DRAIN_POLL_WAIT, EndEvidence, EndedRun, JobAgent,
+    Listing, MEASUREMENT_INTERVAL, MIXED_POLL_WAIT, POLL_PAUSE, POLL_WAIT, PollCall, RefusalReason,
+    RunRef, RunStatus, StartState, THROTTLE_INTERVAL, ThrottleCall, TrackedRun, refuse,
 };
 use crate::types::Time;
 
@@ -21,17 +22,18 @@
         if self.owner.is_none() && self.runs.is_empty() {
             return;
         }
-        // Polls don't renew the lease of an unresponsive worker, so that it expires.
-        let lease_end = if self.unresponsive {
+        // Polls don't renew the lease of an unresponsive or leaving worker, so that it
+        // expires.
+        let lease_end = if self.unresponsive || self.leaving {
             None
         } else {
-            self.lease.grant(now, self.times.lease)
+            self.lease.grant(now, self.lease_length())
         };
         let answer_at_once = token_raised || !self.listed || lease_end.is_none();
-        let wait = match (answer_at_once, self.throttle.is_mixed()) {
-            (true, _) => 0,
-            (false, true) => MIXED_POLL_WAIT.as_millis(),
-            (false, false) => POLL_WAIT.as_millis(),
+        let wait = if answer_at_once {
+            0
+        } else {
+            self.poll_wait().as_millis()
         };
         self.polls_in_flight += 1;
         self.polled_token = self.fencing_token;
@@ -45,6 +47,17 @@
         }));
     }
 
+    /// Longest time for which the worker may delay the answer to a poll.
+    fn poll_wait(&self) -> Duration {
+        if self.is_draining() {
+            DRAIN_POLL_WAIT
+        } else if self.throttle.is_mixed() {
+            MIXED_POLL_WAIT
+        } else {
+            POLL_WAIT
+        }
+    }
+
     pub(super) fn handle_poll(
         &mut self,
         now: Time,
@@ -90,11 +103,18 @@
         if self.listed {
             self.report_ends(&listing, out);
             self.report_measurements(now, &listing.running, out);
-        } else if self.owner_confirmed && call.fencing_token >= self.fencing_token {
+        } else if self.may_list(call) {
             self.report_all(listing, out);
         }
     }
 
+    /// Whether the answer to `call` can be the first listing for the owner. A leaving worker
+    /// whose leases have expired has nothing more to list.
+    fn may_list(&self, call: PollCall) -> bool {
+        let has_left = self.leaving && self.expiry_reported;
+        self.owner_confirmed && call.fencing_token >= self.fencing_token && !has_left
+    }
+
     /// Reports to the owner when the worker stops or resumes answering.
     fn set_unresponsive(&mut self, unresponsive: bool, out: &mut Vec<AgentOutput>) {
         if self.unresponsive == unresponsive {
@@ -216,12 +236,12 @@
         out.push(AgentOutput::Send(measurements));
     }
 
-    /// Reports to the owner, once, that the worker doesn't answer and that all its leases
-    /// have expired.
+    /// Reports to the owner, once, that the worker leaves or doesn't answer and that all its
+    /// leases have expired.
     pub(super) fn check_expiry(&mut self, now: Time, out: &mut Vec<AgentOutput>) {
-        let unresponsive = self.unresponsive || self.report.is_none();
+        let unrenewed = self.unresponsive || self.leaving || self.report.is_none();
         let unreported = self.listed || (self.owner_confirmed && !self.expiry_reported);
-        if !unresponsive || !unreported || self.owner.is_none() || !self.all_leases_expired(now) {
+        if !unrenewed || !unreported || self.owner.is_none() || !self.all_leases_expired(now) {
             return;
         }
         self.push_runs_ended(EndEvidence::ExpiredLeases, out);
@@ -233,7 +253,7 @@
 
     /// Whether all leases of this agent process and of the one before have expired.
     fn all_leases_expired(&self, now: Time) -> bool {
-        let earlier_expires = self.started_at.after(with_drift(self.times.lease));
+        let earlier_expires = self.started_at.after(expiry_after(self.times.lease));
         self.lease.has_expired(now) && earlier_expires < now
     }
 }
--- a/crates/parsleytally/src/jobs/messages.rs
+++ b/crates/parsleytally/src/jobs/messages.rs
@@ -106,8 +106,6 @@
 /// From what an agent or an owner concludes that the runs of a worker have ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum EndEvidence {
-    /// The worker gave notice of its shutdown.
-    ShutdownNotice,
     /// A later incarnation of the worker reported itself.
     LaterReport,
     /// The worker listed its runs as a later incarnation.
--- a/crates/parsleytally/src/jobs/tests/agent.rs
+++ b/crates/parsleytally/src/jobs/tests/agent.rs
@@ -6,11 +6,11 @@
 use crate::types::Time;
 
 /// An agent of worker 0 in simulated time.
-struct TestAgent {
+pub(super) struct TestAgent {
     agent: JobAgent,
     now: Time,
     /// Polls without an answer.
-    polls: Vec<PollCall>,
+    pub(super) polls: Vec<PollCall>,
 }
 
 const TOKEN: u64 = 1 << 32;
@@ -31,7 +31,7 @@
     }
 
     /// An agent with a confirmed owner that has received the listing of its worker.
-    fn ready() -> Self {
+    pub(super) fn ready() -> Self {
         let mut agent = Self::new();
         agent.step(AgentInput::Report(report(0, 7)));
         agent.connect_owner(1, TOKEN);
@@ -41,7 +41,7 @@
         agent
     }
 
-    fn step(&mut self, input: AgentInput) -> Vec<AgentOutput> {
+    pub(super) fn step(&mut self, input: AgentInput) -> Vec<AgentOutput> {
         let mut out = Vec::new();
         self.agent.step(self.now, input, &mut out);
         let polls = out.iter().filter_map(|output| match output {
@@ -57,7 +57,7 @@
         self.step(AgentInput::OwnerMessage(OwnerLink(link), begin))
     }
 
-    fn confirm_owner(&mut self, age: Duration) -> Vec<AgentOutput> {
+    pub(super) fn confirm_owner(&mut self, age: Duration) -> Vec<AgentOutput> {
         let pong = OrderMessage::Pong {
             sent: self.now.as_micros(),
             confirmation_age: age.as_micros() as u64,
@@ -65,13 +65,13 @@
         self.step(AgentInput::OwnerMessage(OwnerLink(1), pong))
     }
 
-    fn advance(&mut self, millis: u64) -> Vec<AgentOutput> {
+    pub(super) fn advance(&mut self, millis: u64) -> Vec<AgentOutput> {
         self.now = self.now.after(Duration::from_millis(millis));
         self.step(AgentInput::Tick)
     }
 
     /// The last poll without an answer; waits up to a second for one.
-    fn next_poll(&mut self) -> PollCall {
+    pub(super) fn next_poll(&mut self) -> PollCall {
         for _ in 0..20 {
             if let Some(call) = self.polls.pop() {
                 return call;
@@ -81,7 +81,7 @@
         panic!("no poll was sent");
     }
 
-    fn answer_poll(
+    pub(super) fn answer_poll(
         &mut self,
         call: PollCall,
         running: Vec<RunRef>,
@@ -113,12 +113,18 @@
         self.step(AgentInput::Polled { call, answer })
     }
 
-    fn fail_poll(&mut self, call: PollCall) -> Vec<AgentOutput> {
+    pub(super) fn fail_poll(&mut self, call: PollCall) -> Vec<AgentOutput> {
         let answer = Err(CallError::Unanswered);
         self.step(AgentInput::Polled { call, answer })
     }
 
-    fn start(&mut self, run: RunRef) -> Vec<AgentOutput> {
+    /// Answers the next poll.
+    pub(super) fn list(&mut self, running: Vec<RunRef>, ended: Vec<EndedRun>) -> Vec<AgentOutput> {
+        let call = self.next_poll();
+        self.answer_poll(call, running, ended)
+    }
+
+    pub(super) fn start(&mut self, run: RunRef) -> Vec<AgentOutput> {
         self.start_with(run, 0, false)
     }
 
@@ -136,7 +142,7 @@
     }
 }
 
-fn sent(out: &[AgentOutput], expected: &AgentMessage) -> bool {
+pub(super) fn sent(out: &[AgentOutput], expected: &AgentMessage) -> bool {
     let is_expected =
         |output: &AgentOutput| matches!(output, AgentOutput::Send(m) if m == expected);
     out.iter().any(is_expected)
@@ -462,19 +468,3 @@
     assert_eq!(agent.step(AgentInput::Report(report(0, 6))), []);
     assert!(start_token(&agent.start(run(1, 0, 0, 1))).is_some());
 }
-
-/// Guards against tasks that run twice: a worker that gives notice of its shutdown runs its
-/// tasks on until it ends, so its notice does not free them.
-#[test]
-fn a_notice_of_shutdown_frees_no_run_that_is_still_listed() {
-    let mut agent = TestAgent::ready();
-    let order = run(1, 0, 0, 1);
-    agent.start(order);
-    let call = agent.next_poll();
-    agent.answer_poll(call, vec![order], vec![]);
-    let mut out = agent.step(AgentInput::WorkerLeft);
-    let call = agent.next_poll();
-    out.extend(agent.answer_poll(call, vec![order], vec![]));
-    assert!(!sent(&out, &AgentMessage::LeasesExpired), "{out:?}");
-    assert!(!sent(&out, &AgentMessage::Missing(order)), "{out:?}");
-}
--- a/crates/parsleytally/src/jobs/tests/mod.rs
+++ b/crates/parsleytally/src/jobs/tests/mod.rs
@@ -7,6 +7,7 @@
 mod placement;
 mod records;
 mod scheduler;
+mod shutdown;
 mod throttle;
 mod worker;
 
