fix(jobs): reports of late or foreign writers do not replace the worker that answers

Cause: any readable report with another id or start time was taken for a restart of the worker: its runs were reported missing and their tasks started elsewhere while it ran them on. A restarted agent believed the first report it got, also one without a start time, and then took the worker's own answer for a restart ("all earlier runs of the worker have ended"). A report sent before a worker drained, but arriving later, made it ready again.

A report of another incarnation is now kept as a candidate, and used once the worker itself answers a poll as this incarnation; its own answer decides also when the wall clock was set back between two starts. Reports carry their number, and one with a lower number than that in use is dropped.

--- a/crates/parsleytally-agent/src/site/mod.rs
+++ b/crates/parsleytally-agent/src/site/mod.rs
@@ -64,8 +64,8 @@
 struct ReportSender(mpsc::Sender<ActorInput>);
 
 impl WorkerReports for ReportSender {
-    fn reported(&self, report: WorkerReport) {
-        self.send(ActorInput::Agent(AgentInput::Report(report)));
+    fn reported(&self, report: WorkerReport, sequence: u64) {
+        self.send(ActorInput::Agent(AgentInput::Report { report, sequence }));
     }
 
     fn stopped(&self, id: &str) {
--- a/crates/parsleytally-platform/src/jobs.rs
+++ b/crates/parsleytally-platform/src/jobs.rs
@@ -32,8 +32,8 @@
 
 /// Receives the reports that a worker sends about itself.
 pub trait WorkerReports: Send + Sync {
-    /// Handles a worker's report of its state and capacity.
-    fn reported(&self, report: WorkerReport);
+    /// Handles a worker's report of its state and capacity, with the report's number.
+    fn reported(&self, report: WorkerReport, sequence: u64);
 
     /// Handles the announcement that the worker with this ID ends.
     fn stopped(&self, id: &str);
--- a/crates/parsleytally/src/jobs/agent/messages.rs
+++ b/crates/parsleytally/src/jobs/agent/messages.rs
@@ -88,8 +88,13 @@
     OwnerMessage(OwnerLink, OrderMessage),
     /// The link of an owner is lost.
     OwnerLost(OwnerLink),
-    /// The worker reported its state.
-    Report(WorkerReport),
+    /// A worker reported its state.
+    Report {
+        /// Its report.
+        report: WorkerReport,
+        /// Number of the report, ascending within one incarnation; 0 if it has none.
+        sequence: u64,
+    },
     /// The worker with this id gave notice of its shutdown; its runs go on until it ends.
     ShutdownNotice(Arc<str>),
     /// Result of a poll.
--- a/crates/parsleytally/src/jobs/agent/mod.rs
+++ b/crates/parsleytally/src/jobs/agent/mod.rs
@@ -14,6 +14,9 @@
 //! A run has ended only if the worker lists its end or does not list it any more, if all
 //! leases of the worker have expired, or if the worker answers as a later incarnation. A
 //! notice of shutdown is none of these: the worker runs its tasks until it has ended.
+//!
+//! Reports may be late or from a process that is not the worker beside the agent. A report of
+//! another incarnation is used once the worker itself answers a poll as this incarnation.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -50,6 +53,8 @@
 const DRAIN_LEASE: Duration = Duration::from_millis(600);
 /// Longest time for which a draining worker may delay the answer to a poll.
 const DRAIN_POLL_WAIT: Duration = Duration::from_millis(200);
+/// Reports of other incarnations that are kept until the worker answers a poll.
+const MAX_CANDIDATES: usize = 4;
 /// Pause between two polls, unless an answer or an order makes the next one due sooner.
 const POLL_PAUSE: Duration = Duration::from_millis(150);
 
@@ -105,6 +110,12 @@
     /// Token of the orders and polls that are sent to the worker.
     fencing_token: u64,
     report: Option<WorkerReport>,
+    /// When the present incarnation first answered a poll.
+    incarnation_since: Time,
+    /// Highest number of a report of the present incarnation.
+    report_sequence: u64,
+    /// Latest reports of other incarnations, with their numbers.
+    candidates: Vec<(WorkerReport, u64)>,
     /// Whether the present incarnation of the worker gave notice of its shutdown.
     leaving: bool,
     lease: Lease,
@@ -142,6 +153,9 @@
             owner: None,
             fencing_token: 0,
             report: None,
+            incarnation_since: Time::ZERO,
+            report_sequence: 0,
+            candidates: Vec::new(),
             leaving: false,
             lease: Lease::default(),
             listed: false,
@@ -168,7 +182,9 @@
                     self.owner = None;
                 }
             }
-            AgentInput::Report(report) => self.worker_reported(report, out),
+            AgentInput::Report { report, sequence } => {
+                self.worker_reported(now, report, sequence, out);
+            }
             AgentInput::ShutdownNotice(id) => self.worker_leaves(now, &id, out),
             AgentInput::Polled { call, answer } => self.handle_poll(now, call, answer, out),
             AgentInput::StartAnswered {
@@ -298,24 +314,58 @@
         self.lease.allow_until(Time::from_micros(sent).after(hold));
     }
 
-    fn worker_reported(&mut self, report: WorkerReport, out: &mut Vec<AgentOutput>) {
+    fn worker_reported(
+        &mut self,
+        now: Time,
+        report: WorkerReport,
+        sequence: u64,
+        out: &mut Vec<AgentOutput>,
+    ) {
+        if !self.is_current_incarnation(&report.incarnation) {
+            self.add_candidate(now, report, sequence);
+            return;
+        }
+        if self.leaving || sequence < self.report_sequence {
+            // It was sent before the notice of shutdown, or before a report already used.
+            return;
+        }
+        self.report_sequence = sequence;
         if self.report.as_ref() == Some(&report) {
             return;
         }
-        if self.leaving && self.is_current_incarnation(&report.incarnation) {
-            // It was sent before the notice of shutdown.
+        out.push(AgentOutput::Send(AgentMessage::Report(report.clone())));
+        self.report = Some(report);
+    }
+
+    /// Keeps a report of another incarnation, and polls the worker to learn whether it is
+    /// this incarnation.
+    fn add_candidate(&mut self, now: Time, report: WorkerReport, sequence: u64) {
+        let same = |known: &(WorkerReport, u64)| known.0.incarnation == report.incarnation;
+        let known = self.candidates.iter().find(|known| same(known));
+        if known.is_some_and(|(_, known)| sequence < *known) {
             return;
         }
-        let known = self.report.as_ref().map(|known| known.incarnation.clone());
-        if known.as_ref() != Some(&report.incarnation) {
-            // A report of an earlier incarnation may arrive late.
-            if known.is_some_and(|known| known.started_ms > report.incarnation.started_ms) {
-                return;
-            }
-            self.reset_incarnation(EndEvidence::LaterReport, out);
+        self.candidates.retain(|known| !same(known));
+        if self.candidates.len() == MAX_CANDIDATES {
+            self.candidates.remove(0);
         }
+        self.candidates.push((report, sequence));
+        self.next_poll = now;
+    }
+
+    /// Uses the report of the incarnation with this start time, as which the worker answered;
+    /// returns whether there is one.
+    fn use_candidate(&mut self, born: u64, out: &mut Vec<AgentOutput>) -> bool {
+        let is_born = |known: &(WorkerReport, u64)| known.0.incarnation.started_ms == born;
+        let Some(at) = self.candidates.iter().rposition(is_born) else {
+            return false;
+        };
+        let (report, sequence) = self.candidates.remove(at);
+        self.candidates.clear();
+        self.report_sequence = sequence;
         out.push(AgentOutput::Send(AgentMessage::Report(report.clone())));
         self.report = Some(report);
+        true
     }
 
     /// Handles the worker's notice of its shutdown: it gets no more runs and no more
--- a/crates/parsleytally/src/jobs/agent/poll.rs
+++ b/crates/parsleytally/src/jobs/agent/poll.rs
@@ -71,17 +71,7 @@
             self.next_poll = now.after(POLL_PAUSE);
             return;
         };
-        let born = self
-            .report
-            .as_ref()
-            .map(|report| report.incarnation.started_ms);
-        if born != Some(listing.born) {
-            // The rest of the new incarnation's state comes with the worker's own report.
-            if born.is_some_and(|born| born < listing.born) {
-                self.reset_incarnation(EndEvidence::LaterListing, out);
-                self.report = None;
-                out.push(AgentOutput::Send(AgentMessage::LeasesExpired));
-            }
+        if !self.update_incarnation(now, call.sent, listing.born, out) {
             self.next_poll = now.after(POLL_PAUSE);
             return;
         }
@@ -115,6 +105,33 @@
         self.owner_confirmed && call.fencing_token >= self.fencing_token && !has_left
     }
 
+    /// Compares the incarnation as which the worker answered a poll of time `sent` with the
+    /// present one; returns whether its listing can be used.
+    fn update_incarnation(
+        &mut self,
+        now: Time,
+        sent: Time,
+        born: u64,
+        out: &mut Vec<AgentOutput>,
+    ) -> bool {
+        let known = self.report.as_ref();
+        let known = known.map(|report| report.incarnation.started_ms);
+        if known == Some(born) {
+            return true;
+        }
+        if known.is_some() {
+            // The wall clock may have been set back between the starts of two incarnations.
+            if sent < self.incarnation_since {
+                return false;
+            }
+            self.reset_incarnation(EndEvidence::LaterIncarnation, out);
+            self.report = None;
+            out.push(AgentOutput::Send(AgentMessage::LeasesExpired));
+        }
+        self.incarnation_since = now;
+        self.use_candidate(born, out)
+    }
+
     /// Reports to the owner when the worker stops or resumes answering.
     fn set_unresponsive(&mut self, unresponsive: bool, out: &mut Vec<AgentOutput>) {
         if self.unresponsive == unresponsive {
--- a/crates/parsleytally/src/jobs/messages.rs
+++ b/crates/parsleytally/src/jobs/messages.rs
@@ -106,10 +106,8 @@
 /// From what an agent or an owner concludes that the runs of a worker have ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum EndEvidence {
-    /// A later incarnation of the worker reported itself.
-    LaterReport,
     /// The worker listed its runs as a later incarnation.
-    LaterListing,
+    LaterIncarnation,
     /// The worker does not answer, and all its leases have expired.
     ExpiredLeases,
     /// The agent has told the owner.
--- a/crates/parsleytally/src/jobs/scheduler/mod.rs
+++ b/crates/parsleytally/src/jobs/scheduler/mod.rs
@@ -11,7 +11,8 @@
 use super::job::{Job, StepRef};
 use super::{
     AgentMessage, EndEvidence, Input, JobId, JobProgress, JobRecord, JobReply, JobRequest,
-    JobState, OrderMessage, Output, QueueName, QueueTable, RunRef, WorkerReport, WorkerState,
+    JobState, OrderMessage, Output, QueueName, QueueTable, RunRef, WorkerIncarnation, WorkerReport,
+    WorkerState,
 };
 use crate::types::{NodeName, Revision, Time};
 
@@ -318,12 +319,16 @@
             return;
         };
         let known = worker.incarnation();
-        // A report of an earlier incarnation may arrive late.
-        if known.is_some_and(|known| known.started_ms > report.incarnation.started_ms) {
+        // A report of an earlier incarnation may arrive late. Before the worker is listed
+        // again, its wall clock may have been set back.
+        let is_earlier = |known: &WorkerIncarnation| {
+            known.started_ms > report.incarnation.started_ms && worker.listed
+        };
+        if known.is_some_and(is_earlier) {
             return;
         }
         if known.is_some_and(|known| *known != report.incarnation) {
-            self.drop_runs(node, EndEvidence::LaterReport, out);
+            self.drop_runs(node, EndEvidence::LaterIncarnation, out);
         }
         let Some(worker) = self.workers.get_mut(node) else {
             return;
--- a/crates/parsleytally/src/jobs/tests/agent.rs
+++ b/crates/parsleytally/src/jobs/tests/agent.rs
@@ -17,7 +17,7 @@
 
 impl TestAgent {
     /// An agent that has just started.
-    fn new() -> Self {
+    pub(super) fn new() -> Self {
         let times = AgentTimes {
             lease: Duration::from_secs(4),
             agent_hold: Duration::from_secs(5),
@@ -33,11 +33,10 @@
     /// An agent with a confirmed owner that has received the listing of its worker.
     pub(super) fn ready() -> Self {
         let mut agent = Self::new();
-        agent.step(AgentInput::Report(report(0, 7)));
+        agent.step(reported(report(0, 7)));
         agent.connect_owner(1, TOKEN);
         agent.confirm_owner(Duration::ZERO);
-        let call = agent.next_poll();
-        agent.answer_poll(call, vec![], vec![]);
+        agent.list(vec![], vec![]);
         agent
     }
 
@@ -52,7 +51,7 @@
         out
     }
 
-    fn connect_owner(&mut self, link: u64, fencing_token: u64) -> Vec<AgentOutput> {
+    pub(super) fn connect_owner(&mut self, link: u64, fencing_token: u64) -> Vec<AgentOutput> {
         let begin = OrderMessage::Begin { fencing_token };
         self.step(AgentInput::OwnerMessage(OwnerLink(link), begin))
     }
@@ -113,6 +112,17 @@
         self.step(AgentInput::Polled { call, answer })
     }
 
+    /// Answers a poll without runs as the incarnation that started at `born`.
+    pub(super) fn answer_poll_as(&mut self, born: u64, call: PollCall) -> Vec<AgentOutput> {
+        let answer = Ok(Listing {
+            born,
+            clock_ms: 0,
+            running: vec![],
+            ended: vec![],
+        });
+        self.step(AgentInput::Polled { call, answer })
+    }
+
     pub(super) fn fail_poll(&mut self, call: PollCall) -> Vec<AgentOutput> {
         let answer = Err(CallError::Unanswered);
         self.step(AgentInput::Polled { call, answer })
@@ -195,7 +205,7 @@
     for case in cases {
         let mut agent = TestAgent::new();
         if case.reported {
-            agent.step(AgentInput::Report(report(0, 7)));
+            agent.step(reported(report(0, 7)));
         }
         agent.connect_owner(1, TOKEN);
         let mut expiries = Vec::new();
@@ -360,7 +370,7 @@
     ];
     for case in cases {
         let mut agent = TestAgent::new();
-        agent.step(AgentInput::Report(report(0, 7)));
+        agent.step(reported(report(0, 7)));
         agent.connect_owner(1, TOKEN);
         agent.advance(500);
         agent.confirm_owner(Duration::from_millis(case.age_ms));
@@ -465,6 +475,6 @@
 #[test]
 fn late_report_of_an_earlier_incarnation_is_ignored() {
     let mut agent = TestAgent::ready();
-    assert_eq!(agent.step(AgentInput::Report(report(0, 6))), []);
+    assert_eq!(agent.step(reported(report(0, 6))), []);
     assert!(start_token(&agent.start(run(1, 0, 0, 1))).is_some());
 }
--- /dev/null
+++ b/crates/parsleytally/src/jobs/tests/foreign_reports.rs
@@ -0,0 +1,142 @@
+//! Agents whose reports are late or come from processes that are not their worker.
+
+use std::time::Duration;
+
+use super::agent::{TestAgent, sent};
+use super::*;
+
+/// Start of the incarnation of the worker beside the agent, as in [`TestAgent::ready`].
+const BORN: u64 = 7;
+
+fn numbered(report: WorkerReport, sequence: u64) -> AgentInput {
+    AgentInput::Report { report, sequence }
+}
+
+fn draining() -> WorkerReport {
+    WorkerReport {
+        state: WorkerState::Draining { remaining_ms: 500 },
+        ..report(0, BORN)
+    }
+}
+
+fn reported_states(out: &[AgentOutput]) -> Vec<WorkerState> {
+    let state = |output: &AgentOutput| match output {
+        AgentOutput::Send(AgentMessage::Report(report)) => Some(report.state),
+        _ => None,
+    };
+    out.iter().filter_map(state).collect()
+}
+
+/// Guards against tasks that run twice: a report of another worker, or of an incarnation that
+/// does not answer, freed the runs of the worker that goes on.
+#[test]
+fn a_report_of_another_incarnation_frees_no_run_of_the_answering_one() {
+    struct Case {
+        what: &'static str,
+        report: WorkerReport,
+    }
+    let cases = [
+        Case {
+            what: "another worker that started later",
+            report: report(5, BORN + 1),
+        },
+        Case {
+            what: "another worker that started earlier",
+            report: report(5, BORN - 1),
+        },
+        Case {
+            what: "another worker without a start time",
+            report: report(5, 0),
+        },
+        Case {
+            what: "an earlier incarnation of the worker",
+            report: report(0, BORN - 1),
+        },
+    ];
+    for case in cases {
+        let order = run(1, 0, 0, 1);
+        let mut agent = TestAgent::ready();
+        agent.start(order);
+        agent.list(vec![order], vec![]);
+        let mut out = agent.step(reported(case.report.clone()));
+        for _ in 0..3 {
+            out.extend(agent.list(vec![order], vec![]));
+        }
+        assert!(!sent(&out, &AgentMessage::Missing(order)), "{}", case.what);
+        assert!(!sent(&out, &AgentMessage::LeasesExpired), "{}", case.what);
+        assert_eq!(reported_states(&out), [], "{}", case.what);
+        let next = run(1, 0, 1, 1);
+        let refused = AgentMessage::Refused {
+            run: next,
+            reason: RefusalReason::Unwell,
+        };
+        assert!(!sent(&agent.start(next), &refused), "{}", case.what);
+    }
+}
+
+/// Guards against tasks that run twice: a restarted agent believed the first report that it
+/// got, and took the worker's own answer for a restart of the worker.
+#[test]
+fn a_restarted_agent_believes_only_the_worker_that_answers() {
+    let mut agent = TestAgent::new();
+    agent.connect_owner(1, 1 << 32);
+    agent.confirm_owner(Duration::ZERO);
+    let mut out = agent.step(reported(report(5, 0)));
+    out.extend(agent.list(vec![run(1, 0, 0, 1)], vec![]));
+    out.extend(agent.step(reported(report(0, BORN))));
+    out.extend(agent.list(vec![run(1, 0, 0, 1)], vec![]));
+    assert!(!sent(&out, &AgentMessage::LeasesExpired), "{out:?}");
+    let own = AgentMessage::Report(report(0, BORN));
+    assert!(sent(&out, &own), "{out:?}");
+}
+
+#[test]
+fn a_new_incarnation_is_used_once_the_worker_answers_as_it() {
+    struct Case {
+        what: &'static str,
+        born: u64,
+    }
+    let cases = [
+        Case {
+            what: "started later",
+            born: BORN + 1,
+        },
+        Case {
+            what: "started after the wall clock was set back",
+            born: BORN - 1,
+        },
+    ];
+    for case in cases {
+        let order = run(1, 0, 0, 1);
+        let mut agent = TestAgent::ready();
+        agent.start(order);
+        agent.list(vec![order], vec![]);
+        let pending = agent.next_poll();
+        agent.step(reported(report(0, case.born)));
+        agent.fail_poll(pending);
+        agent.advance(200);
+        let call = agent.next_poll();
+        let out = agent.answer_poll_as(case.born, call);
+        let new = AgentMessage::Report(report(0, case.born));
+        assert!(sent(&out, &AgentMessage::Missing(order)), "{}", case.what);
+        assert!(sent(&out, &new), "{}: {out:?}", case.what);
+    }
+}
+
+/// Guards against starts on a worker that drains: a report that was sent before it drained
+/// and arrives later made it ready again.
+#[test]
+fn a_report_with_a_lower_number_is_late() {
+    let mut agent = TestAgent::new();
+    agent.connect_owner(1, 1 << 32);
+    agent.step(numbered(report(0, BORN), 3));
+    agent.confirm_owner(Duration::ZERO);
+    agent.list(vec![], vec![]);
+    let out = agent.step(numbered(draining(), 5));
+    let drains = WorkerState::Draining { remaining_ms: 500 };
+    assert_eq!(reported_states(&out), [drains]);
+    let out = agent.step(numbered(report(0, BORN), 4));
+    assert_eq!(reported_states(&out), []);
+    let out = agent.step(numbered(report(0, BORN), 6));
+    assert_eq!(reported_states(&out), [WorkerState::Ready]);
+}
--- a/crates/parsleytally/src/jobs/tests/mod.rs
+++ b/crates/parsleytally/src/jobs/tests/mod.rs
@@ -3,6 +3,7 @@
 mod agent;
 mod contention;
 mod durations;
+mod foreign_reports;
 mod model;
 mod placement;
 mod records;
@@ -47,6 +48,14 @@
     }
 }
 
+/// The input of an agent for a report without a number.
+fn reported(report: WorkerReport) -> AgentInput {
+    AgentInput::Report {
+        report,
+        sequence: 0,
+    }
+}
+
 fn queue() -> QueuePolicy {
     QueuePolicy {
         name: QueueName("q".into()),
--- a/crates/parsleytally/src/jobs/tests/model.rs
+++ b/crates/parsleytally/src/jobs/tests/model.rs
@@ -168,7 +168,7 @@
             violations: Vec::new(),
         };
         for at in 0..WORKERS {
-            simulation.step_agent(at, AgentInput::Report(report(at, 1)));
+            simulation.step_agent(at, reported(report(at, 1)));
         }
         simulation.push(0, Event::NewOwner);
         simulation.push(50, Event::Tick);
@@ -241,7 +241,7 @@
                 let born = self.workers[at].born + 1;
                 self.workers[at] = SimulatedWorker::new(self.now, born);
                 if self.agents[at].up {
-                    self.step_agent(at, AgentInput::Report(report(at, born)));
+                    self.step_agent(at, reported(report(at, born)));
                 }
             }
             Event::AgentUp(at) => {
@@ -251,7 +251,7 @@
                 let incarnation = self.agents[at].incarnation + 1;
                 self.agents[at] = agent(incarnation, self.now);
                 let born = self.workers[at].born;
-                self.step_agent(at, AgentInput::Report(report(at, born)));
+                self.step_agent(at, reported(report(at, born)));
             }
             Event::Heal => {
                 self.partitions.clear();
--- a/crates/parsleytally/src/jobs/tests/shutdown.rs
+++ b/crates/parsleytally/src/jobs/tests/shutdown.rs
@@ -22,7 +22,7 @@
 fn draining() -> AgentInput {
     let mut report = report(0, 7);
     report.state = WorkerState::Draining { remaining_ms: 500 };
-    AgentInput::Report(report)
+    reported(report)
 }
 
 /// Milliseconds from now until the owner is told that the runs have ended; the worker lists
@@ -148,7 +148,7 @@
         },
         Case {
             what: "notice, then a report that was sent before it",
-            inputs: vec![notice("i-0"), AgentInput::Report(report(0, 7))],
+            inputs: vec![notice("i-0"), reported(report(0, 7))],
             leaves: true,
         },
     ];
