fix(jobs): a lost first link does not shorten the wait for a predecessor's agent

Same class as the tasks that ran twice: a weaker fact ended a wait that a stronger one had begun. A new owner waits for each agent of its predecessor until its runs are listed or the predecessor's hold (8.4 s) has passed. A link that was opened and lost before the listing replaced that wait by the hold of the new owner's own links (5.25 s), although the agent may never have got the new owner's first message and may still follow the predecessor. The later of the two times holds now.

The test failed before (a start after 5.5 s). Not seen in a run; found by reading.

--- a/crates/parsleytally/src/jobs/scheduler/mod.rs
+++ b/crates/parsleytally/src/jobs/scheduler/mod.rs
@@ -263,10 +263,13 @@
     }
 
     fn unlinked(&mut self, now: Time, node: &NodeName) {
+        let hold = now.after(self.options.agent_hold);
+        // Until it has listed its runs, it may follow the predecessor.
+        let inherited = self.unreported.get(node).copied().unwrap_or(hold);
         if let Some(worker) = self.workers.get_mut(node) {
             worker.linked = false;
             worker.listed = false;
-            worker.runs_expire_at = Some(now.after(self.options.agent_hold));
+            worker.runs_expire_at = Some(hold.max(inherited));
         }
     }
 
--- a/crates/parsleytally/src/jobs/tests/scheduler.rs
+++ b/crates/parsleytally/src/jobs/tests/scheduler.rs
@@ -629,6 +629,21 @@
     assert!(bench.wait(5_100).contains(&Output::Forget(node(0))));
 }
 
+/// Guards against tasks that run twice: a link that ends before the agent has listed its runs
+/// tells nothing of the hold that a predecessor has granted.
+#[test]
+fn an_agent_whose_first_link_is_lost_is_waited_for_as_before() {
+    let mut bench = Bench::new();
+    bench.join(0, report(0, 7));
+    bench.feed(Input::Expected(node(1)));
+    bench.submit(1, job(vec![step(1, &[])]), 5);
+    bench.feed(Input::Linked(node(1)));
+    bench.feed(Input::Unlinked(node(1)));
+    assert_eq!(starts(&bench.wait(5_500)), []);
+    assert_eq!(starts(&bench.wait(6_000)), []);
+    assert_eq!(starts(&bench.wait(600)).len(), 1);
+}
+
 /// Guards against a deposed owner that restarts runs of agents which are linked to its
 /// successor by now.
 #[test]
