fix(jobs): runs that a new owner finds on a draining worker are moved

A new owner gets the worker's report before its runs; it evacuated a worker when the report said that it drains, found no runs, and did not look again. It now also evacuates when a draining worker lists its runs.

The test failed before (no order to stop).

--- a/crates/parsleytally/src/jobs/fleet.rs
+++ b/crates/parsleytally/src/jobs/fleet.rs
@@ -247,11 +247,10 @@
 
     /// Whether a run can be started there now.
     pub(super) fn accepts_tasks(&self, now: Time) -> bool {
-        let ready = self.report.as_ref().map(|report| report.state);
         self.linked
             && self.listed
             && !self.unresponsive
-            && ready == Some(WorkerState::Ready)
+            && self.state() == Some(WorkerState::Ready)
             && !self.failures.is_quarantined(now)
     }
 
@@ -292,9 +291,13 @@
         report.is_some_and(|report| report.labels.iter().any(|own| **own == *label))
     }
 
+    /// State in its last report.
+    pub(super) fn state(&self) -> Option<WorkerState> {
+        self.report.as_ref().map(|report| report.state)
+    }
+
     pub(super) fn is_draining(&self) -> bool {
-        let state = self.report.as_ref().map(|report| report.state);
-        matches!(state, Some(WorkerState::Draining { .. }))
+        matches!(self.state(), Some(WorkerState::Draining { .. }))
     }
 
     /// Incarnation of its last report.
--- a/crates/parsleytally/src/jobs/scheduler/ended.rs
+++ b/crates/parsleytally/src/jobs/scheduler/ended.rs
@@ -2,11 +2,11 @@
 
 use std::collections::HashSet;
 
-use super::super::fleet::{Load, PendingAck};
+use super::super::fleet::{Load, PendingAck, Worker};
 use super::super::job::LiveRun;
 use super::super::{
     EndReason, EndedRun, JobState, ListingOutcome, OrderMessage, Output, RefusalReason, RunRef,
-    RunStatus, WorkerIncarnation,
+    RunStatus, WorkerIncarnation, WorkerState,
 };
 use super::Scheduler;
 use crate::types::{NodeName, Time};
@@ -47,6 +47,10 @@
             self.send_description(node, task.run, out);
         }
         out.push(Output::Reconciled(node.clone(), outcome));
+        let state = self.workers.get(node).and_then(Worker::state);
+        if let Some(WorkerState::Draining { remaining_ms }) = state {
+            self.evacuate(now, node, remaining_ms, out);
+        }
         if let Some(worker) = self.workers.get(node) {
             self.contention.update_headrooms(node, worker);
         }
--- a/crates/parsleytally/src/jobs/tests/scheduler.rs
+++ b/crates/parsleytally/src/jobs/tests/scheduler.rs
@@ -435,6 +435,20 @@
     }
 }
 
+/// Guards against runs that are lost with their worker: a new owner learns that the worker
+/// drains before it learns of the runs.
+#[test]
+fn runs_on_a_worker_that_drains_since_before_the_listing_are_moved() {
+    let mut bench = Bench::new();
+    bench.submit(1, job(vec![step(1, &[])]), 5);
+    bench.feed(Input::Linked(node(0)));
+    let mut draining = report(0, 7);
+    draining.state = WorkerState::Draining { remaining_ms: 10 };
+    bench.agent(0, AgentMessage::Report(draining));
+    let out = bench.list(0, vec![run(1, 0, 0, 1)]);
+    assert_eq!(stops(&out), [run(1, 0, 0, 1)]);
+}
+
 #[test]
 fn a_worker_that_refuses_a_start_gets_no_other_for_a_while() {
     let mut bench = Bench::with_workers(1);
