fix(jobs): a measured run that the owner does not know is stopped

The owner decided once about each run, on one message, and compared nothing afterwards: a run that it took for ended or never started, for whatever reason, ran on while its agent renewed its lease. Agents report measurements of all runs each second; a run among them that the owner has neither placed nor adopted, or takes for ended, is now ordered to stop. This bounds the damage of faults of this class that are not known yet; it replaces none of the mends.

The test failed before (no order to stop).

--- a/crates/parsleytally/src/jobs/scheduler/mod.rs
+++ b/crates/parsleytally/src/jobs/scheduler/mod.rs
@@ -347,8 +347,8 @@
         self.pass_due = true;
     }
 
-    /// Stores the newest checkpoints, so that a lost run resumes from them, and throttles
-    /// best-effort runs.
+    /// Stores the newest checkpoints, so that a lost run resumes from them, throttles
+    /// best-effort runs and stops runs that should not exist.
     fn update_gauges(
         &mut self,
         now: Time,
@@ -365,9 +365,20 @@
                 task.checkpoint.clone_from(&gauge.checkpoint);
             }
         }
+        self.stop_unknown(node, gauges, out);
         self.throttle(now, node, gauges, out);
     }
 
+    /// Stops measured runs that this owner has neither placed nor adopted, or takes for ended.
+    fn stop_unknown(&self, node: &NodeName, gauges: &[super::RunStatus], out: &mut Vec<Output>) {
+        let Some(worker) = self.workers.get(node) else {
+            return;
+        };
+        let runs = gauges.iter().map(|gauge| gauge.run);
+        let unknown = runs.filter(|run| !worker.runs.contains_key(run));
+        out.extend(unknown.map(|run| Output::Order(node.clone(), OrderMessage::Stop(run))));
+    }
+
     /// Drops all runs of a worker, so that their tasks can start again.
     fn drop_runs(&mut self, node: &NodeName, evidence: EndEvidence, out: &mut Vec<Output>) {
         let Some(worker) = self.workers.get_mut(node) else {
--- a/crates/parsleytally/src/jobs/tests/scheduler.rs
+++ b/crates/parsleytally/src/jobs/tests/scheduler.rs
@@ -435,6 +435,23 @@
     }
 }
 
+/// Guards against tasks that run twice and tasks of cancelled jobs that run on: a run that was
+/// taken for ended or never started shows up again.
+#[test]
+fn a_measured_run_that_the_owner_does_not_know_is_stopped() {
+    let mut bench = Bench::with_workers(1);
+    bench.submit(1, job(vec![step(1, &[])]), 11);
+    let status = |run| RunStatus {
+        run,
+        checkpoint: String::new(),
+        percent: 10,
+        measurement: 0,
+    };
+    let (known, unknown) = (run(1, 0, 0, 1), run(2, 0, 0, 1));
+    let measured = AgentMessage::Measurements(vec![status(known), status(unknown)]);
+    assert_eq!(stops(&bench.agent(0, measured)), [unknown]);
+}
+
 /// Guards against runs that are lost with their worker: a new owner learns that the worker
 /// drains before it learns of the runs.
 #[test]
