fix(entry): a late deletion of an agent's address spares a later one; late inputs of links are dropped

Found by reading.

- The owner deletes the address of an agent that it has forgotten, on condition only that it still owns the jobs.
The store may carry a call out seconds later; by then the agent may have registered again and run tasks, and the next owner, which does not find it, would start them elsewhere at once.
The deletion now has the condition that the address is the one that was forgotten.
A deletion that failed left an address that the agent found equal, so that nobody linked it again: it is repeated.
- A link task that was replaced by one with another address ended without `Unlinked`, so its worker counted as linked until the new link opened; inputs of a stopped task that were still queued counted too.
Inputs name their task, and those of an earlier one are dropped.
- Links were numbered from 1 for each task, so an agent that was forgotten and came back got lower fencing tokens than its worker had seen; after a restart it was of no use until the next owner.
Links are counted over the whole ownership.

With the condition left out, only_the_address_that_was_forgotten_is_deleted fails (the agent registers again). The known agents and the log lines of the owner have modules of their own.

--- a/crates/parsleytally-entry/src/site/agents.rs
+++ b/crates/parsleytally-entry/src/site/agents.rs
@@ -1,6 +1,8 @@
 //! The owner's link to one agent.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use parsleytally::jobs::{AgentMessage, OrderMessage};
@@ -22,29 +24,39 @@
 /// Orders for one agent.
 pub(super) type Orders = Vec<OrderMessage>;
 
+/// An agent, and the number of the task that links the owner to it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct AgentId {
+    pub(crate) node: NodeName,
+    pub(crate) dialer: u64,
+}
+
 /// Connects the owner to one agent.
 pub(super) struct AgentLink {
-    pub(super) node: NodeName,
+    pub(super) agent: AgentId,
     pub(super) address: SocketAddr,
     pub(super) epoch: Epoch,
     pub(super) hello: Hello,
     pub(super) config: LinkConfig,
     pub(super) confirmation: LastConfirmation,
     pub(super) owner: mpsc::Sender<OwnerInput>,
+    /// Number of links of this ownership.
+    pub(super) links: Arc<AtomicU64>,
 }
 
 impl AgentLink {
     /// Connects to the agent, and again whenever the link is lost, until cancelled.
     pub(super) async fn run(self) {
-        let mut link_number = 0;
         loop {
             match dial(self.address, &self.hello, &self.config).await {
                 Ok((link, incoming)) => {
-                    link_number += 1;
-                    self.serve(link_number, &link, incoming).await;
+                    let number = self.links.fetch_add(1, Ordering::Relaxed) + 1;
+                    self.serve(number, &link, incoming).await;
                     link.close();
                 }
-                Err(error) => log::debug!("connecting to agent {} failed: {error}", self.node),
+                Err(error) => {
+                    log::debug!("connecting to agent {} failed: {error}", self.agent.node);
+                }
             }
             sleep(DIAL_PAUSE).await;
         }
@@ -57,7 +69,7 @@
             return;
         }
         let (sender, mut orders) = mpsc::unbounded_channel();
-        let linked = OwnerInput::Linked(self.node.clone(), sender);
+        let linked = OwnerInput::Linked(self.agent.clone(), sender);
         if self.owner.send(linked).await.is_err() {
             return;
         }
@@ -76,10 +88,8 @@
                 }
             }
         }
-        let _ = self
-            .owner
-            .send(OwnerInput::Unlinked(self.node.clone()))
-            .await;
+        let unlinked = OwnerInput::Unlinked(self.agent.clone());
+        let _ = self.owner.send(unlinked).await;
     }
 
     fn pong(&self, sent: u64) -> Frame {
@@ -95,7 +105,7 @@
         if fencing_token >> EPOCH_SHIFT <= self.epoch.0 + 1 {
             return;
         }
-        log::warn!(agent:% = self.node, epoch:% = self.epoch, fencing_token;
+        log::warn!(agent:% = self.agent.node, epoch:% = self.epoch, fencing_token;
             "a later owner has taken over an agent");
         let _ = self.owner.send(OwnerInput::Replaced).await;
     }
@@ -104,7 +114,7 @@
     /// closed.
     async fn handle_frame(&self, link: &Link, frame: Frame) -> bool {
         let Frame::JobReports(messages) = frame else {
-            log::warn!(agent:% = self.node; "unexpected frame type from an agent");
+            log::warn!(agent:% = self.agent.node; "unexpected frame type from an agent");
             return true;
         };
         let mut reports = Vec::with_capacity(messages.len());
@@ -125,7 +135,7 @@
         if reports.is_empty() {
             return true;
         }
-        let input = OwnerInput::Agent(self.node.clone(), reports);
+        let input = OwnerInput::Agent(self.agent.clone(), reports);
         self.owner.send(input).await.is_ok()
     }
 }
--- a/crates/parsleytally-entry/src/site/owner.rs
+++ b/crates/parsleytally-entry/src/site/owner.rs
@@ -6,8 +6,8 @@
 
 use parsleytally::configs::JobsConfig;
 use parsleytally::jobs::{
-    AgentMessage, ContentionRecord, EndEvidence, Input, JobId, JobProgress, JobRecord, JobReply,
-    JobRequest, ListingOutcome, OrderMessage, Output, QueueTable, Scheduler, SchedulerOptions,
+    AgentMessage, ContentionRecord, Input, JobId, JobProgress, JobRecord, JobReply, JobRequest,
+    OrderMessage, Output, QueueTable, Scheduler, SchedulerOptions,
 };
 use parsleytally::types::{NodeName, Revision, Time};
 use parsleytally_link::{Hello, LinkConfig};
@@ -18,12 +18,14 @@
 use tokio::time::{Instant, interval, sleep};
 use tokio_util::sync::CancellationToken;
 
-use super::agents::{AgentLink, Orders};
+use super::agents::{AgentId, AgentLink, Orders};
 use super::confirmation::LastConfirmation;
 use super::election::{Owner, epoch_unchanged};
 use super::follow::{FleetUpdate, follow_fleet};
 use super::keys;
+use super::known_agents::{Dial, KnownAgents, delete_address};
 use super::metrics::OwnerMetrics;
+use super::owner_log::{log_dropped, log_order, log_reconciled, log_undelivered};
 use super::saver::{ProgressRecord, Saver, revisions};
 use super::stored_state::StoredState;
 
@@ -38,11 +40,11 @@
 #[derive(Debug)]
 pub(crate) enum OwnerInput {
     /// An agent is linked; orders go to the sender.
-    Linked(NodeName, mpsc::UnboundedSender<Vec<OrderMessage>>),
+    Linked(AgentId, mpsc::UnboundedSender<Vec<OrderMessage>>),
     /// The link of an agent is lost.
-    Unlinked(NodeName),
+    Unlinked(AgentId),
     /// Messages from an agent.
-    Agent(NodeName, Vec<AgentMessage>),
+    Agent(AgentId, Vec<AgentMessage>),
     /// Progress records that are stored, each job with its record's version.
     Saved(Vec<(JobId, u64)>),
     /// A request, and the channel for its reply.
@@ -92,7 +94,7 @@
             sender: sender.clone(),
             inputs,
             stop: stop.clone(),
-            agents: BTreeMap::new(),
+            agents: KnownAgents::new(stop.clone()),
             order_senders: HashMap::new(),
             tasks: JoinSet::new(),
             out: Vec::new(),
@@ -152,8 +154,7 @@
     sender: mpsc::Sender<OwnerInput>,
     inputs: mpsc::Receiver<OwnerInput>,
     stop: CancellationToken,
-    /// Address of each agent, and the token that stops its link.
-    agents: BTreeMap<NodeName, (String, CancellationToken)>,
+    agents: KnownAgents,
     /// Senders of orders to the agents that are linked.
     order_senders: HashMap<NodeName, mpsc::UnboundedSender<Vec<OrderMessage>>>,
     /// Links to agents and the other tasks of this ownership.
@@ -221,7 +222,7 @@
         for item in &state.fleet.items {
             if let Some(node) = keys::parse_agent(&item.key) {
                 self.step(Input::Expected(node.clone()));
-                self.connect_agent(node, &item.value);
+                self.connect_agent(&node, item);
             } else if let Some(id) = keys::parse_job(keys::JOBS, &item.key) {
                 self.apply_job(id, item, progress.remove(&id));
             }
@@ -231,33 +232,32 @@
         }
     }
 
-    fn connect_agent(&mut self, node: NodeName, value: &[u8]) {
-        let text = String::from_utf8_lossy(value).into_owned();
-        let Ok(address) = text.parse() else {
-            log::warn!(agent:% = node, address = text.as_str(); "agent's address is invalid");
+    fn connect_agent(&mut self, node: &NodeName, item: &Item) {
+        let Some(dial) = self.agents.update(node, item) else {
             return;
         };
-        if let Some((current, stop)) = self.agents.get(&node) {
-            if *current == text {
-                return;
-            }
-            stop.cancel();
+        let Dial {
+            agent,
+            address,
+            replaces,
+            stop,
+        } = dial;
+        if replaces && self.order_senders.contains_key(node) {
+            self.unlink(node.clone());
         }
-        let stop = self.stop.child_token();
         let link = AgentLink {
-            node: node.clone(),
+            agent,
             address,
             epoch: self.owner.epoch,
             hello: self.context.hello.clone(),
             config: self.context.link.clone(),
             confirmation: self.confirmation.clone(),
             owner: self.sender.clone(),
+            links: self.agents.links.clone(),
         };
-        let token = stop.clone();
         self.tasks.spawn(async move {
-            let _ = token.run_until_cancelled(link.run()).await;
+            let _ = stop.run_until_cancelled(link.run()).await;
         });
-        self.agents.insert(node, (text, stop));
     }
 
     fn apply_job(&mut self, id: JobId, item: &Item, progress: Option<JobProgress>) {
@@ -306,17 +306,20 @@
 
     fn apply(&mut self, input: OwnerInput) -> bool {
         match input {
-            OwnerInput::Linked(node, orders) => {
+            OwnerInput::Linked(agent, _)
+            | OwnerInput::Unlinked(agent)
+            | OwnerInput::Agent(agent, _)
+                if !self.agents.is_current(&agent) =>
+            {
+                log::debug!("input of an earlier link to agent {} is late", agent.node);
+            }
+            OwnerInput::Linked(AgentId { node, .. }, orders) => {
                 self.order_senders.insert(node.clone(), orders);
                 log::info!(agent:% = node; "agent linked");
                 self.step(Input::Linked(node));
             }
-            OwnerInput::Unlinked(node) => {
-                self.order_senders.remove(&node);
-                log::warn!(agent:% = node; "agent lost");
-                self.step(Input::Unlinked(node));
-            }
-            OwnerInput::Agent(node, messages) => {
+            OwnerInput::Unlinked(AgentId { node, .. }) => self.unlink(node),
+            OwnerInput::Agent(AgentId { node, .. }, messages) => {
                 for message in messages {
                     self.context.metrics.count_ended_runs(&message);
                     self.step(Input::Agent(node.clone(), message));
@@ -336,6 +339,12 @@
         true
     }
 
+    fn unlink(&mut self, node: NodeName) {
+        self.order_senders.remove(&node);
+        log::warn!(agent:% = node; "agent lost");
+        self.step(Input::Unlinked(node));
+    }
+
     fn apply_update(&mut self, update: FleetUpdate) -> bool {
         match update {
             FleetUpdate::Snapshot(fleet) => {
@@ -363,7 +372,7 @@
             return item.revision <= self.since;
         }
         if let Some(node) = keys::parse_agent(&item.key) {
-            self.connect_agent(node, &item.value);
+            self.connect_agent(&node, item);
         } else if let Some(id) = keys::parse_job(keys::JOBS, &item.key) {
             self.apply_job(id, item, None);
         }
@@ -383,12 +392,13 @@
     /// Closes the link to a lost agent and deletes its address from the store; an agent
     /// without an owner publishes its address again.
     fn forget(&mut self, node: &NodeName) {
-        if let Some((_, stop)) = self.agents.remove(node) {
-            stop.cancel();
-        }
+        let Some(revision) = self.agents.remove(node) else {
+            return;
+        };
         log::warn!(agent:% = node; "agent forgotten, deleting its address from the store");
-        let key = keys::agent(node);
-        self.write_once(Write::Delete { key }, "address of a forgotten agent");
+        let store = self.context.store.clone();
+        self.tasks
+            .spawn(delete_address(store, self.since, node.clone(), revision));
     }
 
     fn save_learned(&mut self, record: &ContentionRecord) {
@@ -473,42 +483,6 @@
     }
 }
 
-fn log_dropped(node: &NodeName, runs: usize, evidence: EndEvidence) {
-    log::warn!(agent:% = node, runs, evidence:? = evidence; "runs of a worker count as ended");
-}
-
-fn log_reconciled(node: &NodeName, outcome: &ListingOutcome) {
-    let ListingOutcome {
-        kept,
-        missing,
-        adopted,
-        stopped,
-    } = outcome;
-    log::info!(agent:% = node, kept, missing, adopted, stopped; "runs of a worker compared");
-}
-
-fn log_undelivered(node: &NodeName, messages: &[OrderMessage]) {
-    log::warn!(agent:% = node, orders = messages.len(); "orders not sent: the agent is not linked");
-}
-
-fn log_order(node: &NodeName, message: &OrderMessage) {
-    match message {
-        OrderMessage::Start(order) => {
-            log::info!(task:% = order.run.task, run = order.run.run, agent:% = node; "start ordered");
-        }
-        OrderMessage::Stop(run) => {
-            log::info!(task:% = run.task, run = run.run, agent:% = node; "stop ordered");
-        }
-        OrderMessage::Throttle { run, cpu_share } => {
-            log::info!(task:% = run.task, run = run.run, percent = cpu_share, agent:% = node; "CPU share ordered");
-        }
-        OrderMessage::AcknowledgeEnds { sequence, .. } => {
-            log::debug!("ended runs of agent {node} are stored up to sequence number {sequence}");
-        }
-        _ => {}
-    }
-}
-
 /// Sleeps for the duration; never returns for `None`.
 async fn sleep_for(wait: Option<Duration>) {
     match wait {
--- a/crates/parsleytally-entry/src/site/tests/mod.rs
+++ b/crates/parsleytally-entry/src/site/tests/mod.rs
@@ -2,6 +2,7 @@
 //! store with injected faults.
 
 mod election;
+mod known_agents;
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -25,7 +26,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
-use super::agents::AgentLink;
+use super::agents::{AgentId, AgentLink};
 use super::config::{SiteConfig, parse_processors};
 use super::confirmation::LastConfirmation;
 use super::job_service::EntryJobService;
@@ -103,13 +104,17 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let (sender, mut inputs) = mpsc::channel(16);
         let link = AgentLink {
-            node: NodeName::new("agent").expect("a valid name"),
+            agent: AgentId {
+                node: NodeName::new("agent").expect("a valid name"),
+                dialer: 1,
+            },
             address: listener.local_addr().expect("an address"),
             epoch: Epoch(3),
             hello: hello(Role::Entry, "owner"),
             config: link_config(),
             confirmation: LastConfirmation::at(Instant::now()),
             owner: sender,
+            links: Arc::default(),
         };
         let owner = tokio::spawn(link.run());
         let (stream, _) = listener.accept().await.expect("a connection");
