fix(entry): a replaced owner starts nothing from an old read; a new link precedes the tick

Found by reading, same class as the tasks that ran twice.

- An owner ignored the epoch in what it read at its start and watched for changes after it.
One that was replaced in between went on until its next check (0.4 s), and could start jobs accepted since, which its successor starts at once.
It now ends if the epoch that it reads is not its own.
- A tick that found an agent's hold over could be handled before the input, already queued, that the agent was linked again and its hold extended; its tasks then started elsewhere while they ran on.
Queued inputs are applied before a tick.

an_owner_that_reads_a_later_epoch_ends failed before. The second has no test of its own: the order of two ready inputs can't be forced from outside the actor.

--- a/crates/parsleytally-entry/src/site/owner.rs
+++ b/crates/parsleytally-entry/src/site/owner.rs
@@ -190,7 +190,9 @@
         self.tasks.spawn(saver.run());
         let mut queues = self.context.queues.clone();
         self.apply_queues(&mut queues);
-        self.load(&state);
+        if !self.load(&state) {
+            return;
+        }
         let (updates, mut fleet_updates) = mpsc::channel(16);
         let follower = follow_fleet(self.context.store.clone(), state.fleet.revision, updates);
         self.tasks.spawn(follower);
@@ -210,14 +212,27 @@
                     }
                 }
                 Ok(()) = queues.changed() => self.apply_queues(&mut queues),
-                _ = tick.tick() => self.tick(),
+                _ = tick.tick() => {
+                    if !self.apply_queued() {
+                        return;
+                    }
+                    self.tick();
+                }
                 () = sleep_for(wake) => {}
             }
             self.decide(&records);
         }
     }
 
-    fn load(&mut self, state: &StoredState) {
+    /// Applies the stored state; returns false if another entry owns the jobs.
+    fn load(&mut self, state: &StoredState) -> bool {
+        if state
+            .fleet
+            .item(keys::EPOCH)
+            .is_none_or(|item| item.revision != self.since)
+        {
+            return false;
+        }
         let mut progress = state.progress();
         for item in &state.fleet.items {
             if let Some(node) = keys::parse_agent(&item.key) {
@@ -230,6 +245,7 @@
         if let Some(record) = state.learned() {
             self.step(Input::Learned(record));
         }
+        true
     }
 
     fn connect_agent(&mut self, node: &NodeName, item: &Item) {
@@ -304,6 +320,20 @@
         next.is_none_or(|input| self.apply(input))
     }
 
+    /// Applies all inputs that wait in the channel. A link that was opened extends the hold
+    /// of its agent, so it must be known before the tick that lets holds pass.
+    fn apply_queued(&mut self) -> bool {
+        for _ in 0..CHANNEL_CAPACITY {
+            let Ok(input) = self.inputs.try_recv() else {
+                return true;
+            };
+            if !self.apply(input) {
+                return false;
+            }
+        }
+        true
+    }
+
     fn apply(&mut self, input: OwnerInput) -> bool {
         match input {
             OwnerInput::Linked(agent, _)
--- a/crates/parsleytally-entry/src/site/tests/mod.rs
+++ b/crates/parsleytally-entry/src/site/tests/mod.rs
@@ -3,6 +3,7 @@
 
 mod election;
 mod known_agents;
+mod owner;
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
--- /dev/null
+++ b/crates/parsleytally-entry/src/site/tests/owner.rs
@@ -0,0 +1,90 @@
+//! Tests of the owner's actor.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use parsleytally::configs::JobsConfig;
+use parsleytally::types::{Epoch, MilliCpu, NodeName, Revision};
+use parsleytally_link::Role;
+use parsleytally_platform::process::metrics::MetricSet;
+use parsleytally_platform::store::{Commit, MemoryStore, Outcome, Store, Write};
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use super::super::election::Owner;
+use super::super::keys;
+use super::super::metrics::OwnerMetrics;
+use super::super::owner::{OwnerContext, Ownership};
+use super::{hello, link_config};
+
+fn context(store: Arc<dyn Store>) -> OwnerContext {
+    let set = MetricSet::of_process().expect("names are free");
+    let (_, queues) = watch::channel(None);
+    OwnerContext {
+        hello: hello(Role::Entry, "owner"),
+        link: link_config(),
+        jobs: JobsConfig::default(),
+        store,
+        queues,
+        metrics: OwnerMetrics::new(&set).expect("names are free"),
+    }
+}
+
+fn owner() -> Owner {
+    Owner {
+        epoch: Epoch(3),
+        node: NodeName::new("owner").expect("a valid name"),
+        links: "127.0.0.1:7720".parse().expect("an address"),
+        incarnation: 1,
+        cpu: MilliCpu(100),
+    }
+}
+
+async fn write_epoch(store: &MemoryStore) -> Revision {
+    let write = Write::Put {
+        key: keys::EPOCH.to_owned(),
+        value: Vec::new(),
+        lease: None,
+    };
+    let commit = Commit {
+        compares: Vec::new(),
+        writes: vec![write],
+    };
+    match store.commit(commit).await {
+        Ok(Outcome::Committed(revision)) => revision,
+        other => panic!("the epoch was not written: {other:?}"),
+    }
+}
+
+/// Guards against tasks that run twice: an owner that was replaced before it read the store
+/// started jobs that its successor had accepted since.
+#[tokio::test]
+async fn an_owner_that_reads_a_later_epoch_ends() {
+    struct Case {
+        what: &'static str,
+        replaced: bool,
+    }
+    let cases = [
+        Case {
+            what: "present owner",
+            replaced: false,
+        },
+        Case {
+            what: "replaced owner",
+            replaced: true,
+        },
+    ];
+    for case in cases {
+        let store = Arc::new(MemoryStore::new());
+        let since = write_epoch(&store).await;
+        if case.replaced {
+            write_epoch(&store).await;
+        }
+        let ownership = Ownership::start(context(store), owner(), since, Instant::now());
+        for _ in 0..20 {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        assert_eq!(ownership.is_finished(), case.replaced, "{}", case.what);
+        ownership.close().await;
+    }
+}
