fix(jobs): a run that a cut listing lacks is not missing

Found by reading, same class as the tasks that ran twice: absence from a list taken for a fact that the list doesn't state. While the owner can't save them (an outage of the store), more may pile up; a run whose end is beyond the cut is then neither running nor ended. The agent reported it missing, and its task started again, also after it was done.

A listing now tells whether it is complete. From an incomplete one nothing absent is concluded, and a new owner gets the ended runs first, acknowledges them, and gets its listing once it is complete.

Both tests of the agent fail without the change.

--- a/crates/parsleytally/src/jobs/agent/messages.rs
+++ b/crates/parsleytally/src/jobs/agent/messages.rs
@@ -33,6 +33,8 @@
     pub running: Vec<RunStatus>,
     /// Ended runs that are not acknowledged.
     pub ended: Vec<EndedRun>,
+    /// Whether `ended` holds all of them; a worker lists only so many at a time.
+    pub complete: bool,
 }
 
 /// A poll of the worker's runs, which also renews its lease.
--- a/crates/parsleytally/src/jobs/agent/poll.rs
+++ b/crates/parsleytally/src/jobs/agent/poll.rs
@@ -93,8 +93,11 @@
         if self.listed {
             self.report_ends(&listing, out);
             self.report_measurements(now, &listing.running, out);
-        } else if self.may_list(call) {
+        } else if self.may_list(call) && listing.complete {
             self.report_all(listing, out);
+        } else if self.may_list(call) {
+            // The owner acknowledges these first, and the worker then lists the others.
+            self.report_ends(&listing, out);
         }
     }
 
@@ -144,7 +147,7 @@
     }
 
     /// Updates the tracked runs by the answer to a poll and reports those that did not
-    /// start or are missing.
+    /// start or are missing. A run that is absent from an incomplete listing may have ended.
     fn reconcile(&mut self, call: PollCall, listing: &Listing, out: &mut Vec<AgentOutput>) {
         let ended: HashSet<RunRef> = listing.ended.iter().map(|end| end.run).collect();
         let running: HashSet<RunRef> = listing.running.iter().map(|status| status.run).collect();
@@ -166,6 +169,7 @@
                 return true;
             }
             match tracked.state {
+                _ if !listing.complete => true,
                 StartState::Sent { .. } => true,
                 StartState::Unanswered { fencing_token } if call.fencing_token > fencing_token => {
                     refuse(*run, RefusalReason::Unanswered, out);
--- a/crates/parsleytally/src/jobs/tests/agent.rs
+++ b/crates/parsleytally/src/jobs/tests/agent.rs
@@ -108,6 +108,7 @@
             clock_ms: self.now.as_micros() / 1_000,
             running: running.collect(),
             ended,
+            complete: true,
         });
         self.step(AgentInput::Polled { call, answer })
     }
@@ -119,6 +120,7 @@
             clock_ms: 0,
             running: vec![],
             ended: vec![],
+            complete: true,
         });
         self.step(AgentInput::Polled { call, answer })
     }
@@ -478,3 +480,81 @@
     assert_eq!(agent.step(reported(report(0, 6))), []);
     assert!(start_token(&agent.start(run(1, 0, 0, 1))).is_some());
 }
+
+/// Guards against tasks that run twice: while the owner can't save ended runs, a worker lists
+/// only some of them, and the others were taken for lost.
+#[test]
+fn a_run_absent_from_an_incomplete_listing_is_not_missing() {
+    struct Case {
+        what: &'static str,
+        complete: bool,
+        missing: bool,
+    }
+    let cases = [
+        Case {
+            what: "incomplete",
+            complete: false,
+            missing: false,
+        },
+        Case {
+            what: "complete",
+            complete: true,
+            missing: true,
+        },
+    ];
+    for case in cases {
+        let order = run(1, 0, 0, 1);
+        let mut agent = TestAgent::ready();
+        agent.start(order);
+        agent.list(vec![order], vec![]);
+        agent.advance(200);
+        agent.list(vec![order], vec![]);
+        let call = agent.next_poll();
+        let answer = Ok(Listing {
+            born: 7,
+            clock_ms: 0,
+            running: vec![],
+            ended: vec![],
+            complete: case.complete,
+        });
+        let out = agent.step(AgentInput::Polled { call, answer });
+        let missing = AgentMessage::Missing(order);
+        assert_eq!(sent(&out, &missing), case.missing, "{}", case.what);
+    }
+}
+
+/// A new owner acknowledges the ended runs of incomplete listings before it gets the first
+/// complete one.
+#[test]
+fn a_new_owner_is_told_of_ended_runs_until_the_listing_is_complete() {
+    let mut agent = TestAgent::ready();
+    let earlier = agent.next_poll();
+    agent.connect_owner(1, TOKEN << 1);
+    agent.confirm_owner(Duration::ZERO);
+    agent.answer_poll(earlier, vec![], vec![]);
+    let end = EndedRun {
+        sequence: 1,
+        run: run(1, 0, 0, 1),
+        reason: EndReason::Done,
+        checkpoint: String::new(),
+    };
+    let mut messages = Vec::new();
+    for complete in [false, true] {
+        let call = agent.next_poll();
+        let answer = Ok(Listing {
+            born: 7,
+            clock_ms: 0,
+            running: vec![],
+            ended: vec![end.clone()],
+            complete,
+        });
+        let out = agent.step(AgentInput::Polled { call, answer });
+        let listed =
+            |output: &AgentOutput| matches!(output, AgentOutput::Send(AgentMessage::Listed { .. }));
+        let ended =
+            |output: &AgentOutput| matches!(output, AgentOutput::Send(AgentMessage::Ended { .. }));
+        messages.push((out.iter().any(ended), out.iter().any(listed)));
+        agent.advance(200);
+    }
+    assert_eq!(messages, [(true, false), (false, true)]);
+}
--- a/crates/parsleytally/src/jobs/tests/worker.rs
+++ b/crates/parsleytally/src/jobs/tests/worker.rs
@@ -190,6 +190,7 @@
             clock_ms: self.clock_ms(now),
             running: running.collect(),
             ended: self.ended.clone(),
+            complete: true,
         }
     }
 }
