fix(agent): no acknowledgement to a worker that may be a new one, none for a dropped report

Found by reading, small cases of the same class. - The first polls after a worker stopped answering carried the number up to which ended runs of the earlier incarnation were saved; a new incarnation counts anew, and its ends would count as seen. - A report or notice of shutdown that did not fit the agent's channel was confirmed and dropped, so that a worker that drains could get further starts.

an_unresponsive_worker_gets_no_acknowledgement failed before; the other two have no test of their own.

--- a/crates/parsleytally-agent/src/site/mod.rs
+++ b/crates/parsleytally-agent/src/site/mod.rs
@@ -8,8 +8,8 @@
 use std::time::Duration;
 
 use parsleytally::jobs::{
-    AgentInput, AgentMessage, AgentOutput, AgentTimes, EndEvidence, JobAgent, OwnerLink,
-    WorkerIncarnation, WorkerReport,
+    AgentInput, AgentMessage, AgentOutput, AgentTimes, EndEvidence, JobAgent, OrderMessage,
+    OwnerLink, WorkerIncarnation, WorkerReport,
 };
 use parsleytally::types::Time;
 use parsleytally_link::{Frame, Hello, Incoming, Link, LinkConfig, Role, accept};
@@ -64,12 +64,12 @@
 struct ReportSender(mpsc::Sender<ActorInput>);
 
 impl WorkerReports for ReportSender {
-    fn reported(&self, report: WorkerReport, sequence: u64) {
-        self.send(ActorInput::Agent(AgentInput::Report { report, sequence }));
+    fn reported(&self, report: WorkerReport, sequence: u64) -> bool {
+        self.send(ActorInput::Agent(AgentInput::Report { report, sequence }))
     }
 
-    fn stopped(&self, id: &str) {
-        self.send(ActorInput::Agent(AgentInput::ShutdownNotice(id.into())));
+    fn stopped(&self, id: &str) -> bool {
+        self.send(ActorInput::Agent(AgentInput::ShutdownNotice(id.into())))
     }
 
     fn unreadable(&self, id: &str, reason: &str) {
@@ -78,10 +78,13 @@
 }
 
 impl ReportSender {
-    fn send(&self, input: ActorInput) {
-        if self.0.try_send(input).is_err() {
+    /// Returns false if the channel is full.
+    fn send(&self, input: ActorInput) -> bool {
+        let sent = self.0.try_send(input).is_ok();
+        if !sent {
             log::error!("dropped a report of the worker: the channel of the agent is full");
         }
+        sent
     }
 }
 
@@ -265,6 +268,10 @@
     }
 
     fn step(&mut self, input: AgentInput) {
+        if let AgentInput::OwnerMessage(_, OrderMessage::Begin { .. }) = input {
+            // Messages of earlier inputs are for the present owner.
+            self.execute_outputs();
+        }
         if let AgentInput::OwnerLost(id) = &input {
             self.links.remove(&id.0);
         }
--- a/crates/parsleytally-platform/src/jobs.rs
+++ b/crates/parsleytally-platform/src/jobs.rs
@@ -32,11 +32,13 @@
 
 /// Receives the reports that a worker sends about itself.
 pub trait WorkerReports: Send + Sync {
-    /// Handles a worker's report of its state and capacity, with the report's number.
-    fn reported(&self, report: WorkerReport, sequence: u64);
+    /// Handles a worker's report of its state and capacity, with the report's number; returns
+    /// false if it was dropped, so that it must not be confirmed.
+    fn reported(&self, report: WorkerReport, sequence: u64) -> bool;
 
-    /// Handles the announcement that the worker with this ID ends.
-    fn stopped(&self, id: &str);
+    /// Handles the announcement that the worker with this ID ends; returns false if it was
+    /// dropped.
+    fn stopped(&self, id: &str) -> bool;
 
     /// Notes a report with this worker ID that can't be read.
     fn unreadable(&self, id: &str, reason: &str);
--- a/crates/parsleytally/src/jobs/agent/poll.rs
+++ b/crates/parsleytally/src/jobs/agent/poll.rs
@@ -29,6 +29,13 @@
         } else {
             self.lease.grant(now, self.lease_length())
         };
+        // A worker that stopped answering may answer as a new incarnation, with numbers of
+        // its own.
+        let acknowledged = if self.unresponsive {
+            0
+        } else {
+            self.acknowledged
+        };
         let answer_at_once = token_raised || !self.listed || lease_end.is_none();
         let wait = if answer_at_once {
             0
@@ -41,7 +48,7 @@
         out.push(AgentOutput::Poll(PollCall {
             fencing_token: self.fencing_token,
             lease_end,
-            acknowledged: self.acknowledged,
+            acknowledged,
             wait_ms: u64::try_from(wait).unwrap_or(u64::MAX),
             sent: now,
         }));
--- a/crates/parsleytally/src/jobs/tests/agent.rs
+++ b/crates/parsleytally/src/jobs/tests/agent.rs
@@ -481,6 +481,23 @@
     assert!(start_token(&agent.start(run(1, 0, 0, 1))).is_some());
 }
 
+/// Guards against ended runs that are acknowledged unseen: the number that an earlier
+/// incarnation has reached says nothing about the ends of a new one.
+#[test]
+fn an_unresponsive_worker_gets_no_acknowledgement() {
+    let mut agent = TestAgent::ready();
+    let stored = OrderMessage::AcknowledgeEnds {
+        incarnation: incarnation(0, 7),
+        sequence: 9,
+    };
+    agent.step(AgentInput::OwnerMessage(OwnerLink(1), stored));
+    agent.list(vec![], vec![]);
+    let call = agent.next_poll();
+    assert_eq!(call.acknowledged, 9);
+    agent.fail_poll(call);
+    assert_eq!(agent.next_poll().acknowledged, 0);
+}
+
 /// Guards against tasks that run twice: while the owner can't save ended runs, a worker lists
 /// only some of them, and the others were taken for lost.
 #[test]
