fix(platform): holds and ages go on while a VM is suspended

A thawed owner told agents too young a confirmation by the store, and a thawed agent granted leases past the time at which the owner takes its runs for ended. Both now measure on the clock that starts when the VM boots.

--- a/crates/parsleytally-entry/src/site/confirmation.rs
+++ b/crates/parsleytally-entry/src/site/confirmation.rs
@@ -3,20 +3,20 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use tokio::time::Instant;
+use parsleytally_platform::process::BootTime;
 
 /// Time at which the store last confirmed the ownership; clones share it.
 #[derive(Debug, Clone)]
-pub(crate) struct LastConfirmation(Arc<Mutex<Instant>>);
+pub(crate) struct LastConfirmation(Arc<Mutex<BootTime>>);
 
 impl LastConfirmation {
-    pub(crate) fn at(instant: Instant) -> Self {
-        Self(Arc::new(Mutex::new(instant)))
+    pub(crate) fn at(time: BootTime) -> Self {
+        Self(Arc::new(Mutex::new(time)))
     }
 
-    pub(crate) fn renew(&self, instant: Instant) {
+    pub(crate) fn renew(&self, time: BootTime) {
         let mut at = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        *at = instant.max(*at);
+        *at = time.max(*at);
     }
 
     pub(crate) fn age(&self) -> Duration {
--- a/crates/parsleytally-entry/src/site/election.rs
+++ b/crates/parsleytally-entry/src/site/election.rs
@@ -14,6 +14,7 @@
 use std::time::Duration;
 
 use parsleytally::types::{Epoch, MilliCpu, NodeName, Revision};
+use parsleytally_platform::process::BootTime;
 use parsleytally_platform::store::{Commit, Compare, LeaseId, Outcome, Store, StoreError, Write};
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
@@ -142,8 +143,8 @@
     ///
     /// The second value is the time at which the check began: the view was valid at that
     /// time or later.
-    pub(crate) async fn check(&mut self) -> Result<(OwnerView, Instant), StoreError> {
-        let sent = Instant::now();
+    pub(crate) async fn check(&mut self) -> Result<(OwnerView, BootTime), StoreError> {
+        let sent = BootTime::now();
         let ownership = self.store.range(keys::OWNERSHIP).await?;
         let owner = ownership.item(keys::EPOCH).and_then(|item| {
             let owner = Owner::decode(&item.value).map_err(|error| {
--- a/crates/parsleytally-entry/src/site/mod.rs
+++ b/crates/parsleytally-entry/src/site/mod.rs
@@ -12,14 +12,14 @@
 use parsleytally::types::Revision;
 use parsleytally_link::{Hello, Role};
 use parsleytally_platform::jobs::{JobService, QueueSource};
-use parsleytally_platform::process::Clock;
 use parsleytally_platform::process::metrics::MetricSet;
+use parsleytally_platform::process::{BootTime, Clock};
 use parsleytally_platform::store::Store;
 use snafu::{ResultExt, Snafu};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
-use tokio::time::{Instant, sleep};
+use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
 mod agents;
@@ -158,7 +158,7 @@
             store_answers,
             ownership: None,
             last_view: None,
-            last_answer: Instant::now(),
+            last_answer: BootTime::now(),
         };
         let election = tokio::spawn(election.run(hand_over_requested.clone(), resign.clone()));
         Ok(Self {
@@ -226,7 +226,7 @@
     /// Result of the last answered check.
     last_view: Option<OwnerView>,
     /// When the last answered check was sent.
-    last_answer: Instant,
+    last_answer: BootTime,
 }
 
 impl ElectionActor {
@@ -279,7 +279,7 @@
         }
     }
 
-    async fn apply(&mut self, view: OwnerView, sent: Instant) {
+    async fn apply(&mut self, view: OwnerView, sent: BootTime) {
         self.log_view_change(&view, sent);
         match view {
             OwnerView::Own(owner, since) => self.ensure_ownership(owner, since, sent).await,
@@ -294,7 +294,7 @@
     }
 
     /// Logs the view if it differs from the previous one.
-    fn log_view_change(&mut self, view: &OwnerView, sent: Instant) {
+    fn log_view_change(&mut self, view: &OwnerView, sent: BootTime) {
         if self.last_view.as_ref() == Some(view) {
             return;
         }
@@ -310,7 +310,7 @@
         self.last_view = Some(view.clone());
     }
 
-    async fn ensure_ownership(&mut self, owner: Owner, since: Revision, sent: Instant) {
+    async fn ensure_ownership(&mut self, owner: Owner, since: Revision, sent: BootTime) {
         if let Some(ownership) = &self.ownership
             && ownership.since == since
         {
--- a/crates/parsleytally-entry/src/site/owner.rs
+++ b/crates/parsleytally-entry/src/site/owner.rs
@@ -11,11 +11,11 @@
 };
 use parsleytally::types::{NodeName, Revision, Time};
 use parsleytally_link::{Hello, LinkConfig};
-use parsleytally_platform::process::Clock;
+use parsleytally_platform::process::{BootTime, Clock};
 use parsleytally_platform::store::{Change, Commit, Item, Store, Write};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinSet;
-use tokio::time::{Instant, interval, sleep};
+use tokio::time::{interval, sleep};
 use tokio_util::sync::CancellationToken;
 
 use super::agents::{AgentId, AgentLink, Orders};
@@ -79,7 +79,7 @@
         context: OwnerContext,
         owner: Owner,
         since: Revision,
-        confirmed: Instant,
+        confirmed: BootTime,
     ) -> Self {
         let (sender, inputs) = mpsc::channel(CHANNEL_CAPACITY);
         let stop = CancellationToken::new();
--- a/crates/parsleytally-entry/src/site/tests/mod.rs
+++ b/crates/parsleytally-entry/src/site/tests/mod.rs
@@ -21,6 +21,7 @@
     CancelAnswer, JobAnswer, JobFuture, JobService, SubmitAnswer, TaskHost,
 };
 use parsleytally_platform::measured::{MeasuredDesk, MeasuredHost, MeasuredStore};
+use parsleytally_platform::process::BootTime;
 use parsleytally_platform::process::metrics::MetricSet;
 use parsleytally_platform::store::{MemoryStore, Store};
 use tokio::net::TcpListener;
@@ -113,7 +114,7 @@
             epoch: Epoch(3),
             hello: hello(Role::Entry, "owner"),
             config: link_config(),
-            confirmation: LastConfirmation::at(Instant::now()),
+            confirmation: LastConfirmation::at(BootTime::now()),
             owner: sender,
             links: Arc::default(),
         };
--- a/crates/parsleytally-entry/src/site/tests/owner.rs
+++ b/crates/parsleytally-entry/src/site/tests/owner.rs
@@ -6,10 +6,10 @@
 use parsleytally::configs::JobsConfig;
 use parsleytally::types::{Epoch, MilliCpu, NodeName, Revision};
 use parsleytally_link::Role;
+use parsleytally_platform::process::BootTime;
 use parsleytally_platform::process::metrics::MetricSet;
 use parsleytally_platform::store::{Commit, MemoryStore, Outcome, Store, Write};
 use tokio::sync::watch;
-use tokio::time::Instant;
 
 use super::super::election::Owner;
 use super::super::keys;
@@ -80,7 +80,7 @@
         if case.replaced {
             write_epoch(&store).await;
         }
-        let ownership = Ownership::start(context(store), owner(), since, Instant::now());
+        let ownership = Ownership::start(context(store), owner(), since, BootTime::now());
         for _ in 0..20 {
             tokio::time::sleep(Duration::from_millis(10)).await;
         }
--- a/crates/parsleytally-platform/src/process/mod.rs
+++ b/crates/parsleytally-platform/src/process/mod.rs
@@ -9,6 +9,6 @@
 pub mod metrics;
 pub mod spans;
 
-pub use clock::Clock;
+pub use clock::{BootTime, Clock};
 pub use drain::drain;
 pub use headers::end_to_end;
