--- a/crates/parsleytally/src/jobs/tests/model/agents.rs
+++ b/crates/parsleytally/src/jobs/tests/model/agents.rs
@@ -11,7 +11,7 @@
     /// Incarnation of the process.
     pub(super) incarnation: u64,
     pub(super) up: bool,
-    pub(super) links: HashSet<Link>,
+    pub(super) links: BTreeSet<Link>,
 }
 
 pub(super) fn agent(incarnation: u64, started_at: Time) -> SimulatedAgent {
@@ -26,7 +26,7 @@
         ),
         incarnation,
         up: true,
-        links: HashSet::new(),
+        links: BTreeSet::new(),
     }
 }
 
--- a/crates/parsleytally/src/jobs/tests/model/links.rs
+++ b/crates/parsleytally/src/jobs/tests/model/links.rs
@@ -3,7 +3,7 @@
 use super::*;
 
 /// A link from an owner to an agent.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(super) struct Link {
     pub(super) owner: usize,
     pub(super) agent: usize,
--- a/crates/parsleytally/src/jobs/tests/model/mod.rs
+++ b/crates/parsleytally/src/jobs/tests/model/mod.rs
@@ -2,7 +2,7 @@
 //! time. It checks invariants on the actions of the workers.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashSet};
 use std::time::Duration;
 
 use rand::rngs::SmallRng;
--- a/crates/parsleytally/src/jobs/tests/model/owners.rs
+++ b/crates/parsleytally/src/jobs/tests/model/owners.rs
@@ -10,7 +10,7 @@
     /// When the store last confirmed the ownership.
     pub(super) confirmed: Time,
     pub(super) reaches_store: bool,
-    pub(super) links: HashMap<usize, Link>,
+    pub(super) links: BTreeMap<usize, Link>,
 }
 
 impl Simulation {
@@ -39,7 +39,7 @@
             up: true,
             confirmed: self.now,
             reaches_store: true,
-            links: HashMap::new(),
+            links: BTreeMap::new(),
         });
         self.step_owner(owner, Input::Queues(Arc::new(queues(1))));
         for at in 0..WORKERS {
