test(jobs): workers that shut down, tasks that last and cancels at any time in the simulation

The simulation did not see the faults of runs-that-outlived-their-record, as it lacks them. New: a worker that drains, gives notice and ends 5 to 800 ms after it, with its machine in two cases of five; reports once a second; tasks that run until their job is cancelled; listings of at most 3 ended runs; a check that runs of cancelled jobs end within 3.4 s, or 10 s after the last fault; a print of a seed's events.

--- a/crates/parsleytally/src/jobs/tests/model/agents.rs
+++ b/crates/parsleytally/src/jobs/tests/model/agents.rs
@@ -72,6 +72,26 @@
         self.push(delay, Event::Call(at, u64::MAX, call));
     }
 
+    /// The machine of an agent goes away for some seconds.
+    pub(super) fn agent_down(&mut self, at: usize) {
+        let span = self.rng.random_range(500..9_000);
+        self.disturb(span);
+        self.agents[at].up = false;
+        for link in self.agents[at].links.clone() {
+            self.link_lost(link);
+        }
+        self.push(span, Event::AgentUp(at));
+    }
+
+    pub(super) fn agent_up(&mut self, at: usize) {
+        for link in self.agents[at].links.clone() {
+            self.link_lost(link);
+        }
+        let incarnation = self.agents[at].incarnation + 1;
+        self.agents[at] = agent(incarnation, self.now);
+        self.report_worker(at);
+    }
+
     pub(super) fn call(&mut self, at: usize, incarnation: u64, call: &AgentOutput) {
         let mut events = Vec::new();
         let fenced = self.bug != InjectedBug::NoFencing;
--- a/crates/parsleytally/src/jobs/tests/model/checks.rs
+++ b/crates/parsleytally/src/jobs/tests/model/checks.rs
@@ -2,6 +2,13 @@
 
 use super::*;
 
+/// Longest time for which a task runs on after the cancel of its job.
+const STOP_LIMIT: Duration = Duration::from_millis(3_400);
+/// Time without faults before a cancel from which on that limit counts.
+const STEADY_BEFORE: Duration = Duration::from_secs(3);
+/// Longest time for which such a task runs on once all faults are over.
+const CALM_LIMIT: Duration = Duration::from_secs(10);
+
 impl Simulation {
     /// Checks the actions of a worker.
     pub(super) fn check_events(&mut self, at: usize, events: Vec<WorkerEvent>) {
@@ -60,6 +67,31 @@
         }
     }
 
+    /// Checks that runs of cancelled jobs don't go on.
+    pub(super) fn check_running(&mut self) {
+        let mut violations = Vec::new();
+        for (at, worker) in self.workers.iter().enumerate() {
+            for run in worker.runs() {
+                if let Some(what) = self.runs_on(run.task.job) {
+                    let task = run.task;
+                    violations.push(format!("{}: {task} {what} on worker {at}", self.now));
+                }
+            }
+        }
+        self.violations.extend(violations);
+    }
+
+    /// Whether a run of the job, in progress now, goes on too long after its cancel.
+    fn runs_on(&self, job: JobId) -> Option<&'static str> {
+        let cancelled = *self.cancelled.get(&job)?;
+        let steady = self.disturbed.after(STEADY_BEFORE) <= cancelled;
+        if steady && self.now > cancelled.after(STOP_LIMIT) {
+            return Some("runs on after its cancel");
+        }
+        let calm = self.calm?.max(cancelled);
+        (self.now > calm.after(CALM_LIMIT)).then_some("runs on in the calm phase")
+    }
+
     pub(super) fn check_end(&mut self) {
         for (id, stored) in &self.jobs {
             let state = stored.progress.as_ref().map(|progress| progress.state);
--- a/crates/parsleytally/src/jobs/tests/model/faults.rs
+++ b/crates/parsleytally/src/jobs/tests/model/faults.rs
@@ -7,38 +7,59 @@
     pub(super) fn fault(&mut self) {
         let at = self.rng.random_range(0..WORKERS);
         let span = self.rng.random_range(500..9_000);
-        match self.rng.random_range(0..7) {
+        match self.rng.random_range(0..8) {
             0 => self.kill_owner(),
             1 => {
                 self.workers[at].up = false;
+                self.disturb(span);
                 self.push(span, Event::WorkerUp(at));
             }
-            2 => {
-                self.agents[at].up = false;
-                for link in self.agents[at].links.clone() {
-                    self.link_lost(link);
-                }
-                self.push(span, Event::AgentUp(at));
-            }
+            2 => self.agent_down(at),
             3 => self.partition(at, span),
             4 => {
                 self.store_down = true;
-                self.push(span.min(5_000), Event::Heal);
+                let span = span.min(5_000);
+                self.disturb(span);
+                self.push(span, Event::Heal);
             }
             5 => {
                 self.late_orders = true;
+                self.disturb(span + 6_000);
                 self.push(span, Event::Heal);
             }
+            6 => self.shut_down(at),
             _ => {
                 // The owner loses the store but stays up, and a successor takes over.
                 let owner = self.owners.len() - 1;
                 self.owners[owner].reaches_store = false;
+                self.disturb(1_500);
                 self.push(1_500, Event::NewOwner);
             }
         }
     }
 
+    /// Notes that a fault is active for `span` milliseconds from now.
+    pub(super) fn disturb(&mut self, span: u64) {
+        let until = self.now.after(Duration::from_millis(span));
+        self.disturbed = self.disturbed.max(until);
+        if let Some(calm) = &mut self.calm {
+            *calm = (*calm).max(until);
+        }
+    }
+
+    /// A worker drains, gives its notice and ends.
+    pub(super) fn shut_down(&mut self, at: usize) {
+        let remaining_ms = self.rng.random_range(200..4_000);
+        let worker = &mut self.workers[at];
+        worker.state = WorkerState::Draining { remaining_ms };
+        let born = worker.born;
+        self.report_worker(at);
+        let late = self.rng.random_range(0..500);
+        self.push(remaining_ms + late, Event::Leave(at, born));
+    }
+
     pub(super) fn kill_owner(&mut self) {
+        self.disturb(1_500);
         let owner = self.owners.len() - 1;
         self.owners[owner].up = false;
         let links: Vec<Link> = self.owners[owner].links.values().copied().collect();
@@ -51,6 +72,7 @@
     /// Partitions an agent from the newest owner; earlier owners may still reach it.
     pub(super) fn partition(&mut self, at: usize, span: u64) {
         let owner = self.owners.len() - 1;
+        self.disturb(span + 2_000);
         self.partitions.insert((owner, at));
         if let Some(link) = self.owners[owner].links.get(&at).copied() {
             self.push(2_000, Event::LinkLost(link));
--- a/crates/parsleytally/src/jobs/tests/model/mod.rs
+++ b/crates/parsleytally/src/jobs/tests/model/mod.rs
@@ -2,13 +2,13 @@
 //! time. It checks invariants on the actions of the workers.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, HashSet};
 use std::time::Duration;
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use super::worker::{SimulatedWorker, WorkerEvent};
+use super::worker::{LASTING, SimulatedWorker, WorkerEvent};
 use super::*;
 use crate::types::{Revision, Time};
 
@@ -19,6 +19,7 @@
 mod owners;
 mod queue;
 mod store;
+mod workers;
 
 use agents::{SimulatedAgent, agent};
 use links::Link;
@@ -29,7 +30,14 @@
 /// Number of seeds that the tests simulate.
 const SEEDS: u64 = 300;
 const WORKERS: usize = 4;
+/// Start of the first incarnation of each worker, and least time from one to the next.
+const FIRST_START: u64 = 1_000;
 const JOBS: u64 = 14;
+/// Every so many jobs, one has tasks that run until it is cancelled.
+const LASTING_JOBS: u64 = 4;
+/// Longest time from the submission to the cancel of such a job, in milliseconds.
+const LONGEST_LASTING_MS: u64 = 40_000;
+const FAULTS: usize = 9;
 /// Time in which jobs are submitted and faults start.
 const FAULT_PERIOD: Duration = Duration::from_secs(25);
 /// Simulated time by which all jobs must have ended.
@@ -68,11 +76,19 @@
     broken_links: HashSet<Link>,
     store_down: bool,
     late_orders: bool,
+    /// Until when the effects of the faults so far last at most.
+    disturbed: Time,
+    /// From when no fault is active any more; none before the last fault.
+    calm: Option<Time>,
+    /// When each job was cancelled.
+    cancelled: HashMap<JobId, Time>,
     /// Tasks with a completed run.
     done: HashSet<TaskId>,
     /// Tasks whose completed run was acknowledged to its worker.
     acknowledged: HashSet<TaskId>,
     violations: Vec<String>,
+    /// Whether the events are printed.
+    traced: bool,
 }
 
 impl Simulation {
@@ -84,7 +100,9 @@
             now,
             queue: BinaryHeap::new(),
             sequence: 0,
-            workers: (0..WORKERS).map(|_| SimulatedWorker::new(now, 1)).collect(),
+            workers: (0..WORKERS)
+                .map(|_| SimulatedWorker::new(now, FIRST_START))
+                .collect(),
             agents: (0..WORKERS).map(|_| agent(1, now)).collect(),
             owners: Vec::new(),
             jobs: BTreeMap::new(),
@@ -94,12 +112,16 @@
             broken_links: HashSet::new(),
             store_down: false,
             late_orders: false,
+            disturbed: now,
+            calm: None,
+            cancelled: HashMap::new(),
             done: HashSet::new(),
             acknowledged: HashSet::new(),
             violations: Vec::new(),
+            traced: false,
         };
         for at in 0..WORKERS {
-            simulation.step_agent(at, AgentInput::Report(report(at, 1)));
+            simulation.push(0, Event::Heartbeat(at));
         }
         simulation.push(0, Event::NewOwner);
         simulation.push(50, Event::Tick);
@@ -108,17 +130,22 @@
                 .rng
                 .random_range(100..FAULT_PERIOD.as_millis() as u64);
             simulation.push(at, Event::Submit(id));
-            if simulation.rng.random_bool(0.15) {
-                simulation.push(at + 500, Event::Cancel(id));
+            if is_lasting(id) {
+                let lasts = simulation.rng.random_range(0..LONGEST_LASTING_MS);
+                simulation.push(at + lasts, Event::Cancel(id));
+            } else if simulation.rng.random_bool(0.25) {
+                let after = simulation.rng.random_range(0..4_000);
+                simulation.push(at + after, Event::Cancel(id));
             }
         }
-        for _ in 0..7 {
+        for _ in 0..FAULTS {
             let at = simulation
                 .rng
                 .random_range(500..FAULT_PERIOD.as_millis() as u64);
             simulation.push(at, Event::Fault);
         }
         simulation.push(FAULT_PERIOD.as_millis() as u64 + 100, Event::Heal);
+        simulation.push(FAULT_PERIOD.as_millis() as u64 + 100, Event::Calm);
         simulation
     }
 
@@ -136,6 +163,9 @@
                 break;
             }
             self.now = at;
+            if self.traced {
+                println!("{at} {event:?}");
+            }
             self.advance_workers();
             self.handle(event);
         }
@@ -168,41 +198,21 @@
             Event::Submit(id) => self.submit(id),
             Event::Cancel(id) => self.cancel(id),
             Event::NewOwner => self.new_owner(),
-            Event::WorkerUp(at) => {
-                let born = self.workers[at].born + 1;
-                self.workers[at] = SimulatedWorker::new(self.now, born);
-                if self.agents[at].up {
-                    self.step_agent(at, AgentInput::Report(report(at, born)));
-                }
-            }
-            Event::AgentUp(at) => {
-                for link in self.agents[at].links.clone() {
-                    self.link_lost(link);
-                }
-                let incarnation = self.agents[at].incarnation + 1;
-                self.agents[at] = agent(incarnation, self.now);
-                let born = self.workers[at].born;
-                self.step_agent(at, AgentInput::Report(report(at, born)));
-            }
+            Event::WorkerUp(at) => self.worker_up(at),
+            Event::Heartbeat(at) => self.heartbeat(at),
+            Event::Leave(at, born) => self.leave(at, born),
+            Event::WorkerEnd(at, born) => self.worker_end(at, born),
+            Event::AgentDown(at) => self.agent_down(at),
+            Event::AgentUp(at) => self.agent_up(at),
             Event::Heal => {
                 self.partitions.clear();
                 self.store_down = false;
                 self.late_orders = false;
             }
-        }
-    }
-
-    fn advance_workers(&mut self) {
-        for at in 0..WORKERS {
-            let events = {
-                let worker = &mut self.workers[at];
-                if worker.up {
-                    worker.advance(self.now)
-                } else {
-                    Vec::new()
-                }
-            };
-            self.check_events(at, events);
+            Event::Calm => {
+                let calm = self.now.max(self.disturbed);
+                self.calm = Some(calm);
+            }
         }
     }
 
@@ -224,10 +234,16 @@
                 self.step_owner(owner, Input::Tick);
             }
         }
+        self.check_running();
         self.push(50, Event::Tick);
     }
 }
 
+/// Whether the tasks of a job run until it is cancelled.
+fn is_lasting(job: u64) -> bool {
+    job % LASTING_JOBS == 0
+}
+
 /// Number of seeds: `PARSLEYTALLY_MODEL_DAYS`, for longer manual runs, or the default.
 fn seed_count() -> u64 {
     let value = std::env::var("PARSLEYTALLY_MODEL_DAYS").ok();
@@ -242,14 +258,42 @@
         .collect()
 }
 
+/// Kinds of violations, each with its number of seeds and the first of them.
+fn kinds(failing: &[(u64, Vec<String>)]) -> String {
+    let mut kinds: BTreeMap<String, (usize, u64, &str)> = BTreeMap::new();
+    for (seed, violations) in failing {
+        let text = violations[0].as_str();
+        let kind = text.split_whitespace().skip(2);
+        let kind = kind.filter(|word| word.parse::<u64>().is_err());
+        let kind = kind.collect::<Vec<_>>().join(" ");
+        kinds.entry(kind).or_insert((0, *seed, text)).0 += 1;
+    }
+    let lines = kinds
+        .values()
+        .map(|(count, seed, text)| format!("{count} seeds, the first {seed}: {text}"));
+    lines.collect::<Vec<_>>().join("\n")
+}
+
+/// Prints the events of the seed `PARSLEYTALLY_MODEL_SEED`, if that is set.
+#[test]
+fn events_of_a_seed() {
+    let seed = std::env::var("PARSLEYTALLY_MODEL_SEED").ok();
+    let Some(seed) = seed.and_then(|seed| seed.parse().ok()) else {
+        return;
+    };
+    let mut simulation = Simulation::new(seed, InjectedBug::Nothing);
+    simulation.traced = true;
+    assert_eq!(simulation.run(), Vec::<String>::new());
+}
+
 #[test]
 fn invariants_hold_under_seeded_faults() {
     let failing = failing_seeds(0..seed_count(), InjectedBug::Nothing);
     assert!(
         failing.is_empty(),
-        "{} failing seeds, the first: {:?}",
+        "{} failing seeds:\n{}",
         failing.len(),
-        failing[0]
+        kinds(&failing)
     );
 }
 
--- a/crates/parsleytally/src/jobs/tests/model/owners.rs
+++ b/crates/parsleytally/src/jobs/tests/model/owners.rs
@@ -20,6 +20,7 @@
 
     pub(super) fn new_owner(&mut self) {
         if self.store_down {
+            self.disturb(200);
             self.push(200, Event::NewOwner);
             return;
         }
--- a/crates/parsleytally/src/jobs/tests/model/queue.rs
+++ b/crates/parsleytally/src/jobs/tests/model/queue.rs
@@ -27,8 +27,18 @@
     Cancel(u64),
     NewOwner,
     WorkerUp(usize),
+    /// A worker reports its state to its agent.
+    Heartbeat(usize),
+    /// The worker that started at this time gives notice of its shutdown.
+    Leave(usize, u64),
+    /// The worker that started at this time ends.
+    WorkerEnd(usize, u64),
+    /// The machine of an agent goes away.
+    AgentDown(usize),
     AgentUp(usize),
     Heal,
+    /// The faults are over.
+    Calm,
 }
 
 /// An event with its time and sequence number, which order the queue.
--- a/crates/parsleytally/src/jobs/tests/model/store.rs
+++ b/crates/parsleytally/src/jobs/tests/model/store.rs
@@ -11,6 +11,20 @@
     pub(super) version: (u64, u64),
 }
 
+/// The job with this id: short tasks in two steps, or tasks that run until it is cancelled.
+fn submitted_job(id: u64) -> JobRecord {
+    if !is_lasting(id) {
+        return job(vec![step(3, &[]), step(2, &[0])]);
+    }
+    let lasting = StepSpec {
+        long_running: true,
+        ..step(2, &[])
+    };
+    let mut record = job(vec![lasting]);
+    record.spec.payload = LASTING.into();
+    record
+}
+
 impl Simulation {
     pub(super) fn save(&mut self, owner: usize, job: JobId, version: u64, progress: JobProgress) {
         if owner == usize::MAX || !self.owners[owner].up || !self.is_current(owner) {
@@ -38,7 +52,7 @@
         }
         self.revision += 1;
         let accepted = Revision(self.revision);
-        let record = job(vec![step(3, &[]), step(2, &[0])]);
+        let record = submitted_job(id);
         let stored = StoredJob {
             record: record.clone(),
             accepted,
@@ -50,12 +64,14 @@
     }
 
     pub(super) fn cancel(&mut self, id: u64) {
-        if let Some(stored) = self.jobs.get_mut(&JobId(id))
-            && !self.store_down
-        {
-            stored.record.cancelled = true;
-            self.publish_job(JobId(id));
-        }
+        let stored = self.jobs.get_mut(&JobId(id));
+        let Some(stored) = stored.filter(|_| !self.store_down) else {
+            self.push(300, Event::Cancel(id));
+            return;
+        };
+        stored.record.cancelled = true;
+        self.cancelled.insert(JobId(id), self.now);
+        self.publish_job(JobId(id));
     }
 
     pub(super) fn publish_job(&mut self, id: JobId) {
--- /dev/null
+++ b/crates/parsleytally/src/jobs/tests/model/workers.rs
@@ -0,0 +1,78 @@
+//! Incarnations of the simulated workers: their starts, reports, notices and ends.
+
+use super::*;
+
+/// Time between two reports of a worker, in milliseconds.
+const HEARTBEAT_MS: u64 = 1_000;
+
+impl Simulation {
+    pub(super) fn advance_workers(&mut self) {
+        for at in 0..WORKERS {
+            let events = {
+                let worker = &mut self.workers[at];
+                if worker.up {
+                    worker.advance(self.now)
+                } else {
+                    Vec::new()
+                }
+            };
+            self.check_events(at, events);
+        }
+    }
+
+    pub(super) fn worker_up(&mut self, at: usize) {
+        let born = self.workers[at].born + FIRST_START;
+        self.workers[at] = SimulatedWorker::new(self.now, born);
+        self.report_worker(at);
+    }
+
+    pub(super) fn heartbeat(&mut self, at: usize) {
+        self.report_worker(at);
+        self.push(HEARTBEAT_MS, Event::Heartbeat(at));
+    }
+
+    /// Reports the state of a worker to its agent; none once it has given notice.
+    pub(super) fn report_worker(&mut self, at: usize) {
+        let worker = &self.workers[at];
+        if !worker.up || worker.leaving || !self.agents[at].up {
+            return;
+        }
+        let mut report = report(at, worker.born);
+        report.state = worker.state;
+        self.step_agent(at, AgentInput::Report(report));
+    }
+
+    /// Gives the worker's notice of its shutdown; it goes on for up to 0.8 s. Its machine
+    /// may go away soon after.
+    pub(super) fn leave(&mut self, at: usize, born: u64) {
+        let worker = &mut self.workers[at];
+        if !worker.up || worker.born != born {
+            return;
+        }
+        worker.leaving = true;
+        let id = report(at, born).incarnation.id;
+        self.notice(at, &id);
+        let end = self.rng.random_range(5..=800);
+        self.push(end, Event::WorkerEnd(at, born));
+        if self.rng.random_bool(0.4) {
+            self.push(1_000, Event::AgentDown(at));
+        }
+    }
+
+    /// A notice of shutdown of the worker `id` reaches the agent, if that is up.
+    pub(super) fn notice(&mut self, at: usize, _id: &str) {
+        if self.agents[at].up {
+            self.step_agent(at, AgentInput::WorkerLeft);
+        }
+    }
+
+    pub(super) fn worker_end(&mut self, at: usize, born: u64) {
+        let worker = &mut self.workers[at];
+        if !worker.up || worker.born != born {
+            return;
+        }
+        worker.up = false;
+        let pause = self.rng.random_range(1_000..6_000);
+        self.push(pause, Event::WorkerUp(at));
+    }
+}
--- a/crates/parsleytally/src/jobs/tests/worker.rs
+++ b/crates/parsleytally/src/jobs/tests/worker.rs
@@ -5,14 +5,18 @@
 use super::*;
 use crate::types::Time;
 
-/// Run time of every task, in milliseconds.
+/// Run time of a task that ends by itself, in milliseconds.
 const RUN_TIME_MS: u64 = 800;
+/// Payload of tasks that run until they are stopped.
+pub(super) const LASTING: &str = "last";
+/// Most ended runs in one listing.
+const LISTED_ENDS: usize = 3;
 
 /// A run in progress.
 #[derive(Debug, Clone)]
 struct Running {
-    /// When it completes.
-    completes_at: Time,
+    /// When it completes; none if it runs until it is stopped.
+    completes_at: Option<Time>,
     /// When a stop order takes effect.
     stops_at: Option<Time>,
 }
@@ -22,10 +26,15 @@
 pub(super) struct SimulatedWorker {
     pub(super) up: bool,
     pub(super) born: u64,
+    pub(super) state: WorkerState,
+    /// Whether it has given notice of its shutdown.
+    pub(super) leaving: bool,
     /// When its clock was 0.
     started_at: Time,
     fencing_token: u64,
     lease_end: u64,
+    /// When its lease was last seen expired.
+    pub(super) lapsed_at: Time,
     running: BTreeMap<RunRef, Running>,
     ended: Vec<EndedRun>,
     next_sequence: u64,
@@ -47,9 +56,12 @@
         Self {
             up: true,
             born,
+            state: WorkerState::Ready,
+            leaving: false,
             started_at: now,
             fencing_token: 0,
             lease_end: 0,
+            lapsed_at: now,
             running: BTreeMap::new(),
             ended: Vec::new(),
             next_sequence: 1,
@@ -69,9 +81,12 @@
     /// Ends the runs that complete, stop or lose their lease by `now`.
     pub(super) fn advance(&mut self, now: Time) -> Vec<WorkerEvent> {
         let expired = self.clock_ms(now) >= self.lease_end;
+        if expired {
+            self.lapsed_at = now;
+        }
         let mut ending = Vec::new();
         for (run, state) in &self.running {
-            if state.completes_at <= now {
+            if state.completes_at.is_some_and(|at| at <= now) {
                 ending.push((*run, EndReason::Done));
             } else if state.stops_at.is_some_and(|stops_at| stops_at <= now) {
                 ending.push((*run, EndReason::Stopped));
@@ -130,7 +145,9 @@
         {
             return refuse(RefusalReason::Old);
         }
-        let completes_at = now.after(std::time::Duration::from_millis(RUN_TIME_MS));
+        let lasting = *call.order.payload == *LASTING;
+        let completes_at =
+            (!lasting).then(|| now.after(std::time::Duration::from_millis(RUN_TIME_MS)));
         self.running.insert(
             run,
             Running {
@@ -189,7 +206,7 @@
             born: self.born,
             clock_ms: self.clock_ms(now),
             running: running.collect(),
-            ended: self.ended.clone(),
+            ended: self.ended.iter().take(LISTED_ENDS).cloned().collect(),
         }
     }
 }
