test(jobs): reports and notices of other writers in the simulation

Readable reports of a worker that is not beside the agent, with an earlier or later start, late reports of an earlier incarnation, and notices of shutdown with another id or of an earlier incarnation. Simulation::notice is the one place to adapt once the notice carries its id.

--- a/crates/parsleytally/src/jobs/tests/model/faults.rs
+++ b/crates/parsleytally/src/jobs/tests/model/faults.rs
@@ -7,7 +7,7 @@
     pub(super) fn fault(&mut self) {
         let at = self.rng.random_range(0..WORKERS);
         let span = self.rng.random_range(500..9_000);
-        match self.rng.random_range(0..8) {
+        match self.rng.random_range(0..10) {
             0 => self.kill_owner(),
             1 => {
                 self.workers[at].up = false;
@@ -28,6 +28,7 @@
                 self.push(span, Event::Heal);
             }
             6 => self.shut_down(at),
+            7 | 8 => self.strange_writer(at),
             _ => {
                 // The owner loses the store but stays up, and a successor takes over.
                 let owner = self.owners.len() - 1;
--- a/crates/parsleytally/src/jobs/tests/model/mod.rs
+++ b/crates/parsleytally/src/jobs/tests/model/mod.rs
@@ -19,6 +19,7 @@
 mod owners;
 mod queue;
 mod store;
+mod strangers;
 mod workers;
 
 use agents::{SimulatedAgent, agent};
@@ -200,6 +201,8 @@
             Event::NewOwner => self.new_owner(),
             Event::WorkerUp(at) => self.worker_up(at),
             Event::Heartbeat(at) => self.heartbeat(at),
+            Event::Report(at, report) => self.receive_report(at, report),
+            Event::Notice(at, id) => self.notice(at, &id),
             Event::Leave(at, born) => self.leave(at, born),
             Event::WorkerEnd(at, born) => self.worker_end(at, born),
             Event::AgentDown(at) => self.agent_down(at),
--- a/crates/parsleytally/src/jobs/tests/model/queue.rs
+++ b/crates/parsleytally/src/jobs/tests/model/queue.rs
@@ -29,6 +29,10 @@
     WorkerUp(usize),
     /// A worker reports its state to its agent.
     Heartbeat(usize),
+    /// A report of any writer reaches an agent.
+    Report(usize, WorkerReport),
+    /// A notice of shutdown of any writer, with this id, reaches an agent.
+    Notice(usize, Arc<str>),
     /// The worker that started at this time gives notice of its shutdown.
     Leave(usize, u64),
     /// The worker that started at this time ends.
--- a/crates/parsleytally/src/jobs/tests/model/workers.rs
+++ b/crates/parsleytally/src/jobs/tests/model/workers.rs
@@ -34,12 +34,19 @@
     /// Reports the state of a worker to its agent; none once it has given notice.
     pub(super) fn report_worker(&mut self, at: usize) {
         let worker = &self.workers[at];
-        if !worker.up || worker.leaving || !self.agents[at].up {
+        if !worker.up || worker.leaving {
             return;
         }
         let mut report = report(at, worker.born);
         report.state = worker.state;
-        self.step_agent(at, AgentInput::Report(report));
+        self.receive_report(at, report);
+    }
+
+    /// A report of any writer reaches an agent, if that is up.
+    pub(super) fn receive_report(&mut self, at: usize, report: WorkerReport) {
+        if self.agents[at].up {
+            self.step_agent(at, AgentInput::Report(report));
+        }
     }
 
     /// Gives the worker's notice of its shutdown; it goes on for up to 0.8 s. Its machine
