test(jobs): registered addresses of agents in the simulation

Owners that forget an agent delete its address, in three of ten cases seconds late; an agent without an owner registers again within 2 s; a new owner dials and expects only registered agents.

--- a/crates/parsleytally/src/jobs/tests/model/agents.rs
+++ b/crates/parsleytally/src/jobs/tests/model/agents.rs
@@ -11,6 +11,8 @@
     /// Incarnation of the process.
     pub(super) incarnation: u64,
     pub(super) up: bool,
+    /// Whether this process has registered its address.
+    pub(super) registered: bool,
     pub(super) links: BTreeSet<Link>,
 }
 
@@ -26,6 +28,7 @@
         ),
         incarnation,
         up: true,
+        registered: false,
         links: BTreeSet::new(),
     }
 }
@@ -89,6 +92,7 @@
         }
         let incarnation = self.agents[at].incarnation + 1;
         self.agents[at] = agent(incarnation, self.now);
+        self.push(0, Event::Register(at, incarnation));
         self.report_worker(at);
     }
 
--- a/crates/parsleytally/src/jobs/tests/model/links.rs
+++ b/crates/parsleytally/src/jobs/tests/model/links.rs
@@ -12,7 +12,8 @@
 
 impl Simulation {
     pub(super) fn dial(&mut self, owner: usize, at: usize) {
-        if !self.owners[owner].up || self.owners[owner].links.contains_key(&at) {
+        let dialing = &self.owners[owner];
+        if !dialing.up || !dialing.known.contains(&at) || dialing.links.contains_key(&at) {
             return;
         }
         if !self.agents[at].up || self.partitions.contains(&(owner, at)) {
--- a/crates/parsleytally/src/jobs/tests/model/mod.rs
+++ b/crates/parsleytally/src/jobs/tests/model/mod.rs
@@ -18,6 +18,7 @@
 mod links;
 mod owners;
 mod queue;
+mod registration;
 mod store;
 mod strangers;
 mod workers;
@@ -70,6 +71,8 @@
     owners: Vec<SimulatedOwner>,
     jobs: BTreeMap<JobId, StoredJob>,
     revision: u64,
+    /// Agents whose address is in the store.
+    registered: BTreeSet<usize>,
     links: u64,
     /// Pairs of owner and agent that can't reach each other.
     partitions: HashSet<(usize, usize)>,
@@ -108,6 +111,7 @@
             owners: Vec::new(),
             jobs: BTreeMap::new(),
             revision: 10,
+            registered: (0..WORKERS).collect(),
             links: 0,
             partitions: HashSet::new(),
             broken_links: HashSet::new(),
@@ -123,6 +127,7 @@
         };
         for at in 0..WORKERS {
             simulation.push(0, Event::Heartbeat(at));
+            simulation.push(0, Event::Register(at, 1));
         }
         simulation.push(0, Event::NewOwner);
         simulation.push(50, Event::Tick);
@@ -207,6 +212,8 @@
             Event::WorkerEnd(at, born) => self.worker_end(at, born),
             Event::AgentDown(at) => self.agent_down(at),
             Event::AgentUp(at) => self.agent_up(at),
+            Event::Register(at, incarnation) => self.check_registration(at, incarnation),
+            Event::Delete(owner, at) => self.delete_address(owner, at),
             Event::Heal => {
                 self.partitions.clear();
                 self.store_down = false;
--- a/crates/parsleytally/src/jobs/tests/model/owners.rs
+++ b/crates/parsleytally/src/jobs/tests/model/owners.rs
@@ -11,6 +11,15 @@
     pub(super) confirmed: Time,
     pub(super) reaches_store: bool,
     pub(super) links: BTreeMap<usize, Link>,
+    /// Agents that it dials.
+    pub(super) known: BTreeSet<usize>,
+}
+
+/// Index of an agent.
+fn position(name: &NodeName) -> usize {
+    (0..WORKERS)
+        .find(|at| node(*at) == *name)
+        .expect("a worker")
 }
 
 impl Simulation {
@@ -41,9 +50,10 @@
             confirmed: self.now,
             reaches_store: true,
             links: BTreeMap::new(),
+            known: self.registered.clone(),
         });
         self.step_owner(owner, Input::Queues(Arc::new(queues(1))));
-        for at in 0..WORKERS {
+        for at in self.registered.clone() {
             if epoch > 0 && self.bug != InjectedBug::NoWait {
                 self.step_owner(owner, Input::Expected(node(at)));
             }
@@ -64,12 +74,13 @@
         for output in out {
             match output {
                 Output::Order(name, message) => {
-                    let at = (0..WORKERS).find(|at| node(*at) == name).expect("a worker");
+                    let at = position(&name);
                     if let Some(link) = self.owners[owner].links.get(&at).copied() {
                         self.send_to_agent(link, message);
                     }
                 }
-                Output::Forget(_) | Output::SaveLearned(_) => {}
+                Output::Forget(name) => self.forget(owner, position(&name)),
+                Output::SaveLearned(_) => {}
                 Output::Save {
                     job,
                     version,
--- a/crates/parsleytally/src/jobs/tests/model/queue.rs
+++ b/crates/parsleytally/src/jobs/tests/model/queue.rs
@@ -40,6 +40,10 @@
     /// The machine of an agent goes away.
     AgentDown(usize),
     AgentUp(usize),
+    /// An agent (index and incarnation) checks whether its address is registered.
+    Register(usize, u64),
+    /// The deletion of the address of an agent that an owner forgot reaches the store.
+    Delete(usize, usize),
     Heal,
     /// The faults are over.
     Calm,
--- /dev/null
+++ b/crates/parsleytally/src/jobs/tests/model/registration.rs
@@ -0,0 +1,58 @@
+//! Addresses of the agents in the store: their registration, and their deletion by owners
+//! that forget an agent.
+
+use super::*;
+
+/// Time between two checks of an agent without an owner, in milliseconds.
+const CHECK_INTERVAL_MS: u64 = 2_000;
+/// Share of deletions that reach the store seconds late.
+const LATE_DELETIONS: f64 = 0.3;
+
+impl Simulation {
+    /// Writes the address of an agent to the store if it has no owner, and checks again
+    /// later; a new process writes it at once.
+    pub(super) fn check_registration(&mut self, at: usize, incarnation: u64) {
+        let agent = &mut self.agents[at];
+        if agent.incarnation != incarnation || !agent.up {
+            return;
+        }
+        let wanted = !agent.registered || agent.state.owner().is_none();
+        if wanted && !self.store_down {
+            self.agents[at].registered = true;
+            self.registered.insert(at);
+            self.publish_address(at);
+        }
+        self.push(CHECK_INTERVAL_MS, Event::Register(at, incarnation));
+    }
+
+    /// The newest owner reads the address of an agent.
+    fn publish_address(&mut self, at: usize) {
+        let Some(owner) = self.owners.len().checked_sub(1) else {
+            return;
+        };
+        let reads = self.owners[owner].up && self.owners[owner].reaches_store;
+        if reads && self.owners[owner].known.insert(at) {
+            self.push(5, Event::Dial(owner, at));
+        }
+    }
+
+    /// An owner stops dialing an agent and deletes its address, at once or late.
+    pub(super) fn forget(&mut self, owner: usize, at: usize) {
+        self.owners[owner].known.remove(&at);
+        let late = self.rng.random_bool(LATE_DELETIONS);
+        let delay = if late {
+            self.rng.random_range(500..6_000)
+        } else {
+            5
+        };
+        self.push(delay, Event::Delete(owner, at));
+    }
+
+    /// Deletes the address of an agent, on condition that the owner has not changed.
+    pub(super) fn delete_address(&mut self, owner: usize, at: usize) {
+        let reaches_store = self.owners[owner].reaches_store && !self.store_down;
+        if reaches_store && self.is_current(owner) {
+            self.registered.remove(&at);
+        }
+    }
+}
