test(jobs): links that end before their first message in the simulation

After the owner loses the store, links of its successor end before Begin arrives, while the old owner still reaches the agents. Agents answer on the link that they follow, as the program does, instead of on that of the newest owner.

--- a/crates/parsleytally/src/jobs/tests/model/faults.rs
+++ b/crates/parsleytally/src/jobs/tests/model/faults.rs
@@ -7,7 +7,7 @@
     pub(super) fn fault(&mut self) {
         let at = self.rng.random_range(0..WORKERS);
         let span = self.rng.random_range(500..9_000);
-        match self.rng.random_range(0..10) {
+        match self.rng.random_range(0..11) {
             0 => self.kill_owner(),
             1 => {
                 self.workers[at].up = false;
@@ -29,13 +29,13 @@
             }
             6 => self.shut_down(at),
             7 | 8 => self.strange_writer(at),
-            _ => {
-                // The owner loses the store but stays up, and a successor takes over.
-                let owner = self.owners.len() - 1;
-                self.owners[owner].reaches_store = false;
-                self.disturb(1_500);
-                self.push(1_500, Event::NewOwner);
+            9 => {
+                self.lose_store();
+                let until = self.now.after(Duration::from_millis(1_500 + span));
+                self.begins_lost_until = until;
+                self.disturb(1_500 + span + 2_000);
             }
+            _ => self.lose_store(),
         }
     }
 
@@ -48,6 +48,14 @@
         }
     }
 
+    /// The owner loses the store but stays up, and a successor takes over.
+    fn lose_store(&mut self) {
+        let owner = self.owners.len() - 1;
+        self.owners[owner].reaches_store = false;
+        self.disturb(1_500);
+        self.push(1_500, Event::NewOwner);
+    }
+
     /// A worker drains, gives its notice and ends.
     pub(super) fn shut_down(&mut self, at: usize) {
         let remaining_ms = self.rng.random_range(200..4_000);
--- a/crates/parsleytally/src/jobs/tests/model/links.rs
+++ b/crates/parsleytally/src/jobs/tests/model/links.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// Share of links that end before their first message arrives, while that fault is active.
+const LOST_BEGINS: f64 = 0.7;
+
 /// A link from an owner to an agent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(super) struct Link {
@@ -29,11 +32,28 @@
         };
         self.owners[owner].links.insert(at, link);
         self.agents[at].links.insert(link);
+        if self.loses_begin(owner) {
+            self.lose_link(link);
+        }
         let fencing_token = (self.owners[owner].epoch + 1) << 32 | number << 12;
         self.send_to_agent(link, OrderMessage::Begin { fencing_token });
         self.step_owner(owner, Input::Linked(node(at)));
     }
 
+    /// Whether a link of the newest owner ends before its first message arrives.
+    fn loses_begin(&mut self, owner: usize) -> bool {
+        self.now < self.begins_lost_until
+            && self.is_current(owner)
+            && self.rng.random_bool(LOST_BEGINS)
+    }
+
+    /// Breaks a link; its ends detect that up to 2 s later.
+    fn lose_link(&mut self, link: Link) {
+        self.broken_links.insert(link);
+        let detected = self.rng.random_range(5..2_000);
+        self.push(detected, Event::LinkLost(link));
+    }
+
     /// Whether a message on `link` arrives; a lost message breaks the link.
     pub(super) fn delivers(&mut self, link: Link) -> bool {
         if self.partitions.contains(&(link.owner, link.agent)) && self.broken_links.insert(link) {
@@ -49,12 +69,11 @@
     }
 
     pub(super) fn send_to_owner(&mut self, at: usize, message: AgentMessage) {
-        let links: Vec<Link> = self.agents[at].links.iter().copied().collect();
-        // The newest owner has the highest fencing token, so the agent follows it.
-        let Some(link) = links
-            .into_iter()
-            .max_by_key(|link| (link.owner, link.number))
-        else {
+        let Some(owner) = self.agents[at].state.owner() else {
+            return;
+        };
+        let mut links = self.agents[at].links.iter().copied();
+        let Some(link) = links.find(|link| link.number == owner.0) else {
             return;
         };
         if self.delivers(link) {
--- a/crates/parsleytally/src/jobs/tests/model/mod.rs
+++ b/crates/parsleytally/src/jobs/tests/model/mod.rs
@@ -80,6 +80,8 @@
     broken_links: HashSet<Link>,
     store_down: bool,
     late_orders: bool,
+    /// Until when links of the newest owner end before their first message arrives.
+    begins_lost_until: Time,
     /// Until when the effects of the faults so far last at most.
     disturbed: Time,
     /// From when no fault is active any more; none before the last fault.
@@ -117,6 +119,7 @@
             broken_links: HashSet::new(),
             store_down: false,
             late_orders: false,
+            begins_lost_until: now,
             disturbed: now,
             calm: None,
             cancelled: HashMap::new(),
@@ -218,6 +221,7 @@
                 self.partitions.clear();
                 self.store_down = false;
                 self.late_orders = false;
+                self.begins_lost_until = self.now;
             }
             Event::Calm => {
                 let calm = self.now.max(self.disturbed);
