test(jobs): checks of unknown runs, repeated ends and idle workers in the simulation

New checks: no run that the newest owner does not know stays in the calm phase; no task starts again after an end that is acknowledged then or later, unless the lease lapsed in between; a last job that takes all workers runs whole in the end. For each there is an injected bug, found by the text of its violation.

--- a/crates/parsleytally/src/jobs/tests/model/checks.rs
+++ b/crates/parsleytally/src/jobs/tests/model/checks.rs
@@ -4,6 +4,8 @@
 
 /// Longest time for which a task runs on after the cancel of its job.
 const STOP_LIMIT: Duration = Duration::from_millis(3_400);
+/// Longest time for which the newest owner doesn't know of a run in the calm phase.
+const UNKNOWN_LIMIT: Duration = Duration::from_secs(3);
 /// Time without faults before a cancel from which on that limit counts.
 const STEADY_BEFORE: Duration = Duration::from_secs(3);
 /// Longest time for which such a task runs on once all faults are over.
@@ -17,9 +19,11 @@
                 WorkerEvent::Started(run) => self.check_start(at, run),
                 WorkerEvent::Ended(run, EndReason::Done) => {
                     self.done.insert(run.task);
+                    self.done_at.insert(run, self.now);
                 }
                 WorkerEvent::Ended(..) => {}
                 WorkerEvent::Acknowledged(ended) => {
+                    self.check_acknowledged(at, &ended);
                     let done = ended.iter().filter(|end| end.reason == EndReason::Done);
                     self.acknowledged.extend(done.map(|end| end.run.task));
                 }
@@ -47,7 +51,7 @@
         if self.acknowledged.contains(&run.task) {
             violations.push("starts after its end was acknowledged");
         }
-        if self.workers[at].runs().count() > 4 {
+        if self.workers[at].runs().count() > CAPACITY {
             violations.push("exceeds the capacity of its worker");
         }
         let first_step_count = self.jobs[&run.task.job].record.spec.steps[0].count;
@@ -61,12 +65,57 @@
         {
             violations.push("starts before the previous step is done");
         }
+        self.last_starts.insert(run.task, self.now);
         for what in violations {
             self.violations
                 .push(format!("{}: {} {what} on worker {at}", self.now, run.task));
         }
     }
 
+    /// Checks that no task was started again after an end that is acknowledged now, unless
+    /// the worker's lease lapsed in between.
+    fn check_acknowledged(&mut self, at: usize, ended: &[EndedRun]) {
+        for end in ended {
+            let done_at = self.done_at.get(&end.run);
+            let started = self.last_starts.get(&end.run.task);
+            let (Some(done_at), Some(started)) = (done_at, started) else {
+                continue;
+            };
+            if started > done_at && self.workers[at].lapsed_at < *done_at {
+                self.violations.push(format!(
+                    "{}: {} started again after an end that is acknowledged on worker {at}",
+                    self.now, end.run.task
+                ));
+            }
+        }
+    }
+
+    /// Checks that the newest owner knows of the runs in progress in the calm phase.
+    pub(super) fn check_unknown(&mut self) {
+        let Some(owner) = self.owners.last() else {
+            return;
+        };
+        let mut unknown = BTreeMap::new();
+        for (at, worker) in self.workers.iter().enumerate() {
+            let runs = worker.runs().filter(|run| !owner.runs.contains(at, **run));
+            for run in runs {
+                let since = self.unknown_since.get(&(at, *run));
+                unknown.insert((at, *run), since.copied().unwrap_or(self.now));
+            }
+        }
+        let calm = self.calm.map(|calm| calm.after(CALM_LIMIT));
+        for ((at, run), since) in &unknown {
+            let stays = since.after(UNKNOWN_LIMIT) < self.now;
+            if stays && calm.is_some_and(|calm| calm < self.now) {
+                self.violations.push(format!(
+                    "{}: {} runs unknown to the newest owner on worker {at}",
+                    self.now, run.task
+                ));
+            }
+        }
+        self.unknown_since = unknown;
+    }
+
     /// Checks that runs of cancelled jobs don't go on.
     pub(super) fn check_running(&mut self) {
         let mut violations = Vec::new();
@@ -93,7 +142,9 @@
     }
 
     pub(super) fn check_end(&mut self) {
-        for (id, stored) in &self.jobs {
+        self.check_last_job();
+        let jobs = self.jobs.iter().filter(|(id, _)| id.0 != LAST_JOB);
+        for (id, stored) in jobs {
             let state = stored.progress.as_ref().map(|progress| progress.state);
             let ended = stored.record.cancelled || state.is_some_and(JobState::is_final);
             if !ended {
@@ -102,4 +153,17 @@
             }
         }
     }
+
+    /// Checks that the last job runs whole, which takes all workers.
+    fn check_last_job(&mut self) {
+        let runs = self.workers.iter().flat_map(SimulatedWorker::runs);
+        let count = runs.filter(|run| run.task.job.0 == LAST_JOB).count();
+        let wanted = WORKERS * CAPACITY;
+        if count != wanted {
+            let now = self.now;
+            self.violations.push(format!(
+                "{now}: {count} of {wanted} tasks of the last job run"
+            ));
+        }
+    }
 }
--- a/crates/parsleytally/src/jobs/tests/model/mod.rs
+++ b/crates/parsleytally/src/jobs/tests/model/mod.rs
@@ -15,6 +15,7 @@
 mod agents;
 mod checks;
 mod faults;
+mod known;
 mod links;
 mod owners;
 mod queue;
@@ -39,6 +40,12 @@
 const LASTING_JOBS: u64 = 4;
 /// Longest time from the submission to the cancel of such a job, in milliseconds.
 const LONGEST_LASTING_MS: u64 = 40_000;
+/// Job that is submitted after all others and needs all workers whole.
+const LAST_JOB: u64 = JOBS + 1;
+/// Simulated time of its submission, in milliseconds.
+const LAST_JOB_AT_MS: u64 = 70_000;
+/// Tasks that a worker can run at the same time.
+const CAPACITY: usize = 4;
 const FAULTS: usize = 9;
 /// Time in which jobs are submitted and faults start.
 const FAULT_PERIOD: Duration = Duration::from_secs(25);
@@ -58,6 +65,14 @@
     NoFencing,
     /// A new owner doesn't wait for agents that have not reported.
     NoWait,
+    /// Orders to stop a run are lost and not repeated.
+    LostStops,
+    /// Owners don't see listed runs of cancelled jobs.
+    HiddenRuns,
+    /// Owners don't see ended runs that are listed together with the running ones.
+    HiddenEnds,
+    /// Agents don't register their address again.
+    NoRegistration,
 }
 
 struct Simulation {
@@ -90,6 +105,12 @@
     cancelled: HashMap<JobId, Time>,
     /// Tasks with a completed run.
     done: HashSet<TaskId>,
+    /// When each completed run ended.
+    done_at: HashMap<RunRef, Time>,
+    /// When each task was last started.
+    last_starts: HashMap<TaskId, Time>,
+    /// Since when the newest owner doesn't know of a run in progress, by worker.
+    unknown_since: BTreeMap<(usize, RunRef), Time>,
     /// Tasks whose completed run was acknowledged to its worker.
     acknowledged: HashSet<TaskId>,
     violations: Vec<String>,
@@ -124,6 +145,9 @@
             calm: None,
             cancelled: HashMap::new(),
             done: HashSet::new(),
+            done_at: HashMap::new(),
+            last_starts: HashMap::new(),
+            unknown_since: BTreeMap::new(),
             acknowledged: HashSet::new(),
             violations: Vec::new(),
             traced: false,
@@ -147,6 +171,7 @@
                 simulation.push(at + after, Event::Cancel(id));
             }
         }
+        simulation.push(LAST_JOB_AT_MS, Event::Submit(LAST_JOB));
         for _ in 0..FAULTS {
             let at = simulation
                 .rng
@@ -249,13 +274,14 @@
             }
         }
         self.check_running();
+        self.check_unknown();
         self.push(50, Event::Tick);
     }
 }
 
 /// Whether the tasks of a job run until it is cancelled.
 fn is_lasting(job: u64) -> bool {
-    job % LASTING_JOBS == 0
+    job == LAST_JOB || job % LASTING_JOBS == 0
 }
 
 /// Number of seeds: `PARSLEYTALLY_MODEL_DAYS`, for longer manual runs, or the default.
@@ -311,14 +337,51 @@
     );
 }
 
+/// A bug and the violation that it must lead to.
+struct BugCase {
+    bug: InjectedBug,
+    violation: &'static str,
+}
+
 #[test]
 fn injected_bugs_are_detected() {
-    for bug in [
-        InjectedBug::EarlyAcknowledgement,
-        InjectedBug::NoFencing,
-        InjectedBug::NoWait,
-    ] {
-        let failing = failing_seeds(0..SEEDS, bug);
-        assert!(!failing.is_empty(), "{bug:?} was not detected");
+    let cases = [
+        BugCase {
+            bug: InjectedBug::EarlyAcknowledgement,
+            violation: "",
+        },
+        BugCase {
+            bug: InjectedBug::NoFencing,
+            violation: "",
+        },
+        BugCase {
+            bug: InjectedBug::NoWait,
+            violation: "",
+        },
+        BugCase {
+            bug: InjectedBug::LostStops,
+            violation: "runs on after its cancel",
+        },
+        BugCase {
+            bug: InjectedBug::LostStops,
+            violation: "runs on in the calm phase",
+        },
+        BugCase {
+            bug: InjectedBug::HiddenRuns,
+            violation: "runs unknown to the newest owner",
+        },
+        BugCase {
+            bug: InjectedBug::HiddenEnds,
+            violation: "started again after an end that is acknowledged",
+        },
+        BugCase {
+            bug: InjectedBug::NoRegistration,
+            violation: "of the last job run",
+        },
+    ];
+    for BugCase { bug, violation } in cases {
+        let mut runs = (0..SEEDS).map(|seed| Simulation::new(seed, bug).run());
+        let detected = runs.any(|found| found.iter().any(|text| text.contains(violation)));
+        assert!(detected, "{bug:?} was not detected by {violation:?}");
     }
 }
--- a/crates/parsleytally/src/jobs/tests/model/owners.rs
+++ b/crates/parsleytally/src/jobs/tests/model/owners.rs
@@ -1,5 +1,6 @@
 //! Simulated owners of the jobs.
 
+use super::known::KnownRuns;
 use super::links::Link;
 use super::*;
 
@@ -11,6 +12,7 @@
     pub(super) confirmed: Time,
     pub(super) reaches_store: bool,
     pub(super) links: BTreeMap<usize, Link>,
+    pub(super) runs: KnownRuns,
     /// Agents that it dials.
     pub(super) known: BTreeSet<usize>,
 }
@@ -50,6 +52,7 @@
             confirmed: self.now,
             reaches_store: true,
             links: BTreeMap::new(),
+            runs: KnownRuns::default(),
             known: self.registered.clone(),
         });
         self.step_owner(owner, Input::Queues(Arc::new(queues(1))));
@@ -75,11 +78,21 @@
             match output {
                 Output::Order(name, message) => {
                     let at = position(&name);
+                    self.owners[owner].runs.ordered(at, &message);
+                    let lost = self.bug == InjectedBug::LostStops
+                        && matches!(message, OrderMessage::Stop(_));
+                    if lost {
+                        continue;
+                    }
                     if let Some(link) = self.owners[owner].links.get(&at).copied() {
                         self.send_to_agent(link, message);
                     }
                 }
-                Output::Forget(name) => self.forget(owner, position(&name)),
+                Output::Forget(name) => {
+                    let at = position(&name);
+                    self.owners[owner].runs.clear(at);
+                    self.forget(owner, at);
+                }
                 Output::SaveLearned(_) => {}
                 Output::Save {
                     job,
@@ -96,6 +109,20 @@
         }
     }
 
+    /// Applies an injected bug to a message of an agent.
+    fn falsify(&self, mut message: AgentMessage) -> AgentMessage {
+        if let AgentMessage::Listed { running, ended, .. } = &mut message {
+            match self.bug {
+                InjectedBug::HiddenRuns => {
+                    running.retain(|status| !self.cancelled.contains_key(&status.run.task.job));
+                }
+                InjectedBug::HiddenEnds => ended.clear(),
+                _ => {}
+            }
+        }
+        message
+    }
+
     pub(super) fn receive_at_owner(&mut self, owner: usize, link: Link, message: AgentMessage) {
         let current = self.owners[owner].links.get(&link.agent) == Some(&link);
         if !self.owners[owner].up || !current {
@@ -113,6 +140,8 @@
             );
             return;
         }
+        let message = self.falsify(message);
+        self.owners[owner].runs.received(link.agent, &message);
         self.step_owner(owner, Input::Agent(node(link.agent), message));
     }
 }
--- a/crates/parsleytally/src/jobs/tests/model/registration.rs
+++ b/crates/parsleytally/src/jobs/tests/model/registration.rs
@@ -16,7 +16,8 @@
         if agent.incarnation != incarnation || !agent.up {
             return;
         }
-        let wanted = !agent.registered || agent.state.owner().is_none();
+        let again = self.bug != InjectedBug::NoRegistration;
+        let wanted = !agent.registered || (again && agent.state.owner().is_none());
         if wanted && !self.store_down {
             self.agents[at].registered = true;
             self.registered.insert(at);
--- a/crates/parsleytally/src/jobs/tests/model/store.rs
+++ b/crates/parsleytally/src/jobs/tests/model/store.rs
@@ -16,9 +16,14 @@
     if !is_lasting(id) {
         return job(vec![step(3, &[]), step(2, &[0])]);
     }
+    let count = if id == LAST_JOB {
+        (WORKERS * CAPACITY) as u32
+    } else {
+        2
+    };
     let lasting = StepSpec {
         long_running: true,
-        ..step(2, &[])
+        ..step(count, &[])
     };
     let mut record = job(vec![lasting]);
     record.spec.payload = LASTING.into();
