--- a/crates/parsleytally/src/jobs/tests/model/faults.rs
+++ b/crates/parsleytally/src/jobs/tests/model/faults.rs
@@ -34,6 +34,7 @@
                 let until = self.now.after(Duration::from_millis(1_500 + span));
                 self.begins_lost_until = until;
                 self.disturb(1_500 + span + 2_000);
+                self.push(1_500 + span, Event::Heal);
             }
             _ => self.lose_store(),
         }
--- a/crates/parsleytally/src/jobs/tests/model/links.rs
+++ b/crates/parsleytally/src/jobs/tests/model/links.rs
@@ -4,6 +4,8 @@
 
 /// Share of links that end before their first message arrives, while that fault is active.
 const LOST_BEGINS: f64 = 0.7;
+/// Share of such links after which no further one is opened until the fault ends.
+const CUT_AFTER_LOST_BEGIN: f64 = 0.3;
 
 /// A link from an owner to an agent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -47,9 +49,12 @@
             && self.rng.random_bool(LOST_BEGINS)
     }
 
-    /// Breaks a link; its ends detect that up to 2 s later.
+    /// Breaks a link, at times until the fault ends; its ends detect that up to 2 s later.
     fn lose_link(&mut self, link: Link) {
         self.broken_links.insert(link);
+        if self.rng.random_bool(CUT_AFTER_LOST_BEGIN) {
+            self.partitions.insert((link.owner, link.agent));
+        }
         let detected = self.rng.random_range(5..2_000);
         self.push(detected, Event::LinkLost(link));
     }
