--- a/crates/parsleytally-agent/src/site/mod.rs
+++ b/crates/parsleytally-agent/src/site/mod.rs
@@ -241,6 +241,7 @@
                 _ = tick.tick() => {
                     self.step(AgentInput::Tick);
                     self.ping_if_due();
+                    self.publish_hold();
                 }
             }
             self.execute_outputs();
@@ -281,7 +282,6 @@
         if owner == previous {
             return;
         }
-        self.has_owner.send_replace(owner.is_some());
         if owner.is_some() {
             self.ping(Vec::new());
         } else {
@@ -289,6 +289,13 @@
         }
     }
 
+    /// Publishes whether an owner holds the agent.
+    fn publish_hold(&self) {
+        let held = self.agent.is_held(self.clock.now());
+        self.has_owner
+            .send_if_modified(|known| std::mem::replace(known, held) != held);
+    }
+
     /// Sends a ping unless one was sent with a report within [`PING_INTERVAL`].
     fn ping_if_due(&mut self) {
         if self.clock.now().since(self.pinged) >= PING_INTERVAL {
--- a/crates/parsleytally-agent/src/site/registration.rs
+++ b/crates/parsleytally-agent/src/site/registration.rs
@@ -21,7 +21,7 @@
     pub(super) node: NodeName,
     /// Address at which the agent accepts links of owners.
     pub(super) links: SocketAddr,
-    /// Whether an owner is linked.
+    /// Whether an owner holds the agent.
     pub(super) has_owner: watch::Receiver<bool>,
 }
 
--- a/crates/parsleytally/src/jobs/agent/lease.rs
+++ b/crates/parsleytally/src/jobs/agent/lease.rs
@@ -44,6 +44,11 @@
         self.limit = self.limit.max(until);
     }
 
+    /// Whether the limit of leases has not passed.
+    pub(super) fn is_allowed(&self, now: Time) -> bool {
+        now < self.limit
+    }
+
     pub(super) fn read_clock(&mut self, now: Time, value_ms: u64) {
         let read_at = now;
         self.clock = Some(WorkerClock { value_ms, read_at });
--- a/crates/parsleytally/src/jobs/agent/mod.rs
+++ b/crates/parsleytally/src/jobs/agent/mod.rs
@@ -208,6 +208,12 @@
         self.owner
     }
 
+    /// Whether there is an owner whose hold has not passed. One that has lost the store keeps
+    /// its link, but a later owner must be able to find the agent.
+    pub fn is_held(&self, now: Time) -> bool {
+        self.owner.is_some() && self.lease.is_allowed(now)
+    }
+
     /// Fencing token of the orders that are sent to the worker.
     pub fn fencing_token(&self) -> u64 {
         self.fencing_token
@@ -325,10 +331,17 @@
             self.add_candidate(now, report, sequence);
             return;
         }
-        if self.leaving || sequence < self.report_sequence {
-            // It was sent before the notice of shutdown, or before a report already used.
+        if sequence < self.report_sequence {
             return;
         }
+        if self.leaving {
+            if !self.all_leases_expired(now) {
+                // It may have been sent before the notice of shutdown.
+                return;
+            }
+            // The notice was that of an earlier incarnation with the same id.
+            self.leaving = false;
+        }
         self.report_sequence = sequence;
         if self.report.as_ref() == Some(&report) {
             return;
--- a/crates/parsleytally/src/jobs/agent/poll.rs
+++ b/crates/parsleytally/src/jobs/agent/poll.rs
@@ -280,7 +280,7 @@
     }
 
     /// Whether all leases of this agent process and of the one before have expired.
-    fn all_leases_expired(&self, now: Time) -> bool {
+    pub(super) fn all_leases_expired(&self, now: Time) -> bool {
         let earlier_expires = self.started_at.after(expiry_after(self.times.lease));
         self.lease.has_expired(now) && earlier_expires < now
     }
--- /dev/null
+++ b/crates/parsleytally/src/jobs/tests/model/owners.rs
@@ -0,0 +1,147 @@
+//! Simulated owners of the jobs.
+
+use super::known::KnownRuns;
+use super::links::Link;
+use super::*;
+
+pub(super) struct SimulatedOwner {
+    pub(super) scheduler: Scheduler,
+    pub(super) epoch: u64,
+    pub(super) up: bool,
+    /// When the store last confirmed the ownership.
+    pub(super) confirmed: Time,
+    pub(super) reaches_store: bool,
+    pub(super) links: BTreeMap<usize, Link>,
+    pub(super) runs: KnownRuns,
+    /// Agents that it dials.
+    pub(super) known: BTreeSet<usize>,
+}
+
+/// Index of an agent.
+fn position(name: &NodeName) -> usize {
+    (0..WORKERS)
+        .find(|at| node(*at) == *name)
+        .expect("a worker")
+}
+
+impl Simulation {
+    pub(super) fn is_current(&self, owner: usize) -> bool {
+        self.owners[owner].epoch + 1 == self.owners.len() as u64
+    }
+
+    pub(super) fn new_owner(&mut self) {
+        if self.store_down {
+            self.disturb(200);
+            self.push(200, Event::NewOwner);
+            return;
+        }
+        self.revision += 1;
+        let epoch = self.owners.len() as u64;
+        let start = SchedulerOptions {
+            epoch,
+            start_revision: Revision(self.revision),
+            agent_hold: AGENT_HOLD + AGENT_HOLD / 20,
+            owner_hold: OWNER_HOLD + OWNER_HOLD / 20,
+            ended_retention: Duration::from_secs(600),
+        };
+        let owner = self.owners.len();
+        self.owners.push(SimulatedOwner {
+            scheduler: Scheduler::new(start),
+            epoch,
+            up: true,
+            confirmed: self.now,
+            reaches_store: true,
+            links: BTreeMap::new(),
+            runs: KnownRuns::default(),
+            known: self.registered.keys().copied().collect(),
+        });
+        self.step_owner(owner, Input::Queues(Arc::new(queues(1))));
+        for at in self.registered.keys().copied().collect::<Vec<_>>() {
+            if epoch > 0 && self.bug != InjectedBug::NoWait {
+                self.step_owner(owner, Input::Expected(node(at)));
+            }
+            self.push(5, Event::Dial(owner, at));
+        }
+        for id in self.jobs.keys().copied().collect::<Vec<_>>() {
+            let input = self.job_input(id);
+            self.step_owner(owner, input);
+        }
+    }
+
+    pub(super) fn step_owner(&mut self, owner: usize, input: Input) {
+        let mut out = Vec::new();
+        let unix_ms = self.now.as_micros() / 1_000;
+        let scheduler = &mut self.owners[owner].scheduler;
+        scheduler.step(self.now, unix_ms, input, &mut out);
+        scheduler.decide(self.now, unix_ms, &mut out);
+        for output in out {
+            match output {
+                Output::Order(name, message) => {
+                    let at = position(&name);
+                    self.owners[owner].runs.ordered(at, &message);
+                    let lost = self.bug == InjectedBug::LostStops
+                        && matches!(message, OrderMessage::Stop(_));
+                    if lost {
+                        continue;
+                    }
+                    if let Some(link) = self.owners[owner].links.get(&at).copied() {
+                        self.send_to_agent(link, message);
+                    }
+                }
+                Output::Forget(name) => {
+                    let at = position(&name);
+                    self.owners[owner].runs.clear(at);
+                    self.forget(owner, at);
+                }
+                Output::SaveLearned(_) | Output::RunsDropped { .. } | Output::Reconciled(..) => {}
+                Output::Save {
+                    job,
+                    version,
+                    progress,
+                } => {
+                    if self.bug == InjectedBug::EarlyAcknowledgement {
+                        self.push(1, Event::Save(usize::MAX, job, version, progress.clone()));
+                        self.step_owner(owner, Input::Saved { job, version });
+                    }
+                    self.push(5, Event::Save(owner, job, version, progress));
+                }
+            }
+        }
+    }
+
+    /// Applies an injected bug to a message of an agent.
+    fn falsify(&self, mut message: AgentMessage) -> AgentMessage {
+        let is_needed = |status: &RunStatus| !self.cancelled.contains_key(&status.run.task.job);
+        match (&mut message, self.bug) {
+            (AgentMessage::Listed { running, .. }, InjectedBug::HiddenRuns)
+            | (AgentMessage::Measurements(running), InjectedBug::HiddenRuns) => {
+                running.retain(is_needed);
+            }
+            (AgentMessage::Listed { ended, .. }, InjectedBug::HiddenEnds) => ended.clear(),
+            _ => {}
+        }
+        message
+    }
+
+    pub(super) fn receive_at_owner(&mut self, owner: usize, link: Link, message: AgentMessage) {
+        let current = self.owners[owner].links.get(&link.agent) == Some(&link);
+        if !self.owners[owner].up || !current {
+            return;
+        }
+        if let AgentMessage::Ping { sent } = message {
+            let confirmation_age = self.now.since(self.owners[owner].confirmed);
+            let confirmation_age = confirmation_age.as_micros() as u64;
+            self.send_to_agent(
+                link,
+                OrderMessage::Pong {
+                    sent,
+                    confirmation_age,
+                },
+            );
+            return;
+        }
+        let message = self.falsify(message);
+        self.owners[owner].runs.received(link.agent, &message);
+        self.step_owner(owner, Input::Agent(node(link.agent), message));
+    }
+}
