fix(jobs): ended runs are acknowledged again on each link

Its agent was linked again while its list of ended runs was cut, and told the owner of those ends first; the owner had them from the link before, whose acknowledgement was lost, and ignored them as known. So they were never acknowledged and the listing never became complete. A new link, and an agent after all leases have expired, now begin with all unacknowledged ends.

an_acknowledgement_that_was_lost_with_its_link_is_repeated failed before.

--- a/crates/parsleytally/src/jobs/agent/poll.rs
+++ b/crates/parsleytally/src/jobs/agent/poll.rs
@@ -275,6 +275,7 @@
         self.push_runs_ended(EndEvidence::ExpiredLeases, out);
         self.listed = false;
         self.expiry_reported = true;
+        self.reported_sequence = 0;
         self.runs.clear();
         out.push(AgentOutput::Send(AgentMessage::LeasesExpired));
     }
--- a/crates/parsleytally/src/jobs/fleet.rs
+++ b/crates/parsleytally/src/jobs/fleet.rs
@@ -309,14 +309,20 @@
         self.incarnation() == Some(incarnation)
     }
 
+    /// Takes all unacknowledged ended runs that the worker lists again: acknowledgements may
+    /// have been lost.
+    pub(super) fn expect_all_ends(&mut self) {
+        self.pending_acks.clear();
+        self.last_ended = 0;
+    }
+
     /// Drops the runs, failures and pending acknowledgements; keeps the report and the link.
     pub(super) fn reset(&mut self) {
         self.runs.clear();
         self.reserved = Resources::NONE;
         self.best_effort_cpu = 0;
         self.service_runs = 0;
-        self.pending_acks.clear();
-        self.last_ended = 0;
+        self.expect_all_ends();
         self.listed = false;
         self.unresponsive = false;
         self.failures = Failures::default();
--- a/crates/parsleytally/src/jobs/scheduler/ended.rs
+++ b/crates/parsleytally/src/jobs/scheduler/ended.rs
@@ -29,9 +29,7 @@
             return;
         }
         worker.listed = true;
-        // The worker lists all unacknowledged ended runs again.
-        worker.last_ended = 0;
-        worker.pending_acks.clear();
+        worker.expect_all_ends();
         let placed: Vec<RunRef> = worker.runs.keys().copied().collect();
         self.handle_ended(now, node, incarnation, ended, out);
         let runs: HashSet<RunRef> = running.iter().map(|task| task.run).collect();
--- a/crates/parsleytally/src/jobs/scheduler/mod.rs
+++ b/crates/parsleytally/src/jobs/scheduler/mod.rs
@@ -260,6 +260,7 @@
         worker.listed = false;
         worker.unresponsive = false;
         worker.runs_expire_at = None;
+        worker.expect_all_ends();
     }
 
     fn unlinked(&mut self, now: Time, node: &NodeName) {
--- a/crates/parsleytally/src/jobs/tests/scheduler.rs
+++ b/crates/parsleytally/src/jobs/tests/scheduler.rs
@@ -435,6 +435,25 @@
     }
 }
 
+/// Guards against workers that stay unused: an acknowledgement was lost with its link, and the
+/// worker lists so many ended runs that the agent waits for it before it lists the running ones.
+#[test]
+fn an_acknowledgement_that_was_lost_with_its_link_is_repeated() {
+    let mut bench = Bench::with_workers(1);
+    bench.submit(1, job(vec![step(1, &[])]), 11);
+    let order = run(1, 0, 0, 1);
+    bench.end(0, 1, order, EndReason::Done);
+    let saved = Input::Saved {
+        job: JobId(1),
+        version: 1,
+    };
+    assert_eq!(acknowledged(&bench.feed(saved)), Some(1));
+    bench.feed(Input::Unlinked(node(0)));
+    bench.feed(Input::Linked(node(0)));
+    let out = bench.end(0, 1, order, EndReason::Done);
+    assert_eq!(acknowledged(&out), Some(1));
+}
+
 /// Guards against tasks that run twice and tasks of cancelled jobs that run on: a run that was
 /// taken for ended or never started shows up again.
 #[test]
