test(jobs): the violation that each injected bug leads to

The first three bugs were found by any violation, which proves nothing while the code itself fails. Each now has to lead to the violation that it stands for.

--- a/crates/parsleytally/src/jobs/tests/model/mod.rs
+++ b/crates/parsleytally/src/jobs/tests/model/mod.rs
@@ -281,7 +281,7 @@
 
 /// Whether the tasks of a job run until it is cancelled.
 fn is_lasting(job: u64) -> bool {
-    job == LAST_JOB || job % LASTING_JOBS == 0
+    job == LAST_JOB || job.is_multiple_of(LASTING_JOBS)
 }
 
 /// Number of seeds: `PARSLEYTALLY_MODEL_DAYS`, for longer manual runs, or the default.
@@ -348,15 +348,15 @@
     let cases = [
         BugCase {
             bug: InjectedBug::EarlyAcknowledgement,
-            violation: "",
+            violation: "starts after its end was acknowledged",
         },
         BugCase {
             bug: InjectedBug::NoFencing,
-            violation: "",
+            violation: "runs twice",
         },
         BugCase {
             bug: InjectedBug::NoWait,
-            violation: "",
+            violation: "runs twice",
         },
         BugCase {
             bug: InjectedBug::LostStops,
