--- a/crates/parsleytally/src/jobs/tests/model/mod.rs
+++ b/crates/parsleytally/src/jobs/tests/model/mod.rs
@@ -348,15 +348,15 @@
     let cases = [
         BugCase {
             bug: InjectedBug::EarlyAcknowledgement,
-            violation: "",
+            violation: "starts after its end was acknowledged",
         },
         BugCase {
             bug: InjectedBug::NoFencing,
-            violation: "",
+            violation: "runs twice",
         },
         BugCase {
             bug: InjectedBug::NoWait,
-            violation: "",
+            violation: "runs twice",
         },
         BugCase {
             bug: InjectedBug::LostStops,
