fix(jobs): a new incarnation of a worker is fenced before it is used

The agent reported the run missing at once, its task started elsewhere, and the order reached the new incarnation, which knows no fencing token, and ran. A new incarnation is now used, and the runs of the earlier one reported, only once it has answered a poll with a higher token than every order that may still arrive.

--- a/crates/parsleytally/src/jobs/agent/mod.rs
+++ b/crates/parsleytally/src/jobs/agent/mod.rs
@@ -96,6 +96,18 @@
     stop_ordered: bool,
 }
 
+impl TrackedRun {
+    /// Token of a start order that may still take effect.
+    fn unsettled_token(&self) -> Option<u64> {
+        match self.state {
+            StartState::Sent { fencing_token } | StartState::Unanswered { fencing_token } => {
+                Some(fencing_token)
+            }
+            StartState::Confirmed { .. } => None,
+        }
+    }
+}
+
 /// State machine of an agent.
 ///
 /// It does no I/O: inputs are events, and outputs are effects for the caller.
--- a/crates/parsleytally/src/jobs/agent/poll.rs
+++ b/crates/parsleytally/src/jobs/agent/poll.rs
@@ -78,7 +78,7 @@
             self.next_poll = now.after(POLL_PAUSE);
             return;
         };
-        if !self.update_incarnation(now, call.sent, listing.born, out) {
+        if !self.update_incarnation(now, call, listing.born, out) {
             self.next_poll = now.after(POLL_PAUSE);
             return;
         }
@@ -115,12 +115,12 @@
         self.owner_confirmed && call.fencing_token >= self.fencing_token && !has_left
     }
 
-    /// Compares the incarnation as which the worker answered a poll of time `sent` with the
-    /// present one; returns whether its listing can be used.
+    /// Compares the incarnation as which the worker answered `call` with the present one;
+    /// returns whether its listing can be used.
     fn update_incarnation(
         &mut self,
         now: Time,
-        sent: Time,
+        call: PollCall,
         born: u64,
         out: &mut Vec<AgentOutput>,
     ) -> bool {
@@ -131,7 +131,14 @@
         }
         if known.is_some() {
             // The wall clock may have been set back between the starts of two incarnations.
-            if sent < self.incarnation_since {
+            if call.sent < self.incarnation_since {
+                return false;
+            }
+            // An order to the earlier incarnation may reach the new one, which has seen no
+            // fencing token, unless this poll brought it a higher one.
+            let unsettled = self.runs.values().filter_map(TrackedRun::unsettled_token);
+            if let Some(token) = unsettled.max().filter(|token| *token >= call.fencing_token) {
+                self.raise_fencing_token(now, token);
                 return false;
             }
             self.reset_incarnation(EndEvidence::LaterIncarnation, out);
--- a/crates/parsleytally/src/jobs/tests/agent.rs
+++ b/crates/parsleytally/src/jobs/tests/agent.rs
@@ -8,7 +8,7 @@
 /// An agent of worker 0 in simulated time.
 pub(super) struct TestAgent {
     agent: JobAgent,
-    now: Time,
+    pub(super) now: Time,
     /// Polls without an answer.
     pub(super) polls: Vec<PollCall>,
 }
--- a/crates/parsleytally/src/jobs/tests/foreign_reports.rs
+++ b/crates/parsleytally/src/jobs/tests/foreign_reports.rs
@@ -123,6 +123,31 @@
     }
 }
 
+/// Guards against tasks that run twice: a start order to an earlier incarnation reached the new
+/// one, which knows no fencing token, after its run was reported missing.
+#[test]
+fn a_new_incarnation_is_fenced_before_it_is_used() {
+    let order = run(1, 0, 0, 1);
+    let mut agent = TestAgent::ready();
+    let token = agent.next_poll().fencing_token;
+    agent.start(order);
+    agent.step(reported(report(0, BORN + 1)));
+    agent.advance(200);
+    let call = PollCall {
+        fencing_token: token,
+        lease_end: None,
+        acknowledged: 0,
+        wait_ms: 0,
+        sent: agent.now,
+    };
+    let out = agent.answer_poll_as(BORN + 1, call);
+    assert!(!sent(&out, &AgentMessage::Missing(order)), "{out:?}");
+    let call = agent.next_poll();
+    assert!(call.fencing_token > token);
+    let out = agent.answer_poll_as(BORN + 1, call);
+    assert!(sent(&out, &AgentMessage::Missing(order)), "{out:?}");
+}
+
 /// Guards against starts on a worker that drains: a report that was sent before it drained
 /// and arrives later made it ready again.
 #[test]
