fix(entry): an address that was read before its deletion is not dialed

The owner dialed the agent, gave it work, and the deletion then took the address away: the next owner would not wait for it. Addresses up to the forgotten revision are now passed over.

inputs_of_replaced_and_forgotten_links_are_late holds the new cases.

--- a/crates/parsleytally-entry/src/site/known_agents.rs
+++ b/crates/parsleytally-entry/src/site/known_agents.rs
@@ -42,6 +42,8 @@
 /// The agents of one ownership.
 pub(super) struct KnownAgents {
     agents: BTreeMap<NodeName, KnownAgent>,
+    /// Revisions of the addresses that were forgotten and may still be read.
+    forgotten: BTreeMap<NodeName, Revision>,
     dialers: u64,
     /// Number of links that were opened, counted over all agents, so that the links to one
     /// agent never repeat a number.
@@ -54,6 +56,7 @@
     pub(super) fn new(stop: CancellationToken) -> Self {
         Self {
             agents: BTreeMap::new(),
+            forgotten: BTreeMap::new(),
             dialers: 0,
             links: Arc::default(),
             stop,
@@ -62,6 +65,12 @@
 
     /// Notes the address of an agent; returns the task to start if it is new.
     pub(super) fn update(&mut self, node: &NodeName, item: &Item) -> Option<Dial> {
+        let forgotten = self.forgotten.get(node);
+        if forgotten.is_some_and(|forgotten| item.revision <= *forgotten) {
+            // It was read before its deletion, which may still be on its way.
+            return None;
+        }
+        self.forgotten.remove(node);
         let text = String::from_utf8_lossy(&item.value);
         let Ok(address) = text.parse() else {
             log::warn!(agent:% = node, address:% = text; "agent's address is invalid");
@@ -105,6 +114,7 @@
     pub(super) fn remove(&mut self, node: &NodeName) -> Option<Revision> {
         let known = self.agents.remove(node)?;
         known.stop.cancel();
+        self.forgotten.insert(node.clone(), known.revision);
         Some(known.revision)
     }
 }
--- a/crates/parsleytally-entry/src/site/tests/known_agents.rs
+++ b/crates/parsleytally-entry/src/site/tests/known_agents.rs
@@ -142,5 +142,9 @@
         );
         assert!(agents.remove(&node()).is_some());
         assert!(!agents.is_current(&first), "{}", case.what);
+        let late = agents.update(&node(), &item(case.address, 2));
+        assert!(late.is_none(), "{}: read before its deletion", case.what);
+        let again = agents.update(&node(), &item("127.0.0.1:7720", 3));
+        assert!(again.is_some(), "{}: registered again", case.what);
     }
 }
