fix(jobs): an adopted run keeps its progress

Found by the review: a new owner took each listed run for one that had just started, so it moved runs that were almost done off a draining worker, where they would have finished. The listing's progress is used. The test failed before.

--- a/crates/parsleytally/src/jobs/scheduler/ended.rs
+++ b/crates/parsleytally/src/jobs/scheduler/ended.rs
@@ -98,6 +98,7 @@
         let load = load.and_then(|job| job.load(run.task.step));
         let mut load = load.unwrap_or_default();
         load.cpu_share = None;
+        load.progress_percent = listed.percent;
         if let Some(worker) = self.workers.get_mut(node) {
             worker.reserve(run, &load);
         }
--- a/crates/parsleytally/src/jobs/tests/scheduler.rs
+++ b/crates/parsleytally/src/jobs/tests/scheduler.rs
@@ -471,6 +471,36 @@
     assert_eq!(stops(&bench.agent(0, measured)), [unknown]);
 }
 
+/// Guards against lost work: a new owner took a run that was almost done for one that had just
+/// started, and moved it off a worker on which it would have finished.
+#[test]
+fn a_listed_run_that_will_finish_stays_on_a_draining_worker() {
+    let mut bench = Bench::new();
+    let long = StepSpec {
+        estimate_ms: 10_000,
+        ..step(1, &[])
+    };
+    bench.submit(1, job(vec![long]), 5);
+    bench.feed(Input::Linked(node(0)));
+    let mut draining = report(0, 7);
+    draining.state = WorkerState::Draining {
+        remaining_ms: 2_000,
+    };
+    bench.agent(0, AgentMessage::Report(draining));
+    let almost_done = RunStatus {
+        run: run(1, 0, 0, 1),
+        checkpoint: String::new(),
+        percent: 95,
+        measurement: 0,
+    };
+    let listed = AgentMessage::Listed {
+        incarnation: incarnation(0, 7),
+        running: vec![almost_done],
+        ended: vec![],
+    };
+    assert_eq!(stops(&bench.agent(0, listed)), []);
+}
+
 /// Guards against runs that are lost with their worker: a new owner learns that the worker
 /// drains before it learns of the runs.
 #[test]
