fix(agent): calls to a leaving worker are paced; a late notice stops no service; stray runs are stopped

Stops are sent only if the worker has drained, as one that leaves does; otherwise its next report ends the state, with a higher number at once. - a run that the new incarnation of a worker lists (an order to the earlier one that it carried out) was reported missing with the others. It is stopped first, and the incarnation is used once it lists no run. The test of stops to a leaving worker now lets it drain first: without, the second point allows none.

--- a/crates/parsleytally/src/jobs/agent/mod.rs
+++ b/crates/parsleytally/src/jobs/agent/mod.rs
@@ -90,8 +90,8 @@
     state: StartState,
     /// Start order of the current owner; none for other runs.
     order: Option<StartOrder>,
-    /// When the last stop order was sent; none if it failed.
-    stop_sent: Option<Time>,
+    /// When a stop order is sent again.
+    stop_due: Time,
     /// Whether the current owner ordered it to stop.
     stop_ordered: bool,
 }
@@ -130,6 +130,8 @@
     candidates: Vec<(WorkerReport, u64)>,
     /// Whether the present incarnation of the worker gave notice of its shutdown.
     leaving: bool,
+    /// Whether a later report of this incarnation shows that the notice was not its own.
+    recovers: bool,
     lease: Lease,
     /// Whether the owner has received all runs of the worker, with
     /// [`AgentMessage::Listed`].
@@ -169,6 +171,7 @@
             report_sequence: 0,
             candidates: Vec::new(),
             leaving: false,
+            recovers: false,
             lease: Lease::default(),
             listed: false,
             runs: BTreeMap::new(),
@@ -206,7 +209,7 @@
             } => {
                 self.start_answered(now, run, fencing_token, answer, out);
             }
-            AgentInput::StopAnswered { run, answer } => self.stop_answered(run, answer),
+            AgentInput::StopAnswered { run, answer } => self.stop_answered(now, run, answer),
             AgentInput::ThrottleFailed(run) => self.throttle.call_failed(run),
             AgentInput::Tick => {}
         }
@@ -347,12 +350,14 @@
             return;
         }
         if self.leaving {
-            if !self.all_leases_expired(now) {
+            let is_later = self.recovers && sequence > self.report_sequence;
+            if !is_later && !self.all_leases_expired(now) {
                 // It may have been sent before the notice of shutdown.
                 return;
             }
             // The notice was that of an earlier incarnation with the same id.
             self.leaving = false;
+            self.recovers = false;
         }
         self.report_sequence = sequence;
         if self.report.as_ref() == Some(&report) {
@@ -394,22 +399,35 @@
     }
 
     /// Handles the worker's notice of its shutdown: it gets no more runs and no more
-    /// leases, and its runs are stopped, so that they save a checkpoint.
+    /// leases. If it has drained, its runs are stopped, so that they save a checkpoint;
+    /// otherwise, the notice may be that of an earlier incarnation with the same id.
     fn worker_leaves(&mut self, now: Time, id: &str, out: &mut Vec<AgentOutput>) {
         if self.leaving || !self.is_worker(id) {
             return;
         }
+        let has_drained = self.is_draining();
         self.leaving = true;
         self.next_poll = now;
         if let Some(report) = &mut self.report {
             report.state = WorkerState::Draining { remaining_ms: 0 };
             out.push(AgentOutput::Send(AgentMessage::Report(report.clone())));
         }
+        if !has_drained {
+            self.recovers = true;
+            return;
+        }
         for run in self.runs.keys().copied().collect::<Vec<_>>() {
             self.stop(now, run, out);
         }
     }
 
+    /// Orders runs of an incarnation that is not used yet to stop.
+    fn stop_all(&self, runs: impl Iterator<Item = RunRef>, out: &mut Vec<AgentOutput>) {
+        let fencing_token = self.fencing_token;
+        let stop = |run| AgentOutput::Stop(StopCall { run, fencing_token });
+        out.extend(runs.map(stop));
+    }
+
     /// Length of the next lease of the worker.
     fn lease_length(&self) -> Duration {
         if self.is_draining() {
@@ -428,6 +446,7 @@
     fn reset_incarnation(&mut self, evidence: EndEvidence, out: &mut Vec<AgentOutput>) {
         self.push_runs_ended(evidence, out);
         self.leaving = false;
+        self.recovers = false;
         for run in std::mem::take(&mut self.runs).into_keys() {
             out.push(AgentOutput::Send(AgentMessage::Missing(run)));
         }
@@ -487,7 +506,7 @@
                 fencing_token: self.fencing_token,
             },
             order: Some(order),
-            stop_sent: None,
+            stop_due: now,
             stop_ordered: false,
         };
         self.runs.insert(run, tracked);
@@ -566,12 +585,12 @@
                 fencing_token: self.fencing_token,
             },
             order: None,
-            stop_sent: None,
+            stop_due: now,
             stop_ordered: true,
         };
         let tracked = self.runs.entry(run).or_insert(untracked);
         tracked.stop_ordered = true;
-        tracked.stop_sent = Some(now);
+        tracked.stop_due = now.after(STOP_RETRY);
         let fencing_token = self.fencing_token;
         out.push(AgentOutput::Stop(StopCall { run, fencing_token }));
         if matches!(tracked.state, StartState::Unanswered { fencing_token } if fencing_token >= self.fencing_token)
@@ -580,23 +599,20 @@
         }
     }
 
-    fn stop_answered(&mut self, run: RunRef, answer: Result<(), CallError>) {
+    fn stop_answered(&mut self, now: Time, run: RunRef, answer: Result<(), CallError>) {
         let Err(_) = answer else {
             return;
         };
         if let Some(tracked) = self.runs.get_mut(&run) {
-            tracked.stop_sent = None;
+            tracked.stop_due = now.after(POLL_PAUSE);
         }
     }
 
     fn resend_stops(&mut self, now: Time, out: &mut Vec<AgentOutput>) {
         let fencing_token = self.fencing_token;
         for (run, tracked) in &mut self.runs {
-            let due = tracked
-                .stop_sent
-                .is_none_or(|at| now.since(at) >= STOP_RETRY);
-            if tracked.stop_ordered && due {
-                tracked.stop_sent = Some(now);
+            if tracked.stop_ordered && now >= tracked.stop_due {
+                tracked.stop_due = now.after(STOP_RETRY);
                 out.push(AgentOutput::Stop(StopCall {
                     run: *run,
                     fencing_token,
--- a/crates/parsleytally/src/jobs/agent/poll.rs
+++ b/crates/parsleytally/src/jobs/agent/poll.rs
@@ -78,7 +78,7 @@
             self.next_poll = now.after(POLL_PAUSE);
             return;
         };
-        if !self.update_incarnation(now, call, listing.born, out) {
+        if !self.update_incarnation(now, call, &listing, out) {
             self.next_poll = now.after(POLL_PAUSE);
             return;
         }
@@ -89,7 +89,8 @@
             .ended
             .iter()
             .all(|end| end.sequence > self.reported_sequence);
-        if all_unreported && (call.wait_ms > 0 || !self.listed) {
+        let awaits_listing = !self.listed && self.may_list(call);
+        if all_unreported && (call.wait_ms > 0 || awaits_listing) {
             self.next_poll = now;
         }
         self.reconcile(call, &listing, out);
@@ -121,9 +122,10 @@
         &mut self,
         now: Time,
         call: PollCall,
-        born: u64,
+        listing: &Listing,
         out: &mut Vec<AgentOutput>,
     ) -> bool {
+        let born = listing.born;
         let known = self.report.as_ref();
         let known = known.map(|report| report.incarnation.started_ms);
         if known == Some(born) {
@@ -141,6 +143,11 @@
                 self.raise_fencing_token(now, token);
                 return false;
             }
+            // It began with none, so orders to the earlier incarnation have reached it.
+            if !listing.running.is_empty() {
+                self.stop_all(listing.running.iter().map(|status| status.run), out);
+                return false;
+            }
             self.reset_incarnation(EndEvidence::LaterIncarnation, out);
             self.report = None;
             out.push(AgentOutput::Send(AgentMessage::LeasesExpired));
@@ -169,7 +176,7 @@
             let untracked = TrackedRun {
                 state: StartState::Confirmed { at: call.sent },
                 order: None,
-                stop_sent: None,
+                stop_due: call.sent,
                 stop_ordered: false,
             };
             let tracked = self.runs.entry(*run).or_insert(untracked);
--- a/crates/parsleytally/src/jobs/tests/agent.rs
+++ b/crates/parsleytally/src/jobs/tests/agent.rs
@@ -115,10 +115,26 @@
 
     /// Answers a poll without runs as the incarnation that started at `born`.
     pub(super) fn answer_poll_as(&mut self, born: u64, call: PollCall) -> Vec<AgentOutput> {
+        self.answer_poll_with_runs_as(born, call, vec![])
+    }
+
+    /// Answers a poll as the incarnation that started at `born`.
+    pub(super) fn answer_poll_with_runs_as(
+        &mut self,
+        born: u64,
+        call: PollCall,
+        running: Vec<RunRef>,
+    ) -> Vec<AgentOutput> {
+        let status = |run| RunStatus {
+            run,
+            checkpoint: String::new(),
+            percent: 10,
+            measurement: 0,
+        };
         let answer = Ok(Listing {
             born,
             clock_ms: 0,
-            running: vec![],
+            running: running.into_iter().map(status).collect(),
             ended: vec![],
             complete: true,
         });
--- a/crates/parsleytally/src/jobs/tests/foreign_reports.rs
+++ b/crates/parsleytally/src/jobs/tests/foreign_reports.rs
@@ -148,6 +148,30 @@
     assert!(sent(&out, &AgentMessage::Missing(order)), "{out:?}");
 }
 
+/// Guards against tasks that run twice: a start order to an earlier incarnation was carried out
+/// by the new one, and its run was reported missing while the listing named it.
+#[test]
+fn a_run_that_a_new_incarnation_lists_is_stopped_before_it_is_reported() {
+    let order = run(1, 0, 0, 1);
+    let mut agent = TestAgent::ready();
+    agent.start(order);
+    agent.list(vec![order], vec![]);
+    agent.step(reported(report(0, BORN + 1)));
+    let pending = agent.next_poll();
+    agent.fail_poll(pending);
+    let mut outcomes = Vec::new();
+    for running in [vec![order], vec![]] {
+        agent.advance(200);
+        let call = agent.next_poll();
+        let out = agent.answer_poll_with_runs_as(BORN + 1, call, running);
+        let stops = out
+            .iter()
+            .any(|output| matches!(output, AgentOutput::Stop(_)));
+        outcomes.push((stops, sent(&out, &AgentMessage::Missing(order))));
+    }
+    assert_eq!(outcomes, [(true, false), (false, true)]);
+}
+
 /// Guards against starts on a worker that drains: a report that was sent before it drained
 /// and arrives later made it ready again.
 #[test]
--- a/crates/parsleytally/src/jobs/tests/shutdown.rs
+++ b/crates/parsleytally/src/jobs/tests/shutdown.rs
@@ -115,6 +115,7 @@
 fn a_leaving_worker_gets_stops_but_no_starts_and_no_leases() {
     let order = run(1, 0, 0, 1);
     let mut agent = agent_with_run(order);
+    agent.step(draining());
     let out = agent.step(notice("i-0"));
     let stops = |out: &[AgentOutput]| {
         let stop =
@@ -168,3 +169,66 @@
         );
     }
 }
+
+/// Guards against stops of service tasks on a sound worker: a notice of an earlier incarnation
+/// may arrive late, with an id that the worker has kept.
+#[test]
+fn a_notice_without_draining_stops_no_run_and_a_later_report_ends_it() {
+    let order = run(1, 0, 0, 1);
+    let mut agent = agent_with_run(order);
+    let out = agent.step(notice("i-0"));
+    assert!(
+        !out.iter()
+            .any(|output| matches!(output, AgentOutput::Stop(_))),
+        "{out:?}"
+    );
+    agent.list(vec![order], vec![]);
+    assert_eq!(agent.next_poll().lease_end, None);
+    let later = AgentInput::Report {
+        report: report(0, 7),
+        sequence: 1,
+    };
+    let out = agent.step(later);
+    assert!(sent(&out, &AgentMessage::Report(report(0, 7))), "{out:?}");
+    agent.confirm_owner(std::time::Duration::ZERO);
+    agent.advance(200);
+    agent.polls.clear();
+    let order = run(2, 0, 0, 1);
+    assert!(
+        agent
+            .start(order)
+            .iter()
+            .any(|output| matches!(output, AgentOutput::Start(_)))
+    );
+}
+
+/// Guards against calls without a pause to a worker that has ended or that goes on after its
+/// notice.
+#[test]
+fn calls_to_a_leaving_worker_are_paced() {
+    let order = run(1, 0, 0, 1);
+    let mut agent = agent_with_run(order);
+    agent.step(draining());
+    agent.step(notice("i-0"));
+    let failed = AgentInput::StopAnswered {
+        run: order,
+        answer: Err(CallError::Unreachable),
+    };
+    let out = agent.step(failed);
+    assert!(
+        !out.iter()
+            .any(|output| matches!(output, AgentOutput::Stop(_))),
+        "{out:?}"
+    );
+    // Its leases expire, and it goes on.
+    expiry_ms(&mut agent, Some(order));
+    let mut polls = 0;
+    for _ in 0..20 {
+        agent.advance(TICK_MS);
+        while let Some(call) = agent.polls.pop() {
+            polls += 1;
+            agent.answer_poll(call, vec![], vec![]);
+            assert!(polls <= 10, "polls within a second");
+        }
+    }
+}
