fix(jobs): a new incarnation with an overlong lease is used once the lease is as short as others

The owner was replaced, its successor waited for the hold of 8.4 s and started a task that still ran there: two runs at once.

The agent knows what the poll carried and the new clock, so it knows how long that lease is. It uses the new incarnation only once the lease is no longer than those it grants; after a restart that a failed poll has shown, polls carry no lease, and nothing is waited for. The worker's longest lease is the setting `lease-max`, which the platform's template fills in.

--- a/crates/parsleytally-agent/src/site/mod.rs
+++ b/crates/parsleytally-agent/src/site/mod.rs
@@ -105,6 +105,7 @@
         let clock = Clock::start();
         let times = AgentTimes {
             lease: config.base.jobs.lease,
+            lease_max: config.base.jobs.lease_max,
             agent_hold: config.base.jobs.agent_hold,
             owner_hold: config.base.jobs.owner_hold,
         };
--- a/crates/parsleytally-agent/src/site/tests.rs
+++ b/crates/parsleytally-agent/src/site/tests.rs
@@ -12,6 +12,7 @@
         .replace("{{ip}}", "127.0.0.1")
         .replace("{{internal_ports.0}}", "7720")
         .replace("{{app}}", "127.0.0.1:8165")
+        .replace("{{bounds.hold_max_ms}}", "6000")
         .replace("{{platform.address}}", "127.0.0.1:8169");
     let config = SiteConfig::parse(text.as_bytes()).expect("the template is valid");
     assert_eq!(
--- a/crates/parsleytally/src/configs/jobs.rs
+++ b/crates/parsleytally/src/configs/jobs.rs
@@ -15,6 +15,8 @@
 pub struct JobsConfig {
     /// Length of a lease on a worker: key `lease`.
     pub lease: Duration,
+    /// Longest lease that a worker accepts: key `lease-max`.
+    pub lease_max: Duration,
     /// Time for which an agent keeps runs alive without the owner: key `agent-hold`.
     pub agent_hold: Duration,
     /// Time for which an owner that lost the store lets runs go on: key `owner-hold`.
@@ -32,6 +34,7 @@
     fn default() -> Self {
         Self {
             lease: Duration::from_secs(4),
+            lease_max: Duration::from_secs(10),
             agent_hold: Duration::from_secs(5),
             owner_hold: Duration::from_secs(8),
             owner_ttl: Duration::from_millis(1_500),
@@ -52,6 +55,7 @@
         let time = duration(MAX_TIME);
         Ok(Self {
             lease: section.take_with("lease", base.lease, &time)?,
+            lease_max: section.take_with("lease-max", base.lease_max, &time)?,
             agent_hold: section.take_with("agent-hold", base.agent_hold, &time)?,
             owner_hold: section.take_with("owner-hold", base.owner_hold, &time)?,
             owner_ttl: section.take_with("owner-ttl", base.owner_ttl, &time)?,
--- a/crates/parsleytally/src/jobs/agent/lease.rs
+++ b/crates/parsleytally/src/jobs/agent/lease.rs
@@ -75,6 +75,11 @@
         self.expires < now
     }
 
+    /// Drops the reading of the clock, so that no lease is granted until the next one.
+    pub(super) fn forget_clock(&mut self) {
+        self.clock = None;
+    }
+
     /// Drops the clock and the leases of an earlier incarnation: a new one has another
     /// clock and no runs.
     pub(super) fn reset(&mut self) {
--- a/crates/parsleytally/src/jobs/agent/mod.rs
+++ b/crates/parsleytally/src/jobs/agent/mod.rs
@@ -63,6 +63,8 @@
 pub struct AgentTimes {
     /// Length of a lease of the worker.
     pub lease: Duration,
+    /// Longest lease that a worker accepts.
+    pub lease_max: Duration,
     /// Longest time for which runs are kept alive after the owner's last answer.
     pub agent_hold: Duration,
     /// Longest time for which runs are kept alive after the store last confirmed the owner.
@@ -124,6 +126,9 @@
     report: Option<WorkerReport>,
     /// When the present incarnation first answered a poll.
     incarnation_since: Time,
+    /// When a lease that was meant for the earlier incarnation, on its clock, is no longer
+    /// than others at a new one.
+    overlong_until: Time,
     /// Highest number of a report of the present incarnation.
     report_sequence: u64,
     /// Latest reports of other incarnations, with their numbers.
@@ -168,6 +173,7 @@
             fencing_token: 0,
             report: None,
             incarnation_since: Time::ZERO,
+            overlong_until: Time::ZERO,
             report_sequence: 0,
             candidates: Vec::new(),
             leaving: false,
--- a/crates/parsleytally/src/jobs/agent/poll.rs
+++ b/crates/parsleytally/src/jobs/agent/poll.rs
@@ -133,19 +133,8 @@
         }
         if known.is_some() {
             // The wall clock may have been set back between the starts of two incarnations.
-            if call.sent < self.incarnation_since {
-                return false;
-            }
-            // An order to the earlier incarnation may reach the new one, which has seen no
-            // fencing token, unless this poll brought it a higher one.
-            let unsettled = self.runs.values().filter_map(TrackedRun::unsettled_token);
-            if let Some(token) = unsettled.max().filter(|token| *token >= call.fencing_token) {
-                self.raise_fencing_token(now, token);
-                return false;
-            }
-            // It began with none, so orders to the earlier incarnation have reached it.
-            if !listing.running.is_empty() {
-                self.stop_all(listing.running.iter().map(|status| status.run), out);
+            let is_late = call.sent < self.incarnation_since;
+            if is_late || !self.may_replace(now, call, listing, out) {
                 return false;
             }
             self.reset_incarnation(EndEvidence::LaterIncarnation, out);
@@ -156,6 +145,45 @@
         self.use_candidate(born, out)
     }
 
+    /// Whether the new incarnation that answered `call` can be used: nothing that was meant for
+    /// the earlier one acts on it or can still reach it.
+    fn may_replace(
+        &mut self,
+        now: Time,
+        call: PollCall,
+        listing: &Listing,
+        out: &mut Vec<AgentOutput>,
+    ) -> bool {
+        let is_overlong = self.has_overlong_lease(now, call, listing);
+        // It has seen no fencing token, unless this poll brought one that is higher than those
+        // of orders on their way.
+        let unsettled = self.runs.values().filter_map(TrackedRun::unsettled_token);
+        if let Some(token) = unsettled.max().filter(|token| *token >= call.fencing_token) {
+            self.raise_fencing_token(now, token);
+            return false;
+        }
+        // It began with no runs, so orders to the earlier incarnation have reached it.
+        self.stop_all(listing.running.iter().map(|status| status.run), out);
+        listing.running.is_empty() && !is_overlong
+    }
+
+    /// Whether the new incarnation that answered `call` has a lease longer than others: the
+    /// call carried one on the clock of the earlier incarnation. An owner that loses this
+    /// agent would not wait for its end.
+    fn has_overlong_lease(&mut self, now: Time, call: PollCall, listing: &Listing) -> bool {
+        let end = call.lease_end.unwrap_or_default();
+        let length = Duration::from_millis(end.saturating_sub(listing.clock_ms));
+        let excess = length
+            .min(self.times.lease_max)
+            .saturating_sub(self.times.lease);
+        if !excess.is_zero() {
+            let until = now.after(expiry_after(excess));
+            self.overlong_until = self.overlong_until.max(until);
+        }
+        self.lease.forget_clock();
+        now < self.overlong_until
+    }
+
     /// Reports to the owner when the worker stops or resumes answering.
     fn set_unresponsive(&mut self, unresponsive: bool, out: &mut Vec<AgentOutput>) {
         if self.unresponsive == unresponsive {
--- a/crates/parsleytally/src/jobs/tests/agent.rs
+++ b/crates/parsleytally/src/jobs/tests/agent.rs
@@ -20,6 +20,7 @@
     pub(super) fn new() -> Self {
         let times = AgentTimes {
             lease: Duration::from_secs(4),
+            lease_max: Duration::from_secs(10),
             agent_hold: Duration::from_secs(5),
             owner_hold: Duration::from_secs(12),
         };
--- a/crates/parsleytally/src/jobs/tests/foreign_reports.rs
+++ b/crates/parsleytally/src/jobs/tests/foreign_reports.rs
@@ -189,3 +189,55 @@
     let out = agent.step(numbered(report(0, BORN), 6));
     assert_eq!(reported_states(&out), [WorkerState::Ready]);
 }
+
+/// Guards against tasks that run twice: a poll that was meant for an earlier incarnation gave a
+/// new one a lease on the earlier one's clock, longer than any hold that an owner waits for.
+#[test]
+fn a_new_incarnation_with_an_overlong_lease_is_used_once_it_is_as_short_as_others() {
+    struct Case {
+        what: &'static str,
+        lease_end: Option<u64>,
+        /// Seconds until it is used.
+        wait: std::ops::Range<u64>,
+    }
+    let cases = [
+        Case {
+            what: "no lease was sent to it",
+            lease_end: None,
+            wait: 0..1,
+        },
+        Case {
+            what: "a lease as others",
+            lease_end: Some(4_000),
+            wait: 0..1,
+        },
+        Case {
+            what: "a lease on a clock that had run for long",
+            lease_end: Some(500_000),
+            wait: 6..7,
+        },
+    ];
+    for case in cases {
+        let mut agent = TestAgent::ready();
+        let pending = agent.next_poll();
+        agent.step(reported(report(0, BORN + 1)));
+        agent.fail_poll(pending);
+        agent.advance(200);
+        let call = PollCall {
+            lease_end: case.lease_end,
+            ..agent.next_poll()
+        };
+        let mut out = agent.answer_poll_as(BORN + 1, call);
+        let began = agent.now;
+        while reported_states(&out).is_empty() {
+            out = agent.advance(100);
+            while let Some(call) = agent.polls.pop() {
+                assert_eq!(call.lease_end, None, "{}", case.what);
+                out.extend(agent.answer_poll_as(BORN + 1, call));
+            }
+            assert!(agent.now.since(began).as_secs() < 20, "{}", case.what);
+        }
+        let wait = agent.now.since(began).as_secs();
+        assert!(case.wait.contains(&wait), "{}: {wait} s", case.what);
+    }
+}
--- a/crates/parsleytally/src/jobs/tests/model/agents.rs
+++ b/crates/parsleytally/src/jobs/tests/model/agents.rs
@@ -21,6 +21,7 @@
         state: JobAgent::new(
             AgentTimes {
                 lease: LEASE,
+                lease_max: LEASE_MAX,
                 agent_hold: AGENT_HOLD,
                 owner_hold: OWNER_HOLD,
             },
--- a/crates/parsleytally/src/jobs/tests/model/mod.rs
+++ b/crates/parsleytally/src/jobs/tests/model/mod.rs
@@ -8,7 +8,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use super::worker::{LASTING, SimulatedWorker, WorkerEvent};
+use super::worker::{LASTING, LEASE_MAX_MS, SimulatedWorker, WorkerEvent};
 use super::*;
 use crate::types::{Revision, Time};
 
@@ -52,6 +52,7 @@
 /// Simulated time by which all jobs must have ended.
 const END: Duration = Duration::from_secs(80);
 const LEASE: Duration = Duration::from_secs(4);
+const LEASE_MAX: Duration = Duration::from_millis(LEASE_MAX_MS);
 const AGENT_HOLD: Duration = Duration::from_secs(5);
 const OWNER_HOLD: Duration = Duration::from_secs(8);
 
--- a/crates/parsleytally/src/jobs/tests/worker.rs
+++ b/crates/parsleytally/src/jobs/tests/worker.rs
@@ -5,6 +5,8 @@
 use super::*;
 use crate::types::Time;
 
+/// Longest lease that a worker accepts, in milliseconds.
+pub(super) const LEASE_MAX_MS: u64 = 10_000;
 /// Run time of a task that ends by itself, in milliseconds.
 const RUN_TIME_MS: u64 = 800;
 /// Payload of tasks that run until they are stopped.
@@ -78,6 +80,12 @@
         now.since(self.started_at).as_millis() as u64 * 98 / 100
     }
 
+    /// Extends the lease to `end`, at most by [`LEASE_MAX_MS`] from now.
+    fn extend_lease(&mut self, now: Time, end: u64) {
+        let latest = self.clock_ms(now) + LEASE_MAX_MS;
+        self.lease_end = self.lease_end.max(end.min(latest));
+    }
+
     /// Ends the runs that complete, stop or lose their lease by `now`.
     pub(super) fn advance(&mut self, now: Time) -> Vec<WorkerEvent> {
         let expired = self.clock_ms(now) >= self.lease_end;
@@ -134,7 +142,7 @@
         if call.lease_end <= self.clock_ms(now) {
             return refuse(RefusalReason::Late);
         }
-        self.lease_end = self.lease_end.max(call.lease_end);
+        self.extend_lease(now, call.lease_end);
         if self.running.contains_key(&run) {
             return Ok(());
         }
@@ -188,7 +196,7 @@
                 self.fencing_token = call.fencing_token;
             }
             if let Some(end) = call.lease_end {
-                self.lease_end = self.lease_end.max(end);
+                self.extend_lease(now, end);
             }
             let (acknowledged, kept) = std::mem::take(&mut self.ended)
                 .into_iter()
