--- a/crates/parsleytally-agent/src/site/mod.rs
+++ b/crates/parsleytally-agent/src/site/mod.rs
@@ -68,7 +68,7 @@
         self.send(ActorInput::Agent(AgentInput::Report { report, sequence }))
     }
 
-    fn stopped(&self, id: &str) -> bool {
+    fn shutdown_noticed(&self, id: &str) -> bool {
         self.send(ActorInput::Agent(AgentInput::ShutdownNotice(id.into())))
     }
 
@@ -101,7 +101,7 @@
     ) -> std::io::Result<Self> {
         let listener = TcpListener::bind(config.base.links).await?;
         let (sender, inputs) = mpsc::channel(CHANNEL_CAPACITY);
-        let (has_owner, owner_watch) = watch::channel(false);
+        let (held, held_receiver) = watch::channel(false);
         let clock = Clock::start();
         let times = AgentTimes {
             lease: config.base.jobs.lease,
@@ -115,7 +115,7 @@
             host,
             sender: sender.clone(),
             links: HashMap::new(),
-            has_owner,
+            held,
             pinged: Time::ZERO,
             out: Vec::new(),
         };
@@ -123,7 +123,7 @@
             store,
             node: config.base.name.clone(),
             links: config.base.links,
-            has_owner: owner_watch,
+            held: held_receiver,
         };
         let mut tasks = JoinSet::new();
         tasks.spawn(actor.run(inputs));
@@ -220,7 +220,7 @@
     sender: mpsc::Sender<ActorInput>,
     /// Open links by the number of their [`OwnerLink`].
     links: HashMap<u64, Link>,
-    has_owner: watch::Sender<bool>,
+    held: watch::Sender<bool>,
     /// When the last ping was sent.
     pinged: Time,
     out: Vec<AgentOutput>,
@@ -293,7 +293,7 @@
     /// Publishes whether an owner holds the agent.
     fn publish_hold(&self) {
         let held = self.agent.is_held(self.clock.now());
-        self.has_owner
+        self.held
             .send_if_modified(|known| std::mem::replace(known, held) != held);
     }
 
--- a/crates/parsleytally-agent/src/site/registration.rs
+++ b/crates/parsleytally-agent/src/site/registration.rs
@@ -22,7 +22,7 @@
     /// Address at which the agent accepts links of owners.
     pub(super) links: SocketAddr,
     /// Whether an owner holds the agent.
-    pub(super) has_owner: watch::Receiver<bool>,
+    pub(super) held: watch::Receiver<bool>,
 }
 
 impl Registration {
@@ -36,10 +36,10 @@
                 continue;
             }
             registered = true;
-            let owner_linked = self.has_owner.wait_for(|linked| *linked);
-            if timeout(CHECK_INTERVAL, owner_linked).await.is_ok() {
+            let held = self.held.wait_for(|held| *held);
+            if timeout(CHECK_INTERVAL, held).await.is_ok() {
                 // The next owner reads the key, so check it once this one is lost.
-                if self.has_owner.wait_for(|linked| !*linked).await.is_err() {
+                if self.held.wait_for(|held| !*held).await.is_err() {
                     return;
                 }
                 sleep(CHECK_INTERVAL).await;
--- a/crates/parsleytally-entry/src/site/agents.rs
+++ b/crates/parsleytally-entry/src/site/agents.rs
@@ -40,8 +40,8 @@
     pub(super) config: LinkConfig,
     pub(super) confirmation: LastConfirmation,
     pub(super) owner: mpsc::Sender<OwnerInput>,
-    /// Number of links of this ownership.
-    pub(super) links: Arc<AtomicU64>,
+    /// Number of links that this ownership has opened, over all agents.
+    pub(super) link_counter: Arc<AtomicU64>,
 }
 
 impl AgentLink {
@@ -50,7 +50,7 @@
         loop {
             match dial(self.address, &self.hello, &self.config).await {
                 Ok((link, incoming)) => {
-                    let number = self.links.fetch_add(1, Ordering::Relaxed) + 1;
+                    let number = self.link_counter.fetch_add(1, Ordering::Relaxed) + 1;
                     self.serve(number, &link, incoming).await;
                     link.close();
                 }
--- a/crates/parsleytally-entry/src/site/known_agents.rs
+++ b/crates/parsleytally-entry/src/site/known_agents.rs
@@ -47,7 +47,7 @@
     dialers: u64,
     /// Number of links that were opened, counted over all agents, so that the links to one
     /// agent never repeat a number.
-    pub(super) links: Arc<AtomicU64>,
+    pub(super) link_counter: Arc<AtomicU64>,
     /// Stops all tasks.
     stop: CancellationToken,
 }
@@ -58,7 +58,7 @@
             agents: BTreeMap::new(),
             forgotten: BTreeMap::new(),
             dialers: 0,
-            links: Arc::default(),
+            link_counter: Arc::default(),
             stop,
         }
     }
--- a/crates/parsleytally-entry/src/site/owner.rs
+++ b/crates/parsleytally-entry/src/site/owner.rs
@@ -269,7 +269,7 @@
             config: self.context.link.clone(),
             confirmation: self.confirmation.clone(),
             owner: self.sender.clone(),
-            links: self.agents.links.clone(),
+            link_counter: self.agents.link_counter.clone(),
         };
         self.tasks.spawn(async move {
             let _ = stop.run_until_cancelled(link.run()).await;
--- a/crates/parsleytally-entry/src/site/tests/mod.rs
+++ b/crates/parsleytally-entry/src/site/tests/mod.rs
@@ -116,7 +116,7 @@
             config: link_config(),
             confirmation: LastConfirmation::at(BootTime::now()),
             owner: sender,
-            links: Arc::default(),
+            link_counter: Arc::default(),
         };
         let owner = tokio::spawn(link.run());
         let (stream, _) = listener.accept().await.expect("a connection");
--- a/crates/parsleytally-platform/src/jobs.rs
+++ b/crates/parsleytally-platform/src/jobs.rs
@@ -36,9 +36,9 @@
     /// false if it was dropped, so that it must not be confirmed.
     fn reported(&self, report: WorkerReport, sequence: u64) -> bool;
 
-    /// Handles the announcement that the worker with this ID ends; returns false if it was
-    /// dropped.
-    fn stopped(&self, id: &str) -> bool;
+    /// Handles the notice of shutdown of the worker with this ID, which runs its tasks until it
+    /// has ended; returns false if it was dropped.
+    fn shutdown_noticed(&self, id: &str) -> bool;
 
     /// Notes a report with this worker ID that can't be read.
     fn unreadable(&self, id: &str, reason: &str);
--- a/crates/parsleytally/src/jobs/agent/mod.rs
+++ b/crates/parsleytally/src/jobs/agent/mod.rs
@@ -134,7 +134,7 @@
     /// Latest reports of other incarnations, with their numbers.
     candidates: Vec<(WorkerReport, u64)>,
     /// Whether the present incarnation of the worker gave notice of its shutdown.
-    leaving: bool,
+    shutdown_noticed: bool,
     /// Whether a later report of this incarnation shows that the notice was not its own.
     recovers: bool,
     lease: Lease,
@@ -176,7 +176,7 @@
             overlong_until: Time::ZERO,
             report_sequence: 0,
             candidates: Vec::new(),
-            leaving: false,
+            shutdown_noticed: false,
             recovers: false,
             lease: Lease::default(),
             listed: false,
@@ -206,7 +206,7 @@
             AgentInput::Report { report, sequence } => {
                 self.worker_reported(now, report, sequence, out);
             }
-            AgentInput::ShutdownNotice(id) => self.worker_leaves(now, &id, out),
+            AgentInput::ShutdownNotice(id) => self.notice_shutdown(now, &id, out),
             AgentInput::Polled { call, answer } => self.handle_poll(now, call, answer, out),
             AgentInput::StartAnswered {
                 run,
@@ -355,14 +355,14 @@
         if sequence < self.report_sequence {
             return;
         }
-        if self.leaving {
+        if self.shutdown_noticed {
             let is_later = self.recovers && sequence > self.report_sequence;
             if !is_later && !self.all_leases_expired(now) {
                 // It may have been sent before the notice of shutdown.
                 return;
             }
             // The notice was that of an earlier incarnation with the same id.
-            self.leaving = false;
+            self.shutdown_noticed = false;
             self.recovers = false;
         }
         self.report_sequence = sequence;
@@ -407,12 +407,12 @@
     /// Handles the worker's notice of its shutdown: it gets no more runs and no more
     /// leases. If it has drained, its runs are stopped, so that they save a checkpoint;
     /// otherwise, the notice may be that of an earlier incarnation with the same id.
-    fn worker_leaves(&mut self, now: Time, id: &str, out: &mut Vec<AgentOutput>) {
-        if self.leaving || !self.is_worker(id) {
+    fn notice_shutdown(&mut self, now: Time, id: &str, out: &mut Vec<AgentOutput>) {
+        if self.shutdown_noticed || !self.is_worker(id) {
             return;
         }
         let has_drained = self.is_draining();
-        self.leaving = true;
+        self.shutdown_noticed = true;
         self.next_poll = now;
         if let Some(report) = &mut self.report {
             report.state = WorkerState::Draining { remaining_ms: 0 };
@@ -451,7 +451,7 @@
     /// Drops the state of the worker's earlier incarnation and reports its runs missing.
     fn reset_incarnation(&mut self, evidence: EndEvidence, out: &mut Vec<AgentOutput>) {
         self.push_runs_ended(evidence, out);
-        self.leaving = false;
+        self.shutdown_noticed = false;
         self.recovers = false;
         for run in std::mem::take(&mut self.runs).into_keys() {
             out.push(AgentOutput::Send(AgentMessage::Missing(run)));
--- a/crates/parsleytally/src/jobs/agent/poll.rs
+++ b/crates/parsleytally/src/jobs/agent/poll.rs
@@ -24,7 +24,7 @@
         }
         // Polls don't renew the lease of an unresponsive or leaving worker, so that it
         // expires.
-        let lease_end = if self.unresponsive || self.leaving {
+        let lease_end = if self.unresponsive || self.shutdown_noticed {
             None
         } else {
             self.lease.grant(now, self.lease_length())
@@ -112,7 +112,7 @@
     /// Whether the answer to `call` can be the first listing for the owner. A leaving worker
     /// whose leases have expired has nothing more to list.
     fn may_list(&self, call: PollCall) -> bool {
-        let has_left = self.leaving && self.expiry_reported;
+        let has_left = self.shutdown_noticed && self.expiry_reported;
         self.owner_confirmed && call.fencing_token >= self.fencing_token && !has_left
     }
 
@@ -309,7 +309,7 @@
     /// Reports to the owner, once, that the worker leaves or doesn't answer and that all its
     /// leases have expired.
     pub(super) fn check_expiry(&mut self, now: Time, out: &mut Vec<AgentOutput>) {
-        let unrenewed = self.unresponsive || self.leaving || self.report.is_none();
+        let unrenewed = self.unresponsive || self.shutdown_noticed || self.report.is_none();
         let unreported = self.listed || (self.owner_confirmed && !self.expiry_reported);
         if !unrenewed || !unreported || self.owner.is_none() || !self.all_leases_expired(now) {
             return;
--- a/crates/parsleytally/src/jobs/scheduler/mod.rs
+++ b/crates/parsleytally/src/jobs/scheduler/mod.rs
@@ -265,7 +265,7 @@
 
     fn unlinked(&mut self, now: Time, node: &NodeName) {
         let hold = now.after(self.options.agent_hold);
-        // Until it has listed its runs, it may follow the predecessor.
+        // Until it has listed its runs, the predecessor's hold may still keep them alive.
         let inherited = self.unreported.get(node).copied().unwrap_or(hold);
         if let Some(worker) = self.workers.get_mut(node) {
             worker.linked = false;
