fix(agent): the owner does not evacuate a worker for a notice that may be an earlier one's

The agent now keeps it to itself: it refuses starts and renews no lease until the next report or the end of the leases.

The functions that decide which incarnation is served move to agent/incarnation.rs unchanged.

--- /dev/null
+++ b/crates/parsleytally/src/jobs/agent/incarnation.rs
@@ -0,0 +1,159 @@
+//! Which incarnation of the worker the agent serves: the one as which the worker itself answers.
+
+use std::time::Duration;
+
+use super::lease::expiry_after;
+use super::{
+    AgentMessage, AgentOutput, EndEvidence, JobAgent, Listing, MAX_CANDIDATES, PollCall,
+    TrackedRun, WorkerReport,
+};
+use crate::types::Time;
+
+impl JobAgent {
+    pub(super) fn worker_reported(
+        &mut self,
+        now: Time,
+        report: WorkerReport,
+        sequence: u64,
+        out: &mut Vec<AgentOutput>,
+    ) {
+        if !self.is_current_incarnation(&report.incarnation) {
+            self.add_candidate(now, report, sequence);
+            return;
+        }
+        if sequence < self.report_sequence {
+            return;
+        }
+        if self.shutdown_noticed {
+            let is_later = self.recovers && sequence > self.report_sequence;
+            if !is_later && !self.all_leases_expired(now) {
+                // It may have been sent before the notice of shutdown.
+                return;
+            }
+            // The notice was that of an earlier incarnation with the same id.
+            self.shutdown_noticed = false;
+            self.recovers = false;
+        }
+        self.report_sequence = sequence;
+        if self.report.as_ref() == Some(&report) {
+            return;
+        }
+        out.push(AgentOutput::Send(AgentMessage::Report(report.clone())));
+        self.report = Some(report);
+    }
+
+    /// Keeps a report of another incarnation, and polls the worker to learn whether it is
+    /// this incarnation.
+    fn add_candidate(&mut self, now: Time, report: WorkerReport, sequence: u64) {
+        let same = |known: &(WorkerReport, u64)| known.0.incarnation == report.incarnation;
+        let known = self.candidates.iter().find(|known| same(known));
+        if known.is_some_and(|(_, known)| sequence < *known) {
+            return;
+        }
+        self.candidates.retain(|known| !same(known));
+        if self.candidates.len() == MAX_CANDIDATES {
+            self.candidates.remove(0);
+        }
+        self.candidates.push((report, sequence));
+        self.next_poll = now;
+    }
+
+    /// Uses the report of the incarnation with this start time, as which the worker answered;
+    /// returns whether there is one.
+    fn use_candidate(&mut self, born: u64, out: &mut Vec<AgentOutput>) -> bool {
+        let is_born = |known: &(WorkerReport, u64)| known.0.incarnation.started_ms == born;
+        let Some(at) = self.candidates.iter().rposition(is_born) else {
+            return false;
+        };
+        let (report, sequence) = self.candidates.remove(at);
+        self.candidates.clear();
+        self.report_sequence = sequence;
+        out.push(AgentOutput::Send(AgentMessage::Report(report.clone())));
+        self.report = Some(report);
+        true
+    }
+
+    /// Drops the state of the worker's earlier incarnation and reports its runs missing.
+    fn reset_incarnation(&mut self, evidence: EndEvidence, out: &mut Vec<AgentOutput>) {
+        self.push_runs_ended(evidence, out);
+        self.shutdown_noticed = false;
+        self.recovers = false;
+        for run in std::mem::take(&mut self.runs).into_keys() {
+            out.push(AgentOutput::Send(AgentMessage::Missing(run)));
+        }
+        self.acknowledged = 0;
+        self.reported_sequence = 0;
+        self.listed = false;
+        self.lease.reset();
+        self.throttle.clear();
+        self.next_poll = Time::ZERO;
+    }
+
+    /// Compares the incarnation as which the worker answered `call` with the present one;
+    /// returns whether its listing can be used.
+    pub(super) fn update_incarnation(
+        &mut self,
+        now: Time,
+        call: PollCall,
+        listing: &Listing,
+        out: &mut Vec<AgentOutput>,
+    ) -> bool {
+        let born = listing.born;
+        let known = self.report.as_ref();
+        let known = known.map(|report| report.incarnation.started_ms);
+        if known == Some(born) {
+            return true;
+        }
+        if known.is_some() {
+            // The wall clock may have been set back between the starts of two incarnations.
+            let is_late = call.sent < self.incarnation_since;
+            if is_late || !self.may_replace(now, call, listing, out) {
+                return false;
+            }
+            self.reset_incarnation(EndEvidence::LaterIncarnation, out);
+            self.report = None;
+            out.push(AgentOutput::Send(AgentMessage::LeasesExpired));
+        }
+        self.incarnation_since = now;
+        self.use_candidate(born, out)
+    }
+
+    /// Whether the new incarnation that answered `call` can be used: nothing that was meant for
+    /// the earlier one acts on it or can still reach it.
+    fn may_replace(
+        &mut self,
+        now: Time,
+        call: PollCall,
+        listing: &Listing,
+        out: &mut Vec<AgentOutput>,
+    ) -> bool {
+        let is_overlong = self.has_overlong_lease(now, call, listing);
+        // It has seen no fencing token, unless this poll brought one that is higher than those
+        // of orders on their way.
+        let unsettled = self.runs.values().filter_map(TrackedRun::unsettled_token);
+        if let Some(token) = unsettled.max().filter(|token| *token >= call.fencing_token) {
+            self.raise_fencing_token(now, token);
+            return false;
+        }
+        // It began with no runs, so orders to the earlier incarnation have reached it.
+        self.stop_all(listing.running.iter().map(|status| status.run), out);
+        listing.running.is_empty() && !is_overlong
+    }
+
+    /// Whether the new incarnation that answered `call` has a lease longer than others: the
+    /// call carried one on the clock of the earlier incarnation. An owner that loses this
+    /// agent would not wait for its end.
+    fn has_overlong_lease(&mut self, now: Time, call: PollCall, listing: &Listing) -> bool {
+        let end = call.lease_end.unwrap_or_default();
+        let length = Duration::from_millis(end.saturating_sub(listing.clock_ms));
+        let excess = length
+            .min(self.times.lease_max)
+            .saturating_sub(self.times.lease);
+        if !excess.is_zero() {
+            let until = now.after(expiry_after(excess));
+            self.overlong_until = self.overlong_until.max(until);
+        }
+        self.lease.forget_clock();
+        now < self.overlong_until
+    }
+}
--- a/crates/parsleytally/src/jobs/agent/mod.rs
+++ b/crates/parsleytally/src/jobs/agent/mod.rs
@@ -27,6 +27,7 @@
 };
 use crate::types::Time;
 
+mod incarnation;
 mod lease;
 mod messages;
 mod poll;
@@ -341,84 +342,17 @@
         self.lease.allow_until(Time::from_micros(sent).after(hold));
     }
 
-    fn worker_reported(
-        &mut self,
-        now: Time,
-        report: WorkerReport,
-        sequence: u64,
-        out: &mut Vec<AgentOutput>,
-    ) {
-        if !self.is_current_incarnation(&report.incarnation) {
-            self.add_candidate(now, report, sequence);
-            return;
-        }
-        if sequence < self.report_sequence {
-            return;
-        }
-        if self.shutdown_noticed {
-            let is_later = self.recovers && sequence > self.report_sequence;
-            if !is_later && !self.all_leases_expired(now) {
-                // It may have been sent before the notice of shutdown.
-                return;
-            }
-            // The notice was that of an earlier incarnation with the same id.
-            self.shutdown_noticed = false;
-            self.recovers = false;
-        }
-        self.report_sequence = sequence;
-        if self.report.as_ref() == Some(&report) {
-            return;
-        }
-        out.push(AgentOutput::Send(AgentMessage::Report(report.clone())));
-        self.report = Some(report);
-    }
-
-    /// Keeps a report of another incarnation, and polls the worker to learn whether it is
-    /// this incarnation.
-    fn add_candidate(&mut self, now: Time, report: WorkerReport, sequence: u64) {
-        let same = |known: &(WorkerReport, u64)| known.0.incarnation == report.incarnation;
-        let known = self.candidates.iter().find(|known| same(known));
-        if known.is_some_and(|(_, known)| sequence < *known) {
-            return;
-        }
-        self.candidates.retain(|known| !same(known));
-        if self.candidates.len() == MAX_CANDIDATES {
-            self.candidates.remove(0);
-        }
-        self.candidates.push((report, sequence));
-        self.next_poll = now;
-    }
-
-    /// Uses the report of the incarnation with this start time, as which the worker answered;
-    /// returns whether there is one.
-    fn use_candidate(&mut self, born: u64, out: &mut Vec<AgentOutput>) -> bool {
-        let is_born = |known: &(WorkerReport, u64)| known.0.incarnation.started_ms == born;
-        let Some(at) = self.candidates.iter().rposition(is_born) else {
-            return false;
-        };
-        let (report, sequence) = self.candidates.remove(at);
-        self.candidates.clear();
-        self.report_sequence = sequence;
-        out.push(AgentOutput::Send(AgentMessage::Report(report.clone())));
-        self.report = Some(report);
-        true
-    }
-
     /// Handles the worker's notice of its shutdown: it gets no more runs and no more
     /// leases. If it has drained, its runs are stopped, so that they save a checkpoint;
-    /// otherwise, the notice may be that of an earlier incarnation with the same id.
+    /// otherwise, the notice may be that of an earlier incarnation with the same id, and the
+    /// owner learns nothing of it.
     fn notice_shutdown(&mut self, now: Time, id: &str, out: &mut Vec<AgentOutput>) {
         if self.shutdown_noticed || !self.is_worker(id) {
             return;
         }
-        let has_drained = self.is_draining();
         self.shutdown_noticed = true;
         self.next_poll = now;
-        if let Some(report) = &mut self.report {
-            report.state = WorkerState::Draining { remaining_ms: 0 };
-            out.push(AgentOutput::Send(AgentMessage::Report(report.clone())));
-        }
-        if !has_drained {
+        if !self.is_draining() {
             self.recovers = true;
             return;
         }
@@ -448,22 +382,6 @@
         matches!(state, Some(WorkerState::Draining { .. }))
     }
 
-    /// Drops the state of the worker's earlier incarnation and reports its runs missing.
-    fn reset_incarnation(&mut self, evidence: EndEvidence, out: &mut Vec<AgentOutput>) {
-        self.push_runs_ended(evidence, out);
-        self.shutdown_noticed = false;
-        self.recovers = false;
-        for run in std::mem::take(&mut self.runs).into_keys() {
-            out.push(AgentOutput::Send(AgentMessage::Missing(run)));
-        }
-        self.acknowledged = 0;
-        self.reported_sequence = 0;
-        self.listed = false;
-        self.lease.reset();
-        self.throttle.clear();
-        self.next_poll = Time::ZERO;
-    }
-
     fn push_runs_ended(&self, evidence: EndEvidence, out: &mut Vec<AgentOutput>) {
         if self.report.is_none() && self.runs.is_empty() {
             return;
@@ -491,7 +409,7 @@
     fn start(&mut self, now: Time, order: StartOrder, out: &mut Vec<AgentOutput>) {
         let run = order.run;
         let state = self.report.as_ref().map(|report| report.state);
-        let is_answering = self.listed && !self.unresponsive;
+        let is_answering = self.listed && !self.unresponsive && !self.shutdown_noticed;
         let can_start = is_answering
             && self.is_current_incarnation(&order.incarnation)
             && state == Some(WorkerState::Ready);
