feat(jobs): no starts in availability zones that operators evacuate

Entries follow the keys op/evacuate/ZONE by a regular read and a watch. The owner starts nothing on workers of these zones, and nothing at all by a read older than 60% of the bound. Start orders carry the time of the read on the owner's clock, and agents refuse those that are too old. Enabled by [evacuation] bound.

scheduler/evacuate.rs, about a worker that shuts down, is now drain.rs.

--- a/crates/parsleytally-agent/src/site/mod.rs
+++ b/crates/parsleytally-agent/src/site/mod.rs
@@ -108,6 +108,10 @@
             lease_max: config.base.jobs.lease_max,
             agent_hold: config.base.jobs.agent_hold,
             owner_hold: config.base.jobs.owner_hold,
+            evacuation_limit: config
+                .base
+                .evacuation
+                .map(|evacuation| evacuation.age_limit()),
         };
         let actor = SiteActor {
             clock,
--- a/crates/parsleytally-entry/src/main.rs
+++ b/crates/parsleytally-entry/src/main.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 
 use parsleytally::configs::{ConfigError, is_site};
-use parsleytally_adapter::{ClientApi, KvStore, QueueConfigReader, Readiness};
+use parsleytally_adapter::{ClientApi, EvacuationKeys, KvStore, QueueConfigReader, Readiness};
 use parsleytally_entry::Entry;
 use parsleytally_entry::config::EntryConfig;
 use parsleytally_entry::site::{Site, SiteConfig};
@@ -99,6 +99,7 @@
         config,
         Arc::new(store),
         Arc::new(QueueConfigReader),
+        Arc::new(EvacuationKeys),
         &metrics,
     )
     .await?;
--- a/crates/parsleytally-entry/src/site/agents.rs
+++ b/crates/parsleytally-entry/src/site/agents.rs
@@ -8,6 +8,7 @@
 use parsleytally::jobs::{AgentMessage, OrderMessage};
 use parsleytally::types::{Epoch, NodeName};
 use parsleytally_link::{Frame, Hello, Incoming, Link, LinkConfig, dial};
+use parsleytally_platform::process::Clock;
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 
@@ -39,6 +40,8 @@
     pub(super) hello: Hello,
     pub(super) config: LinkConfig,
     pub(super) confirmation: LastConfirmation,
+    /// Clock of the ownership.
+    pub(super) clock: Clock,
     pub(super) owner: mpsc::Sender<OwnerInput>,
     /// Number of links that this ownership has opened, over all agents.
     pub(super) link_counter: Arc<AtomicU64>,
@@ -97,6 +100,7 @@
         Frame::JobOrders(vec![OrderMessage::Pong {
             sent,
             confirmation_age: u64::try_from(age).unwrap_or(u64::MAX),
+            owner_clock: self.clock.now().as_micros(),
         }])
     }
 
--- a/crates/parsleytally-entry/src/site/metrics.rs
+++ b/crates/parsleytally-entry/src/site/metrics.rs
@@ -2,9 +2,11 @@
 
 use std::time::Duration;
 
-use parsleytally::jobs::{AgentMessage, EndReason, OrderMessage, Scheduler};
+use parsleytally::jobs::{
+    AgentMessage, EndReason, EvacuationEvent, OrderMessage, RefusalReason, Scheduler,
+};
 use parsleytally_platform::process::metrics::MetricSet;
-use prometheus::{IntCounterVec, IntGauge};
+use prometheus::{IntCounter, IntCounterVec, IntGauge};
 
 /// Value of the epoch gauge while this entry is not the owner.
 const NOT_OWNER: i64 = -1;
@@ -14,6 +16,10 @@
 pub(super) struct OwnerMetrics {
     orders: IntCounterVec,
     ended_runs: IntCounterVec,
+    moved_runs: IntCounter,
+    /// Starts that were held back because of an old read of the evacuation requests.
+    old_reads: IntCounterVec,
+    evacuated_zones: IntGauge,
     epoch: IntGauge,
     agents: IntGauge,
     open_jobs: IntGauge,
@@ -35,6 +41,19 @@
                 "Ended runs, by end reason.",
                 "how",
             )?,
+            moved_runs: set.counter(
+                "parsleytally_jobs_moved_runs_total",
+                "Runs that were moved out of evacuated zones.",
+            )?,
+            old_reads: set.counters(
+                "parsleytally_jobs_old_reads_total",
+                "Starts refused by agents, and pauses of all starts by the owner, because of an old read of the evacuation requests.",
+                "by",
+            )?,
+            evacuated_zones: set.gauge(
+                "parsleytally_jobs_evacuated_zones",
+                "Availability zones that operators have requested to evacuate.",
+            )?,
             epoch: set.gauge(
                 "parsleytally_jobs_epoch",
                 "Epoch of this entry's ownership; -1 while this entry is not the owner.",
@@ -60,7 +79,12 @@
 
     pub(super) fn ended(&self) {
         self.epoch.set(NOT_OWNER);
-        let gauges = [&self.agents, &self.open_jobs, &self.waiting_tasks];
+        let gauges = [
+            &self.agents,
+            &self.open_jobs,
+            &self.waiting_tasks,
+            &self.evacuated_zones,
+        ];
         for gauge in gauges {
             gauge.set(0);
         }
@@ -70,6 +94,7 @@
         let gauge = |n: usize| i64::try_from(n).unwrap_or(i64::MAX);
         self.agents.set(gauge(agents));
         self.open_jobs.set(gauge(scheduler.open_jobs()));
+        self.evacuated_zones.set(gauge(scheduler.evacuated_zones()));
         self.waiting_tasks.set(gauge(scheduler.waiting_tasks()));
         let age = i64::try_from(confirmation_age.as_millis()).unwrap_or(i64::MAX);
         self.confirmation_age.set(age);
@@ -85,7 +110,20 @@
         self.orders.with_label_values(&[order]).inc();
     }
 
-    pub(super) fn count_ended_runs(&self, message: &AgentMessage) {
+    pub(super) fn count_evacuation(&self, event: &EvacuationEvent) {
+        match event {
+            EvacuationEvent::Moved { .. } => self.moved_runs.inc(),
+            EvacuationEvent::Paused { .. } => self.old_reads.with_label_values(&["owner"]).inc(),
+            EvacuationEvent::Zone { .. } | EvacuationEvent::Resumed { .. } => {}
+        }
+    }
+
+    /// Counts ended runs and the starts that an agent refused because of an old read.
+    pub(super) fn count_message(&self, message: &AgentMessage) {
+        let old_read = RefusalReason::OldRead;
+        if matches!(message, AgentMessage::Refused { reason, .. } if *reason == old_read) {
+            self.old_reads.with_label_values(&["agent"]).inc();
+        }
         let AgentMessage::Ended { ended, .. } = message else {
             return;
         };
--- a/crates/parsleytally-entry/src/site/mod.rs
+++ b/crates/parsleytally-entry/src/site/mod.rs
@@ -11,7 +11,7 @@
 
 use parsleytally::types::Revision;
 use parsleytally_link::{Hello, Role};
-use parsleytally_platform::jobs::{JobService, QueueSource};
+use parsleytally_platform::jobs::{EvacuationSource, JobService, QueueSource};
 use parsleytally_platform::process::metrics::MetricSet;
 use parsleytally_platform::process::{BootTime, Clock};
 use parsleytally_platform::store::Store;
@@ -26,6 +26,7 @@
 mod config;
 mod confirmation;
 mod election;
+mod evacuations;
 mod follow;
 mod job_service;
 mod keys;
@@ -41,6 +42,7 @@
 pub use config::SiteConfig;
 
 use election::{Candidate, Owner, OwnerView};
+use evacuations::EvacuationFollower;
 use job_service::EntryJobService;
 use metrics::OwnerMetrics;
 use owner::{OwnerContext, Ownership};
@@ -97,6 +99,7 @@
         config: &SiteConfig,
         store: Arc<dyn Store>,
         source: Arc<dyn QueueSource>,
+        evacuations: Arc<dyn EvacuationSource>,
         set: &MetricSet,
     ) -> Result<Self, StartError> {
         let metrics = OwnerMetrics::new(set).context(MetricsSnafu)?;
@@ -127,6 +130,11 @@
             queues,
         };
         tasks.spawn(follower.run());
+        let zone_reads = config.base.evacuation.map(|_| {
+            let (follower, reads) = EvacuationFollower::new(store.clone(), evacuations);
+            tasks.spawn(follower.run());
+            reads
+        });
         tasks.spawn(owner_client.run(hello.clone(), config.link.clone()));
         let link = config.link.clone();
         tasks.spawn(serve_peers(
@@ -151,6 +159,8 @@
                 jobs: config.base.jobs.clone(),
                 store,
                 queues: queues_receiver,
+                evacuation: config.base.evacuation,
+                zone_reads,
                 metrics,
             },
             location,
--- a/crates/parsleytally-entry/src/site/owner.rs
+++ b/crates/parsleytally-entry/src/site/owner.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use parsleytally::configs::JobsConfig;
+use parsleytally::configs::{EvacuationConfig, JobsConfig};
 use parsleytally::jobs::{
     AgentMessage, ContentionRecord, Input, JobId, JobProgress, JobRecord, JobReply, JobRequest,
     OrderMessage, Output, QueueTable, Scheduler, SchedulerOptions,
@@ -21,11 +21,12 @@
 use super::agents::{AgentId, AgentLink, Orders};
 use super::confirmation::LastConfirmation;
 use super::election::{Owner, epoch_unchanged};
+use super::evacuations::{ZoneRead, ZoneReads, next_read};
 use super::follow::{FleetUpdate, follow_fleet};
 use super::keys;
 use super::known_agents::{Dial, KnownAgents, delete_address};
 use super::metrics::OwnerMetrics;
-use super::owner_log::{log_dropped, log_order, log_reconciled, log_undelivered};
+use super::owner_log::{log_dropped, log_evacuation, log_order, log_reconciled, log_undelivered};
 use super::saver::{ProgressRecord, Saver, revisions};
 use super::stored_state::StoredState;
 
@@ -61,6 +62,9 @@
     pub(crate) jobs: JobsConfig,
     pub(crate) store: Arc<dyn Store>,
     pub(crate) queues: watch::Receiver<Option<Arc<QueueTable>>>,
+    pub(crate) evacuation: Option<EvacuationConfig>,
+    /// Reads of the operators' evacuation requests; none if evacuations are not enabled.
+    pub(crate) zone_reads: Option<ZoneReads>,
     pub(crate) metrics: OwnerMetrics,
 }
 
@@ -86,7 +90,7 @@
         let confirmation = LastConfirmation::at(confirmed);
         let actor = OwnerActor {
             clock: Clock::start(),
-            scheduler: Scheduler::new(scheduler_options(&context.jobs, &owner, since)),
+            scheduler: Scheduler::new(scheduler_options(&context, &owner, since)),
             context,
             owner,
             since,
@@ -127,13 +131,16 @@
     }
 }
 
-fn scheduler_options(config: &JobsConfig, owner: &Owner, since: Revision) -> SchedulerOptions {
+fn scheduler_options(context: &OwnerContext, owner: &Owner, since: Revision) -> SchedulerOptions {
+    let config = &context.jobs;
+    let evacuation = context.evacuation.as_ref();
     SchedulerOptions {
         epoch: owner.epoch.0,
         start_revision: since,
         agent_hold: with_drift(config.agent_hold),
         owner_hold: with_drift(config.owner_hold),
         ended_retention: config.keep_ended,
+        evacuation_limit: evacuation.map(EvacuationConfig::age_limit),
     }
 }
 
@@ -174,6 +181,10 @@
     }
 
     async fn serve(&mut self) {
+        let mut zone_reads = self.context.zone_reads.clone();
+        if let Some(reads) = &zone_reads {
+            reads.request();
+        }
         let state = StoredState::read(&*self.context.store).await;
         log::info!(epoch:% = self.owner.epoch, revision:% = self.since,
             jobs = state.progress.items.len(); "ownership started");
@@ -211,6 +222,7 @@
                         return;
                     }
                 }
+                read = next_read(&mut zone_reads) => self.apply_zones(&read),
                 Ok(()) = queues.changed() => self.apply_queues(&mut queues),
                 _ = tick.tick() => {
                     if !self.apply_queued() {
@@ -268,6 +280,7 @@
             hello: self.context.hello.clone(),
             config: self.context.link.clone(),
             confirmation: self.confirmation.clone(),
+            clock: self.clock,
             owner: self.sender.clone(),
             link_counter: self.agents.link_counter.clone(),
         };
@@ -304,6 +317,13 @@
         }
     }
 
+    /// Applies a read of the evacuation requests, unless it was sent before this ownership.
+    fn apply_zones(&mut self, read: &ZoneRead) {
+        if let Some(zones) = read.on_clock(self.clock) {
+            self.step(Input::Zones(zones));
+        }
+    }
+
     /// Applies the inputs that wait in the channel; returns false once another entry owns
     /// the jobs.
     fn apply_batch(&mut self, first: OwnerInput) -> bool {
@@ -351,7 +371,7 @@
             OwnerInput::Unlinked(AgentId { node, .. }) => self.unlink(node),
             OwnerInput::Agent(AgentId { node, .. }, messages) => {
                 for message in messages {
-                    self.context.metrics.count_ended_runs(&message);
+                    self.context.metrics.count_message(&message);
                     self.step(Input::Agent(node.clone(), message));
                 }
             }
@@ -476,6 +496,10 @@
                     runs,
                     evidence,
                 } => log_dropped(&node, runs, evidence),
+                Output::Evacuation(event) => {
+                    log_evacuation(&event);
+                    self.context.metrics.count_evacuation(&event);
+                }
                 Output::Reconciled(node, outcome) => log_reconciled(&node, &outcome),
                 Output::Save {
                     job,
--- a/crates/parsleytally-entry/src/site/tests/mod.rs
+++ b/crates/parsleytally-entry/src/site/tests/mod.rs
@@ -2,6 +2,7 @@
 //! store with injected faults.
 
 mod election;
+mod evacuations;
 mod known_agents;
 mod owner;
 
@@ -11,9 +12,9 @@
 use std::time::Duration;
 
 use parsleytally::jobs::{
-    AgentMessage, CallError, EndReason, EndedRun, JobId, JobSpec, JobState, Listing, OrderMessage,
-    PollCall, QueueName, QueuePolicy, RunRef, StartCall, StepSpec, StopCall, TaskId, ThrottleCall,
-    WorkerIncarnation,
+    AgentMessage, CallError, EndReason, EndedRun, EvacuationEvent, JobId, JobSpec, JobState,
+    Listing, OrderMessage, PollCall, QueueName, QueuePolicy, RunRef, StartCall, StepSpec, StopCall,
+    TaskId, ThrottleCall, WorkerIncarnation,
 };
 use parsleytally::types::{Epoch, Incarnation, MilliCpu, NodeName, ZoneName};
 use parsleytally_link::{Frame, Hello, Keys, LinkConfig, Role, accept};
@@ -21,8 +22,8 @@
     CancelAnswer, JobAnswer, JobFuture, JobService, SubmitAnswer, TaskHost,
 };
 use parsleytally_platform::measured::{MeasuredDesk, MeasuredHost, MeasuredStore};
-use parsleytally_platform::process::BootTime;
 use parsleytally_platform::process::metrics::MetricSet;
+use parsleytally_platform::process::{BootTime, Clock};
 use parsleytally_platform::store::{MemoryStore, Store};
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
@@ -115,6 +116,7 @@
             hello: hello(Role::Entry, "owner"),
             config: link_config(),
             confirmation: LastConfirmation::at(BootTime::now()),
+            clock: Clock::start(),
             owner: sender,
             link_counter: Arc::default(),
         };
@@ -274,7 +276,11 @@
 #[test]
 fn the_deployment_template_parses_and_unknown_keys_are_rejected() {
     let template = include_str!("../../../../../deploy/entry.ini");
+    let evacuations = ("{{#bounds.evacuate_ms}}\n", "{{/bounds.evacuate_ms}}\n");
     let text = template
+        .replace(evacuations.0, "")
+        .replace(evacuations.1, "")
+        .replace("{{bounds.evacuate_ms}}", "5000")
         .replace("{{node}}", "edge-a-1")
         .replace("{{zone}}", "a")
         .replace("{{listen.front}}", "127.0.0.1:8161")
@@ -287,6 +293,12 @@
     assert_eq!(config.clients.port(), 8_161);
     assert_eq!(config.cpu, MilliCpu(69));
     assert!(parsleytally::configs::is_site(text.as_bytes()));
+    let bound = config.base.evacuation.map(|evacuation| evacuation.bound);
+    assert_eq!(bound, Some(Duration::from_secs(5)));
+    let (before, rest) = text.split_once("[evacuation]").expect("the section");
+    let (_, after) = rest.split_once("\n\n").expect("the end of the section");
+    let without = SiteConfig::parse(format!("{before}{after}").as_bytes());
+    assert_eq!(without.map(|config| config.base.evacuation), Ok(None));
     let misspelled = text.replace("ready =", "readi =");
     let error = SiteConfig::parse(misspelled.as_bytes()).expect_err("an unknown key");
     assert!(error.to_string().contains("read"), "{error}");
@@ -342,13 +354,14 @@
         reason: EndReason::Done,
         checkpoint: String::new(),
     };
-    owner.count_ended_runs(&AgentMessage::Ended {
+    owner.count_message(&AgentMessage::Ended {
         incarnation: WorkerIncarnation {
             id: "i-1".into(),
             started_ms: 1,
         },
         ended: vec![ended_run],
     });
+    owner.count_evacuation(&EvacuationEvent::Paused { read_age: None });
     jobs.state(JobId(1), Instant::now() + Duration::from_secs(1))
         .await;
     let stop = StopCall {
--- a/crates/parsleytally-entry/src/site/tests/owner.rs
+++ b/crates/parsleytally-entry/src/site/tests/owner.rs
@@ -26,6 +26,8 @@
         jobs: JobsConfig::default(),
         store,
         queues,
+        evacuation: None,
+        zone_reads: None,
         metrics: OwnerMetrics::new(&set).expect("names are free"),
     }
 }
--- a/crates/parsleytally-platform/src/jobs.rs
+++ b/crates/parsleytally-platform/src/jobs.rs
@@ -10,6 +10,7 @@
     CallError, JobId, JobSpec, JobState, Listing, PollCall, QueueName, QueueTable, StartCall,
     StopCall, ThrottleCall, WorkerReport,
 };
+use parsleytally::types::ZoneName;
 use tokio::time::Instant;
 
 /// A boxed future, so that the traits here can be used as trait objects.
@@ -118,5 +119,19 @@
     fn parse(&self, value: &[u8]) -> Result<QueueTable, String>;
 }
 
+/// Reads the operators' requests to evacuate availability zones. The key alone is the request,
+/// so its value is not read.
+pub trait EvacuationSource: Send + Sync {
+    /// Prefix of the store keys of the requests.
+    fn prefix(&self) -> &str;
+
+    /// The availability zone that a key under the prefix names.
+    ///
+    /// # Errors
+    ///
+    /// Returns a description of why the key names no zone.
+    fn zone(&self, key: &str) -> Result<ZoneName, String>;
+}
+
 /// Prefix of the store keys under which agents publish their addresses.
 pub const AGENTS: &str = "/parsleytally/fleet/agents/";
--- a/crates/parsleytally/examples/owner_cost/fleet.rs
+++ b/crates/parsleytally/examples/owner_cost/fleet.rs
@@ -66,6 +66,7 @@
             agent_hold: Duration::from_secs(5),
             owner_hold: Duration::from_secs(8),
             ended_retention: Duration::from_secs(240),
+            evacuation_limit: None,
         };
         let mut fleet = Self {
             scheduler: Scheduler::new(options),
@@ -138,7 +139,8 @@
                 Output::Forget(_)
                 | Output::SaveLearned(_)
                 | Output::RunsDropped { .. }
-                | Output::Reconciled(..) => {}
+                | Output::Reconciled(..)
+                | Output::Evacuation(_) => {}
             }
         }
         starts
--- a/crates/parsleytally/src/configs/jobs.rs
+++ b/crates/parsleytally/src/configs/jobs.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::check::duration;
-use super::{ConfigError, Document, Section};
+use super::{ConfigError, Document, EvacuationConfig, Section};
 use crate::types::{NodeName, ZoneName};
 
 /// Longest time that any of these settings may have.
@@ -80,6 +80,8 @@
     pub metrics: Option<SocketAddr>,
     /// Times of ownership and leases: section `[jobs]`.
     pub jobs: JobsConfig,
+    /// Evacuation of availability zones: section `[evacuation]`; none if not enabled.
+    pub evacuation: Option<EvacuationConfig>,
 }
 
 impl SiteBase {
@@ -97,6 +99,7 @@
             store: site.require("store")?,
             metrics: site.take_with("metrics", None, |text| text.parse().map(Some))?,
             jobs: JobsConfig::take(&mut jobs)?,
+            evacuation: EvacuationConfig::take(document)?,
         };
         jobs.finish()?;
         Ok(base)
--- a/crates/parsleytally/src/jobs/agent/mod.rs
+++ b/crates/parsleytally/src/jobs/agent/mod.rs
@@ -30,6 +30,7 @@
 mod incarnation;
 mod lease;
 mod messages;
+mod owner_clock;
 mod poll;
 mod throttle;
 
@@ -38,6 +39,7 @@
 };
 
 use lease::Lease;
+use owner_clock::OwnerClock;
 use throttle::{RunKind, Throttle};
 
 /// Longest time for which the worker may delay the answer to a poll until a run ends.
@@ -70,6 +72,9 @@
     pub agent_hold: Duration,
     /// Longest time for which runs are kept alive after the store last confirmed the owner.
     pub owner_hold: Duration,
+    /// Age past which the owner's read of the operators' requests to evacuate availability zones
+    /// permits no start; none if evacuations are not enabled.
+    pub evacuation_limit: Option<Duration>,
 }
 
 /// Number of a link from an owner, unique within the agent process.
@@ -139,6 +144,8 @@
     /// Whether a later report of this incarnation shows that the notice was not its own.
     recovers: bool,
     lease: Lease,
+    /// The present owner's clock; none before its first answer to a ping.
+    owner_clock: Option<OwnerClock>,
     /// Whether the owner has received all runs of the worker, with
     /// [`AgentMessage::Listed`].
     listed: bool,
@@ -180,6 +187,7 @@
             shutdown_noticed: false,
             recovers: false,
             lease: Lease::default(),
+            owner_clock: None,
             listed: false,
             runs: BTreeMap::new(),
             acknowledged: 0,
@@ -292,7 +300,11 @@
             OrderMessage::Pong {
                 sent,
                 confirmation_age,
-            } => self.handle_pong(sent, confirmation_age),
+                owner_clock,
+            } => {
+                self.handle_pong(sent, confirmation_age);
+                self.owner_clock = Some(OwnerClock::new(sent, owner_clock));
+            }
         }
     }
 
@@ -320,6 +332,7 @@
             }
         }
         self.fencing_token = fencing_token;
+        self.owner_clock = None;
         self.listed = false;
         self.expiry_reported = false;
         // The earlier owner's acknowledgements may be for records that this one doesn't have.
@@ -437,7 +450,24 @@
         self.send_start(now, run, out);
     }
 
+    /// Whether the owner's read of the operators' requests is too old for a start. An owner that
+    /// was paused, or an order that was delayed, may be from before a request.
+    fn read_is_old(&self, now: Time, run: RunRef) -> bool {
+        let Some(limit) = self.times.evacuation_limit else {
+            return false;
+        };
+        let order = self.runs.get(&run).and_then(|run| run.order.as_ref());
+        let read = order.and_then(|order| order.zones_read);
+        let age = read.zip(self.owner_clock);
+        age.is_none_or(|(read, clock)| clock.age(now, read) > limit)
+    }
+
     fn send_start(&mut self, now: Time, run: RunRef, out: &mut Vec<AgentOutput>) {
+        if self.read_is_old(now, run) {
+            self.runs.remove(&run);
+            refuse(run, RefusalReason::OldRead, out);
+            return;
+        }
         let Some(lease_end) = self.lease.grant(now, self.lease_length()) else {
             self.runs.remove(&run);
             refuse(run, RefusalReason::Unwell, out);
--- a/crates/parsleytally/src/jobs/fleet.rs
+++ b/crates/parsleytally/src/jobs/fleet.rs
@@ -193,6 +193,8 @@
     pub(super) linked: bool,
     /// Whether the agent has listed the runs of the present incarnation.
     pub(super) listed: bool,
+    /// Whether operators have requested to evacuate its availability zone.
+    pub(super) evacuated: bool,
     /// Whether it has stopped answering its agent.
     pub(super) unresponsive: bool,
     /// For a lost agent, the time by which all its runs have certainly ended.
@@ -250,6 +252,7 @@
         self.linked
             && self.listed
             && !self.unresponsive
+            && !self.evacuated
             && self.state() == Some(WorkerState::Ready)
             && !self.failures.is_quarantined(now)
     }
--- a/crates/parsleytally/src/jobs/messages.rs
+++ b/crates/parsleytally/src/jobs/messages.rs
@@ -5,8 +5,8 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    ContentionRecord, JobId, JobProgress, JobRecord, JobSpec, JobState, QueueName, QueueTable,
-    TaskId, WorkerIncarnation, WorkerReport,
+    ContentionRecord, EvacuatedZones, EvacuationEvent, JobId, JobProgress, JobRecord, JobSpec,
+    JobState, QueueName, QueueTable, TaskId, WorkerIncarnation, WorkerReport,
 };
 use crate::types::{NodeName, Revision, Time};
 
@@ -84,6 +84,8 @@
     Unanswered,
     /// The worker can't process the order, or it can't be encoded.
     Invalid,
+    /// The owner had read the operators' requests to evacuate availability zones too long ago.
+    OldRead,
 }
 
 /// An order to start a run.
@@ -101,6 +103,9 @@
     pub target_ms: u64,
     /// Whether it only uses processors that others leave idle.
     pub best_effort: bool,
+    /// When the read of the operators' requests to evacuate availability zones was sent, on the
+    /// owner's clock, in microseconds; none if evacuations are not enabled.
+    pub zones_read: Option<u64>,
 }
 
 /// From what an agent or an owner concludes that the runs of a worker have ended.
@@ -171,6 +176,8 @@
         sent: u64,
         /// Time since the store last confirmed the owner, in microseconds.
         confirmation_age: u64,
+        /// When the owner sent this, on the owner's clock, in microseconds.
+        owner_clock: u64,
     },
 }
 
@@ -291,6 +298,8 @@
         /// Version of the record.
         version: u64,
     },
+    /// A read of the operators' requests to evacuate availability zones.
+    Zones(EvacuatedZones),
     /// The store confirmed the ownership at this time.
     Confirmed(Time),
     /// Periodic timer.
@@ -316,6 +325,8 @@
     },
     /// An agent has listed the runs of its worker; only logged.
     Reconciled(NodeName, ListingOutcome),
+    /// A decision about the evacuation of a zone; only logged and counted.
+    Evacuation(EvacuationEvent),
     /// Save in the store what was learned about the contention between images.
     SaveLearned(ContentionRecord),
     /// Save a job's progress in the store.
--- a/crates/parsleytally/src/jobs/mod.rs
+++ b/crates/parsleytally/src/jobs/mod.rs
@@ -15,6 +15,7 @@
 mod agent;
 mod contention;
 mod durations;
+mod evacuation;
 mod fleet;
 mod job;
 mod messages;
@@ -30,6 +31,7 @@
     StartCall, StopCall, ThrottleCall,
 };
 pub use contention::ContentionRecord;
+pub use evacuation::{EvacuatedZones, EvacuationEvent};
 pub use fleet::{WorkerIncarnation, WorkerReport, WorkerState};
 pub use job::JobState;
 pub use messages::{
--- a/crates/parsleytally/src/jobs/scheduler/evacuate.rs
+++ b/crates/parsleytally/src/jobs/scheduler/drain.rs
@@ -1,4 +1,4 @@
-//! Evacuates a worker that shuts down.
+//! Drains a worker that shuts down.
 
 use super::super::fleet::Load;
 use super::super::job::MILLI;
@@ -12,7 +12,7 @@
 
 impl Scheduler {
     /// Stops runs that would not finish on `node`, which shuts down in `remaining_ms`.
-    pub(super) fn evacuate(
+    pub(super) fn drain(
         &mut self,
         now: Time,
         node: &NodeName,
--- a/crates/parsleytally/src/jobs/scheduler/ended.rs
+++ b/crates/parsleytally/src/jobs/scheduler/ended.rs
@@ -47,7 +47,7 @@
         out.push(Output::Reconciled(node.clone(), outcome));
         let state = self.workers.get(node).and_then(Worker::state);
         if let Some(WorkerState::Draining { remaining_ms }) = state {
-            self.evacuate(now, node, remaining_ms, out);
+            self.drain(now, node, remaining_ms, out);
         }
         if let Some(worker) = self.workers.get(node) {
             self.contention.update_headrooms(node, worker);
@@ -366,9 +366,8 @@
         run: RunRef,
         reason: RefusalReason,
     ) {
-        if reason == RefusalReason::Unwell
-            && let Some(worker) = self.workers.get_mut(node)
-        {
+        let pauses = matches!(reason, RefusalReason::Unwell | RefusalReason::OldRead);
+        if pauses && let Some(worker) = self.workers.get_mut(node) {
             worker.failures.pause_after_refusal(now);
         }
         self.run_missing(node, run);
--- a/crates/parsleytally/src/jobs/scheduler/mod.rs
+++ b/crates/parsleytally/src/jobs/scheduler/mod.rs
@@ -7,6 +7,7 @@
 
 use super::contention::Contention;
 use super::durations::Durations;
+use super::evacuation::Evacuation;
 use super::fleet::Worker;
 use super::job::{Job, StepRef};
 use super::{
@@ -16,8 +17,9 @@
 };
 use crate::types::{NodeName, Revision, Time};
 
+mod drain;
 mod ended;
-mod evacuate;
+mod evacuation;
 pub(super) mod pass;
 mod start;
 mod throttle;
@@ -42,6 +44,9 @@
     pub owner_hold: Duration,
     /// How long the state of an ended job can be queried.
     pub ended_retention: Duration,
+    /// Age past which a read of the operators' requests to evacuate availability zones permits
+    /// no starts; none if evacuations are not enabled.
+    pub evacuation_limit: Option<Duration>,
 }
 
 /// State of the jobs and workers, as a state machine without I/O.
@@ -62,6 +67,7 @@
     unreported: BTreeMap<NodeName, Time>,
     contention: Contention,
     durations: Durations,
+    evacuation: Evacuation,
     /// When what was learned was last recorded.
     learned_saved: Time,
     /// Time of the last confirmation of the ownership by the store.
@@ -80,6 +86,7 @@
     /// Creates the state of a new owner.
     pub fn new(options: SchedulerOptions) -> Self {
         Self {
+            evacuation: Evacuation::new(options.evacuation_limit),
             options,
             queues: Arc::default(),
             jobs: HashMap::new(),
@@ -118,6 +125,7 @@
             Input::Unlinked(node) => self.unlinked(now, &node),
             Input::Agent(node, message) => self.handle_agent(now, &node, message, out),
             Input::Saved { job, version } => self.saved(job, version),
+            Input::Zones(read) => self.update_zones(now, &read, out),
             Input::Confirmed(at) => self.confirmed = self.confirmed.max(at),
             Input::Tick => self.tick(now, wall_ms, out),
         }
@@ -340,10 +348,11 @@
         let was_draining = worker.is_draining();
         let state = report.state;
         worker.report = Some(report);
+        self.update_zone_of(node);
         if let WorkerState::Draining { remaining_ms } = state
             && !was_draining
         {
-            self.evacuate(now, node, remaining_ms, out);
+            self.drain(now, node, remaining_ms, out);
         }
         self.pass_due = true;
     }
--- a/crates/parsleytally/src/jobs/scheduler/start.rs
+++ b/crates/parsleytally/src/jobs/scheduler/start.rs
@@ -32,6 +32,9 @@
     /// Starts every waiting task for which a worker has enough free resources.
     pub(super) fn place_waiting(&mut self, now: Time, wall_ms: u64, out: &mut Vec<Output>) {
         self.open_rounds(wall_ms);
+        if !self.zones_permit_starts(now, out) {
+            return;
+        }
         let mut ready = self.ready_steps(wall_ms);
         ready.sort_by_key(|(urgency, step)| (*urgency, *step));
         let changed = std::mem::take(&mut self.changed_workers);
@@ -289,6 +292,7 @@
             checkpoint: task.checkpoint.clone(),
             target_ms,
             best_effort: load.best_effort,
+            zones_read: self.evacuation.read_at().map(Time::as_micros),
         };
         out.push(Output::Order(node.clone(), OrderMessage::Start(order)));
     }
--- a/crates/parsleytally/src/jobs/tests/agent.rs
+++ b/crates/parsleytally/src/jobs/tests/agent.rs
@@ -18,11 +18,17 @@
 impl TestAgent {
     /// An agent that has just started.
     pub(super) fn new() -> Self {
+        Self::with_limit(None)
+    }
+
+    /// An agent that has just started, with an age limit of reads of the evacuation requests.
+    pub(super) fn with_limit(evacuation_limit: Option<Duration>) -> Self {
         let times = AgentTimes {
             lease: Duration::from_secs(4),
             lease_max: Duration::from_secs(10),
             agent_hold: Duration::from_secs(5),
             owner_hold: Duration::from_secs(12),
+            evacuation_limit,
         };
         Self {
             agent: JobAgent::new(times, Time::from_secs(1)),
@@ -33,12 +39,16 @@
 
     /// An agent with a confirmed owner that has received the listing of its worker.
     pub(super) fn ready() -> Self {
-        let mut agent = Self::new();
+        Self::new().made_ready()
+    }
+
+    pub(super) fn made_ready(mut self) -> Self {
+        let agent = &mut self;
         agent.step(reported(report(0, 7)));
         agent.connect_owner(1, TOKEN);
         agent.confirm_owner(Duration::ZERO);
         agent.list(vec![], vec![]);
-        agent
+        self
     }
 
     pub(super) fn step(&mut self, input: AgentInput) -> Vec<AgentOutput> {
@@ -61,10 +71,21 @@
         let pong = OrderMessage::Pong {
             sent: self.now.as_micros(),
             confirmation_age: age.as_micros() as u64,
+            owner_clock: 0,
         };
         self.step(AgentInput::OwnerMessage(OwnerLink(1), pong))
     }
 
+    /// Answers a ping of now, at `owner_clock` microseconds on the owner's clock.
+    pub(super) fn answer_ping(&mut self, owner_clock: u64) {
+        let pong = OrderMessage::Pong {
+            sent: self.now.as_micros(),
+            confirmation_age: 0,
+            owner_clock,
+        };
+        self.step(AgentInput::OwnerMessage(OwnerLink(1), pong));
+    }
+
     pub(super) fn advance(&mut self, millis: u64) -> Vec<AgentOutput> {
         self.now = self.now.after(Duration::from_millis(millis));
         self.step(AgentInput::Tick)
@@ -158,14 +179,18 @@
     }
 
     fn start_with(&mut self, run: RunRef, target_ms: u64, best_effort: bool) -> Vec<AgentOutput> {
-        let order = StartOrder {
+        self.order_start(StartOrder {
             incarnation: incarnation(0, 7),
             run,
             payload: "do".into(),
             checkpoint: String::new(),
             target_ms,
             best_effort,
-        };
+            zones_read: None,
+        })
+    }
+
+    pub(super) fn order_start(&mut self, order: StartOrder) -> Vec<AgentOutput> {
         let start = OrderMessage::Start(order);
         self.step(AgentInput::OwnerMessage(OwnerLink(1), start))
     }
--- a/crates/parsleytally/src/jobs/tests/mod.rs
+++ b/crates/parsleytally/src/jobs/tests/mod.rs
@@ -3,6 +3,7 @@
 mod agent;
 mod contention;
 mod durations;
+mod evacuation;
 mod foreign_reports;
 mod model;
 mod placement;
--- a/crates/parsleytally/src/jobs/tests/model/agents.rs
+++ b/crates/parsleytally/src/jobs/tests/model/agents.rs
@@ -24,6 +24,7 @@
                 lease_max: LEASE_MAX,
                 agent_hold: AGENT_HOLD,
                 owner_hold: OWNER_HOLD,
+                evacuation_limit: None,
             },
             started_at,
         ),
--- a/crates/parsleytally/src/jobs/tests/model/owners.rs
+++ b/crates/parsleytally/src/jobs/tests/model/owners.rs
@@ -43,6 +43,7 @@
             agent_hold: AGENT_HOLD + AGENT_HOLD / 20,
             owner_hold: OWNER_HOLD + OWNER_HOLD / 20,
             ended_retention: Duration::from_secs(600),
+            evacuation_limit: None,
         };
         let owner = self.owners.len();
         self.owners.push(SimulatedOwner {
@@ -93,7 +94,10 @@
                     self.owners[owner].runs.clear(at);
                     self.forget(owner, at);
                 }
-                Output::SaveLearned(_) | Output::RunsDropped { .. } | Output::Reconciled(..) => {}
+                Output::SaveLearned(_)
+                | Output::RunsDropped { .. }
+                | Output::Reconciled(..)
+                | Output::Evacuation(_) => {}
                 Output::Save {
                     job,
                     version,
@@ -136,6 +140,7 @@
                 OrderMessage::Pong {
                     sent,
                     confirmation_age,
+                    owner_clock: self.now.as_micros(),
                 },
             );
             return;
--- a/crates/parsleytally/src/jobs/tests/scheduler.rs
+++ b/crates/parsleytally/src/jobs/tests/scheduler.rs
@@ -7,13 +7,18 @@
 
 /// A scheduler whose ownership began at revision 10, with a manual clock.
 pub(super) struct Bench {
-    scheduler: Scheduler,
-    now: Time,
+    pub(super) scheduler: Scheduler,
+    pub(super) now: Time,
     wall_ms: u64,
 }
 
 impl Bench {
     pub(super) fn new() -> Self {
+        Self::with_limit(None)
+    }
+
+    /// A scheduler with an age limit of reads of the evacuation requests.
+    pub(super) fn with_limit(evacuation_limit: Option<Duration>) -> Self {
         let mut bench = Self {
             scheduler: Scheduler::new(SchedulerOptions {
                 epoch: 0,
@@ -21,6 +26,7 @@
                 agent_hold: Duration::from_secs(5),
                 owner_hold: Duration::from_secs(12),
                 ended_retention: Duration::from_secs(60),
+                evacuation_limit,
             }),
             now: Time::from_secs(100),
             wall_ms: 0,
@@ -329,6 +335,7 @@
         agent_hold: Duration::from_secs(5),
         owner_hold: Duration::from_secs(12),
         ended_retention: Duration::from_secs(60),
+        evacuation_limit: None,
     });
     bench.submit(1, job(vec![step(4, &[])]), 9);
     bench.feed(Input::Linked(node(0)));
