--- a/crates/parsleytally/examples/owner_cost/fleet.rs
+++ b/crates/parsleytally/examples/owner_cost/fleet.rs
@@ -68,6 +68,7 @@
             owner_hold: Duration::from_secs(8),
             ended_retention: Duration::from_secs(240),
             best_effort: BestEffortConfig::default(),
+            evacuation_limit: None,
         };
         let mut fleet = Self {
             scheduler: Scheduler::new(options),
@@ -140,7 +141,8 @@
                 Output::Forget(_)
                 | Output::SaveLearned(_)
                 | Output::RunsDropped { .. }
-                | Output::Reconciled(..) => {}
+                | Output::Reconciled(..)
+                | Output::Evacuation(_) => {}
             }
         }
         starts
--- a/crates/parsleytally/src/configs/jobs.rs
+++ b/crates/parsleytally/src/configs/jobs.rs
@@ -6,7 +6,7 @@
 use derive_more::{Display, FromStr};
 
 use super::check::duration;
-use super::{ConfigError, Document, Section};
+use super::{ConfigError, Document, EvacuationConfig, Section};
 use crate::types::{NodeName, ZoneName};
 
 /// Longest time that any of these settings may have.
@@ -130,6 +130,8 @@
     pub metrics: Option<SocketAddr>,
     /// Times of ownership and leases: section `[jobs]`.
     pub jobs: JobsConfig,
+    /// Evacuation of availability zones: section `[evacuation]`; none if not enabled.
+    pub evacuation: Option<EvacuationConfig>,
 }
 
 impl SiteBase {
@@ -147,6 +149,7 @@
             store: site.require("store")?,
             metrics: site.take_with("metrics", None, |text| text.parse().map(Some))?,
             jobs: JobsConfig::take(&mut jobs)?,
+            evacuation: EvacuationConfig::take(document)?,
         };
         jobs.finish()?;
         Ok(base)
--- a/crates/parsleytally/src/jobs/tests/model/owners.rs
+++ b/crates/parsleytally/src/jobs/tests/model/owners.rs
@@ -45,6 +45,7 @@
             owner_hold: OWNER_HOLD + OWNER_HOLD / 20,
             ended_retention: Duration::from_secs(600),
             best_effort: BestEffortConfig::default(),
+            evacuation_limit: None,
         };
         let owner = self.owners.len();
         self.owners.push(SimulatedOwner {
@@ -95,7 +96,10 @@
                     self.owners[owner].runs.clear(at);
                     self.forget(owner, at);
                 }
-                Output::SaveLearned(_) | Output::RunsDropped { .. } | Output::Reconciled(..) => {}
+                Output::SaveLearned(_)
+                | Output::RunsDropped { .. }
+                | Output::Reconciled(..)
+                | Output::Evacuation(_) => {}
                 Output::Save {
                     job,
                     version,
@@ -138,6 +142,7 @@
                 OrderMessage::Pong {
                     sent,
                     confirmation_age,
+                    owner_clock: self.now.as_micros(),
                 },
             );
             return;
--- a/crates/parsleytally/src/jobs/tests/scheduler.rs
+++ b/crates/parsleytally/src/jobs/tests/scheduler.rs
@@ -8,20 +8,34 @@
 
 /// A scheduler whose ownership began at revision 10, with a manual clock.
 pub(super) struct Bench {
-    scheduler: Scheduler,
-    now: Time,
+    pub(super) scheduler: Scheduler,
+    pub(super) now: Time,
     wall_ms: u64,
 }
 
+/// Options of an ownership that began at revision 10.
+pub(super) fn options() -> SchedulerOptions {
+    SchedulerOptions {
+        epoch: 0,
+        start_revision: Revision(10),
+        agent_hold: Duration::from_secs(5),
+        owner_hold: Duration::from_secs(12),
+        ended_retention: Duration::from_secs(60),
+        best_effort: BestEffortConfig::default(),
+        evacuation_limit: None,
+    }
+}
+
 impl Bench {
     pub(super) fn new() -> Self {
+        Self::with_options(options())
+    }
+
+    /// A scheduler with an age limit of reads of the evacuation requests.
+    pub(super) fn with_limit(evacuation_limit: Option<Duration>) -> Self {
         Self::with_options(SchedulerOptions {
-            epoch: 0,
-            start_revision: Revision(10),
-            agent_hold: Duration::from_secs(5),
-            owner_hold: Duration::from_secs(12),
-            ended_retention: Duration::from_secs(60),
-            best_effort: BestEffortConfig::default(),
+            evacuation_limit,
+            ..options()
         })
     }
 
@@ -336,6 +350,7 @@
         owner_hold: Duration::from_secs(12),
         ended_retention: Duration::from_secs(60),
         best_effort: BestEffortConfig::default(),
+        evacuation_limit: None,
     });
     bench.submit(1, job(vec![step(4, &[])]), 9);
     bench.feed(Input::Linked(node(0)));
--- a/crates/parsleytally/src/jobs/tests/shortage.rs
+++ b/crates/parsleytally/src/jobs/tests/shortage.rs
@@ -4,22 +4,15 @@
 //! have processors for. If all of them run at once, each takes several times its run time and
 //! all jobs are late; if those that are nearly late go first, few others are on time.
 
-use std::time::Duration;
-
-use super::scheduler::{Bench, starts};
+use super::scheduler::{Bench, options, starts};
 use super::*;
 use crate::configs::{BestEffortConfig, BestEffortOrder};
-use crate::types::Revision;
 
 /// A scheduler with one worker of 4 processors and memory for 8 tasks.
 fn bench(best_effort: BestEffortConfig, policy: QueuePolicy) -> Bench {
     let mut bench = Bench::with_options(SchedulerOptions {
-        epoch: 0,
-        start_revision: Revision(10),
-        agent_hold: Duration::from_secs(5),
-        owner_hold: Duration::from_secs(12),
-        ended_retention: Duration::from_secs(60),
         best_effort,
+        ..options()
     });
     bench.feed(Input::Queues(Arc::new(QueueTable::new(
         2,
