fix(platform): a commit whose body no connection took counts as not sent

The HTTP library ignores its connect timeout, so a store that accepts no connections used up the call's timeout and the commit counted as unknown.

--- a/crates/parsleytally-platform/src/measured/store.rs
+++ b/crates/parsleytally-platform/src/measured/store.rs
@@ -54,6 +54,10 @@
         self.note(CallKind::Commit, self.store.commit(commit))
     }
 
+    fn commit_by(&self, commit: Commit, deadline: Instant) -> StoreFuture<'_, Outcome> {
+        self.note(CallKind::Commit, self.store.commit_by(commit, deadline))
+    }
+
     fn grant(&self, ttl: Duration) -> StoreFuture<'_, LeaseId> {
         self.note(CallKind::Grant, self.store.grant(ttl))
     }
--- a/crates/parsleytally-platform/src/store/mod.rs
+++ b/crates/parsleytally-platform/src/store/mod.rs
@@ -14,6 +14,7 @@
 use derive_more::{Display, From, Into};
 use parsleytally::types::Revision;
 use serde::{Deserialize, Serialize};
+use tokio::time::{Instant, timeout_at};
 
 mod calls;
 mod error;
@@ -220,6 +221,17 @@
     /// Writes several keys at once if every condition holds.
     fn commit(&self, commit: Commit) -> StoreFuture<'_, Outcome>;
 
+    /// Same as [`Self::commit`], but ends at `deadline` at the latest.
+    ///
+    /// An implementation that can tell whether the call was sent by then reports an unsent
+    /// one as [`StoreError::Down`]; without, it counts as [`StoreError::Timeout`].
+    fn commit_by(&self, commit: Commit, deadline: Instant) -> StoreFuture<'_, Outcome> {
+        Box::pin(async move {
+            let answer = timeout_at(deadline, self.commit(commit)).await;
+            answer.unwrap_or(Err(StoreError::Timeout { call: "commit" }))
+        })
+    }
+
     /// Grants a lease that ends after `ttl` unless it is renewed; whole seconds, at least one.
     fn grant(&self, ttl: Duration) -> StoreFuture<'_, LeaseId>;
 
