feat(entry): requests go through any entry that reaches the store

A client was told "unknown" or refused while another entry could have stored its job: only the owner relayed, and only submissions. CallPlan decides after each call whether to call the store, ask another entry, refuse or answer "unknown"; submissions, cancellations and state queries share it. Entries publish their addresses under the prefix of the ownership keys, so the checks of the ownership return them without a further call.

- The first success of any call of the process ends the relaying; a lost answer does not start it if another call was answered meanwhile.
- A copy of a submission that was sent within the last minute is not refused if its job is stored or may be.
- Requests are answered by their timeout, and before a stopping entry closes; it closes connections after an answer while it drains.
- A cancellation of which nothing was written is refused (503) instead of unknown (504).

--- a/crates/parsleytally-entry/src/main.rs
+++ b/crates/parsleytally-entry/src/main.rs
@@ -112,6 +112,7 @@
     stop.await;
     log::info!("entry draining");
     site.drain();
+    client_api.close_connections();
     tokio::time::sleep(config.grace).await;
     clients.stop_accepting();
     drain(|| client_api.in_flight(), config.drain).await;
--- a/crates/parsleytally-entry/src/site/election.rs
+++ b/crates/parsleytally-entry/src/site/election.rs
@@ -19,6 +19,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
+use super::entries::EntryRegistry;
 use super::keys;
 
 /// Time for which a draining entry leaves a vacant ownership to other candidates.
@@ -104,6 +105,8 @@
     /// Owner with far fewer processors than this process, by the revision of its epoch key,
     /// and when this process first found it.
     weak_owner: Option<(Revision, Instant)>,
+    /// Takes the entries' addresses from the same read.
+    pub(super) entries: Option<EntryRegistry>,
     /// Whether this process drains and leaves a free ownership to other candidates first.
     pub(crate) yielding: bool,
 }
@@ -128,6 +131,7 @@
             ended: None,
             vacant_since: None,
             weak_owner: None,
+            entries: None,
             yielding: false,
         }
     }
@@ -146,6 +150,9 @@
     pub(crate) async fn check(&mut self) -> Result<(OwnerView, BootTime), StoreError> {
         let sent = BootTime::now();
         let ownership = self.store.range(keys::OWNERSHIP).await?;
+        if let Some(entries) = &mut self.entries {
+            entries.update(&ownership);
+        }
         let owner = ownership.item(keys::EPOCH).and_then(|item| {
             let owner = Owner::decode(&item.value).map_err(|error| {
                 log::error!(key = keys::EPOCH, error:% = error; "owner record is invalid");
--- a/crates/parsleytally-entry/src/site/job_service.rs
+++ b/crates/parsleytally-entry/src/site/job_service.rs
@@ -1,32 +1,32 @@
 //! Job operations for clients: submits and cancels jobs, and answers queries on their state.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
 use parsleytally::jobs::{
-    JobId, JobProgress, JobRecord, JobReply, JobRequest, JobSpec, JobState, QueueName, QueueTable,
-    SubmitOutcome,
+    CallContext, CallFailure, CallPlan, EarlierCopy, JobId, JobReply, JobRequest, JobSpec,
+    JobState, NextCall, QueueName, QueueTable, SentJobs, SentOutcome,
 };
 use parsleytally_platform::jobs::{CancelAnswer, JobAnswer, JobFuture, JobService, SubmitAnswer};
-use parsleytally_platform::store::{Commit, Compare, Item, Outcome, Store, StoreError, Write};
+use parsleytally_platform::process::Clock;
+use parsleytally_platform::store::Store;
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep, timeout_at};
 
-use super::keys;
-use super::peer::{OwnerClient, RemoteReply};
+use super::job_call::{JobCall, JobCallResult};
+use super::peer::OwnerClient;
+use super::relays::{Asked, Relays};
+use super::store_health::StoreHealth;
 
 /// Time reserved for the answer to reach the client before its deadline.
 const ANSWER_MARGIN: Duration = Duration::from_millis(150);
-/// Pause before a failed store call is repeated.
+/// Pause before a call to the store is repeated.
 const RETRY_PAUSE: Duration = Duration::from_millis(60);
-/// Longest time for which a commit that the store has not received is repeated.
-const MAX_COMMIT_RETRY: Duration = Duration::from_millis(400);
-/// Commits with an unknown outcome after which the client's answer is "unknown".
-const MAX_UNKNOWN_COMMITS: u32 = 2;
-/// Time after which a refused client should retry.
+/// Time after which a refused client should retry. Most disturbances of the store's path end
+/// within seconds, and `Retry-After` has whole seconds.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
-/// Longest time to store a job for another entry.
+/// Longest time to carry out a call for another entry.
 const RELAY_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// Longest wait for the owner's answer.
 const OWNER_TIMEOUT: Duration = Duration::from_millis(500);
@@ -36,208 +36,224 @@
     pub(super) store: Arc<dyn Store>,
     pub(super) queues: watch::Receiver<Option<Arc<QueueTable>>>,
     pub(super) owner: Arc<OwnerClient>,
+    pub(super) relays: Relays,
     pub(super) draining: Arc<AtomicBool>,
     /// Whether an ownership check was answered within `STORE_TIMEOUT`.
     pub(super) store_reachable: Arc<AtomicBool>,
-    /// Whether the store answered the last ownership check or commit of this entry.
-    pub(super) store_answers: Arc<AtomicBool>,
+    pub(super) health: Arc<StoreHealth>,
+    pub(super) sent: Arc<SentLog>,
+    /// Time by which all requests must be answered, since the process ends then.
+    pub(super) answer_by: OnceLock<Instant>,
 }
 
-/// Why a commit failed.
-enum CommitFailure {
-    /// The change is not stored and will not be.
-    Refused,
-    /// The change may be stored.
-    Unknown,
+/// The submissions that this entry has sent to the store or to another entry.
+pub(super) struct SentLog {
+    clock: Clock,
+    jobs: Mutex<SentJobs>,
 }
 
-impl EntryJobService {
-    /// Commits a change, repeating failed calls within the time limits; the commit must be
-    /// idempotent.
-    async fn commit(&self, commit: &Commit, deadline: Instant) -> Result<Outcome, CommitFailure> {
-        let deadline = deadline - ANSWER_MARGIN;
-        let began = Instant::now();
-        let mut unknown = 0;
-        loop {
-            let call = self.store.commit(commit.clone());
-            let outcome = tokio::time::timeout_at(deadline, call).await;
-            let error = match outcome {
-                Ok(Ok(outcome)) => {
-                    self.store_answers.store(true, Ordering::Relaxed);
-                    return Ok(outcome);
-                }
-                Ok(Err(error)) => error,
-                Err(_) => StoreError::Timeout { call: "commit" },
-            };
-            self.store_answers.store(false, Ordering::Relaxed);
-            log::warn!(error:% = error; "storing a change failed");
-            if error.is_unknown() {
-                unknown += 1;
-            }
-            let late = Instant::now() + RETRY_PAUSE >= deadline;
-            if unknown > 0 && (unknown >= MAX_UNKNOWN_COMMITS || late) {
-                return Err(CommitFailure::Unknown);
-            }
-            if unknown == 0 && (late || began.elapsed() >= MAX_COMMIT_RETRY) {
-                return Err(CommitFailure::Refused);
-            }
-            sleep(RETRY_PAUSE).await;
+impl SentLog {
+    pub(super) fn new() -> Self {
+        Self {
+            clock: Clock::start(),
+            jobs: Mutex::default(),
         }
     }
 
-    async fn submit_job(&self, id: JobId, spec: JobSpec, deadline: Instant) -> SubmitAnswer {
-        if !self.store_answers.load(Ordering::Relaxed) {
-            return self.submit_through_owner(id, spec, deadline).await;
+    fn begin(self: &Arc<Self>, id: JobId) -> SentGuard {
+        self.jobs().begin(self.clock.now(), id);
+        SentGuard {
+            log: self.clone(),
+            id,
+            outcome: SentOutcome::Unknown,
         }
-        self.store_job(id, spec, deadline).await
     }
 
-    /// Requests the owner to store the job, because the store does not answer this entry.
-    ///
-    /// If the request is not sent, the job is certainly not stored and is refused.
-    async fn submit_through_owner(
+    fn earlier_copy(&self, id: JobId, own: bool) -> EarlierCopy {
+        self.jobs().earlier_copy(self.clock.now(), id, own)
+    }
+
+    fn jobs(&self) -> MutexGuard<'_, SentJobs> {
+        self.jobs.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A submission that was sent. Its outcome is unknown if the request is dropped, which it is
+/// when the client disconnects.
+struct SentGuard {
+    log: Arc<SentLog>,
+    id: JobId,
+    outcome: SentOutcome,
+}
+
+impl Drop for SentGuard {
+    fn drop(&mut self) {
+        self.log.jobs().end(self.id, self.outcome);
+    }
+}
+
+impl EntryJobService {
+    /// Latest time for the answer to a client with this deadline.
+    fn answer_time(&self, deadline: Instant) -> Instant {
+        let answer_by = self.answer_by.get().copied();
+        let deadline = answer_by.map_or(deadline, |by| by.min(deadline));
+        deadline.checked_sub(ANSWER_MARGIN).unwrap_or(deadline)
+    }
+
+    /// Carries out a call by the store or, if `relay` is set, through other entries.
+    async fn carry_out(
         &self,
-        id: JobId,
-        spec: JobSpec,
+        call: &JobCall,
         deadline: Instant,
-    ) -> SubmitAnswer {
-        let request = JobRequest::Submit(id, spec);
-        let reply = self.owner.request_remote(request, deadline - ANSWER_MARGIN);
-        match reply.await {
-            RemoteReply::Answered(JobReply::Submitted(SubmitOutcome::Yes)) => {
-                SubmitAnswer::Accepted
+        relay: bool,
+    ) -> Result<JobCallResult, CallFailure> {
+        let mut plan = if relay {
+            call.plan()
+        } else {
+            CallPlan::default()
+        };
+        let mut asked = Asked::new();
+        let mut sent: Option<SentGuard> = None;
+        let result = loop {
+            let target = if relay {
+                self.relays.next(&asked)
+            } else {
+                None
+            };
+            let context = CallContext {
+                left: deadline.saturating_duration_since(Instant::now()),
+                store_answers: self.health.answers(),
+                relay_available: target.is_some(),
+            };
+            let next = plan.next(&context);
+            let is_call = matches!(next, NextCall::Store | NextCall::Relay);
+            if is_call && sent.is_none() && matches!(call, JobCall::Submit(..)) {
+                sent = Some(self.sent.begin(call.job()));
             }
-            RemoteReply::Answered(JobReply::Submitted(SubmitOutcome::No) | JobReply::NotOwner)
-            | RemoteReply::NotSent => SubmitAnswer::Refused {
-                retry_after: RETRY_AFTER,
-            },
-            RemoteReply::Answered(_) | RemoteReply::Unanswered => SubmitAnswer::Unknown,
+            let failure = match (next, target) {
+                (NextCall::Store, _) => {
+                    if plan.has_called_store() {
+                        sleep(RETRY_PAUSE).await;
+                    }
+                    match call.call_store(self.store.as_ref(), deadline).await {
+                        Ok(result) => break Ok(result),
+                        Err(failure) => plan.store_failed(failure),
+                    }
+                    continue;
+                }
+                (NextCall::Relay, Some(target)) => {
+                    asked.insert(target.address());
+                    let reply = self.relays.request(&target, call.request(), deadline);
+                    match call.result(reply.await) {
+                        Ok(result) => break Ok(result),
+                        Err(failure) => {
+                            self.relays.skip(&target);
+                            failure
+                        }
+                    }
+                }
+                (NextCall::Unknown, _) => break Err(CallFailure::Unknown),
+                (NextCall::Refuse | NextCall::Relay, _) => break Err(CallFailure::NoEffect),
+            };
+            plan.relay_failed(failure);
+        };
+        if let Some(sent) = &mut sent {
+            sent.outcome = match result {
+                Ok(_) => SentOutcome::Stored,
+                Err(CallFailure::NoEffect) => SentOutcome::NotStored,
+                Err(CallFailure::Unknown) => SentOutcome::Unknown,
+            };
         }
+        let result = self.with_earlier_copy(call, result, sent.is_some());
+        if let Err(failure) = result {
+            self.log_failure(call, failure, asked.len(), deadline);
+        }
+        result
     }
 
-    /// Stores a job for another entry.
-    pub(super) async fn store_for(&self, id: JobId, spec: JobSpec) -> SubmitOutcome {
-        if !self.store_answers.load(Ordering::Relaxed) {
-            return SubmitOutcome::No;
+    fn log_failure(&self, call: &JobCall, failure: CallFailure, asked: usize, deadline: Instant) {
+        let left = deadline.saturating_duration_since(Instant::now());
+        let left_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+        let (job, call, store_answers) = (call.job(), call.name(), self.health.answers());
+        match failure {
+            CallFailure::NoEffect => log::warn!(job:% = job, call, store_answers,
+                entries_asked = asked, left_ms; "call had no effect"),
+            CallFailure::Unknown => log::warn!(job:% = job, call, store_answers,
+                entries_asked = asked, left_ms; "outcome of a call is unknown"),
+        }
+    }
+
+    /// Replaces a refusal by what an earlier copy of the same submission says.
+    fn with_earlier_copy(
+        &self,
+        call: &JobCall,
+        result: Result<JobCallResult, CallFailure>,
+        own: bool,
+    ) -> Result<JobCallResult, CallFailure> {
+        if !matches!(call, JobCall::Submit(..)) || result.is_ok() {
+            return result;
         }
-        match self
-            .store_job(id, spec, Instant::now() + RELAY_TIMEOUT)
-            .await
-        {
-            SubmitAnswer::Accepted => SubmitOutcome::Yes,
-            SubmitAnswer::Refused { .. } => SubmitOutcome::No,
-            SubmitAnswer::Unknown => SubmitOutcome::Unknown,
+        match self.sent.earlier_copy(call.job(), own) {
+            EarlierCopy::None => result,
+            EarlierCopy::Stored => Ok(JobCallResult::Submitted),
+            EarlierCopy::MaybeStored => Err(CallFailure::Unknown),
         }
     }
 
-    async fn store_job(&self, id: JobId, spec: JobSpec, deadline: Instant) -> SubmitAnswer {
-        let record = JobRecord {
-            spec,
-            cancelled: false,
-        };
-        let key = keys::job(id);
-        let commit = Commit {
-            compares: vec![Compare::Absent { key: key.clone() }],
-            writes: vec![Write::Put {
-                key,
-                value: record.encode(),
-                lease: None,
-            }],
-        };
-        match self.commit(&commit, deadline).await {
-            // A stored job with this ID is an earlier copy of the same submission.
-            Ok(Outcome::Committed(_) | Outcome::Conflict(_)) => SubmitAnswer::Accepted,
-            Err(CommitFailure::Refused) => SubmitAnswer::Refused {
+    /// Carries out a call for another entry.
+    pub(super) async fn relay(&self, call: JobCall) -> JobReply {
+        let deadline = Instant::now() + RELAY_TIMEOUT;
+        let result = self.carry_out(&call, deadline, false).await;
+        call.reply(result)
+    }
+
+    async fn submit_job(&self, id: JobId, spec: JobSpec, deadline: Instant) -> SubmitAnswer {
+        let call = JobCall::Submit(id, spec);
+        match self.carry_out(&call, deadline, true).await {
+            Ok(_) => SubmitAnswer::Accepted,
+            Err(CallFailure::NoEffect) => SubmitAnswer::Refused {
                 retry_after: RETRY_AFTER,
             },
-            Err(CommitFailure::Unknown) => SubmitAnswer::Unknown,
+            Err(CallFailure::Unknown) => SubmitAnswer::Unknown,
         }
     }
 
     async fn cancel_job(&self, id: JobId, deadline: Instant) -> CancelAnswer {
-        loop {
-            let item = match self.read(&keys::job(id), deadline).await {
-                Ok(Some(item)) => item,
-                Ok(None) => return CancelAnswer::NoJob,
-                Err(_) => return CancelAnswer::Unknown,
-            };
-            let mut record = match JobRecord::decode(&item.value) {
-                Ok(record) => record,
-                Err(error) => {
-                    log::error!(job:% = id, error:% = error; "job record is invalid");
-                    return CancelAnswer::Unknown;
-                }
-            };
-            if record.cancelled {
-                return CancelAnswer::Accepted;
-            }
-            record.cancelled = true;
-            let commit = Commit {
-                compares: vec![Compare::Unchanged {
-                    key: item.key.clone(),
-                    revision: item.revision,
-                }],
-                writes: vec![Write::Put {
-                    key: item.key,
-                    value: record.encode(),
-                    lease: None,
-                }],
-            };
-            match self.commit(&commit, deadline).await {
-                Ok(Outcome::Committed(_)) => return CancelAnswer::Accepted,
-                // Another copy of this cancellation, or a delayed write of its own, was stored
-                // first: read the record again.
-                Ok(Outcome::Conflict(_)) => {}
-                Err(_) => return CancelAnswer::Unknown,
-            }
-        }
-    }
-
-    async fn read(&self, key: &str, deadline: Instant) -> Result<Option<Item>, StoreError> {
-        let deadline = deadline - ANSWER_MARGIN;
-        loop {
-            let read = tokio::time::timeout_at(deadline, self.store.range(key)).await;
-            match read {
-                Ok(Ok(found)) => return Ok(found.item(key).cloned()),
-                Ok(Err(error)) if Instant::now() + RETRY_PAUSE >= deadline => return Err(error),
-                Ok(Err(_)) => sleep(RETRY_PAUSE).await,
-                Err(_) => return Err(StoreError::Timeout { call: "range" }),
-            }
+        match self.carry_out(&JobCall::Cancel(id), deadline, true).await {
+            Ok(JobCallResult::Absent) => CancelAnswer::NoJob,
+            Ok(_) => CancelAnswer::Accepted,
+            Err(CallFailure::NoEffect) => CancelAnswer::Refused {
+                retry_after: RETRY_AFTER,
+            },
+            Err(CallFailure::Unknown) => CancelAnswer::Unknown,
         }
     }
 
-    async fn request_owner(&self, request: JobRequest) -> Option<JobReply> {
-        let reply = timeout(OWNER_TIMEOUT, self.owner.request(request)).await;
+    /// Requests a reply of the owner; half of the time until `deadline` is left for other ways.
+    async fn request_owner(&self, request: JobRequest, deadline: Instant) -> Option<JobReply> {
+        let now = Instant::now();
+        let left = deadline.saturating_duration_since(now);
+        let until = now + OWNER_TIMEOUT.min(left / 2);
+        let reply = timeout_at(until, self.owner.request(request)).await;
         reply.ok().flatten()
     }
 
     async fn job_state(&self, id: JobId, deadline: Instant) -> JobAnswer<JobState> {
-        if let Some(JobReply::State(Some(state))) = self.request_owner(JobRequest::State(id)).await
-        {
+        let request = JobRequest::State(id);
+        if let Some(JobReply::State(Some(state))) = self.request_owner(request, deadline).await {
             return JobAnswer::Known(state);
         }
         // The owner is unreachable or has not read the job yet: use the store's records.
-        let record = match self.read(&keys::job(id), deadline).await {
-            Ok(Some(item)) => JobRecord::decode(&item.value),
-            Ok(None) => return JobAnswer::Absent,
-            Err(_) => return JobAnswer::Unknown,
-        };
-        let Ok(record) = record else {
-            return JobAnswer::Unknown;
-        };
-        let progress = match self.read(&keys::progress(id), deadline).await {
-            Ok(item) => item.and_then(|item| JobProgress::decode(&item.value).ok()),
-            Err(_) => return JobAnswer::Unknown,
-        };
-        let state = progress.map_or(JobState::Queued, |progress| progress.state);
-        if record.cancelled && !state.is_final() {
-            return JobAnswer::Known(JobState::Cancelled);
+        match self.carry_out(&JobCall::Read(id), deadline, true).await {
+            Ok(JobCallResult::State(state)) => JobAnswer::Known(state),
+            Ok(_) => JobAnswer::Absent,
+            Err(_) => JobAnswer::Unknown,
         }
-        JobAnswer::Known(state)
     }
 
-    async fn pending_jobs(&self, queue: &QueueName) -> JobAnswer<u64> {
-        match self.request_owner(JobRequest::Pending(queue.clone())).await {
+    async fn pending_jobs(&self, queue: &QueueName, deadline: Instant) -> JobAnswer<u64> {
+        let request = JobRequest::Pending(queue.clone());
+        match self.request_owner(request, deadline).await {
             Some(JobReply::Pending(pending)) => JobAnswer::Known(pending),
             _ => JobAnswer::Unknown,
         }
@@ -252,8 +268,8 @@
     fn submit(&self, id: JobId, spec: JobSpec, deadline: Instant) -> JobFuture<'_, SubmitAnswer> {
         Box::pin(async move {
             let queue = spec.queue.name.clone();
-            let store_answers = self.store_answers.load(Ordering::Relaxed);
-            let submitted = self.submit_job(id, spec, deadline).await;
+            let store_answers = self.health.answers();
+            let submitted = self.submit_job(id, spec, self.answer_time(deadline)).await;
             log::info!(job:% = id, queue:% = queue, store_answers, outcome:? = submitted;
                 "job submitted");
             submitted
@@ -262,18 +278,22 @@
 
     fn cancel(&self, id: JobId, deadline: Instant) -> JobFuture<'_, CancelAnswer> {
         Box::pin(async move {
-            let cancelled = self.cancel_job(id, deadline).await;
+            let cancelled = self.cancel_job(id, self.answer_time(deadline)).await;
             log::info!(job:% = id, outcome:? = cancelled; "job cancelled");
             cancelled
         })
     }
 
     fn state(&self, id: JobId, deadline: Instant) -> JobFuture<'_, JobAnswer<JobState>> {
-        Box::pin(self.job_state(id, deadline))
+        Box::pin(self.job_state(id, self.answer_time(deadline)))
     }
 
-    fn pending<'a>(&'a self, queue: &'a QueueName, _: Instant) -> JobFuture<'a, JobAnswer<u64>> {
-        Box::pin(self.pending_jobs(queue))
+    fn pending<'a>(
+        &'a self,
+        queue: &'a QueueName,
+        deadline: Instant,
+    ) -> JobFuture<'a, JobAnswer<u64>> {
+        Box::pin(self.pending_jobs(queue, self.answer_time(deadline)))
     }
 
     fn is_ready(&self) -> bool {
--- a/crates/parsleytally-entry/src/site/keys.rs
+++ b/crates/parsleytally-entry/src/site/keys.rs
@@ -5,12 +5,15 @@
 
 /// Prefix of the keys that the owner watches: the ownership, agents and jobs.
 pub(crate) const FLEET: &str = "/parsleytally/fleet/";
-/// Prefix of the two ownership keys.
+/// Prefix of the two ownership keys and of the entries' addresses.
 pub(crate) const OWNERSHIP: &str = "/parsleytally/fleet/lead-";
 /// Key of the owner's record; written only when an entry becomes the owner.
 pub(crate) const EPOCH: &str = "/parsleytally/fleet/lead-epoch";
 /// Key that exists only while the owner's lease is renewed.
 pub(crate) const ALIVE: &str = "/parsleytally/fleet/lead-alive";
+/// Prefix of the keys of the entries' addresses; has the prefix [`OWNERSHIP`], so that one
+/// read returns both.
+pub(crate) const ENTRIES: &str = "/parsleytally/fleet/lead-entry-";
 /// Prefix of the keys of job records.
 pub(crate) const JOBS: &str = "/parsleytally/fleet/jobs/";
 /// Prefix of the keys of progress records of jobs.
@@ -45,3 +48,13 @@
 pub(crate) fn parse_agent(key: &str) -> Option<NodeName> {
     NodeName::new(key.strip_prefix(AGENTS)?).ok()
 }
+
+/// Key of an entry's address.
+pub(crate) fn entry(node: &NodeName) -> String {
+    format!("{ENTRIES}{node}")
+}
+
+/// Name of the entry in an address key; `None` if the key holds no valid one.
+pub(crate) fn parse_entry(key: &str) -> Option<NodeName> {
+    NodeName::new(key.strip_prefix(ENTRIES)?).ok()
+}
--- a/crates/parsleytally-entry/src/site/metrics.rs
+++ b/crates/parsleytally-entry/src/site/metrics.rs
@@ -6,6 +6,8 @@
 use parsleytally_platform::process::metrics::MetricSet;
 use prometheus::{IntCounterVec, IntGauge};
 
+use super::peer::RemoteReply;
+
 /// Value of the epoch gauge while this entry is not the owner.
 const NOT_OWNER: i64 = -1;
 
@@ -97,6 +99,38 @@
     }
 }
 
+/// Metrics of requests while the store does not answer; clones share their values.
+#[derive(Debug, Clone)]
+pub(super) struct RelayMetrics {
+    relays: IntCounterVec,
+    pub(super) store_answers: IntGauge,
+}
+
+impl RelayMetrics {
+    pub(super) fn new(set: &MetricSet) -> prometheus::Result<Self> {
+        Ok(Self {
+            relays: set.counters(
+                "parsleytally_jobs_relays_total",
+                "Requests to other entries while the store does not answer, by outcome.",
+                "outcome",
+            )?,
+            store_answers: set.gauge(
+                "parsleytally_jobs_store_answers",
+                "Whether the store answered the last call of this entry.",
+            )?,
+        })
+    }
+
+    pub(super) fn count_request(&self, reply: &RemoteReply) {
+        let outcome = match reply {
+            RemoteReply::Answered(_) => "answered",
+            RemoteReply::NotSent => "not-sent",
+            RemoteReply::Unanswered => "unanswered",
+        };
+        self.relays.with_label_values(&[outcome]).inc();
+    }
+}
+
 fn reason_label(reason: EndReason) -> &'static str {
     match reason {
         EndReason::Done => "done",
--- a/crates/parsleytally-entry/src/site/mod.rs
+++ b/crates/parsleytally-entry/src/site/mod.rs
@@ -5,8 +5,8 @@
 //! connected by bounded channels, instead of one thread each.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use parsleytally::types::Revision;
@@ -19,14 +19,16 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 use tokio_util::sync::CancellationToken;
 
 mod agents;
 mod config;
 mod confirmation;
 mod election;
+mod entries;
 mod follow;
+mod job_call;
 mod job_service;
 mod keys;
 mod known_agents;
@@ -35,17 +37,22 @@
 mod owner_log;
 mod peer;
 mod queues;
+mod relays;
 mod saver;
+mod store_health;
 mod stored_state;
 
 pub use config::SiteConfig;
 
 use election::{Candidate, Owner, OwnerView};
-use job_service::EntryJobService;
-use metrics::OwnerMetrics;
+use entries::EntryRegistry;
+use job_service::{EntryJobService, SentLog};
+use metrics::{OwnerMetrics, RelayMetrics};
 use owner::{OwnerContext, Ownership};
 use peer::{OwnerClient, OwnerLocation, serve_peers};
 use queues::QueueFollower;
+use relays::Relays;
+use store_health::{ObservedStore, StoreHealth};
 
 /// Time without an answer from the store after which an entry is not ready.
 const STORE_TIMEOUT: Duration = Duration::from_secs(2);
@@ -78,6 +85,8 @@
 pub struct Site {
     job_service: Arc<EntryJobService>,
     draining: Arc<AtomicBool>,
+    /// Time from the start of draining until open requests are dropped.
+    time_to_close: Duration,
     /// Cancelled when the entry drains: hands the ownership over to another entry.
     hand_over_requested: CancellationToken,
     /// Cancelled when the entry closes: ends the ownership and the election.
@@ -100,6 +109,9 @@
         set: &MetricSet,
     ) -> Result<Self, StartError> {
         let metrics = OwnerMetrics::new(set).context(MetricsSnafu)?;
+        let relay_metrics = RelayMetrics::new(set).context(MetricsSnafu)?;
+        let health = Arc::new(StoreHealth::new(relay_metrics.store_answers.clone()));
+        let store: Arc<dyn Store> = Arc::new(ObservedStore::new(store, health.clone()));
         let address = config.base.links;
         let listener = TcpListener::bind(address).await;
         let listener = listener.context(BindSnafu { address })?;
@@ -107,7 +119,7 @@
         let (queues, queues_receiver) = watch::channel(None);
         let (location, owner_location) = watch::channel(OwnerLocation::Unknown);
         let store_reachable = Arc::new(AtomicBool::new(false));
-        let store_answers = Arc::new(AtomicBool::new(true));
+        let registry = EntryRegistry::new(store.clone(), hello.node.clone(), config.base.links);
         let draining = Arc::new(AtomicBool::new(false));
         let resign = CancellationToken::new();
         let hand_over_requested = CancellationToken::new();
@@ -116,9 +128,18 @@
             store: store.clone(),
             queues: queues_receiver.clone(),
             owner: owner_client.clone(),
+            relays: Relays::new(
+                owner_client.clone(),
+                registry.addresses.clone(),
+                hello.clone(),
+                config.link.clone(),
+                relay_metrics,
+            ),
             draining: draining.clone(),
             store_reachable: store_reachable.clone(),
-            store_answers: store_answers.clone(),
+            health: health.clone(),
+            sent: Arc::new(SentLog::new()),
+            answer_by: OnceLock::new(),
         });
         let mut tasks = JoinSet::new();
         let follower = QueueFollower {
@@ -136,15 +157,17 @@
             owner_location,
             job_service.clone(),
         ));
+        let mut candidate = Candidate::new(
+            store.clone(),
+            hello.node.clone(),
+            config.base.links,
+            hello.incarnation.0,
+            config.cpu,
+            config.base.jobs.owner_ttl,
+        );
+        candidate.entries = Some(registry);
         let election = ElectionActor {
-            candidate: Candidate::new(
-                store.clone(),
-                hello.node.clone(),
-                config.base.links,
-                hello.incarnation.0,
-                config.cpu,
-                config.base.jobs.owner_ttl,
-            ),
+            candidate,
             context: OwnerContext {
                 hello,
                 link: config.link.clone(),
@@ -155,7 +178,7 @@
             },
             location,
             store_reachable,
-            store_answers,
+            health,
             ownership: None,
             last_view: None,
             last_answer: BootTime::now(),
@@ -164,6 +187,7 @@
         Ok(Self {
             job_service,
             draining,
+            time_to_close: config.grace + config.drain,
             hand_over_requested,
             resign,
             election,
@@ -179,6 +203,9 @@
     /// Reports "not ready" to the load balancer and hands the ownership over.
     pub fn drain(&self) {
         self.draining.store(true, Ordering::Relaxed);
+        let close = Instant::now() + self.time_to_close;
+        // Draining a second time does not move the end.
+        let _ = self.job_service.answer_by.set(close);
         self.hand_over_requested.cancel();
     }
 
@@ -220,8 +247,7 @@
     context: OwnerContext,
     location: watch::Sender<OwnerLocation>,
     store_reachable: Arc<AtomicBool>,
-    /// Whether the store answered the last ownership check or commit for a client.
-    store_answers: Arc<AtomicBool>,
+    health: Arc<StoreHealth>,
     ownership: Option<Ownership>,
     /// Result of the last answered check.
     last_view: Option<OwnerView>,
@@ -237,8 +263,7 @@
             }
             let checked = resign.run_until_cancelled(self.check()).await;
             if checked.is_some() {
-                let store_answers = self.store_answers.load(Ordering::Relaxed);
-                let pause = sleep(if store_answers {
+                let pause = sleep(if self.health.answers() {
                     self.context.jobs.owner_renew
                 } else {
                     CHECK_RETRY_PAUSE
@@ -266,12 +291,10 @@
             Ok((view, sent)) => {
                 self.last_answer = sent;
                 self.store_reachable.store(true, Ordering::Relaxed);
-                self.store_answers.store(true, Ordering::Relaxed);
                 self.apply(view, sent).await;
             }
             Err(error) => {
                 log::warn!(error:% = error; "checking the ownership failed");
-                self.store_answers.store(false, Ordering::Relaxed);
                 self.end_if_replaced().await;
                 let fresh = self.last_answer.elapsed() < STORE_TIMEOUT;
                 self.store_reachable.store(fresh, Ordering::Relaxed);
--- a/crates/parsleytally-entry/src/site/peer.rs
+++ b/crates/parsleytally-entry/src/site/peer.rs
@@ -5,13 +5,14 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use parsleytally::jobs::{JobId, JobReply, JobRequest, JobSpec};
+use parsleytally::jobs::{JobReply, JobRequest};
 use parsleytally::types::RequestId;
 use parsleytally_link::{Frame, Hello, Incoming, Link, LinkConfig, accept, dial};
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep, timeout_at};
 
+use super::job_call::JobCall;
 use super::job_service::EntryJobService;
 use super::owner::OwnerInput;
 
@@ -73,6 +74,19 @@
         (reply != JobReply::NotOwner).then_some(reply)
     }
 
+    /// Address of the owner if it is another entry to which a link is open.
+    pub(super) fn linked_address(&self) -> Option<SocketAddr> {
+        let OwnerLocation::Remote(address) = *self.location.borrow() else {
+            return None;
+        };
+        let connection = self.connection();
+        let is_open = connection
+            .link
+            .as_ref()
+            .is_some_and(|link| !link.is_closed());
+        is_open.then_some(address)
+    }
+
     /// Sends a request to the owner on another entry and reports whether it was sent.
     pub(super) async fn request_remote(
         &self,
@@ -191,11 +205,14 @@
             log::warn!("unexpected frame type from another entry");
             continue;
         };
-        if let JobRequest::Submit(job, spec) = request {
-            // Runs in its own task so that a slow store does not delay other requests.
-            tokio::spawn(store_for(link.clone(), id, job_service.clone(), job, spec));
-            continue;
-        }
+        let request = match JobCall::from_request(request) {
+            Ok(call) => {
+                // Runs in its own task so that a slow store does not delay other requests.
+                tokio::spawn(answer_relayed(link.clone(), id, job_service.clone(), call));
+                continue;
+            }
+            Err(request) => request,
+        };
         let owner = location.borrow().clone();
         let reply = match owner {
             OwnerLocation::Local(owner) => request_local(&owner, request).await,
@@ -208,18 +225,16 @@
     }
 }
 
-/// Stores a job for another entry and replies with the outcome.
-async fn store_for(
+/// Calls the store for another entry and replies with the outcome.
+async fn answer_relayed(
     link: Link,
     id: RequestId,
     job_service: Arc<EntryJobService>,
-    job: JobId,
-    spec: JobSpec,
+    call: JobCall,
 ) {
-    let stored = job_service.store_for(job, spec).await;
-    log::info!(job:% = job, entry:% = link.peer().node, outcome:? = stored; "job relayed");
+    let job = call.job();
+    let reply = job_service.relay(call).await;
+    log::info!(job:% = job, entry:% = link.peer().node, outcome:? = reply; "job relayed");
     // If the link is closed, the other entry treats the outcome as unknown.
-    let _ = link
-        .deliver(Frame::JobReply(id, JobReply::Submitted(stored)))
-        .await;
+    let _ = link.deliver(Frame::JobReply(id, reply)).await;
 }
--- a/crates/parsleytally-entry/src/site/tests/mod.rs
+++ b/crates/parsleytally-entry/src/site/tests/mod.rs
@@ -4,10 +4,11 @@
 mod election;
 mod known_agents;
 mod owner;
+mod refusals;
 
 use std::collections::BTreeSet;
-use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use parsleytally::jobs::{
@@ -31,10 +32,13 @@
 use super::agents::{AgentId, AgentLink};
 use super::config::{SiteConfig, parse_processors};
 use super::confirmation::LastConfirmation;
-use super::job_service::EntryJobService;
-use super::metrics::OwnerMetrics;
+use super::entries::EntryAddresses;
+use super::job_service::{EntryJobService, SentLog};
+use super::metrics::{OwnerMetrics, RelayMetrics};
 use super::owner::OwnerInput;
-use super::peer::{OwnerClient, OwnerLocation};
+use super::peer::{OwnerClient, OwnerLocation, RemoteReply};
+use super::relays::Relays;
+use super::store_health::{ObservedStore, StoreHealth};
 
 #[test]
 fn processors_of_an_entry_are_parsed() {
@@ -141,15 +145,36 @@
 }
 
 fn job_service_on(store: Arc<dyn Store>) -> EntryJobService {
+    job_service_with(store, "entry", EntryAddresses::default(), &metric_set())
+}
+
+fn metric_set() -> MetricSet {
+    MetricSet::of_process().expect("names are free")
+}
+
+/// Job service of entry `name` that knows no owner and these other entries.
+fn job_service_with(
+    store: Arc<dyn Store>,
+    name: &str,
+    entries: EntryAddresses,
+    set: &MetricSet,
+) -> EntryJobService {
     let (_, queues) = watch::channel(None);
     let (_, location) = watch::channel(OwnerLocation::Unknown);
+    let metrics = RelayMetrics::new(set).expect("names are free");
+    let health = Arc::new(StoreHealth::new(metrics.store_answers.clone()));
+    let owner = OwnerClient::new(location);
+    let hello = hello(Role::Entry, name);
     EntryJobService {
-        store,
+        store: Arc::new(ObservedStore::new(store, health.clone())),
         queues,
-        owner: OwnerClient::new(location),
+        owner: owner.clone(),
+        relays: Relays::new(owner, entries, hello, link_config(), metrics),
         draining: Arc::new(AtomicBool::new(false)),
         store_reachable: Arc::new(AtomicBool::new(true)),
-        store_answers: Arc::new(AtomicBool::new(true)),
+        health,
+        sent: Arc::new(SentLog::new()),
+        answer_by: OnceLock::new(),
     }
 }
 
@@ -321,8 +346,10 @@
     let owner = OwnerMetrics::new(&set).expect("names are free");
     let store = MeasuredStore::new(Arc::new(MemoryStore::new()), set.registry());
     let store: Arc<dyn Store> = Arc::new(store.expect("names are free"));
-    let jobs =
-        MeasuredDesk::new(Arc::new(job_service_on(store)), set.registry()).expect("names are free");
+    let jobs = job_service_with(store, "entry", EntryAddresses::default(), &set);
+    let relays = RelayMetrics::clone(jobs.relays.metrics());
+    relays.count_request(&RemoteReply::NotSent);
+    let jobs = MeasuredDesk::new(Arc::new(jobs), set.registry()).expect("names are free");
     let host =
         MeasuredHost::new(Arc::new(UnansweringWorker), set.registry()).expect("names are free");
     // Metrics with labels are exported only once they have a value.
--- a/crates/parsleytally-platform/src/jobs.rs
+++ b/crates/parsleytally-platform/src/jobs.rs
@@ -65,6 +65,11 @@
     Accepted,
     /// No such job exists.
     NoJob,
+    /// The cancellation is not stored and will not be.
+    Refused {
+        /// Time after which the client should retry.
+        retry_after: Duration,
+    },
     /// The cancellation may be stored.
     Unknown,
 }
--- a/crates/parsleytally-platform/src/measured/desk.rs
+++ b/crates/parsleytally-platform/src/measured/desk.rs
@@ -61,6 +61,7 @@
             let outcome = match cancelled {
                 CancelAnswer::Accepted => "accepted",
                 CancelAnswer::NoJob => "absent",
+                CancelAnswer::Refused { .. } => "refused",
                 CancelAnswer::Unknown => "unknown",
             };
             self.note("cancel", outcome, began);
--- a/crates/parsleytally/src/jobs/messages.rs
+++ b/crates/parsleytally/src/jobs/messages.rs
@@ -223,7 +223,7 @@
     },
 }
 
-/// Request of an entry to the owner of the jobs.
+/// Request of an entry to the owner of the jobs, or to any other entry where it says so.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum JobRequest {
     /// State of a job.
@@ -232,6 +232,10 @@
     Pending(QueueName),
     /// Store this job on behalf of an entry that can't reach the store.
     Submit(JobId, JobSpec),
+    /// Cancel this job on behalf of an entry that can't reach the store.
+    Cancel(JobId),
+    /// Read this job on behalf of an entry that can't reach the store.
+    Read(JobId),
 }
 
 /// Result of [`JobRequest::Submit`].
@@ -245,6 +249,30 @@
     Unknown,
 }
 
+/// Result of [`JobRequest::Cancel`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum CancelOutcome {
+    /// The store has the cancellation.
+    Yes,
+    /// The store has no such job.
+    NoJob,
+    /// The store does not have the cancellation and will not receive it.
+    No,
+    /// The store may have the cancellation.
+    Unknown,
+}
+
+/// Result of [`JobRequest::Read`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum StoredJob {
+    /// The store has the job, in this state.
+    State(JobState),
+    /// The store has no such job.
+    Absent,
+    /// The store did not answer, or its record is invalid.
+    Unknown,
+}
+
 /// Answer to a [`JobRequest`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum JobReply {
@@ -256,6 +284,10 @@
     Submitted(SubmitOutcome),
     /// The receiver of the request is not the owner.
     NotOwner,
+    /// Result of a cancellation.
+    Cancelled(CancelOutcome),
+    /// Result of a read.
+    Stored(StoredJob),
 }
 
 /// Input of the scheduler.
--- a/crates/parsleytally/src/jobs/mod.rs
+++ b/crates/parsleytally/src/jobs/mod.rs
@@ -13,6 +13,7 @@
 //! Each agent runs a [`JobAgent`], which carries out the orders on its worker.
 
 mod agent;
+mod call_plan;
 mod contention;
 mod durations;
 mod fleet;
@@ -22,6 +23,7 @@
 mod progress;
 mod queues;
 mod scheduler;
+mod sent_jobs;
 mod spec;
 mod urgency;
 
@@ -29,16 +31,19 @@
     AgentInput, AgentOutput, AgentTimes, CallError, JobAgent, Listing, OwnerLink, PollCall,
     StartCall, StopCall, ThrottleCall,
 };
+pub use call_plan::{CallContext, CallFailure, CallPlan, NextCall};
 pub use contention::ContentionRecord;
 pub use fleet::{WorkerIncarnation, WorkerReport, WorkerState};
 pub use job::JobState;
 pub use messages::{
-    AgentMessage, EndEvidence, EndReason, EndedRun, Input, JobReply, JobRequest, ListingOutcome,
-    OrderMessage, Output, RefusalReason, RunRef, RunStatus, StartOrder, SubmitOutcome,
+    AgentMessage, CancelOutcome, EndEvidence, EndReason, EndedRun, Input, JobReply, JobRequest,
+    ListingOutcome, OrderMessage, Output, RefusalReason, RunRef, RunStatus, StartOrder, StoredJob,
+    SubmitOutcome,
 };
 pub use progress::{JobProgress, StepProgress, TaskProgress};
 pub use queues::{QueueName, QueuePolicy, QueueTable};
 pub use scheduler::{Scheduler, SchedulerOptions};
+pub use sent_jobs::{EarlierCopy, SentJobs, SentOutcome};
 pub use spec::{InvalidJobId, JobId, JobRecord, JobSpec, RecordError, Repeat, StepSpec, TaskId};
 
 #[cfg(test)]
--- a/crates/parsleytally/src/jobs/scheduler/mod.rs
+++ b/crates/parsleytally/src/jobs/scheduler/mod.rs
@@ -149,8 +149,10 @@
         match question {
             JobRequest::State(id) => JobReply::State(self.state(*id)),
             JobRequest::Pending(queue) => JobReply::Pending(self.pending(queue)),
-            // Entries store jobs, the scheduler does not.
+            // Entries read and write the store, the scheduler does not.
             JobRequest::Submit(..) => JobReply::Submitted(super::SubmitOutcome::No),
+            JobRequest::Cancel(_) => JobReply::Cancelled(super::CancelOutcome::No),
+            JobRequest::Read(_) => JobReply::Stored(super::StoredJob::Unknown),
         }
     }
 
--- a/crates/parsleytally/src/jobs/tests/mod.rs
+++ b/crates/parsleytally/src/jobs/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of jobs: single decisions, and a simulation of the platform with faults.
 
 mod agent;
+mod call_plan;
 mod contention;
 mod durations;
 mod foreign_reports;
