feat(jobs): workers compared with their peers, and waits for a preferred rack

Workers that are slower, fail more, start later or flap than their peers get less work; on probation one run at a time. Tasks wait for room in their preferred rack while that costs less than running elsewhere. Both are off by default: [workers] health and rack-wait.

--- a/crates/parsleytally-entry/src/site/config.rs
+++ b/crates/parsleytally-entry/src/site/config.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use parsleytally::configs::{ConfigError, Document, SiteBase};
+use parsleytally::configs::{ConfigError, Document, SiteBase, WorkersConfig};
 use parsleytally::types::MilliCpu;
 use parsleytally_link::LinkConfig;
 
@@ -33,6 +33,8 @@
     /// Processors that this process may use, such as 0.5: `[site] processors`. An entry with
     /// more of them is preferred as the owner of the jobs.
     pub cpu: MilliCpu,
+    /// Handling of uneven workers: section `[workers]` and `[site] remote-factor`.
+    pub workers: WorkersConfig,
     /// Key and timeouts of links: section `[link]`.
     pub link: LinkConfig,
 }
@@ -46,6 +48,7 @@
     pub fn parse(text: &[u8]) -> Result<Self, ConfigError> {
         let mut document = Document::parse(text)?;
         let mut site = document.take("site");
+        let mut workers = document.take("workers");
         let config = Self {
             base: SiteBase::take(&mut document, &mut site)?,
             clients: site.require("clients")?,
@@ -53,8 +56,10 @@
             grace: site.take_with("grace", DEFAULT_GRACE, humantime::parse_duration)?,
             drain: site.take_with("drain", DEFAULT_DRAIN, humantime::parse_duration)?,
             cpu: site.take_with("processors", MilliCpu(1_000), parse_processors)?,
+            workers: WorkersConfig::take(&mut workers, &mut site)?,
             link: LinkConfig::take(document.take("link"))?,
         };
+        workers.finish()?;
         site.finish()?;
         document.finish()?;
         Ok(config)
--- a/crates/parsleytally-entry/src/site/metrics.rs
+++ b/crates/parsleytally-entry/src/site/metrics.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use parsleytally::jobs::{AgentMessage, EndReason, OrderMessage, Scheduler};
+use parsleytally::jobs::{
+    AgentMessage, EndReason, OrderMessage, Scheduler, WorkerStanding, WorkersDecision,
+};
 use parsleytally_platform::process::metrics::MetricSet;
 use prometheus::{IntCounterVec, IntGauge};
 
@@ -14,6 +16,10 @@
 pub(super) struct OwnerMetrics {
     orders: IntCounterVec,
     ended_runs: IntCounterVec,
+    worker_decisions: IntCounterVec,
+    degraded: IntGauge,
+    flapping: IntGauge,
+    probation: IntGauge,
     epoch: IntGauge,
     agents: IntGauge,
     open_jobs: IntGauge,
@@ -35,6 +41,23 @@
                 "Ended runs, by end reason.",
                 "how",
             )?,
+            worker_decisions: set.counters(
+                "parsleytally_jobs_worker_decisions_total",
+                "Decisions about uneven workers, by kind.",
+                "decision",
+            )?,
+            degraded: set.gauge(
+                "parsleytally_jobs_degraded_workers",
+                "Workers that are slower, fail more or start later than their peers.",
+            )?,
+            flapping: set.gauge(
+                "parsleytally_jobs_flapping_workers",
+                "Workers that restart or stop answering often.",
+            )?,
+            probation: set.gauge(
+                "parsleytally_jobs_probation_workers",
+                "Workers that get one run at a time.",
+            )?,
             epoch: set.gauge(
                 "parsleytally_jobs_epoch",
                 "Epoch of this entry's ownership; -1 while this entry is not the owner.",
@@ -60,7 +83,14 @@
 
     pub(super) fn ended(&self) {
         self.epoch.set(NOT_OWNER);
-        let gauges = [&self.agents, &self.open_jobs, &self.waiting_tasks];
+        let gauges = [
+            &self.agents,
+            &self.open_jobs,
+            &self.waiting_tasks,
+            &self.degraded,
+            &self.flapping,
+            &self.probation,
+        ];
         for gauge in gauges {
             gauge.set(0);
         }
@@ -71,6 +101,10 @@
         self.agents.set(gauge(agents));
         self.open_jobs.set(gauge(scheduler.open_jobs()));
         self.waiting_tasks.set(gauge(scheduler.waiting_tasks()));
+        let standings = scheduler.standings();
+        self.degraded.set(gauge(standings.degraded));
+        self.flapping.set(gauge(standings.flapping));
+        self.probation.set(gauge(standings.probation));
         let age = i64::try_from(confirmation_age.as_millis()).unwrap_or(i64::MAX);
         self.confirmation_age.set(age);
     }
@@ -85,6 +119,17 @@
         self.orders.with_label_values(&[order]).inc();
     }
 
+    pub(super) fn count_decision(&self, decision: &WorkersDecision) {
+        let (label, count) = match decision {
+            WorkersDecision::Standing { standing, .. } => (standing_label(*standing), 1),
+            WorkersDecision::RackWait(evidence) => ("rack_wait", evidence.tasks),
+            WorkersDecision::RackGivenUp(evidence) => ("rack_given_up", evidence.tasks),
+        };
+        self.worker_decisions
+            .with_label_values(&[label])
+            .inc_by(count as u64);
+    }
+
     pub(super) fn count_ended_runs(&self, message: &AgentMessage) {
         let AgentMessage::Ended { ended, .. } = message else {
             return;
@@ -97,6 +142,15 @@
     }
 }
 
+fn standing_label(standing: WorkerStanding) -> &'static str {
+    match standing {
+        WorkerStanding::Probation => "probation",
+        WorkerStanding::Flapping => "flapping",
+        WorkerStanding::Degraded => "degraded",
+        WorkerStanding::Sound => "sound",
+    }
+}
+
 fn reason_label(reason: EndReason) -> &'static str {
     match reason {
         EndReason::Done => "done",
--- a/crates/parsleytally-entry/src/site/mod.rs
+++ b/crates/parsleytally-entry/src/site/mod.rs
@@ -149,6 +149,7 @@
                 hello,
                 link: config.link.clone(),
                 jobs: config.base.jobs.clone(),
+                workers: config.workers,
                 store,
                 queues: queues_receiver,
                 metrics,
--- a/crates/parsleytally-entry/src/site/owner.rs
+++ b/crates/parsleytally-entry/src/site/owner.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use parsleytally::configs::JobsConfig;
+use parsleytally::configs::{JobsConfig, WorkersConfig};
 use parsleytally::jobs::{
     AgentMessage, ContentionRecord, Input, JobId, JobProgress, JobRecord, JobReply, JobRequest,
     OrderMessage, Output, QueueTable, Scheduler, SchedulerOptions,
@@ -25,7 +25,9 @@
 use super::keys;
 use super::known_agents::{Dial, KnownAgents, delete_address};
 use super::metrics::OwnerMetrics;
-use super::owner_log::{log_dropped, log_order, log_reconciled, log_undelivered};
+use super::owner_log::{
+    log_dropped, log_order, log_reconciled, log_undelivered, log_workers_decision,
+};
 use super::saver::{ProgressRecord, Saver, revisions};
 use super::stored_state::StoredState;
 
@@ -59,6 +61,7 @@
     pub(crate) hello: Hello,
     pub(crate) link: LinkConfig,
     pub(crate) jobs: JobsConfig,
+    pub(crate) workers: WorkersConfig,
     pub(crate) store: Arc<dyn Store>,
     pub(crate) queues: watch::Receiver<Option<Arc<QueueTable>>>,
     pub(crate) metrics: OwnerMetrics,
@@ -86,7 +89,7 @@
         let confirmation = LastConfirmation::at(confirmed);
         let actor = OwnerActor {
             clock: Clock::start(),
-            scheduler: Scheduler::new(scheduler_options(&context.jobs, &owner, since)),
+            scheduler: Scheduler::new(scheduler_options(&context, &owner, since)),
             context,
             owner,
             since,
@@ -127,13 +130,15 @@
     }
 }
 
-fn scheduler_options(config: &JobsConfig, owner: &Owner, since: Revision) -> SchedulerOptions {
+fn scheduler_options(context: &OwnerContext, owner: &Owner, since: Revision) -> SchedulerOptions {
+    let config = &context.jobs;
     SchedulerOptions {
         epoch: owner.epoch.0,
         start_revision: since,
         agent_hold: with_drift(config.agent_hold),
         owner_hold: with_drift(config.owner_hold),
         ended_retention: config.keep_ended,
+        workers: context.workers,
     }
 }
 
@@ -477,6 +482,10 @@
                     evidence,
                 } => log_dropped(&node, runs, evidence),
                 Output::Reconciled(node, outcome) => log_reconciled(&node, &outcome),
+                Output::Workers(decision) => {
+                    log_workers_decision(&decision);
+                    self.context.metrics.count_decision(&decision);
+                }
                 Output::Save {
                     job,
                     version,
--- a/crates/parsleytally-entry/src/site/owner_log.rs
+++ b/crates/parsleytally-entry/src/site/owner_log.rs
@@ -1,6 +1,8 @@
 //! Log lines for the owner's decisions.
 
-use parsleytally::jobs::{EndEvidence, ListingOutcome, OrderMessage};
+use parsleytally::jobs::{
+    EndEvidence, HealthEvidence, ListingOutcome, OrderMessage, RackEvidence, WorkersDecision,
+};
 use parsleytally::types::NodeName;
 
 pub(super) fn log_dropped(node: &NodeName, runs: usize, evidence: EndEvidence) {
@@ -38,3 +40,42 @@
         _ => {}
     }
 }
+
+pub(super) fn log_workers_decision(decision: &WorkersDecision) {
+    match decision {
+        WorkersDecision::Standing {
+            node,
+            standing,
+            evidence,
+        } => {
+            let HealthEvidence {
+                slowness_percent,
+                failure_percent,
+                start_delay_ms,
+                outages,
+                age_ms,
+            } = evidence;
+            log::warn!(agent:% = node, standing:? = standing, slowness_percent:? = slowness_percent,
+                failure_percent:? = failure_percent, start_delay_ms:? = start_delay_ms, outages,
+                age_ms; "standing of a worker changed");
+        }
+        WorkersDecision::RackWait(evidence) => {
+            log_rack(evidence, "waiting for the preferred rack");
+        }
+        WorkersDecision::RackGivenUp(evidence) => {
+            log_rack(evidence, "starting outside the preferred rack");
+        }
+    }
+}
+
+fn log_rack(evidence: &RackEvidence, message: &str) {
+    let RackEvidence {
+        task,
+        tasks,
+        rack,
+        waited_ms,
+        forecast_ms,
+        allowed_ms,
+    } = evidence;
+    log::info!(task:% = task, tasks, rack:% = rack, waited_ms, forecast_ms, allowed_ms; "{message}");
+}
--- a/crates/parsleytally-entry/src/site/tests/mod.rs
+++ b/crates/parsleytally-entry/src/site/tests/mod.rs
@@ -10,10 +10,11 @@
 use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
+use parsleytally::configs::WorkersConfig;
 use parsleytally::jobs::{
-    AgentMessage, CallError, EndReason, EndedRun, JobId, JobSpec, JobState, Listing, OrderMessage,
-    PollCall, QueueName, QueuePolicy, RunRef, StartCall, StepSpec, StopCall, TaskId, ThrottleCall,
-    WorkerIncarnation,
+    AgentMessage, CallError, EndReason, EndedRun, HealthEvidence, JobId, JobSpec, JobState,
+    Listing, OrderMessage, PollCall, QueueName, QueuePolicy, RunRef, StartCall, StepSpec, StopCall,
+    TaskId, ThrottleCall, WorkerIncarnation, WorkerStanding, WorkersDecision,
 };
 use parsleytally::types::{Epoch, Incarnation, MilliCpu, NodeName, ZoneName};
 use parsleytally_link::{Frame, Hello, Keys, LinkConfig, Role, accept};
@@ -292,6 +293,38 @@
     assert!(error.to_string().contains("read"), "{error}");
 }
 
+/// Guards against parts that take effect in deployments whose settings don't name them.
+#[test]
+fn each_part_for_uneven_workers_is_enabled_alone() {
+    let text = "[site]\nname = e\nzone = a\nclients = 127.0.0.1:1\nready = 127.0.0.1:2\n\
+                links = 127.0.0.1:3\nstore = 127.0.0.1:4\nremote-factor = 1.5\n";
+    let link = "[link]\nkey = 706172736c657974616c6c79706172736c657974616c6c79706172736c657974\n";
+    let parse = |workers: &str| SiteConfig::parse(format!("{text}{workers}{link}").as_bytes());
+    let off = WorkersConfig {
+        remote_percent: 150,
+        ..WorkersConfig::default()
+    };
+    assert_eq!(parse("").expect("valid").workers, off);
+    let health = WorkersConfig {
+        health: true,
+        ..off
+    };
+    let parsed = parse("[workers]\nhealth = true\n").expect("valid");
+    assert_eq!(parsed.workers, health);
+    let rack_wait = WorkersConfig {
+        rack_wait: true,
+        ..off
+    };
+    let parsed = parse("[workers]\nrack-wait = true\n").expect("valid");
+    assert_eq!(parsed.workers, rack_wait);
+    for invalid in ["[workers]\nhealth = 2\n", "[workers]\nhealthy = true\n"] {
+        assert!(parse(invalid).is_err(), "{invalid}");
+    }
+    let error = SiteConfig::parse(text.replace("1.5", "0.5").as_bytes());
+    let error = error.expect_err("a factor below 1").to_string();
+    assert!(error.contains("expected 1 to 100"), "{error}");
+}
+
 const METRICS_PAGE: &str = include_str!("../../../../../docs/operators/jobs-metrics.md");
 
 /// A worker that never answers.
@@ -349,6 +382,11 @@
         },
         ended: vec![ended_run],
     });
+    owner.count_decision(&WorkersDecision::Standing {
+        node: NodeName::new("worker").expect("a valid name"),
+        standing: WorkerStanding::Degraded,
+        evidence: HealthEvidence::default(),
+    });
     jobs.state(JobId(1), Instant::now() + Duration::from_secs(1))
         .await;
     let stop = StopCall {
--- a/crates/parsleytally-entry/src/site/tests/owner.rs
+++ b/crates/parsleytally-entry/src/site/tests/owner.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use parsleytally::configs::JobsConfig;
+use parsleytally::configs::{JobsConfig, WorkersConfig};
 use parsleytally::types::{Epoch, MilliCpu, NodeName, Revision};
 use parsleytally_link::Role;
 use parsleytally_platform::process::BootTime;
@@ -24,6 +24,7 @@
         hello: hello(Role::Entry, "owner"),
         link: link_config(),
         jobs: JobsConfig::default(),
+        workers: WorkersConfig::default(),
         store,
         queues,
         metrics: OwnerMetrics::new(&set).expect("names are free"),
--- a/crates/parsleytally/examples/owner_cost/fleet.rs
+++ b/crates/parsleytally/examples/owner_cost/fleet.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use parsleytally::configs::WorkersConfig;
 use parsleytally::jobs::{
     AgentMessage, EndReason, EndedRun, Input, OrderMessage, Output, RunRef, RunStatus, Scheduler,
     SchedulerOptions, StartOrder, WorkerIncarnation, WorkerReport, WorkerState,
@@ -66,6 +67,7 @@
             agent_hold: Duration::from_secs(5),
             owner_hold: Duration::from_secs(8),
             ended_retention: Duration::from_secs(240),
+            workers: WorkersConfig::default(),
         };
         let mut fleet = Self {
             scheduler: Scheduler::new(options),
@@ -138,7 +140,8 @@
                 Output::Forget(_)
                 | Output::SaveLearned(_)
                 | Output::RunsDropped { .. }
-                | Output::Reconciled(..) => {}
+                | Output::Reconciled(..)
+                | Output::Workers(_) => {}
             }
         }
         starts
--- a/crates/parsleytally/src/configs/mod.rs
+++ b/crates/parsleytally/src/configs/mod.rs
@@ -24,6 +24,7 @@
 mod service;
 mod store;
 mod token;
+mod workers;
 
 pub use batch::BatchConfig;
 pub use deployment::{DeploymentConfig, ReactionConfig};
@@ -43,6 +44,7 @@
 pub use service::ServiceConfig;
 pub use store::StoreConfig;
 pub use token::{TokenConfig, TokenHash};
+pub use workers::WorkersConfig;
 
 /// Largest accepted settings text, in bytes.
 pub const MAX_CONFIG_BYTES: usize = 64 * 1024;
--- /dev/null
+++ b/crates/parsleytally/src/jobs/decisions.rs
@@ -0,0 +1,70 @@
+//! Decisions about uneven workers, for logs and metrics.
+
+use std::sync::Arc;
+
+use super::TaskId;
+use crate::types::NodeName;
+
+/// How a worker compares with its peers.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum WorkerStanding {
+    /// It gets one run at a time until one succeeds.
+    Probation,
+    /// It restarts or stops answering often, and gets no task that would lose much work.
+    Flapping,
+    /// It is slower, fails more often or starts later than its peers; others go first.
+    Degraded,
+    /// Like its peers, or not known.
+    #[default]
+    Sound,
+}
+
+/// On what the standing of a worker is based; values are absent without enough samples.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct HealthEvidence {
+    /// Run times relative to its peers, in percent.
+    pub slowness_percent: Option<u32>,
+    /// Share of its runs that failed, in percent.
+    pub failure_percent: Option<u32>,
+    /// Time from the order of a run to its first measurement, in milliseconds.
+    pub start_delay_ms: Option<u64>,
+    /// Outages within the last minute.
+    pub outages: usize,
+    /// Age of the newest sample, in milliseconds.
+    pub age_ms: u64,
+}
+
+/// Why tasks of a step wait for their preferred rack, or start elsewhere.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RackEvidence {
+    /// First of the tasks.
+    pub task: TaskId,
+    /// Number of the tasks.
+    pub tasks: usize,
+    /// The preferred rack.
+    pub rack: Arc<str>,
+    /// Time that the last task has waited, in milliseconds.
+    pub waited_ms: u64,
+    /// Forecast of its further wait, in milliseconds.
+    pub forecast_ms: u64,
+    /// Wait that costs as much as running elsewhere, in milliseconds.
+    pub allowed_ms: u64,
+}
+
+/// A decision about uneven workers.
+#[derive(Debug, Clone, PartialEq)]
+pub enum WorkersDecision {
+    /// The standing of a worker has changed.
+    Standing {
+        /// The worker's agent.
+        node: NodeName,
+        /// Its new standing.
+        standing: WorkerStanding,
+        /// On what it is based.
+        evidence: HealthEvidence,
+    },
+    /// Tasks wait for room in their preferred rack.
+    RackWait(RackEvidence),
+    /// Tasks start outside their preferred rack, as waiting would cost more.
+    RackGivenUp(RackEvidence),
+}
--- a/crates/parsleytally/src/jobs/fleet.rs
+++ b/crates/parsleytally/src/jobs/fleet.rs
@@ -6,6 +6,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::measured::RunTimeline;
+use super::worker_health::WorkerHealth;
 use super::{JobId, RunRef};
 use crate::types::{Resources, Time, ZoneName};
 
@@ -70,6 +72,7 @@
     pub(super) progress_percent: u32,
     /// Time worked so far; `None` if the start of its work is not known.
     pub(super) work_time: Option<WorkTime>,
+    pub(super) timeline: RunTimeline,
 }
 
 /// Time that a run has worked, scaled to full speed.
@@ -108,6 +111,7 @@
             work_time.total += now.since(work_time.updated).mul_f64(speed);
             work_time.updated = now;
         }
+        self.timeline.restart_window(now);
         self.cpu_share = Some(percent);
     }
 
@@ -179,6 +183,11 @@
         );
     }
 
+    /// Whether it was quarantined since its last success.
+    pub(super) fn was_quarantined(&self) -> bool {
+        self.quarantines > 0
+    }
+
     /// Whether a run failed there and none has succeeded since.
     pub(super) fn is_suspect(&self) -> bool {
         !self.failed_jobs.is_empty()
@@ -210,6 +219,8 @@
     /// Highest number of an ended run that was processed.
     pub(super) last_ended: u64,
     pub(super) failures: Failures,
+    /// What is learned of it relative to its peers; outlives an incarnation.
+    pub(super) health: WorkerHealth,
 }
 
 impl Worker {
--- a/crates/parsleytally/src/jobs/job.rs
+++ b/crates/parsleytally/src/jobs/job.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::fleet::{FULL_CPU_SHARE, Load};
+use super::measured::RunTimeline;
 use super::progress::{StepProgress, TaskProgress};
 use super::{JobId, JobProgress, JobSpec, QueuePolicy, StepSpec, TaskId};
 use crate::types::{NodeName, Revision, Time};
@@ -61,6 +62,8 @@
     pub(super) runs: Vec<LiveRun>,
     /// Worker of the last failed run.
     pub(super) failed_on: Option<NodeName>,
+    /// Since when it waits for room in its preferred rack.
+    pub(super) waiting_since: Option<Time>,
 }
 
 impl Task {
@@ -334,6 +337,7 @@
             cores: step.need.cpu.0 as f64 / MILLI,
             progress_percent: 0,
             work_time: None,
+            timeline: RunTimeline::default(),
         })
     }
 }
--- /dev/null
+++ b/crates/parsleytally/src/jobs/measured.rs
@@ -0,0 +1,66 @@
+//! Progress of a run as its measurements show it.
+
+use std::time::Duration;
+
+use crate::types::Time;
+
+/// Longest time between two measurements that count as connected: the interval of
+/// measurements is 1 s, and one of them may be lost.
+const MAX_GAP: Duration = Duration::from_millis(2_500);
+
+/// Progress that the measurements of a run have shown.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct MeasuredProgress {
+    /// Time of the last measurement.
+    pub(super) at: Time,
+    pub(super) percent: u32,
+    /// Start of the connected measurements that show no more than `percent`.
+    pub(super) unchanged_since: Time,
+    /// Number of those measurements.
+    pub(super) unchanged: u32,
+}
+
+/// Times of a run since this owner ordered or adopted it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(super) struct RunTimeline {
+    /// When this owner ordered the run; none if an earlier owner did.
+    pub(super) ordered: Option<Time>,
+    /// None before its first measurement.
+    pub(super) progress: Option<MeasuredProgress>,
+}
+
+impl RunTimeline {
+    pub(super) fn ordered_at(now: Time) -> Self {
+        Self {
+            ordered: Some(now),
+            progress: None,
+        }
+    }
+
+    /// Adds a measurement; returns the time since the order for the first one.
+    pub(super) fn measure(&mut self, now: Time, percent: u32) -> Option<Duration> {
+        let first = self.progress.is_none();
+        let progress = self.progress.get_or_insert(MeasuredProgress {
+            at: now,
+            percent,
+            unchanged_since: now,
+            unchanged: 0,
+        });
+        if percent != progress.percent || now.since(progress.at) > MAX_GAP {
+            progress.percent = percent;
+            progress.unchanged_since = now;
+            progress.unchanged = 0;
+        }
+        progress.at = now;
+        progress.unchanged += 1;
+        self.ordered.filter(|_| first).map(|at| now.since(at))
+    }
+
+    /// Starts counting time without progress anew, since the run got another CPU share.
+    pub(super) fn restart_window(&mut self, now: Time) {
+        if let Some(progress) = &mut self.progress {
+            progress.unchanged_since = now;
+            progress.unchanged = 0;
+        }
+    }
+}
--- a/crates/parsleytally/src/jobs/messages.rs
+++ b/crates/parsleytally/src/jobs/messages.rs
@@ -6,7 +6,7 @@
 
 use super::{
     ContentionRecord, JobId, JobProgress, JobRecord, JobSpec, JobState, QueueName, QueueTable,
-    TaskId, WorkerIncarnation, WorkerReport,
+    TaskId, WorkerIncarnation, WorkerReport, WorkersDecision,
 };
 use crate::types::{NodeName, Revision, Time};
 
@@ -316,6 +316,8 @@
     },
     /// An agent has listed the runs of its worker; only logged.
     Reconciled(NodeName, ListingOutcome),
+    /// A decision about uneven workers; only logged.
+    Workers(WorkersDecision),
     /// Save in the store what was learned about the contention between images.
     SaveLearned(ContentionRecord),
     /// Save a job's progress in the store.
--- a/crates/parsleytally/src/jobs/mod.rs
+++ b/crates/parsleytally/src/jobs/mod.rs
@@ -14,9 +14,12 @@
 
 mod agent;
 mod contention;
+mod decisions;
 mod durations;
 mod fleet;
 mod job;
+mod locality;
+mod measured;
 mod messages;
 mod place;
 mod progress;
@@ -24,12 +27,14 @@
 mod scheduler;
 mod spec;
 mod urgency;
+mod worker_health;
 
 pub use agent::{
     AgentInput, AgentOutput, AgentTimes, CallError, JobAgent, Listing, OwnerLink, PollCall,
     StartCall, StopCall, ThrottleCall,
 };
 pub use contention::ContentionRecord;
+pub use decisions::{HealthEvidence, RackEvidence, WorkerStanding, WorkersDecision};
 pub use fleet::{WorkerIncarnation, WorkerReport, WorkerState};
 pub use job::JobState;
 pub use messages::{
@@ -38,7 +43,7 @@
 };
 pub use progress::{JobProgress, StepProgress, TaskProgress};
 pub use queues::{QueueName, QueuePolicy, QueueTable};
-pub use scheduler::{Scheduler, SchedulerOptions};
+pub use scheduler::{Scheduler, SchedulerOptions, StandingCounts};
 pub use spec::{InvalidJobId, JobId, JobRecord, JobSpec, RecordError, Repeat, StepSpec, TaskId};
 
 #[cfg(test)]
--- a/crates/parsleytally/src/jobs/place.rs
+++ b/crates/parsleytally/src/jobs/place.rs
@@ -9,7 +9,7 @@
 use super::contention::{Contention, LoadEffects};
 use super::fleet::{Load, Worker};
 use super::job::StepRun;
-use super::{QueuePolicy, StepSpec};
+use super::{QueuePolicy, StepSpec, WorkerStanding};
 use crate::types::{NodeName, Time};
 
 /// Number of steps to which a used share of headroom is rounded, so that small differences
@@ -27,6 +27,8 @@
     pub(super) effects: Option<&'a LoadEffects>,
     /// Worker on which the task last failed.
     pub(super) failed_on: Option<&'a NodeName>,
+    /// Whether much work would be lost with a run of the task.
+    pub(super) costly: bool,
     /// Rack on which the other tasks of the step run, if all must share one.
     pub(super) shared_rack: Option<&'a str>,
 }
@@ -40,6 +42,8 @@
     untried: bool,
     /// Whether the worker is in the preferred rack.
     in_rack: bool,
+    /// Whether the worker compares well with its peers, see [`standing_score`].
+    standing: i8,
     /// For a best-effort task, the negated share of headroom in use with it; for a service
     /// task, see [`service_score`].
     headroom: i64,
@@ -139,6 +143,7 @@
 ) -> Option<Score> {
     let eligible = worker.accepts_tasks(now)
         && worker.fits(request.load)
+        && worker.health.admits(&worker.runs, request.costly)
         && may_run(worker, request)
         && below_limit(name, request.step, run);
     if !eligible {
@@ -199,7 +204,35 @@
         healthy: !worker.failures.is_suspect(),
         untried: request.failed_on != Some(name),
         in_rack: rack.is_none_or(|rack| worker.has_label(rack)),
+        standing: standing_score(worker, request.load),
         headroom,
-        idle_cpu: worker.idle_cpu(),
+        idle_cpu: worker.idle_cpu() - idle_cpu_penalty(worker, request.load),
     })
 }
+
+/// Part of the capacity of a degraded worker, as a divisor, by which it counts as fuller for
+/// best-effort tasks: it may be 1.25 times slower.
+const DEGRADED_DIVISOR: u64 = 4;
+
+/// Score of the standing of a worker. Best-effort tasks may request more processors than
+/// there are; for them, a degraded worker only counts as fuller.
+fn standing_score(worker: &Worker, load: &Load) -> i8 {
+    match worker.health.standing() {
+        WorkerStanding::Sound => 0,
+        WorkerStanding::Degraded if load.best_effort => 0,
+        WorkerStanding::Degraded | WorkerStanding::Flapping => -1,
+        WorkerStanding::Probation => -2,
+    }
+}
+
+/// Processors by which a degraded worker counts as fuller, in thousandths.
+fn idle_cpu_penalty(worker: &Worker, load: &Load) -> i64 {
+    if !load.best_effort || worker.health.standing() != WorkerStanding::Degraded {
+        return 0;
+    }
+    let capacity = worker
+        .report
+        .as_ref()
+        .map_or(0, |report| report.capacity.cpu.0);
+    (capacity / DEGRADED_DIVISOR).cast_signed()
+}
--- a/crates/parsleytally/src/jobs/scheduler/ended.rs
+++ b/crates/parsleytally/src/jobs/scheduler/ended.rs
@@ -187,9 +187,10 @@
         }
         worker.last_ended = ended_run.sequence;
         let load = self.release(node, ended_run.run);
-        self.record_duration(now, ended_run, load.as_ref());
         self.pass_due = true;
         self.record_health(now, node, ended_run);
+        self.learn_from_end(now, node, ended_run, load.as_ref());
+        self.record_duration(now, ended_run, load.as_ref());
         let saved_by = self.record_ended(node, ended_run, out);
         if let Some(worker) = self.workers.get_mut(node) {
             let number = ended_run.sequence;
--- a/crates/parsleytally/src/jobs/scheduler/mod.rs
+++ b/crates/parsleytally/src/jobs/scheduler/mod.rs
@@ -9,11 +9,13 @@
 use super::durations::Durations;
 use super::fleet::Worker;
 use super::job::{Job, StepRef};
+use super::worker_health::HealthReview;
 use super::{
     AgentMessage, EndEvidence, Input, JobId, JobProgress, JobRecord, JobReply, JobRequest,
     JobState, OrderMessage, Output, QueueName, QueueTable, RunRef, WorkerIncarnation, WorkerReport,
     WorkerState,
 };
+use crate::configs::WorkersConfig;
 use crate::types::{NodeName, Revision, Time};
 
 mod ended;
@@ -21,6 +23,9 @@
 pub(super) mod pass;
 mod start;
 mod throttle;
+mod uneven;
+
+pub use uneven::StandingCounts;
 
 /// Minimum time between two placement passes.
 const MIN_PASS_INTERVAL: Duration = Duration::from_millis(10);
@@ -42,6 +47,8 @@
     pub owner_hold: Duration,
     /// How long the state of an ended job can be queried.
     pub ended_retention: Duration,
+    /// Handling of uneven workers.
+    pub workers: WorkersConfig,
 }
 
 /// State of the jobs and workers, as a state machine without I/O.
@@ -62,6 +69,7 @@
     unreported: BTreeMap<NodeName, Time>,
     contention: Contention,
     durations: Durations,
+    health_review: HealthReview,
     /// When what was learned was last recorded.
     learned_saved: Time,
     /// Time of the last confirmation of the ownership by the store.
@@ -90,6 +98,7 @@
             unreported: BTreeMap::new(),
             contention: Contention::default(),
             durations: Durations::default(),
+            health_review: HealthReview::default(),
             learned_saved: Time::ZERO,
             confirmed: Time::ZERO,
             pass_due: false,
@@ -299,15 +308,16 @@
             AgentMessage::Measurements(gauges) => self.update_gauges(now, node, &gauges, out),
             // The owner's links handle these two.
             AgentMessage::Ping { .. } | AgentMessage::Superseded { .. } => return,
-            AgentMessage::Unresponsive(silent) => self.set_unresponsive(node, silent),
+            AgentMessage::Unresponsive(silent) => self.set_unresponsive(now, node, silent),
             AgentMessage::LeasesExpired => self.drop_runs(node, EndEvidence::AgentMessage, out),
         }
         self.changed_workers.insert(node.clone());
     }
 
-    fn set_unresponsive(&mut self, node: &NodeName, unresponsive: bool) {
+    fn set_unresponsive(&mut self, now: Time, node: &NodeName, unresponsive: bool) {
         if let Some(worker) = self.workers.get_mut(node) {
             worker.unresponsive = unresponsive;
+            worker.health.set_unresponsive(now, unresponsive);
         }
         self.pass_due = true;
     }
@@ -337,6 +347,10 @@
         let Some(worker) = self.workers.get_mut(node) else {
             return;
         };
+        let known = worker.incarnation();
+        if known.is_some_and(|known| *known != report.incarnation) {
+            worker.health.restarted(now);
+        }
         let was_draining = worker.is_draining();
         let state = report.state;
         worker.report = Some(report);
@@ -366,6 +380,7 @@
                 task.checkpoint.clone_from(&gauge.checkpoint);
             }
         }
+        self.note_progress(now, node, gauges);
         self.stop_unknown(node, gauges, out);
         self.throttle(now, node, gauges, out);
     }
@@ -433,6 +448,7 @@
         self.open_rounds(wall_ms);
         self.remove_ended(now);
         self.save_learned(now, out);
+        self.review_workers(now, out);
         // Quarantines and trials end, and objectives become unreachable as time passes.
         self.pass_due = true;
         self.full_pass_due = true;
--- a/crates/parsleytally/src/jobs/scheduler/pass.rs
+++ b/crates/parsleytally/src/jobs/scheduler/pass.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 
 use super::super::fleet::{Load, Worker};
+use super::super::locality::RackQueues;
 use crate::types::{NodeName, Resources, Time};
 
 /// One placement pass over all ready steps.
@@ -20,6 +21,8 @@
     unplaceable: Unplaceable,
     /// Loads that no changed worker can take.
     unplaceable_on_changed: Unplaceable,
+    /// Racks and the tasks that wait for them; none before the first of these tasks.
+    racks: Option<RackQueues>,
 }
 
 impl Pass {
@@ -30,6 +33,7 @@
             changed,
             unplaceable: Unplaceable::default(),
             unplaceable_on_changed: Unplaceable::default(),
+            racks: None,
         }
     }
 
@@ -47,6 +51,17 @@
         }
     }
 
+    /// Racks and the tasks that wait for them in this pass.
+    pub(super) fn racks(
+        &mut self,
+        workers: &BTreeMap<NodeName, Worker>,
+        remote_percent: u32,
+    ) -> &mut RackQueues {
+        let now = self.now;
+        self.racks
+            .get_or_insert_with(|| RackQueues::new(now, workers, remote_percent))
+    }
+
     /// Workers that a step has to consider.
     pub(in crate::jobs) fn workers<'a>(
         &'a self,
--- a/crates/parsleytally/src/jobs/scheduler/start.rs
+++ b/crates/parsleytally/src/jobs/scheduler/start.rs
@@ -3,10 +3,12 @@
 use super::super::contention::LoadEffects;
 use super::super::fleet::{Load, WorkTime};
 use super::super::job::{Job, LiveRun, StepRef, StepRun};
+use super::super::measured::RunTimeline;
 use super::super::place::{Candidates, PlacementRequest, choose_worker};
 use super::super::urgency::{Urgency, urgency};
 use super::super::{JobState, OrderMessage, Output, RunRef, StartOrder};
 use super::pass::Pass;
+use super::uneven::RackSummary;
 use super::{RUNS_PER_EPOCH, Scheduler};
 use crate::types::{NodeName, Time};
 
@@ -26,6 +28,19 @@
     load: Load,
     /// Effects of a best-effort load on services.
     effects: Option<LoadEffects>,
+    /// Whether much work would be lost with a run of a task.
+    costly: bool,
+}
+
+/// Result of placing the waiting tasks of a step.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Placement {
+    /// All have started.
+    All,
+    /// Some wait for their preferred rack, although others have room.
+    AwaitsRack,
+    /// No worker can take some of them.
+    NoRoom,
 }
 
 impl Scheduler {
@@ -80,14 +95,23 @@
         let spec = job.spec.clone();
         let spec = &spec.steps[at.step];
         let effects = load.best_effort.then(|| self.contention.effects(&load));
-        let step = ReadyStep { at, load, effects };
+        let costly = self.is_costly(at);
+        let step = ReadyStep {
+            at,
+            load,
+            effects,
+            costly,
+        };
         if spec.gang {
             self.place_gang(pass.now, &step, out);
             return;
         }
-        let placed_all = self.place_tasks(&step, pass, blocked, out);
-        self.set_blocked(at, !placed_all);
-        if !placed_all && spec.required_label.is_none() && spec.max_per_worker == 0 {
+        let placement = self.place_tasks(&step, pass, blocked, out);
+        self.set_blocked(at, placement != Placement::All);
+        // A worker that doesn't take costly tasks may take others.
+        let unrestricted =
+            spec.required_label.is_none() && spec.max_per_worker == 0 && !step.costly;
+        if placement == Placement::NoRoom && unrestricted {
             pass.add_unplaceable(&step.load, &pool, blocked);
         }
     }
@@ -98,15 +122,30 @@
         }
     }
 
-    /// Starts the waiting tasks of a step; returns whether there was a worker for each.
+    /// Starts the waiting tasks of a step.
     fn place_tasks(
         &mut self,
         step: &ReadyStep,
         pass: &mut Pass,
         blocked: bool,
         out: &mut Vec<Output>,
-    ) -> bool {
+    ) -> Placement {
+        let mut racks = RackSummary::default();
+        let placement = self.place_each(step, pass, blocked, &mut racks, out);
+        racks.emit(out);
+        placement
+    }
+
+    fn place_each(
+        &mut self,
+        step: &ReadyStep,
+        pass: &mut Pass,
+        blocked: bool,
+        racks: &mut RackSummary,
+        out: &mut Vec<Output>,
+    ) -> Placement {
         let now = pass.now;
+        let mut placement = Placement::All;
         let workers = pass.workers(&self.workers, blocked);
         let run = self.step_run(step.at);
         let mut candidates = Candidates::new(workers, &self.request(step, None), run, now);
@@ -121,9 +160,19 @@
                 let workers = pass.workers(&self.workers, blocked);
                 choose_worker(workers, &request, run, now).cloned()
             };
+            let waits = self.waits_for_rack(step.at, index, node.as_ref(), pass, racks);
             let Some(node) = node else {
-                return false;
+                placement = Placement::NoRoom;
+                if waits {
+                    continue;
+                }
+                break;
             };
+            if waits {
+                placement = Placement::AwaitsRack;
+                self.offer(step, &node, &mut candidates, now);
+                continue;
+            }
             let start = RunStart {
                 step: step.at,
                 index,
@@ -132,10 +181,15 @@
                 load: &step.load,
             };
             self.start_run(now, &start, out);
-            let (request, run) = (self.request(step, None), self.step_run(step.at));
-            candidates.offer(&node, &self.workers[&node], &request, run, now);
+            self.offer(step, &node, &mut candidates, now);
         }
-        true
+        placement
+    }
+
+    /// Makes the worker `node` a candidate again if it can take another task.
+    fn offer(&self, step: &ReadyStep, node: &NodeName, candidates: &mut Candidates, now: Time) {
+        let (request, run) = (self.request(step, None), self.step_run(step.at));
+        candidates.offer(node, &self.workers[node], &request, run, now);
     }
 
     /// Starts all members of a gang with the same run number, or none of them.
@@ -221,6 +275,7 @@
             load: &step.load,
             effects: step.effects.as_ref(),
             failed_on,
+            costly: step.costly,
             shared_rack: None,
         }
     }
@@ -263,6 +318,8 @@
         if from_scratch {
             load.work_time = Some(WorkTime::starting_at(now));
         }
+        load.timeline = RunTimeline::ordered_at(now);
+        worker.health.started(run);
         worker.reserve(run, &load);
         if load.shares_processors() {
             self.contention.update_headrooms(node, worker);
@@ -277,6 +334,7 @@
         }
         let task = &mut job.rounds[step.round].steps[step.step].tasks[index];
         task.last_run = run.run;
+        task.waiting_since = None;
         task.runs.push(LiveRun {
             node: node.clone(),
             run: run.run,
--- a/crates/parsleytally/src/jobs/scheduler/throttle.rs
+++ b/crates/parsleytally/src/jobs/scheduler/throttle.rs
@@ -2,7 +2,7 @@
 //! moves those that would make almost no progress.
 
 use super::super::fleet::Load;
-use super::super::job::MILLI;
+use super::super::job::{MILLI, StepRef};
 use super::super::place::{PlacementRequest, choose_worker};
 use super::super::{OrderMessage, Output, RunRef, RunStatus};
 use super::Scheduler;
@@ -102,6 +102,11 @@
         let (Some(round), Some(load)) = (round, job.load(run.task.step)) else {
             return false;
         };
+        let at = StepRef {
+            job: run.task.job,
+            round: run.task.round as usize,
+            step,
+        };
         let effects = self.contention.effects(&load);
         let request = PlacementRequest {
             contention: &self.contention,
@@ -110,6 +115,7 @@
             load: &load,
             effects: Some(&effects),
             failed_on: None,
+            costly: self.is_costly(at),
             shared_rack: None,
         };
         choose_worker(self.workers.iter(), &request, &round.steps[step], now)
--- a/crates/parsleytally/src/jobs/tests/contention.rs
+++ b/crates/parsleytally/src/jobs/tests/contention.rs
@@ -36,6 +36,7 @@
         cores: 1.8,
         progress_percent: 0,
         work_time: None,
+        ..Load::default()
     }
 }
 
--- a/crates/parsleytally/src/jobs/tests/mod.rs
+++ b/crates/parsleytally/src/jobs/tests/mod.rs
@@ -10,6 +10,7 @@
 mod scheduler;
 mod shutdown;
 mod throttle;
+mod uneven;
 mod worker;
 
 use std::sync::Arc;
--- a/crates/parsleytally/src/jobs/tests/model/owners.rs
+++ b/crates/parsleytally/src/jobs/tests/model/owners.rs
@@ -3,6 +3,7 @@
 use super::known::KnownRuns;
 use super::links::Link;
 use super::*;
+use crate::configs::WorkersConfig;
 
 pub(super) struct SimulatedOwner {
     pub(super) scheduler: Scheduler,
@@ -43,6 +44,7 @@
             agent_hold: AGENT_HOLD + AGENT_HOLD / 20,
             owner_hold: OWNER_HOLD + OWNER_HOLD / 20,
             ended_retention: Duration::from_secs(600),
+            workers: WorkersConfig::default(),
         };
         let owner = self.owners.len();
         self.owners.push(SimulatedOwner {
@@ -93,7 +95,10 @@
                     self.owners[owner].runs.clear(at);
                     self.forget(owner, at);
                 }
-                Output::SaveLearned(_) | Output::RunsDropped { .. } | Output::Reconciled(..) => {}
+                Output::SaveLearned(_)
+                | Output::RunsDropped { .. }
+                | Output::Reconciled(..)
+                | Output::Workers(_) => {}
                 Output::Save {
                     job,
                     version,
--- a/crates/parsleytally/src/jobs/tests/placement.rs
+++ b/crates/parsleytally/src/jobs/tests/placement.rs
@@ -107,6 +107,7 @@
             load,
             effects,
             failed_on: None,
+            costly: false,
             shared_rack: None,
         }
     }
--- a/crates/parsleytally/src/jobs/tests/scheduler.rs
+++ b/crates/parsleytally/src/jobs/tests/scheduler.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use super::*;
+use crate::configs::WorkersConfig;
 use crate::types::{Revision, Time};
 
 /// A scheduler whose ownership began at revision 10, with a manual clock.
@@ -14,6 +15,11 @@
 
 impl Bench {
     pub(super) fn new() -> Self {
+        Self::with_settings(WorkersConfig::default())
+    }
+
+    /// A scheduler with these settings for uneven workers.
+    pub(super) fn with_settings(workers: WorkersConfig) -> Self {
         let mut bench = Self {
             scheduler: Scheduler::new(SchedulerOptions {
                 epoch: 0,
@@ -21,6 +27,7 @@
                 agent_hold: Duration::from_secs(5),
                 owner_hold: Duration::from_secs(12),
                 ended_retention: Duration::from_secs(60),
+                workers,
             }),
             now: Time::from_secs(100),
             wall_ms: 0,
@@ -329,6 +336,7 @@
         agent_hold: Duration::from_secs(5),
         owner_hold: Duration::from_secs(12),
         ended_retention: Duration::from_secs(60),
+        workers: WorkersConfig::default(),
     });
     bench.submit(1, job(vec![step(4, &[])]), 9);
     bench.feed(Input::Linked(node(0)));
--- /dev/null
+++ b/crates/parsleytally/src/jobs/tests/uneven/mod.rs
@@ -0,0 +1,6 @@
+//! Tests of uneven workers and demand: many jobs on fleets with slow, failing, flapping and
+//! silent workers.
+
+mod fleet;
+mod health;
+mod locality;
