feat(jobs): copies of stragglers, and restarts of runs without progress

Stragglers of speculative steps get a copy on another worker, and runs whose measurements show no progress are stopped and started elsewhere, both within a budget. Both are off by default: [workers] speculation and stalls.

--- a/crates/parsleytally-entry/src/site/metrics.rs
+++ b/crates/parsleytally-entry/src/site/metrics.rs
@@ -20,6 +20,7 @@
     degraded: IntGauge,
     flapping: IntGauge,
     probation: IntGauge,
+    copies: IntGauge,
     epoch: IntGauge,
     agents: IntGauge,
     open_jobs: IntGauge,
@@ -58,6 +59,10 @@
                 "parsleytally_jobs_probation_workers",
                 "Workers that get one run at a time.",
             )?,
+            copies: set.gauge(
+                "parsleytally_jobs_copies",
+                "Runs beside another run of their task.",
+            )?,
             epoch: set.gauge(
                 "parsleytally_jobs_epoch",
                 "Epoch of this entry's ownership; -1 while this entry is not the owner.",
@@ -90,6 +95,7 @@
             &self.degraded,
             &self.flapping,
             &self.probation,
+            &self.copies,
         ];
         for gauge in gauges {
             gauge.set(0);
@@ -105,6 +111,7 @@
         self.degraded.set(gauge(standings.degraded));
         self.flapping.set(gauge(standings.flapping));
         self.probation.set(gauge(standings.probation));
+        self.copies.set(gauge(scheduler.copies()));
         let age = i64::try_from(confirmation_age.as_millis()).unwrap_or(i64::MAX);
         self.confirmation_age.set(age);
     }
@@ -124,6 +131,10 @@
             WorkersDecision::Standing { standing, .. } => (standing_label(*standing), 1),
             WorkersDecision::RackWait(evidence) => ("rack_wait", evidence.tasks),
             WorkersDecision::RackGivenUp(evidence) => ("rack_given_up", evidence.tasks),
+            WorkersDecision::Copy { .. } => ("copy", 1),
+            WorkersDecision::CopiesEnded { copy_won: true, .. } => ("copy_won", 1),
+            WorkersDecision::CopiesEnded { .. } => ("copy_lost", 1),
+            WorkersDecision::Stall { .. } => ("stall", 1),
         };
         self.worker_decisions
             .with_label_values(&[label])
--- a/crates/parsleytally-entry/src/site/owner_log.rs
+++ b/crates/parsleytally-entry/src/site/owner_log.rs
@@ -1,7 +1,8 @@
 //! Log lines for the owner's decisions.
 
 use parsleytally::jobs::{
-    EndEvidence, HealthEvidence, ListingOutcome, OrderMessage, RackEvidence, WorkersDecision,
+    CopyEvidence, EndEvidence, HealthEvidence, ListingOutcome, OrderMessage, RackEvidence,
+    StallEvidence, WorkersDecision,
 };
 use parsleytally::types::NodeName;
 
@@ -65,6 +66,38 @@
         WorkersDecision::RackGivenUp(evidence) => {
             log_rack(evidence, "starting outside the preferred rack");
         }
+        WorkersDecision::Copy {
+            run,
+            node,
+            original,
+            evidence,
+        } => {
+            let CopyEvidence {
+                elapsed_ms,
+                mean_ms,
+                remaining_ms,
+                age_ms,
+            } = evidence;
+            log::info!(task:% = run.task, run = run.run, agent:% = node, original, elapsed_ms,
+                mean_ms, remaining_ms, age_ms:? = age_ms; "copy of a straggler started");
+        }
+        WorkersDecision::CopiesEnded { run, copy_won } => {
+            log::info!(task:% = run.task, run = run.run, copy_won; "first of several runs is done");
+        }
+        WorkersDecision::Stall {
+            run,
+            node,
+            evidence,
+        } => {
+            let StallEvidence {
+                percent,
+                stalled_ms,
+                expected_ms,
+                measurements,
+            } = evidence;
+            log::warn!(task:% = run.task, run = run.run, agent:% = node, percent, stalled_ms,
+                expected_ms, measurements; "stopping a run without progress");
+        }
     }
 }
 
--- a/crates/parsleytally-entry/src/site/tests/mod.rs
+++ b/crates/parsleytally-entry/src/site/tests/mod.rs
@@ -317,6 +317,18 @@
     };
     let parsed = parse("[workers]\nrack-wait = true\n").expect("valid");
     assert_eq!(parsed.workers, rack_wait);
+    let speculation = WorkersConfig {
+        speculation: true,
+        ..off
+    };
+    let parsed = parse("[workers]\nspeculation = true\n").expect("valid");
+    assert_eq!(parsed.workers, speculation);
+    let stalls = WorkersConfig {
+        stalls: true,
+        ..off
+    };
+    let parsed = parse("[workers]\nstalls = true\n").expect("valid");
+    assert_eq!(parsed.workers, stalls);
     for invalid in ["[workers]\nhealth = 2\n", "[workers]\nhealthy = true\n"] {
         assert!(parse(invalid).is_err(), "{invalid}");
     }
--- a/crates/parsleytally/src/jobs/decisions.rs
+++ b/crates/parsleytally/src/jobs/decisions.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::TaskId;
+use super::{RunRef, TaskId};
 use crate::types::NodeName;
 
 /// How a worker compares with its peers.
@@ -51,6 +51,32 @@
     pub allowed_ms: u64,
 }
 
+/// Why a run gets a copy.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CopyEvidence {
+    /// Time since the order of the run, in milliseconds.
+    pub elapsed_ms: u64,
+    /// Mean run time of the done tasks of its step, in milliseconds.
+    pub mean_ms: u64,
+    /// Its expected remaining time, in milliseconds.
+    pub remaining_ms: u64,
+    /// Age of its last measurement, in milliseconds; none without one that counts.
+    pub age_ms: Option<u64>,
+}
+
+/// Why a run is stopped.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StallEvidence {
+    /// Its progress, in percent.
+    pub percent: u32,
+    /// Time for which measurements have shown no more, in milliseconds.
+    pub stalled_ms: u64,
+    /// Its expected run time, in milliseconds.
+    pub expected_ms: u64,
+    /// Number of those measurements.
+    pub measurements: u32,
+}
+
 /// A decision about uneven workers.
 #[derive(Debug, Clone, PartialEq)]
 pub enum WorkersDecision {
@@ -67,4 +93,31 @@
     RackWait(RackEvidence),
     /// Tasks start outside their preferred rack, as waiting would cost more.
     RackGivenUp(RackEvidence),
+    /// A straggler gets a copy.
+    Copy {
+        /// The copy.
+        run: RunRef,
+        /// Agent of the worker of the copy.
+        node: NodeName,
+        /// Number of the run that is a straggler.
+        original: u32,
+        /// Why.
+        evidence: CopyEvidence,
+    },
+    /// The first of several runs of a task is done, and the others are stopped.
+    CopiesEnded {
+        /// The run that is done.
+        run: RunRef,
+        /// Whether it started later than another.
+        copy_won: bool,
+    },
+    /// A run is stopped, as it makes no progress.
+    Stall {
+        /// The run.
+        run: RunRef,
+        /// The worker's agent.
+        node: NodeName,
+        /// Why.
+        evidence: StallEvidence,
+    },
 }
--- a/crates/parsleytally/src/jobs/job.rs
+++ b/crates/parsleytally/src/jobs/job.rs
@@ -64,6 +64,8 @@
     pub(super) failed_on: Option<NodeName>,
     /// Since when it waits for room in its preferred rack.
     pub(super) waiting_since: Option<Time>,
+    /// Number of its runs that were stopped since they made no progress.
+    pub(super) stalls: u8,
 }
 
 impl Task {
--- a/crates/parsleytally/src/jobs/mod.rs
+++ b/crates/parsleytally/src/jobs/mod.rs
@@ -26,6 +26,8 @@
 mod queues;
 mod scheduler;
 mod spec;
+mod speculation;
+mod stalls;
 mod urgency;
 mod worker_health;
 
@@ -34,7 +36,9 @@
     StartCall, StopCall, ThrottleCall,
 };
 pub use contention::ContentionRecord;
-pub use decisions::{HealthEvidence, RackEvidence, WorkerStanding, WorkersDecision};
+pub use decisions::{
+    CopyEvidence, HealthEvidence, RackEvidence, StallEvidence, WorkerStanding, WorkersDecision,
+};
 pub use fleet::{WorkerIncarnation, WorkerReport, WorkerState};
 pub use job::JobState;
 pub use messages::{
--- a/crates/parsleytally/src/jobs/scheduler/ended.rs
+++ b/crates/parsleytally/src/jobs/scheduler/ended.rs
@@ -6,7 +6,7 @@
 use super::super::job::LiveRun;
 use super::super::{
     EndReason, EndedRun, JobState, ListingOutcome, OrderMessage, Output, RefusalReason, RunRef,
-    RunStatus, WorkerIncarnation, WorkerState,
+    RunStatus, WorkerIncarnation, WorkerState, WorkersDecision,
 };
 use super::Scheduler;
 use crate::types::{NodeName, Time};
@@ -298,6 +298,13 @@
         let step = &mut round.steps[usize::from(run.task.step)];
         step.remaining -= 1;
         let copies = std::mem::take(&mut step.tasks[run.task.index as usize].runs);
+        if let Some(first) = copies.iter().map(|copy| copy.run).min() {
+            let copy_won = run.run > first;
+            out.push(Output::Workers(WorkersDecision::CopiesEnded {
+                run,
+                copy_won,
+            }));
+        }
         for copy in copies {
             let task = run.task;
             let copy_run = RunRef {
--- a/crates/parsleytally/src/jobs/scheduler/mod.rs
+++ b/crates/parsleytally/src/jobs/scheduler/mod.rs
@@ -9,6 +9,7 @@
 use super::durations::Durations;
 use super::fleet::Worker;
 use super::job::{Job, StepRef};
+use super::stalls::StallBudget;
 use super::worker_health::HealthReview;
 use super::{
     AgentMessage, EndEvidence, Input, JobId, JobProgress, JobRecord, JobReply, JobRequest,
@@ -21,6 +22,7 @@
 mod ended;
 mod evacuate;
 pub(super) mod pass;
+mod repair;
 mod start;
 mod throttle;
 mod uneven;
@@ -70,6 +72,7 @@
     contention: Contention,
     durations: Durations,
     health_review: HealthReview,
+    stall_budget: StallBudget,
     /// When what was learned was last recorded.
     learned_saved: Time,
     /// Time of the last confirmation of the ownership by the store.
@@ -99,6 +102,7 @@
             contention: Contention::default(),
             durations: Durations::default(),
             health_review: HealthReview::default(),
+            stall_budget: StallBudget::default(),
             learned_saved: Time::ZERO,
             confirmed: Time::ZERO,
             pass_due: false,
@@ -381,6 +385,7 @@
             }
         }
         self.note_progress(now, node, gauges);
+        self.stop_stalled(now, node, gauges, out);
         self.stop_unknown(node, gauges, out);
         self.throttle(now, node, gauges, out);
     }
--- a/crates/parsleytally/src/jobs/scheduler/start.rs
+++ b/crates/parsleytally/src/jobs/scheduler/start.rs
@@ -1,7 +1,7 @@
 //! Places ready steps on workers, the most urgent first.
 
 use super::super::contention::LoadEffects;
-use super::super::fleet::{Load, WorkTime};
+use super::super::fleet::{Load, WorkTime, Worker};
 use super::super::job::{Job, LiveRun, StepRef, StepRun};
 use super::super::measured::RunTimeline;
 use super::super::place::{Candidates, PlacementRequest, choose_worker};
@@ -55,6 +55,9 @@
         for (_, step) in ready {
             self.place_step(step, &mut pass, out);
         }
+        if consider_all {
+            self.start_copies(now, out);
+        }
     }
 
     fn ready_steps(&self, wall_ms: u64) -> Vec<(Urgency, StepRef)> {
@@ -77,7 +80,7 @@
     }
 
     /// Whether no unreported agent can have a run of the job that a predecessor started.
-    fn may_start(&self, job: &Job) -> bool {
+    pub(super) fn may_start(&self, job: &Job) -> bool {
         self.unreported.is_empty() || job.accepted > self.options.start_revision
     }
 
@@ -94,14 +97,7 @@
         }
         let spec = job.spec.clone();
         let spec = &spec.steps[at.step];
-        let effects = load.best_effort.then(|| self.contention.effects(&load));
-        let costly = self.is_costly(at);
-        let step = ReadyStep {
-            at,
-            load,
-            effects,
-            costly,
-        };
+        let step = self.ready_step(at, load);
         if spec.gang {
             self.place_gang(pass.now, &step, out);
             return;
@@ -116,6 +112,58 @@
         }
     }
 
+    fn ready_step(&self, at: StepRef, load: Load) -> ReadyStep {
+        let effects = load.best_effort.then(|| self.contention.effects(&load));
+        let costly = self.is_costly(at);
+        ReadyStep {
+            at,
+            load,
+            effects,
+            costly,
+        }
+    }
+
+    /// Chooses the best worker of those that `may_use` accepts for one more run of a task.
+    pub(super) fn choose_elsewhere(
+        &self,
+        now: Time,
+        at: StepRef,
+        may_use: impl Fn(&NodeName, &Worker) -> bool,
+    ) -> Option<NodeName> {
+        let load = self.jobs[&at.job].load(at.step as u16)?;
+        let step = self.ready_step(at, load);
+        let usable = self
+            .workers
+            .iter()
+            .filter(|(name, worker)| may_use(name, worker));
+        choose_worker(usable, &self.request(&step, None), self.step_run(at), now).cloned()
+    }
+
+    /// Starts one more run of a task on `node`, beside another.
+    pub(super) fn start_copy(
+        &mut self,
+        now: Time,
+        at: StepRef,
+        index: usize,
+        node: &NodeName,
+        out: &mut Vec<Output>,
+    ) -> RunRef {
+        let load = self.jobs[&at.job].load(at.step as u16).unwrap_or_default();
+        let run = self.next_run_number(at, index);
+        let start = RunStart {
+            step: at,
+            index,
+            run,
+            node,
+            load: &load,
+        };
+        self.start_run(now, &start, out);
+        RunRef {
+            task: at.task(index),
+            run,
+        }
+    }
+
     fn set_blocked(&mut self, at: StepRef, blocked: bool) {
         if let Some(job) = self.jobs.get_mut(&at.job) {
             job.rounds[at.round].steps[at.step].blocked = blocked;
--- a/crates/parsleytally/src/jobs/scheduler/uneven.rs
+++ b/crates/parsleytally/src/jobs/scheduler/uneven.rs
@@ -133,7 +133,7 @@
     }
 
     /// Whether the worker is in the rack that the step prefers, if it prefers one.
-    fn in_preferred_rack(&self, node: &NodeName, step: &StepSpec) -> bool {
+    pub(super) fn in_preferred_rack(&self, node: &NodeName, step: &StepSpec) -> bool {
         let has_label = |rack: &str| self.workers.get(node).is_some_and(|w| w.has_label(rack));
         step.preferred_rack.as_deref().is_none_or(has_label)
     }
--- a/crates/parsleytally/src/jobs/tests/uneven/mod.rs
+++ b/crates/parsleytally/src/jobs/tests/uneven/mod.rs
@@ -4,3 +4,5 @@
 mod fleet;
 mod health;
 mod locality;
+mod speculation;
+mod stalls;
--- a/crates/parsleytally/src/jobs/worker_health.rs
+++ b/crates/parsleytally/src/jobs/worker_health.rs
@@ -117,7 +117,8 @@
             WorkerStanding::Flapping | WorkerStanding::Probation
         );
         let trial = self.probation.and_then(|probation| probation.trial);
-        !(restricted && costly) && !trial.is_some_and(|trial| runs.contains_key(&trial))
+        let on_trial = trial.is_some_and(|trial| runs.contains_key(&trial));
+        !on_trial && (!restricted || !costly)
     }
 
     /// Notes that a run was placed there.
@@ -151,6 +152,11 @@
         self.suspected = false;
     }
 
+    /// Records a run that made no progress.
+    pub(super) fn record_stall(&mut self) {
+        self.suspected = true;
+    }
+
     /// Records that it has stopped or resumed answering.
     pub(super) fn set_unresponsive(&mut self, now: Time, unresponsive: bool) {
         if unresponsive && !self.in_outage {
