--- a/crates/parsleytally-entry/src/site/metrics.rs
+++ b/crates/parsleytally-entry/src/site/metrics.rs
@@ -4,6 +4,7 @@
 
 use parsleytally::jobs::{
     AgentMessage, EndReason, EvacuationEvent, OrderMessage, RefusalReason, Scheduler,
+    WorkerStanding, WorkersDecision,
 };
 use parsleytally_platform::process::metrics::MetricSet;
 use prometheus::{IntCounter, IntCounterVec, IntGauge};
@@ -22,6 +23,11 @@
     /// Starts that were held back because of an old read of the evacuation requests.
     old_reads: IntCounterVec,
     evacuated_zones: IntGauge,
+    worker_decisions: IntCounterVec,
+    degraded: IntGauge,
+    flapping: IntGauge,
+    probation: IntGauge,
+    copies: IntGauge,
     epoch: IntGauge,
     agents: IntGauge,
     open_jobs: IntGauge,
@@ -56,6 +62,27 @@
                 "parsleytally_jobs_evacuated_zones",
                 "Availability zones that operators have requested to evacuate.",
             )?,
+            worker_decisions: set.counters(
+                "parsleytally_jobs_worker_decisions_total",
+                "Decisions about uneven workers, by kind.",
+                "decision",
+            )?,
+            degraded: set.gauge(
+                "parsleytally_jobs_degraded_workers",
+                "Workers that are slower, fail more or start later than their peers.",
+            )?,
+            flapping: set.gauge(
+                "parsleytally_jobs_flapping_workers",
+                "Workers that restart or stop answering often.",
+            )?,
+            probation: set.gauge(
+                "parsleytally_jobs_probation_workers",
+                "Workers that get one run at a time.",
+            )?,
+            copies: set.gauge(
+                "parsleytally_jobs_copies",
+                "Runs beside another run of their task.",
+            )?,
             epoch: set.gauge(
                 "parsleytally_jobs_epoch",
                 "Epoch of this entry's ownership; -1 while this entry is not the owner.",
@@ -86,6 +113,10 @@
             &self.open_jobs,
             &self.waiting_tasks,
             &self.evacuated_zones,
+            &self.degraded,
+            &self.flapping,
+            &self.probation,
+            &self.copies,
         ];
         for gauge in gauges {
             gauge.set(0);
@@ -98,6 +129,11 @@
         self.open_jobs.set(gauge(scheduler.open_jobs()));
         self.evacuated_zones.set(gauge(scheduler.evacuated_zones()));
         self.waiting_tasks.set(gauge(scheduler.waiting_tasks()));
+        let standings = scheduler.standings();
+        self.degraded.set(gauge(standings.degraded));
+        self.flapping.set(gauge(standings.flapping));
+        self.probation.set(gauge(standings.probation));
+        self.copies.set(gauge(scheduler.copies()));
         let age = i64::try_from(confirmation_age.as_millis()).unwrap_or(i64::MAX);
         self.confirmation_age.set(age);
     }
@@ -112,6 +148,21 @@
         self.orders.with_label_values(&[order]).inc();
     }
 
+    pub(super) fn count_decision(&self, decision: &WorkersDecision) {
+        let (label, count) = match decision {
+            WorkersDecision::Standing { standing, .. } => (standing_label(*standing), 1),
+            WorkersDecision::RackWait(evidence) => ("rack_wait", evidence.tasks),
+            WorkersDecision::RackGivenUp(evidence) => ("rack_given_up", evidence.tasks),
+            WorkersDecision::Copy { .. } => ("copy", 1),
+            WorkersDecision::CopiesEnded { copy_won: true, .. } => ("copy_won", 1),
+            WorkersDecision::CopiesEnded { .. } => ("copy_lost", 1),
+            WorkersDecision::Stall { .. } => ("stall", 1),
+        };
+        self.worker_decisions
+            .with_label_values(&[label])
+            .inc_by(count as u64);
+    }
+
     pub(super) fn count_evacuation(&self, event: &EvacuationEvent) {
         match event {
             EvacuationEvent::Moved { .. } => self.moved_runs.inc(),
@@ -137,6 +188,15 @@
     }
 }
 
+fn standing_label(standing: WorkerStanding) -> &'static str {
+    match standing {
+        WorkerStanding::Probation => "probation",
+        WorkerStanding::Flapping => "flapping",
+        WorkerStanding::Degraded => "degraded",
+        WorkerStanding::Sound => "sound",
+    }
+}
+
 /// Metrics of requests while the store does not answer; clones share their values.
 #[derive(Debug, Clone)]
 pub(super) struct RelayMetrics {
--- a/crates/parsleytally-entry/src/site/mod.rs
+++ b/crates/parsleytally-entry/src/site/mod.rs
@@ -180,6 +180,7 @@
                 hello,
                 link: config.link.clone(),
                 jobs: config.base.jobs.clone(),
+                workers: config.workers,
                 store,
                 queues: queues_receiver,
                 evacuation: config.base.evacuation,
--- a/crates/parsleytally-entry/src/site/owner.rs
+++ b/crates/parsleytally-entry/src/site/owner.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use parsleytally::configs::{EvacuationConfig, JobsConfig};
+use parsleytally::configs::{EvacuationConfig, JobsConfig, WorkersConfig};
 use parsleytally::jobs::{
     AgentMessage, ContentionRecord, Input, JobId, JobProgress, JobRecord, JobReply, JobRequest,
     OrderMessage, Output, QueueTable, Scheduler, SchedulerOptions,
@@ -26,7 +26,9 @@
 use super::keys;
 use super::known_agents::{Dial, KnownAgents, delete_address};
 use super::metrics::OwnerMetrics;
-use super::owner_log::{log_dropped, log_evacuation, log_order, log_reconciled, log_undelivered};
+use super::owner_log::{
+    log_dropped, log_evacuation, log_order, log_reconciled, log_undelivered, log_workers_decision,
+};
 use super::saver::{ProgressRecord, Saver, revisions};
 use super::stored_state::StoredState;
 
@@ -60,6 +62,7 @@
     pub(crate) hello: Hello,
     pub(crate) link: LinkConfig,
     pub(crate) jobs: JobsConfig,
+    pub(crate) workers: WorkersConfig,
     pub(crate) store: Arc<dyn Store>,
     pub(crate) queues: watch::Receiver<Option<Arc<QueueTable>>>,
     pub(crate) evacuation: Option<EvacuationConfig>,
@@ -142,6 +145,7 @@
         ended_retention: config.keep_ended,
         best_effort: config.best_effort,
         evacuation_limit: evacuation.map(EvacuationConfig::age_limit),
+        workers: context.workers,
     }
 }
 
@@ -502,6 +506,10 @@
                     self.context.metrics.count_evacuation(&event);
                 }
                 Output::Reconciled(node, outcome) => log_reconciled(&node, &outcome),
+                Output::Workers(decision) => {
+                    log_workers_decision(&decision);
+                    self.context.metrics.count_decision(&decision);
+                }
                 Output::Save {
                     job,
                     version,
--- a/crates/parsleytally-entry/src/site/owner_log.rs
+++ b/crates/parsleytally-entry/src/site/owner_log.rs
@@ -1,9 +1,11 @@
 //! Log lines for the owner's decisions.
 
-use std::time::Duration;
-
-use parsleytally::jobs::{EndEvidence, EvacuationEvent, ListingOutcome, OrderMessage};
+use parsleytally::jobs::{
+    CopyEvidence, EndEvidence, EvacuationEvent, HealthEvidence, ListingOutcome, OrderMessage,
+    RackEvidence, StallEvidence, WorkersDecision,
+};
 use parsleytally::types::{NodeName, Revision, ZoneName};
+use std::time::Duration;
 
 pub(super) fn log_dropped(node: &NodeName, runs: usize, evidence: EndEvidence) {
     log::warn!(agent:% = node, runs, evidence:? = evidence; "runs of a worker count as ended");
@@ -101,3 +103,74 @@
         _ => {}
     }
 }
+
+pub(super) fn log_workers_decision(decision: &WorkersDecision) {
+    match decision {
+        WorkersDecision::Standing {
+            node,
+            standing,
+            evidence,
+        } => {
+            let HealthEvidence {
+                slowness_percent,
+                failure_percent,
+                start_delay_ms,
+                outages,
+                age_ms,
+            } = evidence;
+            log::warn!(agent:% = node, standing:? = standing, slowness_percent:? = slowness_percent,
+                failure_percent:? = failure_percent, start_delay_ms:? = start_delay_ms, outages,
+                age_ms; "standing of a worker changed");
+        }
+        WorkersDecision::RackWait(evidence) => {
+            log_rack(evidence, "waiting for the preferred rack");
+        }
+        WorkersDecision::RackGivenUp(evidence) => {
+            log_rack(evidence, "starting outside the preferred rack");
+        }
+        WorkersDecision::Copy {
+            run,
+            node,
+            original,
+            evidence,
+        } => {
+            let CopyEvidence {
+                elapsed_ms,
+                mean_ms,
+                remaining_ms,
+                age_ms,
+            } = evidence;
+            log::info!(task:% = run.task, run = run.run, agent:% = node, original, elapsed_ms,
+                mean_ms, remaining_ms, age_ms:? = age_ms; "copy of a straggler started");
+        }
+        WorkersDecision::CopiesEnded { run, copy_won } => {
+            log::info!(task:% = run.task, run = run.run, copy_won; "first of several runs is done");
+        }
+        WorkersDecision::Stall {
+            run,
+            node,
+            evidence,
+        } => {
+            let StallEvidence {
+                percent,
+                stalled_ms,
+                expected_ms,
+                measurements,
+            } = evidence;
+            log::warn!(task:% = run.task, run = run.run, agent:% = node, percent, stalled_ms,
+                expected_ms, measurements; "stopping a run without progress");
+        }
+    }
+}
+
+fn log_rack(evidence: &RackEvidence, message: &str) {
+    let RackEvidence {
+        task,
+        tasks,
+        rack,
+        waited_ms,
+        forecast_ms,
+        allowed_ms,
+    } = evidence;
+    log::info!(task:% = task, tasks, rack:% = rack, waited_ms, forecast_ms, allowed_ms; "{message}");
+}
--- a/crates/parsleytally/examples/owner_cost/fleet.rs
+++ b/crates/parsleytally/examples/owner_cost/fleet.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use parsleytally::configs::BestEffortConfig;
+use parsleytally::configs::{BestEffortConfig, WorkersConfig};
 use parsleytally::jobs::{
     AgentMessage, EndReason, EndedRun, Input, OrderMessage, Output, RunRef, RunStatus, Scheduler,
     SchedulerOptions, StartOrder, WorkerIncarnation, WorkerReport, WorkerState,
@@ -69,6 +69,7 @@
             ended_retention: Duration::from_secs(240),
             best_effort: BestEffortConfig::default(),
             evacuation_limit: None,
+            workers: WorkersConfig::default(),
         };
         let mut fleet = Self {
             scheduler: Scheduler::new(options),
@@ -143,6 +144,7 @@
                 | Output::RunsDropped { .. }
                 | Output::Reconciled(..)
                 | Output::Evacuation(_) => {}
+                Output::Workers(_) => {}
             }
         }
         starts
--- a/crates/parsleytally/src/jobs/messages.rs
+++ b/crates/parsleytally/src/jobs/messages.rs
@@ -6,7 +6,7 @@
 
 use super::{
     ContentionRecord, EvacuatedZones, EvacuationEvent, JobId, JobProgress, JobRecord, JobSpec,
-    JobState, QueueName, QueueTable, TaskId, WorkerIncarnation, WorkerReport,
+    JobState, QueueName, QueueTable, TaskId, WorkerIncarnation, WorkerReport, WorkersDecision,
 };
 use crate::types::{NodeName, Revision, Time};
 
@@ -359,6 +359,8 @@
     Reconciled(NodeName, ListingOutcome),
     /// A decision about the evacuation of a zone; only logged and counted.
     Evacuation(EvacuationEvent),
+    /// A decision about uneven workers; only logged.
+    Workers(WorkersDecision),
     /// Save in the store what was learned about the contention between images.
     SaveLearned(ContentionRecord),
     /// Save a job's progress in the store.
--- a/crates/parsleytally/src/jobs/mod.rs
+++ b/crates/parsleytally/src/jobs/mod.rs
@@ -15,10 +15,13 @@
 mod agent;
 mod call_plan;
 mod contention;
+mod decisions;
 mod durations;
 mod evacuation;
 mod fleet;
 mod job;
+mod locality;
+mod measured;
 mod messages;
 mod place;
 mod progress;
@@ -26,7 +29,10 @@
 mod scheduler;
 mod sent_jobs;
 mod spec;
+mod speculation;
+mod stalls;
 mod urgency;
+mod worker_health;
 
 pub use agent::{
     AgentInput, AgentOutput, AgentTimes, CallError, JobAgent, Listing, OwnerLink, PollCall,
@@ -34,6 +40,9 @@
 };
 pub use call_plan::{CallContext, CallFailure, CallPlan, NextCall};
 pub use contention::ContentionRecord;
+pub use decisions::{
+    CopyEvidence, HealthEvidence, RackEvidence, StallEvidence, WorkerStanding, WorkersDecision,
+};
 pub use evacuation::{EvacuatedZones, EvacuationEvent};
 pub use fleet::{WorkerIncarnation, WorkerReport, WorkerState};
 pub use job::JobState;
@@ -44,7 +53,7 @@
 };
 pub use progress::{JobProgress, StepProgress, TaskProgress};
 pub use queues::{QueueName, QueuePolicy, QueueTable};
-pub use scheduler::{Scheduler, SchedulerOptions};
+pub use scheduler::{Scheduler, SchedulerOptions, StandingCounts};
 pub use sent_jobs::{EarlierCopy, SentJobs, SentOutcome};
 pub use spec::{InvalidJobId, JobId, JobRecord, JobSpec, RecordError, Repeat, StepSpec, TaskId};
 
--- a/crates/parsleytally/src/jobs/scheduler/ended.rs
+++ b/crates/parsleytally/src/jobs/scheduler/ended.rs
@@ -6,7 +6,7 @@
 use super::super::job::LiveRun;
 use super::super::{
     EndReason, EndedRun, JobState, ListingOutcome, OrderMessage, Output, RefusalReason, RunRef,
-    RunStatus, WorkerIncarnation, WorkerState,
+    RunStatus, WorkerIncarnation, WorkerState, WorkersDecision,
 };
 use super::Scheduler;
 use crate::types::{NodeName, Time};
@@ -187,9 +187,10 @@
         }
         worker.last_ended = ended_run.sequence;
         let load = self.release(node, ended_run.run);
-        self.record_duration(now, ended_run, load.as_ref());
         self.pass_due = true;
         self.record_health(now, node, ended_run);
+        self.learn_from_end(now, node, ended_run, load.as_ref());
+        self.record_duration(now, ended_run, load.as_ref());
         let saved_by = self.record_ended(node, ended_run, out);
         if let Some(worker) = self.workers.get_mut(node) {
             let number = ended_run.sequence;
@@ -297,6 +298,13 @@
         let step = &mut round.steps[usize::from(run.task.step)];
         step.remaining -= 1;
         let copies = std::mem::take(&mut step.tasks[run.task.index as usize].runs);
+        if let Some(first) = copies.iter().map(|copy| copy.run).min() {
+            let copy_won = run.run > first;
+            out.push(Output::Workers(WorkersDecision::CopiesEnded {
+                run,
+                copy_won,
+            }));
+        }
         for copy in copies {
             let task = run.task;
             let copy_run = RunRef {
--- a/crates/parsleytally/src/jobs/tests/mod.rs
+++ b/crates/parsleytally/src/jobs/tests/mod.rs
@@ -13,6 +13,7 @@
 mod shortage;
 mod shutdown;
 mod throttle;
+mod uneven;
 mod worker;
 
 use std::sync::Arc;
--- a/crates/parsleytally/src/jobs/tests/model/owners.rs
+++ b/crates/parsleytally/src/jobs/tests/model/owners.rs
@@ -3,7 +3,7 @@
 use super::known::KnownRuns;
 use super::links::Link;
 use super::*;
-use crate::configs::BestEffortConfig;
+use crate::configs::{BestEffortConfig, WorkersConfig};
 
 pub(super) struct SimulatedOwner {
     pub(super) scheduler: Scheduler,
@@ -46,6 +46,7 @@
             ended_retention: Duration::from_secs(600),
             best_effort: BestEffortConfig::default(),
             evacuation_limit: None,
+            workers: WorkersConfig::default(),
         };
         let owner = self.owners.len();
         self.owners.push(SimulatedOwner {
@@ -100,6 +101,7 @@
                 | Output::RunsDropped { .. }
                 | Output::Reconciled(..)
                 | Output::Evacuation(_) => {}
+                Output::Workers(_) => {}
                 Output::Save {
                     job,
                     version,
--- a/crates/parsleytally/src/jobs/tests/placement.rs
+++ b/crates/parsleytally/src/jobs/tests/placement.rs
@@ -108,6 +108,7 @@
             effects,
             cpu_limit: None,
             failed_on: None,
+            costly: false,
             shared_rack: None,
         }
     }
--- a/crates/parsleytally/src/jobs/tests/scheduler.rs
+++ b/crates/parsleytally/src/jobs/tests/scheduler.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::*;
-use crate::configs::BestEffortConfig;
+use crate::configs::{BestEffortConfig, WorkersConfig};
 use crate::types::{Revision, Time};
 
 /// A scheduler whose ownership began at revision 10, with a manual clock.
@@ -23,6 +23,7 @@
         ended_retention: Duration::from_secs(60),
         best_effort: BestEffortConfig::default(),
         evacuation_limit: None,
+        workers: WorkersConfig::default(),
     }
 }
 
@@ -351,6 +352,7 @@
         ended_retention: Duration::from_secs(60),
         best_effort: BestEffortConfig::default(),
         evacuation_limit: None,
+        workers: WorkersConfig::default(),
     });
     bench.submit(1, job(vec![step(4, &[])]), 9);
     bench.feed(Input::Linked(node(0)));
