feat(jobs): forecast of best-effort work and admission decision

The owner's scheduler forecasts, for each pool whose best-effort tasks wait for capacity, the rate of completed work and the open jobs in the order of their placement. An entry decides by its copy whether a job could end within three times its objective.

--- a/crates/parsleytally-entry/src/site/owner.rs
+++ b/crates/parsleytally-entry/src/site/owner.rs
@@ -362,13 +362,21 @@
             }
             OwnerInput::Request(request, reply) => {
                 // The receiver is closed if the client no longer waits.
-                let _ = reply.send(self.scheduler.answer(&request));
+                let _ = reply.send(self.answer(&request));
             }
             OwnerInput::Replaced => return false,
         }
         true
     }
 
+    fn answer(&mut self, request: &JobRequest) -> JobReply {
+        let JobRequest::Forecast { uncertain } = request else {
+            return self.scheduler.answer(request);
+        };
+        let (now, wall_ms) = (self.clock.now(), Clock::wall_ms());
+        JobReply::Forecast(self.scheduler.forecast(now, wall_ms, *uncertain))
+    }
+
     fn unlink(&mut self, node: NodeName) {
         self.order_senders.remove(&node);
         log::warn!(agent:% = node; "agent lost");
--- a/crates/parsleytally-entry/src/site/peer.rs
+++ b/crates/parsleytally-entry/src/site/peer.rs
@@ -30,7 +30,7 @@
 }
 
 /// Outcome of a request to the owner on another entry.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) enum RemoteReply {
     /// The owner's reply.
     Answered(JobReply),
--- a/crates/parsleytally/src/configs/mod.rs
+++ b/crates/parsleytally/src/configs/mod.rs
@@ -4,6 +4,7 @@
 //! is parsed as INI and refused whole on the first problem, with section, key and
 //! reason; unknown sections and keys are problems.
 
+mod admission;
 mod batch;
 mod check;
 mod deployment;
@@ -25,6 +26,7 @@
 mod store;
 mod token;
 
+pub use admission::AdmissionConfig;
 pub use batch::BatchConfig;
 pub use deployment::{DeploymentConfig, ReactionConfig};
 pub use estimates::EstimatesConfig;
--- a/crates/parsleytally/src/jobs/messages.rs
+++ b/crates/parsleytally/src/jobs/messages.rs
@@ -5,8 +5,8 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    ContentionRecord, JobId, JobProgress, JobRecord, JobSpec, JobState, QueueName, QueueTable,
-    TaskId, WorkerIncarnation, WorkerReport,
+    ContentionRecord, Forecast, JobId, JobProgress, JobRecord, JobSpec, JobState, QueueName,
+    QueueTable, TaskId, WorkerIncarnation, WorkerReport,
 };
 use crate::types::{NodeName, Revision, Time};
 
@@ -232,6 +232,11 @@
     Pending(QueueName),
     /// Store this job on behalf of an entry that can't reach the store.
     Submit(JobId, JobSpec),
+    /// The forecast of the open work, for the admission of new jobs.
+    Forecast {
+        /// Whether a submission to the entry had an unknown outcome in the last seconds.
+        uncertain: bool,
+    },
 }
 
 /// Result of [`JobRequest::Submit`].
@@ -246,7 +251,7 @@
 }
 
 /// Answer to a [`JobRequest`].
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum JobReply {
     /// State of a job; none if the owner has no such job.
     State(Option<JobState>),
@@ -256,6 +261,8 @@
     Submitted(SubmitOutcome),
     /// The receiver of the request is not the owner.
     NotOwner,
+    /// The forecast of the open work.
+    Forecast(Forecast),
 }
 
 /// Input of the scheduler.
--- a/crates/parsleytally/src/jobs/mod.rs
+++ b/crates/parsleytally/src/jobs/mod.rs
@@ -12,6 +12,7 @@
 //!
 //! Each agent runs a [`JobAgent`], which carries out the orders on its worker.
 
+mod admission;
 mod agent;
 mod contention;
 mod durations;
@@ -25,6 +26,10 @@
 mod spec;
 mod urgency;
 
+pub use admission::{
+    AdmissionControl, BacklogGroup, Decision, Forecast, PoolForecast, QueueEstimate, Refusal,
+    UNCERTAIN_TIME, Work,
+};
 pub use agent::{
     AgentInput, AgentOutput, AgentTimes, CallError, JobAgent, Listing, OwnerLink, PollCall,
     StartCall, StopCall, ThrottleCall,
--- a/crates/parsleytally/src/jobs/scheduler/ended.rs
+++ b/crates/parsleytally/src/jobs/scheduler/ended.rs
@@ -213,6 +213,10 @@
         };
         self.durations
             .record(now, &job.policy.name, step, work_time);
+        let (pool, queue) = (&job.policy.service, &job.policy.name);
+        self.forecasts
+            .completed
+            .record(now, pool, queue, step, work_time);
         let round = job.rounds.get_mut(ended_run.run.task.round as usize);
         if let Some(run) = round.and_then(|round| round.steps.get_mut(step_index)) {
             run.run_times.add(work_time);
--- a/crates/parsleytally/src/jobs/scheduler/mod.rs
+++ b/crates/parsleytally/src/jobs/scheduler/mod.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::admission::ForecastState;
 use super::contention::Contention;
 use super::durations::Durations;
 use super::fleet::Worker;
@@ -18,6 +19,7 @@
 
 mod ended;
 mod evacuate;
+mod forecast;
 pub(super) mod pass;
 mod start;
 mod throttle;
@@ -62,6 +64,7 @@
     unreported: BTreeMap<NodeName, Time>,
     contention: Contention,
     durations: Durations,
+    forecasts: ForecastState,
     /// When what was learned was last recorded.
     learned_saved: Time,
     /// Time of the last confirmation of the ownership by the store.
@@ -90,6 +93,7 @@
             unreported: BTreeMap::new(),
             contention: Contention::default(),
             durations: Durations::default(),
+            forecasts: ForecastState::default(),
             learned_saved: Time::ZERO,
             confirmed: Time::ZERO,
             pass_due: false,
@@ -151,6 +155,8 @@
             JobRequest::Pending(queue) => JobReply::Pending(self.pending(queue)),
             // Entries store jobs, the scheduler does not.
             JobRequest::Submit(..) => JobReply::Submitted(super::SubmitOutcome::No),
+            // Needs the time: see `forecast`.
+            JobRequest::Forecast { .. } => JobReply::NotOwner,
         }
     }
 
--- a/crates/parsleytally/src/jobs/tests/mod.rs
+++ b/crates/parsleytally/src/jobs/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of jobs: single decisions, and a simulation of the platform with faults.
 
+mod admission;
 mod agent;
 mod contention;
 mod durations;
--- a/crates/parsleytally/src/jobs/tests/scheduler.rs
+++ b/crates/parsleytally/src/jobs/tests/scheduler.rs
@@ -53,6 +53,14 @@
         self.feed(Input::Tick)
     }
 
+    pub(super) fn now(&self) -> Time {
+        self.now
+    }
+
+    pub(super) fn forecast(&mut self, uncertain: bool) -> Forecast {
+        self.scheduler.forecast(self.now, self.wall_ms, uncertain)
+    }
+
     pub(super) fn join(&mut self, at: usize, report: WorkerReport) -> Vec<Output> {
         let incarnation = report.incarnation.clone();
         self.feed(Input::Linked(node(at)));
--- a/crates/parsleytally/src/jobs/urgency.rs
+++ b/crates/parsleytally/src/jobs/urgency.rs
@@ -4,7 +4,7 @@
 use super::job::{Job, StepRef};
 
 /// Multiple of the allowed time after which the result of a job has no value any more.
-const MAX_LATENESS_FACTOR: u64 = 3;
+pub(super) const MAX_LATENESS_FACTOR: u64 = 3;
 
 /// Sort key of a ready step; the lowest is placed first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
