feat(entry): refuse hopeless best-effort jobs if [admission] refuse is set

Before a refusal the store is checked for the job's id; in all cases of doubt the job is submitted. Without the setting nothing is polled.

--- a/crates/parsleytally-entry/src/site/config.rs
+++ b/crates/parsleytally-entry/src/site/config.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use parsleytally::configs::{ConfigError, Document, SiteBase};
+use parsleytally::configs::{AdmissionConfig, ConfigError, Document, SiteBase};
 use parsleytally::types::MilliCpu;
 use parsleytally_link::LinkConfig;
 
@@ -35,6 +35,8 @@
     pub cpu: MilliCpu,
     /// Key and timeouts of links: section `[link]`.
     pub link: LinkConfig,
+    /// Whether and how hopeless jobs are refused: section `[admission]`.
+    pub admission: AdmissionConfig,
 }
 
 impl SiteConfig {
@@ -46,6 +48,7 @@
     pub fn parse(text: &[u8]) -> Result<Self, ConfigError> {
         let mut document = Document::parse(text)?;
         let mut site = document.take("site");
+        let mut admission = document.take("admission");
         let config = Self {
             base: SiteBase::take(&mut document, &mut site)?,
             clients: site.require("clients")?,
@@ -54,7 +57,9 @@
             drain: site.take_with("drain", DEFAULT_DRAIN, humantime::parse_duration)?,
             cpu: site.take_with("processors", MilliCpu(1_000), parse_processors)?,
             link: LinkConfig::take(document.take("link"))?,
+            admission: AdmissionConfig::take(&mut admission)?,
         };
+        admission.finish()?;
         site.finish()?;
         document.finish()?;
         Ok(config)
--- a/crates/parsleytally-entry/src/site/job_service.rs
+++ b/crates/parsleytally-entry/src/site/job_service.rs
@@ -13,6 +13,7 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, timeout};
 
+use super::admission::Admission;
 use super::keys;
 use super::peer::{OwnerClient, RemoteReply};
 
@@ -41,6 +42,8 @@
     pub(super) store_reachable: Arc<AtomicBool>,
     /// Whether the store answered the last ownership check or commit of this entry.
     pub(super) store_answers: Arc<AtomicBool>,
+    /// Refuses jobs that would end too late; none if the settings don't enable it.
+    pub(super) admission: Option<Arc<Admission>>,
 }
 
 /// Why a commit failed.
@@ -85,6 +88,26 @@
         }
     }
 
+    /// Submits the job unless the forecast shows that it would end too late.
+    async fn admit(
+        &self,
+        admission: &Admission,
+        id: JobId,
+        spec: JobSpec,
+        deadline: Instant,
+    ) -> SubmitAnswer {
+        if !self.store_answers.load(Ordering::Relaxed) {
+            admission.note_uncertain();
+        }
+        let refused = admission.refuse(&*self.store, id, &spec, deadline - ANSWER_MARGIN);
+        if let Some(answer) = refused.await {
+            return answer;
+        }
+        let submitted = self.submit_job(id, spec, deadline).await;
+        admission.submitted(id, submitted);
+        submitted
+    }
+
     async fn submit_job(&self, id: JobId, spec: JobSpec, deadline: Instant) -> SubmitAnswer {
         if !self.store_answers.load(Ordering::Relaxed) {
             return self.submit_through_owner(id, spec, deadline).await;
@@ -253,7 +276,10 @@
         Box::pin(async move {
             let queue = spec.queue.name.clone();
             let store_answers = self.store_answers.load(Ordering::Relaxed);
-            let submitted = self.submit_job(id, spec, deadline).await;
+            let submitted = match &self.admission {
+                Some(admission) => self.admit(admission, id, spec, deadline).await,
+                None => self.submit_job(id, spec, deadline).await,
+            };
             log::info!(job:% = id, queue:% = queue, store_answers, outcome:? = submitted;
                 "job submitted");
             submitted
--- a/crates/parsleytally-entry/src/site/mod.rs
+++ b/crates/parsleytally-entry/src/site/mod.rs
@@ -22,6 +22,7 @@
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
+mod admission;
 mod agents;
 mod config;
 mod confirmation;
@@ -40,6 +41,7 @@
 
 pub use config::SiteConfig;
 
+use admission::{Admission, AdmissionMetrics};
 use election::{Candidate, Owner, OwnerView};
 use job_service::EntryJobService;
 use metrics::OwnerMetrics;
@@ -100,6 +102,7 @@
         set: &MetricSet,
     ) -> Result<Self, StartError> {
         let metrics = OwnerMetrics::new(set).context(MetricsSnafu)?;
+        let admission_metrics = AdmissionMetrics::new(set).context(MetricsSnafu)?;
         let address = config.base.links;
         let listener = TcpListener::bind(address).await;
         let listener = listener.context(BindSnafu { address })?;
@@ -112,6 +115,7 @@
         let resign = CancellationToken::new();
         let hand_over_requested = CancellationToken::new();
         let owner_client = OwnerClient::new(owner_location.clone());
+        let admission = Admission::new(&config.admission, admission_metrics);
         let job_service = Arc::new(EntryJobService {
             store: store.clone(),
             queues: queues_receiver.clone(),
@@ -119,8 +123,12 @@
             draining: draining.clone(),
             store_reachable: store_reachable.clone(),
             store_answers: store_answers.clone(),
+            admission: admission.clone(),
         });
         let mut tasks = JoinSet::new();
+        if let Some(admission) = admission {
+            tasks.spawn(admission.poll(owner_client.clone()));
+        }
         let follower = QueueFollower {
             store: store.clone(),
             source,
--- a/crates/parsleytally-entry/src/site/tests/mod.rs
+++ b/crates/parsleytally-entry/src/site/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of the ownership, job service, settings and metrics of an entry, over an in-memory
 //! store with injected faults.
 
+mod admission;
 mod election;
 mod known_agents;
 mod owner;
@@ -28,6 +29,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
+use super::admission::AdmissionMetrics;
 use super::agents::{AgentId, AgentLink};
 use super::config::{SiteConfig, parse_processors};
 use super::confirmation::LastConfirmation;
@@ -150,6 +152,7 @@
         draining: Arc::new(AtomicBool::new(false)),
         store_reachable: Arc::new(AtomicBool::new(true)),
         store_answers: Arc::new(AtomicBool::new(true)),
+        admission: None,
     }
 }
 
@@ -319,6 +322,8 @@
 async fn metrics_match_the_documentation_page() {
     let set = MetricSet::of_process().expect("names are free");
     let owner = OwnerMetrics::new(&set).expect("names are free");
+    let admission = AdmissionMetrics::new(&set).expect("names are free");
+    admission.count_refused("q");
     let store = MeasuredStore::new(Arc::new(MemoryStore::new()), set.registry());
     let store: Arc<dyn Store> = Arc::new(store.expect("names are free"));
     let jobs =
--- a/crates/parsleytally-entry/src/site/tests/owner.rs
+++ b/crates/parsleytally-entry/src/site/tests/owner.rs
@@ -17,7 +17,7 @@
 use super::super::owner::{OwnerContext, Ownership};
 use super::{hello, link_config};
 
-fn context(store: Arc<dyn Store>) -> OwnerContext {
+pub(super) fn context(store: Arc<dyn Store>) -> OwnerContext {
     let set = MetricSet::of_process().expect("names are free");
     let (_, queues) = watch::channel(None);
     OwnerContext {
@@ -30,7 +30,7 @@
     }
 }
 
-fn owner() -> Owner {
+pub(super) fn owner() -> Owner {
     Owner {
         epoch: Epoch(3),
         node: NodeName::new("owner").expect("a valid name"),
@@ -40,7 +40,7 @@
     }
 }
 
-async fn write_epoch(store: &MemoryStore) -> Revision {
+pub(super) async fn write_epoch(store: &MemoryStore) -> Revision {
     let write = Write::Put {
         key: keys::EPOCH.to_owned(),
         value: Vec::new(),
