fix(entry): count an abandoned submission as one with unknown outcome

A client that disconnects ends the submission's future while its write may still reach the store, so a later check for the id proves nothing. Also computes the forecast without visiting the tasks of jobs that have no value any more.

--- a/crates/parsleytally-entry/src/site/admission.rs
+++ b/crates/parsleytally-entry/src/site/admission.rs
@@ -153,12 +153,12 @@
         }
     }
 
-    /// Takes the outcome of a submission that was not refused here.
-    pub(super) fn submitted(&self, id: JobId, outcome: SubmitAnswer) {
-        match outcome {
-            SubmitAnswer::Accepted => {}
-            SubmitAnswer::Refused { .. } => self.control().withdraw(id),
-            SubmitAnswer::Unknown => self.note_uncertain(),
+    /// Begins the submission of a job that is not refused.
+    pub(super) fn begin(&self, id: JobId) -> PendingOutcome<'_> {
+        PendingOutcome {
+            admission: self,
+            id,
+            answer: SubmitAnswer::Unknown,
         }
     }
 
@@ -166,9 +166,9 @@
         self.control().refused(spec);
         let queue = &spec.queue.name;
         self.metrics.count_refused(&queue.0);
-        let retry_ms = u64::try_from(refusal.retry_after.as_millis()).unwrap_or(u64::MAX);
+        let retry_after_ms = u64::try_from(refusal.retry_after.as_millis()).unwrap_or(u64::MAX);
         log::info!(job:% = id, queue:% = queue, wait_ms = refusal.wait_ms,
-            age_ms = refusal.age_ms, objective_ms = refusal.objective_ms, retry_ms;
+            age_ms = refusal.age_ms, objective_ms = refusal.objective_ms, retry_after_ms;
             "job refused");
         SubmitAnswer::Refused {
             retry_after: refusal.retry_after,
@@ -189,6 +189,31 @@
     }
 }
 
+/// A submission in progress. If it is dropped before its end, as when the client disconnects,
+/// its outcome counts as unknown.
+pub(super) struct PendingOutcome<'a> {
+    admission: &'a Admission,
+    id: JobId,
+    answer: SubmitAnswer,
+}
+
+impl PendingOutcome<'_> {
+    /// Ends the submission with this answer to the client.
+    pub(super) fn end(mut self, answer: SubmitAnswer) {
+        self.answer = answer;
+    }
+}
+
+impl Drop for PendingOutcome<'_> {
+    fn drop(&mut self) {
+        match self.answer {
+            SubmitAnswer::Accepted => {}
+            SubmitAnswer::Refused { .. } => self.admission.control().withdraw(self.id),
+            SubmitAnswer::Unknown => self.admission.note_uncertain(),
+        }
+    }
+}
+
 /// Whether the store has a job with this id; none if it does not answer in time.
 async fn is_stored(store: &dyn Store, id: JobId, deadline: Instant) -> Option<bool> {
     let key = keys::job(id);
--- a/crates/parsleytally-entry/src/site/job_service.rs
+++ b/crates/parsleytally-entry/src/site/job_service.rs
@@ -103,8 +103,9 @@
         if let Some(answer) = refused.await {
             return answer;
         }
+        let outcome = admission.begin(id);
         let submitted = self.submit_job(id, spec, deadline).await;
-        admission.submitted(id, submitted);
+        outcome.end(submitted);
         submitted
     }
 
--- a/crates/parsleytally-entry/src/site/tests/admission.rs
+++ b/crates/parsleytally-entry/src/site/tests/admission.rs
@@ -14,7 +14,7 @@
 use parsleytally_platform::process::metrics::MetricSet;
 use parsleytally_platform::store::MemoryStore;
 use tokio::sync::watch;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use super::super::admission::{Admission, AdmissionMetrics};
 use super::super::config::SiteConfig;
@@ -173,6 +173,20 @@
     assert_eq!(answer, SubmitAnswer::Accepted);
 }
 
+/// As above, for a client that disconnects while the store has not answered yet.
+#[tokio::test]
+async fn nothing_is_refused_after_a_submission_was_abandoned() {
+    let store = Arc::new(MemoryStore::new());
+    let jobs = saturated(&store);
+    store.set_delay(Duration::from_secs(1));
+    let submission = jobs.submit(JOB, spec(), soon());
+    let abandoned = timeout(Duration::from_millis(20), submission).await;
+    assert!(abandoned.is_err());
+    store.set_delay(Duration::ZERO);
+    let answer = jobs.submit(JobId(8), best_effort(10), soon()).await;
+    assert_eq!(answer, SubmitAnswer::Accepted);
+}
+
 /// Guards against decisions by the forecast of an owner that is gone.
 #[tokio::test]
 async fn the_forecast_of_a_lost_owner_is_not_used() {
--- a/crates/parsleytally/src/jobs/admission/decide.rs
+++ b/crates/parsleytally/src/jobs/admission/decide.rs
@@ -42,12 +42,12 @@
     Refuse(Refusal),
 }
 
-/// A job that this entry accepted.
+/// A job that this entry accepted and that the forecast covers.
 #[derive(Debug)]
 struct Accepted {
     id: JobId,
     at: Time,
-    estimate: Option<JobEstimate>,
+    estimate: JobEstimate,
 }
 
 /// Expected size and run time of a job that the forecast covers.
@@ -149,13 +149,10 @@
             self.accepted.pop_front();
         }
         let known = self.accepted.iter().any(|job| job.id == id);
-        let estimate = self.estimate(spec);
-        if let Some(estimate) = &estimate
+        if let Some(estimate) = self.estimate(spec)
             && !known
         {
             self.record_size(&spec.queue.name, estimate.size, true);
-        }
-        if !known {
             self.accepted.push_back(Accepted {
                 id,
                 at: now,
@@ -232,7 +229,7 @@
         let sum = |work: Work, group: &BacklogGroup| work.plus(group.work);
         let on_time = backlog.clone().filter(|group| !group.late);
         let own = self.accepted.iter().filter(|own| own.at >= computed);
-        let own = own.filter_map(|own| own.estimate.as_ref());
+        let own = own.map(|own| &own.estimate);
         let own = own.filter(|own| own.pool == pool.pool && before(own.priority, own.size));
         let own = own.fold(Work(0), |work, own| work.plus(own.size));
         let on_time_ms = on_time.fold(own, sum).shortest_ms(pool.rate);
--- a/crates/parsleytally/src/jobs/scheduler/forecast.rs
+++ b/crates/parsleytally/src/jobs/scheduler/forecast.rs
@@ -9,7 +9,7 @@
     objective_ms,
 };
 use super::super::fleet::Worker;
-use super::super::job::{Job, StepRun};
+use super::super::job::Job;
 use super::Scheduler;
 use crate::types::{Resources, Time};
 
@@ -88,6 +88,10 @@
         }
         let expected = self.durations.expected_of_round_ms(job, 0);
         let path_ms = critical_path_ms(&job.spec.steps, &expected);
+        let age_ms = wall_ms.saturating_sub(job.due_ms(0));
+        if age_ms > latest_start_ms(&job.policy, path_ms) + path_ms {
+            return None;
+        }
         let mut open_ms = expected.clone();
         let (mut size, mut work) = (Work(0), Work(0));
         for (index, (step, run)) in job.spec.steps.iter().zip(&round.steps).enumerate() {
@@ -97,10 +101,14 @@
             let run_ms = expected[index];
             size = size.plus(Work::of_tasks(step, run.remaining as u64, run_ms));
             // A running task is half done on average.
-            let halves = run.remaining as u64 + waiting_count(run);
+            let waiting = if round.is_ready(step) {
+                run.waiting_tasks().count()
+            } else {
+                run.remaining
+            };
+            let halves = (run.remaining + waiting) as u64;
             work = work.plus(Work::of_tasks(step, halves, run_ms / 2));
         }
-        let age_ms = wall_ms.saturating_sub(job.due_ms(0));
         let remaining_ms = critical_path_ms(&job.spec.steps, &open_ms);
         let done_ms = path_ms - remaining_ms.min(path_ms);
         let latest_ms = (latest_start_ms(&job.policy, path_ms) + done_ms).checked_sub(age_ms)?;
@@ -118,11 +126,6 @@
     worker.report.as_ref()
 }
 
-/// Number of tasks that are neither done nor running.
-fn waiting_count(run: &StepRun) -> u64 {
-    run.waiting_tasks().count() as u64
-}
-
 /// Need of the smallest task of the job that waits for capacity and might run anywhere.
 fn blocked_need(job: &Job) -> Option<Resources> {
     let waiting = job.waiting_steps().filter(|(_, _, run)| run.blocked);
