--- a/crates/parsleytally-entry/src/site/tests/admission.rs
+++ b/crates/parsleytally-entry/src/site/tests/admission.rs
@@ -9,20 +9,23 @@
     StepSpec, Work,
 };
 use parsleytally::types::{Resources, Time};
+use parsleytally_link::Role;
 use parsleytally_platform::jobs::{JobAnswer, JobService, SubmitAnswer};
 use parsleytally_platform::process::BootTime;
 use parsleytally_platform::process::metrics::MetricSet;
 use parsleytally_platform::store::MemoryStore;
+use tokio::net::TcpListener;
 use tokio::sync::watch;
+use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
 use super::super::admission::{Admission, AdmissionMetrics};
 use super::super::config::SiteConfig;
 use super::super::job_service::EntryJobService;
 use super::super::owner::Ownership;
-use super::super::peer::{OwnerClient, OwnerLocation};
+use super::super::peer::{OwnerClient, OwnerLocation, serve_peers};
 use super::owner::{context, owner, write_epoch};
-use super::{JOB, job_service, soon, spec};
+use super::{JOB, hello, job_service, link_config, soon, spec};
 
 /// Work of the jobs in the tests' backlog, beyond any objective.
 const BACKLOG: Work = Work(1_000_000_000);
@@ -187,30 +190,48 @@
     assert_eq!(answer, SubmitAnswer::Accepted);
 }
 
-/// Guards against decisions by the forecast of an owner that is gone.
+/// Guards against decisions by the forecast of an owner that is gone, in this process or on
+/// another entry.
 #[tokio::test]
 async fn the_forecast_of_a_lost_owner_is_not_used() {
-    let store = Arc::new(MemoryStore::new());
-    let since = write_epoch(&store).await;
-    let ownership = Ownership::start(context(store.clone()), owner(), since, BootTime::now());
-    let (location, owner_location) = watch::channel(OwnerLocation::Local(ownership.sender()));
-    let admission = admission(Duration::from_secs(1));
-    let poll = tokio::spawn(admission.clone().poll(OwnerClient::new(owner_location)));
-    for _ in 0..40 {
-        sleep(Duration::from_millis(25)).await;
-        if admission.has_forecast() {
-            break;
+    for remote in [false, true] {
+        let store = Arc::new(MemoryStore::new());
+        let since = write_epoch(&store).await;
+        let ownership = Ownership::start(context(store.clone()), owner(), since, BootTime::now());
+        let local = OwnerLocation::Local(ownership.sender());
+        let (_owner, own_location) = watch::channel(local);
+        let mut tasks = JoinSet::new();
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let (_remote, location) = watch::channel(OwnerLocation::Remote(address));
+        let client = if remote {
+            let (hello_owner, link) = (hello(Role::Entry, "owner"), link_config());
+            let jobs = Arc::new(job_service(&store));
+            tasks.spawn(serve_peers(listener, hello_owner, link, own_location, jobs));
+            let client = OwnerClient::new(location);
+            tasks.spawn(
+                client
+                    .clone()
+                    .run(hello(Role::Entry, "entry"), link_config()),
+            );
+            client
+        } else {
+            OwnerClient::new(own_location)
+        };
+        let admission = admission(Duration::from_secs(1));
+        tasks.spawn(admission.clone().poll(client));
+        for _ in 0..80 {
+            sleep(Duration::from_millis(25)).await;
+            if admission.has_forecast() {
+                break;
+            }
         }
+        assert!(admission.has_forecast(), "owner is remote: {remote}");
+        ownership.close().await;
+        sleep(Duration::from_millis(1_100)).await;
+        assert!(!admission.has_forecast(), "owner is remote: {remote}");
+        tasks.shutdown().await;
     }
-    assert!(
-        admission.has_forecast(),
-        "the owner answers with a forecast"
-    );
-    ownership.close().await;
-    sleep(Duration::from_millis(1_100)).await;
-    assert!(!admission.has_forecast(), "the forecast is too old");
-    drop(location);
-    poll.abort();
 }
 
 /// Guards against polls and refusals in deployments that don't enable them.
