--- a/crates/parsleytally-entry/src/site/config.rs
+++ b/crates/parsleytally-entry/src/site/config.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use parsleytally::configs::{ConfigError, Document, SiteBase, WorkersConfig};
+use parsleytally::configs::{AdmissionConfig, ConfigError, Document, SiteBase, WorkersConfig};
 use parsleytally::types::MilliCpu;
 use parsleytally_link::LinkConfig;
 
@@ -37,6 +37,8 @@
     pub workers: WorkersConfig,
     /// Key and timeouts of links: section `[link]`.
     pub link: LinkConfig,
+    /// Whether and how hopeless jobs are refused: section `[admission]`.
+    pub admission: AdmissionConfig,
 }
 
 impl SiteConfig {
@@ -49,6 +51,7 @@
         let mut document = Document::parse(text)?;
         let mut site = document.take("site");
         let mut workers = document.take("workers");
+        let mut admission = document.take("admission");
         let config = Self {
             base: SiteBase::take(&mut document, &mut site)?,
             clients: site.require("clients")?,
@@ -58,8 +61,10 @@
             cpu: site.take_with("processors", MilliCpu(1_000), parse_processors)?,
             workers: WorkersConfig::take(&mut workers, &mut site)?,
             link: LinkConfig::take(document.take("link"))?,
+            admission: AdmissionConfig::take(&mut admission)?,
         };
         workers.finish()?;
+        admission.finish()?;
         site.finish()?;
         document.finish()?;
         Ok(config)
--- a/crates/parsleytally-entry/src/site/job_service.rs
+++ b/crates/parsleytally-entry/src/site/job_service.rs
@@ -14,6 +14,7 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, timeout_at};
 
+use super::admission::Admission;
 use super::job_call::{JobCall, JobCallResult};
 use super::peer::OwnerClient;
 use super::relays::{Asked, Relays};
@@ -44,6 +45,8 @@
     pub(super) sent: Arc<SentLog>,
     /// Time by which all requests must be answered, since the process ends then.
     pub(super) answer_by: OnceLock<Instant>,
+    /// Refuses jobs that would end too late; none if the settings don't enable it.
+    pub(super) admission: Option<Arc<Admission>>,
 }
 
 /// The submissions that this entry has sent to the store or to another entry.
@@ -207,6 +210,27 @@
         call.reply(result)
     }
 
+    /// Submits the job unless the forecast shows that it would end too late.
+    async fn admit(
+        &self,
+        admission: &Admission,
+        id: JobId,
+        spec: JobSpec,
+        deadline: Instant,
+    ) -> SubmitAnswer {
+        if !self.health.answers() {
+            admission.note_uncertain();
+        }
+        let refused = admission.refuse(&*self.store, id, &spec, deadline);
+        if let Some(answer) = refused.await {
+            return answer;
+        }
+        let outcome = admission.begin(id);
+        let submitted = self.submit_job(id, spec, deadline).await;
+        outcome.end(submitted);
+        submitted
+    }
+
     async fn submit_job(&self, id: JobId, spec: JobSpec, deadline: Instant) -> SubmitAnswer {
         let call = JobCall::Submit(id, spec);
         match self.carry_out(&call, deadline, true).await {
@@ -269,7 +293,11 @@
         Box::pin(async move {
             let queue = spec.queue.name.clone();
             let store_answers = self.health.answers();
-            let submitted = self.submit_job(id, spec, self.answer_time(deadline)).await;
+            let deadline = self.answer_time(deadline);
+            let submitted = match &self.admission {
+                Some(admission) => self.admit(admission, id, spec, deadline).await,
+                None => self.submit_job(id, spec, deadline).await,
+            };
             log::info!(job:% = id, queue:% = queue, store_answers, outcome:? = submitted;
                 "job submitted");
             submitted
--- a/crates/parsleytally-entry/src/site/mod.rs
+++ b/crates/parsleytally-entry/src/site/mod.rs
@@ -22,6 +22,7 @@
 use tokio::time::{Instant, sleep};
 use tokio_util::sync::CancellationToken;
 
+mod admission;
 mod agents;
 mod config;
 mod confirmation;
@@ -45,6 +46,7 @@
 
 pub use config::SiteConfig;
 
+use admission::{Admission, AdmissionMetrics};
 use election::{Candidate, Owner, OwnerView};
 use entries::EntryRegistry;
 use evacuations::EvacuationFollower;
@@ -115,6 +117,7 @@
         let relay_metrics = RelayMetrics::new(set).context(MetricsSnafu)?;
         let health = Arc::new(StoreHealth::new(relay_metrics.store_answers.clone()));
         let store: Arc<dyn Store> = Arc::new(ObservedStore::new(store, health.clone()));
+        let admission_metrics = AdmissionMetrics::new(set).context(MetricsSnafu)?;
         let address = config.base.links;
         let listener = TcpListener::bind(address).await;
         let listener = listener.context(BindSnafu { address })?;
@@ -127,6 +130,7 @@
         let resign = CancellationToken::new();
         let hand_over_requested = CancellationToken::new();
         let owner_client = OwnerClient::new(owner_location.clone());
+        let admission = Admission::new(&config.admission, admission_metrics);
         let job_service = Arc::new(EntryJobService {
             store: store.clone(),
             queues: queues_receiver.clone(),
@@ -143,8 +147,12 @@
             health: health.clone(),
             sent: Arc::new(SentLog::new()),
             answer_by: OnceLock::new(),
+            admission: admission.clone(),
         });
         let mut tasks = JoinSet::new();
+        if let Some(admission) = admission {
+            tasks.spawn(admission.poll(owner_client.clone()));
+        }
         let follower = QueueFollower {
             store: store.clone(),
             source,
--- a/crates/parsleytally/src/configs/mod.rs
+++ b/crates/parsleytally/src/configs/mod.rs
@@ -4,6 +4,7 @@
 //! is parsed as INI and refused whole on the first problem, with section, key and
 //! reason; unknown sections and keys are problems.
 
+mod admission;
 mod batch;
 mod check;
 mod deployment;
@@ -27,6 +28,7 @@
 mod token;
 mod workers;
 
+pub use admission::AdmissionConfig;
 pub use batch::BatchConfig;
 pub use deployment::{DeploymentConfig, ReactionConfig};
 pub use estimates::EstimatesConfig;
--- a/crates/parsleytally/src/jobs/messages.rs
+++ b/crates/parsleytally/src/jobs/messages.rs
@@ -5,8 +5,9 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    ContentionRecord, EvacuatedZones, EvacuationEvent, JobId, JobProgress, JobRecord, JobSpec,
-    JobState, QueueName, QueueTable, TaskId, WorkerIncarnation, WorkerReport, WorkersDecision,
+    ContentionRecord, EvacuatedZones, EvacuationEvent, Forecast, JobId, JobProgress, JobRecord,
+    JobSpec, JobState, QueueName, QueueTable, TaskId, WorkerIncarnation, WorkerReport,
+    WorkersDecision,
 };
 use crate::types::{NodeName, Revision, Time};
 
@@ -243,6 +244,11 @@
     Cancel(JobId),
     /// Read this job on behalf of an entry that can't reach the store.
     Read(JobId),
+    /// The forecast of the open work, for the admission of new jobs.
+    Forecast {
+        /// Whether a submission to the entry had an unknown outcome in the last seconds.
+        uncertain: bool,
+    },
 }
 
 /// Result of [`JobRequest::Submit`].
@@ -281,7 +287,7 @@
 }
 
 /// Answer to a [`JobRequest`].
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum JobReply {
     /// State of a job; none if the owner has no such job.
     State(Option<JobState>),
@@ -295,6 +301,8 @@
     Cancelled(CancelOutcome),
     /// Result of a read.
     Stored(StoredJob),
+    /// The forecast of the open work.
+    Forecast(Forecast),
 }
 
 /// Input of the scheduler.
--- a/crates/parsleytally/src/jobs/mod.rs
+++ b/crates/parsleytally/src/jobs/mod.rs
@@ -12,6 +12,7 @@
 //!
 //! Each agent runs a [`JobAgent`], which carries out the orders on its worker.
 
+mod admission;
 mod agent;
 mod call_plan;
 mod contention;
@@ -34,6 +35,10 @@
 mod urgency;
 mod worker_health;
 
+pub use admission::{
+    AdmissionControl, BacklogGroup, Decision, Forecast, PoolForecast, QueueEstimate, Refusal,
+    UNCERTAIN_TIME, Work,
+};
 pub use agent::{
     AgentInput, AgentOutput, AgentTimes, CallError, JobAgent, Listing, OwnerLink, PollCall,
     StartCall, StopCall, ThrottleCall,
--- a/crates/parsleytally/src/jobs/scheduler/mod.rs
+++ b/crates/parsleytally/src/jobs/scheduler/mod.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::admission::ForecastState;
 use super::contention::Contention;
 use super::durations::Durations;
 use super::evacuation::Evacuation;
@@ -23,6 +24,7 @@
 mod drain;
 mod ended;
 mod evacuation;
+mod forecast;
 pub(super) mod pass;
 mod repair;
 mod start;
@@ -81,6 +83,7 @@
     evacuation: Evacuation,
     health_review: HealthReview,
     stall_budget: StallBudget,
+    forecasts: ForecastState,
     /// When what was learned was last recorded.
     learned_saved: Time,
     /// Time of the last confirmation of the ownership by the store.
@@ -112,6 +115,7 @@
             durations: Durations::default(),
             health_review: HealthReview::default(),
             stall_budget: StallBudget::default(),
+            forecasts: ForecastState::default(),
             learned_saved: Time::ZERO,
             confirmed: Time::ZERO,
             pass_due: false,
@@ -176,6 +180,8 @@
             JobRequest::Submit(..) => JobReply::Submitted(super::SubmitOutcome::No),
             JobRequest::Cancel(_) => JobReply::Cancelled(super::CancelOutcome::No),
             JobRequest::Read(_) => JobReply::Stored(super::StoredJob::Unknown),
+            // Needs the time: see `forecast`.
+            JobRequest::Forecast { .. } => JobReply::NotOwner,
         }
     }
 
