--- a/crates/parsleytally-link/src/handshake.rs
+++ b/crates/parsleytally-link/src/handshake.rs
@@ -69,7 +69,7 @@
     ))
 }
 
-fn check_opening(bytes: &[u8], own: &Hello) -> Result<Hello, LinkError> {
+pub(crate) fn check_opening(bytes: &[u8], own: &Hello) -> Result<Hello, LinkError> {
     let version = postcard::take_from_bytes::<u16>(bytes).ok();
     let (theirs, _) = version.context(NotHelloSnafu)?;
     let ours = PROTOCOL_VERSION;
--- a/crates/parsleytally-link/src/tests.rs
+++ b/crates/parsleytally-link/src/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of links over loopback sockets.
 
+mod malformed;
 mod proxy;
 
 use std::net::SocketAddr;
--- a/crates/parsleytally-link/src/wire.rs
+++ b/crates/parsleytally-link/src/wire.rs
@@ -77,7 +77,7 @@
 }
 
 /// Adds a chunk to its frame and returns the frame once it is complete.
-fn reassemble(
+pub(crate) fn reassemble(
     partial: &mut HashMap<u32, Vec<u8>>,
     chunk: &[u8],
 ) -> Result<Option<Frame>, LinkError> {
--- a/crates/parsleytally/src/jobs/job.rs
+++ b/crates/parsleytally/src/jobs/job.rs
@@ -193,7 +193,10 @@
     pub(super) fn due_ms(&self, round: usize) -> u64 {
         let round = round as u64;
         match self.spec.repeat {
-            Some(repeat) => repeat.start_ms + round * repeat.interval_ms,
+            Some(repeat) => {
+                let after = round.saturating_mul(repeat.interval_ms);
+                repeat.start_ms.saturating_add(after)
+            }
             None => self.spec.submitted_ms,
         }
     }
@@ -244,7 +247,7 @@
         let Some(repeat) = self.spec.repeat else {
             return (next == 0).then_some(0);
         };
-        let due = repeat.start_ms + u64::from(next) * repeat.interval_ms;
+        let due = self.due_ms(self.rounds.len());
         (next < repeat.count && due <= unix_ms).then_some(next)
     }
 
@@ -269,7 +272,9 @@
         if self.state.is_final() {
             return;
         }
-        for step in &progress.steps {
+        // A record that is damaged, or of another job, may name rounds that the job lacks.
+        let rounds = self.spec.rounds();
+        for step in progress.steps.iter().filter(|step| step.round < rounds) {
             while self.rounds.len() <= step.round as usize {
                 let number = self.rounds.len() as u32;
                 self.rounds.push(Round::new(number, &self.spec));
--- a/crates/parsleytally/src/jobs/spec.rs
+++ b/crates/parsleytally/src/jobs/spec.rs
@@ -13,6 +13,16 @@
 
 /// Format version of stored records.
 const RECORD_VERSION: u8 = 1;
+/// Most tasks of a job in all its rounds. An owner holds about 100 bytes for each, and the
+/// smallest entries have 160 MB.
+const MAX_TASKS: u64 = 200_000;
+/// Longest estimate and interval, in milliseconds: 34 years. Sums over all steps or rounds
+/// then stay far below the limit of the number type; the same holds for the limits below.
+const MAX_DURATION_MS: u64 = 1 << 40;
+/// Latest start, as Unix time in milliseconds.
+const MAX_UNIX_MS: u64 = 1 << 44;
+/// Most resources of a task: a million processors, a pebibyte and a million accelerators.
+const MAX_NEED: Resources = Resources::new(1_000_000_000, 1 << 50, 1_000_000);
 /// Length of a job's id as text, in hexadecimal digits.
 const ID_DIGITS: usize = 16;
 
@@ -128,6 +138,15 @@
     pub max_unavailable: u32,
 }
 
+impl StepSpec {
+    /// Whether the step's times and resources can be added up without overflow.
+    fn is_within_limits(&self) -> bool {
+        self.estimate_ms <= MAX_DURATION_MS
+            && self.target_ms <= MAX_DURATION_MS
+            && MAX_NEED.checked_sub(&self.need).is_some()
+    }
+}
+
 /// Schedule of a repeated job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Repeat {
@@ -139,6 +158,12 @@
     pub interval_ms: u64,
 }
 
+impl Repeat {
+    fn is_valid(&self) -> bool {
+        self.count > 0 && self.start_ms <= MAX_UNIX_MS && self.interval_ms <= MAX_DURATION_MS
+    }
+}
+
 /// Specification of a job, as submitted by its client.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobSpec {
@@ -157,7 +182,8 @@
 
 impl JobSpec {
     /// Whether there are at most 65535 steps and at least one, each with at least one task
-    /// and dependencies on earlier steps only, and at least one round.
+    /// and dependencies on earlier steps only, and at least one round; and whether the owner
+    /// can hold all tasks and add up all times and resources.
     pub fn is_valid(&self) -> bool {
         let earlier = |(number, step): (usize, &StepSpec)| {
             step.count > 0 && step.after.iter().all(|after| usize::from(*after) < number)
@@ -165,7 +191,15 @@
         let steps = self.steps.len();
         (1..=usize::from(u16::MAX)).contains(&steps)
             && self.steps.iter().enumerate().all(earlier)
-            && self.repeat.is_none_or(|repeat| repeat.count > 0)
+            && self.steps.iter().all(StepSpec::is_within_limits)
+            && self.repeat.is_none_or(|repeat| repeat.is_valid())
+            && self.submitted_ms <= MAX_UNIX_MS
+            && self.tasks().saturating_mul(u64::from(self.rounds())) <= MAX_TASKS
+    }
+
+    /// Number of tasks of a round.
+    fn tasks(&self) -> u64 {
+        self.steps.iter().map(|step| u64::from(step.count)).sum()
     }
 
     /// Number of rounds.
@@ -192,6 +226,9 @@
         /// Version of the record.
         version: u8,
     },
+    /// The job contradicts itself or exceeds a limit.
+    #[snafu(display("job of the record is contradictory or exceeds a limit"))]
+    Invalid,
     /// The record has no bytes.
     #[snafu(display("record is empty"))]
     Empty,
@@ -231,6 +268,10 @@
     ///
     /// Returns [`RecordError`] for bytes of another format version or an invalid record.
     pub fn decode(bytes: &[u8]) -> Result<Self, RecordError> {
-        decode(bytes)
+        let record: Self = decode(bytes)?;
+        if record.spec.is_valid() {
+            return Ok(record);
+        }
+        InvalidSnafu.fail()
     }
 }
--- a/crates/parsleytally/src/jobs/tests/mod.rs
+++ b/crates/parsleytally/src/jobs/tests/mod.rs
@@ -5,6 +5,7 @@
 mod contention;
 mod durations;
 mod foreign_reports;
+mod malformed;
 mod model;
 mod placement;
 mod records;
--- a/crates/parsleytally/src/jobs/urgency.rs
+++ b/crates/parsleytally/src/jobs/urgency.rs
@@ -23,14 +23,17 @@
     let expected = durations.expected_of_round_ms(job, step.round);
     let remaining_ms = critical_path_ms(job, &expected, Some(step.step));
     let total_ms = critical_path_ms(job, &expected, None);
-    let allowed_ms = job.policy.slack_ms + total_ms * job.policy.stretch_percent / 100;
+    // Settings of operators have no limits, so the sums may exceed all times.
+    let stretched_ms = total_ms.saturating_mul(job.policy.stretch_percent) / 100;
+    let allowed_ms = job.policy.slack_ms.saturating_add(stretched_ms);
     let due_ms = job.due_ms(step.round);
-    let deadline_ms = due_ms + allowed_ms;
-    let end_ms = wall_ms + remaining_ms;
+    let deadline_ms = due_ms.saturating_add(allowed_ms);
+    let end_ms = wall_ms.saturating_add(remaining_ms);
+    let latest_end_ms = due_ms.saturating_add(allowed_ms.saturating_mul(MAX_LATENESS_FACTOR));
     let long_running = job.spec.steps[step.step].long_running;
     let lateness = if long_running || end_ms <= deadline_ms {
         0
-    } else if end_ms <= due_ms + MAX_LATENESS_FACTOR * allowed_ms {
+    } else if end_ms <= latest_end_ms {
         1
     } else {
         2
