--- a/crates/parsleytally/src/jobs/tests/mod.rs
+++ b/crates/parsleytally/src/jobs/tests/mod.rs
@@ -7,6 +7,7 @@
 mod durations;
 mod evacuation;
 mod foreign_reports;
+mod malformed;
 mod model;
 mod placement;
 mod records;
