fix(jobs): a poll without an answer is no outage of a worker

Single unanswered polls made sound workers count as flapping, so that services could not start on them.

--- a/crates/parsleytally/src/jobs/tests/uneven/health.rs
+++ b/crates/parsleytally/src/jobs/tests/uneven/health.rs
@@ -169,6 +169,22 @@
     assert_eq!(fleet.standings_of(5).last(), Some(&WorkerStanding::Sound));
 }
 
+/// Guards against workers that count as flapping as single polls got no answer.
+#[test]
+fn only_outages_of_a_second_make_a_worker_flapping() {
+    for (silent_ms, expected) in [(500, vec![]), (1_500, vec![WorkerStanding::Flapping])] {
+        let mut fleet = UnevenFleet::new(HEALTH, 8);
+        fleet.join();
+        for _ in 0..6 {
+            fleet.agent(5, AgentMessage::Unresponsive(true));
+            fleet.advance(silent_ms);
+            fleet.agent(5, AgentMessage::Unresponsive(false));
+            fleet.advance(3_000);
+        }
+        assert_eq!(fleet.standings_of(5), expected, "silent for {silent_ms} ms");
+    }
+}
+
 /// Guards against a fault of many workers that leaves nobody for the work.
 #[test]
 fn at_most_a_quarter_of_a_pool_is_restricted() {
--- a/crates/parsleytally/src/jobs/worker_health.rs
+++ b/crates/parsleytally/src/jobs/worker_health.rs
@@ -34,6 +34,8 @@
 const START_DELAY_EXCESS: Duration = Duration::from_millis(500);
 /// Time in which outages make a worker flapping.
 const FLAP_WINDOW: Duration = Duration::from_secs(60);
+/// Shortest time without answers that is an outage: one poll without an answer is not.
+const MIN_OUTAGE: Duration = Duration::from_secs(1);
 /// Outages within [`FLAP_WINDOW`] that make a worker flapping: one restart is normal, and
 /// a second may be its repair.
 const FLAP_OUTAGES: usize = 3;
@@ -96,8 +98,8 @@
     start_delay: Average,
     /// Times of its latest outages.
     outages: VecDeque<Time>,
-    /// Whether it has been unresponsive since its last outage began.
-    in_outage: bool,
+    /// Since when it is unresponsive.
+    silent_since: Option<Time>,
     /// Whether an event since its last success calls for probation.
     suspected: bool,
     probation: Option<Probation>,
@@ -159,19 +161,21 @@
 
     /// Records that it has stopped or resumed answering.
     pub(super) fn set_unresponsive(&mut self, now: Time, unresponsive: bool) {
-        if unresponsive && !self.in_outage {
+        if unresponsive {
+            self.silent_since.get_or_insert(now);
+            return;
+        }
+        let silent = self.silent_since.take().map(|since| now.since(since));
+        if silent.is_some_and(|silent| silent >= MIN_OUTAGE) {
             self.add_outage(now);
         }
-        self.in_outage = unresponsive;
     }
 
     /// Records a new incarnation. What was learned of the speed of the last one is dropped;
     /// a restart that ends an unresponsive period is the same outage.
     pub(super) fn restarted(&mut self, now: Time) {
-        if !self.in_outage {
-            self.add_outage(now);
-        }
-        self.in_outage = false;
+        self.add_outage(now);
+        self.silent_since = None;
         self.slowness = Average::default();
         self.failures = Average::default();
         self.start_delay = Average::default();
