feat(jobs): work moves out of evacuated availability zones

Runs with checkpoints and young ones are stopped while a worker in another zone can take their tasks; service tasks move one after the other within max_unavailable.

--- a/crates/parsleytally/src/jobs/scheduler/drain.rs
+++ b/crates/parsleytally/src/jobs/scheduler/drain.rs
@@ -69,7 +69,7 @@
 }
 
 /// Remaining work time of a run in milliseconds, of `expected_ms` in total.
-fn remaining_work_ms(expected_ms: u64, now: Time, load: &Load) -> f64 {
+pub(super) fn remaining_work_ms(expected_ms: u64, now: Time, load: &Load) -> f64 {
     let expected = expected_ms as f64;
     match load.work_time_at(now) {
         Some(work_time) => (expected - work_time.as_secs_f64() * MILLI).max(0.0),
--- a/crates/parsleytally/src/jobs/scheduler/mod.rs
+++ b/crates/parsleytally/src/jobs/scheduler/mod.rs
@@ -21,6 +21,7 @@
 mod ended;
 mod evacuation;
 pub(super) mod pass;
+mod relocate;
 mod start;
 mod throttle;
 
@@ -68,6 +69,8 @@
     contention: Contention,
     durations: Durations,
     evacuation: Evacuation,
+    /// Earliest time of the next check for runs to move out of evacuated zones.
+    next_move: Time,
     /// When what was learned was last recorded.
     learned_saved: Time,
     /// Time of the last confirmation of the ownership by the store.
@@ -87,6 +90,7 @@
     pub fn new(options: SchedulerOptions) -> Self {
         Self {
             evacuation: Evacuation::new(options.evacuation_limit),
+            next_move: Time::ZERO,
             options,
             queues: Arc::default(),
             jobs: HashMap::new(),
--- a/crates/parsleytally/src/jobs/scheduler/start.rs
+++ b/crates/parsleytally/src/jobs/scheduler/start.rs
@@ -1,5 +1,7 @@
 //! Places ready steps on workers, the most urgent first.
 
+use std::collections::BTreeSet;
+
 use super::super::contention::LoadEffects;
 use super::super::fleet::{Load, WorkTime};
 use super::super::job::{Job, LiveRun, StepRef, StepRun};
@@ -43,6 +45,7 @@
         for (_, step) in ready {
             self.place_step(step, &mut pass, out);
         }
+        self.move_out_of_zones(now, out);
     }
 
     fn ready_steps(&self, wall_ms: u64) -> Vec<(Urgency, StepRef)> {
@@ -210,6 +213,24 @@
         choose_worker(self.workers.iter(), &request, run, now).cloned()
     }
 
+    /// Worker that could take one more task of the step now, other than those in `excluded`.
+    pub(super) fn choose_elsewhere(
+        &self,
+        now: Time,
+        at: StepRef,
+        index: usize,
+        excluded: &BTreeSet<NodeName>,
+    ) -> Option<NodeName> {
+        let load = self.jobs[&at.job].load(at.step as u16)?;
+        let effects = load.best_effort.then(|| self.contention.effects(&load));
+        let step = ReadyStep { at, load, effects };
+        let run = self.step_run(at);
+        let request = self.request(&step, run.tasks[index].failed_on.as_ref());
+        let workers = self.workers.iter();
+        let workers = workers.filter(|(node, _)| !excluded.contains(*node));
+        choose_worker(workers, &request, run, now).cloned()
+    }
+
     /// Request for a worker for a task of `step` that last failed on `failed_on`.
     fn request<'a>(
         &'a self,
--- a/crates/parsleytally/src/jobs/tests/evacuation.rs
+++ b/crates/parsleytally/src/jobs/tests/evacuation.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::agent::{TestAgent, sent};
-use super::scheduler::{Bench, starts};
+use super::scheduler::{Bench, starts, stops};
 use super::*;
 use crate::types::{Revision, Time};
 
@@ -39,6 +39,18 @@
         bench
     }
 
+    /// Reports that service tasks on worker `at` are in service.
+    fn serve(&mut self, at: usize, runs: &[RunRef]) {
+        let status = |run: &RunRef| RunStatus {
+            run: *run,
+            checkpoint: String::new(),
+            percent: 100,
+            measurement: 0,
+        };
+        let runs = runs.iter().map(status).collect();
+        self.agent(at, AgentMessage::Measurements(runs));
+    }
+
     fn read_zones(&mut self, zones: &[&str], revision: u64) -> Vec<Output> {
         let now = self.now;
         self.feed(read(zones, revision, now))
@@ -148,6 +160,176 @@
     assert_eq!(bench.scheduler.waiting_tasks(), 1);
 }
 
+fn moved(out: &[Output]) -> Vec<RunRef> {
+    let mut moved = Vec::new();
+    for event in events(out) {
+        if let EvacuationEvent::Moved { run, .. } = event {
+            moved.push(*run);
+        }
+    }
+    moved
+}
+
+/// Guards against runs that lose most of their work by a move, or that are stopped although
+/// no worker in another zone can take them.
+#[test]
+fn runs_that_would_lose_little_move_while_there_is_room_elsewhere() {
+    struct Case {
+        what: &'static str,
+        checkpoints: bool,
+        gang: bool,
+        /// Time that the run has worked when the zone is evacuated, in milliseconds.
+        worked_ms: u64,
+        /// Whether another zone has room.
+        room: bool,
+        moves: bool,
+    }
+    let young = Case {
+        what: "young",
+        checkpoints: false,
+        gang: false,
+        worked_ms: 1_000,
+        room: true,
+        moves: true,
+    };
+    let cases = [
+        Case {
+            what: "half done",
+            worked_ms: 5_000,
+            moves: false,
+            ..young
+        },
+        Case {
+            what: "half done, with checkpoints",
+            checkpoints: true,
+            worked_ms: 5_000,
+            ..young
+        },
+        Case {
+            what: "almost done, with checkpoints",
+            checkpoints: true,
+            worked_ms: 9_500,
+            moves: false,
+            ..young
+        },
+        Case {
+            what: "no room elsewhere",
+            room: false,
+            moves: false,
+            ..young
+        },
+        Case {
+            what: "member of a gang",
+            gang: true,
+            moves: false,
+            ..young
+        },
+        young,
+    ];
+    for case in cases {
+        let mut bench = Bench::with_zones(1);
+        bench.read_zones(&[], 20);
+        let spec = StepSpec {
+            checkpoints: case.checkpoints,
+            gang: case.gang,
+            estimate_ms: 10_000,
+            ..step(1, &[])
+        };
+        let out = bench.submit(1, job(vec![spec]), 11);
+        assert_eq!(nodes(&out), BTreeSet::from([node(0)]), "{}", case.what);
+        if case.room {
+            bench.join(1, report_in_zone(1));
+        }
+        bench.wait(case.worked_ms);
+        let mut out = bench.read_zones(&["a"], 21);
+        out.extend(bench.wait(20));
+        assert_eq!(moved(&out).len(), usize::from(case.moves), "{}", case.what);
+        assert_eq!(stops(&out), moved(&out), "{}", case.what);
+        if case.moves {
+            let out = bench.end(0, 1, moved(&out)[0], EndReason::Stopped);
+            assert_eq!(nodes(&out), BTreeSet::from([node(1)]), "{}", case.what);
+        }
+    }
+}
+
+/// Guards against an evacuation that takes more tasks of a service out of service than its
+/// limit allows, also while others are unavailable for another cause.
+#[test]
+fn service_tasks_move_one_after_the_other_within_their_limit() {
+    struct Case {
+        max_unavailable: u32,
+        /// Tasks that are not in service when the zone is evacuated.
+        starting: usize,
+        moves: usize,
+    }
+    let cases = [
+        Case {
+            max_unavailable: 0,
+            starting: 0,
+            moves: 0,
+        },
+        Case {
+            max_unavailable: 1,
+            starting: 0,
+            moves: 1,
+        },
+        Case {
+            // The task that is not in service moves, which interrupts no other.
+            max_unavailable: 1,
+            starting: 1,
+            moves: 1,
+        },
+        Case {
+            max_unavailable: 1,
+            starting: 2,
+            moves: 0,
+        },
+        Case {
+            max_unavailable: 3,
+            starting: 1,
+            moves: 1,
+        },
+    ];
+    for case in cases {
+        let mut bench = Bench::with_zones(1);
+        bench.read_zones(&[], 20);
+        let spec = StepSpec {
+            long_running: true,
+            max_unavailable: case.max_unavailable,
+            ..step(3, &[])
+        };
+        let out = bench.submit(1, job(vec![spec]), 11);
+        let runs: Vec<RunRef> = starts(&out).into_iter().map(|(_, run)| run).collect();
+        assert_eq!(runs.len(), 3);
+        bench.join(1, report_in_zone(1));
+        bench.serve(0, &runs[case.starting..]);
+        let mut out = bench.read_zones(&["a"], 21);
+        out.extend(bench.wait(1_000));
+        let limit = case.max_unavailable;
+        assert_eq!(moved(&out).len(), case.moves, "limit {limit}");
+        let Some(first) = moved(&out).first().copied() else {
+            continue;
+        };
+        let out = bench.end(0, 1, first, EndReason::Stopped);
+        let (_, again) = starts(&out)[0];
+        let out = bench.wait(1_000);
+        let next = usize::from(case.max_unavailable > 1 + case.starting as u32);
+        assert_eq!(
+            moved(&out).len(),
+            next,
+            "before the first is in service again"
+        );
+        bench.serve(1, &[again]);
+        let mut out = bench.read_zones(&["a"], 21);
+        out.extend(bench.wait(500));
+        assert_eq!(
+            moved(&out).len(),
+            1 - next,
+            "once the first is in service again"
+        );
+    }
+}
+
 /// Guards against start orders that arrive after the bound, from an owner that was paused or
 /// over a link that was delayed.
 #[test]
