--- a/crates/parsleytally/src/jobs/scheduler/mod.rs
+++ b/crates/parsleytally/src/jobs/scheduler/mod.rs
@@ -27,6 +27,7 @@
 mod forecast;
 pub(super) mod pass;
 mod repair;
+mod relocate;
 mod start;
 mod throttle;
 mod uneven;
@@ -84,6 +85,8 @@
     health_review: HealthReview,
     stall_budget: StallBudget,
     forecasts: ForecastState,
+    /// Earliest time of the next check for runs to move out of evacuated zones.
+    next_move: Time,
     /// When what was learned was last recorded.
     learned_saved: Time,
     /// Time of the last confirmation of the ownership by the store.
@@ -103,6 +106,7 @@
     pub fn new(options: SchedulerOptions) -> Self {
         Self {
             evacuation: Evacuation::new(options.evacuation_limit),
+            next_move: Time::ZERO,
             options,
             queues: Arc::default(),
             jobs: HashMap::new(),
