feat(jobs): weighted shares and quotas of queues, and preemption by priority

Capacity that several queues of a pool want is divided by weighted dominant share, with quotas; with preempt = true the run that loses the least work is stopped for a task of a queue of higher priority. Settings [shares] of entries; nothing changes without the section.

The dominant share over weight is shared with the teams' queue of placement. The test of the metrics page sets the new metrics, which have labels.

--- a/crates/parsleytally-entry/src/site/config.rs
+++ b/crates/parsleytally-entry/src/site/config.rs
@@ -1,9 +1,10 @@
 //! Settings (INI) of an entry for batch jobs on the users' platform.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
-use parsleytally::configs::{ConfigError, Document, SiteBase};
+use parsleytally::configs::{ConfigError, Document, SharesConfig, SiteBase};
 use parsleytally::types::MilliCpu;
 use parsleytally_link::LinkConfig;
 
@@ -33,6 +34,8 @@
     /// Processors that this process may use, such as 0.5: `[site] processors`. An entry with
     /// more of them is preferred as the owner of the jobs.
     pub cpu: MilliCpu,
+    /// How queues share scarce capacity: section `[shares]`; none without it.
+    pub shares: Option<Arc<SharesConfig>>,
     /// Key and timeouts of links: section `[link]`.
     pub link: LinkConfig,
 }
@@ -53,6 +56,7 @@
             grace: site.take_with("grace", DEFAULT_GRACE, humantime::parse_duration)?,
             drain: site.take_with("drain", DEFAULT_DRAIN, humantime::parse_duration)?,
             cpu: site.take_with("processors", MilliCpu(1_000), parse_processors)?,
+            shares: SharesConfig::take(&mut document)?.map(Arc::new),
             link: LinkConfig::take(document.take("link"))?,
         };
         site.finish()?;
--- a/crates/parsleytally-entry/src/site/metrics.rs
+++ b/crates/parsleytally-entry/src/site/metrics.rs
@@ -2,12 +2,14 @@
 
 use std::time::Duration;
 
-use parsleytally::jobs::{AgentMessage, EndReason, OrderMessage, Scheduler};
+use parsleytally::jobs::{AgentMessage, EndReason, OrderMessage, QueueName, QueueUsage, Scheduler};
 use parsleytally_platform::process::metrics::MetricSet;
-use prometheus::{IntCounterVec, IntGauge};
+use prometheus::{IntCounterVec, IntGauge, IntGaugeVec};
 
 /// Value of the epoch gauge while this entry is not the owner.
 const NOT_OWNER: i64 = -1;
+/// Factor from a share of 1 to the thousandths that are exported.
+const PERMILLE: f64 = 1_000.0;
 
 /// Metrics of all ownerships of one entry; clones share their values.
 #[derive(Debug, Clone)]
@@ -18,6 +20,9 @@
     agents: IntGauge,
     open_jobs: IntGauge,
     waiting_tasks: IntGauge,
+    queue_share: IntGaugeVec,
+    queue_waiting: IntGaugeVec,
+    preempted: IntCounterVec,
     /// Time since the store last confirmed the ownership, in milliseconds.
     confirmation_age: IntGauge,
 }
@@ -45,6 +50,21 @@
                 "parsleytally_jobs_waiting_tasks",
                 "Tasks that wait for free capacity.",
             )?,
+            queue_share: set.gauges(
+                "parsleytally_jobs_queue_share_permille",
+                "Dominant share of its pool that a queue uses; only with settings of shares.",
+                "queue",
+            )?,
+            queue_waiting: set.gauges(
+                "parsleytally_jobs_queue_waiting_tasks",
+                "Waiting tasks, by queue; only with settings of shares.",
+                "queue",
+            )?,
+            preempted: set.counters(
+                "parsleytally_jobs_preempted_total",
+                "Runs preempted for queues of higher priority, by their own queue.",
+                "queue",
+            )?,
             confirmation_age: set.gauge(
                 "parsleytally_jobs_confirmed_milliseconds",
                 "Age of the store's last confirmation of the ownership.",
@@ -64,6 +84,8 @@
         for gauge in gauges {
             gauge.set(0);
         }
+        self.queue_share.reset();
+        self.queue_waiting.reset();
     }
 
     pub(super) fn update(&self, scheduler: &Scheduler, agents: usize, confirmation_age: Duration) {
@@ -71,10 +93,28 @@
         self.agents.set(gauge(agents));
         self.open_jobs.set(gauge(scheduler.open_jobs()));
         self.waiting_tasks.set(gauge(scheduler.waiting_tasks()));
+        self.update_queues(&scheduler.queue_usage());
         let age = i64::try_from(confirmation_age.as_millis()).unwrap_or(i64::MAX);
         self.confirmation_age.set(age);
     }
 
+    /// Sets the gauges of the queues; those of other queues are removed.
+    pub(super) fn update_queues(&self, queues: &[QueueUsage]) {
+        self.queue_share.reset();
+        self.queue_waiting.reset();
+        for usage in queues {
+            let queue = [&*usage.queue.0];
+            let share = (usage.share * PERMILLE).round() as i64;
+            self.queue_share.with_label_values(&queue).set(share);
+            let waiting = i64::try_from(usage.waiting).unwrap_or(i64::MAX);
+            self.queue_waiting.with_label_values(&queue).set(waiting);
+        }
+    }
+
+    pub(super) fn count_preempted(&self, queue: &QueueName) {
+        self.preempted.with_label_values(&[&*queue.0]).inc();
+    }
+
     pub(super) fn count_order(&self, message: &OrderMessage) {
         let order = match message {
             OrderMessage::Start(_) => "start",
--- a/crates/parsleytally-entry/src/site/mod.rs
+++ b/crates/parsleytally-entry/src/site/mod.rs
@@ -149,6 +149,7 @@
                 hello,
                 link: config.link.clone(),
                 jobs: config.base.jobs.clone(),
+                shares: config.shares.clone(),
                 store,
                 queues: queues_receiver,
                 metrics,
--- a/crates/parsleytally-entry/src/site/owner.rs
+++ b/crates/parsleytally-entry/src/site/owner.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use parsleytally::configs::JobsConfig;
+use parsleytally::configs::{JobsConfig, SharesConfig};
 use parsleytally::jobs::{
     AgentMessage, ContentionRecord, Input, JobId, JobProgress, JobRecord, JobReply, JobRequest,
     OrderMessage, Output, QueueTable, Scheduler, SchedulerOptions,
@@ -25,7 +25,7 @@
 use super::keys;
 use super::known_agents::{Dial, KnownAgents, delete_address};
 use super::metrics::OwnerMetrics;
-use super::owner_log::{log_dropped, log_order, log_reconciled, log_undelivered};
+use super::owner_log::{log_dropped, log_order, log_preempted, log_reconciled, log_undelivered};
 use super::saver::{ProgressRecord, Saver, revisions};
 use super::stored_state::StoredState;
 
@@ -59,6 +59,7 @@
     pub(crate) hello: Hello,
     pub(crate) link: LinkConfig,
     pub(crate) jobs: JobsConfig,
+    pub(crate) shares: Option<Arc<SharesConfig>>,
     pub(crate) store: Arc<dyn Store>,
     pub(crate) queues: watch::Receiver<Option<Arc<QueueTable>>>,
     pub(crate) metrics: OwnerMetrics,
@@ -84,9 +85,13 @@
         let (sender, inputs) = mpsc::channel(CHANNEL_CAPACITY);
         let stop = CancellationToken::new();
         let confirmation = LastConfirmation::at(confirmed);
+        let mut scheduler = Scheduler::new(scheduler_options(&context.jobs, &owner, since));
+        if let Some(shares) = &context.shares {
+            scheduler.set_shares(shares.clone());
+        }
         let actor = OwnerActor {
             clock: Clock::start(),
-            scheduler: Scheduler::new(scheduler_options(&context.jobs, &owner, since)),
+            scheduler,
             context,
             owner,
             since,
@@ -476,6 +481,17 @@
                     runs,
                     evidence,
                 } => log_dropped(&node, runs, evidence),
+                Output::Preempted {
+                    node,
+                    run,
+                    queue,
+                    by,
+                    percent,
+                    lost_cpu_ms,
+                } => {
+                    self.context.metrics.count_preempted(&queue);
+                    log_preempted(&node, run, [&queue, &by], percent, lost_cpu_ms);
+                }
                 Output::Reconciled(node, outcome) => log_reconciled(&node, &outcome),
                 Output::Save {
                     job,
--- a/crates/parsleytally-entry/src/site/owner_log.rs
+++ b/crates/parsleytally-entry/src/site/owner_log.rs
@@ -1,12 +1,24 @@
 //! Log lines for the owner's decisions.
 
-use parsleytally::jobs::{EndEvidence, ListingOutcome, OrderMessage};
+use parsleytally::jobs::{EndEvidence, ListingOutcome, OrderMessage, QueueName, RunRef};
 use parsleytally::types::NodeName;
 
 pub(super) fn log_dropped(node: &NodeName, runs: usize, evidence: EndEvidence) {
     log::warn!(agent:% = node, runs, evidence:? = evidence; "runs of a worker count as ended");
 }
 
+/// Logs that a run of the first queue is preempted for a task of the second.
+pub(super) fn log_preempted(
+    node: &NodeName,
+    run: RunRef,
+    [queue, by]: [&QueueName; 2],
+    percent: u32,
+    lost_cpu_ms: u64,
+) {
+    log::info!(task:% = run.task, run = run.run, agent:% = node, queue:% = queue, by:% = by,
+        percent, lost_cpu_ms; "run preempted");
+}
+
 pub(super) fn log_reconciled(node: &NodeName, outcome: &ListingOutcome) {
     let ListingOutcome {
         kept,
--- a/crates/parsleytally-entry/src/site/tests/mod.rs
+++ b/crates/parsleytally-entry/src/site/tests/mod.rs
@@ -12,8 +12,8 @@
 
 use parsleytally::jobs::{
     AgentMessage, CallError, EndReason, EndedRun, JobId, JobSpec, JobState, Listing, OrderMessage,
-    PollCall, QueueName, QueuePolicy, RunRef, StartCall, StepSpec, StopCall, TaskId, ThrottleCall,
-    WorkerIncarnation,
+    PollCall, QueueName, QueuePolicy, QueueUsage, RunRef, StartCall, StepSpec, StopCall, TaskId,
+    ThrottleCall, WorkerIncarnation,
 };
 use parsleytally::types::{Epoch, Incarnation, MilliCpu, NodeName, ZoneName};
 use parsleytally_link::{Frame, Hello, Keys, LinkConfig, Role, accept};
@@ -336,6 +336,13 @@
         run: 1,
     };
     owner.count_order(&OrderMessage::Stop(run));
+    let queue = QueueName("q".into());
+    owner.count_preempted(&queue);
+    owner.update_queues(&[QueueUsage {
+        queue,
+        share: 0.5,
+        waiting: 1,
+    }]);
     let ended_run = EndedRun {
         sequence: 1,
         run,
--- a/crates/parsleytally-entry/src/site/tests/owner.rs
+++ b/crates/parsleytally-entry/src/site/tests/owner.rs
@@ -24,6 +24,7 @@
         hello: hello(Role::Entry, "owner"),
         link: link_config(),
         jobs: JobsConfig::default(),
+        shares: None,
         store,
         queues,
         metrics: OwnerMetrics::new(&set).expect("names are free"),
--- a/crates/parsleytally-platform/src/process/metrics.rs
+++ b/crates/parsleytally-platform/src/process/metrics.rs
@@ -3,8 +3,8 @@
 use ::http::{Method, StatusCode};
 use prometheus::core::Collector;
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry, Result,
-    TextEncoder,
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, Result, TextEncoder,
 };
 use volo_http::request::Request;
 
@@ -60,6 +60,15 @@
         self.add(IntGauge::new(name, help)?)
     }
 
+    /// Makes a gauge for each value of `label`.
+    ///
+    /// # Errors
+    ///
+    /// Returns what the library reports on a wrong or taken name.
+    pub fn gauges(&self, name: &str, help: &str, label: &str) -> Result<IntGaugeVec> {
+        self.add(IntGaugeVec::new(Opts::new(name, help), &[label])?)
+    }
+
     /// Makes a histogram with the upper bounds `buckets`.
     ///
     /// # Errors
--- a/crates/parsleytally/examples/owner_cost/fleet.rs
+++ b/crates/parsleytally/examples/owner_cost/fleet.rs
@@ -138,6 +138,7 @@
                 Output::Forget(_)
                 | Output::SaveLearned(_)
                 | Output::RunsDropped { .. }
+                | Output::Preempted { .. }
                 | Output::Reconciled(..) => {}
             }
         }
--- a/crates/parsleytally/src/configs/ini.rs
+++ b/crates/parsleytally/src/configs/ini.rs
@@ -115,6 +115,11 @@
             .unwrap_or_else(|| Section::empty(name))
     }
 
+    /// Whether the section `name` is present and has not been taken.
+    pub fn contains(&self, name: &str) -> bool {
+        self.sections.contains_key(name)
+    }
+
     /// Checks that every section has been taken.
     ///
     /// # Errors
@@ -209,6 +214,28 @@
             })
     }
 
+    /// Takes all keys that are left, each with its value converted by `convert`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ConfigError::BadValue`] for the first value that `convert` refuses.
+    pub fn take_rest<T, E: Display>(
+        &mut self,
+        convert: impl Fn(&str) -> Result<T, E>,
+    ) -> Result<BTreeMap<String, T>, ConfigError> {
+        let values = std::mem::take(&mut self.values).into_iter();
+        let converted = values.map(|(key, value)| match convert(&value) {
+            Ok(converted) => Ok((key, converted)),
+            Err(reason) => Err(ConfigError::BadValue {
+                section: self.name.clone(),
+                key,
+                value,
+                reason: reason.to_string(),
+            }),
+        });
+        converted.collect()
+    }
+
     /// Checks that every key has been taken.
     ///
     /// # Errors
--- a/crates/parsleytally/src/configs/mod.rs
+++ b/crates/parsleytally/src/configs/mod.rs
@@ -22,6 +22,7 @@
 mod retry;
 mod routing;
 mod service;
+mod shares;
 mod store;
 mod token;
 
@@ -41,6 +42,7 @@
 pub use retry::RetryConfig;
 pub use routing::RoutingConfig;
 pub use service::ServiceConfig;
+pub use shares::{QueueShare, SharesConfig};
 pub use store::StoreConfig;
 pub use token::{TokenConfig, TokenHash};
 
--- a/crates/parsleytally/src/configs/tests.rs
+++ b/crates/parsleytally/src/configs/tests.rs
@@ -266,3 +266,68 @@
     );
     assert!(parse(b"[ownership]\nhold = 7s\ninterval = 1s\n").is_ok());
 }
+
+type ReadShares = (bool, u32, Option<u32>);
+
+#[test]
+fn shares_of_queues_are_read_or_refused_with_a_reason() {
+    struct Case {
+        text: &'static str,
+        /// Whether runs may be preempted, and weight and quota of the queue `q`.
+        expected: Result<Option<ReadShares>, &'static str>,
+    }
+    const EXPECTED: &str = "expected a weight, or a weight and a quota of 1% to 100%";
+    let cases = [
+        Case {
+            text: "",
+            expected: Ok(None),
+        },
+        Case {
+            text: "[shares]\n",
+            expected: Ok(Some((false, 1, None))),
+        },
+        Case {
+            text: "[shares]\npreempt = true\nother = 7\n",
+            expected: Ok(Some((true, 1, None))),
+        },
+        Case {
+            text: "[shares]\nq = 3, 40%\n",
+            expected: Ok(Some((false, 3, Some(40)))),
+        },
+        Case {
+            text: "[shares]\nq = 0\n",
+            expected: Err("expected at least 1"),
+        },
+        Case {
+            text: "[shares]\nq = 1, 0%\n",
+            expected: Err(EXPECTED),
+        },
+        Case {
+            text: "[shares]\nq = 1, 101%\n",
+            expected: Err(EXPECTED),
+        },
+        Case {
+            text: "[shares]\nq = 1, 40\n",
+            expected: Err(EXPECTED),
+        },
+        Case {
+            text: "[shares]\npreempt = often\n",
+            expected: Err("provided string was not `true` or `false`"),
+        },
+    ];
+    for Case { text, expected } in cases {
+        let mut document = Document::parse(text.as_bytes()).expect("INI");
+        let read = SharesConfig::take(&mut document);
+        let read = read.map(|config| {
+            let config = config?;
+            let share = config.share("q");
+            Some((config.preempt, share.weight, share.quota_percent))
+        });
+        match (read, expected) {
+            (Err(error), Err(reason)) => {
+                assert!(error.to_string().ends_with(reason), "{text}: {error}");
+            }
+            (read, expected) => assert_eq!(read.ok(), expected.ok(), "{text}"),
+        }
+    }
+}
--- a/crates/parsleytally/src/jobs/fleet.rs
+++ b/crates/parsleytally/src/jobs/fleet.rs
@@ -68,6 +68,8 @@
     pub(super) cores: f64,
     /// Progress at its last measurement, in percent.
     pub(super) progress_percent: u32,
+    /// When its progress was last measured; `None` before the first measurement by this owner.
+    pub(super) measured_at: Option<Time>,
     /// Time worked so far; `None` if the start of its work is not known.
     pub(super) work_time: Option<WorkTime>,
 }
--- a/crates/parsleytally/src/jobs/job.rs
+++ b/crates/parsleytally/src/jobs/job.rs
@@ -333,6 +333,7 @@
             cpu_share: Some(FULL_CPU_SHARE),
             cores: step.need.cpu.0 as f64 / MILLI,
             progress_percent: 0,
+            measured_at: None,
             work_time: None,
         })
     }
--- a/crates/parsleytally/src/jobs/messages.rs
+++ b/crates/parsleytally/src/jobs/messages.rs
@@ -314,6 +314,21 @@
         /// From what the owner concludes so.
         evidence: EndEvidence,
     },
+    /// A run is preempted, and ordered to stop by a further output; only logged and counted.
+    Preempted {
+        /// The worker's agent.
+        node: NodeName,
+        /// The run.
+        run: RunRef,
+        /// Its queue.
+        queue: QueueName,
+        /// Queue whose task needs the room.
+        by: QueueName,
+        /// Share of its work that was done, in percent.
+        percent: u32,
+        /// Work that is lost, in processor milliseconds.
+        lost_cpu_ms: u64,
+    },
     /// An agent has listed the runs of its worker; only logged.
     Reconciled(NodeName, ListingOutcome),
     /// Save in the store what was learned about the contention between images.
--- a/crates/parsleytally/src/jobs/mod.rs
+++ b/crates/parsleytally/src/jobs/mod.rs
@@ -19,9 +19,11 @@
 mod job;
 mod messages;
 mod place;
+mod preempt;
 mod progress;
 mod queues;
 mod scheduler;
+mod shares;
 mod spec;
 mod urgency;
 
@@ -39,6 +41,7 @@
 pub use progress::{JobProgress, StepProgress, TaskProgress};
 pub use queues::{QueueName, QueuePolicy, QueueTable};
 pub use scheduler::{Scheduler, SchedulerOptions};
+pub use shares::QueueUsage;
 pub use spec::{InvalidJobId, JobId, JobRecord, JobSpec, RecordError, Repeat, StepSpec, TaskId};
 
 #[cfg(test)]
--- a/crates/parsleytally/src/jobs/scheduler/mod.rs
+++ b/crates/parsleytally/src/jobs/scheduler/mod.rs
@@ -9,6 +9,7 @@
 use super::durations::Durations;
 use super::fleet::Worker;
 use super::job::{Job, StepRef};
+use super::shares::Shares;
 use super::{
     AgentMessage, EndEvidence, Input, JobId, JobProgress, JobRecord, JobReply, JobRequest,
     JobState, OrderMessage, Output, QueueName, QueueTable, RunRef, WorkerIncarnation, WorkerReport,
@@ -19,6 +20,8 @@
 mod ended;
 mod evacuate;
 pub(super) mod pass;
+mod preempt;
+mod shares;
 mod start;
 mod throttle;
 
@@ -62,6 +65,8 @@
     unreported: BTreeMap<NodeName, Time>,
     contention: Contention,
     durations: Durations,
+    /// Use of the pools by the queues; none without settings of shares.
+    shares: Option<Shares>,
     /// When what was learned was last recorded.
     learned_saved: Time,
     /// Time of the last confirmation of the ownership by the store.
@@ -90,6 +95,7 @@
             unreported: BTreeMap::new(),
             contention: Contention::default(),
             durations: Durations::default(),
+            shares: None,
             learned_saved: Time::ZERO,
             confirmed: Time::ZERO,
             pass_due: false,
--- a/crates/parsleytally/src/jobs/scheduler/start.rs
+++ b/crates/parsleytally/src/jobs/scheduler/start.rs
@@ -36,9 +36,18 @@
         ready.sort_by_key(|(urgency, step)| (*urgency, *step));
         let changed = std::mem::take(&mut self.changed_workers);
         let consider_all = std::mem::take(&mut self.full_pass_due);
-        let mut pass = Pass::new(now, (!consider_all).then_some(changed));
+        let changed = (!consider_all).then_some(changed);
+        self.recount_shares(changed.as_ref());
+        let mut pass = Pass::new(now, changed);
+        if self.shares.is_some() {
+            self.place_by_shares(&ready, &mut pass, out);
+            if consider_all {
+                self.preempt(now, &ready, out);
+            }
+            return;
+        }
         for (_, step) in ready {
-            self.place_step(step, &mut pass, out);
+            self.place_step(step, usize::MAX, &mut pass, out);
         }
     }
 
@@ -66,16 +75,24 @@
         self.unreported.is_empty() || job.accepted > self.options.start_revision
     }
 
-    fn place_step(&mut self, at: StepRef, pass: &mut Pass, out: &mut Vec<Output>) {
+    /// Starts at most `limit` waiting tasks of a step; returns whether there was a worker for
+    /// each. A gang is started as a whole and returns false.
+    pub(super) fn place_step(
+        &mut self,
+        at: StepRef,
+        limit: usize,
+        pass: &mut Pass,
+        out: &mut Vec<Output>,
+    ) -> bool {
         let job = &self.jobs[&at.job];
         let Some(load) = job.load(at.step as u16) else {
-            return;
+            return false;
         };
         let blocked = job.step_run(at).blocked;
         let pool = job.policy.service.clone();
         if pass.covers(&load, &pool, blocked) {
             self.set_blocked(at, true);
-            return;
+            return false;
         }
         let spec = job.spec.clone();
         let spec = &spec.steps[at.step];
@@ -83,13 +100,14 @@
         let step = ReadyStep { at, load, effects };
         if spec.gang {
             self.place_gang(pass.now, &step, out);
-            return;
+            return false;
         }
-        let placed_all = self.place_tasks(&step, pass, blocked, out);
+        let placed_all = self.place_tasks(&step, limit, pass, blocked, out);
         self.set_blocked(at, !placed_all);
         if !placed_all && spec.required_label.is_none() && spec.max_per_worker == 0 {
             pass.add_unplaceable(&step.load, &pool, blocked);
         }
+        placed_all
     }
 
     fn set_blocked(&mut self, at: StepRef, blocked: bool) {
@@ -98,10 +116,12 @@
         }
     }
 
-    /// Starts the waiting tasks of a step; returns whether there was a worker for each.
+    /// Starts at most `limit` waiting tasks of a step; returns whether there was a worker for
+    /// each.
     fn place_tasks(
         &mut self,
         step: &ReadyStep,
+        limit: usize,
         pass: &mut Pass,
         blocked: bool,
         out: &mut Vec<Output>,
@@ -110,7 +130,7 @@
         let workers = pass.workers(&self.workers, blocked);
         let run = self.step_run(step.at);
         let mut candidates = Candidates::new(workers, &self.request(step, None), run, now);
-        let waiting: Vec<usize> = run.waiting_tasks().collect();
+        let waiting: Vec<usize> = run.waiting_tasks().take(limit).collect();
         for index in waiting {
             let run = self.step_run(step.at);
             let failed_on = run.tasks[index].failed_on.as_ref();
@@ -188,7 +208,9 @@
                 task: step.task(*index),
                 run,
             };
-            self.release(node, run);
+            if let Some(load) = self.release(node, run) {
+                self.refund_share(node, step, &load);
+            }
             self.detach_run(node, run);
         }
     }
@@ -225,7 +247,7 @@
         }
     }
 
-    fn step_run(&self, at: StepRef) -> &StepRun {
+    pub(super) fn step_run(&self, at: StepRef) -> &StepRun {
         self.jobs[&at.job].step_run(at)
     }
 
@@ -267,6 +289,7 @@
         if load.shares_processors() {
             self.contention.update_headrooms(node, worker);
         }
+        self.charge_share(node, step, &load);
         let Some(job) = self.jobs.get_mut(&step.job) else {
             return;
         };
--- a/crates/parsleytally/src/jobs/scheduler/throttle.rs
+++ b/crates/parsleytally/src/jobs/scheduler/throttle.rs
@@ -11,7 +11,7 @@
 /// CPU share below which a best-effort run is moved to another worker, in percent.
 const MIN_CPU_SHARE: u32 = 20;
 /// Progress from which on a best-effort run is not moved any more, in percent.
-const NEARLY_DONE_PERCENT: u32 = 85;
+pub(super) const NEARLY_DONE_PERCENT: u32 = 85;
 
 /// Minimum CPU share at which the measured usage of a best-effort run can be scaled up to
 /// its usage without throttling, in percent.
@@ -44,6 +44,7 @@
         for gauge in gauges {
             if let Some(load) = worker.runs.get_mut(&gauge.run) {
                 load.progress_percent = gauge.percent;
+                load.measured_at = Some(now);
                 record_usage(load, gauge.measurement);
             }
         }
--- a/crates/parsleytally/src/jobs/tests/contention.rs
+++ b/crates/parsleytally/src/jobs/tests/contention.rs
@@ -28,6 +28,7 @@
 
 fn load(image: &str, target_ms: u64) -> Load {
     Load {
+        measured_at: None,
         need: need(1_800, 100),
         best_effort: target_ms == 0,
         target_ms,
--- a/crates/parsleytally/src/jobs/tests/mod.rs
+++ b/crates/parsleytally/src/jobs/tests/mod.rs
@@ -8,6 +8,7 @@
 mod placement;
 mod records;
 mod scheduler;
+mod shares;
 mod shutdown;
 mod throttle;
 mod worker;
--- a/crates/parsleytally/src/jobs/tests/model/mod.rs
+++ b/crates/parsleytally/src/jobs/tests/model/mod.rs
@@ -10,6 +10,7 @@
 
 use super::worker::{LASTING, LEASE_MAX_MS, SimulatedWorker, WorkerEvent};
 use super::*;
+use crate::configs::SharesConfig;
 use crate::types::{Revision, Time};
 
 mod agents;
@@ -28,7 +29,7 @@
 use links::Link;
 use owners::SimulatedOwner;
 use queue::{Event, ScheduledEvent};
-use store::StoredJob;
+use store::{StoredJob, low_queue};
 
 /// Number of seeds that the tests simulate.
 const SEEDS: u64 = 300;
@@ -115,6 +116,10 @@
     /// Tasks whose completed run was acknowledged to its worker.
     acknowledged: HashSet<TaskId>,
     violations: Vec<String>,
+    /// Whether there is a queue of lower priority whose runs may be preempted.
+    preempts: bool,
+    /// Number of preempted runs.
+    preempted: usize,
     /// Whether the events are printed.
     traced: bool,
 }
@@ -151,6 +156,8 @@
             unknown_since: BTreeMap::new(),
             acknowledged: HashSet::new(),
             violations: Vec::new(),
+            preempts: false,
+            preempted: 0,
             traced: false,
         };
         for at in 0..WORKERS {
@@ -191,7 +198,12 @@
             .push(Reverse(ScheduledEvent(at, self.sequence, event)));
     }
 
-    fn run(mut self) -> Vec<String> {
+    fn run(self) -> Vec<String> {
+        self.run_counted().0
+    }
+
+    /// Runs the simulation; returns the violations and the number of preempted runs.
+    fn run_counted(mut self) -> (Vec<String>, usize) {
         let end = self.now.after(END);
         while let Some(Reverse(ScheduledEvent(at, _, event))) = self.queue.pop() {
             if at > end || !self.violations.is_empty() {
@@ -207,7 +219,7 @@
         if self.violations.is_empty() {
             self.check_end();
         }
-        self.violations
+        (self.violations, self.preempted)
     }
 
     fn handle(&mut self, event: Event) {
@@ -338,6 +350,21 @@
     );
 }
 
+/// Guards against tasks that run twice, or never again, after a preemption that a fault cuts
+/// short: an owner is replaced, or the stop or its answer is lost.
+#[test]
+fn invariants_hold_when_runs_are_preempted_under_seeded_faults() {
+    let mut preempted = 0;
+    for seed in 0..seed_count() {
+        let mut simulation = Simulation::new(seed, InjectedBug::Nothing);
+        simulation.preempts = true;
+        let (violations, count) = simulation.run_counted();
+        assert_eq!(violations, Vec::<String>::new(), "seed {seed}");
+        preempted += count;
+    }
+    assert!(preempted > 0, "no run was preempted");
+}
+
 /// A bug and the violation that it must lead to.
 struct BugCase {
     bug: InjectedBug,
--- a/crates/parsleytally/src/jobs/tests/model/owners.rs
+++ b/crates/parsleytally/src/jobs/tests/model/owners.rs
@@ -55,7 +55,13 @@
             runs: KnownRuns::default(),
             known: self.registered.keys().copied().collect(),
         });
-        self.step_owner(owner, Input::Queues(Arc::new(queues(1))));
+        if self.preempts {
+            let config = SharesConfig::new(true, BTreeMap::new());
+            self.owners[owner].scheduler.set_shares(Arc::new(config));
+        }
+        let low = low_queue();
+        let queues = QueueTable::new(1, 1 << 18, vec![queue(), low]);
+        self.step_owner(owner, Input::Queues(Arc::new(queues)));
         for at in self.registered.keys().copied().collect::<Vec<_>>() {
             if epoch > 0 && self.bug != InjectedBug::NoWait {
                 self.step_owner(owner, Input::Expected(node(at)));
@@ -93,6 +99,7 @@
                     self.owners[owner].runs.clear(at);
                     self.forget(owner, at);
                 }
+                Output::Preempted { .. } => self.preempted += 1,
                 Output::SaveLearned(_) | Output::RunsDropped { .. } | Output::Reconciled(..) => {}
                 Output::Save {
                     job,
--- a/crates/parsleytally/src/jobs/tests/model/store.rs
+++ b/crates/parsleytally/src/jobs/tests/model/store.rs
@@ -30,6 +30,15 @@
     record
 }
 
+/// A queue of lower priority than [`queue`].
+pub(super) fn low_queue() -> QueuePolicy {
+    QueuePolicy {
+        name: QueueName("low".into()),
+        priority: 2,
+        ..queue()
+    }
+}
+
 impl Simulation {
     pub(super) fn save(&mut self, owner: usize, job: JobId, version: u64, progress: JobProgress) {
         if owner == usize::MAX || !self.owners[owner].up || !self.is_current(owner) {
@@ -57,7 +66,10 @@
         }
         self.revision += 1;
         let accepted = Revision(self.revision);
-        let record = submitted_job(id);
+        let mut record = submitted_job(id);
+        if self.preempts && !id.is_multiple_of(3) {
+            record.spec.queue = Arc::new(low_queue());
+        }
         let stored = StoredJob {
             record: record.clone(),
             accepted,
--- a/crates/parsleytally/src/jobs/tests/scheduler.rs
+++ b/crates/parsleytally/src/jobs/tests/scheduler.rs
@@ -7,8 +7,8 @@
 
 /// A scheduler whose ownership began at revision 10, with a manual clock.
 pub(super) struct Bench {
-    scheduler: Scheduler,
-    now: Time,
+    pub(super) scheduler: Scheduler,
+    pub(super) now: Time,
     wall_ms: u64,
 }
 
--- a/crates/parsleytally/src/jobs/urgency.rs
+++ b/crates/parsleytally/src/jobs/urgency.rs
@@ -18,6 +18,13 @@
     latest_start_ms: u64,
 }
 
+impl Urgency {
+    /// Whether the result of the job still has value when it ends as expected.
+    pub(super) fn has_value(&self) -> bool {
+        self.lateness < 2
+    }
+}
+
 /// Urgency of a step of `job` at the Unix time `wall_ms`.
 pub(super) fn urgency(job: &Job, step: StepRef, durations: &Durations, wall_ms: u64) -> Urgency {
     let expected = durations.expected_of_round_ms(job, step.round);
--- a/crates/parsleytally/src/lib.rs
+++ b/crates/parsleytally/src/lib.rs
@@ -44,6 +44,7 @@
 //! ```
 
 pub mod configs;
+mod dominant_share;
 pub mod estimates;
 pub mod grants;
 pub mod health;
--- a/crates/parsleytally/src/placement/fleet.rs
+++ b/crates/parsleytally/src/placement/fleet.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use crate::configs::PlacementConfig;
-use crate::types::{Bytes, MilliCpu, NodeName, Resources, TaskKey, Time};
+use crate::types::{NodeName, Resources, TaskKey, Time};
 
 use super::index::Index;
 use super::{FilterReason, Report, Request};
@@ -36,9 +36,9 @@
     /// Recomputes the free capacity.
     fn refresh(&mut self) {
         let granted = &self.report.granted;
-        let mut free = saturating_sub(&self.report.total, granted);
+        let mut free = self.report.total.saturating_sub(granted);
         for start in &self.assumed_starts {
-            free = saturating_sub(&free, &start.need);
+            free = free.saturating_sub(&start.need);
         }
         self.free = free;
     }
@@ -104,7 +104,7 @@
             return Some(FilterReason::Memory);
         }
         let headroom = accelerator_headroom(self.free.accelerators, config);
-        let remaining = saturating_sub(&self.free, need);
+        let remaining = self.free.saturating_sub(need);
         let uses_headroom = need.accelerators == 0 && !headroom.fits(&remaining);
         uses_headroom.then_some(FilterReason::AcceleratorHeadroom)
     }
@@ -214,14 +214,14 @@
         if let Some(old) = old {
             self.remove_shape(&old);
         }
-        self.total = saturating_add(&self.total, &new);
+        self.total = self.total.saturating_add(&new);
         let count = self.shapes.entry(shape(&new)).or_default();
         *count += 1;
         *count == 1
     }
 
     fn remove_shape(&mut self, old: &Resources) {
-        self.total = saturating_sub(&self.total, old);
+        self.total = self.total.saturating_sub(old);
         let key = shape(old);
         let count = self.shapes.get_mut(&key).map_or(0, |count| {
             *count -= 1;
@@ -270,7 +270,7 @@
             let covered = worker.report.tasks.iter().position(|t| t == task);
             if let Some(position) = covered {
                 worker.report.tasks.swap_remove(position);
-                worker.report.granted = saturating_sub(&worker.report.granted, need);
+                worker.report.granted = worker.report.granted.saturating_sub(need);
             }
         });
     }
@@ -282,8 +282,8 @@
                 start.need = need;
             }
             if worker.report.tasks.contains(task) {
-                let without = saturating_sub(&worker.report.granted, old);
-                worker.report.granted = saturating_add(&without, &need);
+                let without = worker.report.granted.saturating_sub(old);
+                worker.report.granted = without.saturating_add(&need);
             }
         });
     }
@@ -292,7 +292,7 @@
     /// starts so far.
     pub(super) fn set_free(&mut self, slot: usize, free: &Resources) {
         self.update(slot, |worker| {
-            worker.report.granted = saturating_sub(&worker.report.total, free);
+            worker.report.granted = worker.report.total.saturating_sub(free);
             worker.assumed_starts.clear();
         });
     }
@@ -338,19 +338,3 @@
 fn shape(total: &Resources) -> (u64, u64, u32) {
     (total.cpu.0, total.memory.0, total.accelerators)
 }
-
-pub(super) fn saturating_sub(a: &Resources, b: &Resources) -> Resources {
-    Resources {
-        cpu: MilliCpu(a.cpu.0.saturating_sub(b.cpu.0)),
-        memory: Bytes(a.memory.0.saturating_sub(b.memory.0)),
-        accelerators: a.accelerators.saturating_sub(b.accelerators),
-    }
-}
-
-pub(super) fn saturating_add(a: &Resources, b: &Resources) -> Resources {
-    Resources {
-        cpu: MilliCpu(a.cpu.0.saturating_add(b.cpu.0)),
-        memory: Bytes(a.memory.0.saturating_add(b.memory.0)),
-        accelerators: a.accelerators.saturating_add(b.accelerators),
-    }
-}
--- a/crates/parsleytally/src/placement/queue.rs
+++ b/crates/parsleytally/src/placement/queue.rs
@@ -11,10 +11,10 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use crate::configs::{PlacementConfig, QuotaConfig};
+use crate::dominant_share::weighted_share;
 use crate::types::{Resources, TaskKey, TeamName, Time};
 
 use super::Request;
-use super::fleet::{saturating_add, saturating_sub};
 
 /// Sort key of a task within its lane: microseconds and a sequence number.
 pub(super) type QueueKey = (u64, u64);
@@ -115,16 +115,7 @@
 
     /// Largest share of any resource of `total`, divided by the weight, in millionths.
     fn share(&self, total: &Resources) -> u64 {
-        let part = |used: u64, whole: u64| used as f64 / whole.max(1) as f64;
-        let cpu = part(self.used.cpu.0, total.cpu.0);
-        let memory = part(self.used.memory.0, total.memory.0);
-        let accelerators = part(
-            u64::from(self.used.accelerators),
-            u64::from(total.accelerators),
-        );
-        let dominant = cpu.max(memory).max(accelerators);
-        let weight = f64::from(self.quota.weight.max(1));
-        (dominant / weight * 1e6) as u64
+        weighted_share(&self.used, total, self.quota.weight)
     }
 }
 
@@ -183,13 +174,13 @@
     /// Adds a task's need to its team's use.
     pub(super) fn charge(&mut self, team: &TeamName, need: &Resources) {
         let team = self.team(team);
-        team.used = saturating_add(&team.used, need);
+        team.used = team.used.saturating_add(need);
     }
 
     /// Subtracts a task's need from its team's use.
     pub(super) fn refund(&mut self, team: &TeamName, need: &Resources) {
         let team = self.team(team);
-        team.used = saturating_sub(&team.used, need);
+        team.used = team.used.saturating_sub(need);
         team.reset_exhausted();
     }
 
--- a/crates/parsleytally/src/placement/score.rs
+++ b/crates/parsleytally/src/placement/score.rs
@@ -6,7 +6,7 @@
 use crate::configs::PlacementConfig;
 use crate::types::Resources;
 
-use super::fleet::{Worker, saturating_sub};
+use super::fleet::Worker;
 use super::{Request, ServiceLoad};
 
 /// Expected effect of a task class on the tail latency of a service class.
@@ -107,7 +107,7 @@
     config: &PlacementConfig,
 ) -> f64 {
     let weights = &config.weights;
-    let remaining = saturating_sub(&worker.free, &request.need);
+    let remaining = worker.free.saturating_sub(&request.need);
     let (cpu, memory) = remaining_shares(&remaining, &worker.report.total);
     let mut sum = weights.leftover * (cpu + memory) / 2.0;
     sum += weights.imbalance * (cpu - memory).abs();
--- a/crates/parsleytally/src/types/resources.rs
+++ b/crates/parsleytally/src/types/resources.rs
@@ -104,6 +104,26 @@
         })
     }
 
+    /// Sum of both amounts, at most the largest value in each dimension.
+    #[must_use]
+    pub fn saturating_add(&self, other: &Self) -> Self {
+        Self {
+            cpu: MilliCpu(self.cpu.0.saturating_add(other.cpu.0)),
+            memory: Bytes(self.memory.0.saturating_add(other.memory.0)),
+            accelerators: self.accelerators.saturating_add(other.accelerators),
+        }
+    }
+
+    /// The difference to `other`, or 0 in each dimension in which `other` is larger.
+    #[must_use]
+    pub fn saturating_sub(&self, other: &Self) -> Self {
+        Self {
+            cpu: MilliCpu(self.cpu.0.saturating_sub(other.cpu.0)),
+            memory: Bytes(self.memory.0.saturating_sub(other.memory.0)),
+            accelerators: self.accelerators.saturating_sub(other.accelerators),
+        }
+    }
+
     /// Whether this amount is at most `available` in every dimension.
     pub fn fits(&self, available: &Self) -> bool {
         available.checked_sub(self).is_some()
