fix(agent): leases of draining workers, forged reports, and tasks of workers that left

- A draining worker's leases last until 0.6 s past its announced shutdown, not 0.6 s from the start of draining, so one unanswered poll ends no run.
- Three ascending reports over 2 s with numbers below the highest are the worker's own: a forged high number silences them no longer.
- An id that the worker refuses is replaced by another one with the same start time, once no run is left that the owner would drop.

The simulation lets agents go at any time within a second of the notice, and detects a last lease that is told too early.

--- a/crates/parsleytally-agent/src/site/mod.rs
+++ b/crates/parsleytally-agent/src/site/mod.rs
@@ -438,6 +438,9 @@
         }
         AgentMessage::Unresponsive(true) => log::warn!("worker does not respond"),
         AgentMessage::Unresponsive(false) => log::info!("worker responds again"),
+        AgentMessage::LastLease { expires_within } => {
+            log::info!(expires_us = expires_within; "worker leaves, its last lease is granted");
+        }
         AgentMessage::LeasesExpired => log::warn!("all earlier runs of the worker have ended"),
         AgentMessage::Measurements(_)
         | AgentMessage::Ping { .. }
--- a/crates/parsleytally/src/jobs/agent/incarnation.rs
+++ b/crates/parsleytally/src/jobs/agent/incarnation.rs
@@ -4,8 +4,8 @@
 
 use super::lease::expiry_after;
 use super::{
-    AgentMessage, AgentOutput, EndEvidence, JobAgent, Listing, MAX_CANDIDATES, PollCall,
-    TrackedRun, WorkerReport,
+    AgentMessage, AgentOutput, EndEvidence, JobAgent, LateReports, Listing, MAX_CANDIDATES,
+    PollCall, TrackedRun, WorkerReport,
 };
 use crate::types::Time;
 
@@ -21,7 +21,7 @@
             self.add_candidate(now, report, sequence);
             return;
         }
-        if sequence < self.report_sequence {
+        if sequence < self.report_sequence && !self.late_reports.are_current(now, sequence) {
             return;
         }
         if self.shutdown_noticed {
@@ -30,11 +30,17 @@
                 // It may have been sent before the notice of shutdown.
                 return;
             }
+            // The owner drops the runs by itself once the last lease has expired.
+            self.check_expiry(now, out);
             // The notice was that of an earlier incarnation with the same id.
             self.shutdown_noticed = false;
             self.recovers = false;
         }
+        if sequence > self.report_sequence {
+            self.late_reports = LateReports::default();
+        }
         self.report_sequence = sequence;
+        self.update_drain_end(now, report.state);
         if self.report.as_ref() == Some(&report) {
             return;
         }
@@ -60,17 +66,56 @@
 
     /// Uses the report of the incarnation with this start time, as which the worker answered;
     /// returns whether there is one.
-    fn use_candidate(&mut self, born: u64, out: &mut Vec<AgentOutput>) -> bool {
+    fn use_candidate(&mut self, now: Time, born: u64, out: &mut Vec<AgentOutput>) -> bool {
         let is_born = |known: &(WorkerReport, u64)| known.0.incarnation.started_ms == born;
         let Some(at) = self.candidates.iter().rposition(is_born) else {
             return false;
         };
         let (report, sequence) = self.candidates.remove(at);
         self.candidates.clear();
+        self.use_report(now, report, sequence, out);
+        true
+    }
+
+    fn use_report(
+        &mut self,
+        now: Time,
+        report: WorkerReport,
+        sequence: u64,
+        out: &mut Vec<AgentOutput>,
+    ) {
         self.report_sequence = sequence;
+        self.late_reports = LateReports::default();
+        self.update_drain_end(now, report.state);
         out.push(AgentOutput::Send(AgentMessage::Report(report.clone())));
         self.report = Some(report);
-        true
+    }
+
+    /// Uses another id that was reported with the same start time, after the worker refused
+    /// the present one. The owner drops all runs of the earlier id, so there must be none.
+    pub(super) fn replace_identity(&mut self, now: Time, out: &mut Vec<AgentOutput>) {
+        let Some(current) = self.report.as_ref().map(|report| &report.incarnation) else {
+            return;
+        };
+        if !self.runs.is_empty() || !self.listed {
+            return;
+        }
+        let is_other = |known: &(WorkerReport, u64)| {
+            let other = &known.0.incarnation;
+            other.started_ms == current.started_ms && other.id != current.id
+        };
+        let Some(at) = self.candidates.iter().rposition(is_other) else {
+            return;
+        };
+        let (report, sequence) = self.candidates.remove(at);
+        self.shutdown_noticed = false;
+        self.recovers = false;
+        // The owner takes the listing anew, with the ended runs that are not acknowledged.
+        self.listed = false;
+        self.acknowledged = 0;
+        self.reported_sequence = 0;
+        self.next_poll = now;
+        self.use_report(now, report, sequence, out);
     }
 
     /// Drops the state of the worker's earlier incarnation and reports its runs missing.
@@ -115,7 +160,7 @@
             out.push(AgentOutput::Send(AgentMessage::LeasesExpired));
         }
         self.incarnation_since = now;
-        self.use_candidate(born, out)
+        self.use_candidate(now, born, out)
     }
 
     /// Whether the new incarnation that answered `call` can be used: nothing that was meant for
--- a/crates/parsleytally/src/jobs/agent/lease.rs
+++ b/crates/parsleytally/src/jobs/agent/lease.rs
@@ -70,9 +70,9 @@
         Some(clock.value_ms.saturating_add(span_ms))
     }
 
-    /// Whether all granted leases have expired.
-    pub(super) fn has_expired(&self, now: Time) -> bool {
-        self.expires < now
+    /// When all granted leases have expired.
+    pub(super) fn expires(&self) -> Time {
+        self.expires
     }
 
     /// Drops the reading of the clock, so that no lease is granted until the next one.
--- a/crates/parsleytally/src/jobs/agent/mod.rs
+++ b/crates/parsleytally/src/jobs/agent/mod.rs
@@ -28,6 +28,7 @@
 use crate::types::Time;
 
 mod incarnation;
+mod late_reports;
 mod lease;
 mod messages;
 mod poll;
@@ -37,6 +38,7 @@
     AgentInput, AgentOutput, CallError, Listing, PollCall, StartCall, StopCall, ThrottleCall,
 };
 
+use late_reports::LateReports;
 use lease::Lease;
 use throttle::{RunKind, Throttle};
 
@@ -50,7 +52,8 @@
 const MEASUREMENT_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Time after which a stop order is sent again while the run has not ended.
 const STOP_RETRY: Duration = Duration::from_millis(700);
-/// Length of a lease while the worker drains, so that it soon expires after the shutdown.
+/// Longest time for which a lease outlasts the announced shutdown of a draining worker. After
+/// that, this is the length of its leases, so that they soon expire.
 const DRAIN_LEASE: Duration = Duration::from_millis(600);
 /// Longest time for which a draining worker may delay the answer to a poll.
 const DRAIN_POLL_WAIT: Duration = Duration::from_millis(200);
@@ -130,8 +133,12 @@
     /// When a lease that was meant for the earlier incarnation, on its clock, is no longer
     /// than others at a new one.
     overlong_until: Time,
+    /// Announced time of the shutdown of a draining worker.
+    drain_end: Time,
     /// Highest number of a report of the present incarnation.
     report_sequence: u64,
+    /// Reports of the present incarnation with lower numbers.
+    late_reports: LateReports,
     /// Latest reports of other incarnations, with their numbers.
     candidates: Vec<(WorkerReport, u64)>,
     /// Whether the present incarnation of the worker gave notice of its shutdown.
@@ -175,7 +182,9 @@
             report: None,
             incarnation_since: Time::ZERO,
             overlong_until: Time::ZERO,
+            drain_end: Time::ZERO,
             report_sequence: 0,
+            late_reports: LateReports::default(),
             candidates: Vec::new(),
             shutdown_noticed: false,
             recovers: false,
@@ -329,6 +338,17 @@
         if let Some(report) = &self.report {
             out.push(AgentOutput::Send(AgentMessage::Report(report.clone())));
         }
+        if self.shutdown_noticed && !self.recovers {
+            self.send_last_lease(now, out);
+        }
+    }
+
+    /// Tells the owner when the last lease of a leaving worker has expired.
+    fn send_last_lease(&self, now: Time, out: &mut Vec<AgentOutput>) {
+        let expires_within = self.all_leases_expire().since(now).as_micros();
+        let expires_within = u64::try_from(expires_within).unwrap_or(u64::MAX);
+        let message = AgentMessage::LastLease { expires_within };
+        out.push(AgentOutput::Send(message));
     }
 
     /// Extends the limit of leases by the answer to the ping of time `sent`; the store had
@@ -356,6 +376,7 @@
             self.recovers = true;
             return;
         }
+        self.send_last_lease(now, out);
         for run in self.runs.keys().copied().collect::<Vec<_>>() {
             self.stop(now, run, out);
         }
@@ -369,14 +390,22 @@
     }
 
     /// Length of the next lease of the worker.
-    fn lease_length(&self) -> Duration {
+    fn lease_length(&self, now: Time) -> Duration {
         if self.is_draining() {
-            DRAIN_LEASE
+            let length = self.drain_end.since(now) + DRAIN_LEASE;
+            length.min(self.times.lease)
         } else {
             self.times.lease
         }
     }
 
+    /// Notes when the worker ends if it drains.
+    fn update_drain_end(&mut self, now: Time, state: WorkerState) {
+        if let WorkerState::Draining { remaining_ms } = state {
+            self.drain_end = now.after(Duration::from_millis(remaining_ms));
+        }
+    }
+
     fn is_draining(&self) -> bool {
         let state = self.report.as_ref().map(|report| report.state);
         matches!(state, Some(WorkerState::Draining { .. }))
@@ -438,7 +467,10 @@
     }
 
     fn send_start(&mut self, now: Time, run: RunRef, out: &mut Vec<AgentOutput>) {
-        let Some(lease_end) = self.lease.grant(now, self.lease_length()) else {
+        // A start that is repeated after a notice of shutdown must not get a new lease.
+        let length = (!self.shutdown_noticed).then(|| self.lease_length(now));
+        let lease_end = length.and_then(|length| self.lease.grant(now, length));
+        let Some(lease_end) = lease_end else {
             self.runs.remove(&run);
             refuse(run, RefusalReason::Unwell, out);
             return;
@@ -483,7 +515,12 @@
                 self.runs.remove(&run);
                 refuse(run, reason, out);
             }
-            Err(CallError::OtherLife | CallError::Unreachable) => {
+            Err(CallError::OtherLife) => {
+                self.runs.remove(&run);
+                refuse(run, RefusalReason::Unwell, out);
+                self.replace_identity(now, out);
+            }
+            Err(CallError::Unreachable) => {
                 self.runs.remove(&run);
                 refuse(run, RefusalReason::Unwell, out);
             }
--- a/crates/parsleytally/src/jobs/agent/poll.rs
+++ b/crates/parsleytally/src/jobs/agent/poll.rs
@@ -27,7 +27,7 @@
         let lease_end = if self.unresponsive || self.shutdown_noticed {
             None
         } else {
-            self.lease.grant(now, self.lease_length())
+            self.lease.grant(now, self.lease_length(now))
         };
         // A worker that stopped answering may answer as a new incarnation, with numbers of
         // its own.
@@ -256,8 +256,13 @@
 
     /// Whether all leases of this agent process and of the one before have expired.
     pub(super) fn all_leases_expired(&self, now: Time) -> bool {
-        let earlier_expires = self.started_at.after(expiry_after(self.times.lease));
-        self.lease.has_expired(now) && earlier_expires < now
+        self.all_leases_expire() < now
+    }
+
+    /// When these leases have expired.
+    pub(super) fn all_leases_expire(&self) -> Time {
+        let earlier_expire = self.started_at.after(expiry_after(self.times.lease));
+        self.lease.expires().max(earlier_expire)
     }
 }
 
--- a/crates/parsleytally/src/jobs/fleet.rs
+++ b/crates/parsleytally/src/jobs/fleet.rs
@@ -199,6 +199,8 @@
     pub(super) unresponsive: bool,
     /// For a lost agent, the time by which all its runs have certainly ended.
     pub(super) runs_expire_at: Option<Time>,
+    /// For a worker that shuts down, the time by which its last lease has expired.
+    pub(super) last_lease_end: Option<Time>,
     /// Runs that occupy resources there.
     pub(super) runs: BTreeMap<RunRef, Load>,
     /// Sum of the needs of its runs, without the processors of best-effort runs.
@@ -327,6 +329,7 @@
         self.expect_all_ends();
         self.listed = false;
         self.unresponsive = false;
+        self.last_lease_end = None;
         self.failures = Failures::default();
     }
 }
--- a/crates/parsleytally/src/jobs/messages.rs
+++ b/crates/parsleytally/src/jobs/messages.rs
@@ -221,6 +221,12 @@
         /// The agent's fencing token.
         fencing_token: u64,
     },
+    /// The worker shuts down and gets no more leases: its runs have ended for certain after
+    /// this time, unless a later report shows that it accepts tasks again.
+    LastLease {
+        /// Time until the last lease has expired, in microseconds.
+        expires_within: u64,
+    },
 }
 
 /// Request of an entry to the owner of the jobs.
--- a/crates/parsleytally/src/jobs/scheduler/mod.rs
+++ b/crates/parsleytally/src/jobs/scheduler/mod.rs
@@ -29,6 +29,8 @@
 const MIN_PASS_INTERVAL: Duration = Duration::from_millis(10);
 /// Time between two records of what was learned.
 const LEARNED_INTERVAL: Duration = Duration::from_secs(2);
+/// Most by which an agent's clock may run slow, in percent.
+const CLOCK_DRIFT_PERCENT: u32 = 5;
 /// Run numbers of a task that are reserved for each epoch.
 const RUNS_PER_EPOCH: u32 = 1_000;
 
@@ -266,6 +268,7 @@
         worker.listed = false;
         worker.unresponsive = false;
         worker.runs_expire_at = None;
+        worker.last_lease_end = None;
         worker.expect_all_ends();
     }
 
@@ -274,9 +277,10 @@
         // Until it has listed its runs, the predecessor's hold may still keep them alive.
         let inherited = self.unreported.get(node).copied().unwrap_or(hold);
         if let Some(worker) = self.workers.get_mut(node) {
+            let hold = hold.max(inherited);
             worker.linked = false;
             worker.listed = false;
-            worker.runs_expire_at = Some(hold.max(inherited));
+            worker.runs_expire_at = Some(worker.last_lease_end.map_or(hold, |end| end.min(hold)));
         }
     }
 
@@ -306,6 +310,9 @@
             // The owner's links handle these two.
             AgentMessage::Ping { .. } | AgentMessage::Superseded { .. } => return,
             AgentMessage::Unresponsive(silent) => self.set_unresponsive(node, silent),
+            AgentMessage::LastLease { expires_within } => {
+                self.set_last_lease(now, node, Duration::from_micros(expires_within));
+            }
             AgentMessage::LeasesExpired => self.drop_runs(node, EndEvidence::AgentMessage, out),
         }
         self.changed_workers.insert(node.clone());
@@ -318,6 +325,18 @@
         self.pass_due = true;
     }
 
+    /// Notes when the last lease of a worker that shuts down has expired. Its agent may go
+    /// together with it.
+    fn set_last_lease(&mut self, now: Time, node: &NodeName, within: Duration) {
+        if self.unreported.contains_key(node) {
+            // Runs of the predecessor are not listed yet.
+            return;
+        }
+        if let Some(worker) = self.workers.get_mut(node) {
+            worker.last_lease_end = Some(now.after(within + within * CLOCK_DRIFT_PERCENT / 100));
+        }
+    }
+
     fn update_report(
         &mut self,
         now: Time,
@@ -345,6 +364,9 @@
         };
         let was_draining = worker.is_draining();
         let state = report.state;
+        if state == WorkerState::Ready {
+            worker.last_lease_end = None;
+        }
         worker.report = Some(report);
         if let WorkerState::Draining { remaining_ms } = state
             && !was_draining
@@ -424,6 +446,16 @@
             }
             out.push(Output::Forget(node));
         }
+        let left = |(_, worker): &(&NodeName, &Worker)| {
+            worker.linked && worker.last_lease_end.is_some_and(|at| at <= confirmed)
+        };
+        let left: Vec<NodeName> = {
+            let left = self.workers.iter().filter(left);
+            left.map(|(node, _)| node.clone()).collect()
+        };
+        for node in left {
+            self.drop_runs(&node, EndEvidence::AgentMessage, out);
+        }
         let expired = self
             .unreported
             .iter()
--- a/crates/parsleytally/src/jobs/tests/agent.rs
+++ b/crates/parsleytally/src/jobs/tests/agent.rs
@@ -157,9 +157,25 @@
         self.start_with(run, 0, false)
     }
 
+    /// Starts a run on an incarnation; returns the token of the call to the worker.
+    pub(super) fn start_as(&mut self, incarnation: WorkerIncarnation, run: RunRef) -> Option<u64> {
+        let out = self.start_order(incarnation, run, 0, false);
+        start_token(&out)
+    }
+
     fn start_with(&mut self, run: RunRef, target_ms: u64, best_effort: bool) -> Vec<AgentOutput> {
+        self.start_order(incarnation(0, 7), run, target_ms, best_effort)
+    }
+
+    fn start_order(
+        &mut self,
+        incarnation: WorkerIncarnation,
+        run: RunRef,
+        target_ms: u64,
+        best_effort: bool,
+    ) -> Vec<AgentOutput> {
         let order = StartOrder {
-            incarnation: incarnation(0, 7),
+            incarnation,
             run,
             payload: "do".into(),
             checkpoint: String::new(),
--- a/crates/parsleytally/src/jobs/tests/foreign_reports.rs
+++ b/crates/parsleytally/src/jobs/tests/foreign_reports.rs
@@ -241,3 +241,100 @@
         assert!(case.wait.contains(&wait), "{}: {wait} s", case.what);
     }
 }
+
+/// Guards against a worker whose state is not followed any more: a writer sent a report of its
+/// incarnation with a very high number, and all its own later ones were taken for late.
+#[test]
+fn a_forged_high_number_silences_a_worker_for_seconds_only() {
+    let mut agent = TestAgent::ready();
+    agent.step(numbered(report(0, BORN), 5));
+    agent.step(numbered(report(0, BORN), u64::MAX));
+    let mut states = Vec::new();
+    for sequence in 6..10 {
+        agent.advance(1_000);
+        states.extend(reported_states(&agent.step(numbered(draining(), sequence))));
+    }
+    assert_eq!(states, [WorkerState::Draining { remaining_ms: 500 }]);
+}
+
+/// Guards against starts on a worker that drains: reports that were held up on their way arrive
+/// together after a later one, in order.
+#[test]
+fn reports_that_were_held_up_together_stay_late() {
+    let mut agent = TestAgent::ready();
+    agent.step(numbered(draining(), 9));
+    let mut states = Vec::new();
+    for sequence in 3..9 {
+        agent.advance(300);
+        states.extend(reported_states(
+            &agent.step(numbered(report(0, BORN), sequence)),
+        ));
+    }
+    agent.step(numbered(draining(), 10));
+    agent.advance(1_500);
+    states.extend(reported_states(&agent.step(numbered(report(0, BORN), 8))));
+    assert_eq!(states, []);
+}
+
+/// Guards against a worker that stays unused: a report of a foreign worker with its start time
+/// arrived first, and the worker refuses starts for the foreign id.
+#[test]
+fn a_foreign_id_with_the_same_start_time_is_replaced_once_the_worker_refuses_it() {
+    let own = AgentMessage::Report(report(0, BORN));
+    let refuse = |agent: &mut TestAgent, order: RunRef| {
+        let token = agent.start_as(incarnation(5, BORN), order);
+        agent.step(AgentInput::StartAnswered {
+            run: order,
+            fencing_token: token.expect("a start"),
+            answer: Err(CallError::OtherLife),
+        })
+    };
+    struct Case {
+        what: &'static str,
+        running: Vec<RunRef>,
+        own_report: bool,
+        replaced: bool,
+    }
+    let cases = [
+        Case {
+            what: "the worker's own report arrived too",
+            running: vec![],
+            own_report: true,
+            replaced: true,
+        },
+        Case {
+            what: "no other report",
+            running: vec![],
+            own_report: false,
+            replaced: false,
+        },
+        Case {
+            // The owner would drop them and start their tasks elsewhere.
+            what: "runs of before go on",
+            running: vec![run(1, 0, 0, 1)],
+            own_report: true,
+            replaced: false,
+        },
+    ];
+    for case in cases {
+        let mut agent = TestAgent::new();
+        agent.step(reported(report(5, BORN)));
+        agent.connect_owner(1, 1 << 32);
+        agent.confirm_owner(Duration::ZERO);
+        agent.list(case.running.clone(), vec![]);
+        if case.own_report {
+            agent.step(reported(report(0, BORN)));
+        }
+        let out = refuse(&mut agent, run(2, 0, 0, 1));
+        assert_eq!(sent(&out, &own), case.replaced, "{}", case.what);
+        if case.replaced {
+            let out = agent.list(vec![], vec![]);
+            let listed = AgentMessage::Listed {
+                incarnation: incarnation(0, BORN),
+                running: vec![],
+                ended: vec![],
+            };
+            assert!(sent(&out, &listed), "{}: {out:?}", case.what);
+        }
+    }
+}
--- a/crates/parsleytally/src/jobs/tests/model/known.rs
+++ b/crates/parsleytally/src/jobs/tests/model/known.rs
@@ -53,6 +53,7 @@
             AgentMessage::Ping { .. }
             | AgentMessage::Measurements(_)
             | AgentMessage::Unresponsive(_)
+            | AgentMessage::LastLease { .. }
             | AgentMessage::Superseded { .. } => {}
         }
     }
--- a/crates/parsleytally/src/jobs/tests/model/mod.rs
+++ b/crates/parsleytally/src/jobs/tests/model/mod.rs
@@ -75,6 +75,8 @@
     HiddenEnds,
     /// Agents don't register their address again.
     NoRegistration,
+    /// Agents tell too early that the last lease of a leaving worker has expired.
+    EarlyLastLease,
 }
 
 struct Simulation {
@@ -402,6 +404,10 @@
             bug: InjectedBug::HiddenEnds,
             violation: "started again after an end that is acknowledged",
         },
+        BugCase {
+            bug: InjectedBug::EarlyLastLease,
+            violation: "runs twice",
+        },
         BugCase {
             bug: InjectedBug::NoRegistration,
             violation: "of the last job run",
--- a/crates/parsleytally/src/jobs/tests/model/owners.rs
+++ b/crates/parsleytally/src/jobs/tests/model/owners.rs
@@ -125,6 +125,9 @@
                 running.retain(is_needed);
             }
             (AgentMessage::Listed { ended, .. }, InjectedBug::HiddenEnds) => ended.clear(),
+            (AgentMessage::LastLease { expires_within }, InjectedBug::EarlyLastLease) => {
+                *expires_within = 0;
+            }
             _ => {}
         }
         message
--- a/crates/parsleytally/src/jobs/tests/model/workers.rs
+++ b/crates/parsleytally/src/jobs/tests/model/workers.rs
@@ -62,7 +62,8 @@
         let end = self.rng.random_range(5..=800);
         self.push(end, Event::WorkerEnd(at, born));
         if self.rng.random_bool(0.4) {
-            self.push(1_000, Event::AgentDown(at));
+            let agent_end = self.rng.random_range(0..=1_000);
+            self.push(agent_end, Event::AgentDown(at));
         }
     }
 
--- a/crates/parsleytally/src/jobs/tests/shutdown.rs
+++ b/crates/parsleytally/src/jobs/tests/shutdown.rs
@@ -1,6 +1,7 @@
 //! Agents of workers that shut down: when their runs count as ended.
 
 use super::agent::{TestAgent, sent};
+use super::scheduler::{Bench, starts};
 use super::*;
 
 /// Time between two ticks, in milliseconds.
@@ -243,3 +244,161 @@
         }
     }
 }
+
+/// Guards against runs that lapse on a worker that goes on for seconds: its leases were short
+/// from the start of draining, and one poll was not answered.
+#[test]
+fn a_lease_of_a_draining_worker_lasts_until_its_shutdown() {
+    struct Case {
+        what: &'static str,
+        remaining_ms: u64,
+        expected_ms: std::ops::RangeInclusive<u64>,
+    }
+    let cases = [
+        Case {
+            what: "the shutdown is far away",
+            remaining_ms: 30_000,
+            expected_ms: 3_900..=4_000,
+        },
+        Case {
+            what: "the shutdown is near",
+            remaining_ms: 1_500,
+            expected_ms: 1_600..=2_100,
+        },
+        Case {
+            what: "the shutdown is due",
+            remaining_ms: 0,
+            expected_ms: 500..=600,
+        },
+    ];
+    for case in cases {
+        let order = run(1, 0, 0, 1);
+        let mut agent = agent_with_run(order);
+        let mut report = report(0, 7);
+        report.state = WorkerState::Draining {
+            remaining_ms: case.remaining_ms,
+        };
+        // The poll of before the report.
+        let before = agent.next_poll();
+        agent.step(reported(report));
+        agent.confirm_owner(std::time::Duration::ZERO);
+        agent.answer_poll(before, vec![order], vec![]);
+        let call = agent.next_poll();
+        let lease_end = call.lease_end.expect("a lease");
+        let length = lease_end - agent.now.as_micros() / 1_000;
+        assert!(
+            case.expected_ms.contains(&length),
+            "{}: {length} ms",
+            case.what
+        );
+    }
+}
+
+/// Guards against tasks that run twice: the owner starts them again once the last lease has
+/// expired that the agent told it of.
+#[test]
+fn a_leaving_worker_gets_no_lease_beyond_the_one_that_the_owner_is_told_of() {
+    let order = run(1, 0, 0, 1);
+    let mut agent = agent_with_run(order);
+    // A start on its way, that the worker refuses once it has a higher fencing token.
+    let token = agent.start_as(incarnation(0, 7), run(2, 0, 0, 1));
+    agent.step(draining());
+    let out = agent.step(notice("i-0"));
+    let expires_within = out.iter().find_map(|output| match output {
+        AgentOutput::Send(AgentMessage::LastLease { expires_within }) => Some(*expires_within),
+        _ => None,
+    });
+    let expires_within = expires_within.expect("the owner is told");
+    assert!((3_900_000..4_400_000).contains(&expires_within));
+    agent.connect_owner(1, 9 << 32);
+    let out = agent.step(AgentInput::StartAnswered {
+        run: run(2, 0, 0, 1),
+        fencing_token: token.expect("a start"),
+        answer: Err(CallError::Refused(RefusalReason::Fenced)),
+    });
+    let starts = |output: &AgentOutput| matches!(output, AgentOutput::Start(_));
+    assert!(!out.iter().any(starts), "{out:?}");
+    for expiry in expiry_ms(&mut agent, Some(order)) {
+        assert!(expiry * 1_000 <= expires_within + 100_000, "{expiry}");
+    }
+}
+
+/// Guards against tasks that wait for the hold of an agent that went together with its worker,
+/// and against tasks that run twice because leases were granted again meanwhile.
+#[test]
+fn tasks_of_a_worker_that_left_with_its_agent_start_again_after_its_last_lease() {
+    struct Case {
+        what: &'static str,
+        told: bool,
+        /// What happens after that.
+        inputs: Vec<Input>,
+        expected_ms: std::ops::Range<u64>,
+    }
+    let name = || node(0);
+    let ready = || Input::Agent(name(), AgentMessage::Report(report(0, 7)));
+    let (short, hold) = (700..1_100, 5_000..5_400);
+    let cases = [
+        Case {
+            what: "its link is lost",
+            told: true,
+            inputs: vec![Input::Unlinked(name())],
+            expected_ms: short.clone(),
+        },
+        Case {
+            what: "the loss of its link is not noticed yet",
+            told: true,
+            inputs: vec![],
+            expected_ms: short,
+        },
+        Case {
+            what: "its agent has not told of a last lease",
+            told: false,
+            inputs: vec![Input::Unlinked(name())],
+            expected_ms: hold.clone(),
+        },
+        Case {
+            what: "it accepts tasks again",
+            told: true,
+            inputs: vec![ready(), Input::Unlinked(name())],
+            expected_ms: hold.clone(),
+        },
+        Case {
+            what: "another agent process served it",
+            told: true,
+            inputs: vec![Input::Linked(name()), Input::Unlinked(name())],
+            expected_ms: hold,
+        },
+    ];
+    for case in cases {
+        let mut bench = Bench::with_workers(1);
+        let out = bench.submit(1, job(vec![step(1, &[])]), 11);
+        assert_eq!(starts(&out).len(), 1);
+        bench.join(1, report(1, 7));
+        let mut drains = report(0, 7);
+        // Too long to stop the run for it.
+        drains.state = WorkerState::Draining {
+            remaining_ms: 60_000,
+        };
+        bench.agent(0, AgentMessage::Report(drains));
+        if case.told {
+            let expires_within = 700_000;
+            bench.agent(0, AgentMessage::LastLease { expires_within });
+        }
+        for input in case.inputs {
+            bench.feed(input);
+        }
+        let began = bench.now;
+        let mut restarted = Vec::new();
+        while restarted.is_empty() {
+            restarted = starts(&bench.wait(50));
+            assert!(bench.now.since(began).as_secs() < 20, "{}", case.what);
+        }
+        assert_eq!(restarted[0].0, node(1), "{}", case.what);
+        let waited = bench.now.since(began).as_millis() as u64;
+        assert!(
+            case.expected_ms.contains(&waited),
+            "{}: {waited}",
+            case.what
+        );
+    }
+}
