fix(jobs): another id with a worker's start time frees no run at the owner

An agent that restarted could use a foreign id with the start time of its worker; the owner took that for a restart and started the runs' tasks again. The runs stay until the agent lists them again, so an agent also corrects the id while runs go on.

--- a/crates/parsleytally/src/jobs/agent/incarnation.rs
+++ b/crates/parsleytally/src/jobs/agent/incarnation.rs
@@ -92,12 +92,13 @@
     }
 
     /// Uses another id that was reported with the same start time, after the worker refused
-    /// the present one. The owner drops all runs of the earlier id, so there must be none.
+    /// the present one. The owner keeps the runs, since they are of the same incarnation.
     pub(super) fn replace_identity(&mut self, now: Time, out: &mut Vec<AgentOutput>) {
         let Some(current) = self.report.as_ref().map(|report| &report.incarnation) else {
             return;
         };
-        if !self.runs.is_empty() || !self.listed {
+        // After a notice of shutdown, the owner counts on the end of the last lease.
+        if !self.listed || self.shutdown_noticed {
             return;
         }
         let is_other = |known: &(WorkerReport, u64)| {
@@ -108,8 +109,6 @@
             return;
         };
         let (report, sequence) = self.candidates.remove(at);
-        self.shutdown_noticed = false;
-        self.recovers = false;
         // The owner takes the listing anew, with the ended runs that are not acknowledged.
         self.listed = false;
         self.acknowledged = 0;
--- a/crates/parsleytally/src/jobs/scheduler/mod.rs
+++ b/crates/parsleytally/src/jobs/scheduler/mod.rs
@@ -356,8 +356,15 @@
         if known.is_some_and(is_earlier) {
             return;
         }
-        if known.is_some_and(|known| *known != report.incarnation) {
-            self.drop_runs(node, EndEvidence::LaterIncarnation, out);
+        let other = known.filter(|known| **known != report.incarnation);
+        if let Some(started_ms) = other.map(|known| known.started_ms) {
+            if started_ms == report.incarnation.started_ms {
+                // The agent has corrected the id; it lists the runs again.
+                worker.listed = false;
+                worker.expect_all_ends();
+            } else {
+                self.drop_runs(node, EndEvidence::LaterIncarnation, out);
+            }
         }
         let Some(worker) = self.workers.get_mut(node) else {
             return;
