--- a/crates/parsleytally-entry/src/site/config.rs
+++ b/crates/parsleytally-entry/src/site/config.rs
@@ -1,9 +1,12 @@
 //! Settings (INI) of an entry for batch jobs on the users' platform.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
-use parsleytally::configs::{AdmissionConfig, ConfigError, Document, SiteBase, WorkersConfig};
+use parsleytally::configs::{
+    AdmissionConfig, ConfigError, Document, SharesConfig, SiteBase, WorkersConfig,
+};
 use parsleytally::types::MilliCpu;
 use parsleytally_link::LinkConfig;
 
@@ -35,6 +38,8 @@
     pub cpu: MilliCpu,
     /// Handling of uneven workers: section `[workers]` and `[site] remote-factor`.
     pub workers: WorkersConfig,
+    /// How queues share scarce capacity: section `[shares]`; none without it.
+    pub shares: Option<Arc<SharesConfig>>,
     /// Key and timeouts of links: section `[link]`.
     pub link: LinkConfig,
     /// Whether and how hopeless jobs are refused: section `[admission]`.
@@ -60,6 +65,7 @@
             drain: site.take_with("drain", DEFAULT_DRAIN, humantime::parse_duration)?,
             cpu: site.take_with("processors", MilliCpu(1_000), parse_processors)?,
             workers: WorkersConfig::take(&mut workers, &mut site)?,
+            shares: SharesConfig::take(&mut document)?.map(Arc::new),
             link: LinkConfig::take(document.take("link"))?,
             admission: AdmissionConfig::take(&mut admission)?,
         };
--- a/crates/parsleytally-entry/src/site/mod.rs
+++ b/crates/parsleytally-entry/src/site/mod.rs
@@ -189,6 +189,7 @@
                 link: config.link.clone(),
                 jobs: config.base.jobs.clone(),
                 workers: config.workers,
+                shares: config.shares.clone(),
                 store,
                 queues: queues_receiver,
                 evacuation: config.base.evacuation,
--- a/crates/parsleytally-entry/src/site/owner.rs
+++ b/crates/parsleytally-entry/src/site/owner.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use parsleytally::configs::{EvacuationConfig, JobsConfig, WorkersConfig};
+use parsleytally::configs::{EvacuationConfig, JobsConfig, SharesConfig, WorkersConfig};
 use parsleytally::jobs::{
     AgentMessage, ContentionRecord, Input, JobId, JobProgress, JobRecord, JobReply, JobRequest,
     OrderMessage, Output, QueueTable, Scheduler, SchedulerOptions,
@@ -27,7 +27,8 @@
 use super::known_agents::{Dial, KnownAgents, delete_address};
 use super::metrics::OwnerMetrics;
 use super::owner_log::{
-    log_dropped, log_evacuation, log_order, log_reconciled, log_undelivered, log_workers_decision,
+    log_dropped, log_evacuation, log_order, log_preempted, log_reconciled, log_undelivered,
+    log_workers_decision,
 };
 use super::saver::{ProgressRecord, Saver, revisions};
 use super::stored_state::StoredState;
@@ -63,6 +64,7 @@
     pub(crate) link: LinkConfig,
     pub(crate) jobs: JobsConfig,
     pub(crate) workers: WorkersConfig,
+    pub(crate) shares: Option<Arc<SharesConfig>>,
     pub(crate) store: Arc<dyn Store>,
     pub(crate) queues: watch::Receiver<Option<Arc<QueueTable>>>,
     pub(crate) evacuation: Option<EvacuationConfig>,
@@ -91,9 +93,13 @@
         let (sender, inputs) = mpsc::channel(CHANNEL_CAPACITY);
         let stop = CancellationToken::new();
         let confirmation = LastConfirmation::at(confirmed);
+        let mut scheduler = Scheduler::new(scheduler_options(&context, &owner, since));
+        if let Some(shares) = &context.shares {
+            scheduler.set_shares(shares.clone());
+        }
         let actor = OwnerActor {
             clock: Clock::start(),
-            scheduler: Scheduler::new(scheduler_options(&context, &owner, since)),
+            scheduler,
             context,
             owner,
             since,
@@ -513,6 +519,17 @@
                     log_evacuation(&event);
                     self.context.metrics.count_evacuation(&event);
                 }
+                Output::Preempted {
+                    node,
+                    run,
+                    queue,
+                    by,
+                    percent,
+                    lost_cpu_ms,
+                } => {
+                    self.context.metrics.count_preempted(&queue);
+                    log_preempted(&node, run, [&queue, &by], percent, lost_cpu_ms);
+                }
                 Output::Reconciled(node, outcome) => log_reconciled(&node, &outcome),
                 Output::Workers(decision) => {
                     log_workers_decision(&decision);
--- a/crates/parsleytally-entry/src/site/tests/owner.rs
+++ b/crates/parsleytally-entry/src/site/tests/owner.rs
@@ -25,6 +25,7 @@
         link: link_config(),
         jobs: JobsConfig::default(),
         workers: WorkersConfig::default(),
+        shares: None,
         store,
         queues,
         evacuation: None,
--- a/crates/parsleytally/examples/owner_cost/fleet.rs
+++ b/crates/parsleytally/examples/owner_cost/fleet.rs
@@ -143,8 +143,9 @@
                 | Output::SaveLearned(_)
                 | Output::RunsDropped { .. }
                 | Output::Reconciled(..)
-                | Output::Evacuation(_) => {}
-                Output::Workers(_) => {}
+                | Output::Evacuation(_)
+                | Output::Preempted { .. }
+                | Output::Workers(_) => {}
             }
         }
         starts
--- a/crates/parsleytally/src/jobs/fleet.rs
+++ b/crates/parsleytally/src/jobs/fleet.rs
@@ -70,6 +70,8 @@
     pub(super) cores: f64,
     /// Progress at its last measurement, in percent.
     pub(super) progress_percent: u32,
+    /// When its progress was last measured; `None` before the first measurement by this owner.
+    pub(super) measured_at: Option<Time>,
     /// Time worked so far; `None` if the start of its work is not known.
     pub(super) work_time: Option<WorkTime>,
     pub(super) timeline: RunTimeline,
@@ -208,6 +210,8 @@
     pub(super) unresponsive: bool,
     /// For a lost agent, the time by which all its runs have certainly ended.
     pub(super) runs_expire_at: Option<Time>,
+    /// For a worker that shuts down, the time by which its last lease has expired.
+    pub(super) last_lease_end: Option<Time>,
     /// Runs that occupy resources there.
     pub(super) runs: BTreeMap<RunRef, Load>,
     /// Sum of the needs of its runs, without the processors of best-effort runs.
@@ -360,6 +364,7 @@
         self.expect_all_ends();
         self.listed = false;
         self.unresponsive = false;
+        self.last_lease_end = None;
         self.failures = Failures::default();
     }
 }
--- a/crates/parsleytally/src/jobs/messages.rs
+++ b/crates/parsleytally/src/jobs/messages.rs
@@ -229,6 +229,12 @@
         /// The agent's fencing token.
         fencing_token: u64,
     },
+    /// The worker shuts down and gets no more leases: its runs have ended for certain after
+    /// this time, unless a later report shows that it accepts tasks again.
+    LastLease {
+        /// Time until the last lease has expired, in microseconds.
+        expires_within: u64,
+    },
 }
 
 /// Request of an entry to the owner of the jobs, or to any other entry where it says so.
@@ -363,6 +369,21 @@
         /// From what the owner concludes so.
         evidence: EndEvidence,
     },
+    /// A run is preempted, and ordered to stop by a further output; only logged and counted.
+    Preempted {
+        /// The worker's agent.
+        node: NodeName,
+        /// The run.
+        run: RunRef,
+        /// Its queue.
+        queue: QueueName,
+        /// Queue whose task needs the room.
+        by: QueueName,
+        /// Share of its work that was done, in percent.
+        percent: u32,
+        /// Work that is lost, in processor milliseconds.
+        lost_cpu_ms: u64,
+    },
     /// An agent has listed the runs of its worker; only logged.
     Reconciled(NodeName, ListingOutcome),
     /// A decision about the evacuation of a zone; only logged and counted.
--- a/crates/parsleytally/src/jobs/mod.rs
+++ b/crates/parsleytally/src/jobs/mod.rs
@@ -25,10 +25,12 @@
 mod measured;
 mod messages;
 mod place;
+mod preempt;
 mod progress;
 mod queues;
 mod scheduler;
 mod sent_jobs;
+mod shares;
 mod spec;
 mod speculation;
 mod stalls;
@@ -60,6 +62,7 @@
 pub use queues::{QueueName, QueuePolicy, QueueTable};
 pub use scheduler::{Scheduler, SchedulerOptions, StandingCounts};
 pub use sent_jobs::{EarlierCopy, SentJobs, SentOutcome};
+pub use shares::QueueUsage;
 pub use spec::{InvalidJobId, JobId, JobRecord, JobSpec, RecordError, Repeat, StepSpec, TaskId};
 
 #[cfg(test)]
--- a/crates/parsleytally/src/jobs/scheduler/mod.rs
+++ b/crates/parsleytally/src/jobs/scheduler/mod.rs
@@ -11,6 +11,7 @@
 use super::evacuation::Evacuation;
 use super::fleet::Worker;
 use super::job::{Job, StepRef};
+use super::shares::Shares;
 use super::stalls::StallBudget;
 use super::worker_health::HealthReview;
 use super::{
@@ -26,8 +27,10 @@
 mod evacuation;
 mod forecast;
 pub(super) mod pass;
-mod repair;
+mod preempt;
 mod relocate;
+mod repair;
+mod shares;
 mod start;
 mod throttle;
 mod uneven;
@@ -38,6 +41,8 @@
 const MIN_PASS_INTERVAL: Duration = Duration::from_millis(10);
 /// Time between two records of what was learned.
 const LEARNED_INTERVAL: Duration = Duration::from_secs(2);
+/// Most by which an agent's clock may run slow, in percent.
+const CLOCK_DRIFT_PERCENT: u32 = 5;
 /// Run numbers of a task that are reserved for each epoch.
 const RUNS_PER_EPOCH: u32 = 1_000;
 
@@ -87,6 +92,8 @@
     forecasts: ForecastState,
     /// Earliest time of the next check for runs to move out of evacuated zones.
     next_move: Time,
+    /// Use of the pools by the queues; none without settings of shares.
+    shares: Option<Shares>,
     /// When what was learned was last recorded.
     learned_saved: Time,
     /// Time of the last confirmation of the ownership by the store.
@@ -120,6 +127,7 @@
             health_review: HealthReview::default(),
             stall_budget: StallBudget::default(),
             forecasts: ForecastState::default(),
+            shares: None,
             learned_saved: Time::ZERO,
             confirmed: Time::ZERO,
             pass_due: false,
@@ -295,6 +303,7 @@
         worker.listed = false;
         worker.unresponsive = false;
         worker.runs_expire_at = None;
+        worker.last_lease_end = None;
         worker.expect_all_ends();
     }
 
@@ -303,9 +312,10 @@
         // Until it has listed its runs, the predecessor's hold may still keep them alive.
         let inherited = self.unreported.get(node).copied().unwrap_or(hold);
         if let Some(worker) = self.workers.get_mut(node) {
+            let hold = hold.max(inherited);
             worker.linked = false;
             worker.listed = false;
-            worker.runs_expire_at = Some(hold.max(inherited));
+            worker.runs_expire_at = Some(worker.last_lease_end.map_or(hold, |end| end.min(hold)));
         }
     }
 
@@ -335,6 +345,9 @@
             // The owner's links handle these two.
             AgentMessage::Ping { .. } | AgentMessage::Superseded { .. } => return,
             AgentMessage::Unresponsive(silent) => self.set_unresponsive(now, node, silent),
+            AgentMessage::LastLease { expires_within } => {
+                self.set_last_lease(now, node, Duration::from_micros(expires_within));
+            }
             AgentMessage::LeasesExpired => self.drop_runs(node, EndEvidence::AgentMessage, out),
         }
         self.changed_workers.insert(node.clone());
@@ -348,6 +361,18 @@
         self.pass_due = true;
     }
 
+    /// Notes when the last lease of a worker that shuts down has expired. Its agent may go
+    /// together with it.
+    fn set_last_lease(&mut self, now: Time, node: &NodeName, within: Duration) {
+        if self.unreported.contains_key(node) {
+            // Runs of the predecessor are not listed yet.
+            return;
+        }
+        if let Some(worker) = self.workers.get_mut(node) {
+            worker.last_lease_end = Some(now.after(within + within * CLOCK_DRIFT_PERCENT / 100));
+        }
+    }
+
     fn update_report(
         &mut self,
         now: Time,
@@ -367,8 +392,15 @@
         if known.is_some_and(is_earlier) {
             return;
         }
-        if known.is_some_and(|known| *known != report.incarnation) {
-            self.drop_runs(node, EndEvidence::LaterIncarnation, out);
+        let other = known.filter(|known| **known != report.incarnation);
+        if let Some(started_ms) = other.map(|known| known.started_ms) {
+            if started_ms == report.incarnation.started_ms {
+                // The agent has corrected the id; it lists the runs again.
+                worker.listed = false;
+                worker.expect_all_ends();
+            } else {
+                self.drop_runs(node, EndEvidence::LaterIncarnation, out);
+            }
         }
         let Some(worker) = self.workers.get_mut(node) else {
             return;
@@ -379,6 +411,9 @@
         }
         let was_draining = worker.is_draining();
         let state = report.state;
+        if state == WorkerState::Ready {
+            worker.last_lease_end = None;
+        }
         worker.report = Some(report);
         self.update_zone_of(node);
         if let WorkerState::Draining { remaining_ms } = state
@@ -461,6 +496,16 @@
             }
             out.push(Output::Forget(node));
         }
+        let left = |(_, worker): &(&NodeName, &Worker)| {
+            worker.linked && worker.last_lease_end.is_some_and(|at| at <= confirmed)
+        };
+        let left: Vec<NodeName> = {
+            let left = self.workers.iter().filter(left);
+            left.map(|(node, _)| node.clone()).collect()
+        };
+        for node in left {
+            self.drop_runs(&node, EndEvidence::AgentMessage, out);
+        }
         let expired = self
             .unreported
             .iter()
--- a/crates/parsleytally/src/jobs/scheduler/relocate.rs
+++ b/crates/parsleytally/src/jobs/scheduler/relocate.rs
@@ -75,7 +75,9 @@
                 continue;
             };
             let index = run.task.index as usize;
-            let Some(target) = self.choose_elsewhere(now, at, index, &targets) else {
+            let Some(target) =
+                self.choose_elsewhere(now, at, index, |node, _| !targets.contains(node))
+            else {
                 continue;
             };
             targets.insert(target);
--- a/crates/parsleytally/src/jobs/scheduler/repair.rs
+++ b/crates/parsleytally/src/jobs/scheduler/repair.rs
@@ -140,7 +140,7 @@
                 && !worker.failures.is_suspect()
                 && worker.health.standing() == WorkerStanding::Sound
         };
-        let Some(node) = self.choose_elsewhere(now, at, is_sound) else {
+        let Some(node) = self.choose_elsewhere(now, at, index, is_sound) else {
             return false;
         };
         let step = &self.jobs[&at.job].spec.steps[at.step];
@@ -184,7 +184,8 @@
                 round: gauge.run.task.round as usize,
                 step: usize::from(gauge.run.task.step),
             };
-            let elsewhere = self.choose_elsewhere(now, at, |name, _| name != node);
+            let index = gauge.run.task.index as usize;
+            let elsewhere = self.choose_elsewhere(now, at, index, |name, _| name != node);
             let runs = self.runs();
             if elsewhere.is_some() && self.stall_budget.take(now, runs) {
                 self.stop_stalled_run(node, gauge.run, evidence, out);
--- a/crates/parsleytally/src/jobs/scheduler/start.rs
+++ b/crates/parsleytally/src/jobs/scheduler/start.rs
@@ -1,7 +1,5 @@
 //! Places ready steps on workers, the most urgent first.
 
-use std::collections::BTreeSet;
-
 use super::super::contention::LoadEffects;
 use super::super::fleet::{Load, WorkTime, Worker};
 use super::super::job::{Job, LiveRun, StepRef, StepRun};
@@ -56,9 +54,18 @@
         ready.sort_by_key(|(urgency, step)| (*urgency, *step));
         let changed = std::mem::take(&mut self.changed_workers);
         let consider_all = std::mem::take(&mut self.full_pass_due);
-        let mut pass = Pass::new(now, (!consider_all).then_some(changed));
-        for (_, step) in ready {
-            self.place_step(step, &mut pass, out);
+        let changed = (!consider_all).then_some(changed);
+        self.recount_shares(changed.as_ref());
+        let mut pass = Pass::new(now, changed);
+        if self.shares.is_some() {
+            self.place_by_shares(&ready, &mut pass, out);
+            if consider_all {
+                self.preempt(now, &ready, out);
+            }
+        } else {
+            for (_, step) in ready {
+                self.place_step(step, usize::MAX, &mut pass, out);
+            }
         }
         if consider_all {
             self.start_copies(now, out);
@@ -92,25 +99,33 @@
         self.unreported.is_empty() || job.accepted > self.options.start_revision
     }
 
-    fn place_step(&mut self, at: StepRef, pass: &mut Pass, out: &mut Vec<Output>) {
+    /// Starts at most `limit` waiting tasks of a step; returns whether there was a worker for
+    /// each. A gang is started as a whole and returns false.
+    pub(super) fn place_step(
+        &mut self,
+        at: StepRef,
+        limit: usize,
+        pass: &mut Pass,
+        out: &mut Vec<Output>,
+    ) -> bool {
         let job = &self.jobs[&at.job];
         let Some(load) = job.load(at.step as u16) else {
-            return;
+            return false;
         };
         let blocked = job.step_run(at).blocked;
         let pool = job.policy.service.clone();
         if pass.covers(&load, &pool, blocked) {
             self.set_blocked(at, true);
-            return;
+            return false;
         }
         let spec = job.spec.clone();
         let spec = &spec.steps[at.step];
         let step = self.ready_step(at, load);
         if spec.gang {
             self.place_gang(pass.now, &step, out);
-            return;
+            return false;
         }
-        let placement = self.place_tasks(&step, pass, blocked, out);
+        let placement = self.place_tasks(&step, limit, pass, blocked, out);
         self.set_blocked(at, placement != Placement::All);
         // A worker that doesn't take costly tasks may take others.
         let unrestricted =
@@ -118,6 +133,7 @@
         if placement == Placement::NoRoom && unrestricted {
             pass.add_unplaceable(&step.load, &pool, blocked);
         }
+        placement == Placement::All
     }
 
     fn ready_step(&self, at: StepRef, load: Load) -> ReadyStep {
@@ -131,11 +147,13 @@
         }
     }
 
-    /// Chooses the best worker of those that `may_use` accepts for one more run of a task.
+    /// Chooses the best worker of those that `may_use` accepts for one more run of the task
+    /// `index`.
     pub(super) fn choose_elsewhere(
         &self,
         now: Time,
         at: StepRef,
+        index: usize,
         may_use: impl Fn(&NodeName, &Worker) -> bool,
     ) -> Option<NodeName> {
         let load = self.jobs[&at.job].load(at.step as u16)?;
@@ -144,7 +162,9 @@
             .workers
             .iter()
             .filter(|(name, worker)| may_use(name, worker));
-        choose_worker(usable, &self.request(&step, None), self.step_run(at), now).cloned()
+        let run = self.step_run(at);
+        let request = self.request(&step, run.tasks[index].failed_on.as_ref());
+        choose_worker(usable, &request, run, now).cloned()
     }
 
     /// Starts one more run of a task on `node`, beside another.
@@ -178,16 +198,17 @@
         }
     }
 
-    /// Starts the waiting tasks of a step.
+    /// Starts at most `limit` waiting tasks of a step.
     fn place_tasks(
         &mut self,
         step: &ReadyStep,
+        limit: usize,
         pass: &mut Pass,
         blocked: bool,
         out: &mut Vec<Output>,
     ) -> Placement {
         let mut racks = RackSummary::default();
-        let placement = self.place_each(step, pass, blocked, &mut racks, out);
+        let placement = self.place_each(step, limit, pass, blocked, &mut racks, out);
         racks.emit(out);
         placement
     }
@@ -195,6 +216,7 @@
     fn place_each(
         &mut self,
         step: &ReadyStep,
+        limit: usize,
         pass: &mut Pass,
         blocked: bool,
         racks: &mut RackSummary,
@@ -205,7 +227,7 @@
         let workers = pass.workers(&self.workers, blocked);
         let run = self.step_run(step.at);
         let mut candidates = Candidates::new(workers, &self.request(step, None), run, now);
-        let waiting: Vec<usize> = run.waiting_tasks().collect();
+        let waiting: Vec<usize> = run.waiting_tasks().take(limit).collect();
         for index in waiting {
             let run = self.step_run(step.at);
             let failed_on = run.tasks[index].failed_on.as_ref();
@@ -298,7 +320,9 @@
                 task: step.task(*index),
                 run,
             };
-            self.release(node, run);
+            if let Some(load) = self.release(node, run) {
+                self.refund_share(node, step, &load);
+            }
             self.detach_run(node, run);
         }
     }
@@ -317,24 +341,6 @@
         choose_worker(self.workers.iter(), &request, run, now).cloned()
     }
 
-    /// Worker that could take one more task of the step now, other than those in `excluded`.
-    pub(super) fn choose_elsewhere(
-        &self,
-        now: Time,
-        at: StepRef,
-        index: usize,
-        excluded: &BTreeSet<NodeName>,
-    ) -> Option<NodeName> {
-        let load = self.jobs[&at.job].load(at.step as u16)?;
-        let effects = load.best_effort.then(|| self.contention.effects(&load));
-        let step = ReadyStep { at, load, effects };
-        let run = self.step_run(at);
-        let request = self.request(&step, run.tasks[index].failed_on.as_ref());
-        let workers = self.workers.iter();
-        let workers = workers.filter(|(node, _)| !excluded.contains(*node));
-        choose_worker(workers, &request, run, now).cloned()
-    }
-
     /// Request for a worker for a task of `step` that last failed on `failed_on`.
     fn request<'a>(
         &'a self,
@@ -355,7 +361,7 @@
         }
     }
 
-    fn step_run(&self, at: StepRef) -> &StepRun {
+    pub(super) fn step_run(&self, at: StepRef) -> &StepRun {
         self.jobs[&at.job].step_run(at)
     }
 
@@ -399,6 +405,7 @@
         if load.shares_processors() {
             self.contention.update_headrooms(node, worker);
         }
+        self.charge_share(node, step, &load);
         let Some(job) = self.jobs.get_mut(&step.job) else {
             return;
         };
--- a/crates/parsleytally/src/jobs/tests/mod.rs
+++ b/crates/parsleytally/src/jobs/tests/mod.rs
@@ -12,6 +12,7 @@
 mod placement;
 mod records;
 mod scheduler;
+mod shares;
 mod shortage;
 mod shutdown;
 mod throttle;
--- a/crates/parsleytally/src/jobs/tests/model/mod.rs
+++ b/crates/parsleytally/src/jobs/tests/model/mod.rs
@@ -10,7 +10,7 @@
 
 use super::worker::{LASTING, LEASE_MAX_MS, SimulatedWorker, WorkerEvent};
 use super::*;
-use crate::configs::WorkersConfig;
+use crate::configs::{SharesConfig, WorkersConfig};
 use crate::types::{Revision, Time};
 
 mod agents;
@@ -29,7 +29,7 @@
 use links::Link;
 use owners::SimulatedOwner;
 use queue::{Event, ScheduledEvent};
-use store::StoredJob;
+use store::{StoredJob, low_queue};
 
 /// Number of seeds that the tests simulate.
 const SEEDS: u64 = 300;
@@ -77,6 +77,8 @@
     HiddenEnds,
     /// Agents don't register their address again.
     NoRegistration,
+    /// Agents tell too early that the last lease of a leaving worker has expired.
+    EarlyLastLease,
 }
 
 struct Simulation {
@@ -119,6 +121,10 @@
     /// Tasks whose completed run was acknowledged to its worker.
     acknowledged: HashSet<TaskId>,
     violations: Vec<String>,
+    /// Whether there is a queue of lower priority whose runs may be preempted.
+    preempts: bool,
+    /// Number of preempted runs.
+    preempted: usize,
     /// Whether the events are printed.
     traced: bool,
 }
@@ -161,6 +167,8 @@
             unknown_since: BTreeMap::new(),
             acknowledged: HashSet::new(),
             violations: Vec::new(),
+            preempts: false,
+            preempted: 0,
             traced: false,
         };
         for at in 0..WORKERS {
@@ -207,7 +215,12 @@
         if self.uneven.health { FLAPPING_MS } else { 0 }
     }
 
-    fn run(mut self) -> Vec<String> {
+    fn run(self) -> Vec<String> {
+        self.run_counted().0
+    }
+
+    /// Runs the simulation; returns the violations and the number of preempted runs.
+    fn run_counted(mut self) -> (Vec<String>, usize) {
         let end = self.now.after(END);
         let end = end.after(Duration::from_millis(self.flapping_ms()));
         while let Some(Reverse(ScheduledEvent(at, _, event))) = self.queue.pop() {
@@ -224,7 +237,7 @@
         if self.violations.is_empty() {
             self.check_end();
         }
-        self.violations
+        (self.violations, self.preempted)
     }
 
     fn handle(&mut self, event: Event) {
@@ -380,6 +393,21 @@
     );
 }
 
+/// Guards against tasks that run twice, or never again, after a preemption that a fault cuts
+/// short: an owner is replaced, or the stop or its answer is lost.
+#[test]
+fn invariants_hold_when_runs_are_preempted_under_seeded_faults() {
+    let mut preempted = 0;
+    for seed in 0..seed_count() {
+        let mut simulation = Simulation::new(seed, InjectedBug::Nothing);
+        simulation.preempts = true;
+        let (violations, count) = simulation.run_counted();
+        assert_eq!(violations, Vec::<String>::new(), "seed {seed}");
+        preempted += count;
+    }
+    assert!(preempted > 0, "no run was preempted");
+}
+
 /// A bug and the violation that it must lead to.
 struct BugCase {
     bug: InjectedBug,
@@ -417,6 +445,10 @@
             bug: InjectedBug::HiddenEnds,
             violation: "started again after an end that is acknowledged",
         },
+        BugCase {
+            bug: InjectedBug::EarlyLastLease,
+            violation: "runs twice",
+        },
         BugCase {
             bug: InjectedBug::NoRegistration,
             violation: "of the last job run",
--- a/crates/parsleytally/src/jobs/tests/model/store.rs
+++ b/crates/parsleytally/src/jobs/tests/model/store.rs
@@ -33,6 +33,15 @@
     record
 }
 
+/// A queue of lower priority than [`queue`].
+pub(super) fn low_queue() -> QueuePolicy {
+    QueuePolicy {
+        name: QueueName("low".into()),
+        priority: 2,
+        ..queue()
+    }
+}
+
 impl Simulation {
     pub(super) fn save(&mut self, owner: usize, job: JobId, version: u64, progress: JobProgress) {
         if owner == usize::MAX || !self.owners[owner].up || !self.is_current(owner) {
@@ -66,6 +75,9 @@
                 step.preferred_rack = Some(PREFERRED_RACK.into());
             }
         }
+        if self.preempts && !id.is_multiple_of(3) {
+            record.spec.queue = Arc::new(low_queue());
+        }
         let stored = StoredJob {
             record: record.clone(),
             accepted,
