test(entry): the port of an endpoint that is down stays reserved

Cause: the test closed its listener and used the free port as that of an endpoint that is down. The agent's operators' page, started later on port 0, got the same port and answered 404 (no such page, which only operators' pages say).

Change: a bound socket that does not listen holds the port; connections to it are refused. The expectations of the test are unchanged.

--- a/crates/parsleytally-entry/tests/request_path/system.rs
+++ b/crates/parsleytally-entry/tests/request_path/system.rs
@@ -13,7 +13,7 @@
 use parsleytally_platform::stand_in::SampleEndpoint;
 use parsleytally_platform::store::MemoryStore;
 use serde_json::Value;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use volo_http::body::Body;
 use volo_http::client::Client;
 use volo_http::response::Response;
@@ -37,6 +37,8 @@
     pub(crate) relays: Vec<Relay>,
     pub(crate) sample: Arc<SampleEndpoint>,
     _endpoint: Option<HttpServer>,
+    /// Socket that holds the port of an endpoint that is down, so that no server gets it.
+    _reserved: Option<TcpSocket>,
     client: Client,
 }
 
@@ -100,6 +102,7 @@
         }
         let sample = Arc::new(SampleEndpoint::default());
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let mut reserved = None;
         let (address, endpoint) = match self.endpoint {
             Endpoint::Sample => {
                 let server = HttpServer::start(any, sample.clone()).await.unwrap();
@@ -112,8 +115,12 @@
                 (address, None)
             }
             Endpoint::Down => {
-                let listener = TcpListener::bind(any).await.unwrap();
-                (listener.local_addr().unwrap(), None)
+                // Bound but not listening: connections are refused.
+                let socket = TcpSocket::new_v4().unwrap();
+                socket.bind(any).unwrap();
+                let address = socket.local_addr().unwrap();
+                reserved = Some(socket);
+                (address, None)
             }
         };
         let links: Vec<_> = entries.iter().map(|e| e.links().to_string()).collect();
@@ -136,6 +143,7 @@
             relays,
             sample,
             _endpoint: endpoint,
+            _reserved: reserved,
             client: Client::builder().build().unwrap(),
         };
         system.wait_for_workers(self.agents).await;
