refactor(jobs): one set of options in the tests of the scheduler

The options of an ownership stood twice in the file. The second test now overrides the epoch of the shared ones; all values and assertions are the same.

--- a/crates/parsleytally/src/jobs/tests/scheduler.rs
+++ b/crates/parsleytally/src/jobs/tests/scheduler.rs
@@ -354,13 +354,7 @@
     let mut bench = Bench::new();
     bench.scheduler = Scheduler::new(SchedulerOptions {
         epoch: 1,
-        start_revision: Revision(10),
-        agent_hold: Duration::from_secs(5),
-        owner_hold: Duration::from_secs(12),
-        ended_retention: Duration::from_secs(60),
-        best_effort: BestEffortConfig::default(),
-        evacuation_limit: None,
-        workers: WorkersConfig::default(),
+        ..options()
     });
     bench.submit(1, job(vec![step(4, &[])]), 9);
     bench.feed(Input::Linked(node(0)));
