feat(jobs): log each run that is lost in a crash of its worker

The logs could not tell the hypotheses apart: a lost run was reported as missing, or dropped with all runs of its worker, and nothing said that a worker had crashed, under what, who knew, or why a task was started again. An agent now reports the runs of an incarnation that ended without notice, with the time for which each was seen, to its owner and to each later one; an owner infers them where the agent has restarted. Counter parsleytally_jobs_crash_decisions_total.

--- a/crates/parsleytally-agent/src/site/mod.rs
+++ b/crates/parsleytally-agent/src/site/mod.rs
@@ -9,7 +9,7 @@
 
 use parsleytally::jobs::{
     AgentInput, AgentMessage, AgentOutput, AgentTimes, EndEvidence, JobAgent, OrderMessage,
-    OwnerLink, WorkerIncarnation, WorkerReport,
+    OwnerLink, WorkerCrash, WorkerIncarnation, WorkerReport,
 };
 use parsleytally::types::Time;
 use parsleytally_link::{Frame, Hello, Incoming, Link, LinkConfig, Role, accept};
@@ -445,6 +445,14 @@
         AgentMessage::LastLease { expires_within } => {
             log::info!(expires_us = expires_within; "worker leaves, its last lease is granted");
         }
+        AgentMessage::Crashed(crash) => {
+            let WorkerCrash { incarnation, runs } = crash;
+            for lost in runs {
+                log::warn!(task:% = lost.run.task, run = lost.run.run, worker:% = incarnation.id,
+                    born = incarnation.started_ms, seen_ms:? = lost.seen_ms;
+                    "run was on the worker when it crashed");
+            }
+        }
         AgentMessage::LeasesExpired => log::warn!("all earlier runs of the worker have ended"),
         AgentMessage::Measurements(_)
         | AgentMessage::Ping { .. }
--- a/crates/parsleytally-entry/src/site/metrics.rs
+++ b/crates/parsleytally-entry/src/site/metrics.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use parsleytally::jobs::{
-    AgentMessage, EndReason, EvacuationEvent, OrderMessage, QueueName, QueueUsage, RefusalReason,
-    Scheduler, WorkerStanding, WorkersDecision,
+    AgentMessage, CrashDecision, EndReason, EvacuationEvent, OrderMessage, QueueName, QueueUsage,
+    RefusalReason, Scheduler, WorkerStanding, WorkersDecision,
 };
 use parsleytally_platform::process::metrics::MetricSet;
 use prometheus::{IntCounter, IntCounterVec, IntGauge, IntGaugeVec};
@@ -26,6 +26,7 @@
     old_reads: IntCounterVec,
     evacuated_zones: IntGauge,
     worker_decisions: IntCounterVec,
+    crash_decisions: IntCounterVec,
     degraded: IntGauge,
     flapping: IntGauge,
     probation: IntGauge,
@@ -72,6 +73,11 @@
                 "Decisions about uneven workers, by kind.",
                 "decision",
             )?,
+            crash_decisions: set.counters(
+                "parsleytally_jobs_crash_decisions_total",
+                "Decisions about runs that were lost in crashes of workers, by kind.",
+                "decision",
+            )?,
             degraded: set.gauge(
                 "parsleytally_jobs_degraded_workers",
                 "Workers that are slower, fail more or start later than their peers.",
@@ -203,6 +209,14 @@
             .inc_by(count as u64);
     }
 
+    pub(super) fn count_crash(&self, decision: &CrashDecision) {
+        let label = match decision {
+            CrashDecision::Lost { .. } => "lost",
+            CrashDecision::StartedAgain { .. } => "started_again",
+        };
+        self.crash_decisions.with_label_values(&[label]).inc();
+    }
+
     pub(super) fn count_evacuation(&self, event: &EvacuationEvent) {
         match event {
             EvacuationEvent::Moved { .. } => self.moved_runs.inc(),
--- a/crates/parsleytally-entry/src/site/owner.rs
+++ b/crates/parsleytally-entry/src/site/owner.rs
@@ -27,8 +27,8 @@
 use super::known_agents::{Dial, KnownAgents, delete_address};
 use super::metrics::OwnerMetrics;
 use super::owner_log::{
-    log_dropped, log_evacuation, log_order, log_preempted, log_reconciled, log_undelivered,
-    log_workers_decision,
+    log_crash, log_dropped, log_evacuation, log_order, log_preempted, log_reconciled,
+    log_undelivered, log_workers_decision,
 };
 use super::saver::{ProgressRecord, Saver, revisions};
 use super::stored_state::StoredState;
@@ -530,6 +530,10 @@
                     self.context.metrics.count_preempted(&queue);
                     log_preempted(&node, run, [&queue, &by], percent, lost_cpu_ms);
                 }
+                Output::Crash(decision) => {
+                    log_crash(&decision);
+                    self.context.metrics.count_crash(&decision);
+                }
                 Output::Reconciled(node, outcome) => log_reconciled(&node, &outcome),
                 Output::Workers(decision) => {
                     log_workers_decision(&decision);
--- a/crates/parsleytally-entry/src/site/owner_log.rs
+++ b/crates/parsleytally-entry/src/site/owner_log.rs
@@ -1,8 +1,8 @@
 //! Log lines for the owner's decisions.
 
 use parsleytally::jobs::{
-    CopyEvidence, EndEvidence, EvacuationEvent, HealthEvidence, ListingOutcome, OrderMessage,
-    QueueName, RackEvidence, RunRef, StallEvidence, WorkersDecision,
+    CopyEvidence, CrashDecision, CrashedRun, EndEvidence, EvacuationEvent, HealthEvidence,
+    ListingOutcome, OrderMessage, QueueName, RackEvidence, RunRef, StallEvidence, WorkersDecision,
 };
 use parsleytally::types::{NodeName, Revision, ZoneName};
 use std::time::Duration;
@@ -11,6 +11,31 @@
     log::warn!(agent:% = node, runs, evidence:? = evidence; "runs of a worker count as ended");
 }
 
+/// Logs a decision about runs that were lost in crashes of workers.
+pub(super) fn log_crash(decision: &CrashDecision) {
+    match decision {
+        CrashDecision::Lost {
+            node,
+            incarnation,
+            lost,
+            witness,
+        } => {
+            let CrashedRun { run, seen_ms } = lost;
+            log::warn!(task:% = run.task, run = run.run, agent:% = node, worker:% = incarnation.id,
+                born = incarnation.started_ms, seen_ms:? = seen_ms, witness:? = witness;
+                "run lost in a crash of its worker");
+        }
+        CrashDecision::StartedAgain {
+            run,
+            node,
+            last_end,
+        } => {
+            log::info!(task:% = run.task, run = run.run, agent:% = node, last_end:? = last_end;
+                "task starts again");
+        }
+    }
+}
+
 /// Logs that a run of the first queue is preempted for a task of the second.
 pub(super) fn log_preempted(
     node: &NodeName,
--- a/crates/parsleytally-link/src/lib.rs
+++ b/crates/parsleytally-link/src/lib.rs
@@ -32,7 +32,7 @@
 };
 
 /// Version of the frame format; both sides of a link must use the same.
-pub const PROTOCOL_VERSION: u16 = 4;
+pub const PROTOCOL_VERSION: u16 = 5;
 
 #[cfg(test)]
 mod tests;
--- a/crates/parsleytally/examples/owner_cost/fleet.rs
+++ b/crates/parsleytally/examples/owner_cost/fleet.rs
@@ -142,6 +142,7 @@
                 Output::Forget(_)
                 | Output::SaveLearned(_)
                 | Output::RunsDropped { .. }
+                | Output::Crash(_)
                 | Output::Reconciled(..)
                 | Output::Evacuation(_)
                 | Output::Preempted { .. }
--- a/crates/parsleytally/src/jobs/agent/incarnation.rs
+++ b/crates/parsleytally/src/jobs/agent/incarnation.rs
@@ -120,6 +120,7 @@
     /// Drops the state of the worker's earlier incarnation and reports its runs missing.
     fn reset_incarnation(&mut self, evidence: EndEvidence, out: &mut Vec<AgentOutput>) {
         self.push_runs_ended(evidence, out);
+        self.record_crash(out);
         self.shutdown_noticed = false;
         self.recovers = false;
         for run in std::mem::take(&mut self.runs).into_keys() {
--- a/crates/parsleytally/src/jobs/agent/mod.rs
+++ b/crates/parsleytally/src/jobs/agent/mod.rs
@@ -22,11 +22,12 @@
 use std::time::Duration;
 
 use super::{
-    AgentMessage, EndEvidence, EndedRun, OrderMessage, RefusalReason, RunRef, RunStatus,
-    StartOrder, WorkerIncarnation, WorkerReport, WorkerState,
+    AgentMessage, CrashedRun, EndEvidence, EndedRun, OrderMessage, RefusalReason, RunRef,
+    RunStatus, StartOrder, WorkerCrash, WorkerIncarnation, WorkerReport, WorkerState,
 };
 use crate::types::Time;
 
+mod crashes;
 mod incarnation;
 mod late_reports;
 mod lease;
@@ -39,6 +40,7 @@
     AgentInput, AgentOutput, CallError, Listing, PollCall, StartCall, StopCall, ThrottleCall,
 };
 
+use crashes::{Crashes, Sightings};
 use late_reports::LateReports;
 use lease::Lease;
 use owner_clock::OwnerClock;
@@ -105,6 +107,8 @@
     stop_due: Time,
     /// Whether the current owner ordered it to stop.
     stop_ordered: bool,
+    /// When it was known to be on the worker; none before its start is answered.
+    sightings: Option<Sightings>,
 }
 
 impl TrackedRun {
@@ -175,6 +179,7 @@
     unresponsive: bool,
     /// Whether the expiry of all leases was reported to the owner.
     expiry_reported: bool,
+    crashes: Crashes,
 }
 
 impl JobAgent {
@@ -209,6 +214,7 @@
             throttled_at: Time::ZERO,
             unresponsive: false,
             expiry_reported: false,
+            crashes: Crashes::default(),
         }
     }
 
@@ -351,6 +357,7 @@
         if let Some(report) = &self.report {
             out.push(AgentOutput::Send(AgentMessage::Report(report.clone())));
         }
+        self.send_crashes(out);
         if self.shutdown_noticed && !self.recovers {
             self.send_last_lease(now, out);
         }
@@ -474,6 +481,7 @@
             order: Some(order),
             stop_due: now,
             stop_ordered: false,
+            sightings: None,
         };
         self.runs.insert(run, tracked);
         self.send_start(now, run, out);
@@ -535,7 +543,10 @@
             return;
         }
         match answer {
-            Ok(()) => tracked.state = StartState::Confirmed { at: now },
+            Ok(()) => {
+                tracked.state = StartState::Confirmed { at: now };
+                tracked.sightings = Some(Sightings::at(now));
+            }
             Err(CallError::Refused(RefusalReason::Fenced))
                 if fencing_token < self.fencing_token =>
             {
@@ -578,6 +589,7 @@
             order: None,
             stop_due: now,
             stop_ordered: true,
+            sightings: None,
         };
         let tracked = self.runs.entry(run).or_insert(untracked);
         tracked.stop_ordered = true;
--- a/crates/parsleytally/src/jobs/agent/poll.rs
+++ b/crates/parsleytally/src/jobs/agent/poll.rs
@@ -3,6 +3,7 @@
 use std::collections::HashSet;
 use std::time::Duration;
 
+use super::crashes::{Sightings, crashed_run};
 use super::lease::expiry_after;
 use super::{
     AgentMessage, AgentOutput, CallError, DRAIN_POLL_WAIT, EndEvidence, EndedRun, JobAgent,
@@ -93,7 +94,8 @@
         if all_unreported && (call.wait_ms > 0 || awaits_listing) {
             self.next_poll = now;
         }
-        self.reconcile(call, &listing, out);
+        self.crashes.clear_expired();
+        self.reconcile(now, call, &listing, out);
         self.throttle_best_effort(now, &listing.running, out);
         if self.owner.is_none() {
             return;
@@ -129,7 +131,13 @@
 
     /// Updates the tracked runs by the answer to a poll and reports those that did not
     /// start or are missing. A run that is absent from an incomplete listing may have ended.
-    fn reconcile(&mut self, call: PollCall, listing: &Listing, out: &mut Vec<AgentOutput>) {
+    fn reconcile(
+        &mut self,
+        now: Time,
+        call: PollCall,
+        listing: &Listing,
+        out: &mut Vec<AgentOutput>,
+    ) {
         let ended: HashSet<RunRef> = listing.ended.iter().map(|end| end.run).collect();
         let running: HashSet<RunRef> = listing.running.iter().map(|status| status.run).collect();
         for run in &running {
@@ -138,9 +146,12 @@
                 order: None,
                 stop_due: call.sent,
                 stop_ordered: false,
+                sightings: None,
             };
             let tracked = self.runs.entry(*run).or_insert(untracked);
             tracked.state = StartState::Confirmed { at: call.sent };
+            let sightings = tracked.sightings.get_or_insert(Sightings::at(now));
+            sightings.extend_to(now);
         }
         self.runs.retain(|run, tracked| {
             if ended.contains(run) {
@@ -250,6 +261,7 @@
         self.listed = false;
         self.expiry_reported = true;
         self.reported_sequence = 0;
+        self.crashes.add_expired(self.runs.iter().map(crashed_run));
         self.runs.clear();
         out.push(AgentOutput::Send(AgentMessage::LeasesExpired));
     }
--- a/crates/parsleytally/src/jobs/job.rs
+++ b/crates/parsleytally/src/jobs/job.rs
@@ -9,7 +9,7 @@
 use super::fleet::{FULL_CPU_SHARE, Load};
 use super::measured::RunTimeline;
 use super::progress::{StepProgress, TaskProgress};
-use super::{JobId, JobProgress, JobSpec, QueuePolicy, StepSpec, TaskId};
+use super::{JobId, JobProgress, JobSpec, LastEnd, QueuePolicy, StepSpec, TaskId};
 use crate::types::{NodeName, Revision, Time};
 
 /// Factor from whole units to thousandths, such as from processors to millicores.
@@ -66,6 +66,8 @@
     pub(super) waiting_since: Option<Time>,
     /// Number of its runs that were stopped since they made no progress.
     pub(super) stalls: u8,
+    /// How its last run ended; none if this owner does not know.
+    pub(super) last_end: Option<LastEnd>,
 }
 
 impl Task {
--- a/crates/parsleytally/src/jobs/measured.rs
+++ b/crates/parsleytally/src/jobs/measured.rs
@@ -27,19 +27,28 @@
     pub(super) ordered: Option<Time>,
     /// None before its first measurement.
     pub(super) progress: Option<MeasuredProgress>,
+    /// When it was first measured.
+    first_measured: Option<Time>,
 }
 
 impl RunTimeline {
     pub(super) fn ordered_at(now: Time) -> Self {
         Self {
             ordered: Some(now),
-            progress: None,
+            ..Self::default()
         }
     }
 
+    /// Time from the first measurement to the last, in milliseconds; none without any.
+    pub(super) fn seen_ms(&self) -> Option<u64> {
+        let seen = self.progress?.at.since(self.first_measured?);
+        Some(u64::try_from(seen.as_millis()).unwrap_or(u64::MAX))
+    }
+
     /// Adds a measurement; returns the time since the order for the first one.
     pub(super) fn measure(&mut self, now: Time, percent: u32) -> Option<Duration> {
         let first = self.progress.is_none();
+        self.first_measured.get_or_insert(now);
         let progress = self.progress.get_or_insert(MeasuredProgress {
             at: now,
             percent,
--- a/crates/parsleytally/src/jobs/messages.rs
+++ b/crates/parsleytally/src/jobs/messages.rs
@@ -122,6 +122,74 @@
     PassedHold,
 }
 
+/// A run that was on a worker when it crashed, or may have been.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashedRun {
+    /// The run.
+    pub run: RunRef,
+    /// How long it was seen on the worker, in milliseconds; none if its start was not answered.
+    pub seen_ms: Option<u64>,
+}
+
+/// A crash of a worker: it started again without notice, and lost its runs.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WorkerCrash {
+    /// The incarnation that crashed.
+    pub incarnation: WorkerIncarnation,
+    /// Its runs.
+    pub runs: Vec<CrashedRun>,
+}
+
+/// Who knows that a run was lost in a crash of its worker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CrashWitness {
+    /// The agent beside the worker, which had the run before the crash.
+    Agent,
+    /// The owner alone: the agent started anew, or was not linked.
+    Owner,
+}
+
+/// How the last run of a task ended, as far as the owner knows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LastEnd {
+    /// The worker listed its end.
+    Listed(EndReason),
+    /// It did not start.
+    Refused(RefusalReason),
+    /// The worker does not have it any more.
+    Missing,
+    /// It was dropped with all runs of the worker.
+    Dropped(EndEvidence),
+    /// The worker crashed.
+    Crashed,
+}
+
+/// A decision about runs that were lost in crashes of workers.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum CrashDecision {
+    /// A run was lost.
+    Lost {
+        /// The worker's agent.
+        node: NodeName,
+        /// The incarnation that crashed.
+        incarnation: WorkerIncarnation,
+        /// The run.
+        lost: CrashedRun,
+        /// Who knows.
+        witness: CrashWitness,
+    },
+    /// A task starts again after a run that ended otherwise than by an end that the worker
+    /// listed.
+    StartedAgain {
+        /// The new run.
+        run: RunRef,
+        /// The agent of its worker.
+        node: NodeName,
+        /// How the last run ended.
+        last_end: LastEnd,
+    },
+}
+
 /// What became of the runs on a worker whose agent has listed them.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct ListingOutcome {
@@ -235,6 +303,8 @@
         /// Time until the last lease has expired, in microseconds.
         expires_within: u64,
     },
+    /// The worker crashed with these runs; repeated for each owner.
+    Crashed(WorkerCrash),
 }
 
 /// Request of an entry to the owner of the jobs, or to any other entry where it says so.
@@ -390,6 +460,8 @@
     Evacuation(EvacuationEvent),
     /// A decision about uneven workers; only logged.
     Workers(WorkersDecision),
+    /// A decision about runs that were lost in crashes; only logged and counted.
+    Crash(CrashDecision),
     /// Save in the store what was learned about the contention between images.
     SaveLearned(ContentionRecord),
     /// Save a job's progress in the store.
--- a/crates/parsleytally/src/jobs/mod.rs
+++ b/crates/parsleytally/src/jobs/mod.rs
@@ -54,9 +54,9 @@
 pub use fleet::{WorkerIncarnation, WorkerReport, WorkerState};
 pub use job::JobState;
 pub use messages::{
-    AgentMessage, CancelOutcome, EndEvidence, EndReason, EndedRun, Input, JobReply, JobRequest,
-    ListingOutcome, OrderMessage, Output, RefusalReason, RunRef, RunStatus, StartOrder, StoredJob,
-    SubmitOutcome,
+    AgentMessage, CancelOutcome, CrashDecision, CrashWitness, CrashedRun, EndEvidence, EndReason,
+    EndedRun, Input, JobReply, JobRequest, LastEnd, ListingOutcome, OrderMessage, Output,
+    RefusalReason, RunRef, RunStatus, StartOrder, StoredJob, SubmitOutcome, WorkerCrash,
 };
 pub use progress::{JobProgress, StepProgress, TaskProgress};
 pub use queues::{QueueName, QueuePolicy, QueueTable};
--- a/crates/parsleytally/src/jobs/scheduler/ended.rs
+++ b/crates/parsleytally/src/jobs/scheduler/ended.rs
@@ -3,10 +3,10 @@
 use std::collections::HashSet;
 
 use super::super::fleet::{Load, PendingAck, Worker};
-use super::super::job::LiveRun;
+use super::super::job::{LiveRun, Task};
 use super::super::{
-    EndReason, EndedRun, JobState, ListingOutcome, OrderMessage, Output, RefusalReason, RunRef,
-    RunStatus, WorkerIncarnation, WorkerState, WorkersDecision,
+    EndReason, EndedRun, JobState, LastEnd, ListingOutcome, OrderMessage, Output, RefusalReason,
+    RunRef, RunStatus, WorkerIncarnation, WorkerState, WorkersDecision,
 };
 use super::Scheduler;
 use crate::types::{NodeName, Time};
@@ -36,7 +36,7 @@
         let mut outcome = ListingOutcome::default();
         for run in placed {
             if !runs.contains(&run) {
-                self.run_missing(node, run);
+                self.run_missing(node, run, LastEnd::Missing);
                 outcome.missing += 1;
             }
         }
@@ -257,6 +257,7 @@
         let task = job.task(ended_run.run.task)?;
         task.last_run = task.last_run.max(ended_run.run.run);
         task.runs.retain(|run| run.run != ended_run.run.run);
+        task.last_end = Some(LastEnd::Listed(ended_run.reason));
         if !ended_run.checkpoint.is_empty() && !task.done {
             task.checkpoint.clone_from(&ended_run.checkpoint);
         }
@@ -382,13 +383,13 @@
         if pauses && let Some(worker) = self.workers.get_mut(node) {
             worker.failures.pause_after_refusal(now);
         }
-        self.run_missing(node, run);
+        self.run_missing(node, run, LastEnd::Refused(reason));
     }
 
     /// Handles a run that is missing on its worker but was not listed as ended.
-    pub(super) fn run_missing(&mut self, node: &NodeName, run: RunRef) {
+    pub(super) fn run_missing(&mut self, node: &NodeName, run: RunRef, end: LastEnd) {
         self.release(node, run);
-        self.detach_run(node, run);
+        self.detach_run(node, run, end);
         self.pass_due = true;
     }
 
@@ -403,16 +404,21 @@
     }
 
     /// Removes a run from its task, so that the task can start again.
-    pub(super) fn detach_run(&mut self, node: &NodeName, run: RunRef) {
-        let Some(job) = self.jobs.get_mut(&run.task.job) else {
-            return;
-        };
-        if let Some(task) = job.task(run.task) {
-            task.runs
-                .retain(|live| live.run != run.run || live.node != *node);
+    pub(super) fn detach_run(&mut self, node: &NodeName, run: RunRef, end: LastEnd) {
+        if let Some(task) = self.remove_run(node, run) {
+            task.last_end = Some(end);
         }
     }
 
+    /// Removes a run from its task; returns the task if it had the run.
+    pub(super) fn remove_run(&mut self, node: &NodeName, run: RunRef) -> Option<&mut Task> {
+        let task = self.jobs.get_mut(&run.task.job)?.task(run.task)?;
+        let runs = task.runs.len();
+        task.runs
+            .retain(|live| live.run != run.run || live.node != *node);
+        (task.runs.len() < runs).then_some(task)
+    }
+
     /// Acknowledges the ended runs of every worker, as far as the store has them.
     pub(super) fn acknowledge_all(&mut self, out: &mut Vec<Output>) {
         let nodes: Vec<NodeName> = {
--- a/crates/parsleytally/src/jobs/scheduler/mod.rs
+++ b/crates/parsleytally/src/jobs/scheduler/mod.rs
@@ -15,13 +15,14 @@
 use super::stalls::StallBudget;
 use super::worker_health::HealthReview;
 use super::{
-    AgentMessage, EndEvidence, Input, JobId, JobProgress, JobRecord, JobReply, JobRequest,
-    JobState, OrderMessage, Output, QueueName, QueueTable, RunRef, WorkerIncarnation, WorkerReport,
-    WorkerState,
+    AgentMessage, CrashWitness, EndEvidence, Input, JobId, JobProgress, JobRecord, JobReply,
+    JobRequest, JobState, LastEnd, OrderMessage, Output, QueueName, QueueTable, RunRef,
+    WorkerIncarnation, WorkerReport, WorkerState,
 };
 use crate::configs::{BestEffortConfig, WorkersConfig};
 use crate::types::{NodeName, Revision, Time};
 
+mod crashes;
 mod drain;
 mod ended;
 mod evacuation;
@@ -340,7 +341,10 @@
             AgentMessage::Ended { incarnation, ended } => {
                 self.handle_ended(now, node, &incarnation, &ended, out);
             }
-            AgentMessage::Missing(run) => self.run_missing(node, run),
+            AgentMessage::Missing(run) => self.run_missing(node, run, LastEnd::Missing),
+            AgentMessage::Crashed(crash) => {
+                self.worker_crashed(node, &crash, CrashWitness::Agent, out);
+            }
             AgentMessage::Measurements(gauges) => self.update_gauges(now, node, &gauges, out),
             // The owner's links handle these two.
             AgentMessage::Ping { .. } | AgentMessage::Superseded { .. } => return,
@@ -399,6 +403,7 @@
                 worker.listed = false;
                 worker.expect_all_ends();
             } else {
+                self.infer_crash(node, out);
                 self.drop_runs(node, EndEvidence::LaterIncarnation, out);
             }
         }
@@ -473,7 +478,7 @@
         self.contention.update_headrooms(node, worker);
         self.unreported.remove(node);
         for run in runs {
-            self.detach_run(node, run);
+            self.detach_run(node, run, LastEnd::Dropped(evidence));
         }
         self.pass_due = true;
     }
--- a/crates/parsleytally/src/jobs/scheduler/start.rs
+++ b/crates/parsleytally/src/jobs/scheduler/start.rs
@@ -6,7 +6,7 @@
 use super::super::measured::RunTimeline;
 use super::super::place::{Candidates, PlacementRequest, choose_worker};
 use super::super::urgency::{Urgency, urgency};
-use super::super::{JobState, OrderMessage, Output, RunRef, StartOrder};
+use super::super::{CrashDecision, JobState, LastEnd, OrderMessage, Output, RunRef, StartOrder};
 use super::pass::Pass;
 use super::uneven::RackSummary;
 use super::{RUNS_PER_EPOCH, Scheduler};
@@ -323,7 +323,7 @@
             if let Some(load) = self.release(node, run) {
                 self.refund_share(node, step, &load);
             }
-            self.detach_run(node, run);
+            self.remove_run(node, run);
         }
     }
 
@@ -416,6 +416,13 @@
         }
         let task = &mut job.rounds[step.round].steps[step.step].tasks[index];
         task.last_run = run.run;
+        if let Some(last_end) = task.last_end.filter(is_unlisted) {
+            out.push(Output::Crash(CrashDecision::StartedAgain {
+                run,
+                node: node.clone(),
+                last_end,
+            }));
+        }
         task.waiting_since = None;
         task.runs.push(LiveRun {
             node: node.clone(),
@@ -434,3 +441,8 @@
         out.push(Output::Order(node.clone(), OrderMessage::Start(order)));
     }
 }
+
+/// Whether a run ended otherwise than by an end that the worker listed.
+fn is_unlisted(end: &LastEnd) -> bool {
+    !matches!(end, LastEnd::Listed(_))
+}
--- a/crates/parsleytally/src/jobs/tests/model/known.rs
+++ b/crates/parsleytally/src/jobs/tests/model/known.rs
@@ -49,6 +49,11 @@
                     self.runs.remove(&(at, end.run));
                 }
             }
+            AgentMessage::Crashed(crash) => {
+                for lost in &crash.runs {
+                    self.runs.remove(&(at, lost.run));
+                }
+            }
             AgentMessage::LeasesExpired => self.clear(at),
             AgentMessage::Ping { .. }
             | AgentMessage::Measurements(_)
--- a/crates/parsleytally/src/jobs/tests/model/owners.rs
+++ b/crates/parsleytally/src/jobs/tests/model/owners.rs
@@ -106,6 +106,7 @@
                 Output::Preempted { .. } => self.preempted += 1,
                 Output::SaveLearned(_)
                 | Output::RunsDropped { .. }
+                | Output::Crash(_)
                 | Output::Reconciled(..)
                 | Output::Evacuation(_) => {}
                 Output::Workers(_) => {}
