test(jobs): tasks that crash their workers, failing

Three tests without a network: a deadly task in each kind of step is given up; the count survives a change of owner, a restart of the agent and repeated reports; the work beside it completes.

--- /dev/null
+++ b/crates/parsleytally/src/jobs/tests/crashes.rs
@@ -0,0 +1,445 @@
+//! Tasks that crash the workers that start them, and those that stand beside them.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::scheduler::{Bench, options, starts};
+use super::*;
+use crate::types::Revision;
+
+/// Most starts of a task after three workers have crashed under it.
+const MAX_FURTHER_STARTS: usize = 2;
+const WORKERS: usize = 6;
+/// Time from the crash of a worker to its next incarnation, in milliseconds.
+const RESTART_MS: u64 = 3_000;
+/// Time from one measurement of a worker's runs to the next, in milliseconds.
+const MEASURED_EVERY_MS: u64 = 500;
+
+/// Who loses its state between a crash and the return of the worker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Loses {
+    Nobody,
+    /// Another owner takes over.
+    Owner,
+    /// The agent starts anew: only the owner knows of the run.
+    Agent,
+    /// Another owner takes over after each crash, and each crash report arrives twice.
+    OwnerWithRepeats,
+}
+
+/// Owners, their store and workers; tasks of deadly jobs crash the workers that start them.
+struct Fleet {
+    bench: Bench,
+    loses: Loses,
+    epoch: u64,
+    now_ms: u64,
+    born: Vec<u64>,
+    records: BTreeMap<JobId, JobRecord>,
+    progress: BTreeMap<JobId, JobProgress>,
+    /// Number of written progress records.
+    writes: usize,
+    deadly: BTreeSet<TaskId>,
+    /// Runs on each worker, with the time of their start.
+    runs: Vec<BTreeMap<RunRef, u64>>,
+    /// Workers that have crashed, with the time of their return and the runs that they lost.
+    down: BTreeMap<usize, (u64, Vec<CrashedRun>)>,
+    /// Run time of the other tasks, in milliseconds.
+    work_ms: u64,
+    ends: u64,
+    starts: BTreeMap<TaskId, usize>,
+    crashes: BTreeMap<TaskId, usize>,
+    /// Starts of a task after the third crash under it.
+    further_starts: BTreeMap<TaskId, usize>,
+}
+
+impl Fleet {
+    fn new(loses: Loses) -> Self {
+        let mut fleet = Self {
+            bench: Bench::with_options(options()),
+            loses,
+            epoch: 0,
+            now_ms: 0,
+            born: vec![7; WORKERS],
+            records: BTreeMap::new(),
+            progress: BTreeMap::new(),
+            writes: 0,
+            deadly: BTreeSet::new(),
+            runs: vec![BTreeMap::new(); WORKERS],
+            down: BTreeMap::new(),
+            work_ms: 1_000,
+            ends: 0,
+            starts: BTreeMap::new(),
+            crashes: BTreeMap::new(),
+            further_starts: BTreeMap::new(),
+        };
+        for at in 0..WORKERS {
+            fleet.bench.join(at, report(at, 7));
+        }
+        fleet
+    }
+
+    fn submit(&mut self, id: u64, record: JobRecord) {
+        self.records.insert(JobId(id), record.clone());
+        let accepted = 11 + self.epoch * 1_000;
+        let out = self.bench.submit(id, record, accepted);
+        self.apply(&out);
+    }
+
+    fn apply(&mut self, out: &[Output]) {
+        for output in out {
+            if let Output::Save {
+                job,
+                version,
+                progress,
+            } = output
+            {
+                self.progress.insert(*job, progress.clone());
+                self.writes += 1;
+                let (job, version) = (*job, *version);
+                let out = self.bench.feed(Input::Saved { job, version });
+                self.apply(&out);
+            }
+        }
+        for (name, run) in starts(out) {
+            let at = (0..WORKERS).find(|at| node(*at) == name).expect("a worker");
+            if !self.down.contains_key(&at) {
+                self.start(at, run);
+            }
+        }
+        for run in super::scheduler::stops(out) {
+            for runs in &mut self.runs {
+                runs.remove(&run);
+            }
+        }
+    }
+
+    fn start(&mut self, at: usize, run: RunRef) {
+        *self.starts.entry(run.task).or_default() += 1;
+        if self.crashes.get(&run.task).is_some_and(|count| *count >= 3) {
+            *self.further_starts.entry(run.task).or_default() += 1;
+        }
+        self.runs[at].insert(run, self.now_ms);
+        if self.deadly.contains(&run.task) {
+            self.crash(at);
+        }
+    }
+
+    /// The worker crashes; its agent has seen its runs up to the last measurement.
+    fn crash(&mut self, at: usize) {
+        let runs = std::mem::take(&mut self.runs[at]);
+        let lost = runs.iter().map(|(run, started)| CrashedRun {
+            run: *run,
+            seen_ms: Some((self.now_ms - started) / MEASURED_EVERY_MS * MEASURED_EVERY_MS),
+        });
+        for run in runs.keys() {
+            *self.crashes.entry(run.task).or_default() += 1;
+        }
+        let back = self.now_ms + RESTART_MS;
+        self.down.insert(at, (back, lost.collect()));
+        self.bench.agent(at, AgentMessage::Unresponsive(true));
+        match self.loses {
+            Loses::Nobody => {}
+            Loses::Owner | Loses::OwnerWithRepeats => self.change_owner(),
+            Loses::Agent => {
+                self.bench.feed(Input::Unlinked(node(at)));
+            }
+        }
+    }
+
+    fn change_owner(&mut self) {
+        self.epoch += 1;
+        self.bench = Bench::with_options(SchedulerOptions {
+            epoch: self.epoch,
+            start_revision: Revision(10 + self.epoch * 1_000),
+            ..options()
+        });
+        for at in 0..WORKERS {
+            self.bench.feed(Input::Expected(node(at)));
+        }
+        for (id, record) in self.records.clone() {
+            let progress = self.progress.get(&id).cloned();
+            let out = self.bench.feed(Input::Job {
+                id,
+                record,
+                accepted: Revision(1),
+                progress,
+            });
+            assert!(starts(&out).is_empty(), "no agent has reported");
+        }
+        for at in 0..WORKERS {
+            if !self.down.contains_key(&at) {
+                let running: Vec<RunRef> = self.runs[at].keys().copied().collect();
+                self.join(at, &running);
+            }
+        }
+    }
+
+    fn join(&mut self, at: usize, running: &[RunRef]) {
+        self.bench.feed(Input::Linked(node(at)));
+        let out = self
+            .bench
+            .agent(at, AgentMessage::Report(report(at, self.born[at])));
+        self.apply(&out);
+        let listed = AgentMessage::Listed {
+            incarnation: incarnation(at, self.born[at]),
+            running: running.iter().map(|run| status(*run)).collect(),
+            ended: vec![],
+        };
+        let out = self.bench.agent(at, listed);
+        self.apply(&out);
+    }
+
+    /// The worker is back as another incarnation.
+    fn come_back(&mut self, at: usize, lost: Vec<CrashedRun>) {
+        let crashed = incarnation(at, self.born[at]);
+        self.born[at] += 1;
+        match self.loses {
+            Loses::Agent => {
+                self.join(at, &[]);
+                return;
+            }
+            Loses::Owner | Loses::OwnerWithRepeats => {
+                self.bench.feed(Input::Linked(node(at)));
+            }
+            Loses::Nobody => {}
+        }
+        let crash = AgentMessage::Crashed(WorkerCrash {
+            incarnation: crashed,
+            runs: lost.clone(),
+        });
+        let mut messages = vec![crash.clone()];
+        if self.loses == Loses::OwnerWithRepeats {
+            messages.push(crash);
+        }
+        messages.extend(lost.iter().map(|lost| AgentMessage::Missing(lost.run)));
+        messages.push(AgentMessage::LeasesExpired);
+        messages.push(AgentMessage::Report(report(at, self.born[at])));
+        messages.push(AgentMessage::Listed {
+            incarnation: incarnation(at, self.born[at]),
+            running: vec![],
+            ended: vec![],
+        });
+        for message in messages {
+            let out = self.bench.agent(at, message);
+            self.apply(&out);
+        }
+    }
+
+    /// Lets time pass: tasks end, workers come back.
+    fn run_for(&mut self, millis: u64) {
+        let end = self.now_ms + millis;
+        while self.now_ms < end {
+            self.now_ms += 100;
+            let out = self.bench.wait(60);
+            self.apply(&out);
+            let back: Vec<usize> = {
+                let due = self.down.iter().filter(|(_, (at, _))| *at <= self.now_ms);
+                due.map(|(at, _)| *at).collect()
+            };
+            for at in back {
+                if let Some((_, lost)) = self.down.remove(&at) {
+                    self.come_back(at, lost);
+                }
+            }
+            for at in 0..WORKERS {
+                if !self.down.contains_key(&at) {
+                    self.report_runs(at);
+                }
+            }
+        }
+    }
+
+    /// Measures the runs of a worker, and ends those that are done.
+    fn report_runs(&mut self, at: usize) {
+        let (now, work) = (self.now_ms, self.work_ms);
+        let runs = self.runs[at].clone();
+        let due = |(run, started): (&RunRef, &u64)| {
+            let reason = self.end_of(run)?;
+            (now - started >= work).then_some((*run, reason))
+        };
+        let ends: Vec<(RunRef, EndReason)> = runs.iter().filter_map(due).collect();
+        for (run, reason) in ends {
+            if self.runs[at].remove(&run).is_some() {
+                self.end(at, run, reason);
+            }
+        }
+        if now % MEASURED_EVERY_MS == 0 && !self.runs[at].is_empty() {
+            let running = self.runs[at].keys().map(|run| status(*run)).collect();
+            let out = self.bench.agent(at, AgentMessage::Measurements(running));
+            self.apply(&out);
+        }
+    }
+
+    /// How a run without fault ends; none if it lasts. A gang ends with its first member.
+    fn end_of(&self, run: &RunRef) -> Option<EndReason> {
+        let record = &self.records[&run.task.job];
+        let step = &record.spec.steps[usize::from(run.task.step)];
+        let is_broken = step.gang && self.deadly.iter().any(|task| task.job == run.task.job);
+        let reason = if is_broken {
+            EndReason::Broken
+        } else {
+            EndReason::Done
+        };
+        (!step.long_running).then_some(reason)
+    }
+
+    fn end(&mut self, at: usize, run: RunRef, reason: EndReason) {
+        self.ends += 1;
+        let ended = AgentMessage::Ended {
+            incarnation: incarnation(at, self.born[at]),
+            ended: vec![EndedRun {
+                sequence: self.ends,
+                run,
+                reason,
+                checkpoint: String::new(),
+            }],
+        };
+        let out = self.bench.agent(at, ended);
+        self.apply(&out);
+    }
+
+    /// State that the store has, or the owner while it has none.
+    fn state(&self, id: u64) -> Option<JobState> {
+        let stored = self.progress.get(&JobId(id)).map(|stored| stored.state);
+        let stored = stored.filter(|state| state.is_final());
+        stored.or_else(|| self.bench.scheduler.state(JobId(id)))
+    }
+
+    fn most_further_starts(&self) -> usize {
+        self.further_starts.values().copied().max().unwrap_or(0)
+    }
+}
+
+fn status(run: RunRef) -> RunStatus {
+    RunStatus {
+        run,
+        checkpoint: String::new(),
+        percent: 10,
+        measurement: 0,
+    }
+}
+
+fn task(job: u64, step: u16, index: u32) -> TaskId {
+    run(job, step, index, 1).task
+}
+
+/// Guards against a task that crashes server after server: it is started again without end,
+/// since only ends that a worker lists count as attempts.
+#[test]
+fn a_task_that_crashes_its_workers_is_given_up() {
+    struct Case {
+        what: &'static str,
+        step: StepSpec,
+    }
+    let cases = [
+        Case {
+            what: "a task",
+            step: step(3, &[]),
+        },
+        Case {
+            what: "a gang",
+            step: StepSpec {
+                gang: true,
+                ..step(3, &[])
+            },
+        },
+        Case {
+            what: "with copies",
+            step: StepSpec {
+                speculative: true,
+                ..step(3, &[])
+            },
+        },
+        Case {
+            what: "a task that lasts",
+            step: StepSpec {
+                long_running: true,
+                target_ms: 50,
+                ..step(3, &[])
+            },
+        },
+        Case {
+            what: "with checkpoints",
+            step: StepSpec {
+                checkpoints: true,
+                ..step(3, &[])
+            },
+        },
+        Case {
+            what: "a best-effort task",
+            step: StepSpec {
+                best_effort: true,
+                ..step(3, &[])
+            },
+        },
+        Case {
+            what: "one on each worker",
+            step: StepSpec {
+                max_per_worker: 1,
+                ..step(3, &[])
+            },
+        },
+    ];
+    for Case { what, step } in cases {
+        let mut fleet = Fleet::new(Loses::Nobody);
+        fleet.deadly.insert(task(1, 0, 1));
+        fleet.submit(1, job(vec![step]));
+        fleet.run_for(40_000);
+        assert_eq!(fleet.state(1), Some(JobState::Failed), "{what}");
+        assert!(fleet.most_further_starts() <= MAX_FURTHER_STARTS, "{what}");
+        assert!(fleet.crashes[&task(1, 0, 1)] >= 2, "{what}");
+    }
+}
+
+/// Guards against a count of crashes that begins anew where the knowledge can be lost: a change
+/// of the owner, a restart of the agent, a report that arrives twice.
+#[test]
+fn crashes_under_a_task_are_counted_across_restarts() {
+    for loses in [Loses::Owner, Loses::Agent, Loses::OwnerWithRepeats] {
+        let mut fleet = Fleet::new(loses);
+        fleet.deadly.insert(task(1, 0, 0));
+        fleet.submit(1, job(vec![step(1, &[])]));
+        fleet.run_for(90_000);
+        assert_eq!(fleet.state(1), Some(JobState::Failed), "{loses:?}");
+        assert!(
+            fleet.most_further_starts() <= MAX_FURTHER_STARTS,
+            "{loses:?}"
+        );
+    }
+}
+
+/// Guards against the blame of work that stood beside the culprit: jobs without fault complete,
+/// and services go on, though each crash takes them along.
+#[test]
+fn work_beside_a_task_that_crashes_workers_completes() {
+    let mut fleet = Fleet::new(Loses::Nobody);
+    let service = StepSpec {
+        long_running: true,
+        target_ms: 50,
+        need: need(250, 100),
+        ..step(6, &[])
+    };
+    fleet.submit(1, job(vec![service]));
+    let small = |count| StepSpec {
+        need: need(100, 10),
+        ..step(count, &[])
+    };
+    for id in 2..40 {
+        fleet.submit(id, job(vec![small(6), small(4)]));
+        fleet.run_for(200);
+        if id % 8 == 0 {
+            fleet.deadly.insert(task(id + 100, 0, 2));
+            fleet.submit(id + 100, job(vec![small(6)]));
+        }
+    }
+    fleet.run_for(60_000);
+    for id in 2..40 {
+        assert_eq!(fleet.state(id), Some(JobState::Completed), "job {id}");
+    }
+    assert_eq!(fleet.state(1), Some(JobState::Running), "the service");
+    let running: usize = fleet.runs.iter().map(BTreeMap::len).sum();
+    assert_eq!(running, 6, "tasks of the service");
+    for id in (8..40).step_by(8) {
+        assert_eq!(fleet.state(id + 100), Some(JobState::Failed), "job {id}");
+    }
+    assert!(fleet.most_further_starts() <= MAX_FURTHER_STARTS);
+}
--- a/crates/parsleytally/src/jobs/tests/mod.rs
+++ b/crates/parsleytally/src/jobs/tests/mod.rs
@@ -4,6 +4,7 @@
 mod agent;
 mod call_plan;
 mod contention;
+mod crashes;
 mod durations;
 mod evacuation;
 mod foreign_reports;
