fix(jobs): a task that crashes the workers that start it is given up

Cause: only ends that a worker lists count as attempts; a run that is lost with its worker was detached from its task and left no mark. The class of fault: the outcome of an attempt is counted only where it is reported by the one who may be gone.

Change: each crash marks the tasks of the runs that it ended, and the marks are part of the progress record. The agent keeps a crash until the owner has stored it, and tells each new owner; an owner infers it where the agent has restarted. Suspects are the runs that were seen for the shortest time. They start apart from other jobs, on another worker; a crash there names the culprit, and a run that outlives the lost ones clears its task. So two crashes are enough, and what stood beside it is not blamed.

The test of the metrics page names the new counter.

--- a/crates/parsleytally-entry/src/site/metrics.rs
+++ b/crates/parsleytally-entry/src/site/metrics.rs
@@ -212,7 +212,9 @@
     pub(super) fn count_crash(&self, decision: &CrashDecision) {
         let label = match decision {
             CrashDecision::Lost { .. } => "lost",
+            CrashDecision::StartedAgain { on_trial: true, .. } => "trial",
             CrashDecision::StartedAgain { .. } => "started_again",
+            CrashDecision::GivenUp { .. } => "given_up",
         };
         self.crash_decisions.with_label_values(&[label]).inc();
     }
--- a/crates/parsleytally-entry/src/site/owner_log.rs
+++ b/crates/parsleytally-entry/src/site/owner_log.rs
@@ -18,20 +18,30 @@
             node,
             incarnation,
             lost,
+            suspect,
+            sole,
             witness,
         } => {
             let CrashedRun { run, seen_ms } = lost;
             log::warn!(task:% = run.task, run = run.run, agent:% = node, worker:% = incarnation.id,
-                born = incarnation.started_ms, seen_ms:? = seen_ms, witness:? = witness;
+                born = incarnation.started_ms, seen_ms:? = seen_ms, suspect, sole,
+                witness:? = witness;
                 "run lost in a crash of its worker");
         }
         CrashDecision::StartedAgain {
             run,
             node,
             last_end,
+            crashes,
+            on_trial,
         } => {
-            log::info!(task:% = run.task, run = run.run, agent:% = node, last_end:? = last_end;
-                "task starts again");
+            log::info!(task:% = run.task, run = run.run, agent:% = node, last_end:? = last_end,
+                crashes, on_trial; "task starts again");
+        }
+        CrashDecision::GivenUp { task, workers } => {
+            let workers = workers.iter().map(NodeName::to_string).collect::<Vec<_>>();
+            log::error!(job:% = task.job, task:% = task, workers = workers.join(",");
+                "job failed: a task crashes the workers that start it");
         }
     }
 }
--- a/crates/parsleytally-entry/src/site/tests/mod.rs
+++ b/crates/parsleytally-entry/src/site/tests/mod.rs
@@ -15,9 +15,9 @@
 
 use parsleytally::configs::WorkersConfig;
 use parsleytally::jobs::{
-    AgentMessage, CallError, EndReason, EndedRun, EvacuationEvent, HealthEvidence, JobId, JobSpec,
-    JobState, Listing, OrderMessage, PollCall, QueueName, QueuePolicy, QueueUsage, RunRef,
-    StartCall, StepSpec, StopCall, TaskId, ThrottleCall, WorkerIncarnation, WorkerStanding,
+    AgentMessage, CallError, CrashDecision, EndReason, EndedRun, EvacuationEvent, HealthEvidence,
+    JobId, JobSpec, JobState, Listing, OrderMessage, PollCall, QueueName, QueuePolicy, QueueUsage,
+    RunRef, StartCall, StepSpec, StopCall, TaskId, ThrottleCall, WorkerIncarnation, WorkerStanding,
     WorkersDecision,
 };
 use parsleytally::types::{Epoch, Incarnation, MilliCpu, NodeName, ZoneName};
@@ -452,6 +452,10 @@
         standing: WorkerStanding::Degraded,
         evidence: HealthEvidence::default(),
     });
+    owner.count_crash(&CrashDecision::GivenUp {
+        task: run.task,
+        workers: vec![],
+    });
     jobs.state(JobId(1), Instant::now() + Duration::from_secs(1))
         .await;
     let stop = StopCall {
--- a/crates/parsleytally/src/jobs/agent/crashes.rs
+++ b/crates/parsleytally/src/jobs/agent/crashes.rs
@@ -42,7 +42,7 @@
 pub(super) struct Crashes {
     /// Runs of the present incarnation that count as ended since its leases have expired.
     expired: Vec<CrashedRun>,
-    /// Crashes, the oldest first.
+    /// Crashes that the store may not have, the oldest first.
     known: VecDeque<WorkerCrash>,
 }
 
@@ -78,6 +78,11 @@
         });
         self.known.back()
     }
+
+    /// Drops a crash that the store has.
+    pub(super) fn acknowledge(&mut self, incarnation: &WorkerIncarnation) {
+        self.known.retain(|crash| crash.incarnation != *incarnation);
+    }
 }
 
 /// The run as part of a crash.
--- a/crates/parsleytally/src/jobs/agent/mod.rs
+++ b/crates/parsleytally/src/jobs/agent/mod.rs
@@ -312,6 +312,9 @@
                     self.next_poll = now;
                 }
             }
+            OrderMessage::AcknowledgeCrash { incarnation } => {
+                self.crashes.acknowledge(&incarnation);
+            }
             OrderMessage::Pong {
                 sent,
                 confirmation_age,
--- a/crates/parsleytally/src/jobs/fleet.rs
+++ b/crates/parsleytally/src/jobs/fleet.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::measured::RunTimeline;
+use super::trials::Trials;
 use super::worker_health::WorkerHealth;
 use super::{JobId, RunRef};
 use crate::types::{Resources, Time, ZoneName};
@@ -196,6 +197,15 @@
     }
 }
 
+/// A crash of a worker that is acknowledged to its agent once the store has it.
+#[derive(Debug)]
+pub(super) struct PendingCrash {
+    /// The incarnation that crashed.
+    pub(super) incarnation: WorkerIncarnation,
+    /// Jobs with marks of the crash, each with the version of the record that includes it.
+    pub(super) saved_by: Vec<(JobId, u64)>,
+}
+
 /// A worker and the link to its agent.
 #[derive(Debug, Default)]
 pub(super) struct Worker {
@@ -226,6 +236,9 @@
     pub(super) pending_acks: VecDeque<PendingAck>,
     /// Highest number of an ended run that was processed.
     pub(super) last_ended: u64,
+    /// Crashes whose marks the store may not have yet.
+    pub(super) pending_crashes: Vec<PendingCrash>,
+    pub(super) trials: Trials,
     pub(super) failures: Failures,
     /// What is learned of it relative to its peers; outlives an incarnation.
     pub(super) health: WorkerHealth,
@@ -242,6 +255,7 @@
     /// Releases the resources of a run.
     pub(super) fn release(&mut self, run: RunRef) -> Option<Load> {
         let load = self.runs.remove(&run)?;
+        self.trials.end(run);
         self.adjust_reserved(&load, -1);
         Some(load)
     }
@@ -357,6 +371,7 @@
     /// Drops the runs, failures and pending acknowledgements; keeps the report and the link.
     pub(super) fn reset(&mut self) {
         self.runs.clear();
+        self.trials = Trials::default();
         self.reserved = Resources::NONE;
         self.best_effort_cpu = 0;
         self.service_cpu = 0;
--- a/crates/parsleytally/src/jobs/job.rs
+++ b/crates/parsleytally/src/jobs/job.rs
@@ -9,7 +9,7 @@
 use super::fleet::{FULL_CPU_SHARE, Load};
 use super::measured::RunTimeline;
 use super::progress::{StepProgress, TaskProgress};
-use super::{JobId, JobProgress, JobSpec, LastEnd, QueuePolicy, StepSpec, TaskId};
+use super::{CrashMark, JobId, JobProgress, JobSpec, LastEnd, QueuePolicy, StepSpec, TaskId};
 use crate::types::{NodeName, Revision, Time};
 
 /// Factor from whole units to thousandths, such as from processors to millicores.
@@ -68,9 +68,19 @@
     pub(super) stalls: u8,
     /// How its last run ended; none if this owner does not know.
     pub(super) last_end: Option<LastEnd>,
+    /// Crashes of workers with its runs, unless a later run has cleared it.
+    pub(super) crashes: Vec<CrashMark>,
+    /// Since when it waits for a worker on which it can be on trial.
+    pub(super) trial_due: Option<Time>,
 }
 
 impl Task {
+    /// Worker on which a run last failed, or that crashed with one.
+    pub(super) fn last_failed_on(&self) -> Option<&NodeName> {
+        let crashed = self.crashes.last().map(|mark| &mark.node);
+        crashed.or(self.failed_on.as_ref())
+    }
+
     /// Whether the task is neither done nor running.
     pub(super) fn needs_run(&self) -> bool {
         !self.done && self.runs.is_empty()
@@ -313,7 +323,10 @@
             if let Some(task) = step.tasks.get_mut(saved.index as usize) {
                 task.failed.clone_from(&saved.failed_runs);
                 task.checkpoint.clone_from(&saved.checkpoint);
-                task.last_run = saved.failed_runs.iter().copied().max().unwrap_or(0);
+                task.crashes.clone_from(&saved.crashes);
+                let crashed = saved.crashes.iter().map(|mark| mark.run);
+                let runs = saved.failed_runs.iter().copied().chain(crashed);
+                task.last_run = runs.max().unwrap_or(0);
             }
         }
     }
@@ -362,11 +375,13 @@
         let index = index as u32;
         if task.done {
             progress.push_done(index);
-        } else if !task.failed.is_empty() || !task.checkpoint.is_empty() {
+        } else if !task.failed.is_empty() || !task.checkpoint.is_empty() || !task.crashes.is_empty()
+        {
             progress.tasks.push(TaskProgress {
                 index,
                 failed_runs: task.failed.clone(),
                 checkpoint: task.checkpoint.clone(),
+                crashes: task.crashes.clone(),
             });
         }
     }
--- a/crates/parsleytally/src/jobs/messages.rs
+++ b/crates/parsleytally/src/jobs/messages.rs
@@ -175,9 +175,20 @@
         incarnation: WorkerIncarnation,
         /// The run.
         lost: CrashedRun,
+        /// Whether it is one of the suspects.
+        suspect: bool,
+        /// Whether all suspects are of one job.
+        sole: bool,
         /// Who knows.
         witness: CrashWitness,
     },
+    /// The job of a task that crashes its workers has failed.
+    GivenUp {
+        /// The task.
+        task: TaskId,
+        /// Agents of the workers that crashed under it.
+        workers: Vec<NodeName>,
+    },
     /// A task starts again after a run that ended otherwise than by an end that the worker
     /// listed.
     StartedAgain {
@@ -187,6 +198,10 @@
         node: NodeName,
         /// How the last run ended.
         last_end: LastEnd,
+        /// Crashes of workers with runs of the task.
+        crashes: usize,
+        /// Whether it has its worker for itself at first.
+        on_trial: bool,
     },
 }
 
@@ -239,6 +254,11 @@
         /// Sequence number up to which all ended runs are acknowledged.
         sequence: u64,
     },
+    /// Acknowledges a crash whose marks are saved in the store.
+    AcknowledgeCrash {
+        /// The incarnation that crashed.
+        incarnation: WorkerIncarnation,
+    },
     /// Answer to [`AgentMessage::Ping`].
     Pong {
         /// When the agent sent its ping, on the agent's clock, in microseconds.
--- a/crates/parsleytally/src/jobs/mod.rs
+++ b/crates/parsleytally/src/jobs/mod.rs
@@ -16,6 +16,7 @@
 mod agent;
 mod call_plan;
 mod contention;
+mod crashes;
 mod decisions;
 mod durations;
 mod evacuation;
@@ -34,6 +35,7 @@
 mod spec;
 mod speculation;
 mod stalls;
+mod trials;
 mod urgency;
 mod worker_health;
 
@@ -47,6 +49,7 @@
 };
 pub use call_plan::{CallContext, CallFailure, CallPlan, NextCall};
 pub use contention::ContentionRecord;
+pub use crashes::CrashMark;
 pub use decisions::{
     CopyEvidence, HealthEvidence, RackEvidence, StallEvidence, WorkerStanding, WorkersDecision,
 };
--- a/crates/parsleytally/src/jobs/place.rs
+++ b/crates/parsleytally/src/jobs/place.rs
@@ -9,7 +9,7 @@
 use super::contention::{Contention, LoadEffects};
 use super::fleet::{Load, Worker};
 use super::job::StepRun;
-use super::{QueuePolicy, StepSpec, WorkerStanding};
+use super::{JobId, QueuePolicy, StepSpec, WorkerStanding};
 use crate::types::{NodeName, Time};
 
 /// Number of steps to which a used share of headroom is rounded, so that small differences
@@ -20,6 +20,7 @@
 #[derive(Debug, Clone, Copy)]
 pub(super) struct PlacementRequest<'a> {
     pub(super) contention: &'a Contention,
+    pub(super) job: JobId,
     pub(super) policy: &'a QueuePolicy,
     pub(super) step: &'a StepSpec,
     pub(super) load: &'a Load,
@@ -32,6 +33,8 @@
     pub(super) failed_on: Option<&'a NodeName>,
     /// Whether much work would be lost with a run of the task.
     pub(super) costly: bool,
+    /// Whether the task may have crashed a worker, and needs one without recent starts.
+    pub(super) on_trial: bool,
     /// Rack on which the other tasks of the step run, if all must share one.
     pub(super) shared_rack: Option<&'a str>,
 }
@@ -43,6 +46,8 @@
     healthy: bool,
     /// Whether the task did not fail there last.
     untried: bool,
+    /// For a task on trial, the negated number of runs that would be lost with it.
+    exposed: i64,
     /// Whether the worker is in the preferred rack.
     in_rack: bool,
     /// Whether the worker compares well with its peers, see [`standing_score`].
@@ -149,6 +154,7 @@
         && is_within_limit(worker, request)
         && worker.health.admits(&worker.runs, request.costly)
         && may_run(worker, request)
+        && worker.trials.admit(now, request.job, request.on_trial)
         && below_limit(name, request.step, run);
     if !eligible {
         return None;
@@ -213,6 +219,7 @@
     Some(Score {
         healthy: !worker.failures.is_suspect(),
         untried: request.failed_on != Some(name),
+        exposed: -exposed_runs(worker, request),
         in_rack: rack.is_none_or(|rack| worker.has_label(rack)),
         standing: standing_score(worker, request.load),
         headroom,
@@ -220,6 +227,14 @@
     })
 }
 
+/// Number of runs that would be lost if a task on trial crashed the worker.
+fn exposed_runs(worker: &Worker, request: &PlacementRequest<'_>) -> i64 {
+    if !request.on_trial {
+        return 0;
+    }
+    i64::try_from(worker.runs.len()).unwrap_or(i64::MAX)
+}
+
 /// Part of the capacity of a degraded worker, as a divisor, by which it counts as fuller for
 /// best-effort tasks: it may be 1.25 times slower.
 const DEGRADED_DIVISOR: u64 = 4;
--- a/crates/parsleytally/src/jobs/progress.rs
+++ b/crates/parsleytally/src/jobs/progress.rs
@@ -1,9 +1,12 @@
 //! Progress of a job, as the store holds it.
+//!
+//! Crashes of workers are an addition behind the record, and only of jobs that have some: a program
+//! that does not know of them reads the rest.
 
 use serde::{Deserialize, Serialize};
 
-use super::spec::{decode, encode};
-use super::{JobState, RecordError};
+use super::spec::{decode, decode_first, encode};
+use super::{CrashMark, JobState, RecordError};
 
 /// Progress of an unfinished task with failed runs or a checkpoint.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -14,6 +17,18 @@
     pub failed_runs: Vec<u32>,
     /// Newest checkpoint; empty if there is none.
     pub checkpoint: String,
+    /// Crashes of workers with its runs.
+    #[serde(skip)]
+    pub crashes: Vec<CrashMark>,
+}
+
+/// Crashes of workers with runs of a task.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+struct TaskCrashes {
+    round: u32,
+    step: u16,
+    index: u32,
+    marks: Vec<CrashMark>,
 }
 
 /// Progress of a step in one round.
@@ -51,7 +66,36 @@
 impl JobProgress {
     /// Encodes the progress for the store.
     pub fn encode(&self) -> Vec<u8> {
-        encode(self)
+        let mut bytes = encode(self);
+        let crashes: Vec<TaskCrashes> = self.crashes().collect();
+        if !crashes.is_empty() {
+            bytes.extend(encode(&crashes));
+        }
+        bytes
+    }
+
+    fn crashes(&self) -> impl Iterator<Item = TaskCrashes> {
+        self.steps.iter().flat_map(|step| {
+            let crashed = step.tasks.iter().filter(|task| !task.crashes.is_empty());
+            crashed.map(|task| TaskCrashes {
+                round: step.round,
+                step: step.step,
+                index: task.index,
+                marks: task.crashes.clone(),
+            })
+        })
+    }
+
+    /// Adds the crashes to their tasks.
+    fn set_crashes(&mut self, crashes: Vec<TaskCrashes>) {
+        for found in crashes {
+            let mut steps = self.steps.iter_mut();
+            let step = steps.find(|step| step.round == found.round && step.step == found.step);
+            let tasks = step.into_iter().flat_map(|step| &mut step.tasks);
+            for task in tasks.filter(|task| task.index == found.index) {
+                task.crashes.clone_from(&found.marks);
+            }
+        }
     }
 
     /// Decodes the progress that the store holds.
@@ -60,6 +104,10 @@
     ///
     /// Returns [`RecordError`] if the bytes are empty, malformed or of another version.
     pub fn decode(bytes: &[u8]) -> Result<Self, RecordError> {
-        decode(bytes)
+        let (mut progress, rest): (Self, _) = decode_first(bytes)?;
+        if !rest.is_empty() {
+            progress.set_crashes(decode(rest)?);
+        }
+        Ok(progress)
     }
 }
--- a/crates/parsleytally/src/jobs/scheduler/crashes.rs
+++ b/crates/parsleytally/src/jobs/scheduler/crashes.rs
@@ -1,12 +1,20 @@
-//! Runs that were lost in crashes of workers.
+//! Runs that were lost in crashes of workers, and tasks that crash the workers that start them.
 
-use super::super::fleet::Worker;
-use super::super::{CrashDecision, CrashWitness, CrashedRun, LastEnd, Output, RunRef, WorkerCrash};
+use super::super::crashes::{
+    MAX_TRIAL_WAIT, TRIAL_TIME, is_cleared, is_culprit, is_on_trial, marks,
+};
+use super::super::fleet::{Load, PendingCrash, Worker};
+use super::super::job::{Job, StepRef, Task};
+use super::super::{
+    CrashDecision, CrashMark, CrashWitness, CrashedRun, JobId, JobState, LastEnd, OrderMessage,
+    Output, RunRef, RunStatus, WorkerCrash,
+};
 use super::Scheduler;
-use crate::types::NodeName;
+use crate::types::{NodeName, Time};
 
 impl Scheduler {
-    /// Handles a crash of a worker that its agent reports.
+    /// Handles a crash of a worker: marks the tasks of its runs, gives up those that have
+    /// crashed others before, and acknowledges the crash once the store has the marks.
     pub(super) fn worker_crashed(
         &mut self,
         node: &NodeName,
@@ -17,12 +25,35 @@
         for lost in &crash.runs {
             self.detach_run(node, lost.run, LastEnd::Crashed);
             self.release(node, lost.run);
-            out.push(Output::Crash(CrashDecision::Lost {
-                node: node.clone(),
+        }
+        let mut saved_by = Vec::new();
+        for (lost, mark) in marks(node, &crash.runs) {
+            let Some(job) = self.jobs.get_mut(&lost.run.task.job) else {
+                continue;
+            };
+            if add_mark(job, lost, &mark) {
+                job.version += 1;
+                self.changed.insert(lost.run.task.job);
+                out.push(Output::Crash(CrashDecision::Lost {
+                    node: node.clone(),
+                    incarnation: crash.incarnation.clone(),
+                    lost,
+                    suspect: mark.suspect,
+                    sole: mark.sole,
+                    witness,
+                }));
+            }
+            saved_by.push((lost.run.task.job, job.version));
+            self.give_up_culprit(lost.run, out);
+        }
+        if witness == CrashWitness::Agent
+            && let Some(worker) = self.workers.get_mut(node)
+        {
+            worker.pending_crashes.push(PendingCrash {
                 incarnation: crash.incarnation.clone(),
-                lost: *lost,
-                witness,
-            }));
+                saved_by,
+            });
+            self.acks_due = true;
         }
         self.pass_due = true;
     }
@@ -36,6 +67,89 @@
         };
         self.worker_crashed(node, &crash, CrashWitness::Owner, out);
     }
+
+    /// Fails the job of a task that crashes the workers that start it.
+    fn give_up_culprit(&mut self, run: RunRef, out: &mut Vec<Output>) {
+        let Some(job) = self.jobs.get_mut(&run.task.job) else {
+            return;
+        };
+        let Some(task) = job.task(run.task).filter(|task| is_culprit(&task.crashes)) else {
+            return;
+        };
+        let workers: Vec<NodeName> = task.crashes.iter().map(|mark| mark.node.clone()).collect();
+        job.state = JobState::Failed;
+        out.push(Output::Crash(CrashDecision::GivenUp {
+            task: run.task,
+            workers,
+        }));
+        self.close_job(run.task.job, out);
+    }
+
+    /// Clears the tasks of measured runs that outlive those that were lost in crashes.
+    pub(super) fn clear_suspects(&mut self, node: &NodeName, gauges: &[RunStatus]) {
+        for gauge in gauges {
+            let Some(worker) = self.workers.get_mut(node) else {
+                return;
+            };
+            let Some(load) = worker.runs.get(&gauge.run) else {
+                continue;
+            };
+            let Some(job) = self.jobs.get_mut(&gauge.run.task.job) else {
+                continue;
+            };
+            let seen_ms = load.timeline.seen_ms().unwrap_or_default();
+            let Some(task) = job
+                .task(gauge.run.task)
+                .filter(|task| !task.crashes.is_empty() && is_cleared(&task.crashes, seen_ms))
+            else {
+                continue;
+            };
+            task.crashes.clear();
+            worker.trials.end(gauge.run);
+            job.version += 1;
+            self.changed.insert(gauge.run.task.job);
+        }
+    }
+
+    /// Whether the task `index`, which is on trial and finds no worker without recent starts, has
+    /// waited long enough to start beside others.
+    pub(super) fn trial_wait_over(&mut self, now: Time, at: StepRef, index: usize) -> bool {
+        let Some(job) = self.jobs.get_mut(&at.job) else {
+            return false;
+        };
+        let task = &mut job.rounds[at.round].steps[at.step].tasks[index];
+        let due = *task.trial_due.get_or_insert(now);
+        now.since(due) >= MAX_TRIAL_WAIT
+    }
+
+    /// Acknowledges the crashes whose marks the store has.
+    pub(super) fn acknowledge_crashes(&mut self, out: &mut Vec<Output>) {
+        let jobs = &self.jobs;
+        let is_saved = |(id, version): &(JobId, u64)| {
+            jobs.get(id).is_none_or(|job| job.saved_version >= *version)
+        };
+        for (node, worker) in &mut self.workers {
+            let saved = |crash: &mut PendingCrash| crash.saved_by.iter().all(is_saved);
+            for crash in worker.pending_crashes.extract_if(.., saved) {
+                let incarnation = crash.incarnation;
+                let order = OrderMessage::AcknowledgeCrash { incarnation };
+                out.push(Output::Order(node.clone(), order));
+            }
+        }
+    }
+}
+
+/// Adds a mark to the task of a lost run; returns false if it has it, or the job has ended.
+fn add_mark(job: &mut Job, lost: CrashedRun, mark: &CrashMark) -> bool {
+    let Some(task) = job.task(lost.run.task) else {
+        return false;
+    };
+    if task.done || task.crashes.iter().any(|known| known.run == mark.run) {
+        return false;
+    }
+    task.last_run = task.last_run.max(mark.run);
+    task.crashes.push(mark.clone());
+    true
 }
 
 /// The crash of a worker with runs that had not announced its end.
@@ -45,7 +159,7 @@
     if worker.runs.is_empty() {
         return None;
     }
-    let lost = |(run, load): (&RunRef, &super::super::fleet::Load)| CrashedRun {
+    let lost = |(run, load): (&RunRef, &Load)| CrashedRun {
         run: *run,
         seen_ms: load.timeline.seen_ms(),
     };
@@ -54,3 +168,8 @@
         runs: worker.runs.iter().map(lost).collect(),
     })
 }
+
+/// Until when a run of `task` that starts now has its worker for the starts of its job.
+pub(super) fn trial_end(now: Time, task: &Task) -> Option<Time> {
+    is_on_trial(&task.crashes).then(|| now.after(TRIAL_TIME))
+}
--- a/crates/parsleytally/src/jobs/scheduler/mod.rs
+++ b/crates/parsleytally/src/jobs/scheduler/mod.rs
@@ -175,6 +175,7 @@
         }
         if std::mem::take(&mut self.acks_due) {
             self.acknowledge_all(out);
+            self.acknowledge_crashes(out);
         }
         self.emit_changed(out);
     }
@@ -306,6 +307,8 @@
         worker.runs_expire_at = None;
         worker.last_lease_end = None;
         worker.expect_all_ends();
+        // The agent repeats those that are not acknowledged.
+        worker.pending_crashes.clear();
     }
 
     fn unlinked(&mut self, now: Time, node: &NodeName) {
@@ -448,6 +451,7 @@
             }
         }
         self.note_progress(now, node, gauges);
+        self.clear_suspects(node, gauges);
         self.stop_stalled(now, node, gauges, out);
         self.stop_unknown(node, gauges, out);
         self.throttle(now, node, gauges, out);
--- a/crates/parsleytally/src/jobs/scheduler/repair.rs
+++ b/crates/parsleytally/src/jobs/scheduler/repair.rs
@@ -100,7 +100,8 @@
     }
 
     /// Evidence that the only run of a task is a straggler. The failure of a copy alone must
-    /// not fail the job, so a task whose next failure is the last gets none.
+    /// not fail the job, so a task whose next failure is the last gets none; nor does one that may
+    /// have crashed a worker.
     fn straggler_evidence(
         &self,
         now: Time,
@@ -114,7 +115,8 @@
             return None;
         };
         let attempts = job.policy.max_attempts as usize;
-        if task.done || live.stopping || task.failed.len() + 1 >= attempts {
+        let risky = task.failed.len() + 1 >= attempts || !task.crashes.is_empty();
+        if task.done || live.stopping || risky {
             return None;
         }
         let worker = self.workers.get(&live.node)?;
--- a/crates/parsleytally/src/jobs/scheduler/start.rs
+++ b/crates/parsleytally/src/jobs/scheduler/start.rs
@@ -1,12 +1,14 @@
 //! Places ready steps on workers, the most urgent first.
 
 use super::super::contention::LoadEffects;
+use super::super::crashes::is_on_trial;
 use super::super::fleet::{Load, WorkTime, Worker};
-use super::super::job::{Job, LiveRun, StepRef, StepRun};
+use super::super::job::{Job, LiveRun, StepRef, StepRun, Task};
 use super::super::measured::RunTimeline;
 use super::super::place::{Candidates, PlacementRequest, choose_worker};
 use super::super::urgency::{Urgency, urgency};
 use super::super::{CrashDecision, JobState, LastEnd, OrderMessage, Output, RunRef, StartOrder};
+use super::crashes::trial_end;
 use super::pass::Pass;
 use super::uneven::RackSummary;
 use super::{RUNS_PER_EPOCH, Scheduler};
@@ -33,10 +35,12 @@
 }
 
 /// Result of placing the waiting tasks of a step.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Placement {
     /// All have started.
     All,
+    /// Some wait for a worker on which they can be on trial.
+    AwaitsTrial,
     /// Some wait for their preferred rack, although others have room.
     AwaitsRack,
     /// No worker can take some of them.
@@ -163,7 +167,7 @@
             .iter()
             .filter(|(name, worker)| may_use(name, worker));
         let run = self.step_run(at);
-        let request = self.request(&step, run.tasks[index].failed_on.as_ref());
+        let request = self.request(&step, Some(&run.tasks[index]));
         choose_worker(usable, &request, run, now).cloned()
     }
 
@@ -230,9 +234,12 @@
         let waiting: Vec<usize> = run.waiting_tasks().take(limit).collect();
         for index in waiting {
             let run = self.step_run(step.at);
-            let failed_on = run.tasks[index].failed_on.as_ref();
-            let request = self.request(step, failed_on);
-            let node = if failed_on.is_none() {
+            let task = &run.tasks[index];
+            let request = self.request(step, Some(task));
+            let on_trial = request.on_trial;
+            let node = if on_trial {
+                self.choose_for_trial(now, step, index)
+            } else if task.last_failed_on().is_none() {
                 candidates.choose(&self.workers, &request, run, now)
             } else {
                 let workers = pass.workers(&self.workers, blocked);
@@ -240,6 +247,10 @@
             };
             let waits = self.waits_for_rack(step.at, index, node.as_ref(), pass, racks);
             let Some(node) = node else {
+                if on_trial {
+                    placement = placement.max(Placement::AwaitsTrial);
+                    continue;
+                }
                 placement = Placement::NoRoom;
                 if waits {
                     continue;
@@ -270,11 +281,28 @@
         candidates.offer(node, &self.workers[node], &request, run, now);
     }
 
+    /// Chooses the worker for a task on trial; one with recent starts if it has waited for long.
+    fn choose_for_trial(&mut self, now: Time, step: &ReadyStep, index: usize) -> Option<NodeName> {
+        let choose = |scheduler: &Self, on_trial| {
+            let run = scheduler.step_run(step.at);
+            let request = PlacementRequest {
+                on_trial,
+                ..scheduler.request(step, Some(&run.tasks[index]))
+            };
+            choose_worker(scheduler.workers.iter(), &request, run, now).cloned()
+        };
+        let quiet = choose(self, true);
+        if quiet.is_none() && self.trial_wait_over(now, step.at, index) {
+            return choose(self, false);
+        }
+        quiet
+    }
+
     /// Starts all members of a gang with the same run number, or none of them.
     fn place_gang(&mut self, now: Time, step: &ReadyStep, out: &mut Vec<Output>) {
         let tasks = &self.step_run(step.at).tasks;
         let members = tasks.len();
-        if !tasks.iter().all(super::super::job::Task::needs_run) {
+        if !tasks.iter().all(Task::needs_run) {
             return;
         }
         let run = (0..members)
@@ -336,27 +364,29 @@
         shared_rack: Option<&str>,
     ) -> Option<NodeName> {
         let run = self.step_run(step.at);
-        let mut request = self.request(step, run.tasks[index].failed_on.as_ref());
+        let mut request = self.request(step, Some(&run.tasks[index]));
         request.shared_rack = shared_rack.filter(|_| request.step.same_rack);
-        choose_worker(self.workers.iter(), &request, run, now).cloned()
+        let quiet = choose_worker(self.workers.iter(), &request, run, now);
+        // A gang that waited for one member would hold back the others.
+        request.on_trial = false;
+        let node = quiet.or_else(|| choose_worker(self.workers.iter(), &request, run, now));
+        node.cloned()
     }
 
-    /// Request for a worker for a task of `step` that last failed on `failed_on`.
-    fn request<'a>(
-        &'a self,
-        step: &'a ReadyStep,
-        failed_on: Option<&'a NodeName>,
-    ) -> PlacementRequest<'a> {
+    /// Request for a worker for `task` of `step`; for none, one that has not failed.
+    fn request<'a>(&'a self, step: &'a ReadyStep, task: Option<&'a Task>) -> PlacementRequest<'a> {
         let job = &self.jobs[&step.at.job];
         PlacementRequest {
             contention: &self.contention,
+            job: step.at.job,
             policy: &job.policy,
             step: &job.spec.steps[step.at.step],
             load: &step.load,
             effects: step.effects.as_ref(),
             cpu_limit: self.options.best_effort.cpu_limit,
-            failed_on,
+            failed_on: task.and_then(Task::last_failed_on),
             costly: step.costly,
+            on_trial: task.is_some_and(|task| is_on_trial(&task.crashes)),
             shared_rack: None,
         }
     }
@@ -386,6 +416,7 @@
         };
         let task = &self.step_run(step).tasks[index];
         let from_scratch = task.checkpoint.is_empty();
+        let trial_end = trial_end(now, task);
         let Some(worker) = self.workers.get_mut(node) else {
             return;
         };
@@ -402,6 +433,7 @@
         load.timeline = RunTimeline::ordered_at(now);
         worker.health.started(run);
         worker.reserve(run, &load);
+        worker.trials.note_start(now, run, trial_end);
         if load.shares_processors() {
             self.contention.update_headrooms(node, worker);
         }
@@ -421,9 +453,12 @@
                 run,
                 node: node.clone(),
                 last_end,
+                crashes: task.crashes.len(),
+                on_trial: trial_end.is_some(),
             }));
         }
         task.waiting_since = None;
+        task.trial_due = None;
         task.runs.push(LiveRun {
             node: node.clone(),
             run: run.run,
--- a/crates/parsleytally/src/jobs/scheduler/throttle.rs
+++ b/crates/parsleytally/src/jobs/scheduler/throttle.rs
@@ -111,6 +111,7 @@
         let effects = self.contention.effects(&load);
         let request = PlacementRequest {
             contention: &self.contention,
+            job: run.task.job,
             policy: &job.policy,
             step: &job.spec.steps[step],
             load: &load,
@@ -118,6 +119,7 @@
             cpu_limit: self.options.best_effort.cpu_limit,
             failed_on: None,
             costly: self.is_costly(at),
+            on_trial: false,
             shared_rack: None,
         };
         choose_worker(self.workers.iter(), &request, &round.steps[step], now)
--- a/crates/parsleytally/src/jobs/spec.rs
+++ b/crates/parsleytally/src/jobs/spec.rs
@@ -249,11 +249,18 @@
 
 /// Decodes a record that [`encode`] encoded.
 pub(super) fn decode<T: for<'a> Deserialize<'a>>(bytes: &[u8]) -> Result<T, RecordError> {
+    decode_first(bytes).map(|(record, _)| record)
+}
+
+/// Decodes a record that [`encode`] encoded; returns it and the bytes after it.
+pub(super) fn decode_first<T: for<'a> Deserialize<'a>>(
+    bytes: &[u8],
+) -> Result<(T, &[u8]), RecordError> {
     let (version, rest) = bytes.split_first().ok_or(RecordError::Empty)?;
     if *version != RECORD_VERSION {
         return VersionSnafu { version: *version }.fail();
     }
-    postcard::from_bytes(rest).context(MalformedSnafu)
+    postcard::take_from_bytes(rest).context(MalformedSnafu)
 }
 
 impl JobRecord {
--- a/crates/parsleytally/src/jobs/tests/crashes.rs
+++ b/crates/parsleytally/src/jobs/tests/crashes.rs
@@ -189,7 +189,7 @@
     }
 
     /// The worker is back as another incarnation.
-    fn come_back(&mut self, at: usize, lost: Vec<CrashedRun>) {
+    fn come_back(&mut self, at: usize, lost: &[CrashedRun]) {
         let crashed = incarnation(at, self.born[at]);
         self.born[at] += 1;
         match self.loses {
@@ -204,7 +204,7 @@
         }
         let crash = AgentMessage::Crashed(WorkerCrash {
             incarnation: crashed,
-            runs: lost.clone(),
+            runs: lost.to_vec(),
         });
         let mut messages = vec![crash.clone()];
         if self.loses == Loses::OwnerWithRepeats {
@@ -237,7 +237,7 @@
             };
             for at in back {
                 if let Some((_, lost)) = self.down.remove(&at) {
-                    self.come_back(at, lost);
+                    self.come_back(at, &lost);
                 }
             }
             for at in 0..WORKERS {
--- a/crates/parsleytally/src/jobs/tests/malformed.rs
+++ b/crates/parsleytally/src/jobs/tests/malformed.rs
@@ -72,6 +72,16 @@
     outcome.expect("no damage ends the owner");
 }
 
+fn crash_mark(run: u32) -> CrashMark {
+    CrashMark {
+        run,
+        node: node(1),
+        seen_ms: Some(u64::MAX),
+        suspect: true,
+        sole: true,
+    }
+}
+
 #[test]
 fn damaged_progress_records_are_refused_or_harmless() {
     let progress = JobProgress {
@@ -84,6 +94,7 @@
                 index: 2,
                 failed_runs: vec![1],
                 checkpoint: "c".to_owned(),
+                crashes: vec![crash_mark(2)],
             }],
         }],
     };
@@ -191,6 +202,7 @@
             index: u32::MAX,
             failed_runs: vec![u32::MAX],
             checkpoint: String::new(),
+            crashes: vec![crash_mark(u32::MAX)],
         }],
     };
     let mut within = beyond.clone();
--- a/crates/parsleytally/src/jobs/tests/placement.rs
+++ b/crates/parsleytally/src/jobs/tests/placement.rs
@@ -102,6 +102,7 @@
     ) -> PlacementRequest<'a> {
         PlacementRequest {
             contention: &self.contention,
+            job: JobId(1),
             policy,
             step,
             load,
@@ -109,6 +110,7 @@
             cpu_limit: None,
             failed_on: None,
             costly: false,
+            on_trial: false,
             shared_rack: None,
         }
     }
--- /dev/null
+++ b/crates/parsleytally/src/jobs/trials.rs
@@ -0,0 +1,57 @@
+//! Trials on a worker: a task that may have crashed another worker runs there, and for a while no
+//! task of another job starts beside it.
+
+use std::collections::BTreeMap;
+
+use super::crashes::QUIET_TIME;
+use super::{JobId, RunRef};
+use crate::types::Time;
+
+/// Trials and recent starts on one worker.
+#[derive(Debug, Default)]
+pub(super) struct Trials {
+    /// Runs on trial, each with the time until which no other job starts here.
+    runs: BTreeMap<RunRef, Time>,
+    /// Newest start, with its job.
+    last: Option<(JobId, Time)>,
+    /// Newest start of another job before that.
+    before: Option<Time>,
+}
+
+impl Trials {
+    /// Notes a start; it is on trial until `end`, if there is one.
+    pub(super) fn note_start(&mut self, now: Time, run: RunRef, end: Option<Time>) {
+        let job = run.task.job;
+        if let Some((last, at)) = self.last
+            && last != job
+        {
+            self.before = Some(at);
+        }
+        self.last = Some((job, now));
+        self.runs.retain(|_, end| now < *end);
+        self.runs.extend(end.map(|end| (run, end)));
+    }
+
+    /// Ends the trial of a run, if it is on trial.
+    pub(super) fn end(&mut self, run: RunRef) {
+        self.runs.remove(&run);
+    }
+
+    /// Whether no task of another job is on trial and, for a task `on_trial`, no other job has just
+    /// started here.
+    pub(super) fn admit(&self, now: Time, job: JobId, on_trial: bool) -> bool {
+        let reserved = |(run, end): (&RunRef, &Time)| run.task.job != job && now < *end;
+        if self.runs.iter().any(reserved) {
+            return false;
+        }
+        let others = self.last_of_others(job).filter(|_| on_trial);
+        others.is_none_or(|at| now.since(at) >= QUIET_TIME)
+    }
+
+    fn last_of_others(&self, job: JobId) -> Option<Time> {
+        match self.last {
+            Some((last, at)) if last != job => Some(at),
+            _ => self.before,
+        }
+    }
+}
