fix(jobs): work beside a task that crashes workers is not blamed for it

Cause: marks of runs that stood beside a suspect counted toward the limit, and a crash in a trial was conclusive whatever else happened at that moment. Now marks beside suspects lead to a trial, which lasts until the run would clear its task from the third on, but never to a verdict by themselves; and workers that stop answering within 200 ms of each other have a common cause, unless the same job ran on them.

--- a/crates/parsleytally/src/jobs/crashes.rs
+++ b/crates/parsleytally/src/jobs/crashes.rs
@@ -3,14 +3,16 @@
 //! A crash of a worker ends all its runs, and says nothing of its cause: one of them, or the
 //! worker itself. Each of their tasks gets a [`CrashMark`], which is stored with its progress. The
 //! runs that were seen for the shortest time are the suspects, since a program that crashes its
-//! worker mostly does so early.
+//! worker mostly does so early; the others stood beside them.
 //!
 //! A task with a mark of a suspect, or with several marks, is on trial: it starts on another worker,
 //! where for a while no task of another job starts beside it. A run that is seen for longer than
 //! those that were lost clears its task. A crash in which only one job was suspected is
-//! conclusive, together with an earlier one on another worker; without that, more crashes are needed.
+//! conclusive together with earlier marks; without one, more marks of a suspect are needed, and marks
+//! of a task that stood beside suspects are never enough.
 //!
-//! Work that stood beside the culprit is cleared by its own trial or ends, so it is not blamed twice.
+//! Workers that stop answering at the same moment have a common cause, unless the same job ran on
+//! them: such a crash names no culprit.
 
 use std::time::Duration;
 
@@ -21,20 +23,26 @@
 
 /// Bounds of the time for which a run was seen, in milliseconds. The runs within the first bound
 /// that any run of a crash is within are its suspects; those beyond the last get no mark.
-const SEEN_BOUNDS_MS: [u64; 3] = [100, 1_000, 30_000];
+const SEEN_BOUNDS_MS: [u64; 3] = [100, 1_000, 10_000];
 /// Time by which a run must outlive those that were lost to clear its task, in milliseconds.
 const CLEARING_MS: u64 = 500;
 /// Marks from which on a task is on trial, though it was no suspect.
 const TRIAL_MARKS: usize = 2;
-/// Points of the marks with which a task is the culprit if it was the only suspect of the last crash.
-const CONCLUSIVE_POINTS: usize = 4;
-/// Points of the marks with which a task counts as the culprit in any case.
-const MAX_POINTS: usize = 6;
-/// Points of a mark of a suspect that was seen on the worker.
-const SUSPECT_POINTS: usize = 2;
-
-/// Time for which a task on trial has a worker for the starts of its own job.
-pub(super) const TRIAL_TIME: Duration = Duration::from_millis(1_000);
+/// Marks from which on a trial lasts until the run would clear its task.
+const LONG_TRIAL_MARKS: usize = 3;
+/// Most marks that a task keeps; the oldest is dropped first.
+const MAX_MARKS: usize = 8;
+/// Weight of all marks with which a task is the culprit if it was the only suspect of the last crash.
+const CONCLUSIVE_WEIGHT: usize = 4;
+/// Weight of the marks as a suspect with which a task counts as the culprit in any case.
+const MAX_SUSPECT_WEIGHT: usize = 6;
+/// Weight of a mark as a suspect that was seen on the worker; that of others is 1.
+const SEEN_SUSPECT_WEIGHT: usize = 2;
+
+/// Time within which workers stop answering at the same moment.
+pub(super) const SAME_MOMENT: Duration = Duration::from_millis(200);
+/// Time for which a task on trial has a worker for the starts of its own job at least.
+const TRIAL_TIME: Duration = Duration::from_millis(1_000);
 /// Time without starts of other jobs on a worker before it takes a task on trial.
 pub(super) const QUIET_TIME: Duration = Duration::from_millis(300);
 /// Time for which a task on trial waits for such a worker.
@@ -51,14 +59,14 @@
     pub seen_ms: Option<u64>,
     /// Whether it was one of the suspects.
     pub suspect: bool,
-    /// Whether all suspects were of one job.
+    /// Whether nothing else was suspected: no other job, and no cause common to several workers.
     pub sole: bool,
 }
 
 impl CrashMark {
-    fn points(&self) -> usize {
+    fn weight(&self) -> usize {
         if self.suspect && self.seen_ms.is_some() {
-            SUSPECT_POINTS
+            SEEN_SUSPECT_WEIGHT
         } else {
             1
         }
@@ -66,37 +74,46 @@
 }
 
 /// Marks of the runs that a crash of the worker beside `node` ended; none for those that
-/// were seen too long to be the cause.
+/// were seen too long to be the cause. `sole` is the only suspected job, if there is one.
 pub(super) fn marks<'a>(
     node: &'a NodeName,
     runs: &'a [CrashedRun],
+    sole: Option<JobId>,
 ) -> impl Iterator<Item = (CrashedRun, CrashMark)> + 'a {
-    let seen = |lost: &CrashedRun| lost.seen_ms.unwrap_or_default();
-    let shortest = runs.iter().map(seen).min().unwrap_or_default();
     let [.., longest] = SEEN_BOUNDS_MS;
-    let bound = SEEN_BOUNDS_MS.into_iter().find(|bound| shortest < *bound);
-    let bound = bound.unwrap_or_default();
-    let is_suspect = move |lost: &CrashedRun| seen(lost) < bound;
-    let jobs = runs.iter().filter(|lost| is_suspect(lost));
-    let sole = is_one(jobs.map(|lost| lost.run.task.job));
-    let marked = runs.iter().filter(move |lost| seen(lost) < longest);
+    let bound = suspect_bound_ms(runs);
+    let marked = runs.iter().filter(move |lost| seen_ms(lost) < longest);
     marked.map(move |lost| {
-        let suspect = is_suspect(lost);
+        let suspect = seen_ms(lost) < bound;
         let mark = CrashMark {
             run: lost.run.run,
             node: node.clone(),
             seen_ms: lost.seen_ms,
             suspect,
-            sole: suspect && sole,
+            sole: suspect && sole == Some(lost.run.task.job),
         };
         (*lost, mark)
     })
 }
 
-/// Whether all are the same job.
-fn is_one(mut jobs: impl Iterator<Item = JobId>) -> bool {
-    let first = jobs.next();
-    jobs.all(|job| Some(job) == first)
+/// The job of all suspects of a crash; none if there are several.
+pub(super) fn sole_suspect(runs: &[CrashedRun]) -> Option<JobId> {
+    let bound = suspect_bound_ms(runs);
+    let suspects = runs.iter().filter(|lost| seen_ms(lost) < bound);
+    let mut jobs = suspects.map(|lost| lost.run.task.job);
+    let first = jobs.next()?;
+    jobs.all(|job| job == first).then_some(first)
+}
+
+/// The first bound that any run is within; 0 if none is.
+fn suspect_bound_ms(runs: &[CrashedRun]) -> u64 {
+    let shortest = runs.iter().map(seen_ms).min().unwrap_or_default();
+    let mut bounds = SEEN_BOUNDS_MS.into_iter();
+    bounds.find(|bound| shortest < *bound).unwrap_or_default()
+}
+
+fn seen_ms(lost: &CrashedRun) -> u64 {
+    lost.seen_ms.unwrap_or_default()
 }
 
 /// Whether a task with these marks starts apart from other jobs.
@@ -104,18 +121,43 @@
     marks.len() >= TRIAL_MARKS || marks.iter().any(|mark| mark.suspect)
 }
 
+/// Adds a mark to those of a task.
+pub(super) fn add_mark(marks: &mut Vec<CrashMark>, mark: CrashMark) {
+    if marks.len() == MAX_MARKS {
+        marks.remove(0);
+    }
+    marks.push(mark);
+}
+
+/// Time for which a task with these marks has its worker for the starts of its own job.
+pub(super) fn trial_time(marks: &[CrashMark]) -> Duration {
+    let clears = Duration::from_millis(clearing_ms(marks));
+    if marks.len() >= LONG_TRIAL_MARKS {
+        TRIAL_TIME.max(clears)
+    } else {
+        TRIAL_TIME
+    }
+}
+
 /// Whether a task with these marks crashes the workers that start it.
 pub(super) fn is_culprit(marks: &[CrashMark]) -> bool {
-    let points: usize = marks.iter().map(CrashMark::points).sum();
     let Some((last, earlier)) = marks.split_last() else {
         return false;
     };
+    let weight: usize = marks.iter().map(CrashMark::weight).sum();
+    let suspected = marks.iter().filter(|mark| mark.suspect);
+    let as_suspect: usize = suspected.map(CrashMark::weight).sum();
     let elsewhere = earlier.iter().any(|mark| mark.node != last.node);
-    points >= MAX_POINTS || (points >= CONCLUSIVE_POINTS && last.sole && elsewhere)
+    let conclusive = last.sole && elsewhere && weight >= CONCLUSIVE_WEIGHT;
+    conclusive || as_suspect >= MAX_SUSPECT_WEIGHT
 }
 
 /// Whether a run that is seen for `seen_ms` clears its task of these marks.
 pub(super) fn is_cleared(marks: &[CrashMark], seen_ms: u64) -> bool {
+    seen_ms >= clearing_ms(marks)
+}
+
+fn clearing_ms(marks: &[CrashMark]) -> u64 {
     let longest = marks.iter().filter_map(|mark| mark.seen_ms).max();
-    seen_ms >= longest.unwrap_or_default().saturating_add(CLEARING_MS)
+    longest.unwrap_or_default().saturating_add(CLEARING_MS)
 }
--- a/crates/parsleytally/src/jobs/fleet.rs
+++ b/crates/parsleytally/src/jobs/fleet.rs
@@ -1,6 +1,6 @@
 //! State of each worker: its last report, the runs placed on it and its failures.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -236,6 +236,10 @@
     pub(super) pending_acks: VecDeque<PendingAck>,
     /// Highest number of an ended run that was processed.
     pub(super) last_ended: u64,
+    /// When it last stopped answering its agent.
+    pub(super) silent_at: Option<Time>,
+    /// Jobs whose runs it lost in its last crash.
+    pub(super) lost_jobs: BTreeSet<JobId>,
     /// Crashes whose marks the store may not have yet.
     pub(super) pending_crashes: Vec<PendingCrash>,
     pub(super) trials: Trials,
--- a/crates/parsleytally/src/jobs/scheduler/crashes.rs
+++ b/crates/parsleytally/src/jobs/scheduler/crashes.rs
@@ -1,7 +1,8 @@
 //! Runs that were lost in crashes of workers, and tasks that crash the workers that start them.
 
 use super::super::crashes::{
-    MAX_TRIAL_WAIT, TRIAL_TIME, is_cleared, is_culprit, is_on_trial, marks,
+    MAX_TRIAL_WAIT, SAME_MOMENT, add_mark, is_cleared, is_culprit, is_on_trial, marks,
+    sole_suspect, trial_time,
 };
 use super::super::fleet::{Load, PendingCrash, Worker};
 use super::super::job::{Job, StepRef, Task};
@@ -22,16 +23,21 @@
         witness: CrashWitness,
         out: &mut Vec<Output>,
     ) {
+        let sole = sole_suspect(&crash.runs);
+        let sole = sole.filter(|job| !self.has_common_cause(node, *job));
         for lost in &crash.runs {
             self.detach_run(node, lost.run, LastEnd::Crashed);
             self.release(node, lost.run);
+            if let Some(worker) = self.workers.get_mut(node) {
+                worker.lost_jobs.insert(lost.run.task.job);
+            }
         }
         let mut saved_by = Vec::new();
-        for (lost, mark) in marks(node, &crash.runs) {
+        for (lost, mark) in marks(node, &crash.runs, sole) {
             let Some(job) = self.jobs.get_mut(&lost.run.task.job) else {
                 continue;
             };
-            if add_mark(job, lost, &mark) {
+            if mark_task(job, lost, &mark) {
                 job.version += 1;
                 self.changed.insert(lost.run.task.job);
                 out.push(Output::Crash(CrashDecision::Lost {
@@ -68,6 +74,21 @@
         self.worker_crashed(node, &crash, CrashWitness::Owner, out);
     }
 
+    /// Whether another worker stopped answering at the same moment, without a run of `job`.
+    fn has_common_cause(&self, node: &NodeName, job: JobId) -> bool {
+        let Some(at) = self.workers.get(node).and_then(|worker| worker.silent_at) else {
+            return false;
+        };
+        let mut others = self.workers.iter().filter(|(name, _)| *name != node);
+        others.any(|(_, other)| {
+            let same_moment = other
+                .silent_at
+                .is_some_and(|other| other.since(at).max(at.since(other)) <= SAME_MOMENT);
+            let has_job = other.runs.keys().any(|run| run.task.job == job);
+            same_moment && !has_job && !other.lost_jobs.contains(&job)
+        })
+    }
+
     /// Fails the job of a task that crashes the workers that start it.
     fn give_up_culprit(&mut self, run: RunRef, out: &mut Vec<Output>) {
         let Some(job) = self.jobs.get_mut(&run.task.job) else {
@@ -140,7 +161,7 @@
 }
 
 /// Adds a mark to the task of a lost run; returns false if it has it, or the job has ended.
-fn add_mark(job: &mut Job, lost: CrashedRun, mark: &CrashMark) -> bool {
+fn mark_task(job: &mut Job, lost: CrashedRun, mark: &CrashMark) -> bool {
     let Some(task) = job.task(lost.run.task) else {
         return false;
     };
@@ -148,7 +169,7 @@
         return false;
     }
     task.last_run = task.last_run.max(mark.run);
-    task.crashes.push(mark.clone());
+    add_mark(&mut task.crashes, mark.clone());
     true
 }
 
@@ -171,5 +192,5 @@
 
 /// Until when a run of `task` that starts now has its worker for the starts of its job.
 pub(super) fn trial_end(now: Time, task: &Task) -> Option<Time> {
-    is_on_trial(&task.crashes).then(|| now.after(TRIAL_TIME))
+    is_on_trial(&task.crashes).then(|| now.after(trial_time(&task.crashes)))
 }
--- a/crates/parsleytally/src/jobs/scheduler/mod.rs
+++ b/crates/parsleytally/src/jobs/scheduler/mod.rs
@@ -364,6 +364,10 @@
         if let Some(worker) = self.workers.get_mut(node) {
             worker.unresponsive = unresponsive;
             worker.health.set_unresponsive(now, unresponsive);
+            if unresponsive {
+                worker.silent_at = Some(now);
+                worker.lost_jobs.clear();
+            }
         }
         self.pass_due = true;
     }
--- a/crates/parsleytally/src/jobs/tests/crashes.rs
+++ b/crates/parsleytally/src/jobs/tests/crashes.rs
@@ -145,6 +145,25 @@
         }
     }
 
+    /// The worker that runs `task` crashes, together with `others`.
+    fn crash_worker_of(&mut self, task: TaskId, others: &[usize]) {
+        let runs_it = |at: &usize| self.runs[*at].keys().any(|run| run.task == task);
+        let at = (0..WORKERS).find(runs_it).expect("the task runs");
+        assert!(!others.contains(&at), "worker {at}");
+        for at in others.iter().copied().chain([at]) {
+            self.crash(at);
+        }
+    }
+
+    /// The worker that runs `task` crashes just after the start of another task.
+    fn crash_beside(&mut self, task: TaskId) {
+        let runs_it = |at: &usize| self.runs[*at].keys().any(|run| run.task == task);
+        let at = (0..WORKERS).find(runs_it).expect("the task runs");
+        let other = run(99, 0, 0, 1);
+        self.runs[at].insert(other, self.now_ms);
+        self.crash(at);
+    }
+
     fn change_owner(&mut self) {
         self.epoch += 1;
         self.bench = Bench::with_options(SchedulerOptions {
@@ -407,6 +426,127 @@
     }
 }
 
+/// Guards against the blame of a task on trial for a crash of other cause: several workers go at
+/// the same moment, as with a rack.
+#[test]
+fn a_crash_of_several_workers_at_once_names_no_culprit() {
+    let mut fleet = Fleet::new(Loses::Nobody);
+    fleet.submit(1, job(vec![step(1, &[])]));
+    fleet.crash_worker_of(task(1, 0, 0), &[]);
+    fleet.run_for(RESTART_MS + 300);
+    fleet.crash_worker_of(task(1, 0, 0), &[5]);
+    fleet.run_for(2 * RESTART_MS);
+    assert_eq!(fleet.state(1), Some(JobState::Completed));
+}
+
+/// Guards against the blame of a service that is taken along by many crashes, each after a shorter
+/// time than before: it was never a suspect.
+#[test]
+fn a_service_beside_many_culprits_goes_on() {
+    let mut fleet = Fleet::new(Loses::Nobody);
+    let service = StepSpec {
+        long_running: true,
+        target_ms: 50,
+        ..step(1, &[])
+    };
+    fleet.submit(1, job(vec![service]));
+    for seen_ms in [9_000, 6_000, 3_000, 2_500, 2_000, 1_500, 1_000, 500] {
+        fleet.run_for(seen_ms);
+        fleet.crash_beside(task(1, 0, 0));
+        fleet.run_for(RESTART_MS + 1_500);
+    }
+    assert_eq!(fleet.state(1), Some(JobState::Running));
+}
+
+/// Guards against wrong conclusions from the marks of a task.
+#[test]
+fn a_task_is_the_culprit_by_the_marks_of_a_suspect() {
+    struct Case {
+        what: &'static str,
+        /// Worker of each crash, time seen, whether suspected, whether alone.
+        marks: &'static [(usize, Option<u64>, bool, bool)],
+        culprit: bool,
+    }
+    let cases = [
+        Case {
+            what: "one crash",
+            marks: &[(0, Some(0), true, true)],
+            culprit: false,
+        },
+        Case {
+            what: "two workers, the second alone",
+            marks: &[(0, Some(0), true, false), (1, Some(0), true, true)],
+            culprit: true,
+        },
+        Case {
+            what: "the same worker twice",
+            marks: &[(0, Some(0), true, true), (0, Some(0), true, true)],
+            culprit: false,
+        },
+        Case {
+            what: "two workers, never alone",
+            marks: &[(0, Some(0), true, false), (1, Some(0), true, false)],
+            culprit: false,
+        },
+        Case {
+            what: "three workers, never alone",
+            marks: &[
+                (0, Some(0), true, false),
+                (1, Some(0), true, false),
+                (2, Some(0), true, false),
+            ],
+            culprit: true,
+        },
+        Case {
+            what: "two starts without an answer",
+            marks: &[(0, None, true, true), (1, None, true, true)],
+            culprit: false,
+        },
+        Case {
+            what: "four starts without an answer",
+            marks: &[
+                (0, None, true, true),
+                (1, None, true, true),
+                (0, None, true, true),
+                (1, None, true, true),
+            ],
+            culprit: true,
+        },
+        Case {
+            what: "beside suspects only",
+            marks: &[(1, Some(400), false, false); 8],
+            culprit: false,
+        },
+        Case {
+            what: "beside suspects, then alone",
+            marks: &[
+                (0, Some(400), false, false),
+                (1, Some(400), false, false),
+                (2, Some(400), true, true),
+            ],
+            culprit: true,
+        },
+    ];
+    for case in cases {
+        let marks = case.marks.iter().zip(1..);
+        let marks: Vec<CrashMark> = marks
+            .map(|((at, seen_ms, suspect, sole), run)| CrashMark {
+                run,
+                node: node(*at),
+                seen_ms: *seen_ms,
+                suspect: *suspect,
+                sole: *sole,
+            })
+            .collect();
+        assert_eq!(
+            super::super::crashes::is_culprit(&marks),
+            case.culprit,
+            "{}",
+            case.what
+        );
+    }
+}
+
 /// Guards against the blame of work that stood beside the culprit: jobs without fault complete,
 /// and services go on, though each crash takes them along.
 #[test]
