--- a/crates/parsleytally/src/jobs/crashes.rs
+++ b/crates/parsleytally/src/jobs/crashes.rs
@@ -40,7 +40,7 @@
 const SEEN_SUSPECT_WEIGHT: usize = 2;
 
 /// Time within which workers stop answering at the same moment.
-pub(super) const SAME_MOMENT: Duration = Duration::from_millis(200);
+pub(super) const SAME_MOMENT: Duration = Duration::from_millis(50);
 /// Time for which a task on trial has a worker for the starts of its own job at least.
 const TRIAL_TIME: Duration = Duration::from_millis(1_000);
 /// Time without starts of other jobs on a worker before it takes a task on trial.
