fix(retry): a request that takes endpoints down is not sent on

What callers would see: one idempotent request is sent to up to four endpoints, each of which breaks off, and again with each repeat of its caller. Found by reading; shown by a test of real entries and agents, which fails without the change (the second request is sent on: 502 unknown in place of 503 not-run; the first one has four attempts).

Cause: an endpoint that breaks off was an unknown outcome like any other, counted per attempt and forgotten with the request. Now two endpoints that broke off under a request end it, and repeats are refused at once, truly not run, for 5 s that double with each further loss, until one is answered. Endpoints that break off under several requests within 50 ms count as one loss, and an answer clears a request that stood beside the culprit. Counter parsleytally_entry_barred_requests_total.

--- a/crates/parsleytally-agent/src/endpoint.rs
+++ b/crates/parsleytally-agent/src/endpoint.rs
@@ -44,6 +44,15 @@
             Self::Body { .. } => false,
         }
     }
+
+    /// Whether the endpoint broke off the exchange after it may have received the request.
+    pub(crate) fn is_broken_off(&self) -> bool {
+        match self {
+            Self::Invalid { .. } => false,
+            Self::Call { .. } => !self.is_not_run(),
+            Self::Body { source } => matches!(source, BodyError::Incomplete { .. }),
+        }
+    }
 }
 
 /// Client of one endpoint with at most `slots` idle connections.
--- a/crates/parsleytally-agent/src/requests.rs
+++ b/crates/parsleytally-agent/src/requests.rs
@@ -195,7 +195,12 @@
             }
             Ok(Err(error)) => {
                 slot.close(Outcome::Failed);
-                failed(id, &error.to_string(), false)
+                Frame::Failed(Failure {
+                    id,
+                    reason: error.to_string(),
+                    timed_out: false,
+                    endpoint_lost: error.is_broken_off(),
+                })
             }
             Err(_) => {
                 slot.close(Outcome::Abandoned);
@@ -250,6 +255,7 @@
         id,
         reason: reason.to_owned(),
         timed_out,
+        endpoint_lost: false,
     })
 }
 
--- a/crates/parsleytally-entry/src/attempts.rs
+++ b/crates/parsleytally-entry/src/attempts.rs
@@ -1,13 +1,13 @@
 //! Sends a caller's request: picks an endpoint for each attempt and retries after failures.
 
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
 use parsleytally::configs::RetryConfig;
-use parsleytally::idempotency::KeyHash;
-use parsleytally::retry::{Failure, Input, Outcome, Output, Reason, Retry};
+use parsleytally::idempotency::{KeyHash, RequestHash};
+use parsleytally::retry::{CrashSuspects, Failure, Input, Outcome, Output, Reason, Retry};
 use parsleytally::routing::{EndpointId, Outcome as RoutingOutcome};
 use parsleytally::types::{RequestId, ServiceKey, Time};
 use parsleytally_link::{Answer, CallError, Fence, Header, Request};
@@ -42,11 +42,25 @@
     pub(crate) key: Option<KeyHash>,
 }
 
+impl OutgoingRequest {
+    /// Hash of what an endpoint receives.
+    fn hash(&self) -> RequestHash {
+        let target = format!("{}{}", self.service, self.path);
+        RequestHash::new(&self.method, &target, &self.body)
+    }
+}
+
 /// Why a request was not answered.
 #[derive(Debug)]
 pub(crate) enum SendError {
     /// No endpoint was chosen for any attempt.
     NotSent(PickError),
+    /// Endpoints were lost under this request or an earlier copy of it.
+    EndpointsLost {
+        /// Outcome of this copy.
+        outcome: Outcome,
+        retry_after: Duration,
+    },
     /// Attempts failed and no further one is allowed.
     GaveUp {
         outcome: Outcome,
@@ -63,6 +77,7 @@
     clock: Clock,
     next: AtomicU64,
     retry: Mutex<(Retry, SmallRng)>,
+    suspects: Mutex<CrashSuspects<EndpointId>>,
 }
 
 impl Attempts {
@@ -73,6 +88,7 @@
             clock: Clock::start(),
             next: AtomicU64::new(1),
             retry: Mutex::new((Retry::new(config), rng)),
+            suspects: Mutex::default(),
         }
     }
 
@@ -85,6 +101,12 @@
         };
         let id = guard.id;
         let idempotent = outgoing.idempotent;
+        if let Some(left) = self.barred_for(outgoing) {
+            return Err(SendError::EndpointsLost {
+                outcome: Outcome::NotRun,
+                retry_after: left,
+            });
+        }
         self.step(Input::Begin {
             id,
             deadline,
@@ -93,9 +115,20 @@
         let mut prior = PriorAttempts::default();
         loop {
             let error = match self.attempt(outgoing, deadline, &mut prior).await {
-                Ok(answer) => return Ok(answer),
+                Ok(answer) => {
+                    self.note_answered(outgoing);
+                    return Ok(answer);
+                }
                 Err(error) => error,
             };
+            if error.is_endpoint_lost() && self.is_culprit(id, outgoing, &prior) {
+                log::warn!(service:% = outgoing.service, method = outgoing.method, trace = outgoing.trace;
+                    "request not sent on: endpoints were lost under it");
+                return Err(SendError::EndpointsLost {
+                    outcome: Outcome::Unknown,
+                    retry_after: self.barred_for(outgoing).unwrap_or_default(),
+                });
+            }
             let failure = match &error {
                 AttemptError::Pick(error) if !prior.any_sent => {
                     return Err(SendError::NotSent(*error));
@@ -187,6 +220,36 @@
         }
     }
 
+    fn suspects(&self) -> MutexGuard<'_, CrashSuspects<EndpointId>> {
+        self.suspects.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Time until the request may be sent, since endpoints were lost under it; none if it may
+    /// be sent now.
+    fn barred_for(&self, outgoing: &OutgoingRequest) -> Option<Duration> {
+        let suspects = self.suspects();
+        if suspects.is_empty() {
+            return None;
+        }
+        suspects.barred_for(self.clock.now(), outgoing.hash())
+    }
+
+    fn note_answered(&self, outgoing: &OutgoingRequest) {
+        let mut suspects = self.suspects();
+        if !suspects.is_empty() {
+            suspects.answered(outgoing.hash());
+        }
+    }
+
+    /// Notes that the last endpoint broke off; returns whether the request must not be sent on.
+    fn is_culprit(&self, id: RequestId, outgoing: &OutgoingRequest, prior: &PriorAttempts) -> bool {
+        let Some(endpoint) = prior.endpoints.last() else {
+            return false;
+        };
+        let now = self.clock.now();
+        self.suspects().lost(now, id, outgoing.hash(), *endpoint)
+    }
+
     fn next_id(&self) -> RequestId {
         RequestId(self.next.fetch_add(1, Ordering::Relaxed))
     }
@@ -236,6 +299,16 @@
 }
 
 impl AttemptError {
+    fn is_endpoint_lost(&self) -> bool {
+        matches!(
+            self,
+            Self::Call(CallError::Unknown {
+                endpoint_lost: true,
+                ..
+            })
+        )
+    }
+
     fn give_up(&self, outcome: Outcome, reason: Reason, retry_after: Duration) -> SendError {
         let (message, timed_out) = match self {
             Self::Pick(error) => (error.to_string(), false),
--- a/crates/parsleytally-entry/src/callers.rs
+++ b/crates/parsleytally-entry/src/callers.rs
@@ -156,6 +156,9 @@
             idempotent,
         };
         let answer = self.attempts.run(&outgoing).in_span(link_span).await;
+        if matches!(answer, Err(SendError::EndpointsLost { .. })) {
+            self.metrics.barred.inc();
+        }
         answer.map_err(send_problem)
     }
 }
@@ -223,6 +226,17 @@
 fn send_problem(error: SendError) -> Problem {
     match error {
         SendError::NotSent(error) => pick_problem(error),
+        SendError::EndpointsLost {
+            outcome,
+            retry_after,
+        } => {
+            let reason = "endpoints broke off while they ran this request";
+            let problem = match outcome {
+                Outcome::NotRun => Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, reason),
+                Outcome::Unknown => Problem::unknown(StatusCode::BAD_GATEWAY, reason),
+            };
+            problem.with_retry_after(retry_after)
+        }
         SendError::GaveUp {
             outcome: Outcome::NotRun,
             reason,
--- a/crates/parsleytally-entry/src/metrics.rs
+++ b/crates/parsleytally-entry/src/metrics.rs
@@ -14,6 +14,7 @@
 pub(crate) struct Metrics {
     set: MetricSet,
     pub(crate) requests: IntCounterVec,
+    pub(crate) barred: IntCounter,
     pub(crate) latency: Histogram,
     pub(crate) in_flight: IntGauge,
     pub(crate) endpoints: IntGauge,
@@ -38,6 +39,10 @@
                 "Requests by outcome.",
                 "outcome",
             )?,
+            barred: set.counter(
+                "parsleytally_entry_barred_requests_total",
+                "Requests not sent on, or refused, since endpoints were lost under them.",
+            )?,
             latency: set.histogram(
                 "parsleytally_entry_request_seconds",
                 "Time from a caller's request to its answer, in seconds.",
--- a/crates/parsleytally-entry/tests/request_path/main.rs
+++ b/crates/parsleytally-entry/tests/request_path/main.rs
@@ -134,6 +134,33 @@
     }
 }
 
+/// Guards against a request that takes down one endpoint after another, by retries of the entry
+/// and by repeats of its caller.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_takes_endpoints_down_is_not_sent_on() {
+    const AGENTS: usize = 6;
+    let system = Builder {
+        agents: AGENTS,
+        endpoint: Endpoint::Broken,
+        ..Builder::default()
+    };
+    let system = system.start().await;
+    let get = || system.call(0, Method::GET, "/demo/echo/close", &[], "");
+    let reply = get().await;
+    assert_eq!(reply.status_and_outcome(), (502, "unknown"));
+    for _ in 0..3 {
+        let reply = get().await;
+        assert_eq!(reply.status_and_outcome(), (503, "not-run"));
+        assert!(reply.headers.contains_key("retry-after"));
+    }
+    let mut lost = 0;
+    for agent in 0..AGENTS {
+        let metric = "parsleytally_agent_requests_total{outcome=\"failed\"}";
+        lost += system.metric(agent, metric).await;
+    }
+    assert_eq!(lost, 2, "endpoints that broke off");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_to_an_endpoint_that_is_down_is_not_run() {
     let system = Builder {
--- a/crates/parsleytally-link/src/calls.rs
+++ b/crates/parsleytally-link/src/calls.rs
@@ -30,6 +30,8 @@
         reason: String,
         /// Whether the time limit was exceeded.
         timed_out: bool,
+        /// Whether the endpoint broke off the exchange.
+        endpoint_lost: bool,
     },
 }
 
@@ -143,8 +145,14 @@
             id,
             reason,
             timed_out,
+            endpoint_lost,
         } = failure;
-        self.settle(id, Err(CallError::Unknown { reason, timed_out }));
+        let error = CallError::Unknown {
+            reason,
+            timed_out,
+            endpoint_lost,
+        };
+        self.settle(id, Err(error));
     }
 
     /// Settles every request as unknown because the link was lost.
@@ -188,5 +196,9 @@
 
 fn unknown<T>(reason: &str, timed_out: bool) -> Result<T, CallError> {
     let reason = reason.to_owned();
-    Err(CallError::Unknown { reason, timed_out })
+    Err(CallError::Unknown {
+        reason,
+        timed_out,
+        endpoint_lost: false,
+    })
 }
--- a/crates/parsleytally-link/src/frame.rs
+++ b/crates/parsleytally-link/src/frame.rs
@@ -134,6 +134,8 @@
     pub reason: String,
     /// Whether the time limit was exceeded.
     pub timed_out: bool,
+    /// Whether the endpoint broke off the exchange.
+    pub endpoint_lost: bool,
 }
 
 /// Periodic clock reading of an agent; shard owners put the latest into the proofs of
--- a/crates/parsleytally-link/src/tests.rs
+++ b/crates/parsleytally-link/src/tests.rs
@@ -146,7 +146,8 @@
         result,
         Err(CallError::Unknown {
             reason,
-            timed_out: false
+            timed_out: false,
+            endpoint_lost: false,
         })
     );
     let after = calls.call(request(2), LONG_TIMEOUT).await;
@@ -518,6 +519,7 @@
                 error,
                 CallError::Unknown {
                     timed_out: false,
+                    endpoint_lost: false,
                     ..
                 }
             );
--- a/crates/parsleytally/src/retry/mod.rs
+++ b/crates/parsleytally/src/retry/mod.rs
@@ -12,6 +12,7 @@
 //! caller may try again.
 
 mod budget;
+mod suspects;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -24,6 +25,8 @@
 
 use budget::Budget;
 
+pub use suspects::CrashSuspects;
+
 /// Minimum `retry_after` of a final outcome.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
 
--- a/crates/parsleytally/src/retry/tests.rs
+++ b/crates/parsleytally/src/retry/tests.rs
@@ -4,6 +4,7 @@
 use rand::{Rng, SeedableRng};
 
 use super::*;
+use crate::idempotency::RequestHash;
 
 const REFUSED: Failure = Failure::NotRun {
     retry_after: Duration::from_millis(700),
@@ -219,3 +220,85 @@
     };
     assert!(amplification(unlimited, 30) > 1.3);
 }
+
+/// Guards against a request that crashes endpoint after endpoint, by retries or by repeats of its
+/// callers, and against the refusal of requests that were in flight beside it.
+#[test]
+fn a_request_under_which_two_endpoints_were_lost_is_barred() {
+    #[derive(Debug, Clone, Copy)]
+    enum Event {
+        /// Request and endpoint.
+        Lost(u64, u32),
+        Answered,
+        WaitMs(u64),
+    }
+    use Event::{Answered, Lost, WaitMs};
+    struct Case {
+        what: &'static str,
+        events: &'static [Event],
+        barred_ms: Option<u64>,
+    }
+    let cases = [
+        Case {
+            what: "one endpoint",
+            events: &[Lost(1, 1)],
+            barred_ms: None,
+        },
+        Case {
+            what: "two endpoints",
+            events: &[Lost(1, 1), Lost(1, 2)],
+            barred_ms: Some(5_000),
+        },
+        Case {
+            what: "the same endpoint twice",
+            events: &[Lost(1, 1), WaitMs(100), Lost(2, 1)],
+            barred_ms: None,
+        },
+        Case {
+            what: "a repeat by the caller",
+            events: &[Lost(1, 1), WaitMs(3_000), Lost(2, 2)],
+            barred_ms: Some(5_000),
+        },
+        Case {
+            what: "an answer in between",
+            events: &[Lost(1, 1), WaitMs(100), Answered, Lost(2, 2)],
+            barred_ms: None,
+        },
+        Case {
+            what: "two endpoints of two requests at the same moment",
+            events: &[Lost(1, 1), WaitMs(20), Lost(2, 2)],
+            barred_ms: None,
+        },
+        Case {
+            what: "after the bar",
+            events: &[Lost(1, 1), Lost(1, 2), WaitMs(5_000)],
+            barred_ms: None,
+        },
+        Case {
+            what: "one more after the bar",
+            events: &[Lost(1, 1), Lost(1, 2), WaitMs(5_000), Lost(2, 3)],
+            barred_ms: Some(10_000),
+        },
+        Case {
+            what: "a minute later",
+            events: &[Lost(1, 1), WaitMs(61_000), Lost(2, 2)],
+            barred_ms: None,
+        },
+    ];
+    let hash = RequestHash::new("GET", "/a", b"");
+    for case in cases {
+        let mut suspects = CrashSuspects::default();
+        let mut now = Time::from_secs(1);
+        for event in case.events {
+            match *event {
+                Lost(id, endpoint) => {
+                    suspects.lost(now, RequestId(id), hash, endpoint);
+                }
+                Answered => suspects.answered(hash),
+                WaitMs(millis) => now = now.after(Duration::from_millis(millis)),
+            }
+        }
+        let barred = case.barred_ms.map(Duration::from_millis);
+        assert_eq!(suspects.barred_for(now, hash), barred, "{}", case.what);
+    }
+}
