fix(jobs): a start that counted on more than the worker has is refused

What callers would see: a worker over its capacity, since a start that was ordered before the capacity shrank was carried out after. Found by reading, at the place where an owner that was paused or an order that was delayed acts on an old report; shown by a test of the agent, which failed on the code with the new field only ("it has shrunk": the worker was called).

Cause: the agent has the newer report, the order did not say on what it counted. Now the order names the capacity that the owner counted on, and the agent refuses it with `Room` before each call to the worker if the worker has less. The owner's own half kept the rule before: two more tests show that what runs and what is being stopped counts, while the capacity shrinks, grows and shrinks to nothing.

--- a/crates/parsleytally-entry/src/site/metrics.rs
+++ b/crates/parsleytally-entry/src/site/metrics.rs
@@ -27,6 +27,8 @@
     evacuated_zones: IntGauge,
     worker_decisions: IntCounterVec,
     crash_decisions: IntCounterVec,
+    overcommitted: IntGauge,
+    refused_starts: IntCounterVec,
     degraded: IntGauge,
     flapping: IntGauge,
     probation: IntGauge,
@@ -78,6 +80,15 @@
                 "Decisions about runs that were lost in crashes of workers, by kind.",
                 "decision",
             )?,
+            overcommitted: set.gauge(
+                "parsleytally_jobs_overcommitted_workers",
+                "Workers whose runs need more than they have, since their capacity shrank.",
+            )?,
+            refused_starts: set.counters(
+                "parsleytally_jobs_refused_starts_total",
+                "Starts that an agent or a worker refused, by reason.",
+                "reason",
+            )?,
             degraded: set.gauge(
                 "parsleytally_jobs_degraded_workers",
                 "Workers that are slower, fail more or start later than their peers.",
@@ -139,6 +150,7 @@
             &self.open_jobs,
             &self.waiting_tasks,
             &self.evacuated_zones,
+            &self.overcommitted,
             &self.degraded,
             &self.flapping,
             &self.probation,
@@ -157,6 +169,8 @@
         self.open_jobs.set(gauge(scheduler.open_jobs()));
         self.evacuated_zones.set(gauge(scheduler.evacuated_zones()));
         self.waiting_tasks.set(gauge(scheduler.waiting_tasks()));
+        self.overcommitted
+            .set(gauge(scheduler.overcommitted_workers()));
         let standings = scheduler.standings();
         self.degraded.set(gauge(standings.degraded));
         self.flapping.set(gauge(standings.flapping));
@@ -196,6 +210,7 @@
 
     pub(super) fn count_decision(&self, decision: &WorkersDecision) {
         let (label, count) = match decision {
+            WorkersDecision::Capacity { .. } => ("capacity", 1),
             WorkersDecision::Standing { standing, .. } => (standing_label(*standing), 1),
             WorkersDecision::RackWait(evidence) => ("rack_wait", evidence.tasks),
             WorkersDecision::RackGivenUp(evidence) => ("rack_given_up", evidence.tasks),
@@ -229,6 +244,10 @@
 
     /// Counts ended runs and the starts that an agent refused because of an old read.
     pub(super) fn count_message(&self, message: &AgentMessage) {
+        if let AgentMessage::Refused { reason, .. } = message {
+            let label = refusal_label(*reason);
+            self.refused_starts.with_label_values(&[label]).inc();
+        }
         let old_read = RefusalReason::OldRead;
         if matches!(message, AgentMessage::Refused { reason, .. } if *reason == old_read) {
             self.old_reads.with_label_values(&["agent"]).inc();
@@ -244,6 +263,20 @@
     }
 }
 
+fn refusal_label(reason: RefusalReason) -> &'static str {
+    match reason {
+        RefusalReason::Room => "room",
+        RefusalReason::Fenced => "fenced",
+        RefusalReason::Old => "old",
+        RefusalReason::Late => "late",
+        RefusalReason::Ticket => "ticket",
+        RefusalReason::Unwell => "unwell",
+        RefusalReason::Unanswered => "unanswered",
+        RefusalReason::Invalid => "invalid",
+        RefusalReason::OldRead => "old_read",
+    }
+}
+
 fn standing_label(standing: WorkerStanding) -> &'static str {
     match standing {
         WorkerStanding::Probation => "probation",
--- a/crates/parsleytally-entry/src/site/owner_log.rs
+++ b/crates/parsleytally-entry/src/site/owner_log.rs
@@ -153,6 +153,15 @@
 
 pub(super) fn log_workers_decision(decision: &WorkersDecision) {
     match decision {
+        WorkersDecision::Capacity {
+            node,
+            before,
+            after,
+            reserved,
+        } => {
+            log::info!(agent:% = node, before:% = before, after:% = after, reserved:% = reserved;
+                "capacity of a worker changed");
+        }
         WorkersDecision::Standing {
             node,
             standing,
--- a/crates/parsleytally-entry/src/site/tests/mod.rs
+++ b/crates/parsleytally-entry/src/site/tests/mod.rs
@@ -17,8 +17,8 @@
 use parsleytally::jobs::{
     AgentMessage, CallError, CrashDecision, EndReason, EndedRun, EvacuationEvent, HealthEvidence,
     JobId, JobSpec, JobState, Listing, OrderMessage, PollCall, QueueName, QueuePolicy, QueueUsage,
-    RunRef, StartCall, StepSpec, StopCall, TaskId, ThrottleCall, WorkerIncarnation, WorkerStanding,
-    WorkersDecision,
+    RefusalReason, RunRef, StartCall, StepSpec, StopCall, TaskId, ThrottleCall, WorkerIncarnation,
+    WorkerStanding, WorkersDecision,
 };
 use parsleytally::types::{Epoch, Incarnation, MilliCpu, NodeName, ZoneName};
 use parsleytally_link::{Frame, Hello, Keys, LinkConfig, Role, accept};
@@ -446,6 +446,10 @@
         },
         ended: vec![ended_run],
     });
+    owner.count_message(&AgentMessage::Refused {
+        run,
+        reason: RefusalReason::Room,
+    });
     owner.count_evacuation(&EvacuationEvent::Paused { read_age: None });
     owner.count_decision(&WorkersDecision::Standing {
         node: NodeName::new("worker").expect("a valid name"),
--- a/crates/parsleytally/src/jobs/agent/mod.rs
+++ b/crates/parsleytally/src/jobs/agent/mod.rs
@@ -502,7 +502,22 @@
         age.is_none_or(|(read, clock)| clock.age(now, read) > limit)
     }
 
+    /// Whether the worker has less than the owner counted on: the order may be from before its
+    /// capacity shrank.
+    fn has_shrunk(&self, run: RunRef) -> bool {
+        let order = self.runs.get(&run).and_then(|run| run.order.as_ref());
+        let assumed = order.map(|order| order.capacity);
+        let present = self.report.as_ref().map(|report| report.capacity);
+        let shrunk = assumed.zip(present);
+        shrunk.is_some_and(|(assumed, present)| !assumed.fits(&present))
+    }
+
     fn send_start(&mut self, now: Time, run: RunRef, out: &mut Vec<AgentOutput>) {
+        if self.has_shrunk(run) {
+            self.runs.remove(&run);
+            refuse(run, RefusalReason::Room, out);
+            return;
+        }
         if self.read_is_old(now, run) {
             self.runs.remove(&run);
             refuse(run, RefusalReason::OldRead, out);
--- a/crates/parsleytally/src/jobs/decisions.rs
+++ b/crates/parsleytally/src/jobs/decisions.rs
@@ -1,9 +1,9 @@
-//! Decisions about uneven workers, for logs and metrics.
+//! Decisions about uneven and changed workers, for logs and metrics.
 
 use std::sync::Arc;
 
 use super::{RunRef, TaskId};
-use crate::types::NodeName;
+use crate::types::{NodeName, Resources};
 
 /// How a worker compares with its peers.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
@@ -77,9 +77,20 @@
     pub measurements: u32,
 }
 
-/// A decision about uneven workers.
+/// A decision about an uneven worker, or a change of one.
 #[derive(Debug, Clone, PartialEq)]
 pub enum WorkersDecision {
+    /// The capacity of a worker has changed.
+    Capacity {
+        /// The worker's agent.
+        node: NodeName,
+        /// The capacity before.
+        before: Resources,
+        /// The capacity now.
+        after: Resources,
+        /// Sum of the needs of its runs.
+        reserved: Resources,
+    },
     /// The standing of a worker has changed.
     Standing {
         /// The worker's agent.
--- a/crates/parsleytally/src/jobs/fleet.rs
+++ b/crates/parsleytally/src/jobs/fleet.rs
@@ -304,6 +304,12 @@
             .unwrap_or(Resources::NONE)
     }
 
+    /// Whether its runs need more than it has.
+    pub(super) fn is_overcommitted(&self) -> bool {
+        let capacity = self.report.as_ref().map(|report| report.capacity);
+        capacity.is_some_and(|capacity| !self.reserved.fits(&capacity))
+    }
+
     /// Free processors less those of best-effort runs, in thousandths; negative if these
     /// runs request more than is free.
     pub(super) fn idle_cpu(&self) -> i64 {
--- a/crates/parsleytally/src/jobs/messages.rs
+++ b/crates/parsleytally/src/jobs/messages.rs
@@ -9,7 +9,7 @@
     JobSpec, JobState, QueueName, QueueTable, TaskId, WorkerIncarnation, WorkerReport,
     WorkersDecision,
 };
-use crate::types::{NodeName, Revision, Time};
+use crate::types::{NodeName, Resources, Revision, Time};
 
 /// One run of a task.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -104,6 +104,8 @@
     pub target_ms: u64,
     /// Whether it only uses processors that others leave idle.
     pub best_effort: bool,
+    /// Capacity of the worker that the owner counted on.
+    pub capacity: Resources,
     /// When the read of the operators' requests to evacuate availability zones was sent, on the
     /// owner's clock, in microseconds; none if evacuations are not enabled.
     pub zones_read: Option<u64>,
--- a/crates/parsleytally/src/jobs/scheduler/mod.rs
+++ b/crates/parsleytally/src/jobs/scheduler/mod.rs
@@ -17,7 +17,7 @@
 use super::{
     AgentMessage, CrashWitness, EndEvidence, Input, JobId, JobProgress, JobRecord, JobReply,
     JobRequest, JobState, LastEnd, OrderMessage, Output, QueueName, QueueTable, RunRef,
-    WorkerIncarnation, WorkerReport, WorkerState,
+    WorkerIncarnation, WorkerReport, WorkerState, WorkersDecision,
 };
 use crate::configs::{BestEffortConfig, WorkersConfig};
 use crate::types::{NodeName, Revision, Time};
@@ -218,6 +218,12 @@
         self.open.len()
     }
 
+    /// Number of workers whose runs need more than the worker has since its capacity shrank.
+    pub fn overcommitted_workers(&self) -> usize {
+        let workers = self.workers.values();
+        workers.filter(|worker| worker.is_overcommitted()).count()
+    }
+
     /// Number of tasks that are ready but not placed on a worker.
     pub fn waiting_tasks(&self) -> usize {
         let jobs = self.open.iter().map(|id| &self.jobs[id]);
@@ -423,6 +429,15 @@
         }
         let was_draining = worker.is_draining();
         let state = report.state;
+        let before = worker.report.as_ref().map(|report| report.capacity);
+        if let Some(before) = before.filter(|before| *before != report.capacity) {
+            out.push(Output::Workers(WorkersDecision::Capacity {
+                node: node.clone(),
+                before,
+                after: report.capacity,
+                reserved: worker.reserved,
+            }));
+        }
         if state == WorkerState::Ready {
             worker.last_lease_end = None;
         }
--- a/crates/parsleytally/src/jobs/scheduler/start.rs
+++ b/crates/parsleytally/src/jobs/scheduler/start.rs
@@ -420,9 +420,10 @@
         let Some(worker) = self.workers.get_mut(node) else {
             return;
         };
-        let Some(incarnation) = worker.incarnation().cloned() else {
+        let Some(report) = &worker.report else {
             return;
         };
+        let (incarnation, capacity) = (report.incarnation.clone(), report.capacity);
         if load.best_effort {
             self.contention.start_trials(now, node, worker, load);
         }
@@ -471,6 +472,7 @@
             checkpoint: task.checkpoint.clone(),
             target_ms,
             best_effort: load.best_effort,
+            capacity,
             zones_read: self.evacuation.read_at().map(Time::as_micros),
         };
         out.push(Output::Order(node.clone(), OrderMessage::Start(order)));
--- a/crates/parsleytally/src/jobs/tests/agent.rs
+++ b/crates/parsleytally/src/jobs/tests/agent.rs
@@ -197,12 +197,9 @@
     ) -> Vec<AgentOutput> {
         self.order_start(StartOrder {
             incarnation,
-            run,
-            payload: "do".into(),
-            checkpoint: String::new(),
             target_ms,
             best_effort,
-            zones_read: None,
+            ..start_order(run)
         })
     }
 
@@ -212,6 +209,20 @@
     }
 }
 
+/// An order to start a run on the whole worker 0.
+pub(super) fn start_order(run: RunRef) -> StartOrder {
+    StartOrder {
+        incarnation: incarnation(0, 7),
+        run,
+        payload: "do".into(),
+        checkpoint: String::new(),
+        target_ms: 0,
+        best_effort: false,
+        capacity: report(0, 7).capacity,
+        zones_read: None,
+    }
+}
+
 pub(super) fn sent(out: &[AgentOutput], expected: &AgentMessage) -> bool {
     let is_expected =
         |output: &AgentOutput| matches!(output, AgentOutput::Send(m) if m == expected);
--- a/crates/parsleytally/src/jobs/tests/evacuation.rs
+++ b/crates/parsleytally/src/jobs/tests/evacuation.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use super::agent::{TestAgent, sent};
+use super::agent::{TestAgent, sent, start_order};
 use super::scheduler::{Bench, starts, stops};
 use super::*;
 use crate::types::{Revision, Time};
@@ -404,13 +404,8 @@
         agent.now = agent.now.after(Duration::from_millis(case.after));
         let run = run(1, 0, 0, 1);
         let out = agent.order_start(StartOrder {
-            incarnation: incarnation(0, 7),
-            run,
-            payload: "do".into(),
-            checkpoint: String::new(),
-            target_ms: 0,
-            best_effort: false,
             zones_read: case.read.map(|millis| millis * 1_000),
+            ..start_order(run)
         });
         let started = out
             .iter()
@@ -430,13 +425,8 @@
     agent.answer_ping(50_000_000);
     let run = run(1, 0, 0, 1);
     let order = |run| StartOrder {
-        incarnation: incarnation(0, 7),
-        run,
-        payload: "do".into(),
-        checkpoint: String::new(),
-        target_ms: 0,
-        best_effort: false,
         zones_read: Some(49_000_000),
+        ..start_order(run)
     };
     agent.order_start(order(run));
     let other = super::run(1, 0, 1, 1);
--- a/crates/parsleytally/src/jobs/tests/mod.rs
+++ b/crates/parsleytally/src/jobs/tests/mod.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod agent;
 mod call_plan;
+mod capacity;
 mod contention;
 mod crashes;
 mod durations;
