fix(jobs): a suspect starts again only once the store has its mark

What callers would see: starts of a task that crashes its workers that nobody counts.

Cause: the start did not wait for the record that bounds it. A task on trial waits until the store has its last mark; others don't. The price is one answer of the store before the second start, and a suspect waits through an outage of the store. Two marks of runs that were seen are needed now, or four of others.

The test of a new incarnation expected the start before the store has the crash; it now checks that there is none before and the same start after.

--- a/crates/parsleytally/src/jobs/crashes.rs
+++ b/crates/parsleytally/src/jobs/crashes.rs
@@ -39,6 +39,11 @@
 /// Weight of a mark as a suspect that was seen on the worker; that of others is 1.
 const SEEN_SUSPECT_WEIGHT: usize = 2;
 
+/// Marks of runs that were seen without which no task is the culprit.
+const MIN_SEEN_MARKS: usize = 2;
+/// Marks of runs whose start was not answered that serve in place of these.
+const MIN_UNSEEN_MARKS: usize = 4;
+
 /// Time within which workers stop answering at the same moment.
 pub(super) const SAME_MOMENT: Duration = Duration::from_millis(50);
 /// Time for which a task on trial has a worker for the starts of its own job at least.
@@ -149,7 +154,14 @@
     let as_suspect: usize = suspected.map(CrashMark::weight).sum();
     let elsewhere = earlier.iter().any(|mark| mark.node != last.node);
     let conclusive = last.sole && elsewhere && weight >= CONCLUSIVE_WEIGHT;
-    conclusive || as_suspect >= MAX_SUSPECT_WEIGHT
+    has_run(marks) && (conclusive || as_suspect >= MAX_SUSPECT_WEIGHT)
+}
+
+/// Whether the task has certainly run on workers that crashed: a start without an answer may not
+/// have reached its worker.
+fn has_run(marks: &[CrashMark]) -> bool {
+    let seen = marks.iter().filter(|mark| mark.seen_ms.is_some()).count();
+    seen >= MIN_SEEN_MARKS || marks.len() - seen >= MIN_UNSEEN_MARKS
 }
 
 /// Whether a run that is seen for `seen_ms` clears its task of these marks.
--- a/crates/parsleytally/src/jobs/job.rs
+++ b/crates/parsleytally/src/jobs/job.rs
@@ -70,6 +70,8 @@
     pub(super) last_end: Option<LastEnd>,
     /// Crashes of workers with its runs, unless a later run has cleared it.
     pub(super) crashes: Vec<CrashMark>,
+    /// Version of the progress record that has the last of them.
+    pub(super) marked_version: u64,
     /// Since when it waits for a worker on which it can be on trial.
     pub(super) trial_due: Option<Time>,
 }
--- a/crates/parsleytally/src/jobs/scheduler/crashes.rs
+++ b/crates/parsleytally/src/jobs/scheduler/crashes.rs
@@ -40,6 +40,7 @@
             if mark_task(job, lost, &mark) {
                 job.version += 1;
                 self.changed.insert(lost.run.task.job);
+                self.unsaved_marks.insert(lost.run.task.job);
                 out.push(Output::Crash(CrashDecision::Lost {
                     node: node.clone(),
                     incarnation: crash.incarnation.clone(),
@@ -143,6 +144,15 @@
         now.since(due) >= MAX_TRIAL_WAIT
     }
 
+    /// Allows the tasks of a saved job to start, if they have waited for that.
+    pub(super) fn marks_saved(&mut self, id: JobId) {
+        let saved = |job: &Job| job.saved_version >= job.version;
+        if self.unsaved_marks.contains(&id) && self.jobs.get(&id).is_none_or(saved) {
+            self.unsaved_marks.remove(&id);
+            self.pass_due = true;
+        }
+    }
+
     /// Acknowledges the crashes whose marks the store has.
     pub(super) fn acknowledge_crashes(&mut self, out: &mut Vec<Output>) {
         let jobs = &self.jobs;
@@ -162,6 +172,7 @@
 
 /// Adds a mark to the task of a lost run; returns false if it has it, or the job has ended.
 fn mark_task(job: &mut Job, lost: CrashedRun, mark: &CrashMark) -> bool {
+    let version = job.version + 1;
     let Some(task) = job.task(lost.run.task) else {
         return false;
     };
@@ -170,6 +181,7 @@
     }
     task.last_run = task.last_run.max(mark.run);
     add_mark(&mut task.crashes, mark.clone());
+    task.marked_version = version;
     true
 }
 
@@ -190,6 +202,12 @@
     })
 }
 
+/// Whether a task is on trial and the store lacks its last mark: if it crashed one more worker, a
+/// successor would know of neither.
+pub(super) fn awaits_save(job: &Job, task: &Task) -> bool {
+    is_on_trial(&task.crashes) && job.saved_version < task.marked_version
+}
+
 /// Until when a run of `task` that starts now has its worker for the starts of its job.
 pub(super) fn trial_end(now: Time, task: &Task) -> Option<Time> {
     is_on_trial(&task.crashes).then(|| now.after(trial_time(&task.crashes)))
--- a/crates/parsleytally/src/jobs/scheduler/mod.rs
+++ b/crates/parsleytally/src/jobs/scheduler/mod.rs
@@ -79,6 +79,8 @@
     open: BTreeSet<JobId>,
     /// Jobs whose progress has changed since its last [`Output::Save`].
     changed: BTreeSet<JobId>,
+    /// Jobs with tasks that wait until the store has the marks of a crash.
+    unsaved_marks: BTreeSet<JobId>,
     /// Whether the store saved progress since ended runs were last acknowledged.
     acks_due: bool,
     workers: BTreeMap<NodeName, Worker>,
@@ -120,6 +122,7 @@
             jobs: HashMap::new(),
             open: BTreeSet::new(),
             changed: BTreeSet::new(),
+            unsaved_marks: BTreeSet::new(),
             acks_due: false,
             workers: BTreeMap::new(),
             unreported: BTreeMap::new(),
@@ -593,6 +596,7 @@
         };
         job.saved_version = job.saved_version.max(version);
         self.acks_due = true;
+        self.marks_saved(id);
     }
 
     fn emit_changed(&mut self, out: &mut Vec<Output>) {
--- a/crates/parsleytally/src/jobs/scheduler/start.rs
+++ b/crates/parsleytally/src/jobs/scheduler/start.rs
@@ -8,7 +8,7 @@
 use super::super::place::{Candidates, PlacementRequest, choose_worker};
 use super::super::urgency::{Urgency, urgency};
 use super::super::{CrashDecision, JobState, LastEnd, OrderMessage, Output, RunRef, StartOrder};
-use super::crashes::trial_end;
+use super::crashes::{awaits_save, trial_end};
 use super::pass::Pass;
 use super::uneven::RackSummary;
 use super::{RUNS_PER_EPOCH, Scheduler};
@@ -235,6 +235,10 @@
         for index in waiting {
             let run = self.step_run(step.at);
             let task = &run.tasks[index];
+            if awaits_save(&self.jobs[&step.at.job], task) {
+                placement = placement.max(Placement::AwaitsTrial);
+                continue;
+            }
             let request = self.request(step, Some(task));
             let on_trial = request.on_trial;
             let node = if on_trial {
@@ -302,7 +306,9 @@
     fn place_gang(&mut self, now: Time, step: &ReadyStep, out: &mut Vec<Output>) {
         let tasks = &self.step_run(step.at).tasks;
         let members = tasks.len();
-        if !tasks.iter().all(Task::needs_run) {
+        let job = &self.jobs[&step.at.job];
+        let may_start = |task: &Task| task.needs_run() && !awaits_save(job, task);
+        if !tasks.iter().all(may_start) {
             return;
         }
         let run = (0..members)
--- a/crates/parsleytally/src/jobs/tests/crashes.rs
+++ b/crates/parsleytally/src/jobs/tests/crashes.rs
@@ -512,6 +512,15 @@
             ],
             culprit: true,
         },
+        Case {
+            what: "one seen, two starts without an answer",
+            marks: &[
+                (0, None, true, false),
+                (1, Some(0), true, false),
+                (2, None, true, true),
+            ],
+            culprit: false,
+        },
         Case {
             what: "beside suspects only",
             marks: &[(1, Some(400), false, false); 8],
--- a/crates/parsleytally/src/jobs/tests/model/checks.rs
+++ b/crates/parsleytally/src/jobs/tests/model/checks.rs
@@ -16,7 +16,10 @@
     pub(super) fn check_events(&mut self, at: usize, events: Vec<WorkerEvent>) {
         for event in events {
             match event {
-                WorkerEvent::Started(run) => self.check_start(at, run),
+                WorkerEvent::Started(run) => {
+                    self.check_start(at, run);
+                    self.note_start(at, run);
+                }
                 WorkerEvent::Ended(run, EndReason::Done) => {
                     self.done.insert(run.task);
                     self.done_at.insert(run, self.now);
@@ -51,7 +54,7 @@
         if self.acknowledged.contains(&run.task) {
             violations.push("starts after its end was acknowledged");
         }
-        if self.workers[at].runs().count() > CAPACITY {
+        if self.workers[at].runs().count() > self.crashes.counted_capacity(self.now, at) {
             violations.push("exceeds the capacity of its worker");
         }
         let first_step_count = self.jobs[&run.task.job].record.spec.steps[0].count;
@@ -143,6 +146,7 @@
 
     pub(super) fn check_end(&mut self) {
         self.check_last_job();
+        self.check_failed();
         let jobs = self.jobs.iter().filter(|(id, _)| id.0 != LAST_JOB);
         for (id, stored) in jobs {
             let state = stored.progress.as_ref().map(|progress| progress.state);
--- a/crates/parsleytally/src/jobs/tests/model/faults.rs
+++ b/crates/parsleytally/src/jobs/tests/model/faults.rs
@@ -10,6 +10,7 @@
         match self.rng.random_range(0..11) {
             0 => self.kill_owner(),
             1 => {
+                self.count_crash(at);
                 self.workers[at].up = false;
                 self.disturb(span);
                 self.push(span, Event::WorkerUp(at));
--- a/crates/parsleytally/src/jobs/tests/model/mod.rs
+++ b/crates/parsleytally/src/jobs/tests/model/mod.rs
@@ -11,10 +11,11 @@
 use super::worker::{LASTING, LEASE_MAX_MS, SimulatedWorker, WorkerEvent};
 use super::*;
 use crate::configs::{SharesConfig, WorkersConfig};
-use crate::types::{Revision, Time};
+use crate::types::{MilliCpu, Revision, Time};
 
 mod agents;
 mod checks;
+mod crashes;
 mod faults;
 mod known;
 mod links;
@@ -26,6 +27,7 @@
 mod workers;
 
 use agents::{SimulatedAgent, agent};
+use crashes::Crashes;
 use links::Link;
 use owners::SimulatedOwner;
 use queue::{Event, ScheduledEvent};
@@ -125,6 +127,7 @@
     preempts: bool,
     /// Number of preempted runs.
     preempted: usize,
+    crashes: Crashes,
     /// Whether the events are printed.
     traced: bool,
 }
@@ -169,6 +172,7 @@
             violations: Vec::new(),
             preempts: false,
             preempted: 0,
+            crashes: Crashes::default(),
             traced: false,
         };
         for at in 0..WORKERS {
@@ -269,6 +273,8 @@
             Event::Notice(at, id) => self.notice(at, &id),
             Event::Leave(at, born) => self.leave(at, born),
             Event::WorkerEnd(at, born) => self.worker_end(at, born),
+            Event::Crash(at, born) => self.crash(at, born),
+            Event::Capacity(at, capacity) => self.change_capacity(at, capacity),
             Event::AgentDown(at) => self.agent_down(at),
             Event::AgentUp(at) => self.agent_up(at),
             Event::Register(at, incarnation) => self.check_registration(at, incarnation),
--- a/crates/parsleytally/src/jobs/tests/model/queue.rs
+++ b/crates/parsleytally/src/jobs/tests/model/queue.rs
@@ -37,6 +37,10 @@
     Leave(usize, u64),
     /// The worker that started at this time ends.
     WorkerEnd(usize, u64),
+    /// The worker that started at this time crashes.
+    Crash(usize, u64),
+    /// A worker has room for this many tasks from now on.
+    Capacity(usize, usize),
     /// The machine of an agent goes away.
     AgentDown(usize),
     AgentUp(usize),
--- a/crates/parsleytally/src/jobs/tests/model/workers.rs
+++ b/crates/parsleytally/src/jobs/tests/model/workers.rs
@@ -21,6 +21,8 @@
     }
 
     pub(super) fn worker_up(&mut self, at: usize) {
+        // Two faults may overlap: the second start ends the runs of the first.
+        self.count_crash(at);
         let born = self.workers[at].born + FIRST_START;
         self.workers[at] = SimulatedWorker::new(self.now, born);
         self.report_worker(at);
@@ -39,6 +41,7 @@
         }
         let mut report = report(at, worker.born);
         report.state = worker.state;
+        report.capacity.cpu = MilliCpu(1_000 * self.crashes.capacity(at) as u64);
         self.receive_report(at, report);
     }
 
--- a/crates/parsleytally/src/jobs/tests/scheduler.rs
+++ b/crates/parsleytally/src/jobs/tests/scheduler.rs
@@ -779,10 +779,11 @@
         running: vec![],
         ended: vec![],
     };
-    assert_eq!(
-        starts(&bench.agent(0, listed)),
-        [(node(0), run(1, 0, 0, 2))]
-    );
+    let out = bench.agent(0, listed);
+    assert_eq!(starts(&out), [], "the store lacks the crash");
+    let (job, version) = (JobId(1), 1);
+    let out = bench.feed(Input::Saved { job, version });
+    assert_eq!(starts(&out), [(node(0), run(1, 0, 0, 2))]);
 }
 
 #[test]
