fix(jobs): a crash without young runs puts nobody on trial

Cause: the youngest group was suspected whatever its age. Now a crash without a run seen for less than a second suspects only tasks with an earlier mark; the others get a mark that puts them on trial from the second on. So a task that crashes its workers 4 s after its start is still found. The tests take the time of the owners' clock: theirs had run slower than it, which cleared marks too soon.

--- a/crates/parsleytally/src/jobs/crashes.rs
+++ b/crates/parsleytally/src/jobs/crashes.rs
@@ -22,8 +22,11 @@
 use crate::types::NodeName;
 
 /// Bounds of the time for which a run was seen, in milliseconds. The runs within the first bound
-/// that any run of a crash is within are its suspects; those beyond the last get no mark.
-const SEEN_BOUNDS_MS: [u64; 3] = [100, 1_000, 10_000];
+/// that any run of a crash is within are its suspects.
+const YOUNG_MS: [u64; 2] = [100, 1_000];
+/// Time seen from which on a run gets no mark, in milliseconds. Below it, runs of tasks with a mark
+/// are the suspects of a crash without young runs.
+const LONGEST_SEEN_MS: u64 = 10_000;
 /// Time by which a run must outlive those that were lost to clear its task, in milliseconds.
 const CLEARING_MS: u64 = 500;
 /// Marks from which on a task is on trial, though it was no suspect.
@@ -78,47 +81,69 @@
     }
 }
 
-/// Marks of the runs that a crash of the worker beside `node` ended; none for those that
-/// were seen too long to be the cause. `sole` is the only suspected job, if there is one.
-pub(super) fn marks<'a>(
-    node: &'a NodeName,
-    runs: &'a [CrashedRun],
-    sole: Option<JobId>,
-) -> impl Iterator<Item = (CrashedRun, CrashMark)> + 'a {
-    let [.., longest] = SEEN_BOUNDS_MS;
-    let bound = suspect_bound_ms(runs);
-    let marked = runs.iter().filter(move |lost| seen_ms(lost) < longest);
-    marked.map(move |lost| {
-        let suspect = seen_ms(lost) < bound;
+/// A run that a crash ended.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct LostRun {
+    pub(super) lost: CrashedRun,
+    /// Whether its task has marks of earlier crashes.
+    pub(super) marked: bool,
+}
+
+impl LostRun {
+    fn seen_ms(&self) -> u64 {
+        self.lost.seen_ms.unwrap_or_default()
+    }
+
+    /// The mark of this run, in a crash with suspects within `bound`; none if it was seen too long
+    /// to be the cause. `sole` is the only suspected job, if there is one.
+    pub(super) fn mark(
+        &self,
+        node: &NodeName,
+        bound: SuspectBound,
+        sole: Option<JobId>,
+    ) -> Option<CrashMark> {
+        let suspect = bound.includes(self);
         let mark = CrashMark {
-            run: lost.run.run,
+            run: self.lost.run.run,
             node: node.clone(),
-            seen_ms: lost.seen_ms,
+            seen_ms: self.lost.seen_ms,
             suspect,
-            sole: suspect && sole == Some(lost.run.task.job),
+            sole: suspect && sole == Some(self.lost.run.task.job),
         };
-        (*lost, mark)
-    })
+        (self.seen_ms() < LONGEST_SEEN_MS).then_some(mark)
+    }
 }
 
-/// The job of all suspects of a crash; none if there are several.
-pub(super) fn sole_suspect(runs: &[CrashedRun]) -> Option<JobId> {
-    let bound = suspect_bound_ms(runs);
-    let suspects = runs.iter().filter(|lost| seen_ms(lost) < bound);
-    let mut jobs = suspects.map(|lost| lost.run.task.job);
-    let first = jobs.next()?;
-    jobs.all(|job| job == first).then_some(first)
+/// Which runs of a crash are its suspects.
+#[derive(Debug, Clone, Copy)]
+pub(super) enum SuspectBound {
+    /// Those seen for less than this time, in milliseconds.
+    Young(u64),
+    /// Those of tasks with marks: none is young.
+    Marked,
 }
 
-/// The first bound that any run is within; 0 if none is.
-fn suspect_bound_ms(runs: &[CrashedRun]) -> u64 {
-    let shortest = runs.iter().map(seen_ms).min().unwrap_or_default();
-    let mut bounds = SEEN_BOUNDS_MS.into_iter();
-    bounds.find(|bound| shortest < *bound).unwrap_or_default()
-}
+impl SuspectBound {
+    pub(super) fn of(runs: &[LostRun]) -> Self {
+        let shortest = runs.iter().map(LostRun::seen_ms).min().unwrap_or_default();
+        let bound = YOUNG_MS.into_iter().find(|bound| shortest < *bound);
+        bound.map_or(Self::Marked, Self::Young)
+    }
 
-fn seen_ms(lost: &CrashedRun) -> u64 {
-    lost.seen_ms.unwrap_or_default()
+    fn includes(self, run: &LostRun) -> bool {
+        match self {
+            Self::Young(bound_ms) => run.seen_ms() < bound_ms,
+            Self::Marked => run.marked && run.seen_ms() < LONGEST_SEEN_MS,
+        }
+    }
+
+    /// The job of all suspects; none if there are several.
+    pub(super) fn sole(self, runs: &[LostRun]) -> Option<JobId> {
+        let suspects = runs.iter().filter(|run| self.includes(run));
+        let mut jobs = suspects.map(|run| run.lost.run.task.job);
+        let first = jobs.next()?;
+        jobs.all(|job| job == first).then_some(first)
+    }
 }
 
 /// Whether a task with these marks starts apart from other jobs.
--- a/crates/parsleytally/src/jobs/scheduler/crashes.rs
+++ b/crates/parsleytally/src/jobs/scheduler/crashes.rs
@@ -1,8 +1,8 @@
 //! Runs that were lost in crashes of workers, and tasks that crash the workers that start them.
 
 use super::super::crashes::{
-    MAX_TRIAL_WAIT, SAME_MOMENT, add_mark, is_cleared, is_culprit, is_on_trial, marks,
-    sole_suspect, trial_time,
+    LostRun, MAX_TRIAL_WAIT, SAME_MOMENT, SuspectBound, add_mark, is_cleared, is_culprit,
+    is_on_trial, trial_time,
 };
 use super::super::fleet::{Load, PendingCrash, Worker};
 use super::super::job::{Job, StepRef, Task};
@@ -23,7 +23,9 @@
         witness: CrashWitness,
         out: &mut Vec<Output>,
     ) {
-        let sole = sole_suspect(&crash.runs);
+        let runs: Vec<LostRun> = crash.runs.iter().map(|lost| self.lost_run(*lost)).collect();
+        let bound = SuspectBound::of(&runs);
+        let sole = bound.sole(&runs);
         let sole = sole.filter(|job| !self.has_common_cause(node, *job));
         for lost in &crash.runs {
             self.detach_run(node, lost.run, LastEnd::Crashed);
@@ -33,7 +35,11 @@
             }
         }
         let mut saved_by = Vec::new();
-        for (lost, mark) in marks(node, &crash.runs, sole) {
+        for run in &runs {
+            let lost = run.lost;
+            let Some(mark) = run.mark(node, bound, sole) else {
+                continue;
+            };
             let Some(job) = self.jobs.get_mut(&lost.run.task.job) else {
                 continue;
             };
@@ -65,6 +71,13 @@
         self.pass_due = true;
     }
 
+    fn lost_run(&mut self, lost: CrashedRun) -> LostRun {
+        let job = self.jobs.get_mut(&lost.run.task.job);
+        let task = job.and_then(|job| job.task(lost.run.task));
+        let marked = task.is_some_and(|task| !task.crashes.is_empty());
+        LostRun { lost, marked }
+    }
+
     /// Handles a crash that the agent has not seen: the worker reports itself as a later
     /// incarnation, and had runs.
     pub(super) fn infer_crash(&mut self, node: &NodeName, out: &mut Vec<Output>) {
--- a/crates/parsleytally/src/jobs/tests/crashes.rs
+++ b/crates/parsleytally/src/jobs/tests/crashes.rs
@@ -31,13 +31,18 @@
     bench: Bench,
     loses: Loses,
     epoch: u64,
-    now_ms: u64,
+    /// Time at which the present owner began, in milliseconds.
+    owner_since_ms: u64,
+    /// When the runs of each worker were last measured.
+    measured_ms: Vec<u64>,
     born: Vec<u64>,
     records: BTreeMap<JobId, JobRecord>,
     progress: BTreeMap<JobId, JobProgress>,
     /// Number of written progress records.
     writes: usize,
     deadly: BTreeSet<TaskId>,
+    /// Time from the start of such a task to the crash, in milliseconds.
+    deadly_after_ms: u64,
     /// Runs on each worker, with the time of their start.
     runs: Vec<BTreeMap<RunRef, u64>>,
     /// Workers that have crashed, with the time of their return and the runs that they lost.
@@ -47,6 +52,8 @@
     ends: u64,
     starts: BTreeMap<TaskId, usize>,
     crashes: BTreeMap<TaskId, usize>,
+    /// Number of starts on trial.
+    trials: usize,
     /// Starts of a task after the third crash under it.
     further_starts: BTreeMap<TaskId, usize>,
 }
@@ -57,18 +64,21 @@
             bench: Bench::with_options(options()),
             loses,
             epoch: 0,
-            now_ms: 0,
+            owner_since_ms: 0,
+            measured_ms: vec![0; WORKERS],
             born: vec![7; WORKERS],
             records: BTreeMap::new(),
             progress: BTreeMap::new(),
             writes: 0,
             deadly: BTreeSet::new(),
+            deadly_after_ms: 0,
             runs: vec![BTreeMap::new(); WORKERS],
             down: BTreeMap::new(),
             work_ms: 1_000,
             ends: 0,
             starts: BTreeMap::new(),
             crashes: BTreeMap::new(),
+            trials: 0,
             further_starts: BTreeMap::new(),
         };
         for at in 0..WORKERS {
@@ -77,6 +87,12 @@
         fleet
     }
 
+    /// Time on the clock of the owners, in milliseconds.
+    fn now_ms(&self) -> u64 {
+        let elapsed = self.bench.now().since(Bench::START);
+        self.owner_since_ms + elapsed.as_millis() as u64
+    }
+
     fn submit(&mut self, id: u64, record: JobRecord) {
         self.records.insert(JobId(id), record.clone());
         let accepted = 11 + self.epoch * 1_000;
@@ -99,6 +115,13 @@
                 self.apply(&out);
             }
         }
+        let on_trial = |output: &&Output| {
+            let Output::Crash(CrashDecision::StartedAgain { on_trial, .. }) = output else {
+                return false;
+            };
+            *on_trial
+        };
+        self.trials += out.iter().filter(on_trial).count();
         for (name, run) in starts(out) {
             let at = (0..WORKERS).find(|at| node(*at) == name).expect("a worker");
             if !self.down.contains_key(&at) {
@@ -117,8 +140,15 @@
         if self.crashes.get(&run.task).is_some_and(|count| *count >= 3) {
             *self.further_starts.entry(run.task).or_default() += 1;
         }
-        self.runs[at].insert(run, self.now_ms);
-        if self.deadly.contains(&run.task) {
+        let now = self.now_ms();
+        self.runs[at].insert(run, now);
+        self.crash_if_due(at);
+    }
+
+    fn crash_if_due(&mut self, at: usize) {
+        let (now, after) = (self.now_ms(), self.deadly_after_ms);
+        let mut runs = self.runs[at].iter();
+        if runs.any(|(run, started)| self.deadly.contains(&run.task) && now - started >= after) {
             self.crash(at);
         }
     }
@@ -126,14 +156,15 @@
     /// The worker crashes; its agent has seen its runs up to the last measurement.
     fn crash(&mut self, at: usize) {
         let runs = std::mem::take(&mut self.runs[at]);
+        let measured = self.measured_ms[at];
         let lost = runs.iter().map(|(run, started)| CrashedRun {
             run: *run,
-            seen_ms: Some((self.now_ms - started) / MEASURED_EVERY_MS * MEASURED_EVERY_MS),
+            seen_ms: Some(measured.saturating_sub(*started)),
         });
         for run in runs.keys() {
             *self.crashes.entry(run.task).or_default() += 1;
         }
-        let back = self.now_ms + RESTART_MS;
+        let back = self.now_ms() + RESTART_MS;
         self.down.insert(at, (back, lost.collect()));
         self.bench.agent(at, AgentMessage::Unresponsive(true));
         match self.loses {
@@ -160,12 +191,14 @@
         let runs_it = |at: &usize| self.runs[*at].keys().any(|run| run.task == task);
         let at = (0..WORKERS).find(runs_it).expect("the task runs");
         let other = run(99, 0, 0, 1);
-        self.runs[at].insert(other, self.now_ms);
+        let now = self.now_ms();
+        self.runs[at].insert(other, now);
         self.crash(at);
     }
 
     fn change_owner(&mut self) {
         self.epoch += 1;
+        self.owner_since_ms = self.now_ms();
         self.bench = Bench::with_options(SchedulerOptions {
             epoch: self.epoch,
             start_revision: Revision(10 + self.epoch * 1_000),
@@ -245,13 +278,12 @@
 
     /// Lets time pass: tasks end, workers come back.
     fn run_for(&mut self, millis: u64) {
-        let end = self.now_ms + millis;
-        while self.now_ms < end {
-            self.now_ms += 100;
+        let end = self.now_ms() + millis;
+        while self.now_ms() < end {
             let out = self.bench.wait(60);
             self.apply(&out);
             let back: Vec<usize> = {
-                let due = self.down.iter().filter(|(_, (at, _))| *at <= self.now_ms);
+                let due = self.down.iter().filter(|(_, (at, _))| *at <= self.now_ms());
                 due.map(|(at, _)| *at).collect()
             };
             for at in back {
@@ -262,6 +294,7 @@
             for at in 0..WORKERS {
                 if !self.down.contains_key(&at) {
                     self.report_runs(at);
+                    self.crash_if_due(at);
                 }
             }
         }
@@ -269,7 +302,7 @@
 
     /// Measures the runs of a worker, and ends those that are done.
     fn report_runs(&mut self, at: usize) {
-        let (now, work) = (self.now_ms, self.work_ms);
+        let (now, work) = (self.now_ms(), self.work_ms);
         let runs = self.runs[at].clone();
         let due = |(run, started): (&RunRef, &u64)| {
             let reason = self.end_of(run)?;
@@ -281,14 +314,15 @@
                 self.end(at, run, reason);
             }
         }
-        if now % MEASURED_EVERY_MS == 0 && !self.runs[at].is_empty() {
+        if now >= self.measured_ms[at] + MEASURED_EVERY_MS && !self.runs[at].is_empty() {
+            self.measured_ms[at] = now;
             let running = self.runs[at].keys().map(|run| status(*run)).collect();
             let out = self.bench.agent(at, AgentMessage::Measurements(running));
             self.apply(&out);
         }
     }
 
-    /// How a run without fault ends; none if it lasts. A gang ends with its first member.
+    /// How a run ends if it does not crash its worker; none if it lasts. A gang ends with its first member.
     fn end_of(&self, run: &RunRef) -> Option<EndReason> {
         let record = &self.records[&run.task.job];
         let step = &record.spec.steps[usize::from(run.task.step)];
@@ -298,7 +332,7 @@
         } else {
             EndReason::Done
         };
-        (!step.long_running).then_some(reason)
+        (!step.long_running && !self.deadly.contains(&run.task)).then_some(reason)
     }
 
     fn end(&mut self, at: usize, run: RunRef, reason: EndReason) {
@@ -426,6 +460,39 @@
     }
 }
 
+/// Guards against a task that crashes its workers only some seconds after its start, among others
+/// that start all the while.
+#[test]
+fn a_task_that_crashes_its_workers_late_is_given_up() {
+    let mut fleet = Fleet::new(Loses::Nobody);
+    fleet.deadly.insert(task(1, 0, 0));
+    fleet.deadly_after_ms = 4_000;
+    fleet.submit(1, job(vec![step(1, &[])]));
+    for id in 2..200 {
+        fleet.submit(id, job(vec![step(1, &[])]));
+        fleet.run_for(700);
+    }
+    assert_eq!(fleet.state(1), Some(JobState::Failed));
+    for id in 2..200 {
+        assert_ne!(fleet.state(id), Some(JobState::Failed), "job {id}");
+    }
+}
+
+/// Guards against a trial for all that ran on a worker when it crashes for a reason of its own.
+#[test]
+fn a_crash_without_young_runs_puts_no_task_on_trial() {
+    let mut fleet = Fleet::new(Loses::Nobody);
+    fleet.work_ms = 20_000;
+    fleet.submit(1, job(vec![step(2, &[])]));
+    fleet.submit(2, job(vec![step(2, &[])]));
+    fleet.run_for(2_000);
+    fleet.crash_worker_of(task(1, 0, 0), &[]);
+    fleet.run_for(RESTART_MS + 200);
+    let running: usize = fleet.runs.iter().map(BTreeMap::len).sum();
+    assert_eq!(running, 4, "all run again");
+    assert_eq!(fleet.trials, 0);
+}
+
 /// Guards against the blame of a task on trial for a crash of other cause: several workers go at
 /// the same moment, as with a rack.
 #[test]
--- a/crates/parsleytally/src/jobs/tests/scheduler.rs
+++ b/crates/parsleytally/src/jobs/tests/scheduler.rs
@@ -28,6 +28,9 @@
 }
 
 impl Bench {
+    /// Time at which the clock starts.
+    pub(super) const START: Time = Time::from_secs(100);
+
     pub(super) fn new() -> Self {
         Self::with_options(options())
     }
@@ -43,7 +46,7 @@
     pub(super) fn with_options(options: SchedulerOptions) -> Self {
         let mut bench = Self {
             scheduler: Scheduler::new(options),
-            now: Time::from_secs(100),
+            now: Self::START,
             wall_ms: 0,
         };
         bench.feed(Input::Queues(Arc::new(queues(1))));
