refactor(jobs): poison tasks are isolated, each lost run has its line

Read as a newcomer would: "trial" is a word of the contention module for another thing, and "culprit" and "witness" are figurative. One gap in the logs is closed: a run that was seen too long to be marked had no line at the owner, so a job's id did not show each worker that it cost. The handling of a crash is three functions in place of one.

--- a/crates/parsleytally-entry/src/attempts.rs
+++ b/crates/parsleytally-entry/src/attempts.rs
@@ -121,7 +121,7 @@
                 }
                 Err(error) => error,
             };
-            if error.is_endpoint_lost() && self.is_culprit(id, outgoing, &prior) {
+            if error.is_endpoint_lost() && self.note_lost(id, outgoing, &prior) {
                 log::warn!(service:% = outgoing.service, method = outgoing.method, trace = outgoing.trace;
                     "request not sent on: endpoints were lost under it");
                 return Err(SendError::EndpointsLost {
@@ -242,7 +242,7 @@
     }
 
     /// Notes that the last endpoint broke off; returns whether the request must not be sent on.
-    fn is_culprit(&self, id: RequestId, outgoing: &OutgoingRequest, prior: &PriorAttempts) -> bool {
+    fn note_lost(&self, id: RequestId, outgoing: &OutgoingRequest, prior: &PriorAttempts) -> bool {
         let Some(endpoint) = prior.endpoints.last() else {
             return false;
         };
--- a/crates/parsleytally-entry/src/site/metrics.rs
+++ b/crates/parsleytally-entry/src/site/metrics.rs
@@ -227,7 +227,7 @@
     pub(super) fn count_crash(&self, decision: &CrashDecision) {
         let label = match decision {
             CrashDecision::Lost { .. } => "lost",
-            CrashDecision::StartedAgain { on_trial: true, .. } => "trial",
+            CrashDecision::StartedAgain { isolated: true, .. } => "isolated",
             CrashDecision::StartedAgain { .. } => "started_again",
             CrashDecision::GivenUp { .. } => "given_up",
         };
--- a/crates/parsleytally-entry/src/site/owner_log.rs
+++ b/crates/parsleytally-entry/src/site/owner_log.rs
@@ -20,12 +20,12 @@
             lost,
             suspect,
             sole,
-            witness,
+            source,
         } => {
             let CrashedRun { run, seen_ms } = lost;
             log::warn!(task:% = run.task, run = run.run, agent:% = node, worker:% = incarnation.id,
                 born = incarnation.started_ms, seen_ms:? = seen_ms, suspect, sole,
-                witness:? = witness;
+                source:? = source;
                 "run lost in a crash of its worker");
         }
         CrashDecision::StartedAgain {
@@ -33,10 +33,10 @@
             node,
             last_end,
             crashes,
-            on_trial,
+            isolated,
         } => {
             log::info!(task:% = run.task, run = run.run, agent:% = node, last_end:? = last_end,
-                crashes, on_trial; "task starts again");
+                crashes, isolated; "task starts again");
         }
         CrashDecision::GivenUp { task, workers } => {
             let workers = workers.iter().map(NodeName::to_string).collect::<Vec<_>>();
--- a/crates/parsleytally/src/jobs/crashes.rs
+++ b/crates/parsleytally/src/jobs/crashes.rs
@@ -1,18 +1,18 @@
-//! Which task crashes the workers that start it.
+//! Poison tasks: those that crash the workers that start them.
 //!
 //! A crash of a worker ends all its runs, and says nothing of its cause: one of them, or the
 //! worker itself. Each of their tasks gets a [`CrashMark`], which is stored with its progress. The
 //! runs that were seen for the shortest time are the suspects, since a program that crashes its
 //! worker mostly does so early; the others stood beside them.
 //!
-//! A task with a mark of a suspect, or with several marks, is on trial: it starts on another worker,
+//! A task with a mark of a suspect, or with several marks, is isolated: it starts on another worker,
 //! where for a while no task of another job starts beside it. A run that is seen for longer than
 //! those that were lost clears its task. A crash in which only one job was suspected is
 //! conclusive together with earlier marks; without one, more marks of a suspect are needed, and marks
 //! of a task that stood beside suspects are never enough.
 //!
 //! Workers that stop answering at the same moment have a common cause, unless the same job ran on
-//! them: such a crash names no culprit.
+//! them: such a crash is never conclusive.
 
 use std::time::Duration;
 
@@ -29,32 +29,33 @@
 const LONGEST_SEEN_MS: u64 = 10_000;
 /// Time by which a run must outlive those that were lost to clear its task, in milliseconds.
 const CLEARING_MS: u64 = 500;
-/// Marks from which on a task is on trial, though it was no suspect.
-const TRIAL_MARKS: usize = 2;
-/// Marks from which on a trial lasts until the run would clear its task.
-const LONG_TRIAL_MARKS: usize = 3;
+/// Marks from which on a task is isolated, though it was no suspect.
+const ISOLATION_MARKS: usize = 2;
+/// Marks from which on the isolation lasts until the run would clear its task.
+const LONG_ISOLATION_MARKS: usize = 3;
 /// Most marks that a task keeps; the oldest is dropped first.
 const MAX_MARKS: usize = 8;
-/// Weight of all marks with which a task is the culprit if it was the only suspect of the last crash.
+/// Weight of all marks with which a task is a poison task if it was the only suspect of the
+/// last crash.
 const CONCLUSIVE_WEIGHT: usize = 4;
-/// Weight of the marks as a suspect with which a task counts as the culprit in any case.
+/// Weight of the marks as a suspect with which a task counts as a poison task in any case.
 const MAX_SUSPECT_WEIGHT: usize = 6;
 /// Weight of a mark as a suspect that was seen on the worker; that of others is 1.
 const SEEN_SUSPECT_WEIGHT: usize = 2;
 
-/// Marks of runs that were seen without which no task is the culprit.
+/// Marks of runs that were seen without which no task is a poison task.
 const MIN_SEEN_MARKS: usize = 2;
 /// Marks of runs whose start was not answered that serve in place of these.
 const MIN_UNSEEN_MARKS: usize = 4;
 
 /// Time within which workers stop answering at the same moment.
 pub(super) const SAME_MOMENT: Duration = Duration::from_millis(50);
-/// Time for which a task on trial has a worker for the starts of its own job at least.
-const TRIAL_TIME: Duration = Duration::from_millis(1_000);
-/// Time without starts of other jobs on a worker before it takes a task on trial.
+/// Least time for which only the job of an isolated task starts tasks on its worker.
+const ISOLATION_TIME: Duration = Duration::from_millis(1_000);
+/// Time without starts of other jobs on a worker before it takes an isolated task.
 pub(super) const QUIET_TIME: Duration = Duration::from_millis(300);
-/// Time for which a task on trial waits for such a worker.
-pub(super) const MAX_TRIAL_WAIT: Duration = Duration::from_millis(1_000);
+/// Time for which an isolated task waits for such a worker.
+pub(super) const MAX_ISOLATION_WAIT: Duration = Duration::from_millis(1_000);
 
 /// A crash of a worker with a run of a task.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -147,8 +148,8 @@
 }
 
 /// Whether a task with these marks starts apart from other jobs.
-pub(super) fn is_on_trial(marks: &[CrashMark]) -> bool {
-    marks.len() >= TRIAL_MARKS || marks.iter().any(|mark| mark.suspect)
+pub(super) fn needs_isolation(marks: &[CrashMark]) -> bool {
+    marks.len() >= ISOLATION_MARKS || marks.iter().any(|mark| mark.suspect)
 }
 
 /// Adds a mark to those of a task.
@@ -159,18 +160,18 @@
     marks.push(mark);
 }
 
-/// Time for which a task with these marks has its worker for the starts of its own job.
-pub(super) fn trial_time(marks: &[CrashMark]) -> Duration {
+/// Time for which only the job of a task with these marks starts tasks on its worker.
+pub(super) fn isolation_time(marks: &[CrashMark]) -> Duration {
     let clears = Duration::from_millis(clearing_ms(marks));
-    if marks.len() >= LONG_TRIAL_MARKS {
-        TRIAL_TIME.max(clears)
+    if marks.len() >= LONG_ISOLATION_MARKS {
+        ISOLATION_TIME.max(clears)
     } else {
-        TRIAL_TIME
+        ISOLATION_TIME
     }
 }
 
-/// Whether a task with these marks crashes the workers that start it.
-pub(super) fn is_culprit(marks: &[CrashMark]) -> bool {
+/// Whether a task with these marks is a poison task.
+pub(super) fn is_poison(marks: &[CrashMark]) -> bool {
     let Some((last, earlier)) = marks.split_last() else {
         return false;
     };
--- a/crates/parsleytally/src/jobs/fleet.rs
+++ b/crates/parsleytally/src/jobs/fleet.rs
@@ -6,8 +6,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::isolation::Isolation;
 use super::measured::RunTimeline;
-use super::trials::Trials;
 use super::worker_health::WorkerHealth;
 use super::{JobId, RunRef};
 use crate::types::{Resources, Time, ZoneName};
@@ -242,7 +242,7 @@
     pub(super) lost_jobs: BTreeSet<JobId>,
     /// Crashes whose marks the store may not have yet.
     pub(super) pending_crashes: Vec<PendingCrash>,
-    pub(super) trials: Trials,
+    pub(super) isolation: Isolation,
     pub(super) failures: Failures,
     /// What is learned of it relative to its peers; outlives an incarnation.
     pub(super) health: WorkerHealth,
@@ -259,7 +259,7 @@
     /// Releases the resources of a run.
     pub(super) fn release(&mut self, run: RunRef) -> Option<Load> {
         let load = self.runs.remove(&run)?;
-        self.trials.end(run);
+        self.isolation.end(run);
         self.adjust_reserved(&load, -1);
         Some(load)
     }
@@ -381,7 +381,7 @@
     /// Drops the runs, failures and pending acknowledgements; keeps the report and the link.
     pub(super) fn reset(&mut self) {
         self.runs.clear();
-        self.trials = Trials::default();
+        self.isolation = Isolation::default();
         self.reserved = Resources::NONE;
         self.best_effort_cpu = 0;
         self.service_cpu = 0;
--- a/crates/parsleytally/src/jobs/trials.rs
+++ b/crates/parsleytally/src/jobs/isolation.rs
@@ -1,5 +1,5 @@
-//! Trials on a worker: a task that may have crashed another worker runs there, and for a while no
-//! task of another job starts beside it.
+//! Isolation of tasks: beside one that may have crashed another worker, no task of another job starts
+//! for a while.
 
 use std::collections::BTreeMap;
 
@@ -7,10 +7,10 @@
 use super::{JobId, RunRef};
 use crate::types::Time;
 
-/// Trials and recent starts on one worker.
+/// Isolated runs and recent starts on one worker.
 #[derive(Debug, Default)]
-pub(super) struct Trials {
-    /// Runs on trial, each with the time until which no other job starts here.
+pub(super) struct Isolation {
+    /// Isolated runs, each with the time until which no other job starts here.
     runs: BTreeMap<RunRef, Time>,
     /// Newest start, with its job.
     last: Option<(JobId, Time)>,
@@ -18,8 +18,8 @@
     before: Option<Time>,
 }
 
-impl Trials {
-    /// Notes a start; it is on trial until `end`, if there is one.
+impl Isolation {
+    /// Notes a start; it is isolated until `end`, if there is one.
     pub(super) fn note_start(&mut self, now: Time, run: RunRef, end: Option<Time>) {
         let job = run.task.job;
         if let Some((last, at)) = self.last
@@ -32,19 +32,19 @@
         self.runs.extend(end.map(|end| (run, end)));
     }
 
-    /// Ends the trial of a run, if it is on trial.
+    /// Ends the isolation of a run, if it is isolated.
     pub(super) fn end(&mut self, run: RunRef) {
         self.runs.remove(&run);
     }
 
-    /// Whether no task of another job is on trial and, for a task `on_trial`, no other job has just
+    /// Whether no task of another job is isolated and, for a task `isolated`, no other job has just
     /// started here.
-    pub(super) fn admit(&self, now: Time, job: JobId, on_trial: bool) -> bool {
+    pub(super) fn admit(&self, now: Time, job: JobId, isolated: bool) -> bool {
         let reserved = |(run, end): (&RunRef, &Time)| run.task.job != job && now < *end;
         if self.runs.iter().any(reserved) {
             return false;
         }
-        let others = self.last_of_others(job).filter(|_| on_trial);
+        let others = self.last_of_others(job).filter(|_| isolated);
         others.is_none_or(|at| now.since(at) >= QUIET_TIME)
     }
 
--- a/crates/parsleytally/src/jobs/job.rs
+++ b/crates/parsleytally/src/jobs/job.rs
@@ -72,8 +72,8 @@
     pub(super) crashes: Vec<CrashMark>,
     /// Version of the progress record that has the last of them.
     pub(super) marked_version: u64,
-    /// Since when it waits for a worker on which it can be on trial.
-    pub(super) trial_due: Option<Time>,
+    /// Since when it waits for a worker on which it can be isolated.
+    pub(super) isolation_due: Option<Time>,
 }
 
 impl Task {
--- a/crates/parsleytally/src/jobs/messages.rs
+++ b/crates/parsleytally/src/jobs/messages.rs
@@ -144,7 +144,7 @@
 
 /// Who knows that a run was lost in a crash of its worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum CrashWitness {
+pub enum CrashSource {
     /// The agent beside the worker, which had the run before the crash.
     Agent,
     /// The owner alone: the agent started anew, or was not linked.
@@ -182,7 +182,7 @@
         /// Whether all suspects are of one job.
         sole: bool,
         /// Who knows.
-        witness: CrashWitness,
+        source: CrashSource,
     },
     /// The job of a task that crashes its workers has failed.
     GivenUp {
@@ -203,7 +203,7 @@
         /// Crashes of workers with runs of the task.
         crashes: usize,
         /// Whether it has its worker for itself at first.
-        on_trial: bool,
+        isolated: bool,
     },
 }
 
--- a/crates/parsleytally/src/jobs/mod.rs
+++ b/crates/parsleytally/src/jobs/mod.rs
@@ -21,6 +21,7 @@
 mod durations;
 mod evacuation;
 mod fleet;
+mod isolation;
 mod job;
 mod locality;
 mod measured;
@@ -35,7 +36,6 @@
 mod spec;
 mod speculation;
 mod stalls;
-mod trials;
 mod urgency;
 mod worker_health;
 
@@ -57,7 +57,7 @@
 pub use fleet::{WorkerIncarnation, WorkerReport, WorkerState};
 pub use job::JobState;
 pub use messages::{
-    AgentMessage, CancelOutcome, CrashDecision, CrashWitness, CrashedRun, EndEvidence, EndReason,
+    AgentMessage, CancelOutcome, CrashDecision, CrashSource, CrashedRun, EndEvidence, EndReason,
     EndedRun, Input, JobReply, JobRequest, LastEnd, ListingOutcome, OrderMessage, Output,
     RefusalReason, RunRef, RunStatus, StartOrder, StoredJob, SubmitOutcome, WorkerCrash,
 };
--- a/crates/parsleytally/src/jobs/place.rs
+++ b/crates/parsleytally/src/jobs/place.rs
@@ -34,7 +34,7 @@
     /// Whether much work would be lost with a run of the task.
     pub(super) costly: bool,
     /// Whether the task may have crashed a worker, and needs one without recent starts.
-    pub(super) on_trial: bool,
+    pub(super) isolated: bool,
     /// Rack on which the other tasks of the step run, if all must share one.
     pub(super) shared_rack: Option<&'a str>,
 }
@@ -46,7 +46,7 @@
     healthy: bool,
     /// Whether the task did not fail there last.
     untried: bool,
-    /// For a task on trial, the negated number of runs that would be lost with it.
+    /// For a task in isolation, the negated number of runs that would be lost with it.
     exposed: i64,
     /// Whether the worker is in the preferred rack.
     in_rack: bool,
@@ -154,7 +154,7 @@
         && is_within_limit(worker, request)
         && worker.health.admits(&worker.runs, request.costly)
         && may_run(worker, request)
-        && worker.trials.admit(now, request.job, request.on_trial)
+        && worker.isolation.admit(now, request.job, request.isolated)
         && below_limit(name, request.step, run);
     if !eligible {
         return None;
@@ -227,9 +227,9 @@
     })
 }
 
-/// Number of runs that would be lost if a task on trial crashed the worker.
+/// Number of runs that would be lost if a task in isolation crashed the worker.
 fn exposed_runs(worker: &Worker, request: &PlacementRequest<'_>) -> i64 {
-    if !request.on_trial {
+    if !request.isolated {
         return 0;
     }
     i64::try_from(worker.runs.len()).unwrap_or(i64::MAX)
--- a/crates/parsleytally/src/jobs/scheduler/crashes.rs
+++ b/crates/parsleytally/src/jobs/scheduler/crashes.rs
@@ -1,13 +1,13 @@
 //! Runs that were lost in crashes of workers, and tasks that crash the workers that start them.
 
 use super::super::crashes::{
-    LostRun, MAX_TRIAL_WAIT, SAME_MOMENT, SuspectBound, add_mark, is_cleared, is_culprit,
-    is_on_trial, trial_time,
+    LostRun, MAX_ISOLATION_WAIT, SAME_MOMENT, SuspectBound, add_mark, is_cleared, is_poison,
+    isolation_time, needs_isolation,
 };
 use super::super::fleet::{Load, PendingCrash, Worker};
 use super::super::job::{Job, StepRef, Task};
 use super::super::{
-    CrashDecision, CrashMark, CrashWitness, CrashedRun, JobId, JobState, LastEnd, OrderMessage,
+    CrashDecision, CrashMark, CrashSource, CrashedRun, JobId, JobState, LastEnd, OrderMessage,
     Output, RunRef, RunStatus, WorkerCrash,
 };
 use super::Scheduler;
@@ -20,46 +20,34 @@
         &mut self,
         node: &NodeName,
         crash: &WorkerCrash,
-        witness: CrashWitness,
+        source: CrashSource,
         out: &mut Vec<Output>,
     ) {
         let runs: Vec<LostRun> = crash.runs.iter().map(|lost| self.lost_run(*lost)).collect();
         let bound = SuspectBound::of(&runs);
         let sole = bound.sole(&runs);
         let sole = sole.filter(|job| !self.has_common_cause(node, *job));
-        for lost in &crash.runs {
-            self.detach_run(node, lost.run, LastEnd::Crashed);
-            self.release(node, lost.run);
-            if let Some(worker) = self.workers.get_mut(node) {
-                worker.lost_jobs.insert(lost.run.task.job);
-            }
-        }
         let mut saved_by = Vec::new();
         for run in &runs {
-            let lost = run.lost;
-            let Some(mark) = run.mark(node, bound, sole) else {
-                continue;
-            };
-            let Some(job) = self.jobs.get_mut(&lost.run.task.job) else {
-                continue;
-            };
-            if mark_task(job, lost, &mark) {
-                job.version += 1;
-                self.changed.insert(lost.run.task.job);
-                self.unsaved_marks.insert(lost.run.task.job);
+            let (lost, mark) = (run.lost, run.mark(node, bound, sole));
+            let was_known = self.drop_lost(node, lost.run);
+            let is_new = mark.as_ref().is_some_and(|mark| self.mark_task(lost, mark));
+            if was_known || is_new {
                 out.push(Output::Crash(CrashDecision::Lost {
                     node: node.clone(),
                     incarnation: crash.incarnation.clone(),
                     lost,
-                    suspect: mark.suspect,
-                    sole: mark.sole,
-                    witness,
+                    suspect: mark.as_ref().is_some_and(|mark| mark.suspect),
+                    sole: mark.as_ref().is_some_and(|mark| mark.sole),
+                    source,
                 }));
             }
-            saved_by.push((lost.run.task.job, job.version));
-            self.give_up_culprit(lost.run, out);
+            if let Some(job) = self.jobs.get(&lost.run.task.job) {
+                saved_by.push((lost.run.task.job, job.version));
+            }
+            self.fail_poison_job(lost.run, out);
         }
-        if witness == CrashWitness::Agent
+        if source == CrashSource::Agent
             && let Some(worker) = self.workers.get_mut(node)
         {
             worker.pending_crashes.push(PendingCrash {
@@ -71,6 +59,39 @@
         self.pass_due = true;
     }
 
+    /// Drops a lost run; returns whether this owner knew of it.
+    fn drop_lost(&mut self, node: &NodeName, run: RunRef) -> bool {
+        self.release(node, run);
+        if let Some(worker) = self.workers.get_mut(node) {
+            worker.lost_jobs.insert(run.task.job);
+        }
+        let task = self.remove_run(node, run);
+        task.map(|task| task.last_end = Some(LastEnd::Crashed))
+            .is_some()
+    }
+
+    /// Adds a mark to the task of a lost run; returns false if it has it, or the job has ended.
+    fn mark_task(&mut self, lost: CrashedRun, mark: &CrashMark) -> bool {
+        let id = lost.run.task.job;
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return false;
+        };
+        let version = job.version + 1;
+        let Some(task) = job.task(lost.run.task) else {
+            return false;
+        };
+        if task.done || task.crashes.iter().any(|known| known.run == mark.run) {
+            return false;
+        }
+        task.last_run = task.last_run.max(mark.run);
+        add_mark(&mut task.crashes, mark.clone());
+        task.marked_version = version;
+        job.version = version;
+        self.changed.insert(id);
+        self.unsaved_marks.insert(id);
+        true
+    }
+
     fn lost_run(&mut self, lost: CrashedRun) -> LostRun {
         let job = self.jobs.get_mut(&lost.run.task.job);
         let task = job.and_then(|job| job.task(lost.run.task));
@@ -85,7 +106,7 @@
         let Some(crash) = worker.and_then(unannounced_crash) else {
             return;
         };
-        self.worker_crashed(node, &crash, CrashWitness::Owner, out);
+        self.worker_crashed(node, &crash, CrashSource::Owner, out);
     }
 
     /// Whether another worker stopped answering at the same moment, without a run of `job`.
@@ -104,11 +125,11 @@
     }
 
     /// Fails the job of a task that crashes the workers that start it.
-    fn give_up_culprit(&mut self, run: RunRef, out: &mut Vec<Output>) {
+    fn fail_poison_job(&mut self, run: RunRef, out: &mut Vec<Output>) {
         let Some(job) = self.jobs.get_mut(&run.task.job) else {
             return;
         };
-        let Some(task) = job.task(run.task).filter(|task| is_culprit(&task.crashes)) else {
+        let Some(task) = job.task(run.task).filter(|task| is_poison(&task.crashes)) else {
             return;
         };
         let workers: Vec<NodeName> = task.crashes.iter().map(|mark| mark.node.clone()).collect();
@@ -140,21 +161,21 @@
                 continue;
             };
             task.crashes.clear();
-            worker.trials.end(gauge.run);
+            worker.isolation.end(gauge.run);
             job.version += 1;
             self.changed.insert(gauge.run.task.job);
         }
     }
 
-    /// Whether the task `index`, which is on trial and finds no worker without recent starts, has
+    /// Whether the task `index`, which is isolated and finds no worker without recent starts, has
     /// waited long enough to start beside others.
-    pub(super) fn trial_wait_over(&mut self, now: Time, at: StepRef, index: usize) -> bool {
+    pub(super) fn isolation_wait_over(&mut self, now: Time, at: StepRef, index: usize) -> bool {
         let Some(job) = self.jobs.get_mut(&at.job) else {
             return false;
         };
         let task = &mut job.rounds[at.round].steps[at.step].tasks[index];
-        let due = *task.trial_due.get_or_insert(now);
-        now.since(due) >= MAX_TRIAL_WAIT
+        let due = *task.isolation_due.get_or_insert(now);
+        now.since(due) >= MAX_ISOLATION_WAIT
     }
 
     /// Allows the tasks of a saved job to start, if they have waited for that.
@@ -183,21 +204,6 @@
     }
 }
 
-/// Adds a mark to the task of a lost run; returns false if it has it, or the job has ended.
-fn mark_task(job: &mut Job, lost: CrashedRun, mark: &CrashMark) -> bool {
-    let version = job.version + 1;
-    let Some(task) = job.task(lost.run.task) else {
-        return false;
-    };
-    if task.done || task.crashes.iter().any(|known| known.run == mark.run) {
-        return false;
-    }
-    task.last_run = task.last_run.max(mark.run);
-    add_mark(&mut task.crashes, mark.clone());
-    task.marked_version = version;
-    true
-}
-
 /// The crash of a worker with runs that had not announced its end.
 fn unannounced_crash(worker: &Worker) -> Option<WorkerCrash> {
     let announced = worker.is_draining() || worker.last_lease_end.is_some();
@@ -215,13 +221,13 @@
     })
 }
 
-/// Whether a task is on trial and the store lacks its last mark: if it crashed one more worker, a
+/// Whether a task is isolated and the store lacks its last mark: if it crashed one more worker, a
 /// successor would know of neither.
 pub(super) fn awaits_save(job: &Job, task: &Task) -> bool {
-    is_on_trial(&task.crashes) && job.saved_version < task.marked_version
+    needs_isolation(&task.crashes) && job.saved_version < task.marked_version
 }
 
 /// Until when a run of `task` that starts now has its worker for the starts of its job.
-pub(super) fn trial_end(now: Time, task: &Task) -> Option<Time> {
-    is_on_trial(&task.crashes).then(|| now.after(trial_time(&task.crashes)))
+pub(super) fn isolation_end(now: Time, task: &Task) -> Option<Time> {
+    needs_isolation(&task.crashes).then(|| now.after(isolation_time(&task.crashes)))
 }
--- a/crates/parsleytally/src/jobs/scheduler/mod.rs
+++ b/crates/parsleytally/src/jobs/scheduler/mod.rs
@@ -15,7 +15,7 @@
 use super::stalls::StallBudget;
 use super::worker_health::HealthReview;
 use super::{
-    AgentMessage, CrashWitness, EndEvidence, Input, JobId, JobProgress, JobRecord, JobReply,
+    AgentMessage, CrashSource, EndEvidence, Input, JobId, JobProgress, JobRecord, JobReply,
     JobRequest, JobState, LastEnd, OrderMessage, Output, QueueName, QueueTable, RunRef,
     WorkerIncarnation, WorkerReport, WorkerState, WorkersDecision,
 };
@@ -355,7 +355,7 @@
             }
             AgentMessage::Missing(run) => self.run_missing(node, run, LastEnd::Missing),
             AgentMessage::Crashed(crash) => {
-                self.worker_crashed(node, &crash, CrashWitness::Agent, out);
+                self.worker_crashed(node, &crash, CrashSource::Agent, out);
             }
             AgentMessage::Measurements(gauges) => self.update_gauges(now, node, &gauges, out),
             // The owner's links handle these two.
--- a/crates/parsleytally/src/jobs/scheduler/start.rs
+++ b/crates/parsleytally/src/jobs/scheduler/start.rs
@@ -1,14 +1,14 @@
 //! Places ready steps on workers, the most urgent first.
 
 use super::super::contention::LoadEffects;
-use super::super::crashes::is_on_trial;
+use super::super::crashes::needs_isolation;
 use super::super::fleet::{Load, WorkTime, Worker};
 use super::super::job::{Job, LiveRun, StepRef, StepRun, Task};
 use super::super::measured::RunTimeline;
 use super::super::place::{Candidates, PlacementRequest, choose_worker};
 use super::super::urgency::{Urgency, urgency};
 use super::super::{CrashDecision, JobState, LastEnd, OrderMessage, Output, RunRef, StartOrder};
-use super::crashes::{awaits_save, trial_end};
+use super::crashes::{awaits_save, isolation_end};
 use super::pass::Pass;
 use super::uneven::RackSummary;
 use super::{RUNS_PER_EPOCH, Scheduler};
@@ -39,8 +39,8 @@
 enum Placement {
     /// All have started.
     All,
-    /// Some wait for a worker on which they can be on trial.
-    AwaitsTrial,
+    /// Some wait for a worker on which they can be isolated.
+    AwaitsIsolation,
     /// Some wait for their preferred rack, although others have room.
     AwaitsRack,
     /// No worker can take some of them.
@@ -236,13 +236,13 @@
             let run = self.step_run(step.at);
             let task = &run.tasks[index];
             if awaits_save(&self.jobs[&step.at.job], task) {
-                placement = placement.max(Placement::AwaitsTrial);
+                placement = placement.max(Placement::AwaitsIsolation);
                 continue;
             }
             let request = self.request(step, Some(task));
-            let on_trial = request.on_trial;
-            let node = if on_trial {
-                self.choose_for_trial(now, step, index)
+            let isolated = request.isolated;
+            let node = if isolated {
+                self.choose_isolated(now, step, index)
             } else if task.last_failed_on().is_none() {
                 candidates.choose(&self.workers, &request, run, now)
             } else {
@@ -251,8 +251,8 @@
             };
             let waits = self.waits_for_rack(step.at, index, node.as_ref(), pass, racks);
             let Some(node) = node else {
-                if on_trial {
-                    placement = placement.max(Placement::AwaitsTrial);
+                if isolated {
+                    placement = placement.max(Placement::AwaitsIsolation);
                     continue;
                 }
                 placement = Placement::NoRoom;
@@ -285,18 +285,18 @@
         candidates.offer(node, &self.workers[node], &request, run, now);
     }
 
-    /// Chooses the worker for a task on trial; one with recent starts if it has waited for long.
-    fn choose_for_trial(&mut self, now: Time, step: &ReadyStep, index: usize) -> Option<NodeName> {
-        let choose = |scheduler: &Self, on_trial| {
+    /// Chooses the worker for a task in isolation; one with recent starts if it has waited for long.
+    fn choose_isolated(&mut self, now: Time, step: &ReadyStep, index: usize) -> Option<NodeName> {
+        let choose = |scheduler: &Self, isolated| {
             let run = scheduler.step_run(step.at);
             let request = PlacementRequest {
-                on_trial,
+                isolated,
                 ..scheduler.request(step, Some(&run.tasks[index]))
             };
             choose_worker(scheduler.workers.iter(), &request, run, now).cloned()
         };
         let quiet = choose(self, true);
-        if quiet.is_none() && self.trial_wait_over(now, step.at, index) {
+        if quiet.is_none() && self.isolation_wait_over(now, step.at, index) {
             return choose(self, false);
         }
         quiet
@@ -374,7 +374,7 @@
         request.shared_rack = shared_rack.filter(|_| request.step.same_rack);
         let quiet = choose_worker(self.workers.iter(), &request, run, now);
         // A gang that waited for one member would hold back the others.
-        request.on_trial = false;
+        request.isolated = false;
         let node = quiet.or_else(|| choose_worker(self.workers.iter(), &request, run, now));
         node.cloned()
     }
@@ -392,7 +392,7 @@
             cpu_limit: self.options.best_effort.cpu_limit,
             failed_on: task.and_then(Task::last_failed_on),
             costly: step.costly,
-            on_trial: task.is_some_and(|task| is_on_trial(&task.crashes)),
+            isolated: task.is_some_and(|task| needs_isolation(&task.crashes)),
             shared_rack: None,
         }
     }
@@ -422,7 +422,7 @@
         };
         let task = &self.step_run(step).tasks[index];
         let from_scratch = task.checkpoint.is_empty();
-        let trial_end = trial_end(now, task);
+        let isolation_end = isolation_end(now, task);
         let Some(worker) = self.workers.get_mut(node) else {
             return;
         };
@@ -440,7 +440,7 @@
         load.timeline = RunTimeline::ordered_at(now);
         worker.health.started(run);
         worker.reserve(run, &load);
-        worker.trials.note_start(now, run, trial_end);
+        worker.isolation.note_start(now, run, isolation_end);
         if load.shares_processors() {
             self.contention.update_headrooms(node, worker);
         }
@@ -461,11 +461,11 @@
                 node: node.clone(),
                 last_end,
                 crashes: task.crashes.len(),
-                on_trial: trial_end.is_some(),
+                isolated: isolation_end.is_some(),
             }));
         }
         task.waiting_since = None;
-        task.trial_due = None;
+        task.isolation_due = None;
         task.runs.push(LiveRun {
             node: node.clone(),
             run: run.run,
--- a/crates/parsleytally/src/jobs/scheduler/throttle.rs
+++ b/crates/parsleytally/src/jobs/scheduler/throttle.rs
@@ -119,7 +119,7 @@
             cpu_limit: self.options.best_effort.cpu_limit,
             failed_on: None,
             costly: self.is_costly(at),
-            on_trial: false,
+            isolated: false,
             shared_rack: None,
         };
         choose_worker(self.workers.iter(), &request, &round.steps[step], now)
--- a/crates/parsleytally/src/jobs/tests/crashes.rs
+++ b/crates/parsleytally/src/jobs/tests/crashes.rs
@@ -52,8 +52,8 @@
     ends: u64,
     starts: BTreeMap<TaskId, usize>,
     crashes: BTreeMap<TaskId, usize>,
-    /// Number of starts on trial.
-    trials: usize,
+    /// Number of starts in isolation.
+    isolated: usize,
     /// Starts of a task after the third crash under it.
     further_starts: BTreeMap<TaskId, usize>,
 }
@@ -78,7 +78,7 @@
             ends: 0,
             starts: BTreeMap::new(),
             crashes: BTreeMap::new(),
-            trials: 0,
+            isolated: 0,
             further_starts: BTreeMap::new(),
         };
         for at in 0..WORKERS {
@@ -115,13 +115,13 @@
                 self.apply(&out);
             }
         }
-        let on_trial = |output: &&Output| {
-            let Output::Crash(CrashDecision::StartedAgain { on_trial, .. }) = output else {
+        let isolated = |output: &&Output| {
+            let Output::Crash(CrashDecision::StartedAgain { isolated, .. }) = output else {
                 return false;
             };
-            *on_trial
+            *isolated
         };
-        self.trials += out.iter().filter(on_trial).count();
+        self.isolated += out.iter().filter(isolated).count();
         for (name, run) in starts(out) {
             let at = (0..WORKERS).find(|at| node(*at) == name).expect("a worker");
             if !self.down.contains_key(&at) {
@@ -478,9 +478,9 @@
     }
 }
 
-/// Guards against a trial for all that ran on a worker when it crashes for a reason of its own.
+/// Guards against the isolation of all that ran on a worker when it crashes for a reason of its own.
 #[test]
-fn a_crash_without_young_runs_puts_no_task_on_trial() {
+fn a_crash_without_young_runs_isolates_no_task() {
     let mut fleet = Fleet::new(Loses::Nobody);
     fleet.work_ms = 20_000;
     fleet.submit(1, job(vec![step(2, &[])]));
@@ -490,13 +490,13 @@
     fleet.run_for(RESTART_MS + 200);
     let running: usize = fleet.runs.iter().map(BTreeMap::len).sum();
     assert_eq!(running, 4, "all run again");
-    assert_eq!(fleet.trials, 0);
+    assert_eq!(fleet.isolated, 0);
 }
 
-/// Guards against the blame of a task on trial for a crash of other cause: several workers go at
+/// Guards against the blame of a task in isolation for a crash of other cause: several workers go at
 /// the same moment, as with a rack.
 #[test]
-fn a_crash_of_several_workers_at_once_names_no_culprit() {
+fn a_crash_of_several_workers_at_once_is_not_conclusive() {
     let mut fleet = Fleet::new(Loses::Nobody);
     fleet.submit(1, job(vec![step(1, &[])]));
     fleet.crash_worker_of(task(1, 0, 0), &[]);
@@ -509,7 +509,7 @@
 /// Guards against the blame of a service that is taken along by many crashes, each after a shorter
 /// time than before: it was never a suspect.
 #[test]
-fn a_service_beside_many_culprits_goes_on() {
+fn a_service_beside_many_poison_tasks_goes_on() {
     let mut fleet = Fleet::new(Loses::Nobody);
     let service = StepSpec {
         long_running: true,
@@ -527,33 +527,33 @@
 
 /// Guards against wrong conclusions from the marks of a task.
 #[test]
-fn a_task_is_the_culprit_by_the_marks_of_a_suspect() {
+fn a_task_is_poison_by_the_marks_of_a_suspect() {
     struct Case {
         what: &'static str,
         /// Worker of each crash, time seen, whether suspected, whether alone.
         marks: &'static [(usize, Option<u64>, bool, bool)],
-        culprit: bool,
+        poison: bool,
     }
     let cases = [
         Case {
             what: "one crash",
             marks: &[(0, Some(0), true, true)],
-            culprit: false,
+            poison: false,
         },
         Case {
             what: "two workers, the second alone",
             marks: &[(0, Some(0), true, false), (1, Some(0), true, true)],
-            culprit: true,
+            poison: true,
         },
         Case {
             what: "the same worker twice",
             marks: &[(0, Some(0), true, true), (0, Some(0), true, true)],
-            culprit: false,
+            poison: false,
         },
         Case {
             what: "two workers, never alone",
             marks: &[(0, Some(0), true, false), (1, Some(0), true, false)],
-            culprit: false,
+            poison: false,
         },
         Case {
             what: "three workers, never alone",
@@ -562,12 +562,12 @@
                 (1, Some(0), true, false),
                 (2, Some(0), true, false),
             ],
-            culprit: true,
+            poison: true,
         },
         Case {
             what: "two starts without an answer",
             marks: &[(0, None, true, true), (1, None, true, true)],
-            culprit: false,
+            poison: false,
         },
         Case {
             what: "four starts without an answer",
@@ -577,7 +577,7 @@
                 (0, None, true, true),
                 (1, None, true, true),
             ],
-            culprit: true,
+            poison: true,
         },
         Case {
             what: "one seen, two starts without an answer",
@@ -586,12 +586,12 @@
                 (1, Some(0), true, false),
                 (2, None, true, true),
             ],
-            culprit: false,
+            poison: false,
         },
         Case {
             what: "beside suspects only",
             marks: &[(1, Some(400), false, false); 8],
-            culprit: false,
+            poison: false,
         },
         Case {
             what: "beside suspects, then alone",
@@ -600,7 +600,7 @@
                 (1, Some(400), false, false),
                 (2, Some(400), true, true),
             ],
-            culprit: true,
+            poison: true,
         },
     ];
     for case in cases {
@@ -615,15 +615,15 @@
             })
             .collect();
         assert_eq!(
-            super::super::crashes::is_culprit(&marks),
-            case.culprit,
+            super::super::crashes::is_poison(&marks),
+            case.poison,
             "{}",
             case.what
         );
     }
 }
 
-/// Guards against the blame of work that stood beside the culprit: jobs without fault complete,
+/// Guards against the blame of work that stood beside the poison task: jobs without fault complete,
 /// and services go on, though each crash takes them along.
 #[test]
 fn work_beside_a_task_that_crashes_workers_completes() {
--- a/crates/parsleytally/src/jobs/tests/placement.rs
+++ b/crates/parsleytally/src/jobs/tests/placement.rs
@@ -110,7 +110,7 @@
             cpu_limit: None,
             failed_on: None,
             costly: false,
-            on_trial: false,
+            isolated: false,
             shared_rack: None,
         }
     }
--- a/crates/parsleytally/src/retry/suspects.rs
+++ b/crates/parsleytally/src/retry/suspects.rs
@@ -2,7 +2,7 @@
 //!
 //! A request after which two endpoints broke off is not sent on. Repeats of it by callers are refused
 //! for a time that doubles with each further loss, until one of them is answered. Requests that were
-//! in flight beside the culprit are mostly answered when they are sent again.
+//! in flight beside the poison request are mostly answered when they are sent again.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -94,7 +94,7 @@
         true
     }
 
-    /// Notes that a request was answered: it is no culprit.
+    /// Notes that a request was answered: it is no poison request.
     pub fn answered(&mut self, hash: RequestHash) {
         self.requests.remove(&hash);
     }
