--- a/crates/parsleytally/src/jobs/tests/mod.rs
+++ b/crates/parsleytally/src/jobs/tests/mod.rs
@@ -5,6 +5,7 @@
 mod call_plan;
 mod capacity;
 mod contention;
+mod crash_reports;
 mod crashes;
 mod durations;
 mod evacuation;
