feat(jobs): explain why the tasks of a step wait

Change: a step that has waited for a second is explained with the next ticks, at most 8 a tick: how many workers of the pool turn it away for which reason, the processors that nothing has reserved, and what holds back the whole job; one line a change of reason, and gauges of waiting steps by reason.

--- a/crates/parsleytally-entry/src/site/metrics.rs
+++ b/crates/parsleytally-entry/src/site/metrics.rs
@@ -37,6 +37,8 @@
     agents: IntGauge,
     open_jobs: IntGauge,
     waiting_tasks: IntGauge,
+    waiting_steps: IntGaugeVec,
+    free_cpu: IntGauge,
     queue_share: IntGaugeVec,
     queue_waiting: IntGaugeVec,
     preempted: IntCounterVec,
@@ -115,6 +117,15 @@
                 "parsleytally_jobs_waiting_tasks",
                 "Tasks that wait for free capacity.",
             )?,
+            waiting_steps: set.gauges(
+                "parsleytally_jobs_waiting_steps",
+                "Steps that have waited for a second or more, by the reason of most workers.",
+                "reason",
+            )?,
+            free_cpu: set.gauge(
+                "parsleytally_jobs_free_cpu_percent",
+                "Share of the workers' processors that nothing has reserved.",
+            )?,
             queue_share: set.gauges(
                 "parsleytally_jobs_queue_share_permille",
                 "Dominant share of its pool that a queue uses; only with settings of shares.",
@@ -149,6 +160,7 @@
             &self.agents,
             &self.open_jobs,
             &self.waiting_tasks,
+            &self.free_cpu,
             &self.evacuated_zones,
             &self.overcommitted,
             &self.degraded,
@@ -161,6 +173,7 @@
         }
         self.queue_share.reset();
         self.queue_waiting.reset();
+        self.waiting_steps.reset();
     }
 
     pub(super) fn update(&self, scheduler: &Scheduler, agents: usize, confirmation_age: Duration) {
@@ -169,6 +182,13 @@
         self.open_jobs.set(gauge(scheduler.open_jobs()));
         self.evacuated_zones.set(gauge(scheduler.evacuated_zones()));
         self.waiting_tasks.set(gauge(scheduler.waiting_tasks()));
+        self.free_cpu.set(scheduler.free_percent().into());
+        self.waiting_steps.reset();
+        for (reason, steps) in scheduler.waiting_steps() {
+            let reason = reason.to_string();
+            let counter = self.waiting_steps.with_label_values(&[&reason]);
+            counter.set(gauge(steps));
+        }
         self.overcommitted
             .set(gauge(scheduler.overcommitted_workers()));
         let standings = scheduler.standings();
--- a/crates/parsleytally-entry/src/site/owner.rs
+++ b/crates/parsleytally-entry/src/site/owner.rs
@@ -28,7 +28,7 @@
 use super::metrics::OwnerMetrics;
 use super::owner_log::{
     log_crash, log_dropped, log_evacuation, log_order, log_preempted, log_reconciled,
-    log_undelivered, log_workers_decision,
+    log_undelivered, log_waiting, log_workers_decision,
 };
 use super::saver::{ProgressRecord, Saver, revisions};
 use super::stored_state::StoredState;
@@ -534,6 +534,7 @@
                     log_crash(&decision);
                     self.context.metrics.count_crash(&decision);
                 }
+                Output::Waiting(evidence) => log_waiting(&evidence),
                 Output::Reconciled(node, outcome) => log_reconciled(&node, &outcome),
                 Output::Workers(decision) => {
                     log_workers_decision(&decision);
--- a/crates/parsleytally-entry/src/site/owner_log.rs
+++ b/crates/parsleytally-entry/src/site/owner_log.rs
@@ -2,7 +2,8 @@
 
 use parsleytally::jobs::{
     CopyEvidence, CrashDecision, CrashedRun, EndEvidence, EvacuationEvent, HealthEvidence,
-    ListingOutcome, OrderMessage, QueueName, RackEvidence, RunRef, StallEvidence, WorkersDecision,
+    ListingOutcome, OrderMessage, QueueName, RackEvidence, RunRef, StallEvidence, WaitEvidence,
+    WorkersDecision,
 };
 use parsleytally::types::{NodeName, Revision, ZoneName};
 use std::time::Duration;
@@ -125,6 +126,23 @@
     }
 }
 
+/// Logs why the tasks of a step wait.
+pub(super) fn log_waiting(evidence: &WaitEvidence) {
+    let WaitEvidence {
+        task,
+        tasks,
+        running,
+        waited_ms,
+        reason,
+        workers,
+        free_percent,
+    } = evidence;
+    let workers = workers.iter().map(|(reason, n)| format!("{reason}:{n}"));
+    let workers = workers.collect::<Vec<_>>().join(",");
+    log::info!(job:% = task.job, task:% = task, tasks, running, waited_ms, reason:% = reason,
+        workers, free_percent; "tasks wait");
+}
+
 fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/parsleytally/examples/owner_cost/fleet.rs
+++ b/crates/parsleytally/examples/owner_cost/fleet.rs
@@ -144,6 +144,7 @@
                 | Output::RunsDropped { .. }
                 | Output::Crash(_)
                 | Output::Reconciled(..)
+                | Output::Waiting(_)
                 | Output::Evacuation(_)
                 | Output::Preempted { .. }
                 | Output::Workers(_) => {}
--- a/crates/parsleytally/src/jobs/contention/headroom.rs
+++ b/crates/parsleytally/src/jobs/contention/headroom.rs
@@ -9,7 +9,7 @@
 
 use super::{Contention, PRIOR_BEST_SLOWDOWN, TARGET_SLOWDOWN, TRIAL_DURATION, utilization};
 use crate::jobs::fleet::{Load, Worker};
-use crate::jobs::{JobId, RunRef};
+use crate::jobs::{JobId, RunRef, WaitReason};
 use crate::types::{NodeName, Time};
 
 /// Headroom that stays free when a best-effort task is placed, for growth of the load.
@@ -100,32 +100,36 @@
     }
 
     /// Share of the headroom of the worker `node` that its best-effort runs would use
-    /// together with a load of these effects. Returns `None` if the headroom doesn't suffice,
-    /// or while the effect of the load on a service there is unknown and tried on another
-    /// worker.
+    /// together with a load of these effects.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`WaitReason::Headroom`] if the headroom doesn't suffice, and
+    /// [`WaitReason::Trial`] while the effect of the load on a service there is unknown and
+    /// tried on another worker.
     pub(in crate::jobs) fn headroom_used_with(
         &self,
         now: Time,
         node: &NodeName,
         effects: &LoadEffects,
-    ) -> Option<f64> {
+    ) -> Result<f64, WaitReason> {
         let Some(headrooms) = self.headrooms.get(node) else {
-            return Some(0.0);
+            return Ok(0.0);
         };
         let mut max_used: f64 = 0.0;
         for headroom in headrooms {
             let effect = effects.on(&headroom.image);
             if effect.unknown && self.is_tried_elsewhere(now, node, headroom, effects) {
-                return None;
+                return Err(WaitReason::Trial);
             }
             let available = (headroom.available - HEADROOM_MARGIN).max(MIN_HEADROOM);
             let used = headroom.used + effect.added;
             max_used = max_used.max(used / available);
             if max_used > 1.0 {
-                return None;
+                return Err(WaitReason::Headroom);
             }
         }
-        Some(max_used)
+        Ok(max_used)
     }
 
     /// CPU shares of the best-effort runs of `worker`, in percent, with which all its service
--- a/crates/parsleytally/src/jobs/evacuation.rs
+++ b/crates/parsleytally/src/jobs/evacuation.rs
@@ -123,6 +123,13 @@
         self.last.as_ref().map(|last| last.read_at)
     }
 
+    /// Whether the last read is young enough for starts.
+    pub(super) fn is_fresh(&self, now: Time) -> bool {
+        let age = self.read_age(now);
+        self.limit
+            .is_none_or(|limit| age.is_some_and(|age| age <= limit))
+    }
+
     /// Whether tasks may be started in zones that are not evacuated, and the event if that has
     /// changed.
     pub(super) fn permits_starts(&mut self, now: Time) -> (bool, Option<EvacuationEvent>) {
--- a/crates/parsleytally/src/jobs/fleet.rs
+++ b/crates/parsleytally/src/jobs/fleet.rs
@@ -344,6 +344,12 @@
         requested * 100 <= capacity * u64::from(percent)
     }
 
+    /// Whether it belongs to the pool of this name.
+    pub(super) fn is_in_pool(&self, pool: &str) -> bool {
+        let report = self.report.as_ref();
+        report.is_some_and(|report| *report.service == *pool)
+    }
+
     pub(super) fn rack(&self) -> Option<&Arc<str>> {
         self.report.as_ref()?.rack.as_ref()
     }
--- a/crates/parsleytally/src/jobs/job.rs
+++ b/crates/parsleytally/src/jobs/job.rs
@@ -9,6 +9,7 @@
 use super::fleet::{FULL_CPU_SHARE, Load};
 use super::measured::RunTimeline;
 use super::progress::{StepProgress, TaskProgress};
+use super::waiting::Wait;
 use super::{CrashMark, JobId, JobProgress, JobSpec, LastEnd, QueuePolicy, StepSpec, TaskId};
 use crate::types::{NodeName, Revision, Time};
 
@@ -99,6 +100,8 @@
     pub(super) run_times: RunTimes,
     /// Whether no worker could take its waiting tasks when all were last considered.
     pub(super) blocked: bool,
+    /// Its wait for workers; none while no task of it waits.
+    pub(super) wait: Option<Wait>,
 }
 
 impl StepRun {
@@ -151,6 +154,7 @@
                 remaining: count,
                 run_times: RunTimes::default(),
                 blocked: false,
+                wait: None,
             }
         };
         Self {
--- a/crates/parsleytally/src/jobs/messages.rs
+++ b/crates/parsleytally/src/jobs/messages.rs
@@ -6,8 +6,8 @@
 
 use super::{
     ContentionRecord, EvacuatedZones, EvacuationEvent, Forecast, JobId, JobProgress, JobRecord,
-    JobSpec, JobState, QueueName, QueueTable, TaskId, WorkerIncarnation, WorkerReport,
-    WorkersDecision,
+    JobSpec, JobState, QueueName, QueueTable, TaskId, WaitEvidence, WorkerIncarnation,
+    WorkerReport, WorkersDecision,
 };
 use crate::types::{NodeName, Resources, Revision, Time};
 
@@ -482,6 +482,8 @@
     Evacuation(EvacuationEvent),
     /// A decision about uneven workers; only logged.
     Workers(WorkersDecision),
+    /// Why the tasks of a step wait; only logged and counted.
+    Waiting(WaitEvidence),
     /// A decision about runs that were lost in crashes; only logged and counted.
     Crash(CrashDecision),
     /// Save in the store what was learned about the contention between images.
--- a/crates/parsleytally/src/jobs/mod.rs
+++ b/crates/parsleytally/src/jobs/mod.rs
@@ -37,6 +37,7 @@
 mod speculation;
 mod stalls;
 mod urgency;
+mod waiting;
 mod worker_health;
 
 pub use admission::{
@@ -67,6 +68,7 @@
 pub use sent_jobs::{EarlierCopy, SentJobs, SentOutcome};
 pub use shares::QueueUsage;
 pub use spec::{InvalidJobId, JobId, JobRecord, JobSpec, RecordError, Repeat, StepSpec, TaskId};
+pub use waiting::{WaitCounts, WaitEvidence, WaitReason};
 
 #[cfg(test)]
 mod tests;
--- a/crates/parsleytally/src/jobs/place.rs
+++ b/crates/parsleytally/src/jobs/place.rs
@@ -9,6 +9,7 @@
 use super::contention::{Contention, LoadEffects};
 use super::fleet::{Load, Worker};
 use super::job::StepRun;
+use super::waiting::WaitReason;
 use super::{JobId, QueuePolicy, StepSpec, WorkerStanding};
 use crate::types::{NodeName, Time};
 
@@ -149,17 +150,61 @@
     request: &PlacementRequest<'_>,
     run: &StepRun,
 ) -> Option<Score> {
-    let eligible = worker.accepts_tasks(now)
-        && worker.fits(request.load)
-        && is_within_limit(worker, request)
-        && worker.health.admits(&worker.runs, request.costly)
-        && may_run(worker, request)
-        && worker.isolation.admit(now, request.job, request.isolated)
-        && below_limit(name, request.step, run);
-    if !eligible {
+    if !may_run(worker, request) || ineligible(now, name, worker, request, run).is_some() {
         return None;
     }
-    score(now, name, worker, request)
+    score(now, name, worker, request).ok()
+}
+
+/// Why a worker of the pool can't take one more task of a step; none if it can.
+pub(super) fn turned_away(
+    now: Time,
+    name: &NodeName,
+    worker: &Worker,
+    request: &PlacementRequest<'_>,
+    run: &StepRun,
+) -> Option<WaitReason> {
+    ineligible(now, name, worker, request, run).or_else(|| score(now, name, worker, request).err())
+}
+
+/// Why a worker of the pool can't take a task, whatever services run there.
+fn ineligible(
+    now: Time,
+    name: &NodeName,
+    worker: &Worker,
+    request: &PlacementRequest<'_>,
+    run: &StepRun,
+) -> Option<WaitReason> {
+    if !worker.accepts_tasks(now) {
+        return Some(unusable_reason(now, worker));
+    }
+    if !worker.fits(request.load) {
+        return Some(WaitReason::Room);
+    }
+    if !is_within_limit(worker, request) {
+        return Some(WaitReason::CpuLimit);
+    }
+    if !worker.health.admits(&worker.runs, request.costly) {
+        return Some(WaitReason::Standing);
+    }
+    if !has_required_label(worker, request) {
+        return Some(WaitReason::Label);
+    }
+    if !worker.isolation.admit(now, request.job, request.isolated) {
+        return Some(WaitReason::Isolation);
+    }
+    (!below_limit(name, request.step, run)).then_some(WaitReason::PerWorker)
+}
+
+/// Why nothing starts on a worker.
+fn unusable_reason(now: Time, worker: &Worker) -> WaitReason {
+    if worker.evacuated {
+        WaitReason::Evacuated
+    } else if worker.failures.is_quarantined(now) {
+        WaitReason::Quarantined
+    } else {
+        WaitReason::Unavailable
+    }
 }
 
 /// Score of how little headroom for best-effort tasks a service task takes on the worker:
@@ -180,11 +225,14 @@
     limit.is_none_or(|percent| worker.is_within_limit(request.load, percent))
 }
 
-/// Whether `worker` is in the pool of the queue and has the required label.
+/// Whether `worker` is in the pool of the queue.
 fn may_run(worker: &Worker, request: &PlacementRequest<'_>) -> bool {
-    let service = worker.report.as_ref().map(|report| &report.service);
+    worker.is_in_pool(&request.policy.service)
+}
+
+fn has_required_label(worker: &Worker, request: &PlacementRequest<'_>) -> bool {
     let label = request.step.required_label.as_deref();
-    service == Some(&request.policy.service) && label.is_none_or(|label| worker.has_label(label))
+    label.is_none_or(|label| worker.has_label(label))
 }
 
 /// Whether the worker `name` runs fewer tasks of the step than its limit.
@@ -202,7 +250,7 @@
     name: &NodeName,
     worker: &Worker,
     request: &PlacementRequest<'_>,
-) -> Option<Score> {
+) -> Result<Score, WaitReason> {
     let rack = request
         .step
         .preferred_rack
@@ -216,7 +264,7 @@
     } else {
         0
     };
-    Some(Score {
+    Ok(Score {
         healthy: !worker.failures.is_suspect(),
         untried: request.failed_on != Some(name),
         exposed: -exposed_runs(worker, request),
--- a/crates/parsleytally/src/jobs/scheduler/mod.rs
+++ b/crates/parsleytally/src/jobs/scheduler/mod.rs
@@ -35,6 +35,7 @@
 mod start;
 mod throttle;
 mod uneven;
+mod waiting;
 
 pub use uneven::StandingCounts;
 
@@ -553,6 +554,7 @@
         self.remove_ended(now);
         self.save_learned(now, out);
         self.review_workers(now, out);
+        self.explain_waiting(now, out);
         // Quarantines and trials end, and objectives become unreachable as time passes.
         self.pass_due = true;
         self.full_pass_due = true;
--- a/crates/parsleytally/src/jobs/scheduler/start.rs
+++ b/crates/parsleytally/src/jobs/scheduler/start.rs
@@ -25,7 +25,7 @@
 }
 
 /// A ready step with the load of each of its tasks.
-struct ReadyStep {
+pub(super) struct ReadyStep {
     at: StepRef,
     load: Load,
     /// Effects of a best-effort load on services.
@@ -77,7 +77,7 @@
         self.move_out_of_zones(now, out);
     }
 
-    fn ready_steps(&self, wall_ms: u64) -> Vec<(Urgency, StepRef)> {
+    pub(super) fn ready_steps(&self, wall_ms: u64) -> Vec<(Urgency, StepRef)> {
         let mut ready = Vec::new();
         for id in &self.open {
             let job = &self.jobs[id];
@@ -140,7 +140,7 @@
         placement == Placement::All
     }
 
-    fn ready_step(&self, at: StepRef, load: Load) -> ReadyStep {
+    pub(super) fn ready_step(&self, at: StepRef, load: Load) -> ReadyStep {
         let effects = load.best_effort.then(|| self.contention.effects(&load));
         let costly = self.is_costly(at);
         ReadyStep {
@@ -380,7 +380,11 @@
     }
 
     /// Request for a worker for `task` of `step`; for none, one that has not failed.
-    fn request<'a>(&'a self, step: &'a ReadyStep, task: Option<&'a Task>) -> PlacementRequest<'a> {
+    pub(super) fn request<'a>(
+        &'a self,
+        step: &'a ReadyStep,
+        task: Option<&'a Task>,
+    ) -> PlacementRequest<'a> {
         let job = &self.jobs[&step.at.job];
         PlacementRequest {
             contention: &self.contention,
@@ -453,7 +457,9 @@
         if job.state == JobState::Queued {
             job.state = JobState::Running;
         }
-        let task = &mut job.rounds[step.round].steps[step.step].tasks[index];
+        let step_run = &mut job.rounds[step.round].steps[step.step];
+        step_run.wait = None;
+        let task = &mut step_run.tasks[index];
         task.last_run = run.run;
         if let Some(last_end) = task.last_end.filter(is_unlisted) {
             out.push(Output::Crash(CrashDecision::StartedAgain {
--- /dev/null
+++ b/crates/parsleytally/src/jobs/scheduler/waiting.rs
@@ -0,0 +1,164 @@
+//! Explains why ready steps wait, a few of them with each tick.
+
+use super::super::Output;
+use super::super::crashes::needs_isolation;
+use super::super::fleet::Worker;
+use super::super::job::{Job, StepRef};
+use super::super::place::turned_away;
+use super::super::waiting::{DueWait, Wait, WaitCounts, WaitEvidence, WaitReason, main_reason};
+use super::Scheduler;
+use super::crashes::awaits_save;
+use crate::types::Time;
+
+/// Most steps that are explained with one tick.
+const MAX_EXPLAINED: usize = 8;
+
+impl Scheduler {
+    /// Steps that have waited for a second or more, by the reason last found.
+    pub fn waiting_steps(&self) -> WaitCounts {
+        let mut counts = WaitCounts::new();
+        for job in self.open.iter().map(|id| &self.jobs[id]) {
+            let steps = job.waiting_steps().filter_map(|(_, _, run)| run.wait);
+            for reason in steps.filter_map(|wait| wait.reason()) {
+                *counts.entry(reason).or_default() += 1;
+            }
+        }
+        counts
+    }
+
+    /// Share of the processors of all usable workers that nothing has reserved, in percent.
+    pub fn free_percent(&self) -> u32 {
+        free_percent(self.workers.values())
+    }
+
+    /// Emits why steps wait if the reason has changed, for those explained longest ago.
+    pub(super) fn explain_waiting(&mut self, now: Time, out: &mut Vec<Output>) {
+        for due in self.due_waits(now) {
+            let at = StepRef {
+                job: due.job,
+                round: due.round,
+                step: due.step,
+            };
+            let Some(evidence) = self.wait_evidence(now, at) else {
+                continue;
+            };
+            let wait = self.wait_mut(at);
+            if wait.is_some_and(|wait| wait.explain(now, evidence.reason)) {
+                out.push(Output::Waiting(evidence));
+            }
+        }
+    }
+
+    /// Notes the begin of waits; returns the steps to explain.
+    fn due_waits(&mut self, now: Time) -> Vec<DueWait> {
+        let mut due = Vec::new();
+        for id in &self.open {
+            let Some(job) = self.jobs.get_mut(id) else {
+                continue;
+            };
+            let waiting: Vec<(usize, usize)> = {
+                let steps = job.waiting_steps();
+                steps.map(|(round, step, _)| (round, step)).collect()
+            };
+            for (round, step) in waiting {
+                let wait = &mut job.rounds[round].steps[step].wait;
+                let wait = wait.get_or_insert_with(|| Wait::since(now));
+                if wait.is_due(now) {
+                    due.push(DueWait {
+                        explained_at: wait.explained_at(),
+                        job: *id,
+                        round,
+                        step,
+                    });
+                }
+            }
+        }
+        due.sort_unstable();
+        due.truncate(MAX_EXPLAINED);
+        due
+    }
+
+    fn wait_mut(&mut self, at: StepRef) -> Option<&mut Wait> {
+        let job = self.jobs.get_mut(&at.job)?;
+        job.rounds[at.round].steps[at.step].wait.as_mut()
+    }
+
+    fn wait_evidence(&self, now: Time, at: StepRef) -> Option<WaitEvidence> {
+        let job = &self.jobs[&at.job];
+        let run = job.step_run(at);
+        let index = run.waiting_tasks().next()?;
+        let workers = self.reasons(now, at, index);
+        let held = self.held_back(now, job, at, index);
+        let pool = self.workers.values();
+        let pool = pool.filter(|worker| worker.is_in_pool(&job.policy.service));
+        Some(WaitEvidence {
+            task: at.task(index),
+            tasks: run.waiting_tasks().count(),
+            running: running_tasks(job),
+            waited_ms: run.wait.map_or(0, |wait| millis(now, wait.since)),
+            reason: held.unwrap_or_else(|| main_reason(&workers)),
+            workers,
+            free_percent: free_percent(pool),
+        })
+    }
+
+    /// Why no worker may take a task, whatever the worker.
+    fn held_back(&self, now: Time, job: &Job, at: StepRef, index: usize) -> Option<WaitReason> {
+        if !self.evacuation.is_fresh(now) {
+            return Some(WaitReason::OldRead);
+        }
+        if !self.may_start(job) {
+            return Some(WaitReason::Unreported);
+        }
+        let task = &job.step_run(at).tasks[index];
+        awaits_save(job, task).then_some(WaitReason::Unsaved)
+    }
+
+    /// Number of workers of the pool by the reason for which they turn a task away.
+    fn reasons(&self, now: Time, at: StepRef, index: usize) -> WaitCounts {
+        let mut counts = WaitCounts::new();
+        let job = &self.jobs[&at.job];
+        let Some(load) = job.load(at.step as u16) else {
+            return counts;
+        };
+        let step = self.ready_step(at, load);
+        let run = job.step_run(at);
+        let task = &run.tasks[index];
+        let mut request = self.request(&step, Some(task));
+        request.isolated = needs_isolation(&task.crashes);
+        for (name, worker) in &self.workers {
+            if !worker.is_in_pool(&job.policy.service) {
+                continue;
+            }
+            let reason = turned_away(now, name, worker, &request, run);
+            *counts
+                .entry(reason.unwrap_or(WaitReason::Order))
+                .or_default() += 1;
+        }
+        counts
+    }
+}
+
+fn running_tasks(job: &Job) -> usize {
+    let steps = job.rounds.iter().flat_map(|round| &round.steps);
+    let tasks = steps.flat_map(|step| &step.tasks);
+    tasks.filter(|task| !task.runs.is_empty()).count()
+}
+
+fn free_percent<'a>(workers: impl Iterator<Item = &'a Worker>) -> u32 {
+    let (mut free, mut total) = (0, 0);
+    for worker in workers {
+        let capacity = worker
+            .report
+            .as_ref()
+            .map_or(0, |report| report.capacity.cpu.0);
+        total += capacity;
+        free += worker.free().cpu.0;
+    }
+    let percent = (free * 100).checked_div(total).unwrap_or(0);
+    u32::try_from(percent).unwrap_or(0)
+}
+
+fn millis(now: Time, since: Time) -> u64 {
+    u64::try_from(now.since(since).as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/parsleytally/src/jobs/tests/contention.rs
+++ b/crates/parsleytally/src/jobs/tests/contention.rs
@@ -153,7 +153,7 @@
         let used = self
             .contention
             .headroom_used_with(self.now, &node(at), &effects);
-        used.is_some()
+        used.is_ok()
     }
 }
 
--- a/crates/parsleytally/src/jobs/tests/durations.rs
+++ b/crates/parsleytally/src/jobs/tests/durations.rs
@@ -81,6 +81,7 @@
             remaining: 1,
             run_times: worked,
             blocked: false,
+            wait: None,
         };
         let step = StepSpec {
             estimate_ms: case.estimate_ms,
--- a/crates/parsleytally/src/jobs/tests/mod.rs
+++ b/crates/parsleytally/src/jobs/tests/mod.rs
@@ -20,6 +20,7 @@
 mod shutdown;
 mod throttle;
 mod uneven;
+mod waiting;
 mod worker;
 
 use std::sync::Arc;
--- a/crates/parsleytally/src/jobs/tests/model/owners.rs
+++ b/crates/parsleytally/src/jobs/tests/model/owners.rs
@@ -108,6 +108,7 @@
                 | Output::RunsDropped { .. }
                 | Output::Crash(_)
                 | Output::Reconciled(..)
+                | Output::Waiting(_)
                 | Output::Evacuation(_) => {}
                 Output::Workers(_) => {}
                 Output::Save {
