fix(jobs): a job with nothing running starts while most of the room is free

Cause: a best-effort task starts only where the modelled headroom beside services admits it at full speed, and nothing bounds its wait for that; the least urgent never wins the moment. Change: a job with nothing running for 1.5 s gets one task, or its gang, on the worker that it harms least, while at most 60% of the pool is reserved.

--- a/crates/parsleytally/src/jobs/contention/headroom.rs
+++ b/crates/parsleytally/src/jobs/contention/headroom.rs
@@ -32,6 +32,14 @@
     used: f64,
 }
 
+impl Headroom {
+    /// Share in use by the best-effort runs together with a load of this effect.
+    fn used_with(&self, effect: ImageEffect) -> f64 {
+        let available = (self.available - HEADROOM_MARGIN).max(MIN_HEADROOM);
+        (self.used + effect.added) / available
+    }
+}
+
 /// Service tasks of one job on a worker.
 #[derive(Debug)]
 struct ServiceJob<'a> {
@@ -122,9 +130,7 @@
             if effect.unknown && self.is_tried_elsewhere(now, node, headroom, effects) {
                 return Err(WaitReason::Trial);
             }
-            let available = (headroom.available - HEADROOM_MARGIN).max(MIN_HEADROOM);
-            let used = headroom.used + effect.added;
-            max_used = max_used.max(used / available);
+            max_used = max_used.max(headroom.used_with(effect));
             if max_used > 1.0 {
                 return Err(WaitReason::Headroom);
             }
@@ -132,6 +138,14 @@
         Ok(max_used)
     }
 
+    /// Share of the headroom of the worker `node` that its best-effort runs would use
+    /// together with a load of these effects; above 1 if the headroom doesn't suffice.
+    pub(in crate::jobs) fn headroom_share(&self, node: &NodeName, effects: &LoadEffects) -> f64 {
+        let headrooms = self.headrooms.get(node).into_iter().flatten();
+        let used = headrooms.map(|headroom| headroom.used_with(effects.on(&headroom.image)));
+        used.fold(0.0, f64::max)
+    }
+
     /// CPU shares of the best-effort runs of `worker`, in percent, with which all its service
     /// tasks meet their targets. Runs that use the least headroom are served first.
     pub(in crate::jobs) fn cpu_shares(
--- a/crates/parsleytally/src/jobs/place.rs
+++ b/crates/parsleytally/src/jobs/place.rs
@@ -34,6 +34,8 @@
     pub(super) failed_on: Option<&'a NodeName>,
     /// Whether much work would be lost with a run of the task.
     pub(super) costly: bool,
+    /// Whether its job has waited so long that it may exceed headroom and limits.
+    pub(super) starving: bool,
     /// Whether the task may have crashed a worker, and needs one without recent starts.
     pub(super) isolated: bool,
     /// Rack on which the other tasks of the step run, if all must share one.
@@ -53,6 +55,8 @@
     in_rack: bool,
     /// Whether the worker compares well with its peers, see [`standing_score`].
     standing: i8,
+    /// Whether the limit on best-effort processors admits the task.
+    within_limit: bool,
     /// For a best-effort task, the negated share of headroom in use with it; for a service
     /// task, see [`service_score`].
     headroom: i64,
@@ -181,7 +185,7 @@
     if !worker.fits(request.load) {
         return Some(WaitReason::Room);
     }
-    if !is_within_limit(worker, request) {
+    if !request.starving && !is_within_limit(worker, request) {
         return Some(WaitReason::CpuLimit);
     }
     if !worker.health.admits(&worker.runs, request.costly) {
@@ -257,7 +261,11 @@
         .as_deref()
         .or(request.shared_rack);
     let headroom = if let Some(effects) = request.effects {
-        let used = request.contention.headroom_used_with(now, name, effects)?;
+        let used = if request.starving {
+            request.contention.headroom_share(name, effects)
+        } else {
+            request.contention.headroom_used_with(now, name, effects)?
+        };
         -(used * HEADROOM_STEPS).round() as i64
     } else if request.load.target_ms > 0 {
         service_score(worker, request.load)
@@ -270,6 +278,7 @@
         exposed: -exposed_runs(worker, request),
         in_rack: rack.is_none_or(|rack| worker.has_label(rack)),
         standing: standing_score(worker, request.load),
+        within_limit: is_within_limit(worker, request),
         headroom,
         idle_cpu: worker.idle_cpu() - idle_cpu_penalty(worker, request.load),
     })
--- a/crates/parsleytally/src/jobs/scheduler/mod.rs
+++ b/crates/parsleytally/src/jobs/scheduler/mod.rs
@@ -33,6 +33,7 @@
 mod repair;
 mod shares;
 mod start;
+mod starving;
 mod throttle;
 mod uneven;
 mod waiting;
--- a/crates/parsleytally/src/jobs/scheduler/start.rs
+++ b/crates/parsleytally/src/jobs/scheduler/start.rs
@@ -32,11 +32,13 @@
     effects: Option<LoadEffects>,
     /// Whether much work would be lost with a run of a task.
     costly: bool,
+    /// Whether its job has waited so long that it may exceed headroom and limits.
+    pub(super) starving: bool,
 }
 
 /// Result of placing the waiting tasks of a step.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Placement {
+pub(super) enum Placement {
     /// All have started.
     All,
     /// Some wait for a worker on which they can be isolated.
@@ -67,11 +69,12 @@
                 self.preempt(now, &ready, out);
             }
         } else {
-            for (_, step) in ready {
-                self.place_step(step, usize::MAX, &mut pass, out);
+            for (_, step) in &ready {
+                self.place_step(*step, usize::MAX, &mut pass, out);
             }
         }
         if consider_all {
+            self.place_starving(&mut pass, &ready, out);
             self.start_copies(now, out);
         }
         self.move_out_of_zones(now, out);
@@ -125,11 +128,9 @@
         let spec = job.spec.clone();
         let spec = &spec.steps[at.step];
         let step = self.ready_step(at, load);
-        if spec.gang {
-            self.place_gang(pass.now, &step, out);
+        let Some(placement) = self.place_ready(&step, limit, pass, out) else {
             return false;
-        }
-        let placement = self.place_tasks(&step, limit, pass, blocked, out);
+        };
         self.set_blocked(at, placement != Placement::All);
         // A worker that doesn't take costly tasks may take others.
         let unrestricted =
@@ -140,6 +141,24 @@
         placement == Placement::All
     }
 
+    /// Starts at most `limit` waiting tasks of a step; none for a gang, which starts as a whole.
+    pub(super) fn place_ready(
+        &mut self,
+        step: &ReadyStep,
+        limit: usize,
+        pass: &mut Pass,
+        out: &mut Vec<Output>,
+    ) -> Option<Placement> {
+        let job = &self.jobs[&step.at.job];
+        if job.spec.steps[step.at.step].gang {
+            self.place_gang(pass.now, step, out);
+            return None;
+        }
+        // A starving step is offered more than the workers that have changed.
+        let blocked = !step.starving && job.step_run(step.at).blocked;
+        Some(self.place_tasks(step, limit, pass, blocked, out))
+    }
+
     pub(super) fn ready_step(&self, at: StepRef, load: Load) -> ReadyStep {
         let effects = load.best_effort.then(|| self.contention.effects(&load));
         let costly = self.is_costly(at);
@@ -148,6 +167,7 @@
             load,
             effects,
             costly,
+            starving: false,
         }
     }
 
@@ -396,6 +416,7 @@
             cpu_limit: self.options.best_effort.cpu_limit,
             failed_on: task.and_then(Task::last_failed_on),
             costly: step.costly,
+            starving: step.starving,
             isolated: task.is_some_and(|task| needs_isolation(&task.crashes)),
             shared_rack: None,
         }
--- /dev/null
+++ b/crates/parsleytally/src/jobs/scheduler/starving.rs
@@ -0,0 +1,87 @@
+//! Bounds the wait of jobs that could run: learned headroom, trials and limits protect other
+//! work, but what they protect it from must not wait for ever while most of the room is free.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::super::Output;
+use super::super::job::{Job, StepRef};
+use super::super::urgency::Urgency;
+use super::Scheduler;
+use super::pass::Pass;
+use crate::types::Time;
+
+/// Wait after which a job with nothing running starves.
+const STARVED_AFTER: Duration = Duration::from_millis(1_500);
+/// Share of a pool's processors that is reserved when it counts as full, in percent. Above it,
+/// best-effort jobs wait for the protection of others.
+const FULL_PERCENT: u64 = 60;
+/// Most workers that are scored for starving jobs in one pass.
+const MAX_SCORED: usize = 100_000;
+
+impl Scheduler {
+    /// Starts one task, or a whole gang, of each starving job, although the protection of
+    /// other work turns it away.
+    pub(super) fn place_starving(
+        &mut self,
+        pass: &mut Pass,
+        ready: &[(Urgency, StepRef)],
+        out: &mut Vec<Output>,
+    ) {
+        let mut left = MAX_SCORED / self.workers.len().max(1);
+        let mut full = BTreeMap::new();
+        for (_, at) in ready {
+            if left == 0 {
+                return;
+            }
+            if !self.is_starving(pass.now, *at, &mut full) {
+                continue;
+            }
+            left -= 1;
+            let Some(load) = self.jobs[&at.job].load(at.step as u16) else {
+                continue;
+            };
+            let mut step = self.ready_step(*at, load);
+            step.starving = true;
+            self.place_ready(&step, 1, pass, out);
+        }
+    }
+
+    fn is_starving(&self, now: Time, at: StepRef, full: &mut BTreeMap<Arc<str>, bool>) -> bool {
+        let job = &self.jobs[&at.job];
+        let wait = job.step_run(at).wait;
+        if wait.is_none_or(|wait| now.since(wait.since) < STARVED_AFTER) {
+            return false;
+        }
+        let step = &job.spec.steps[at.step];
+        let is_idle = step.long_running || !has_runs(job);
+        if !is_idle || !step.best_effort {
+            return is_idle;
+        }
+        let pool = &job.policy.service;
+        let is_full = full.entry(pool.clone());
+        !*is_full.or_insert_with(|| self.is_full(pool))
+    }
+
+    /// Whether most processors of a pool are reserved.
+    fn is_full(&self, pool: &str) -> bool {
+        let (mut reserved, mut total) = (0, 0);
+        for worker in self.workers.values() {
+            let Some(report) = worker.report.as_ref() else {
+                continue;
+            };
+            if worker.linked && *report.service == *pool {
+                reserved += worker.reserved.cpu.0;
+                total += report.capacity.cpu.0;
+            }
+        }
+        reserved * 100 > total * FULL_PERCENT
+    }
+}
+
+fn has_runs(job: &Job) -> bool {
+    let steps = job.rounds.iter().flat_map(|round| &round.steps);
+    let mut tasks = steps.flat_map(|step| &step.tasks);
+    tasks.any(|task| !task.runs.is_empty())
+}
--- a/crates/parsleytally/src/jobs/scheduler/throttle.rs
+++ b/crates/parsleytally/src/jobs/scheduler/throttle.rs
@@ -120,6 +120,7 @@
             failed_on: None,
             costly: self.is_costly(at),
             isolated: false,
+            starving: false,
             shared_rack: None,
         };
         choose_worker(self.workers.iter(), &request, &round.steps[step], now)
--- a/crates/parsleytally/src/jobs/tests/placement.rs
+++ b/crates/parsleytally/src/jobs/tests/placement.rs
@@ -111,6 +111,7 @@
             failed_on: None,
             costly: false,
             isolated: false,
+            starving: false,
             shared_rack: None,
         }
     }
--- a/crates/parsleytally/src/jobs/tests/waiting.rs
+++ b/crates/parsleytally/src/jobs/tests/waiting.rs
@@ -1,10 +1,21 @@
 //! Explanations of waits, and work that waits although a worker could run it.
 
-use super::scheduler::{Bench, options};
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::scheduler::{Bench, options, starts};
 use super::*;
 use crate::configs::BestEffortConfig;
 use crate::types::Revision;
 
+/// Time within which a job that could run has something running, by the platform's page.
+const START_BOUND_MS: u64 = 3_000;
+/// Target of the tail latency of services, in milliseconds.
+const TARGET_MS: u64 = 150;
+/// Tail latency of a service that leaves almost no headroom, in milliseconds.
+const BUSY_MS: u64 = 118;
+/// Id of the first job with a service.
+const FIRST_SERVICE: u64 = 10_000;
+
 fn explained(out: &[Output]) -> Vec<WaitReason> {
     let waiting = |output: &Output| match output {
         Output::Waiting(evidence) => Some(evidence.reason),
@@ -89,3 +100,131 @@
         assert!(explained(&again).is_empty(), "{}: again", case.name);
     }
 }
+
+fn service_step() -> StepSpec {
+    StepSpec {
+        long_running: true,
+        target_ms: TARGET_MS,
+        image: Some("service".into()),
+        ..step(1, &[])
+    }
+}
+
+fn best_effort_step(count: u32) -> StepSpec {
+    StepSpec {
+        best_effort: true,
+        need: need(2_250, 100),
+        image: Some("rebuild".into()),
+        ..step(count, &[])
+    }
+}
+
+/// The service task on worker `at`.
+fn service_run(at: usize) -> RunRef {
+    run(FIRST_SERVICE + at as u64, 0, 0, 1)
+}
+
+/// A scheduler whose ownership begins beside a backlog of a predecessor and services on all
+/// workers.
+fn owner_beside(workers: usize, backlog: &[StepSpec]) -> Bench {
+    let mut bench = Bench::with_options(SchedulerOptions {
+        best_effort: BestEffortConfig {
+            cpu_limit: Some(130),
+            ..BestEffortConfig::default()
+        },
+        ..options()
+    });
+    for at in 0..workers {
+        bench.feed(Input::Expected(node(at)));
+        let id = FIRST_SERVICE + at as u64;
+        bench.submit(id, job(vec![service_step()]), 5);
+    }
+    for (id, step) in backlog.iter().enumerate() {
+        bench.submit(id as u64, job(vec![step.clone()]), 6);
+    }
+    for at in 0..workers {
+        bench.feed(Input::Linked(node(at)));
+        bench.agent(at, AgentMessage::Report(report(at, 7)));
+        bench.list(at, vec![service_run(at)]);
+    }
+    bench
+}
+
+fn gauge(run: RunRef, measurement: u64) -> RunStatus {
+    RunStatus {
+        run,
+        checkpoint: String::new(),
+        percent: 100,
+        measurement,
+    }
+}
+
+/// Milliseconds after which each job of the backlog has had a run; none within 20 s.
+fn time_to_run_all(bench: &mut Bench, workers: usize, backlog: usize) -> Option<u64> {
+    const TICK_MS: u64 = 150;
+    let mut started = BTreeSet::new();
+    let mut running: BTreeMap<NodeName, Vec<RunRef>> = BTreeMap::new();
+    for tick in 0..20_000 / TICK_MS {
+        let mut out = bench.wait(TICK_MS);
+        if tick % 3 == 0 {
+            for at in 0..workers {
+                let best_effort = running.get(&node(at)).into_iter().flatten();
+                let mut gauges = vec![gauge(service_run(at), BUSY_MS)];
+                gauges.extend(best_effort.map(|run| gauge(*run, 0)));
+                out.extend(bench.agent(at, AgentMessage::Measurements(gauges)));
+            }
+        }
+        for (node, run) in starts(&out) {
+            started.insert(run.task.job);
+            running.entry(node).or_default().push(run);
+        }
+        let ids = 0..backlog as u64;
+        if ids.map(JobId).all(|id| started.contains(&id)) {
+            return Some((tick + 1) * TICK_MS);
+        }
+    }
+    None
+}
+
+/// Guards against best-effort jobs that wait for ever with most of the room free, since no
+/// worker has the headroom beside its services for one more task at full speed.
+#[test]
+fn an_owner_that_takes_over_beside_a_backlog_runs_each_job_within_the_bound() {
+    struct Case {
+        name: &'static str,
+        workers: usize,
+        jobs: usize,
+        step: StepSpec,
+    }
+    let gang = StepSpec {
+        gang: true,
+        ..best_effort_step(2)
+    };
+    let cases = [
+        Case {
+            name: "restart of all beside 900 jobs",
+            workers: 59,
+            jobs: 900,
+            step: best_effort_step(4),
+        },
+        Case {
+            name: "a change of owner beside a few jobs",
+            workers: 10,
+            jobs: 3,
+            step: best_effort_step(9),
+        },
+        Case {
+            name: "gangs",
+            workers: 10,
+            jobs: 4,
+            step: gang,
+        },
+    ];
+    for case in cases {
+        let backlog = vec![case.step; case.jobs];
+        let mut bench = owner_beside(case.workers, &backlog);
+        let time = time_to_run_all(&mut bench, case.workers, case.jobs);
+        let within = time.is_some_and(|time| time <= START_BOUND_MS);
+        assert!(within, "{}: after {time:?} ms", case.name);
+    }
+}
