--- a/crates/parsleytally/src/jobs/fleet.rs
+++ b/crates/parsleytally/src/jobs/fleet.rs
@@ -285,12 +285,16 @@
 
     /// Whether a run can be started there now.
     pub(super) fn accepts_tasks(&self, now: Time) -> bool {
+        self.is_available() && !self.failures.is_quarantined(now)
+    }
+
+    /// Whether it can run tasks, be it quarantined or not.
+    pub(super) fn is_available(&self) -> bool {
         self.linked
             && self.listed
             && !self.unresponsive
             && !self.evacuated
             && self.state() == Some(WorkerState::Ready)
-            && !self.failures.is_quarantined(now)
     }
 
     /// Free resources; none if more is reserved than the worker has.
--- a/crates/parsleytally/src/jobs/place.rs
+++ b/crates/parsleytally/src/jobs/place.rs
@@ -34,7 +34,7 @@
     pub(super) failed_on: Option<&'a NodeName>,
     /// Whether much work would be lost with a run of the task.
     pub(super) costly: bool,
-    /// Whether its job has waited so long that it may exceed headroom and limits.
+    /// Whether its job has waited so long that it is kept from workers by their state only.
     pub(super) starving: bool,
     /// Whether the task may have crashed a worker, and needs one without recent starts.
     pub(super) isolated: bool,
@@ -45,6 +45,8 @@
 /// Score of a worker; higher is better, compared field by field.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct Score {
+    /// Whether it is not quarantined; others only take tasks of starving jobs.
+    admitted: bool,
     /// Whether no run has failed there since the last success.
     healthy: bool,
     /// Whether the task did not fail there last.
@@ -179,8 +181,11 @@
     request: &PlacementRequest<'_>,
     run: &StepRun,
 ) -> Option<WaitReason> {
-    if !worker.accepts_tasks(now) {
-        return Some(unusable_reason(now, worker));
+    if !worker.is_available() {
+        return Some(unusable_reason(worker));
+    }
+    if !request.starving && worker.failures.is_quarantined(now) {
+        return Some(WaitReason::Quarantined);
     }
     if !worker.fits(request.load) {
         return Some(WaitReason::Room);
@@ -200,12 +205,10 @@
     (!below_limit(name, request.step, run)).then_some(WaitReason::PerWorker)
 }
 
-/// Why nothing starts on a worker.
-fn unusable_reason(now: Time, worker: &Worker) -> WaitReason {
+/// Why a worker can't run tasks.
+fn unusable_reason(worker: &Worker) -> WaitReason {
     if worker.evacuated {
         WaitReason::Evacuated
-    } else if worker.failures.is_quarantined(now) {
-        WaitReason::Quarantined
     } else {
         WaitReason::Unavailable
     }
@@ -273,6 +276,7 @@
         0
     };
     Ok(Score {
+        admitted: !worker.failures.is_quarantined(now),
         healthy: !worker.failures.is_suspect(),
         untried: request.failed_on != Some(name),
         exposed: -exposed_runs(worker, request),
--- a/crates/parsleytally/src/jobs/scheduler/start.rs
+++ b/crates/parsleytally/src/jobs/scheduler/start.rs
@@ -32,7 +32,7 @@
     effects: Option<LoadEffects>,
     /// Whether much work would be lost with a run of a task.
     costly: bool,
-    /// Whether its job has waited so long that it may exceed headroom and limits.
+    /// Whether its job has waited so long that it is kept from workers by their state only.
     pub(super) starving: bool,
 }
 
--- a/crates/parsleytally/src/jobs/tests/waiting.rs
+++ b/crates/parsleytally/src/jobs/tests/waiting.rs
@@ -1,6 +1,7 @@
 //! Explanations of waits, and work that waits although a worker could run it.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use super::scheduler::{Bench, options, starts};
 use super::*;
@@ -228,3 +229,50 @@
         assert!(within, "{}: after {time:?} ms", case.name);
     }
 }
+
+/// Guards against a fleet that starts nothing, since jobs that always fail have put all its
+/// workers into quarantine.
+#[test]
+fn tasks_start_within_the_bound_though_all_workers_are_quarantined() {
+    struct Case {
+        name: &'static str,
+        step: StepSpec,
+    }
+    let cases = [
+        Case {
+            name: "a task",
+            step: step(1, &[]),
+        },
+        Case {
+            name: "a service task",
+            step: service_step(),
+        },
+    ];
+    for case in cases {
+        let mut bench = Bench::with_workers(1);
+        let mut ended = 0;
+        for id in 1..=6 {
+            let mut out = bench.submit(id, job(vec![step(1, &[])]), 10 + id);
+            for _ in 0..80 {
+                for (_, run) in starts(&std::mem::take(&mut out)) {
+                    ended += 1;
+                    out.extend(bench.end(0, ended, run, EndReason::Failed));
+                }
+                if ended == 2 * id {
+                    break;
+                }
+                bench.now = bench.now.after(Duration::from_millis(500));
+                out.extend(bench.feed(Input::Tick));
+            }
+            assert_eq!(ended, 2 * id, "{}: runs that failed", case.name);
+        }
+        bench.submit(100, job(vec![case.step]), 50);
+        let mut waited_ms = 0;
+        let job = JobId(100);
+        while bench.scheduler.state(job) == Some(JobState::Queued) && waited_ms < 20_000 {
+            bench.wait(150);
+            waited_ms += 150;
+        }
+        assert!(waited_ms <= START_BOUND_MS, "{}: {waited_ms} ms", case.name);
+    }
+}
