feat(jobs): account what the time of an ended job was lost to

Change: one line 'job ended' a job without services, and counters by queue and cause. Only ends of runs, tasks and jobs are counted; ticks scan nothing more. Not run: the whole workspace's tests.

--- a/crates/parsleytally-entry/src/site/metrics.rs
+++ b/crates/parsleytally-entry/src/site/metrics.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use parsleytally::jobs::{
-    AgentMessage, CrashDecision, EndReason, EvacuationEvent, OrderMessage, QueueName, QueueUsage,
-    RefusalReason, Scheduler, WorkerStanding, WorkersDecision,
+    AgentMessage, CrashDecision, EndReason, EvacuationEvent, JobAccount, OrderMessage, QueueName,
+    QueueUsage, RefusalReason, Scheduler, WorkerStanding, WorkersDecision,
 };
 use parsleytally_platform::process::metrics::MetricSet;
 use prometheus::{IntCounter, IntCounterVec, IntGauge, IntGaugeVec};
@@ -42,6 +42,8 @@
     queue_share: IntGaugeVec,
     queue_waiting: IntGaugeVec,
     preempted: IntCounterVec,
+    ended_jobs: IntCounterVec,
+    job_time: IntCounterVec,
     /// Time since the store last confirmed the ownership, in milliseconds.
     confirmation_age: IntGauge,
 }
@@ -141,6 +143,16 @@
                 "Runs preempted for queues of higher priority, by their own queue.",
                 "queue",
             )?,
+            ended_jobs: set.paired_counters(
+                "parsleytally_jobs_ended_total",
+                "Ended jobs, by queue and how they compare with their objective.",
+                ["queue", "outcome"],
+            )?,
+            job_time: set.paired_counters(
+                "parsleytally_jobs_task_milliseconds_total",
+                "Time of the tasks of ended jobs since they were ready, by queue and cause.",
+                ["queue", "cause"],
+            )?,
             confirmation_age: set.gauge(
                 "parsleytally_jobs_confirmed_milliseconds",
                 "Age of the store's last confirmation of the ownership.",
@@ -218,6 +230,25 @@
         self.preempted.with_label_values(&[&*queue.0]).inc();
     }
 
+    /// Counts an ended job and what its time was lost to.
+    pub(super) fn count_job(&self, account: &JobAccount) {
+        let queue = &*account.queue.0;
+        let outcome = account.outcome.to_string();
+        self.ended_jobs.with_label_values(&[queue, &outcome]).inc();
+        let times = &account.task_ms;
+        let causes = [
+            ("waited", times.waited),
+            ("throttled", times.throttled),
+            ("vain", times.vain),
+            ("worked", times.worked),
+            ("straggled", account.straggled_ms),
+        ];
+        for (cause, millis) in causes {
+            let counter = self.job_time.with_label_values(&[queue, cause]);
+            counter.inc_by(millis);
+        }
+    }
+
     pub(super) fn count_order(&self, message: &OrderMessage) {
         let order = match message {
             OrderMessage::Start(_) => "start",
--- a/crates/parsleytally-entry/src/site/owner.rs
+++ b/crates/parsleytally-entry/src/site/owner.rs
@@ -27,7 +27,7 @@
 use super::known_agents::{Dial, KnownAgents, delete_address};
 use super::metrics::OwnerMetrics;
 use super::owner_log::{
-    log_crash, log_dropped, log_evacuation, log_order, log_preempted, log_reconciled,
+    log_account, log_crash, log_dropped, log_evacuation, log_order, log_preempted, log_reconciled,
     log_undelivered, log_waiting, log_workers_decision,
 };
 use super::saver::{ProgressRecord, Saver, revisions};
@@ -535,6 +535,10 @@
                     self.context.metrics.count_crash(&decision);
                 }
                 Output::Waiting(evidence) => log_waiting(&evidence),
+                Output::JobEnded(account) => {
+                    log_account(&account);
+                    self.context.metrics.count_job(&account);
+                }
                 Output::Reconciled(node, outcome) => log_reconciled(&node, &outcome),
                 Output::Workers(decision) => {
                     log_workers_decision(&decision);
--- a/crates/parsleytally-entry/src/site/owner_log.rs
+++ b/crates/parsleytally-entry/src/site/owner_log.rs
@@ -2,8 +2,8 @@
 
 use parsleytally::jobs::{
     CopyEvidence, CrashDecision, CrashedRun, EndEvidence, EvacuationEvent, HealthEvidence,
-    ListingOutcome, OrderMessage, QueueName, RackEvidence, RunRef, StallEvidence, WaitEvidence,
-    WorkersDecision,
+    JobAccount, ListingOutcome, OrderMessage, QueueName, RackEvidence, RunRef, StallEvidence,
+    WaitEvidence, WorkersDecision,
 };
 use parsleytally::types::{NodeName, Revision, ZoneName};
 use std::time::Duration;
@@ -143,6 +143,15 @@
         workers, free_percent; "tasks wait");
 }
 
+/// Logs an ended job and what its time was lost to.
+pub(super) fn log_account(account: &JobAccount) {
+    let times = &account.task_ms;
+    log::info!(job:% = account.job, queue:% = account.queue.0, outcome:% = account.outcome,
+        tasks = account.tasks, took_ms = account.took_ms, allowed_ms = account.allowed_ms,
+        waited_ms = times.waited, throttled_ms = times.throttled, vain_ms = times.vain,
+        worked_ms = times.worked, straggled_ms = account.straggled_ms; "job ended");
+}
+
 fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/parsleytally-platform/src/process/metrics.rs
+++ b/crates/parsleytally-platform/src/process/metrics.rs
@@ -51,6 +51,20 @@
         self.add(IntCounterVec::new(Opts::new(name, help), &[label])?)
     }
 
+    /// Makes a counter for each pair of values of `labels`.
+    ///
+    /// # Errors
+    ///
+    /// Returns what the library reports on a wrong or taken name.
+    pub fn paired_counters(
+        &self,
+        name: &str,
+        help: &str,
+        labels: [&str; 2],
+    ) -> Result<IntCounterVec> {
+        self.add(IntCounterVec::new(Opts::new(name, help), &labels)?)
+    }
+
     /// Makes a gauge.
     ///
     /// # Errors
--- a/crates/parsleytally/examples/owner_cost/fleet.rs
+++ b/crates/parsleytally/examples/owner_cost/fleet.rs
@@ -145,6 +145,7 @@
                 | Output::Crash(_)
                 | Output::Reconciled(..)
                 | Output::Waiting(_)
+                | Output::JobEnded(_)
                 | Output::Evacuation(_)
                 | Output::Preempted { .. }
                 | Output::Workers(_) => {}
--- a/crates/parsleytally/src/jobs/fleet.rs
+++ b/crates/parsleytally/src/jobs/fleet.rs
@@ -114,7 +114,7 @@
             work_time.total += now.since(work_time.updated).mul_f64(speed);
             work_time.updated = now;
         }
-        self.timeline.restart_window(now);
+        self.timeline.change_share(now, speed);
         self.cpu_share = Some(percent);
     }
 
--- a/crates/parsleytally/src/jobs/job.rs
+++ b/crates/parsleytally/src/jobs/job.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::fleet::{FULL_CPU_SHARE, Load};
+use super::losses::{Losses, StepTimes};
 use super::measured::RunTimeline;
 use super::progress::{StepProgress, TaskProgress};
 use super::waiting::Wait;
@@ -102,6 +103,7 @@
     pub(super) blocked: bool,
     /// Its wait for workers; none while no task of it waits.
     pub(super) wait: Option<Wait>,
+    pub(super) times: StepTimes,
 }
 
 impl StepRun {
@@ -143,10 +145,12 @@
 pub(super) struct Round {
     pub(super) number: u32,
     pub(super) steps: Vec<StepRun>,
+    /// When this owner opened it; none if an earlier owner may have.
+    pub(super) opened: Option<Time>,
 }
 
 impl Round {
-    fn new(number: u32, spec: &JobSpec) -> Self {
+    fn new(number: u32, spec: &JobSpec, opened: Option<Time>) -> Self {
         let step = |step: &StepSpec| {
             let count = usize::try_from(step.count).unwrap_or(usize::MAX);
             StepRun {
@@ -155,11 +159,13 @@
                 run_times: RunTimes::default(),
                 blocked: false,
                 wait: None,
+                times: StepTimes::default(),
             }
         };
         Self {
             number,
             steps: spec.steps.iter().map(step).collect(),
+            opened,
         }
     }
 
@@ -192,6 +198,8 @@
     pub(super) version: u64,
     /// Last version that is saved in the store.
     pub(super) saved_version: u64,
+    /// What its time was lost to.
+    pub(super) losses: Losses,
     /// When the scheduler first found the job final and saved.
     pub(super) ended_at: Option<Time>,
 }
@@ -207,6 +215,7 @@
             rounds_done: 0,
             version: 0,
             saved_version: 0,
+            losses: Losses::default(),
             ended_at: None,
         }
     }
@@ -253,13 +262,13 @@
     }
 
     /// Adds the rounds that are due by `unix_ms`; returns whether there are new ones.
-    pub(super) fn open_rounds(&mut self, unix_ms: u64) -> bool {
+    pub(super) fn open_rounds(&mut self, now: Time, unix_ms: u64) -> bool {
         if self.state.is_final() {
             return false;
         }
         let before = self.rounds.len();
         while let Some(round) = self.next_due(unix_ms) {
-            self.rounds.push(Round::new(round, &self.spec));
+            self.rounds.push(Round::new(round, &self.spec, Some(now)));
         }
         self.rounds.len() > before
     }
@@ -282,7 +291,7 @@
         }
         while self.rounds.len() <= id.round as usize {
             let number = self.rounds.len() as u32;
-            self.rounds.push(Round::new(number, &self.spec));
+            self.rounds.push(Round::new(number, &self.spec, None));
         }
         let round = self.rounds.get_mut(usize::try_from(id.round).ok()?)?;
         let step = round.steps.get_mut(usize::from(id.step))?;
@@ -300,7 +309,7 @@
         for step in progress.steps.iter().filter(|step| step.round < rounds) {
             while self.rounds.len() <= step.round as usize {
                 let number = self.rounds.len() as u32;
-                self.rounds.push(Round::new(number, &self.spec));
+                self.rounds.push(Round::new(number, &self.spec, None));
             }
             self.restore_step(step);
         }
--- a/crates/parsleytally/src/jobs/measured.rs
+++ b/crates/parsleytally/src/jobs/measured.rs
@@ -29,12 +29,17 @@
     pub(super) progress: Option<MeasuredProgress>,
     /// When it was first measured.
     first_measured: Option<Time>,
+    /// Time taken by CPU shares below the full one, up to the last change of the share.
+    throttled: Duration,
+    /// When the share last changed.
+    share_changed: Option<Time>,
 }
 
 impl RunTimeline {
     pub(super) fn ordered_at(now: Time) -> Self {
         Self {
             ordered: Some(now),
+            share_changed: Some(now),
             ..Self::default()
         }
     }
@@ -65,8 +70,26 @@
         self.ordered.filter(|_| first).map(|at| now.since(at))
     }
 
+    /// Time since this owner ordered it; none if an earlier owner did.
+    pub(super) fn run_time(&self, now: Time) -> Option<Duration> {
+        self.ordered.map(|ordered| now.since(ordered))
+    }
+
+    /// Time taken by CPU shares below the full one; `speed` holds since the last change.
+    pub(super) fn throttled_at(&self, now: Time, speed: f64) -> Duration {
+        let since = self.share_changed.unwrap_or(now);
+        self.throttled + now.since(since).mul_f64((1.0 - speed).max(0.0))
+    }
+
+    /// Notes that the CPU share changes from the one of `speed`.
+    pub(super) fn change_share(&mut self, now: Time, speed: f64) {
+        self.throttled = self.throttled_at(now, speed);
+        self.share_changed = Some(now);
+        self.restart_window(now);
+    }
+
     /// Starts counting time without progress anew, since the run got another CPU share.
-    pub(super) fn restart_window(&mut self, now: Time) {
+    fn restart_window(&mut self, now: Time) {
         if let Some(progress) = &mut self.progress {
             progress.unchanged_since = now;
             progress.unchanged = 0;
--- a/crates/parsleytally/src/jobs/messages.rs
+++ b/crates/parsleytally/src/jobs/messages.rs
@@ -5,8 +5,8 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    ContentionRecord, EvacuatedZones, EvacuationEvent, Forecast, JobId, JobProgress, JobRecord,
-    JobSpec, JobState, QueueName, QueueTable, TaskId, WaitEvidence, WorkerIncarnation,
+    ContentionRecord, EvacuatedZones, EvacuationEvent, Forecast, JobAccount, JobId, JobProgress,
+    JobRecord, JobSpec, JobState, QueueName, QueueTable, TaskId, WaitEvidence, WorkerIncarnation,
     WorkerReport, WorkersDecision,
 };
 use crate::types::{NodeName, Resources, Revision, Time};
@@ -484,6 +484,8 @@
     Workers(WorkersDecision),
     /// Why the tasks of a step wait; only logged and counted.
     Waiting(WaitEvidence),
+    /// A job has ended, and what its time was lost to; only logged and counted.
+    JobEnded(JobAccount),
     /// A decision about runs that were lost in crashes; only logged and counted.
     Crash(CrashDecision),
     /// Save in the store what was learned about the contention between images.
--- a/crates/parsleytally/src/jobs/mod.rs
+++ b/crates/parsleytally/src/jobs/mod.rs
@@ -24,6 +24,7 @@
 mod isolation;
 mod job;
 mod locality;
+mod losses;
 mod measured;
 mod messages;
 mod place;
@@ -57,6 +58,7 @@
 pub use evacuation::{EvacuatedZones, EvacuationEvent};
 pub use fleet::{WorkerIncarnation, WorkerReport, WorkerState};
 pub use job::JobState;
+pub use losses::{JobAccount, JobOutcome, TaskTimes};
 pub use messages::{
     AgentMessage, CancelOutcome, CrashDecision, CrashSource, CrashedRun, EndEvidence, EndReason,
     EndedRun, Input, JobReply, JobRequest, LastEnd, ListingOutcome, OrderMessage, Output,
--- a/crates/parsleytally/src/jobs/scheduler/ended.rs
+++ b/crates/parsleytally/src/jobs/scheduler/ended.rs
@@ -191,7 +191,8 @@
         self.record_health(now, node, ended_run);
         self.learn_from_end(now, node, ended_run, load.as_ref());
         self.record_duration(now, ended_run, load.as_ref());
-        let saved_by = self.record_ended(node, ended_run, out);
+        self.account_run(now, ended_run, load.as_ref());
+        let saved_by = self.record_ended(now, node, ended_run, out);
         if let Some(worker) = self.workers.get_mut(node) {
             let number = ended_run.sequence;
             worker
@@ -239,6 +240,7 @@
     /// includes it.
     fn record_ended(
         &mut self,
+        now: Time,
         node: &NodeName,
         ended_run: &EndedRun,
         out: &mut Vec<Output>,
@@ -281,7 +283,7 @@
         self.changed.insert(id);
         let version = job.version;
         if done {
-            self.complete_task(ended_run.run, out);
+            self.complete_task(now, ended_run.run, out);
         }
         if failed {
             if let Some(job) = self.jobs.get_mut(&id) {
@@ -293,7 +295,7 @@
     }
 
     /// Counts a finished task, and completes its round and job after the last one.
-    fn complete_task(&mut self, run: RunRef, out: &mut Vec<Output>) {
+    fn complete_task(&mut self, now: Time, run: RunRef, out: &mut Vec<Output>) {
         let id = run.task.job;
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
@@ -321,6 +323,7 @@
         if spec.steps[usize::from(run.task.step)].gang {
             self.complete_gang(run, out);
         }
+        self.account_done(now, run);
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
--- a/crates/parsleytally/src/jobs/scheduler/mod.rs
+++ b/crates/parsleytally/src/jobs/scheduler/mod.rs
@@ -27,6 +27,7 @@
 mod ended;
 mod evacuation;
 mod forecast;
+mod losses;
 pub(super) mod pass;
 mod preempt;
 mod relocate;
@@ -37,6 +38,7 @@
 mod uneven;
 mod waiting;
 
+use losses::ClosedJob;
 pub use uneven::StandingCounts;
 
 /// Minimum time between two placement passes.
@@ -82,6 +84,8 @@
     changed: BTreeSet<JobId>,
     /// Jobs with tasks that wait until the store has the marks of a crash.
     unsaved_marks: BTreeSet<JobId>,
+    /// Jobs that have ended since the last decision.
+    closed: Vec<ClosedJob>,
     /// Whether the store saved progress since ended runs were last acknowledged.
     acks_due: bool,
     workers: BTreeMap<NodeName, Worker>,
@@ -124,6 +128,7 @@
             open: BTreeSet::new(),
             changed: BTreeSet::new(),
             unsaved_marks: BTreeSet::new(),
+            closed: Vec::new(),
             acks_due: false,
             workers: BTreeMap::new(),
             unreported: BTreeMap::new(),
@@ -181,6 +186,7 @@
             self.acknowledge_all(out);
             self.acknowledge_crashes(out);
         }
+        self.emit_accounts(now, wall_ms, out);
         self.emit_changed(out);
     }
 
@@ -305,7 +311,8 @@
         for run in active_runs(id, job) {
             out.push(Output::Order(run.1, OrderMessage::Stop(run.0)));
         }
-        job.rounds.clear();
+        let rounds = std::mem::take(&mut job.rounds);
+        self.closed.push(ClosedJob { id, rounds });
         self.pass_due = true;
     }
 
@@ -550,7 +557,7 @@
                 out.push(Output::Forget(node));
             }
         }
-        self.open_rounds(wall_ms);
+        self.open_rounds(now, wall_ms);
         self.remove_ended(now);
         self.save_learned(now, out);
         self.review_workers(now, out);
@@ -571,10 +578,10 @@
         }
     }
 
-    fn open_rounds(&mut self, wall_ms: u64) {
+    fn open_rounds(&mut self, now: Time, wall_ms: u64) {
         for id in &self.open {
             if let Some(job) = self.jobs.get_mut(id) {
-                job.open_rounds(wall_ms);
+                job.open_rounds(now, wall_ms);
             }
         }
     }
--- a/crates/parsleytally/src/jobs/scheduler/start.rs
+++ b/crates/parsleytally/src/jobs/scheduler/start.rs
@@ -50,7 +50,7 @@
 impl Scheduler {
     /// Starts every waiting task for which a worker has enough free resources.
     pub(super) fn place_waiting(&mut self, now: Time, wall_ms: u64, out: &mut Vec<Output>) {
-        self.open_rounds(wall_ms);
+        self.open_rounds(now, wall_ms);
         if !self.zones_permit_starts(now, out) {
             return;
         }
--- a/crates/parsleytally/src/jobs/tests/durations.rs
+++ b/crates/parsleytally/src/jobs/tests/durations.rs
@@ -4,6 +4,7 @@
 
 use super::super::durations::Durations;
 use super::super::job::{RunTimes, StepRun};
+use super::super::losses::StepTimes;
 use super::*;
 use crate::types::Time;
 
@@ -82,6 +83,7 @@
             run_times: worked,
             blocked: false,
             wait: None,
+            times: StepTimes::default(),
         };
         let step = StepSpec {
             estimate_ms: case.estimate_ms,
--- a/crates/parsleytally/src/jobs/tests/mod.rs
+++ b/crates/parsleytally/src/jobs/tests/mod.rs
@@ -10,6 +10,7 @@
 mod durations;
 mod evacuation;
 mod foreign_reports;
+mod losses;
 mod malformed;
 mod model;
 mod placement;
--- a/crates/parsleytally/src/jobs/tests/model/owners.rs
+++ b/crates/parsleytally/src/jobs/tests/model/owners.rs
@@ -109,6 +109,7 @@
                 | Output::Crash(_)
                 | Output::Reconciled(..)
                 | Output::Waiting(_)
+                | Output::JobEnded(_)
                 | Output::Evacuation(_) => {}
                 Output::Workers(_) => {}
                 Output::Save {
--- a/crates/parsleytally/src/jobs/tests/placement.rs
+++ b/crates/parsleytally/src/jobs/tests/placement.rs
@@ -51,7 +51,7 @@
 /// A job with one open round.
 fn open_job(step: &StepSpec) -> Job {
     let mut job = Job::new(job(vec![step.clone()]).spec, Arc::new(queue()), Revision(1));
-    job.open_rounds(0);
+    job.open_rounds(Time::ZERO, 0);
     job
 }
 
--- a/crates/parsleytally/src/jobs/urgency.rs
+++ b/crates/parsleytally/src/jobs/urgency.rs
@@ -45,10 +45,7 @@
 ) -> Urgency {
     let expected = durations.expected_of_round_ms(job, step.round);
     let remaining_ms = critical_path_ms(job, &expected, Some(step.step));
-    let total_ms = critical_path_ms(job, &expected, None);
-    // Settings of operators have no limits, so the sums may exceed all times.
-    let stretched_ms = total_ms.saturating_mul(job.policy.stretch_percent) / 100;
-    let allowed_ms = job.policy.slack_ms.saturating_add(stretched_ms);
+    let allowed_ms = allowed_ms(job, &expected);
     let due_ms = job.due_ms(step.round);
     let deadline_ms = due_ms.saturating_add(allowed_ms);
     let end_ms = wall_ms.saturating_add(remaining_ms);
@@ -74,6 +71,14 @@
     }
 }
 
+/// Time that the objective of a job allows, whose steps have these expected durations.
+pub(super) fn allowed_ms(job: &Job, expected: &[u64]) -> u64 {
+    let total_ms = critical_path_ms(job, expected, None);
+    // Settings of operators have no limits, so the sums may exceed all times.
+    let stretched_ms = total_ms.saturating_mul(job.policy.stretch_percent) / 100;
+    job.policy.slack_ms.saturating_add(stretched_ms)
+}
+
 /// Whether the tasks of `step` only use what others leave idle, in a queue that yields to others.
 fn yields(job: &Job, step: &StepSpec) -> bool {
     step.best_effort && job.policy.priority > 0
