--- a/crates/parsleytally-entry/src/site/metrics.rs
+++ b/crates/parsleytally-entry/src/site/metrics.rs
@@ -4,7 +4,7 @@
 
 use parsleytally::jobs::{
     AgentMessage, CrashDecision, EndReason, EvacuationEvent, JobAccount, OrderMessage, QueueName,
-    QueueUsage, RefusalReason, Scheduler, WorkerStanding, WorkersDecision,
+    QueueUsage, RefusalReason, Scheduler, WaitCounts, WorkerStanding, WorkersDecision,
 };
 use parsleytally_platform::process::metrics::MetricSet;
 use prometheus::{IntCounter, IntCounterVec, IntGauge, IntGaugeVec};
@@ -195,12 +195,7 @@
         self.evacuated_zones.set(gauge(scheduler.evacuated_zones()));
         self.waiting_tasks.set(gauge(scheduler.waiting_tasks()));
         self.free_cpu.set(scheduler.free_percent().into());
-        self.waiting_steps.reset();
-        for (reason, steps) in scheduler.waiting_steps() {
-            let reason = reason.to_string();
-            let counter = self.waiting_steps.with_label_values(&[&reason]);
-            counter.set(gauge(steps));
-        }
+        self.update_waiting(&scheduler.waiting_steps());
         self.overcommitted
             .set(gauge(scheduler.overcommitted_workers()));
         let standings = scheduler.standings();
@@ -213,6 +208,15 @@
         self.confirmation_age.set(age);
     }
 
+    /// Sets the gauges of waiting steps; those of other reasons are removed.
+    pub(super) fn update_waiting(&self, steps: &WaitCounts) {
+        self.waiting_steps.reset();
+        for (reason, steps) in steps {
+            let gauge = self.waiting_steps.with_label_values(&[&reason.to_string()]);
+            gauge.set(i64::try_from(*steps).unwrap_or(i64::MAX));
+        }
+    }
+
     /// Sets the gauges of the queues; those of other queues are removed.
     pub(super) fn update_queues(&self, queues: &[QueueUsage]) {
         self.queue_share.reset();
--- a/crates/parsleytally-entry/src/site/tests/mod.rs
+++ b/crates/parsleytally-entry/src/site/tests/mod.rs
@@ -16,9 +16,10 @@
 use parsleytally::configs::WorkersConfig;
 use parsleytally::jobs::{
     AgentMessage, CallError, CrashDecision, EndReason, EndedRun, EvacuationEvent, HealthEvidence,
-    JobId, JobSpec, JobState, Listing, OrderMessage, PollCall, QueueName, QueuePolicy, QueueUsage,
-    RefusalReason, RunRef, StartCall, StepSpec, StopCall, TaskId, ThrottleCall, WorkerIncarnation,
-    WorkerStanding, WorkersDecision,
+    JobAccount, JobId, JobOutcome, JobSpec, JobState, Listing, OrderMessage, PollCall, QueueName,
+    QueuePolicy, QueueUsage, RefusalReason, RunRef, StartCall, StepSpec, StopCall, TaskId,
+    TaskTimes, ThrottleCall, WaitCounts, WaitReason, WorkerIncarnation, WorkerStanding,
+    WorkersDecision,
 };
 use parsleytally::types::{Epoch, Incarnation, MilliCpu, NodeName, ZoneName};
 use parsleytally_link::{Frame, Hello, Keys, LinkConfig, Role, accept};
@@ -456,6 +457,17 @@
         standing: WorkerStanding::Degraded,
         evidence: HealthEvidence::default(),
     });
+    owner.count_job(&JobAccount {
+        job: run.task.job,
+        queue: QueueName("q".into()),
+        outcome: JobOutcome::InTime,
+        tasks: 1,
+        took_ms: 1,
+        allowed_ms: 1,
+        task_ms: TaskTimes::default(),
+        straggled_ms: 0,
+    });
+    owner.update_waiting(&WaitCounts::from([(WaitReason::Room, 1)]));
     owner.count_crash(&CrashDecision::GivenUp {
         task: run.task,
         workers: vec![],
--- a/crates/parsleytally/src/jobs/tests/waiting.rs
+++ b/crates/parsleytally/src/jobs/tests/waiting.rs
@@ -1,6 +1,6 @@
 //! Explanations of waits, and work that waits although a worker could run it.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use super::scheduler::{Bench, options, starts};
@@ -163,7 +163,6 @@
 /// Milliseconds after which each job of the backlog has had a run; none within 20 s.
 fn time_to_run_all(bench: &mut Bench, workers: usize, backlog: usize) -> Option<u64> {
     const TICK_MS: u64 = 150;
-    let mut started = BTreeSet::new();
     let mut running: BTreeMap<NodeName, Vec<RunRef>> = BTreeMap::new();
     for tick in 0..20_000 / TICK_MS {
         let mut out = bench.wait(TICK_MS);
@@ -176,11 +175,10 @@
             }
         }
         for (node, run) in starts(&out) {
-            started.insert(run.task.job);
             running.entry(node).or_default().push(run);
         }
-        let ids = 0..backlog as u64;
-        if ids.map(JobId).all(|id| started.contains(&id)) {
+        let mut ids = (0..backlog as u64).map(JobId);
+        if ids.all(|id| bench.scheduler.state(id) == Some(JobState::Running)) {
             return Some((tick + 1) * TICK_MS);
         }
     }
