fix(jobs): a pair of images that nothing shows to be harmful is tried at a part of the speed

Cause: headroom is asked for at the full CPU share, and an unknown pair is charged most, so a task of 7 processors is tried nowhere and its pair is never learned: the refusal keeps itself alive. Change: an unknown pair whose expected effect is not above the prior is tried where the headroom suffices for two fifths of the speed, and is throttled to what it permits from its start. Test: a_large_task_starts_at_the_cpu_share_that_the_headroom_permits failed before (no order of a share where 80% fits).

--- a/crates/parsleytally/src/jobs/contention/headroom.rs
+++ b/crates/parsleytally/src/jobs/contention/headroom.rs
@@ -7,6 +7,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
+use super::utilization::PRIOR_EFFECT;
 use super::{Contention, PRIOR_BEST_SLOWDOWN, TARGET_SLOWDOWN, TRIAL_DURATION, utilization};
 use crate::jobs::fleet::{Load, Worker};
 use crate::jobs::{JobId, RunRef, WaitReason};
@@ -18,6 +19,8 @@
 const MIN_HEADROOM: f64 = 0.005;
 /// Standard deviations that are added to an effect when a best-effort task is placed.
 const UNCERTAINTY_MARGIN: f64 = 0.2;
+/// CPU share for which the headroom must suffice to try an unknown pair.
+const TRIAL_SHARE: f64 = 0.4;
 /// CPU shares are multiples of this, in percent.
 const CPU_SHARE_STEP: f64 = 20.0;
 
@@ -59,6 +62,19 @@
     added: f64,
     /// Whether the effect is unknown, so that it is tried on one worker at a time.
     unknown: bool,
+    /// Whether, besides, nothing shows that it is harmful.
+    untested: bool,
+}
+
+impl ImageEffect {
+    /// The effect at the CPU share at which an untested pair is tried.
+    fn tried(self) -> Self {
+        let share = if self.untested { TRIAL_SHARE } else { 1.0 };
+        Self {
+            added: self.added * share,
+            ..self
+        }
+    }
 }
 
 /// Effects of a best-effort load on all service images.
@@ -108,7 +124,7 @@
     }
 
     /// Share of the headroom of the worker `node` that its best-effort runs would use
-    /// together with a load of these effects.
+    /// together with a load of these effects; above 1 if the load has to be throttled.
     ///
     /// # Errors
     ///
@@ -130,10 +146,10 @@
             if effect.unknown && self.is_tried_elsewhere(now, node, headroom, effects) {
                 return Err(WaitReason::Trial);
             }
-            max_used = max_used.max(headroom.used_with(effect));
-            if max_used > 1.0 {
+            if headroom.used_with(effect.tried()) > 1.0 {
                 return Err(WaitReason::Headroom);
             }
+            max_used = max_used.max(headroom.used_with(effect));
         }
         Ok(max_used)
     }
@@ -215,9 +231,12 @@
     }
 
     fn image_effect(&self, image: &str, load: &Load) -> ImageEffect {
+        let unknown = self.is_unknown(image, &load.image);
+        let mean = self.model.effect(image, &load.image).mean;
         ImageEffect {
             added: self.effect_with_margin(image, &load.image) * load.cores * load.speed(),
-            unknown: self.is_unknown(image, &load.image),
+            unknown,
+            untested: unknown && mean <= PRIOR_EFFECT,
         }
     }
 
--- a/crates/parsleytally/src/jobs/contention/utilization.rs
+++ b/crates/parsleytally/src/jobs/contention/utilization.rs
@@ -24,7 +24,7 @@
 const BASE_DRIFT: f64 = 0.08;
 /// Expected utilization that one processor of a best-effort image adds before its first
 /// measurement.
-const PRIOR_EFFECT: f64 = 0.06;
+pub(super) const PRIOR_EFFECT: f64 = 0.06;
 /// Standard deviation of [`PRIOR_EFFECT`].
 const PRIOR_EFFECT_DEVIATION: f64 = 0.12;
 /// Standard deviation of the change of an effect within one second.
--- a/crates/parsleytally/src/jobs/scheduler/start.rs
+++ b/crates/parsleytally/src/jobs/scheduler/start.rs
@@ -509,6 +509,9 @@
             zones_read: self.evacuation.read_at().map(Time::as_micros),
         };
         out.push(Output::Order(node.clone(), OrderMessage::Start(order)));
+        if load.best_effort {
+            self.throttle_start(now, run, node, out);
+        }
     }
 }
 
--- a/crates/parsleytally/src/jobs/scheduler/throttle.rs
+++ b/crates/parsleytally/src/jobs/scheduler/throttle.rs
@@ -1,7 +1,7 @@
 //! Throttles best-effort tasks that would slow service tasks beyond their targets, and
 //! moves those that would make almost no progress.
 
-use super::super::fleet::Load;
+use super::super::fleet::{FULL_CPU_SHARE, Load};
 use super::super::job::{MILLI, StepRef};
 use super::super::place::{PlacementRequest, choose_worker};
 use super::super::{OrderMessage, Output, RunRef, RunStatus};
@@ -64,6 +64,36 @@
         }
     }
 
+    /// Throttles a run that was just ordered, if the headroom does not suffice for its full
+    /// CPU share.
+    pub(super) fn throttle_start(
+        &mut self,
+        now: Time,
+        run: RunRef,
+        node: &NodeName,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(worker) = self.workers.get_mut(node) else {
+            return;
+        };
+        let shares = self.contention.cpu_shares(node, worker);
+        let share = shares.iter().find(|(other, _)| *other == run);
+        let percent = share.map_or(FULL_CPU_SHARE, |(_, percent)| *percent);
+        if percent == FULL_CPU_SHARE {
+            return;
+        }
+        let percent = percent.max(MIN_CPU_SHARE);
+        if let Some(load) = worker.runs.get_mut(&run) {
+            load.set_cpu_share(now, percent);
+        }
+        self.contention.update_headrooms(node, worker);
+        let order = OrderMessage::Throttle {
+            run,
+            cpu_share: percent,
+        };
+        out.push(Output::Order(node.clone(), order));
+    }
+
     fn set_cpu_share(
         &mut self,
         now: Time,
--- a/crates/parsleytally/src/jobs/tests/shortage.rs
+++ b/crates/parsleytally/src/jobs/tests/shortage.rs
@@ -173,3 +173,51 @@
     let started: Vec<u64> = starts(&out).iter().map(|(_, run)| run.task.job.0).collect();
     assert_eq!(started, [3]);
 }
+
+/// Guards against large best-effort tasks that never start, since no worker has headroom for
+/// their full CPU share, although it suffices for a large part of it.
+#[test]
+fn a_large_task_starts_at_the_cpu_share_that_the_headroom_permits() {
+    struct Case {
+        name: &'static str,
+        /// Processors of the task, in thousandths.
+        cpu: u64,
+        /// CPU share that is ordered with its start, in percent; none if it doesn't start.
+        share: Option<u32>,
+    }
+    let cases = [
+        Case {
+            name: "headroom for all of it",
+            cpu: 1_500,
+            share: Some(100),
+        },
+        Case {
+            name: "headroom for most of it",
+            cpu: 3_250,
+            share: Some(80),
+        },
+        Case {
+            name: "headroom for less than two fifths",
+            cpu: 5_500,
+            share: None,
+        },
+    ];
+    for case in cases {
+        let mut bench = bench(BestEffortConfig::default(), queue());
+        let service = StepSpec {
+            long_running: true,
+            target_ms: 150,
+            image: Some("service".into()),
+            ..step(1, &[])
+        };
+        bench.submit(1, job_of(&queue(), service), 11);
+        let large = job_of(&queue(), best_effort(1, case.cpu));
+        let out = bench.submit(2, large, 12);
+        let throttled = out.iter().find_map(|output| match output {
+            Output::Order(_, OrderMessage::Throttle { cpu_share, .. }) => Some(*cpu_share),
+            _ => None,
+        });
+        let share = (!starts(&out).is_empty()).then_some(throttled.unwrap_or(100));
+        assert_eq!(share, case.share, "{}", case.name);
+    }
+}
