fix(jobs): starving jobs use a quarantined worker only if all are quarantined

Test: starving_tasks_avoid_quarantined_workers_beside_others fails without the condition (a start of job 5 on the failing worker).

--- a/crates/parsleytally/src/jobs/place.rs
+++ b/crates/parsleytally/src/jobs/place.rs
@@ -34,8 +34,10 @@
     pub(super) failed_on: Option<&'a NodeName>,
     /// Whether much work would be lost with a run of the task.
     pub(super) costly: bool,
-    /// Whether its job has waited so long that it is kept from workers by their state only.
+    /// Whether its job has waited so long that it may exceed headroom and limits.
     pub(super) starving: bool,
+    /// Whether it may start on quarantined workers.
+    pub(super) quarantined: bool,
     /// Whether the task may have crashed a worker, and needs one without recent starts.
     pub(super) isolated: bool,
     /// Rack on which the other tasks of the step run, if all must share one.
@@ -45,8 +47,6 @@
 /// Score of a worker; higher is better, compared field by field.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct Score {
-    /// Whether it is not quarantined; others only take tasks of starving jobs.
-    admitted: bool,
     /// Whether no run has failed there since the last success.
     healthy: bool,
     /// Whether the task did not fail there last.
@@ -184,7 +184,7 @@
     if !worker.is_available() {
         return Some(unusable_reason(worker));
     }
-    if !request.starving && worker.failures.is_quarantined(now) {
+    if !request.quarantined && worker.failures.is_quarantined(now) {
         return Some(WaitReason::Quarantined);
     }
     if !worker.fits(request.load) {
@@ -276,7 +276,6 @@
         0
     };
     Ok(Score {
-        admitted: !worker.failures.is_quarantined(now),
         healthy: !worker.failures.is_suspect(),
         untried: request.failed_on != Some(name),
         exposed: -exposed_runs(worker, request),
--- a/crates/parsleytally/src/jobs/scheduler/start.rs
+++ b/crates/parsleytally/src/jobs/scheduler/start.rs
@@ -32,8 +32,10 @@
     effects: Option<LoadEffects>,
     /// Whether much work would be lost with a run of a task.
     costly: bool,
-    /// Whether its job has waited so long that it is kept from workers by their state only.
+    /// Whether its job has waited so long that it may exceed headroom and limits.
     pub(super) starving: bool,
+    /// Whether it may start on quarantined workers.
+    pub(super) quarantined: bool,
 }
 
 /// Result of placing the waiting tasks of a step.
@@ -168,6 +170,7 @@
             effects,
             costly,
             starving: false,
+            quarantined: false,
         }
     }
 
@@ -417,6 +420,7 @@
             failed_on: task.and_then(Task::last_failed_on),
             costly: step.costly,
             starving: step.starving,
+            quarantined: step.quarantined,
             isolated: task.is_some_and(|task| needs_isolation(&task.crashes)),
             shared_rack: None,
         }
--- a/crates/parsleytally/src/jobs/scheduler/starving.rs
+++ b/crates/parsleytally/src/jobs/scheduler/starving.rs
@@ -44,6 +44,7 @@
             };
             let mut step = self.ready_step(*at, load);
             step.starving = true;
+            step.quarantined = self.all_quarantined(pass.now, &self.jobs[&at.job].policy.service);
             self.place_ready(&step, 1, pass, out);
         }
     }
@@ -64,6 +65,13 @@
         !*is_full.or_insert_with(|| self.is_full(pool))
     }
 
+    /// Whether each worker of a pool that can run tasks is quarantined.
+    fn all_quarantined(&self, now: Time, pool: &str) -> bool {
+        let workers = self.workers.values();
+        let mut usable = workers.filter(|worker| worker.is_in_pool(pool) && worker.is_available());
+        usable.all(|worker| worker.failures.is_quarantined(now))
+    }
+
     /// Whether most processors of a pool are reserved.
     fn is_full(&self, pool: &str) -> bool {
         let (mut reserved, mut total) = (0, 0);
--- a/crates/parsleytally/src/jobs/scheduler/throttle.rs
+++ b/crates/parsleytally/src/jobs/scheduler/throttle.rs
@@ -151,6 +151,7 @@
             costly: self.is_costly(at),
             isolated: false,
             starving: false,
+            quarantined: false,
             shared_rack: None,
         };
         choose_worker(self.workers.iter(), &request, &round.steps[step], now)
--- a/crates/parsleytally/src/jobs/tests/placement.rs
+++ b/crates/parsleytally/src/jobs/tests/placement.rs
@@ -112,6 +112,7 @@
             costly: false,
             isolated: false,
             starving: false,
+            quarantined: false,
             shared_rack: None,
         }
     }
--- a/crates/parsleytally/src/jobs/tests/waiting.rs
+++ b/crates/parsleytally/src/jobs/tests/waiting.rs
@@ -274,3 +274,24 @@
         assert!(waited_ms <= START_BOUND_MS, "{}: {waited_ms} ms", case.name);
     }
 }
+
+/// Guards against jobs that fail since their tasks start on a worker that fails them all, instead
+/// of waiting for one of the others, which are full.
+#[test]
+fn starving_tasks_avoid_quarantined_workers_beside_others() {
+    let mut bench = Bench::with_workers(1);
+    for id in 1..=3 {
+        let out = bench.submit(id, job(vec![step(1, &[])]), 10 + id);
+        for (_, run) in starts(&out) {
+            bench.end(0, id, run, EndReason::Failed);
+        }
+    }
+    bench.join(1, report(1, 7));
+    bench.submit(4, job(vec![step(4, &[])]), 20);
+    bench.submit(5, job(vec![step(1, &[])]), 21);
+    bench.feed(Input::Tick);
+    bench.now = bench.now.after(Duration::from_millis(1_550));
+    let out = bench.feed(Input::Tick);
+    let on_failing = starts(&out).into_iter().find(|(at, _)| *at == node(0));
+    assert_eq!(on_failing, None);
+}
