feat(jobs): an agent names the answer from which it concludes that a run is gone

Change: polls have numbers. Each run that is taken for missing, not started or ended names the answer of the worker (poll or start), its token, when its call was sent and its answer received, the worker's clock and what it listed, and since when the run was known. The first listing for an owner and runs that count as ended name their answer as well. Lines moved to a module of their own.

--- a/crates/parsleytally-agent/src/site/mod.rs
+++ b/crates/parsleytally-agent/src/site/mod.rs
@@ -8,8 +8,8 @@
 use std::time::Duration;
 
 use parsleytally::jobs::{
-    AgentInput, AgentMessage, AgentOutput, AgentTimes, EndEvidence, JobAgent, OrderMessage,
-    OwnerLink, WorkerCrash, WorkerIncarnation, WorkerReport,
+    AgentInput, AgentMessage, AgentOutput, AgentTimes, JobAgent, OrderMessage, OwnerLink,
+    WorkerReport,
 };
 use parsleytally::types::Time;
 use parsleytally_link::{Frame, Hello, Incoming, Link, LinkConfig, Role, accept};
@@ -22,6 +22,7 @@
 use tokio::time::{interval, sleep};
 
 mod config;
+mod log_lines;
 mod registration;
 
 pub use config::SiteConfig;
@@ -336,7 +337,7 @@
         for output in std::mem::take(&mut self.out) {
             match output {
                 AgentOutput::Send(message) => {
-                    log_message(&message);
+                    log_lines::message(&message);
                     messages.push(message);
                 }
                 AgentOutput::Supersede(id) => self.supersede(id),
@@ -344,7 +345,12 @@
                     incarnation,
                     runs,
                     evidence,
-                } => log_runs_ended(incarnation.as_ref(), runs, evidence),
+                    last_listing,
+                } => {
+                    log_lines::runs_ended(incarnation.as_ref(), runs, evidence, last_listing);
+                }
+                AgentOutput::Concluded(conclusion) => log_lines::concluded(&conclusion),
+                AgentOutput::Listed(answer) => log_lines::listed(&answer),
                 call => self.call_worker(call),
             }
         }
@@ -400,7 +406,9 @@
                 }
                 AgentOutput::Send(_)
                 | AgentOutput::Supersede(_)
-                | AgentOutput::RunsEnded { .. } => return,
+                | AgentOutput::RunsEnded { .. }
+                | AgentOutput::Concluded(_)
+                | AgentOutput::Listed(_) => return,
             };
             // Fails only when the actor has stopped, at the end of the process.
             let _ = sender.send(ActorInput::Agent(input)).await;
@@ -408,57 +416,5 @@
     }
 }
 
-fn log_runs_ended(incarnation: Option<&WorkerIncarnation>, runs: usize, evidence: EndEvidence) {
-    let worker = incarnation.map_or("", |incarnation| &*incarnation.id);
-    let born = incarnation.map_or(0, |incarnation| incarnation.started_ms);
-    log::warn!(worker, born, runs, evidence:? = evidence; "runs of the worker count as ended");
-}
-
-fn log_message(message: &AgentMessage) {
-    match message {
-        AgentMessage::Report(report) => {
-            log::info!(worker:% = report.incarnation.id, born = report.incarnation.started_ms, state:? = report.state;
-                "worker reported its state");
-        }
-        AgentMessage::Listed {
-            incarnation,
-            running,
-            ended,
-        } => {
-            log::info!(worker:% = incarnation.id, running = running.len(), ended = ended.len();
-                "worker listed its runs");
-        }
-        AgentMessage::Refused { run, reason } => {
-            log::warn!(task:% = run.task, run = run.run, reason:? = reason; "run did not start");
-        }
-        AgentMessage::Missing(run) => {
-            log::warn!(task:% = run.task, run = run.run; "run is missing on the worker");
-        }
-        AgentMessage::Ended { ended, .. } => {
-            for end in ended {
-                log::info!(task:% = end.run.task, run = end.run.run, how:? = end.reason,
-                    number = end.sequence; "run ended");
-            }
-        }
-        AgentMessage::Unresponsive(true) => log::warn!("worker does not respond"),
-        AgentMessage::Unresponsive(false) => log::info!("worker responds again"),
-        AgentMessage::LastLease { expires_within } => {
-            log::info!(expires_us = expires_within; "worker leaves, its last lease is granted");
-        }
-        AgentMessage::Crashed(crash) => {
-            let WorkerCrash { incarnation, runs } = crash;
-            for lost in runs {
-                log::warn!(task:% = lost.run.task, run = lost.run.run, worker:% = incarnation.id,
-                    born = incarnation.started_ms, seen_ms:? = lost.seen_ms;
-                    "run was on the worker when it crashed");
-            }
-        }
-        AgentMessage::LeasesExpired => log::warn!("all earlier runs of the worker have ended"),
-        AgentMessage::Measurements(_)
-        | AgentMessage::Ping { .. }
-        | AgentMessage::Superseded { .. } => {}
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/parsleytally/src/jobs/agent/crashes.rs
+++ b/crates/parsleytally/src/jobs/agent/crashes.rs
@@ -32,6 +32,10 @@
         self.last = now;
     }
 
+    pub(super) fn last(self) -> Time {
+        self.last
+    }
+
     fn span_ms(self) -> u64 {
         u64::try_from(self.last.since(self.first).as_millis()).unwrap_or(u64::MAX)
     }
--- a/crates/parsleytally/src/jobs/agent/incarnation.rs
+++ b/crates/parsleytally/src/jobs/agent/incarnation.rs
@@ -4,8 +4,8 @@
 
 use super::lease::expiry_after;
 use super::{
-    AgentMessage, AgentOutput, EndEvidence, JobAgent, LateReports, Listing, MAX_CANDIDATES,
-    PollCall, TrackedRun, WorkerReport,
+    AgentMessage, AgentOutput, EndEvidence, JobAgent, LateReports, Listing, ListingEvidence,
+    MAX_CANDIDATES, PollCall, RunEvidence, RunVerdict, TrackedRun, WorkerReport, push_conclusion,
 };
 use crate::types::Time;
 
@@ -118,13 +118,15 @@
     }
 
     /// Drops the state of the worker's earlier incarnation and reports its runs missing.
-    fn reset_incarnation(&mut self, evidence: EndEvidence, out: &mut Vec<AgentOutput>) {
-        self.push_runs_ended(evidence, out);
+    fn reset_incarnation(&mut self, answer: ListingEvidence, out: &mut Vec<AgentOutput>) {
+        self.push_runs_ended(EndEvidence::LaterIncarnation, out);
         self.record_crash(out);
         self.shutdown_noticed = false;
         self.recovers = false;
-        for run in std::mem::take(&mut self.runs).into_keys() {
-            out.push(AgentOutput::Send(AgentMessage::Missing(run)));
+        let evidence = RunEvidence::Listing(answer);
+        for (run, tracked) in std::mem::take(&mut self.runs) {
+            let missing = tracked.conclude(run, RunVerdict::Missing, evidence);
+            push_conclusion(missing, out);
         }
         self.acknowledged = 0;
         self.reported_sequence = 0;
@@ -155,7 +157,8 @@
             if is_late || !self.may_replace(now, call, listing, out) {
                 return false;
             }
-            self.reset_incarnation(EndEvidence::LaterIncarnation, out);
+            let answer = ListingEvidence::new(now, call, listing);
+            self.reset_incarnation(answer, out);
             self.report = None;
             out.push(AgentOutput::Send(AgentMessage::LeasesExpired));
         }
--- a/crates/parsleytally/src/jobs/agent/messages.rs
+++ b/crates/parsleytally/src/jobs/agent/messages.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::{EndedRun, OwnerLink, RunStatus};
+use super::{EndedRun, ListingEvidence, OwnerLink, RunConclusion, RunStatus};
 use crate::jobs::{
     AgentMessage, EndEvidence, OrderMessage, RefusalReason, RunRef, StartOrder, WorkerIncarnation,
     WorkerReport,
@@ -40,6 +40,8 @@
 /// A poll of the worker's runs, which also renews its lease.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PollCall {
+    /// Number of the poll; ascends in the order of sending.
+    pub number: u64,
     /// Fencing token; the worker refuses later calls with a lower one.
     pub fencing_token: u64,
     /// New end of the lease on the worker's clock, in milliseconds; none doesn't renew it.
@@ -143,7 +145,13 @@
         runs: usize,
         /// From what the agent concludes so.
         evidence: EndEvidence,
+        /// The last answer of the worker that was used; none if there is none.
+        last_listing: Option<ListingEvidence>,
     },
+    /// The agent concludes something about a run; only logged.
+    Concluded(RunConclusion),
+    /// The first listing for the owner was made from this answer; only logged.
+    Listed(ListingEvidence),
     /// Poll the worker.
     Poll(PollCall),
     /// Start a run.
--- a/crates/parsleytally/src/jobs/agent/mod.rs
+++ b/crates/parsleytally/src/jobs/agent/mod.rs
@@ -28,6 +28,7 @@
 use crate::types::Time;
 
 mod crashes;
+mod evidence;
 mod incarnation;
 mod late_reports;
 mod lease;
@@ -36,6 +37,7 @@
 mod poll;
 mod throttle;
 
+pub use evidence::{ListingEvidence, RunConclusion, RunEvidence, RunVerdict, StartEvidence};
 pub use messages::{
     AgentInput, AgentOutput, CallError, Listing, PollCall, StartCall, StopCall, ThrottleCall,
 };
@@ -103,6 +105,8 @@
     state: StartState,
     /// Start order of the current owner; none for other runs.
     order: Option<StartOrder>,
+    /// When a call to start it was last sent.
+    start_sent: Option<Time>,
     /// When a stop order is sent again.
     stop_due: Time,
     /// Whether the current owner ordered it to stop.
@@ -121,6 +125,17 @@
             StartState::Confirmed { .. } => None,
         }
     }
+
+    /// What is concluded about this run, numbered `run`.
+    fn conclude(&self, run: RunRef, verdict: RunVerdict, evidence: RunEvidence) -> RunConclusion {
+        RunConclusion {
+            run,
+            verdict,
+            evidence,
+            start_sent: self.start_sent,
+            known_at: self.sightings.map(Sightings::last),
+        }
+    }
 }
 
 /// State machine of an agent.
@@ -166,6 +181,10 @@
     /// Ended runs up to this sequence number are reported to the owner.
     reported_sequence: u64,
     polls_in_flight: usize,
+    /// Number of the last poll.
+    poll_number: u64,
+    /// The last answer to a poll that was used.
+    last_listing: Option<ListingEvidence>,
     /// Earliest time of the next poll.
     next_poll: Time,
     /// Token of the last poll.
@@ -207,6 +226,8 @@
             acknowledged: 0,
             reported_sequence: 0,
             polls_in_flight: 0,
+            poll_number: 0,
+            last_listing: None,
             next_poll: Time::ZERO,
             polled_token: 0,
             measurements_sent: Time::ZERO,
@@ -443,6 +464,7 @@
             incarnation: report.map(|report| report.incarnation.clone()),
             runs: self.runs.len(),
             evidence,
+            last_listing: self.last_listing,
         });
     }
 
@@ -466,7 +488,11 @@
             && self.is_current_incarnation(&order.incarnation)
             && state == Some(WorkerState::Ready);
         if !can_start {
-            refuse(run, RefusalReason::Unwell, out);
+            let verdict = RunVerdict::NotStarted(RefusalReason::Unwell);
+            push_conclusion(
+                RunConclusion::untracked(run, verdict, RunEvidence::Agent),
+                out,
+            );
             return;
         }
         if self.runs.contains_key(&run) {
@@ -482,6 +508,7 @@
                 fencing_token: self.fencing_token,
             },
             order: Some(order),
+            start_sent: None,
             stop_due: now,
             stop_ordered: false,
             sightings: None,
@@ -514,21 +541,18 @@
 
     fn send_start(&mut self, now: Time, run: RunRef, out: &mut Vec<AgentOutput>) {
         if self.has_shrunk(run) {
-            self.runs.remove(&run);
-            refuse(run, RefusalReason::Room, out);
+            self.refuse(run, RefusalReason::Room, RunEvidence::Agent, out);
             return;
         }
         if self.read_is_old(now, run) {
-            self.runs.remove(&run);
-            refuse(run, RefusalReason::OldRead, out);
+            self.refuse(run, RefusalReason::OldRead, RunEvidence::Agent, out);
             return;
         }
         // A start that is repeated after a notice of shutdown must not get a new lease.
         let length = (!self.shutdown_noticed).then(|| self.lease_length(now));
         let lease_end = length.and_then(|length| self.lease.grant(now, length));
         let Some(lease_end) = lease_end else {
-            self.runs.remove(&run);
-            refuse(run, RefusalReason::Unwell, out);
+            self.refuse(run, RefusalReason::Unwell, RunEvidence::Agent, out);
             return;
         };
         let fencing_token = self.fencing_token;
@@ -536,6 +560,7 @@
             return;
         };
         tracked.state = StartState::Sent { fencing_token };
+        tracked.start_sent = Some(now);
         let Some(order) = tracked.order.clone() else {
             return;
         };
@@ -560,6 +585,11 @@
         if tracked.state != (StartState::Sent { fencing_token }) {
             return;
         }
+        let evidence = RunEvidence::Start(StartEvidence {
+            fencing_token,
+            sent: tracked.start_sent.unwrap_or(now),
+            received: now,
+        });
         match answer {
             Ok(()) => {
                 tracked.state = StartState::Confirmed { at: now };
@@ -570,18 +600,13 @@
             {
                 self.send_start(now, run, out);
             }
-            Err(CallError::Refused(reason)) => {
-                self.runs.remove(&run);
-                refuse(run, reason, out);
-            }
+            Err(CallError::Refused(reason)) => self.refuse(run, reason, evidence, out),
             Err(CallError::OtherLife) => {
-                self.runs.remove(&run);
-                refuse(run, RefusalReason::Unwell, out);
+                self.refuse(run, RefusalReason::Unwell, evidence, out);
                 self.replace_identity(now, out);
             }
             Err(CallError::Unreachable) => {
-                self.runs.remove(&run);
-                refuse(run, RefusalReason::Unwell, out);
+                self.refuse(run, RefusalReason::Unwell, evidence, out);
             }
             Err(CallError::Unanswered) => {
                 tracked.state = StartState::Unanswered { fencing_token };
@@ -590,6 +615,20 @@
         }
     }
 
+    /// Drops a run that did not start and can't start later, and tells the owner.
+    fn refuse(
+        &mut self,
+        run: RunRef,
+        reason: RefusalReason,
+        evidence: RunEvidence,
+        out: &mut Vec<AgentOutput>,
+    ) {
+        if let Some(tracked) = self.runs.remove(&run) {
+            let verdict = RunVerdict::NotStarted(reason);
+            push_conclusion(tracked.conclude(run, verdict, evidence), out);
+        }
+    }
+
     /// Makes the fencing token higher than `fencing_token` and the next poll due now, so
     /// that its answer settles the orders with that token.
     fn raise_fencing_token(&mut self, now: Time, fencing_token: u64) {
@@ -605,6 +644,7 @@
                 fencing_token: self.fencing_token,
             },
             order: None,
+            start_sent: None,
             stop_due: now,
             stop_ordered: true,
             sightings: None,
@@ -643,6 +683,16 @@
     }
 }
 
-fn refuse(run: RunRef, reason: RefusalReason, out: &mut Vec<AgentOutput>) {
-    out.push(AgentOutput::Send(AgentMessage::Refused { run, reason }));
+/// Adds what is concluded about a run, and the message to the owner unless that is an end:
+/// ends are reported together.
+fn push_conclusion(conclusion: RunConclusion, out: &mut Vec<AgentOutput>) {
+    out.push(AgentOutput::Concluded(conclusion));
+    let run = conclusion.run;
+    match conclusion.verdict {
+        RunVerdict::Missing => out.push(AgentOutput::Send(AgentMessage::Missing(run))),
+        RunVerdict::NotStarted(reason) => {
+            out.push(AgentOutput::Send(AgentMessage::Refused { run, reason }));
+        }
+        RunVerdict::Ended { .. } => {}
+    }
 }
--- a/crates/parsleytally/src/jobs/agent/poll.rs
+++ b/crates/parsleytally/src/jobs/agent/poll.rs
@@ -7,8 +7,9 @@
 use super::lease::expiry_after;
 use super::{
     AgentMessage, AgentOutput, CallError, DRAIN_POLL_WAIT, EndEvidence, EndedRun, JobAgent,
-    Listing, MEASUREMENT_INTERVAL, MIXED_POLL_WAIT, POLL_PAUSE, POLL_WAIT, PollCall, RefusalReason,
-    RunRef, RunStatus, StartState, THROTTLE_INTERVAL, ThrottleCall, TrackedRun, refuse,
+    Listing, ListingEvidence, MEASUREMENT_INTERVAL, MIXED_POLL_WAIT, POLL_PAUSE, POLL_WAIT,
+    PollCall, RefusalReason, RunConclusion, RunEvidence, RunRef, RunStatus, RunVerdict, StartState,
+    THROTTLE_INTERVAL, ThrottleCall, TrackedRun, push_conclusion,
 };
 use crate::types::Time;
 
@@ -44,9 +45,11 @@
             self.poll_wait().as_millis()
         };
         self.polls_in_flight += 1;
+        self.poll_number += 1;
         self.polled_token = self.fencing_token;
         self.next_poll = now.after(POLL_PAUSE);
         out.push(AgentOutput::Poll(PollCall {
+            number: self.poll_number,
             fencing_token: self.fencing_token,
             lease_end,
             acknowledged,
@@ -95,19 +98,21 @@
             self.next_poll = now;
         }
         self.crashes.clear_expired();
+        let answer = ListingEvidence::new(now, call, &listing);
+        self.last_listing = Some(answer);
         self.reconcile(now, call, &listing, out);
         self.throttle_best_effort(now, &listing.running, out);
         if self.owner.is_none() {
             return;
         }
         if self.listed {
-            self.report_ends(&listing, out);
+            self.report_ends(answer, &listing, out);
             self.report_measurements(now, &listing.running, out);
         } else if self.may_list(call) && listing.complete {
-            self.report_all(listing, out);
+            self.report_all(answer, listing, out);
         } else if self.may_list(call) {
             // The owner acknowledges these first, and the worker then lists the others.
-            self.report_ends(&listing, out);
+            self.report_ends(answer, &listing, out);
         }
     }
 
@@ -138,12 +143,14 @@
         listing: &Listing,
         out: &mut Vec<AgentOutput>,
     ) {
+        let evidence = RunEvidence::Listing(ListingEvidence::new(now, call, listing));
         let ended: HashSet<RunRef> = listing.ended.iter().map(|end| end.run).collect();
         let running: HashSet<RunRef> = listing.running.iter().map(|status| status.run).collect();
         for run in &running {
             let untracked = TrackedRun {
                 state: StartState::Confirmed { at: call.sent },
                 order: None,
+                start_sent: None,
                 stop_due: call.sent,
                 stop_ordered: false,
                 sightings: None,
@@ -164,12 +171,14 @@
                 _ if !listing.complete => true,
                 StartState::Sent { .. } => true,
                 StartState::Unanswered { fencing_token } if call.fencing_token > fencing_token => {
-                    refuse(*run, RefusalReason::Unanswered, out);
+                    let verdict = RunVerdict::NotStarted(RefusalReason::Unanswered);
+                    push_conclusion(tracked.conclude(*run, verdict, evidence), out);
                     false
                 }
                 StartState::Unanswered { .. } => true,
                 StartState::Confirmed { at } if at < call.sent => {
-                    out.push(AgentOutput::Send(AgentMessage::Missing(*run)));
+                    let verdict = RunVerdict::Missing;
+                    push_conclusion(tracked.conclude(*run, verdict, evidence), out);
                     false
                 }
                 StartState::Confirmed { .. } => true,
@@ -197,12 +206,18 @@
         out.extend(calls.map(AgentOutput::Throttle));
     }
 
-    fn report_all(&mut self, listing: Listing, out: &mut Vec<AgentOutput>) {
+    fn report_all(
+        &mut self,
+        answer: ListingEvidence,
+        listing: Listing,
+        out: &mut Vec<AgentOutput>,
+    ) {
         let Some(report) = &self.report else {
             return;
         };
         self.listed = true;
         self.reported_sequence = last_sequence(&listing.ended);
+        out.push(AgentOutput::Listed(answer));
         out.push(AgentOutput::Send(AgentMessage::Listed {
             incarnation: report.incarnation.clone(),
             running: listing.running,
@@ -210,7 +225,12 @@
         }));
     }
 
-    fn report_ends(&mut self, listing: &Listing, out: &mut Vec<AgentOutput>) {
+    fn report_ends(
+        &mut self,
+        answer: ListingEvidence,
+        listing: &Listing,
+        out: &mut Vec<AgentOutput>,
+    ) {
         let Some(report) = &self.report else {
             return;
         };
@@ -223,6 +243,14 @@
             return;
         }
         self.reported_sequence = last_sequence(&ended);
+        let evidence = RunEvidence::Listing(answer);
+        for end in &ended {
+            let verdict = RunVerdict::Ended {
+                reason: end.reason,
+                sequence: end.sequence,
+            };
+            push_conclusion(RunConclusion::untracked(end.run, verdict, evidence), out);
+        }
         let incarnation = report.incarnation.clone();
         out.push(AgentOutput::Send(AgentMessage::Ended {
             incarnation,
--- a/crates/parsleytally/src/jobs/mod.rs
+++ b/crates/parsleytally/src/jobs/mod.rs
@@ -46,8 +46,9 @@
     UNCERTAIN_TIME, Work,
 };
 pub use agent::{
-    AgentInput, AgentOutput, AgentTimes, CallError, JobAgent, Listing, OwnerLink, PollCall,
-    StartCall, StopCall, ThrottleCall,
+    AgentInput, AgentOutput, AgentTimes, CallError, JobAgent, Listing, ListingEvidence, OwnerLink,
+    PollCall, RunConclusion, RunEvidence, RunVerdict, StartCall, StartEvidence, StopCall,
+    ThrottleCall,
 };
 pub use call_plan::{CallContext, CallFailure, CallPlan, NextCall};
 pub use contention::ContentionRecord;
--- a/crates/parsleytally/src/jobs/tests/foreign_reports.rs
+++ b/crates/parsleytally/src/jobs/tests/foreign_reports.rs
@@ -130,16 +130,15 @@
 fn a_new_incarnation_is_fenced_before_it_is_used() {
     let order = run(1, 0, 0, 1);
     let mut agent = TestAgent::ready();
-    let token = agent.next_poll().fencing_token;
+    let pending = agent.next_poll();
+    let token = pending.fencing_token;
     agent.start(order);
     agent.step(reported(report(0, BORN + 1)));
     agent.advance(200);
     let call = PollCall {
-        fencing_token: token,
         lease_end: None,
-        acknowledged: 0,
-        wait_ms: 0,
         sent: agent.now,
+        ..pending
     };
     let out = agent.answer_poll_as(BORN + 1, call);
     assert!(!sent(&out, &AgentMessage::Missing(order)), "{out:?}");
