--- a/crates/parsleytally/src/jobs/tests/agent.rs
+++ b/crates/parsleytally/src/jobs/tests/agent.rs
@@ -229,7 +229,7 @@
     out.iter().any(is_expected)
 }
 
-fn start_token(out: &[AgentOutput]) -> Option<u64> {
+pub(super) fn start_token(out: &[AgentOutput]) -> Option<u64> {
     out.iter().find_map(|output| match output {
         AgentOutput::Start(call) => Some(call.fencing_token),
         _ => None,
--- a/crates/parsleytally/src/jobs/tests/mod.rs
+++ b/crates/parsleytally/src/jobs/tests/mod.rs
@@ -13,6 +13,7 @@
 mod losses;
 mod malformed;
 mod model;
+mod overtaken;
 mod placement;
 mod records;
 mod scheduler;
--- /dev/null
+++ b/crates/parsleytally/src/jobs/tests/overtaken.rs
@@ -0,0 +1,142 @@
+//! Answers of a worker that overtake each other: an older one must not be taken for the newest.
+
+use std::time::Duration;
+
+use super::agent::{TestAgent, sent, start_token};
+use super::*;
+
+/// A run that the worker has in all listings.
+fn first() -> RunRef {
+    run(1, 0, 0, 1)
+}
+
+/// A run that starts between two listings.
+fn second() -> RunRef {
+    run(2, 0, 0, 1)
+}
+
+/// Answers a call to start a run.
+fn answer_start(
+    agent: &mut TestAgent,
+    run: RunRef,
+    fencing_token: u64,
+    answer: Result<(), CallError>,
+) -> Vec<AgentOutput> {
+    agent.step(AgentInput::StartAnswered {
+        run,
+        fencing_token,
+        answer,
+    })
+}
+
+/// Orders a start; returns the token of the call.
+fn order_start(agent: &mut TestAgent, run: RunRef) -> u64 {
+    let out = agent.start(run);
+    start_token(&out).expect("a start call")
+}
+
+/// Two polls in flight: the start of the first run had no answer, and the start of the second was
+/// sent after both polls. Returns the agent, both polls and the token of the second start.
+fn two_polls_in_flight() -> (TestAgent, [PollCall; 2], u64) {
+    let mut agent = TestAgent::ready();
+    let older = agent.next_poll();
+    let token = order_start(&mut agent, first());
+    agent.advance(10);
+    answer_start(&mut agent, first(), token, Err(CallError::Unanswered));
+    let newer = agent.polls.pop().expect("a poll with a higher token");
+    assert!(newer.fencing_token > older.fencing_token);
+    agent.advance(5);
+    let token = order_start(&mut agent, second());
+    agent.advance(5);
+    (agent, [older, newer], token)
+}
+
+/// Guards against a task that runs twice at once: a run was taken for missing by a listing from
+/// before its start, which arrived after one that has the run.
+#[test]
+fn a_listing_from_before_a_start_does_not_make_a_known_run_missing() {
+    struct Case {
+        what: &'static str,
+        /// When the answer to the start is received, relative to those to the polls.
+        start_answered: usize,
+    }
+    let cases = [
+        Case {
+            what: "start answered before both listings",
+            start_answered: 0,
+        },
+        Case {
+            what: "start answered between the listings",
+            start_answered: 1,
+        },
+        Case {
+            what: "start answered after both listings",
+            start_answered: 2,
+        },
+    ];
+    for case in cases {
+        let (mut agent, [older, newer], token) = two_polls_in_flight();
+        let listings = [(older, vec![first(), second()]), (newer, vec![first()])];
+        let mut out = Vec::new();
+        for (at, (call, running)) in listings.into_iter().enumerate() {
+            if case.start_answered == at {
+                out.extend(answer_start(&mut agent, second(), token, Ok(())));
+            }
+            out.extend(agent.answer_poll(call, running, vec![]));
+            agent.advance(1);
+        }
+        if case.start_answered == 2 {
+            out.extend(answer_start(&mut agent, second(), token, Ok(())));
+        }
+        let missing = AgentMessage::Missing(second());
+        assert!(!sent(&out, &missing), "{}: {out:?}", case.what);
+    }
+}
+
+/// Guards against a task that runs twice at once: after the worker's id was corrected, the owner was
+/// told of all runs by a listing that lacks a start which may still take effect.
+#[test]
+fn a_new_first_listing_waits_until_starts_on_their_way_are_settled() {
+    struct Case {
+        what: &'static str,
+        /// Whether the poll was in flight before the id was corrected.
+        in_flight: bool,
+    }
+    let cases = [
+        Case {
+            what: "poll sent before the id was corrected",
+            in_flight: true,
+        },
+        Case {
+            what: "poll sent afterwards",
+            in_flight: false,
+        },
+    ];
+    for case in cases {
+        let mut agent = TestAgent::new();
+        agent.step(reported(report(5, 7)));
+        agent.connect_owner(1, 1 << 32);
+        agent.confirm_owner(Duration::ZERO);
+        agent.list(vec![], vec![]);
+        agent.step(reported(report(0, 7)));
+        let in_flight = agent.next_poll();
+        let tokens = [first(), second()].map(|run| {
+            let token = agent.start_as(incarnation(5, 7), run);
+            token.expect("a start call")
+        });
+        let other = Err(CallError::OtherLife);
+        answer_start(&mut agent, second(), tokens[1], other);
+        let call = if case.in_flight {
+            in_flight
+        } else {
+            agent.next_poll()
+        };
+        let out = agent.answer_poll(call, vec![], vec![]);
+        let is_listed =
+            |output: &AgentOutput| matches!(output, AgentOutput::Send(AgentMessage::Listed { .. }));
+        let fenced = call.fencing_token > tokens[0];
+        let listed = out.iter().any(is_listed);
+        assert!(fenced || !listed, "{}: {out:?}", case.what);
+        assert_eq!(fenced, !case.in_flight, "{}", case.what);
+    }
+}
