fix(jobs): a run is missing only by a poll that was sent after the run was known

Cause: for a listed run the agent noted the time at which that listing's poll was sent, also if it knew the run from later, and took it for missing if that time was before the sending of a poll whose listing lacks it. With two polls in flight, the older one, which waits, may be answered by the later listing, and be received first.

Change: the run is stamped with the number of the last poll sent when the answer that shows it (to a poll or a start) is received. Only the absence from a poll with a higher number, sent after that, makes it missing.

Why it works: an answer is made after its call is sent, so it is made after all that was known then; no order of the answers in between is assumed.

--- a/crates/parsleytally/src/jobs/agent/mod.rs
+++ b/crates/parsleytally/src/jobs/agent/mod.rs
@@ -15,6 +15,11 @@
 //! leases of the worker have expired, or if the worker answers as a later incarnation. A
 //! notice of shutdown is none of these: the worker runs its tasks until it has ended.
 //!
+//! Calls and answers may overtake each other, and a worker or an agent may stall while they pile up.
+//! An answer shows the worker at some time between the sending of its call and its receipt, so
+//! it is newer than something known only if its call was sent after that became known.
+//! Polls are numbered for this.
+//!
 //! Reports may be late or from a process that is not the worker beside the agent. A report of
 //! another incarnation is used once the worker itself answers a poll as this incarnation.
 
@@ -95,8 +100,8 @@
     Sent { fencing_token: u64 },
     /// A start order with this token or a lower one may still take effect.
     Unanswered { fencing_token: u64 },
-    /// The worker had the run at this time.
-    Confirmed { at: Time },
+    /// The worker had the run before it was sent any poll with a number above this one.
+    Confirmed { last_poll: u64 },
 }
 
 /// A run that was ordered to start or stop, or that the worker listed.
@@ -592,7 +597,9 @@
         });
         match answer {
             Ok(()) => {
-                tracked.state = StartState::Confirmed { at: now };
+                tracked.state = StartState::Confirmed {
+                    last_poll: self.poll_number,
+                };
                 tracked.sightings = Some(Sightings::at(now));
             }
             Err(CallError::Refused(RefusalReason::Fenced))
--- a/crates/parsleytally/src/jobs/agent/poll.rs
+++ b/crates/parsleytally/src/jobs/agent/poll.rs
@@ -135,7 +135,8 @@
     }
 
     /// Updates the tracked runs by the answer to a poll and reports those that did not
-    /// start or are missing. A run that is absent from an incomplete listing may have ended.
+    /// start or are missing. A run that is absent from an incomplete listing may have ended, and
+    /// one that became known after the poll was sent may have started after the listing.
     fn reconcile(
         &mut self,
         now: Time,
@@ -144,11 +145,12 @@
         out: &mut Vec<AgentOutput>,
     ) {
         let evidence = RunEvidence::Listing(ListingEvidence::new(now, call, listing));
+        let last_poll = self.poll_number;
         let ended: HashSet<RunRef> = listing.ended.iter().map(|end| end.run).collect();
         let running: HashSet<RunRef> = listing.running.iter().map(|status| status.run).collect();
         for run in &running {
             let untracked = TrackedRun {
-                state: StartState::Confirmed { at: call.sent },
+                state: StartState::Confirmed { last_poll },
                 order: None,
                 start_sent: None,
                 stop_due: call.sent,
@@ -156,7 +158,7 @@
                 sightings: None,
             };
             let tracked = self.runs.entry(*run).or_insert(untracked);
-            tracked.state = StartState::Confirmed { at: call.sent };
+            tracked.state = StartState::Confirmed { last_poll };
             let sightings = tracked.sightings.get_or_insert(Sightings::at(now));
             sightings.extend_to(now);
         }
@@ -176,7 +178,7 @@
                     false
                 }
                 StartState::Unanswered { .. } => true,
-                StartState::Confirmed { at } if at < call.sent => {
+                StartState::Confirmed { last_poll } if call.number > last_poll => {
                     let verdict = RunVerdict::Missing;
                     push_conclusion(tracked.conclude(*run, verdict, evidence), out);
                     false
