fix(jobs): an answer to a poll that was overtaken is dropped

Cause: with two polls in flight, the agent used both answers as they arrived. An older one then made a worker unresponsive whose answer had just been read, took a run for running whose end the owner has (and later for missing), and set the worker's clock back, which shortens leases.

Change: an answer is used only if its poll was sent after the last answer in use arrived. Others are dropped, with a line, and the worker is polled again at once. This replaces the check by time for late answers of an earlier incarnation. Two answers in a row are dropped never: each drop follows a use.

--- a/crates/parsleytally-agent/src/site/log_lines.rs
+++ b/crates/parsleytally-agent/src/site/log_lines.rs
@@ -43,6 +43,11 @@
     }
 }
 
+/// An answer was dropped, since it may be older than the last one in use.
+pub(super) fn overtaken(answer: &ListingEvidence) {
+    log::info!(answer = listing_text(answer); "answer to a poll was overtaken");
+}
+
 /// The worker's runs were listed for an owner that did not know them.
 pub(super) fn listed(answer: &ListingEvidence) {
     log::info!(answer = listing_text(answer); "first listing for the owner");
--- a/crates/parsleytally-agent/src/site/mod.rs
+++ b/crates/parsleytally-agent/src/site/mod.rs
@@ -350,6 +350,7 @@
                     log_lines::runs_ended(incarnation.as_ref(), runs, evidence, last_listing);
                 }
                 AgentOutput::Concluded(conclusion) => log_lines::concluded(&conclusion),
+                AgentOutput::Overtaken(answer) => log_lines::overtaken(&answer),
                 AgentOutput::Listed(answer) => log_lines::listed(&answer),
                 call => self.call_worker(call),
             }
@@ -408,6 +409,7 @@
                 | AgentOutput::Supersede(_)
                 | AgentOutput::RunsEnded { .. }
                 | AgentOutput::Concluded(_)
+                | AgentOutput::Overtaken(_)
                 | AgentOutput::Listed(_) => return,
             };
             // Fails only when the actor has stopped, at the end of the process.
--- a/crates/parsleytally/src/jobs/agent/incarnation.rs
+++ b/crates/parsleytally/src/jobs/agent/incarnation.rs
@@ -152,9 +152,9 @@
             return true;
         }
         if known.is_some() {
-            // The wall clock may have been set back between the starts of two incarnations.
-            let is_late = call.sent < self.incarnation_since;
-            if is_late || !self.may_replace(now, call, listing, out) {
+            // It is a later one: the answer is not overtaken. Its start time may be lower, since
+            // the wall clock may have been set back.
+            if !self.may_replace(now, call, listing, out) {
                 return false;
             }
             let answer = ListingEvidence::new(now, call, listing);
@@ -162,7 +162,6 @@
             self.report = None;
             out.push(AgentOutput::Send(AgentMessage::LeasesExpired));
         }
-        self.incarnation_since = now;
         self.use_candidate(now, born, out)
     }
 
--- a/crates/parsleytally/src/jobs/agent/messages.rs
+++ b/crates/parsleytally/src/jobs/agent/messages.rs
@@ -150,6 +150,8 @@
     },
     /// The agent concludes something about a run; only logged.
     Concluded(RunConclusion),
+    /// This answer was dropped, since it may be older than the last one in use; only logged.
+    Overtaken(ListingEvidence),
     /// The first listing for the owner was made from this answer; only logged.
     Listed(ListingEvidence),
     /// Poll the worker.
--- a/crates/parsleytally/src/jobs/agent/mod.rs
+++ b/crates/parsleytally/src/jobs/agent/mod.rs
@@ -157,8 +157,6 @@
     /// Token of the orders and polls that are sent to the worker.
     fencing_token: u64,
     report: Option<WorkerReport>,
-    /// When the present incarnation first answered a poll.
-    incarnation_since: Time,
     /// When a lease that was meant for the earlier incarnation, on its clock, is no longer
     /// than others at a new one.
     overlong_until: Time,
@@ -188,6 +186,8 @@
     polls_in_flight: usize,
     /// Number of the last poll.
     poll_number: u64,
+    /// Number of the last poll that was sent when the last answer in use arrived.
+    answered_poll: u64,
     /// The last answer to a poll that was used.
     last_listing: Option<ListingEvidence>,
     /// Earliest time of the next poll.
@@ -216,7 +216,6 @@
             owner: None,
             fencing_token: 0,
             report: None,
-            incarnation_since: Time::ZERO,
             overlong_until: Time::ZERO,
             drain_end: Time::ZERO,
             report_sequence: 0,
@@ -232,6 +231,7 @@
             reported_sequence: 0,
             polls_in_flight: 0,
             poll_number: 0,
+            answered_poll: 0,
             last_listing: None,
             next_poll: Time::ZERO,
             polled_token: 0,
--- a/crates/parsleytally/src/jobs/agent/poll.rs
+++ b/crates/parsleytally/src/jobs/agent/poll.rs
@@ -77,11 +77,16 @@
         out: &mut Vec<AgentOutput>,
     ) {
         self.polls_in_flight = self.polls_in_flight.saturating_sub(1);
+        if call.number <= self.answered_poll {
+            self.drop_overtaken(now, call, answer.as_ref().ok(), out);
+            return;
+        }
         self.set_unresponsive(answer.is_err(), out);
         let Ok(listing) = answer else {
             self.next_poll = now.after(POLL_PAUSE);
             return;
         };
+        self.answered_poll = self.poll_number;
         if !self.update_incarnation(now, call, &listing, out) {
             self.next_poll = now.after(POLL_PAUSE);
             return;
@@ -116,6 +121,22 @@
         }
     }
 
+    /// Drops the answer to a poll that was sent before the last answer in use arrived: it may
+    /// be older than that answer.
+    fn drop_overtaken(
+        &mut self,
+        now: Time,
+        call: PollCall,
+        listing: Option<&Listing>,
+        out: &mut Vec<AgentOutput>,
+    ) {
+        if let Some(listing) = listing {
+            let answer = ListingEvidence::new(now, call, listing);
+            out.push(AgentOutput::Overtaken(answer));
+            self.next_poll = now;
+        }
+    }
+
     /// Whether the answer to `call` can be the first listing for the owner. A leaving worker
     /// whose leases have expired has nothing more to list.
     fn may_list(&self, call: PollCall) -> bool {
--- a/crates/parsleytally/src/jobs/tests/overtaken.rs
+++ b/crates/parsleytally/src/jobs/tests/overtaken.rs
@@ -15,6 +15,15 @@
     run(2, 0, 0, 1)
 }
 
+fn status(run: RunRef) -> RunStatus {
+    RunStatus {
+        run,
+        checkpoint: String::new(),
+        percent: 10,
+        measurement: 0,
+    }
+}
+
 /// Answers a call to start a run.
 fn answer_start(
     agent: &mut TestAgent,
@@ -140,3 +149,62 @@
         assert_eq!(fenced, !case.in_flight, "{}", case.what);
     }
 }
+
+/// Guards against older answers that are taken for the newest: a worker counted as unresponsive, an
+/// ended run as running again, and leases were cut short by an old reading of the worker's clock.
+#[test]
+fn an_answer_to_a_poll_that_was_overtaken_changes_nothing() {
+    struct Case {
+        what: &'static str,
+        answer: Result<Listing, CallError>,
+    }
+    let listing = |clock_ms, running: Vec<RunRef>| Listing {
+        born: 7,
+        clock_ms,
+        running: running.into_iter().map(status).collect(),
+        ended: vec![],
+        complete: true,
+    };
+    let cases = [
+        Case {
+            what: "no answer within the timeout",
+            answer: Err(CallError::Unanswered),
+        },
+        Case {
+            what: "a run that has ended since",
+            answer: Ok(listing(1_000, vec![first(), second()])),
+        },
+        Case {
+            what: "an old reading of the clock, and none of the runs",
+            answer: Ok(listing(1_000, vec![])),
+        },
+    ];
+    for case in cases {
+        let (mut agent, [older, newer], token) = two_polls_in_flight();
+        answer_start(&mut agent, second(), token, Ok(()));
+        let end = EndedRun {
+            sequence: 1,
+            run: second(),
+            reason: EndReason::Done,
+            checkpoint: String::new(),
+        };
+        agent.answer_poll(newer, vec![first()], vec![end]);
+        agent.polls.clear();
+        agent.advance(300);
+        let mut out = agent.step(AgentInput::Polled {
+            call: older,
+            answer: case.answer,
+        });
+        let next = agent.next_poll();
+        let lease_end = next.lease_end.expect("the lease is renewed");
+        let now_ms = agent.now.as_micros() / 1_000;
+        assert!(lease_end >= now_ms + 3_900, "{}: {lease_end}", case.what);
+        out.extend(agent.answer_poll(next, vec![first()], vec![]));
+        let is_other = |output: &&AgentOutput| {
+            matches!(output, AgentOutput::Send(message)
+                if !matches!(message, AgentMessage::Measurements(runs) if runs.len() == 1))
+        };
+        let others: Vec<_> = out.iter().filter(is_other).collect();
+        assert!(others.is_empty(), "{}: {others:?}", case.what);
+    }
+}
