fix(jobs): a first listing for the owner comes from a poll that fences all starts on their way

Callers may see a task run twice at once.

Cause: after the worker refused an id and the agent used another one of the same start time, the agent told the owner of all runs anew by a poll with the same token, or by one that was sent before. A start on its way was neither in that listing nor fenced; the owner takes each run that it placed and that is not listed for missing, starts its task again, and the first start takes effect after that.

Change: the fencing token is raised, and starts on their way count as unanswered, as at a change of the owner; both use one function now.

Whether the users' case is this one can't be told: it needs reports of another id with the worker's start time.

--- a/crates/parsleytally/src/jobs/agent/incarnation.rs
+++ b/crates/parsleytally/src/jobs/agent/incarnation.rs
@@ -109,11 +109,8 @@
             return;
         };
         let (report, sequence) = self.candidates.remove(at);
-        // The owner takes the listing anew, with the ended runs that are not acknowledged.
-        self.listed = false;
-        self.acknowledged = 0;
-        self.reported_sequence = 0;
-        self.next_poll = now;
+        self.raise_fencing_token(now, self.fencing_token);
+        self.list_anew(now);
         self.use_report(now, report, sequence, out);
     }
 
--- a/crates/parsleytally/src/jobs/agent/mod.rs
+++ b/crates/parsleytally/src/jobs/agent/mod.rs
@@ -366,23 +366,14 @@
         if let Some(old) = self.owner.replace(link) {
             out.push(AgentOutput::Supersede(old));
         }
-        // The first answered poll with this token shows which runs of the earlier owner's
-        // orders have started.
         for tracked in self.runs.values_mut() {
             tracked.order = None;
             tracked.stop_ordered = false;
-            if let StartState::Sent { fencing_token } = tracked.state {
-                tracked.state = StartState::Unanswered { fencing_token };
-            }
         }
         self.fencing_token = fencing_token;
         self.owner_clock = None;
-        self.listed = false;
         self.expiry_reported = false;
-        // The earlier owner's acknowledgements may be for records that this one doesn't have.
-        self.acknowledged = 0;
-        self.reported_sequence = 0;
-        self.next_poll = now;
+        self.list_anew(now);
         if let Some(report) = &self.report {
             out.push(AgentOutput::Send(AgentMessage::Report(report.clone())));
         }
@@ -392,6 +383,23 @@
         }
     }
 
+    /// Lists all runs to the owner anew, with the ended runs that the present owner may not have
+    /// stored.
+    ///
+    /// The fencing token must be higher than those of all orders so far: the first answered poll
+    /// with it shows which of the starts on their way have taken effect, and no other will.
+    fn list_anew(&mut self, now: Time) {
+        for tracked in self.runs.values_mut() {
+            if let StartState::Sent { fencing_token } = tracked.state {
+                tracked.state = StartState::Unanswered { fencing_token };
+            }
+        }
+        self.listed = false;
+        self.acknowledged = 0;
+        self.reported_sequence = 0;
+        self.next_poll = now;
+    }
+
     /// Tells the owner when the last lease of a leaving worker has expired.
     fn send_last_lease(&self, now: Time, out: &mut Vec<AgentOutput>) {
         let expires_within = self.all_leases_expire().since(now).as_micros();
