fix(jobs): the listing after expired leases fences starts on their way

Cause: when all leases had expired, the agent forgot the starts whose answers were pending, and listed the worker anew with the same token. An agent that was paused handles its timers before the answers that have piled up, so such a start may be older than its timeout. The worker refuses it by its lease, if its clock is within the drift that is allowed for; nothing else did.

Change: the token is raised above those of these starts, as at each other first listing.

Evidence: the test failed before (poll with token, that of the start).

--- a/crates/parsleytally/src/jobs/agent/incarnation.rs
+++ b/crates/parsleytally/src/jobs/agent/incarnation.rs
@@ -5,7 +5,7 @@
 use super::lease::expiry_after;
 use super::{
     AgentMessage, AgentOutput, EndEvidence, JobAgent, LateReports, Listing, ListingEvidence,
-    MAX_CANDIDATES, PollCall, RunEvidence, RunVerdict, TrackedRun, WorkerReport, push_conclusion,
+    MAX_CANDIDATES, PollCall, RunEvidence, RunVerdict, WorkerReport, push_conclusion,
 };
 use crate::types::Time;
 
@@ -174,8 +174,8 @@
         let is_overlong = self.has_overlong_lease(now, call, listing);
         // It has seen no fencing token, unless this poll brought one that is higher than those
         // of orders on their way.
-        let unsettled = self.runs.values().filter_map(TrackedRun::unsettled_token);
-        if let Some(token) = unsettled.max().filter(|token| *token >= call.fencing_token) {
+        let unsettled = self.unsettled_token();
+        if let Some(token) = unsettled.filter(|token| *token >= call.fencing_token) {
             self.raise_fencing_token(now, token);
             return false;
         }
--- a/crates/parsleytally/src/jobs/agent/mod.rs
+++ b/crates/parsleytally/src/jobs/agent/mod.rs
@@ -644,6 +644,12 @@
         }
     }
 
+    /// Highest token of the start orders that may still take effect.
+    fn unsettled_token(&self) -> Option<u64> {
+        let runs = self.runs.values();
+        runs.filter_map(TrackedRun::unsettled_token).max()
+    }
+
     /// Makes the fencing token higher than `fencing_token` and the next poll due now, so
     /// that its answer settles the orders with that token.
     fn raise_fencing_token(&mut self, now: Time, fencing_token: u64) {
--- a/crates/parsleytally/src/jobs/agent/poll.rs
+++ b/crates/parsleytally/src/jobs/agent/poll.rs
@@ -312,6 +312,9 @@
         self.listed = false;
         self.expiry_reported = true;
         self.reported_sequence = 0;
+        if let Some(token) = self.unsettled_token() {
+            self.raise_fencing_token(now, token);
+        }
         self.crashes.add_expired(self.runs.iter().map(crashed_run));
         self.runs.clear();
         out.push(AgentOutput::Send(AgentMessage::LeasesExpired));
--- a/crates/parsleytally/src/jobs/tests/overtaken.rs
+++ b/crates/parsleytally/src/jobs/tests/overtaken.rs
@@ -4,6 +4,7 @@
 
 use super::agent::{TestAgent, sent, start_token};
 use super::*;
+use crate::types::Time;
 
 /// A run that the worker has in all listings.
 fn first() -> RunRef {
@@ -208,3 +209,32 @@
         assert!(others.is_empty(), "{}: {others:?}", case.what);
     }
 }
+
+/// Guards against a task that runs twice at once: a start whose answer was pending when all leases had
+/// expired may still take effect while the worker is listed anew.
+#[test]
+fn a_start_on_its_way_is_fenced_after_all_leases_have_expired() {
+    let mut agent = TestAgent::ready();
+    for _ in 0..48 {
+        agent.advance(100);
+        if let Some(call) = agent.polls.pop() {
+            agent.answer_poll(call, vec![], vec![]);
+        }
+    }
+    let token = order_start(&mut agent, first());
+    let call = agent.next_poll();
+    let mut out = agent.fail_poll(call);
+    while !sent(&out, &AgentMessage::LeasesExpired) {
+        assert!(agent.now < Time::from_secs(10), "no expiry is reported");
+        agent.confirm_owner(Duration::from_secs(12));
+        out = agent.advance(10);
+    }
+    agent.polls.clear();
+    agent.confirm_owner(Duration::ZERO);
+    agent.step(AgentInput::Polled {
+        call,
+        answer: Err(CallError::Unanswered),
+    });
+    let call = agent.next_poll();
+    assert!(call.fencing_token > token, "{call:?}");
+}
