fix(jobs): a CPU share is sent once the run is on the worker

Callers see services slowed by best-effort runs at full speed, and such runs over their share.

Change: the share is noted and sent when the start is answered or a listing has the run; shares and kinds are kept as long as the run is tracked, not as long as it is listed.

Evidence: the test failed before in its first case ('left: [(2.0.0.0 run 1, 40)], right: []' before the start was answered). 176 tests of jobs pass.

--- a/crates/parsleytally/src/jobs/agent/mod.rs
+++ b/crates/parsleytally/src/jobs/agent/mod.rs
@@ -319,14 +319,8 @@
                 },
             ),
             OrderMessage::Throttle { run, cpu_share } => {
-                if self.throttle.order(run, cpu_share) {
-                    let fencing_token = self.fencing_token;
-                    out.push(AgentOutput::Throttle(ThrottleCall {
-                        run,
-                        cpu_share,
-                        fencing_token,
-                    }));
-                }
+                self.throttle.order(run, cpu_share);
+                self.send_cpu_share(run, out);
             }
             OrderMessage::Stop(run) => self.stop(now, run, out),
             OrderMessage::AcknowledgeEnds {
@@ -609,6 +603,7 @@
                     last_poll: self.poll_number,
                 };
                 tracked.sightings = Some(Sightings::at(now));
+                self.send_cpu_share(run, out);
             }
             Err(CallError::Refused(RefusalReason::Fenced))
                 if fencing_token < self.fencing_token =>
@@ -659,6 +654,24 @@
         self.next_poll = now;
     }
 
+    /// Sends the CPU share that the owner ordered for a run, once the worker has the run: the call
+    /// could overtake the start.
+    fn send_cpu_share(&mut self, run: RunRef, out: &mut Vec<AgentOutput>) {
+        let tracked = self.runs.get(&run);
+        let is_confirmed = |run: &TrackedRun| matches!(run.state, StartState::Confirmed { .. });
+        if !tracked.is_some_and(is_confirmed) {
+            return;
+        }
+        if let Some(cpu_share) = self.throttle.take_unsent(run) {
+            let fencing_token = self.fencing_token;
+            out.push(AgentOutput::Throttle(ThrottleCall {
+                run,
+                cpu_share,
+                fencing_token,
+            }));
+        }
+    }
+
     fn stop(&mut self, now: Time, run: RunRef, out: &mut Vec<AgentOutput>) {
         let untracked = TrackedRun {
             state: StartState::Unanswered {
--- a/crates/parsleytally/src/jobs/agent/poll.rs
+++ b/crates/parsleytally/src/jobs/agent/poll.rs
@@ -106,6 +106,11 @@
         let answer = ListingEvidence::new(now, call, &listing);
         self.last_listing = Some(answer);
         self.reconcile(now, call, &listing, out);
+        let runs = &self.runs;
+        self.throttle.retain(|run| runs.contains_key(run));
+        for status in &listing.running {
+            self.send_cpu_share(status.run, out);
+        }
         self.throttle_best_effort(now, &listing.running, out);
         if self.owner.is_none() {
             return;
--- a/crates/parsleytally/src/jobs/agent/throttle.rs
+++ b/crates/parsleytally/src/jobs/agent/throttle.rs
@@ -62,10 +62,30 @@
         *self = Self::default();
     }
 
-    /// Sets the CPU share that the owner ordered; returns whether the worker needs a call.
-    pub(super) fn order(&mut self, run: RunRef, cpu_share: u32) -> bool {
+    /// Notes the CPU share that the owner ordered.
+    pub(super) fn order(&mut self, run: RunRef, cpu_share: u32) {
         self.ordered.insert(run, cpu_share);
-        self.sent.insert(run, cpu_share) != Some(cpu_share)
+    }
+
+    /// CPU share of an ordered run that the worker has to be told; from then on, it counts as
+    /// told.
+    pub(super) fn take_unsent(&mut self, run: RunRef) -> Option<u32> {
+        let ordered = self.ordered.get(&run).copied()?;
+        let best_effort = self.kinds.get(&run).is_some_and(|kind| kind.best_effort);
+        let cpu_share = if self.paused && best_effort {
+            0
+        } else {
+            ordered
+        };
+        let sent = self.sent.insert(run, cpu_share);
+        (sent != Some(cpu_share)).then_some(cpu_share)
+    }
+
+    /// Drops the runs that are not tracked any more.
+    pub(super) fn retain(&mut self, is_tracked: impl Fn(&RunRef) -> bool) {
+        self.kinds.retain(|run, _| is_tracked(run));
+        self.ordered.retain(|run, _| is_tracked(run));
+        self.sent.retain(|run, _| is_tracked(run));
     }
 
     /// Whether there are both best-effort and latency-sensitive runs.
@@ -78,13 +98,11 @@
     /// changes, each with its new share in percent.
     pub(super) fn evaluate(&mut self, running: &[RunStatus]) -> Vec<(RunRef, u32)> {
         let is_running = |run: &RunRef| running.iter().any(|status| status.run == *run);
-        self.kinds.retain(|run, _| is_running(run));
-        self.ordered.retain(|run, _| is_running(run));
-        self.sent.retain(|run, _| is_running(run));
         let slowdowns = running.iter().filter_map(|status| self.slowdown(status));
         self.update_paused(slowdowns.fold(0.0, f64::max));
         let mut changes = Vec::new();
-        for (run, _) in self.kinds.iter().filter(|(_, kind)| kind.best_effort) {
+        let best_effort = |(run, kind): &(&RunRef, &RunKind)| kind.best_effort && is_running(run);
+        for (run, _) in self.kinds.iter().filter(best_effort) {
             let ordered = self.ordered.get(run).copied().unwrap_or(FULL_CPU_SHARE);
             let cpu_share = if self.paused { 0 } else { ordered };
             if self.sent.insert(*run, cpu_share) != Some(cpu_share) {
--- /dev/null
+++ b/crates/parsleytally/src/jobs/tests/cpu_shares.rs
@@ -0,0 +1,104 @@
+//! CPU shares that an agent sets on its worker, beside starts and listings in any order.
+
+use std::time::Duration;
+
+use super::agent::{TestAgent, start_token};
+use super::*;
+
+fn status(run: RunRef, measurement: u64) -> RunStatus {
+    RunStatus {
+        run,
+        checkpoint: String::new(),
+        percent: 10,
+        measurement,
+    }
+}
+
+/// CPU shares that are sent to the worker, in percent.
+fn changes(out: &[AgentOutput]) -> Vec<(RunRef, u32)> {
+    let change = |output: &AgentOutput| match output {
+        AgentOutput::Throttle(call) => Some((call.run, call.cpu_share)),
+        _ => None,
+    };
+    out.iter().filter_map(change).collect()
+}
+
+fn list(agent: &mut TestAgent, running: Vec<RunStatus>) -> Vec<AgentOutput> {
+    agent.confirm_owner(Duration::ZERO);
+    agent.advance(500);
+    let call = agent.next_poll();
+    let answer = Ok(Listing {
+        born: 7,
+        clock_ms: agent.now.as_micros() / 1_000,
+        running,
+        ended: vec![],
+        complete: true,
+    });
+    agent.step(AgentInput::Polled { call, answer })
+}
+
+fn start(agent: &mut TestAgent, run: RunRef, target_ms: u64) -> u64 {
+    let out = agent.order_start(StartOrder {
+        target_ms,
+        best_effort: target_ms == 0,
+        ..super::agent::start_order(run)
+    });
+    start_token(&out).expect("a start call")
+}
+
+/// Guards against best-effort runs at full speed beside a service: the order of a CPU share overtook
+/// the start at the worker, or was forgotten with a listing from before the start.
+#[test]
+fn a_cpu_share_is_sent_once_the_run_is_on_the_worker() {
+    struct Case {
+        what: &'static str,
+        /// Whether a listing without the run arrives before the start is answered.
+        listed_before: bool,
+        /// Whether the answer to the start arrives, or only a listing with the run.
+        answered: bool,
+    }
+    let cases = [
+        Case {
+            what: "the start is answered",
+            listed_before: false,
+            answered: true,
+        },
+        Case {
+            what: "a listing without the run, then the answer",
+            listed_before: true,
+            answered: true,
+        },
+        Case {
+            what: "a listing with the run",
+            listed_before: false,
+            answered: false,
+        },
+    ];
+    let (service, best_effort) = (run(1, 0, 0, 1), run(2, 0, 0, 1));
+    for case in cases {
+        let mut agent = TestAgent::ready();
+        start(&mut agent, service, 150);
+        list(&mut agent, vec![status(service, 10)]);
+        let fencing_token = start(&mut agent, best_effort, 0);
+        let order = OrderMessage::Throttle {
+            run: best_effort,
+            cpu_share: 40,
+        };
+        let mut out = agent.step(AgentInput::OwnerMessage(OwnerLink(1), order));
+        if case.listed_before {
+            out.extend(list(&mut agent, vec![status(service, 10)]));
+        }
+        assert_eq!(changes(&out), [], "{}", case.what);
+        let out = if case.answered {
+            agent.step(AgentInput::StartAnswered {
+                run: best_effort,
+                fencing_token,
+                answer: Ok(()),
+            })
+        } else {
+            let running = vec![status(service, 10), status(best_effort, 0)];
+            list(&mut agent, running)
+        };
+        assert_eq!(changes(&out), [(best_effort, 40)], "{}", case.what);
+    }
+}
--- a/crates/parsleytally/src/jobs/tests/mod.rs
+++ b/crates/parsleytally/src/jobs/tests/mod.rs
@@ -5,6 +5,7 @@
 mod call_plan;
 mod capacity;
 mod contention;
+mod cpu_shares;
 mod crash_reports;
 mod crashes;
 mod durations;
