fix(jobs): paused best-effort runs resume once no service is left on the worker

Cause: an agent resumes paused runs after two good measurements of services. Once the last service has ended, nothing is measured any more, and the runs stay at 0%.

Change: they resume with the first listing without a service.

--- a/crates/parsleytally/src/jobs/agent/poll.rs
+++ b/crates/parsleytally/src/jobs/agent/poll.rs
@@ -220,13 +220,16 @@
         running: &[RunStatus],
         out: &mut Vec<AgentOutput>,
     ) {
-        if !self.throttle.is_mixed() || now.since(self.throttled_at) < THROTTLE_INTERVAL {
+        let changes = if !self.throttle.is_mixed() {
+            self.throttle.resume(running)
+        } else if now.since(self.throttled_at) >= THROTTLE_INTERVAL {
+            self.throttled_at = now;
+            self.throttle.evaluate(running)
+        } else {
             return;
-        }
-        self.throttled_at = now;
+        };
         let fencing_token = self.fencing_token;
-        let changes = self.throttle.evaluate(running).into_iter();
-        let calls = changes.map(|(run, cpu_share)| ThrottleCall {
+        let calls = changes.into_iter().map(|(run, cpu_share)| ThrottleCall {
             run,
             cpu_share,
             fencing_token,
--- a/crates/parsleytally/src/jobs/agent/throttle.rs
+++ b/crates/parsleytally/src/jobs/agent/throttle.rs
@@ -97,9 +97,24 @@
     /// Evaluates a measurement of all runs of the worker; returns the runs whose CPU share
     /// changes, each with its new share in percent.
     pub(super) fn evaluate(&mut self, running: &[RunStatus]) -> Vec<(RunRef, u32)> {
-        let is_running = |run: &RunRef| running.iter().any(|status| status.run == *run);
         let slowdowns = running.iter().filter_map(|status| self.slowdown(status));
         self.update_paused(slowdowns.fold(0.0, f64::max));
+        self.changes(running)
+    }
+
+    /// Resumes paused runs of a worker without latency-sensitive runs; returns those whose CPU
+    /// share changes, each with its new share in percent.
+    pub(super) fn resume(&mut self, running: &[RunStatus]) -> Vec<(RunRef, u32)> {
+        self.streak = 0;
+        if !std::mem::take(&mut self.paused) {
+            return Vec::new();
+        }
+        self.changes(running)
+    }
+
+    /// Best-effort runs whose CPU share differs from the one that was sent.
+    fn changes(&mut self, running: &[RunStatus]) -> Vec<(RunRef, u32)> {
+        let is_running = |run: &RunRef| running.iter().any(|status| status.run == *run);
         let mut changes = Vec::new();
         let best_effort = |(run, kind): &(&RunRef, &RunKind)| kind.best_effort && is_running(run);
         for (run, _) in self.kinds.iter().filter(best_effort) {
--- a/crates/parsleytally/src/jobs/tests/cpu_shares.rs
+++ b/crates/parsleytally/src/jobs/tests/cpu_shares.rs
@@ -102,3 +102,24 @@
         assert_eq!(changes(&out), [(best_effort, 40)], "{}", case.what);
     }
 }
+
+/// Guards against best-effort runs that stay paused for ever: the service that they had slowed
+/// ended, and nothing was measured any more.
+#[test]
+fn paused_runs_resume_once_no_service_is_left() {
+    let (service, best_effort) = (run(1, 0, 0, 1), run(2, 0, 0, 1));
+    let mut agent = TestAgent::ready();
+    start(&mut agent, service, 150);
+    start(&mut agent, best_effort, 0);
+    let mut out = Vec::new();
+    for _ in 0..6 {
+        let running = vec![status(service, 900), status(best_effort, 0)];
+        out.extend(list(&mut agent, running));
+    }
+    assert_eq!(changes(&out), [(best_effort, 0)]);
+    let mut out = Vec::new();
+    for _ in 0..4 {
+        out.extend(list(&mut agent, vec![status(best_effort, 0)]));
+    }
+    assert_eq!(changes(&out), [(best_effort, 100)]);
+}
