fix(jobs): a run is seen until its listing was made, not until that was read

Callers may see a poison task cleared and others blamed for its crashes (BUDGET).

Cause: an agent noted the time at which it read a listing as the time up to which the run was known to be on the worker. After a pause of the agent that is seconds too late, past the half second that clears a task.

Change: the time is bounded by the advance of the worker's own clock since its last reading.

Evidence: the test failed before ('read after a pause: 2000 ms' where 30 to 31 ms are right); 178 tests of jobs pass.

--- a/crates/parsleytally/src/jobs/agent/crashes.rs
+++ b/crates/parsleytally/src/jobs/agent/crashes.rs
@@ -28,8 +28,8 @@
         }
     }
 
-    pub(super) fn extend_to(&mut self, now: Time) {
-        self.last = now;
+    pub(super) fn extend_to(&mut self, at: Time) {
+        self.last = self.last.max(at);
     }
 
     pub(super) fn last(self) -> Time {
--- a/crates/parsleytally/src/jobs/agent/lease.rs
+++ b/crates/parsleytally/src/jobs/agent/lease.rs
@@ -54,6 +54,15 @@
         self.clock = Some(WorkerClock { value_ms, read_at });
     }
 
+    /// Latest time, up to `now`, at which the worker's clock can have shown `value_ms`.
+    pub(super) fn latest_time_of(&self, now: Time, value_ms: u64) -> Time {
+        let Some(clock) = self.clock else {
+            return now;
+        };
+        let advance = Duration::from_millis(value_ms.saturating_sub(clock.value_ms));
+        clock.read_at.after(with_drift(advance)).min(now)
+    }
+
     /// Grants a lease of `length` from now, cut at the limit, and returns its end on the
     /// worker's clock in milliseconds; none if that clock is unknown or the limit has
     /// passed.
--- a/crates/parsleytally/src/jobs/agent/poll.rs
+++ b/crates/parsleytally/src/jobs/agent/poll.rs
@@ -91,6 +91,7 @@
             self.next_poll = now.after(POLL_PAUSE);
             return;
         }
+        let listed_at = self.lease.latest_time_of(now, listing.clock_ms);
         self.lease.read_clock(now, listing.clock_ms);
         // The worker answers at once while it lists ended runs that are not acknowledged,
         // so the next poll then waits for `POLL_PAUSE`.
@@ -105,7 +106,7 @@
         self.crashes.clear_expired();
         let answer = ListingEvidence::new(now, call, &listing);
         self.last_listing = Some(answer);
-        self.reconcile(now, call, &listing, out);
+        self.reconcile(answer, listed_at, &listing, out);
         let runs = &self.runs;
         self.throttle.retain(|run| runs.contains_key(run));
         for status in &listing.running {
@@ -160,17 +161,17 @@
         }
     }
 
-    /// Updates the tracked runs by the answer to a poll and reports those that did not
+    /// Updates the tracked runs by the answer to a poll, made by `listed_at`, and reports those that did not
     /// start or are missing. A run that is absent from an incomplete listing may have ended, and
     /// one that became known after the poll was sent may have started after the listing.
     fn reconcile(
         &mut self,
-        now: Time,
-        call: PollCall,
+        answer: ListingEvidence,
+        listed_at: Time,
         listing: &Listing,
         out: &mut Vec<AgentOutput>,
     ) {
-        let evidence = RunEvidence::Listing(ListingEvidence::new(now, call, listing));
+        let evidence = RunEvidence::Listing(answer);
         let last_poll = self.poll_number;
         let ended: HashSet<RunRef> = listing.ended.iter().map(|end| end.run).collect();
         let running: HashSet<RunRef> = listing.running.iter().map(|status| status.run).collect();
@@ -179,14 +180,14 @@
                 state: StartState::Confirmed { last_poll },
                 order: None,
                 start_sent: None,
-                stop_due: call.sent,
+                stop_due: answer.sent,
                 stop_ordered: false,
                 sightings: None,
             };
             let tracked = self.runs.entry(*run).or_insert(untracked);
             tracked.state = StartState::Confirmed { last_poll };
-            let sightings = tracked.sightings.get_or_insert(Sightings::at(now));
-            sightings.extend_to(now);
+            let sightings = tracked.sightings.get_or_insert(Sightings::at(listed_at));
+            sightings.extend_to(listed_at);
         }
         self.runs.retain(|run, tracked| {
             if ended.contains(run) {
@@ -198,13 +199,15 @@
             match tracked.state {
                 _ if !listing.complete => true,
                 StartState::Sent { .. } => true,
-                StartState::Unanswered { fencing_token } if call.fencing_token > fencing_token => {
+                StartState::Unanswered { fencing_token }
+                    if answer.fencing_token > fencing_token =>
+                {
                     let verdict = RunVerdict::NotStarted(RefusalReason::Unanswered);
                     push_conclusion(tracked.conclude(*run, verdict, evidence), out);
                     false
                 }
                 StartState::Unanswered { .. } => true,
-                StartState::Confirmed { last_poll } if call.number > last_poll => {
+                StartState::Confirmed { last_poll } if answer.poll > last_poll => {
                     let verdict = RunVerdict::Missing;
                     push_conclusion(tracked.conclude(*run, verdict, evidence), out);
                     false
--- a/crates/parsleytally/src/jobs/tests/overtaken.rs
+++ b/crates/parsleytally/src/jobs/tests/overtaken.rs
@@ -238,3 +238,62 @@
     let call = agent.next_poll();
     assert!(call.fencing_token > token, "{call:?}");
 }
+
+/// Guards against poison tasks that are cleared: an agent that was paused took the time at which it
+/// read a listing for the time up to which the run was on the worker.
+#[test]
+fn a_run_is_seen_until_its_listing_was_made_not_until_that_was_read() {
+    struct Case {
+        what: &'static str,
+        /// The worker's clock in the listing, in milliseconds after the start was answered.
+        listed_ms: u64,
+        /// When the listing is read, in milliseconds after the start was answered.
+        read_ms: u64,
+        /// For how long the run was seen, in milliseconds.
+        seen_ms: std::ops::RangeInclusive<u64>,
+    }
+    let cases = [
+        Case {
+            what: "read at once",
+            listed_ms: 800,
+            read_ms: 800,
+            seen_ms: 800..=800,
+        },
+        Case {
+            what: "read after a pause",
+            listed_ms: 30,
+            read_ms: 2_000,
+            seen_ms: 30..=31,
+        },
+    ];
+    for case in cases {
+        let mut agent = TestAgent::ready();
+        let call = agent.next_poll();
+        let token = order_start(&mut agent, first());
+        answer_start(&mut agent, first(), token, Ok(()));
+        let clock_ms = agent.now.as_micros() / 1_000 + case.listed_ms;
+        agent.now = agent.now.after(Duration::from_millis(case.read_ms));
+        let answer = Ok(Listing {
+            born: 7,
+            clock_ms,
+            running: vec![status(first())],
+            ended: vec![],
+            complete: true,
+        });
+        agent.step(AgentInput::Polled { call, answer });
+        agent.step(reported(report(0, 8)));
+        let mut seen = None;
+        for _ in 0..20 {
+            agent.confirm_owner(Duration::ZERO);
+            agent.advance(500);
+            let call = agent.next_poll();
+            for output in agent.answer_poll_as(8, call) {
+                if let AgentOutput::Send(AgentMessage::Crashed(crash)) = output {
+                    seen = crash.runs[0].seen_ms;
+                }
+            }
+        }
+        let seen = seen.expect("the crash is reported");
+        assert!(case.seen_ms.contains(&seen), "{}: {seen} ms", case.what);
+    }
+}
