fix(jobs): a CPU share is sent after the call before it is settled

Callers may see work that makes no progress for ever, or services slowed.

Cause: two CPU shares ordered for a run shortly after one another went out on two connections; the worker may carry out the older one last, and a call without an answer seconds later. Nothing corrected that until the share changed again; at 0% the run stands still.

Change: one call a run at a time. The next one is sent once it is answered, with the share wanted by then; after a call without an answer, with a higher fencing token, so that the late one is refused. Paused runs without a service are resumed with each listing, also if the pause was pending.

--- a/crates/parsleytally-agent/src/site/log_lines.rs
+++ b/crates/parsleytally-agent/src/site/log_lines.rs
@@ -4,8 +4,8 @@
 //! Times are microseconds on the agent's clock, which starts with its process.
 
 use parsleytally::jobs::{
-    AgentMessage, EndEvidence, ListingEvidence, RunConclusion, RunEvidence, RunVerdict,
-    WorkerCrash, WorkerIncarnation,
+    AgentMessage, CallError, EndEvidence, ListingEvidence, RunConclusion, RunEvidence, RunVerdict,
+    ThrottleCall, WorkerCrash, WorkerIncarnation,
 };
 use parsleytally::types::Time;
 
@@ -43,6 +43,15 @@
     }
 }
 
+/// A call to change the CPU share of a run was answered, or failed.
+pub(super) fn throttled(call: ThrottleCall, answer: Result<(), CallError>) {
+    let (task, run, percent) = (call.run.task, call.run.run, call.cpu_share);
+    match answer {
+        Ok(()) => log::info!(task:%, run, percent; "changed the CPU share"),
+        Err(error) => log::warn!(task:%, run, error:?; "could not change the CPU share"),
+    }
+}
+
 /// An answer was dropped, since it may be older than the last one in use.
 pub(super) fn overtaken(answer: &ListingEvidence) {
     log::info!(answer = listing_text(answer); "answer to a poll was overtaken");
--- a/crates/parsleytally-agent/src/site/mod.rs
+++ b/crates/parsleytally-agent/src/site/mod.rs
@@ -395,15 +395,9 @@
                     answer: host.stop(call).await,
                 },
                 AgentOutput::Throttle(call) => {
-                    if let Err(error) = host.throttle(call).await {
-                        log::warn!(task:% = call.run.task, run = call.run.run, error:? = error;
-                            "could not change the CPU share");
-                        AgentInput::ThrottleFailed(call.run)
-                    } else {
-                        log::info!(task:% = call.run.task, run = call.run.run,
-                            percent = call.cpu_share; "changed the CPU share");
-                        return;
-                    }
+                    let answer = host.throttle(call).await;
+                    log_lines::throttled(call, answer);
+                    AgentInput::ThrottleAnswered { call, answer }
                 }
                 AgentOutput::Send(_)
                 | AgentOutput::Supersede(_)
--- a/crates/parsleytally/src/jobs/agent/messages.rs
+++ b/crates/parsleytally/src/jobs/agent/messages.rs
@@ -124,8 +124,13 @@
         /// Result of the call.
         answer: Result<(), CallError>,
     },
-    /// A call to change the CPU share of a run failed.
-    ThrottleFailed(RunRef),
+    /// Result of a call to change the CPU share of a run.
+    ThrottleAnswered {
+        /// The call.
+        call: ThrottleCall,
+        /// Result of the call.
+        answer: Result<(), CallError>,
+    },
     /// Periodic timer.
     Tick,
 }
@@ -160,7 +165,6 @@
     Start(StartCall),
     /// Stop a run.
     Stop(StopCall),
-    /// Change the CPU share of a run; only a failure is an input, as
-    /// [`AgentInput::ThrottleFailed`].
+    /// Change the CPU share of a run.
     Throttle(ThrottleCall),
 }
--- a/crates/parsleytally/src/jobs/agent/mod.rs
+++ b/crates/parsleytally/src/jobs/agent/mod.rs
@@ -266,7 +266,9 @@
                 self.start_answered(now, run, fencing_token, answer, out);
             }
             AgentInput::StopAnswered { run, answer } => self.stop_answered(now, run, answer),
-            AgentInput::ThrottleFailed(run) => self.throttle.call_failed(run),
+            AgentInput::ThrottleAnswered { call, answer } => {
+                self.throttle_answered(now, call, answer, out);
+            }
             AgentInput::Tick => {}
         }
         self.poll(now, out);
@@ -672,6 +674,26 @@
         }
     }
 
+    /// Handles the answer to a change of a CPU share. Without an answer, the call may be carried
+    /// out later, so that the next one needs a higher token.
+    fn throttle_answered(
+        &mut self,
+        now: Time,
+        call: ThrottleCall,
+        answer: Result<(), CallError>,
+        out: &mut Vec<AgentOutput>,
+    ) {
+        self.throttle.answered(call.run, answer.is_ok());
+        match answer {
+            Ok(()) => self.send_cpu_share(call.run, out),
+            Err(CallError::Unanswered) if self.runs.contains_key(&call.run) => {
+                self.raise_fencing_token(now, call.fencing_token);
+            }
+            // The share is sent again with the next listing that has the run.
+            Err(_) => {}
+        }
+    }
+
     fn stop(&mut self, now: Time, run: RunRef, out: &mut Vec<AgentOutput>) {
         let untracked = TrackedRun {
             state: StartState::Unanswered {
--- a/crates/parsleytally/src/jobs/agent/throttle.rs
+++ b/crates/parsleytally/src/jobs/agent/throttle.rs
@@ -5,7 +5,7 @@
 //! workers. This local rule covers the time in which its orders are missing or don't
 //! suffice.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use super::RunRef;
 use crate::jobs::RunStatus;
@@ -39,6 +39,8 @@
     ordered: HashMap<RunRef, u32>,
     /// CPU share that was last sent to the worker, in percent; none if it is unknown.
     sent: HashMap<RunRef, u32>,
+    /// Runs with a call that is not answered; a second one could overtake it.
+    pending: HashSet<RunRef>,
     /// Whether best-effort runs are paused.
     paused: bool,
     /// Measurements that favor pausing or resuming since the last that opposed it.
@@ -67,18 +69,23 @@
         self.ordered.insert(run, cpu_share);
     }
 
-    /// CPU share of an ordered run that the worker has to be told; from then on, it counts as
-    /// told.
+    /// CPU share to send for a run that the owner ordered one for, if the worker may have
+    /// another one.
     pub(super) fn take_unsent(&mut self, run: RunRef) -> Option<u32> {
         let ordered = self.ordered.get(&run).copied()?;
         let best_effort = self.kinds.get(&run).is_some_and(|kind| kind.best_effort);
-        let cpu_share = if self.paused && best_effort {
-            0
-        } else {
-            ordered
-        };
-        let sent = self.sent.insert(run, cpu_share);
-        (sent != Some(cpu_share)).then_some(cpu_share)
+        let paused = self.paused && best_effort;
+        self.take(run, if paused { 0 } else { ordered })
+    }
+
+    /// The CPU share `wanted`, unless it was sent last or a call is pending.
+    fn take(&mut self, run: RunRef, wanted: u32) -> Option<u32> {
+        let is_sent = self.sent.get(&run) == Some(&wanted);
+        if is_sent || !self.pending.insert(run) {
+            return None;
+        }
+        self.sent.insert(run, wanted);
+        Some(wanted)
     }
 
     /// Drops the runs that are not tracked any more.
@@ -86,6 +93,7 @@
         self.kinds.retain(|run, _| is_tracked(run));
         self.ordered.retain(|run, _| is_tracked(run));
         self.sent.retain(|run, _| is_tracked(run));
+        self.pending.retain(|run| is_tracked(run));
     }
 
     /// Whether there are both best-effort and latency-sensitive runs.
@@ -106,9 +114,7 @@
     /// share changes, each with its new share in percent.
     pub(super) fn resume(&mut self, running: &[RunStatus]) -> Vec<(RunRef, u32)> {
         self.streak = 0;
-        if !std::mem::take(&mut self.paused) {
-            return Vec::new();
-        }
+        self.paused = false;
         self.changes(running)
     }
 
@@ -117,20 +123,21 @@
         let is_running = |run: &RunRef| running.iter().any(|status| status.run == *run);
         let mut changes = Vec::new();
         let best_effort = |(run, kind): &(&RunRef, &RunKind)| kind.best_effort && is_running(run);
-        for (run, _) in self.kinds.iter().filter(best_effort) {
-            let ordered = self.ordered.get(run).copied().unwrap_or(FULL_CPU_SHARE);
-            let cpu_share = if self.paused { 0 } else { ordered };
-            if self.sent.insert(*run, cpu_share) != Some(cpu_share) {
-                changes.push((*run, cpu_share));
-            }
+        let runs = self.kinds.iter().filter(best_effort).map(|(run, _)| *run);
+        for run in runs.collect::<Vec<_>>() {
+            let ordered = self.ordered.get(&run).copied().unwrap_or(FULL_CPU_SHARE);
+            let wanted = if self.paused { 0 } else { ordered };
+            changes.extend(self.take(run, wanted).map(|cpu_share| (run, cpu_share)));
         }
         changes
     }
 
-    /// Marks the CPU share of a run as unknown after a failed call, so that it is sent
-    /// again.
-    pub(super) fn call_failed(&mut self, run: RunRef) {
-        self.sent.remove(&run);
+    /// Notes the answer to a call; after a failure, the share is unknown and sent again.
+    pub(super) fn answered(&mut self, run: RunRef, succeeded: bool) {
+        self.pending.remove(&run);
+        if !succeeded {
+            self.sent.remove(&run);
+        }
     }
 
     /// Pauses or resumes best-effort runs by the highest slowdown of a measurement.
--- a/crates/parsleytally/src/jobs/tests/cpu_shares.rs
+++ b/crates/parsleytally/src/jobs/tests/cpu_shares.rs
@@ -23,6 +23,13 @@
     out.iter().filter_map(change).collect()
 }
 
+fn throttle_call(out: &[AgentOutput]) -> Option<ThrottleCall> {
+    out.iter().find_map(|output| match output {
+        AgentOutput::Throttle(call) => Some(*call),
+        _ => None,
+    })
+}
+
 fn list(agent: &mut TestAgent, running: Vec<RunStatus>) -> Vec<AgentOutput> {
     agent.confirm_owner(Duration::ZERO);
     agent.advance(500);
@@ -37,6 +44,19 @@
     agent.step(AgentInput::Polled { call, answer })
 }
 
+/// Answers the calls that change CPU shares.
+fn answer_changes(agent: &mut TestAgent, out: &[AgentOutput]) {
+    for output in out {
+        if let AgentOutput::Throttle(call) = output {
+            let call = *call;
+            agent.step(AgentInput::ThrottleAnswered {
+                call,
+                answer: Ok(()),
+            });
+        }
+    }
+}
+
 fn start(agent: &mut TestAgent, run: RunRef, target_ms: u64) -> u64 {
     let out = agent.order_start(StartOrder {
         target_ms,
@@ -117,9 +137,68 @@
         out.extend(list(&mut agent, running));
     }
     assert_eq!(changes(&out), [(best_effort, 0)]);
-    let mut out = Vec::new();
+    // The pause may not be answered before the service has ended.
+    let mut resumed = list(&mut agent, vec![status(best_effort, 0)]);
+    answer_changes(&mut agent, &out);
     for _ in 0..4 {
+        let listed = list(&mut agent, vec![status(best_effort, 0)]);
+        answer_changes(&mut agent, &listed);
+        resumed.extend(listed);
+    }
+    assert_eq!(changes(&resumed), [(best_effort, 100)]);
+}
+
+/// Guards against runs that stay paused: of two CPU shares sent shortly after one another, the older one
+/// was carried out last.
+#[test]
+fn a_cpu_share_is_sent_after_the_one_before_is_settled() {
+    struct Case {
+        what: &'static str,
+        answer: Result<(), CallError>,
+        /// Whether the next call has a higher fencing token.
+        fenced: bool,
+    }
+    let cases = [
+        Case {
+            what: "answered",
+            answer: Ok(()),
+            fenced: false,
+        },
+        Case {
+            what: "not answered: it may be carried out later",
+            answer: Err(CallError::Unanswered),
+            fenced: true,
+        },
+        Case {
+            what: "not sent",
+            answer: Err(CallError::Unreachable),
+            fenced: false,
+        },
+    ];
+    let best_effort = run(2, 0, 0, 1);
+    let order = |cpu_share| {
+        let order = OrderMessage::Throttle {
+            run: best_effort,
+            cpu_share,
+        };
+        AgentInput::OwnerMessage(OwnerLink(1), order)
+    };
+    for case in cases {
+        let mut agent = TestAgent::ready();
+        start(&mut agent, best_effort, 0);
+        list(&mut agent, vec![status(best_effort, 0)]);
+        let out = agent.step(order(0));
+        let first = throttle_call(&out).expect("a call");
+        let out = agent.step(order(100));
+        assert_eq!(changes(&out), [], "{}", case.what);
+        let mut out = agent.step(AgentInput::ThrottleAnswered {
+            call: first,
+            answer: case.answer,
+        });
         out.extend(list(&mut agent, vec![status(best_effort, 0)]));
+        assert_eq!(changes(&out), [(best_effort, 100)], "{}", case.what);
+        let next = throttle_call(&out).expect("a call");
+        let fenced = next.fencing_token > first.fencing_token;
+        assert_eq!(fenced, case.fenced, "{}", case.what);
     }
-    assert_eq!(changes(&out), [(best_effort, 100)]);
 }
