fix(jobs): a later incarnation is used by a poll that fences the calls to the earlier one

Callers may see a task run twice and an end lost.

Cause: polls carry no incarnation. A poll for the earlier incarnation that had no answer may be carried out by the next one while that is in use, since its token is as high as the present one: it acknowledges ends of the next incarnation that nobody has seen, whose runs are then missing, and brings a lease on the earlier one's clock.

Change: when a later incarnation answers, the token is raised above those of all calls so far. It is used only by a poll with that token, which renews no lease and acknowledges nothing.

--- a/crates/parsleytally/src/jobs/agent/incarnation.rs
+++ b/crates/parsleytally/src/jobs/agent/incarnation.rs
@@ -9,6 +9,15 @@
 };
 use crate::types::Time;
 
+/// A later incarnation of the worker that is not used yet.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Successor {
+    /// Its start, as Unix time in milliseconds.
+    born: u64,
+    /// Least token of a poll by which it can be used.
+    fencing_token: u64,
+}
+
 impl JobAgent {
     pub(super) fn worker_reported(
         &mut self,
@@ -146,6 +155,7 @@
         let known = self.report.as_ref();
         let known = known.map(|report| report.incarnation.started_ms);
         if known == Some(born) {
+            self.successor = None;
             return true;
         }
         if known.is_some() {
@@ -156,6 +166,7 @@
             }
             let answer = ListingEvidence::new(now, call, listing);
             self.reset_incarnation(answer, out);
+            self.successor = None;
             self.report = None;
             out.push(AgentOutput::Send(AgentMessage::LeasesExpired));
         }
@@ -172,16 +183,29 @@
         out: &mut Vec<AgentOutput>,
     ) -> bool {
         let is_overlong = self.has_overlong_lease(now, call, listing);
-        // It has seen no fencing token, unless this poll brought one that is higher than those
-        // of orders on their way.
-        let unsettled = self.unsettled_token();
-        if let Some(token) = unsettled.filter(|token| *token >= call.fencing_token) {
-            self.raise_fencing_token(now, token);
-            return false;
+        let successor = self.successor.filter(|known| known.born == listing.born);
+        let is_fenced = successor.is_some_and(|known| call.fencing_token >= known.fencing_token);
+        if !is_fenced {
+            self.note_successor(now, listing.born);
         }
         // It began with no runs, so orders to the earlier incarnation have reached it.
         self.stop_all(listing.running.iter().map(|status| status.run), out);
-        listing.running.is_empty() && !is_overlong
+        is_fenced && listing.running.is_empty() && !is_overlong
+    }
+
+    /// Notes a later incarnation that answers. It has seen no fencing token, so it is used only
+    /// once it has answered a poll with a higher token than those of all calls so far, which
+    /// renews no lease and acknowledges no ends: nothing that was sent to the earlier one acts on
+    /// it afterwards.
+    fn note_successor(&mut self, now: Time, born: u64) {
+        if self.successor.is_none_or(|known| known.born != born) {
+            self.raise_fencing_token(now, self.fencing_token);
+            self.successor = Some(Successor {
+                born,
+                fencing_token: self.fencing_token,
+            });
+        }
+        self.next_poll = now;
     }
 
     /// Whether the new incarnation that answered `call` has a lease longer than others: the
--- a/crates/parsleytally/src/jobs/agent/mod.rs
+++ b/crates/parsleytally/src/jobs/agent/mod.rs
@@ -48,6 +48,7 @@
 };
 
 use crashes::{Crashes, Sightings};
+use incarnation::Successor;
 use late_reports::LateReports;
 use lease::Lease;
 use owner_clock::OwnerClock;
@@ -168,6 +169,8 @@
     late_reports: LateReports,
     /// Latest reports of other incarnations, with their numbers.
     candidates: Vec<(WorkerReport, u64)>,
+    /// A later incarnation that answers, until it is used.
+    successor: Option<Successor>,
     /// Whether the present incarnation of the worker gave notice of its shutdown.
     shutdown_noticed: bool,
     /// Whether a later report of this incarnation shows that the notice was not its own.
@@ -221,6 +224,7 @@
             report_sequence: 0,
             late_reports: LateReports::default(),
             candidates: Vec::new(),
+            successor: None,
             shutdown_noticed: false,
             recovers: false,
             lease: Lease::default(),
--- a/crates/parsleytally/src/jobs/agent/poll.rs
+++ b/crates/parsleytally/src/jobs/agent/poll.rs
@@ -33,7 +33,7 @@
         };
         // A worker that stopped answering may answer as a new incarnation, with numbers of
         // its own.
-        let acknowledged = if self.unresponsive {
+        let acknowledged = if self.unresponsive || self.successor.is_some() {
             0
         } else {
             self.acknowledged
--- a/crates/parsleytally/src/jobs/tests/foreign_reports.rs
+++ b/crates/parsleytally/src/jobs/tests/foreign_reports.rs
@@ -118,6 +118,10 @@
         agent.advance(200);
         let call = agent.next_poll();
         let out = agent.answer_poll_as(case.born, call);
+        assert!(!sent(&out, &AgentMessage::Missing(order)), "{}", case.what);
+        // The second poll fences what was sent to the earlier incarnation.
+        let call = agent.next_poll();
+        let out = agent.answer_poll_as(case.born, call);
         let new = AgentMessage::Report(report(0, case.born));
         assert!(sent(&out, &AgentMessage::Missing(order)), "{}", case.what);
         assert!(sent(&out, &new), "{}: {out:?}", case.what);
@@ -231,7 +235,9 @@
         let began = agent.now;
         while reported_states(&out).is_empty() {
             out = agent.advance(100);
-            while let Some(call) = agent.polls.pop() {
+            while reported_states(&out).is_empty()
+                && let Some(call) = agent.polls.pop()
+            {
                 assert_eq!(call.lease_end, None, "{}", case.what);
                 out.extend(agent.answer_poll_as(BORN + 1, call));
             }
--- a/crates/parsleytally/src/jobs/tests/overtaken.rs
+++ b/crates/parsleytally/src/jobs/tests/overtaken.rs
@@ -297,3 +297,57 @@
         assert!(case.seen_ms.contains(&seen), "{}: {seen} ms", case.what);
     }
 }
+
+/// Guards against ends that are forgotten unseen, and against leases that outlast the agent's count: a poll
+/// for the earlier incarnation without an answer was carried out by the next one while that was in use.
+#[test]
+fn a_later_incarnation_is_used_by_a_poll_that_fences_those_for_the_earlier_one() {
+    struct Case {
+        what: &'static str,
+        /// Whether the poll for the earlier incarnation has failed before the next one answers.
+        failed: bool,
+    }
+    let cases = [
+        Case {
+            what: "the earlier poll has failed",
+            failed: true,
+        },
+        Case {
+            what: "the earlier poll is answered by the next incarnation",
+            failed: false,
+        },
+    ];
+    for case in cases {
+        let mut agent = TestAgent::ready();
+        let earlier = agent.next_poll();
+        agent.step(reported(report(0, 8)));
+        if case.failed {
+            agent.fail_poll(earlier);
+        } else {
+            agent.answer_poll_as(8, earlier);
+        }
+        let mut used = None;
+        for _ in 0..60 {
+            agent.confirm_owner(Duration::ZERO);
+            let call = agent.next_poll();
+            let out = agent.answer_poll_as(8, call);
+            if sent(&out, &AgentMessage::Report(report(0, 8))) {
+                used = Some(call);
+                break;
+            }
+            agent.advance(100);
+        }
+        let used = used.expect("the next incarnation is used");
+        assert!(
+            used.fencing_token > earlier.fencing_token,
+            "{}: {used:?}",
+            case.what
+        );
+        assert_eq!(
+            (used.lease_end, used.acknowledged),
+            (None, 0),
+            "{}",
+            case.what
+        );
+    }
+}
