fix(jobs): a start without an answer is settled by a poll that does not wait

Cause: since answers that were overtaken are dropped, the poll that would settle an unanswered start may be dropped; the next one waited for an end, up to a second in which the start's room is held. And after the first answer of a later incarnation the agent paused before the poll that fences it.

Change: polls are answered at once while a start is unanswered, and the fencing poll is sent at once.

--- a/crates/parsleytally/src/jobs/agent/poll.rs
+++ b/crates/parsleytally/src/jobs/agent/poll.rs
@@ -38,7 +38,8 @@
         } else {
             self.acknowledged
         };
-        let answer_at_once = token_raised || !self.listed || lease_end.is_none();
+        let answer_at_once =
+            token_raised || !self.listed || lease_end.is_none() || self.has_unanswered_start();
         let wait = if answer_at_once {
             0
         } else {
@@ -58,6 +59,12 @@
         }));
     }
 
+    /// Whether a listing decides if a start without an answer has taken effect.
+    fn has_unanswered_start(&self) -> bool {
+        let mut runs = self.runs.values();
+        runs.any(|run| matches!(run.state, StartState::Unanswered { .. }))
+    }
+
     /// Longest time for which the worker may delay the answer to a poll.
     fn poll_wait(&self) -> Duration {
         if self.is_draining() {
@@ -88,7 +95,9 @@
         };
         self.answered_poll = self.poll_number;
         if !self.update_incarnation(now, call, &listing, out) {
-            self.next_poll = now.after(POLL_PAUSE);
+            if self.polled_token == self.fencing_token {
+                self.next_poll = now.after(POLL_PAUSE);
+            }
             return;
         }
         let listed_at = self.lease.latest_time_of(now, listing.clock_ms);
--- a/crates/parsleytally/src/jobs/tests/overtaken.rs
+++ b/crates/parsleytally/src/jobs/tests/overtaken.rs
@@ -351,3 +351,22 @@
         );
     }
 }
+
+/// Guards against a start that stays unsettled for a second more: the poll that settles it was overtaken, and
+/// the next one waited for an end.
+#[test]
+fn a_start_without_an_answer_is_settled_by_a_poll_that_does_not_wait() {
+    let (mut agent, [older, newer], _) = two_polls_in_flight();
+    agent.answer_poll(older, vec![], vec![]);
+    agent.polls.clear();
+    agent.answer_poll(newer, vec![], vec![]);
+    let next = agent.next_poll();
+    assert_eq!(next.wait_ms, 0, "{next:?}");
+    let reason = RefusalReason::Unanswered;
+    let refused = AgentMessage::Refused {
+        run: first(),
+        reason,
+    };
+    let out = agent.answer_poll(next, vec![], vec![]);
+    assert!(sent(&out, &refused), "{out:?}");
+}
