fix(jobs): a worker is polled with pauses while its agent has no owner

Cause: an agent polls again at once after an answer with ends that it has not reported. Without an owner none is reported, so it polled 500 times a second (reviewer's trial, answers after 2 ms) until the hold had passed. That load feeds the stalls in which answers overtake each other.

Change: without an owner, polls keep their pause.

Evidence: the reviewer's trial counted 500 polls in a second; the new test asks for 10 at most and passes. 183 tests of jobs pass.

--- a/crates/parsleytally/src/jobs/agent/poll.rs
+++ b/crates/parsleytally/src/jobs/agent/poll.rs
@@ -109,7 +109,8 @@
             .iter()
             .all(|end| end.sequence > self.reported_sequence);
         let awaits_listing = !self.listed && self.may_list(call);
-        if all_unreported && (call.wait_ms > 0 || awaits_listing) {
+        let is_heard = self.owner.is_some();
+        if is_heard && all_unreported && (call.wait_ms > 0 || awaits_listing) {
             self.next_poll = now;
         }
         self.crashes.clear_expired();
--- a/crates/parsleytally/src/jobs/tests/overtaken.rs
+++ b/crates/parsleytally/src/jobs/tests/overtaken.rs
@@ -370,3 +370,29 @@
     let out = agent.answer_poll(next, vec![], vec![]);
     assert!(sent(&out, &refused), "{out:?}");
 }
+
+/// Guards against a worker that is polled without a pause: its agent has lost the owner, so that
+/// nobody acknowledges the ends that the worker lists.
+#[test]
+fn a_worker_is_polled_with_pauses_while_its_agent_has_no_owner() {
+    let mut agent = TestAgent::ready();
+    let token = order_start(&mut agent, first());
+    answer_start(&mut agent, first(), token, Ok(()));
+    agent.confirm_owner(Duration::ZERO);
+    agent.step(AgentInput::OwnerLost(OwnerLink(1)));
+    let end = EndedRun {
+        sequence: 1,
+        run: second(),
+        reason: EndReason::Done,
+        checkpoint: String::new(),
+    };
+    let mut polls = 0;
+    for _ in 0..500 {
+        agent.advance(2);
+        if let Some(call) = agent.polls.pop() {
+            polls += 1;
+            agent.answer_poll(call, vec![first()], vec![end.clone()]);
+        }
+    }
+    assert!(polls <= 10, "{polls} polls in a second");
+}
