fix(jobs): a new owner waits for linked agents until they have listed their runs

Callers may see a task run twice.

Cause: a new owner waits for the runs of its predecessor until that one's hold has passed. Its own answers to an agent's pings extend the hold of runs that the agent has not listed yet; if the link was late, slow or lost again, the wait ended before the runs did, and the agent's address was deleted.

Change: the wait for an agent does not end while it is linked, and lasts for a whole hold after the link is lost. A linked agent lists its runs or reports the end of all leases within its lease.

--- a/crates/parsleytally/src/jobs/scheduler/mod.rs
+++ b/crates/parsleytally/src/jobs/scheduler/mod.rs
@@ -91,7 +91,7 @@
     acks_due: bool,
     workers: BTreeMap<NodeName, Worker>,
     /// Agents of the predecessor that have not reported yet, each with the time at which
-    /// runs there have certainly ended.
+    /// runs there have certainly ended unless it is linked.
     unreported: BTreeMap<NodeName, Time>,
     contention: Contention,
     durations: Durations,
@@ -332,7 +332,11 @@
     fn unlinked(&mut self, now: Time, node: &NodeName) {
         let hold = now.after(self.options.agent_hold);
         // Until it has listed its runs, the predecessor's hold may still keep them alive.
-        let inherited = self.unreported.get(node).copied().unwrap_or(hold);
+        let inherited = self.unreported.get_mut(node).map_or(hold, |until| {
+            // The answers of this owner have extended the agent's hold.
+            *until = hold.max(*until);
+            *until
+        });
         if let Some(worker) = self.workers.get_mut(node) {
             let hold = hold.max(inherited);
             worker.linked = false;
@@ -546,17 +550,17 @@
         for node in left {
             self.drop_runs(&node, EndEvidence::AgentMessage, out);
         }
+        // This owner keeps the runs of a linked agent alive until that has listed them.
+        let is_linked = |node: &NodeName| self.workers.get(node).is_some_and(|w| w.linked);
         let expired = self
             .unreported
             .iter()
-            .filter(|(_, until)| **until <= confirmed);
+            .filter(|(node, until)| **until <= confirmed && !is_linked(node));
         let expired: Vec<NodeName> = expired.map(|(node, _)| node.clone()).collect();
         self.pass_due |= !expired.is_empty();
         for node in expired {
             self.unreported.remove(&node);
-            if !self.workers.get(&node).is_some_and(|worker| worker.linked) {
-                out.push(Output::Forget(node));
-            }
+            out.push(Output::Forget(node));
         }
         self.open_rounds(now, wall_ms);
         self.remove_ended(now);
--- a/crates/parsleytally/src/jobs/tests/mod.rs
+++ b/crates/parsleytally/src/jobs/tests/mod.rs
@@ -15,6 +15,7 @@
 mod malformed;
 mod model;
 mod overtaken;
+mod owner_change;
 mod placement;
 mod records;
 mod scheduler;
