fix(jobs): a listed worker responds; checkpoints come from the task's own runs

- A worker stayed unused: after its id was corrected the agent lists anew, and does not tell that the worker answers again.
A listing shows that it answers.
Before: no start after the listing ('left: 0, right: 1').
- Work was done again: the checkpoint of any measured run replaced the task's.
Only that of a run which the owner counts on that worker does.
Before: the next run started from "old".

--- a/crates/parsleytally/src/jobs/job.rs
+++ b/crates/parsleytally/src/jobs/job.rs
@@ -79,6 +79,12 @@
 }
 
 impl Task {
+    /// Its run of this number on the worker of `node`; none if it has no such run.
+    pub(super) fn run_on(&self, node: &NodeName, run: u32) -> Option<&LiveRun> {
+        let mut runs = self.runs.iter();
+        runs.find(|live| live.run == run && live.node == *node)
+    }
+
     /// Worker on which a run last failed, or that crashed with one.
     pub(super) fn last_failed_on(&self) -> Option<&NodeName> {
         let crashed = self.crashes.last().map(|mark| &mark.node);
--- a/crates/parsleytally/src/jobs/scheduler/ended.rs
+++ b/crates/parsleytally/src/jobs/scheduler/ended.rs
@@ -30,6 +30,12 @@
         }
         worker.listed = true;
         worker.expect_all_ends();
+        if worker.unresponsive {
+            self.set_unresponsive(now, node, false);
+        }
+        let Some(worker) = self.workers.get(node) else {
+            return;
+        };
         let placed: Vec<RunRef> = worker.runs.keys().copied().collect();
         self.handle_ended(now, node, incarnation, ended, out);
         let runs: HashSet<RunRef> = running.iter().map(|task| task.run).collect();
@@ -114,8 +120,8 @@
     fn is_needed(&mut self, node: &NodeName, run: RunRef) -> bool {
         let job = self.jobs.get_mut(&run.task.job);
         let task = job.and_then(|job| job.task(run.task));
-        let is_run = |live: &LiveRun| live.run == run.run && live.node == *node;
-        task.is_some_and(|task| task.runs.iter().any(|live| is_run(live) && !live.stopping))
+        let live = task.and_then(|task| task.run_on(node, run.run));
+        live.is_some_and(|live| !live.stopping)
     }
 
     /// Adds an unknown run to its task; returns false if the task doesn't need it.
--- a/crates/parsleytally/src/jobs/scheduler/mod.rs
+++ b/crates/parsleytally/src/jobs/scheduler/mod.rs
@@ -480,6 +480,7 @@
             let job = self.jobs.get_mut(&gauge.run.task.job);
             let task = job.and_then(|job| job.task(gauge.run.task));
             if let Some(task) = task
+                && task.run_on(node, gauge.run.run).is_some()
                 && !gauge.checkpoint.is_empty()
             {
                 task.checkpoint.clone_from(&gauge.checkpoint);
