fix(jobs): expired leases don't end a run whose order is on its way

Callers saw a task run twice at once: the second run started while the first, which nobody had ordered to stop, was running.

Cause: after all leases of a silent worker have expired, the agent reports `LeasesExpired` and lists the runs anew on the same link, with the same fencing token, once the worker answers. An order that the owner sent before it read that report can reach the agent after that listing: the agent carries it out, and the owner, which reads the report and the listing later, takes the run for ended and starts its task again.

Change: if the owner has sent orders on this link whose runs no listing or measurement has shown, `LeasesExpired` frees nothing. The owner gives the link up (`Relink`) and opens another. The agent ignores orders of the earlier link from then on, and its listing under the new fencing token shows which of them have started; if the worker stays silent, the agent reports the end of all leases again, before any order was sent. Without such runs, nothing changes. The messages on the wire are the same.

A link now closes once its sender of orders is dropped, so `an_owner_ends_once_an_agent_has_a_later_owner` keeps the sender, as an owner does; its checks are unchanged.

--- a/crates/parsleytally-entry/src/site/agents.rs
+++ b/crates/parsleytally-entry/src/site/agents.rs
@@ -48,7 +48,8 @@
 }
 
 impl AgentLink {
-    /// Connects to the agent, and again whenever the link is lost, until cancelled.
+    /// Connects to the agent, and again whenever the link is lost or the owner drops the sender
+    /// of its orders, until cancelled.
     pub(super) async fn run(self) {
         loop {
             match dial(self.address, &self.hello, &self.config).await {
@@ -84,7 +85,8 @@
                         break;
                     }
                 }
-                Some(messages) = orders.recv() => {
+                messages = orders.recv() => {
+                    let Some(messages) = messages else { break };
                     if link.deliver(Frame::JobOrders(messages)).await.is_err() {
                         break;
                     }
--- a/crates/parsleytally-entry/src/site/owner.rs
+++ b/crates/parsleytally-entry/src/site/owner.rs
@@ -509,6 +509,11 @@
             match output {
                 Output::Order(node, message) => orders.entry(node).or_default().push(message),
                 Output::Forget(node) => forgotten.push(node),
+                Output::Relink(node) => {
+                    log::info!(agent:% = node; "link to an agent is replaced, an order may be on its way");
+                    // The link closes without it.
+                    self.order_senders.remove(&node);
+                }
                 Output::SaveLearned(record) => learned = Some(record),
                 Output::RunsDropped {
                     node,
--- a/crates/parsleytally-entry/src/site/tests/mod.rs
+++ b/crates/parsleytally-entry/src/site/tests/mod.rs
@@ -32,7 +32,7 @@
 use parsleytally_platform::store::{MemoryStore, Store};
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout};
 
 use super::admission::AdmissionMetrics;
 use super::agents::{AgentId, AgentLink};
@@ -115,20 +115,7 @@
     for case in cases {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let (sender, mut inputs) = mpsc::channel(16);
-        let link = AgentLink {
-            agent: AgentId {
-                node: NodeName::new("agent").expect("a valid name"),
-                dialer: 1,
-            },
-            address: listener.local_addr().expect("an address"),
-            epoch: Epoch(3),
-            hello: hello(Role::Entry, "owner"),
-            config: link_config(),
-            confirmation: LastConfirmation::at(BootTime::now()),
-            clock: Clock::start(),
-            owner: sender,
-            link_counter: Arc::default(),
-        };
+        let link = agent_link(&listener, sender);
         let owner = tokio::spawn(link.run());
         let (stream, _) = listener.accept().await.expect("a connection");
         let accepted = accept(stream, &hello(Role::Agent, "agent"), &link_config()).await;
@@ -138,7 +125,9 @@
         };
         let sent = agent.send(Frame::JobReports(vec![message]));
         sent.expect("the link is open");
-        assert!(matches!(inputs.recv().await, Some(OwnerInput::Linked(..))));
+        // Dropping it closes the link.
+        let linked = inputs.recv().await;
+        assert!(matches!(linked, Some(OwnerInput::Linked(..))));
         let input = inputs.recv().await;
         let ended = matches!(input, Some(OwnerInput::Replaced));
         assert_eq!(ended, case.ends, "{input:?} for epoch {}", case.agent_epoch);
@@ -146,6 +135,67 @@
     }
 }
 
+/// Longest time for a link to close.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Guards against an order that is carried out on a link that the owner has given up: it must
+/// close before the next one opens.
+#[tokio::test]
+async fn a_link_closes_once_the_owner_drops_the_sender_of_its_orders() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let (sender, mut inputs) = mpsc::channel(16);
+    let link = agent_link(&listener, sender);
+    let owner = tokio::spawn(link.run());
+    let mut tokens = Vec::new();
+    for _ in 0..2 {
+        let (stream, _) = listener.accept().await.expect("a connection");
+        let accepted = accept(stream, &hello(Role::Agent, "agent"), &link_config()).await;
+        let (_agent, mut incoming) = accepted.expect("a link");
+        tokens.push(begin_token(incoming.next().await));
+        let linked = inputs.recv().await;
+        assert!(matches!(linked, Some(OwnerInput::Linked(..))), "{linked:?}");
+        drop(linked);
+        let closed = timeout(CLOSE_TIMEOUT, incoming.next()).await;
+        assert!(matches!(closed, Ok(None)), "not closed: {closed:?}");
+        let unlinked = inputs.recv().await;
+        assert!(
+            matches!(unlinked, Some(OwnerInput::Unlinked(_))),
+            "{unlinked:?}"
+        );
+    }
+    assert!(tokens[0] < tokens[1], "{tokens:?}");
+    owner.abort();
+}
+
+/// Fencing token of the first message on a link.
+fn begin_token(frame: Option<Frame>) -> u64 {
+    let Some(Frame::JobOrders(orders)) = frame else {
+        panic!("no orders: {frame:?}");
+    };
+    let [OrderMessage::Begin { fencing_token }] = orders[..] else {
+        panic!("not the begin of a link: {orders:?}");
+    };
+    fencing_token
+}
+
+/// Link of the owner of epoch 3 to the agent that listens there.
+fn agent_link(listener: &TcpListener, owner: mpsc::Sender<OwnerInput>) -> AgentLink {
+    AgentLink {
+        agent: AgentId {
+            node: NodeName::new("agent").expect("a valid name"),
+            dialer: 1,
+        },
+        address: listener.local_addr().expect("an address"),
+        epoch: Epoch(3),
+        hello: hello(Role::Entry, "owner"),
+        config: link_config(),
+        confirmation: LastConfirmation::at(BootTime::now()),
+        clock: Clock::start(),
+        owner,
+        link_counter: Arc::default(),
+    }
+}
+
 /// Job service of an entry that reaches the store but knows no owner.
 fn job_service(store: &Arc<MemoryStore>) -> EntryJobService {
     job_service_on(store.clone())
--- a/crates/parsleytally/examples/owner_cost/fleet.rs
+++ b/crates/parsleytally/examples/owner_cost/fleet.rs
@@ -148,6 +148,7 @@
                 | Output::JobEnded(_)
                 | Output::Evacuation(_)
                 | Output::Preempted { .. }
+                | Output::Relink(_)
                 | Output::Workers(_) => {}
             }
         }
--- a/crates/parsleytally/src/jobs/fleet.rs
+++ b/crates/parsleytally/src/jobs/fleet.rs
@@ -75,6 +75,8 @@
     pub(super) measured_at: Option<Time>,
     /// Time worked so far; `None` if the start of its work is not known.
     pub(super) work_time: Option<WorkTime>,
+    /// Whether its worker has listed it to this owner, so that the agent has its order.
+    pub(super) listed: bool,
     pub(super) timeline: RunTimeline,
 }
 
@@ -264,6 +266,15 @@
         Some(load)
     }
 
+    /// Runs that were ordered on the present link and whose orders the agent may not have yet.
+    pub(super) fn unlisted_runs(&self) -> usize {
+        if !self.listed {
+            // No order is sent before the agent lists the runs, and it ignores earlier links.
+            return 0;
+        }
+        self.runs.values().filter(|load| !load.listed).count()
+    }
+
     fn adjust_reserved(&mut self, load: &Load, sign: i64) {
         let add = |sum: u64, part: u64| sum.saturating_add_signed(sign * part.cast_signed());
         if load.best_effort {
--- a/crates/parsleytally/src/jobs/job.rs
+++ b/crates/parsleytally/src/jobs/job.rs
@@ -375,6 +375,7 @@
             progress_percent: 0,
             measured_at: None,
             work_time: None,
+            listed: false,
             timeline: RunTimeline::default(),
         })
     }
--- a/crates/parsleytally/src/jobs/messages.rs
+++ b/crates/parsleytally/src/jobs/messages.rs
@@ -452,6 +452,8 @@
     /// Remove an agent from those that a successor has to wait for, until it registers its
     /// address again: it is not linked and all runs of its worker have ended for certain.
     Forget(NodeName),
+    /// Close the link to an agent, which counts as lost, and open another.
+    Relink(NodeName),
     /// The runs on a worker count as ended; only logged.
     RunsDropped {
         /// The worker's agent.
--- a/crates/parsleytally/src/jobs/scheduler/ended.rs
+++ b/crates/parsleytally/src/jobs/scheduler/ended.rs
@@ -83,8 +83,9 @@
         out: &mut Vec<Output>,
     ) {
         let run = listed.run;
-        let known = self.workers.get(node);
-        if known.is_some_and(|worker| worker.runs.contains_key(&run)) {
+        let known = self.workers.get_mut(node);
+        if let Some(load) = known.and_then(|worker| worker.runs.get_mut(&run)) {
+            load.listed = true;
             if self.is_needed(node, run) {
                 self.mark_started(run);
                 outcome.kept += 1;
@@ -98,6 +99,7 @@
         let load = load.and_then(|job| job.load(run.task.step));
         let mut load = load.unwrap_or_default();
         load.cpu_share = None;
+        load.listed = true;
         load.progress_percent = listed.percent;
         if let Some(worker) = self.workers.get_mut(node) {
             worker.reserve(run, &load);
--- a/crates/parsleytally/src/jobs/scheduler/mod.rs
+++ b/crates/parsleytally/src/jobs/scheduler/mod.rs
@@ -373,7 +373,7 @@
             AgentMessage::LastLease { expires_within } => {
                 self.set_last_lease(now, node, Duration::from_micros(expires_within));
             }
-            AgentMessage::LeasesExpired => self.drop_runs(node, EndEvidence::AgentMessage, out),
+            AgentMessage::LeasesExpired => self.leases_expired(now, node, out),
         }
         self.changed_workers.insert(node.clone());
     }
@@ -518,6 +518,21 @@
         self.pass_due = true;
     }
 
+    /// Handles the end of all leases of a worker.
+    ///
+    /// The message is older than orders that are on their way to the agent, which may carry them
+    /// out after it has listed its runs again. It ignores them once it has a new link to this
+    /// owner, so that its listing there shows which of them have started.
+    fn leases_expired(&mut self, now: Time, node: &NodeName, out: &mut Vec<Output>) {
+        let worker = self.workers.get(node);
+        if worker.is_none_or(|worker| worker.unlisted_runs() == 0) {
+            self.drop_runs(node, EndEvidence::AgentMessage, out);
+            return;
+        }
+        self.unlinked(now, node);
+        out.push(Output::Relink(node.clone()));
+    }
+
     fn tick(&mut self, now: Time, wall_ms: u64, out: &mut Vec<Output>) {
         // A lost agent may be linked to a newer owner. Only runs that expired before the
         // last confirmation of this ownership are known to have ended.
--- a/crates/parsleytally/src/jobs/scheduler/uneven.rs
+++ b/crates/parsleytally/src/jobs/scheduler/uneven.rs
@@ -149,6 +149,7 @@
             let Some(load) = runs.get_mut(&gauge.run) else {
                 continue;
             };
+            load.listed = true;
             let delay = load.timeline.measure(now, gauge.percent);
             if let Some(delay) = delay.filter(|_| learns) {
                 health.record_start(now, delay);
--- a/crates/parsleytally/src/jobs/tests/mod.rs
+++ b/crates/parsleytally/src/jobs/tests/mod.rs
@@ -13,6 +13,7 @@
 mod losses;
 mod malformed;
 mod model;
+mod orders_on_their_way;
 mod placement;
 mod records;
 mod scheduler;
--- a/crates/parsleytally/src/jobs/tests/model/owners.rs
+++ b/crates/parsleytally/src/jobs/tests/model/owners.rs
@@ -103,6 +103,12 @@
                     self.owners[owner].runs.clear(at);
                     self.forget(owner, at);
                 }
+                Output::Relink(name) => {
+                    let link = self.owners[owner].links.get(&position(&name)).copied();
+                    if let Some(link) = link {
+                        self.link_lost(link);
+                    }
+                }
                 Output::Preempted { .. } => self.preempted += 1,
                 Output::SaveLearned(_)
                 | Output::RunsDropped { .. }
