fix(jobs): a later link or epoch always has a higher fencing token

Callers could see a task run twice, or an agent that no owner reaches.

Cause: a fencing token holds the epoch, 20 bits of the link number and 12 bits that the agent raises with each call without an answer, and neither part was bounded. After 4,096 raises on one link, the agent's token reaches those of later links. A restarted agent has lost it: its worker refuses the new link's lower token, so the leases expire, or the worker lists its runs under that token and carries out an order of the earlier process after that listing. After 1,048,575 links of an ownership, the number reaches the bits of the epoch: the agents take the owner for a later one and refuse the next.

Change: `jobs::fencing` holds the layout, which is unchanged, so that versions can be mixed. An owner without further link numbers ends, and the next epoch begins with numbers from 1. An agent that has used half of the raises of its link closes the link, and the owner opens another; the other half is for orders that the agent has received by then. Not bounded: more than 2,048 raises by orders that were received before the link closed.

--- a/crates/parsleytally-agent/src/site/mod.rs
+++ b/crates/parsleytally-agent/src/site/mod.rs
@@ -9,7 +9,7 @@
 
 use parsleytally::jobs::{
     AgentInput, AgentMessage, AgentOutput, AgentTimes, EndEvidence, JobAgent, OrderMessage,
-    OwnerLink, WorkerCrash, WorkerIncarnation, WorkerReport,
+    OwnerLink, WorkerCrash, WorkerIncarnation, WorkerReport, fencing,
 };
 use parsleytally::types::Time;
 use parsleytally_link::{Frame, Hello, Incoming, Link, LinkConfig, Role, accept};
@@ -283,6 +283,7 @@
         }
         let previous = self.agent.owner();
         self.agent.step(self.clock.now(), input, &mut self.out);
+        self.replace_used_up_link();
         let owner = self.agent.owner();
         if owner == previous {
             return;
@@ -294,6 +295,21 @@
         }
     }
 
+    /// Closes the link to the owner, which opens another, before the raises of the fencing token
+    /// reach the tokens of later links.
+    fn replace_used_up_link(&self) {
+        let fencing_token = self.agent.fencing_token();
+        if !fencing::needs_new_link(fencing_token) {
+            return;
+        }
+        let link = self.agent.owner().and_then(|id| self.links.get(&id.0));
+        if let Some(link) = link.filter(|link| !link.is_closed()) {
+            log::warn!(owner:% = link.peer().node, fencing_token;
+                "closing the link to the owner: many calls to the worker have no answer");
+            link.clone().close();
+        }
+    }
+
     /// Publishes whether an owner holds the agent.
     fn publish_hold(&self) {
         let held = self.agent.is_held(self.clock.now());
--- a/crates/parsleytally-entry/src/site/agents.rs
+++ b/crates/parsleytally-entry/src/site/agents.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use parsleytally::jobs::{AgentMessage, OrderMessage};
+use parsleytally::jobs::{AgentMessage, OrderMessage, fencing};
 use parsleytally::types::{Epoch, NodeName};
 use parsleytally_link::{Frame, Hello, Incoming, Link, LinkConfig, dial};
 use parsleytally_platform::process::Clock;
@@ -17,10 +17,6 @@
 
 /// Pause before the next attempt to connect to the agent.
 const DIAL_PAUSE: Duration = Duration::from_millis(200);
-/// Position of the owner's epoch in a fencing token.
-const EPOCH_SHIFT: u32 = 32;
-/// Position of the link number in a fencing token; agents count in the bits below.
-const LINK_SHIFT: u32 = 12;
 
 /// Orders for one agent.
 pub(super) type Orders = Vec<OrderMessage>;
@@ -67,7 +63,11 @@
     }
 
     async fn serve(&self, link_number: u64, link: &Link, mut incoming: Incoming) {
-        let fencing_token = ((self.epoch.0 + 1) << EPOCH_SHIFT) | (link_number << LINK_SHIFT);
+        let Some(fencing_token) = fencing::link_token(self.epoch, link_number) else {
+            log::warn!(epoch:% = self.epoch; "ending the epoch: its link numbers are used up");
+            let _ = self.owner.send(OwnerInput::Replaced).await;
+            return;
+        };
         let begin = Frame::JobOrders(vec![OrderMessage::Begin { fencing_token }]);
         if link.send(begin).is_err() {
             return;
@@ -108,7 +108,7 @@
 
     /// Ends the ownership if the agent's token shows that a later one has begun.
     async fn superseded(&self, fencing_token: u64) {
-        if fencing_token >> EPOCH_SHIFT <= self.epoch.0 + 1 {
+        if !fencing::is_of_later_epoch(fencing_token, self.epoch) {
             return;
         }
         log::warn!(agent:% = self.agent.node, epoch:% = self.epoch, fencing_token;
--- a/crates/parsleytally-entry/src/site/owner.rs
+++ b/crates/parsleytally-entry/src/site/owner.rs
@@ -53,7 +53,7 @@
     Saved(Vec<(JobId, u64)>),
     /// A request, and the channel for its reply.
     Request(JobRequest, oneshot::Sender<JobReply>),
-    /// Another entry owns the jobs.
+    /// Another entry owns the jobs, or must begin another epoch.
     Replaced,
 }
 
--- a/crates/parsleytally-entry/src/site/tests/mod.rs
+++ b/crates/parsleytally-entry/src/site/tests/mod.rs
@@ -9,7 +9,7 @@
 mod refusals;
 
 use std::collections::BTreeSet;
-use std::sync::atomic::AtomicBool;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
@@ -135,6 +135,8 @@
     }
 }
 
+/// Last link number of an ownership.
+const LAST_LINK: u64 = (1 << 20) - 1;
 /// Longest time for a link to close.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -167,6 +169,23 @@
     owner.abort();
 }
 
+/// Guards against link numbers that reach the bits of the epoch: an agent then takes the token
+/// for that of a later epoch and refuses the next owner.
+#[tokio::test]
+async fn an_owner_ends_after_its_last_link_number() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let (sender, mut inputs) = mpsc::channel(16);
+    let link = agent_link(&listener, sender);
+    link.link_counter.store(LAST_LINK, Ordering::Relaxed);
+    let owner = tokio::spawn(link.run());
+    let (stream, _) = listener.accept().await.expect("a connection");
+    let accepted = accept(stream, &hello(Role::Agent, "agent"), &link_config()).await;
+    let (_agent, _incoming) = accepted.expect("a link");
+    let input = inputs.recv().await;
+    assert!(matches!(input, Some(OwnerInput::Replaced)), "{input:?}");
+    owner.abort();
+}
+
 /// Fencing token of the first message on a link.
 fn begin_token(frame: Option<Frame>) -> u64 {
     let Some(Frame::JobOrders(orders)) = frame else {
--- a/crates/parsleytally/src/jobs/mod.rs
+++ b/crates/parsleytally/src/jobs/mod.rs
@@ -20,6 +20,7 @@
 mod decisions;
 mod durations;
 mod evacuation;
+pub mod fencing;
 mod fleet;
 mod isolation;
 mod job;
--- a/crates/parsleytally/src/jobs/tests/mod.rs
+++ b/crates/parsleytally/src/jobs/tests/mod.rs
@@ -9,6 +9,7 @@
 mod crashes;
 mod durations;
 mod evacuation;
+mod fencing;
 mod foreign_reports;
 mod losses;
 mod malformed;
