fix(jobs): a store change from before a known record is not used

An owner gave up its link to an agent and connected to a former address for a moment.

The watch continues from the revision of the first page, so that it can report changes that are older than what a later page has shown. A known agent's address was replaced by any other one, and a job record by any other revision.

Change: a change is used only if its revision is above that of the known address or job record.

The comparison for job records has no test of its own: an earlier record of a known job has no effect in the scheduler.

--- a/crates/parsleytally-entry/src/site/known_agents.rs
+++ b/crates/parsleytally-entry/src/site/known_agents.rs
@@ -66,8 +66,13 @@
     /// Notes the address of an agent; returns the task to start if it is new.
     pub(super) fn update(&mut self, node: &NodeName, item: &Item) -> Option<Dial> {
         let forgotten = self.forgotten.get(node);
-        if forgotten.is_some_and(|forgotten| item.revision <= *forgotten) {
-            // It was read before its deletion, which may still be on its way.
+        let known = self.agents.get(node).map(|known| &known.revision);
+        if known
+            .max(forgotten)
+            .is_some_and(|seen| item.revision <= *seen)
+        {
+            // It is from before the known address, or before its deletion, which may still be on
+            // its way.
             return None;
         }
         self.forgotten.remove(node);
@@ -79,7 +84,7 @@
         let known = self.agents.get_mut(node);
         let replaces = known.is_some();
         if let Some(known) = known {
-            known.revision = known.revision.max(item.revision);
+            known.revision = item.revision;
             if known.address == address {
                 return None;
             }
--- a/crates/parsleytally-entry/src/site/owner.rs
+++ b/crates/parsleytally-entry/src/site/owner.rs
@@ -301,7 +301,8 @@
     }
 
     fn apply_job(&mut self, id: JobId, item: &Item, progress: Option<JobProgress>) {
-        if self.job_revisions.get(&id) == Some(&item.revision) {
+        let known = self.job_revisions.get(&id);
+        if known.is_some_and(|known| item.revision <= *known) {
             return;
         }
         self.job_revisions.insert(id, item.revision);
--- a/crates/parsleytally-entry/src/site/tests/known_agents.rs
+++ b/crates/parsleytally-entry/src/site/tests/known_agents.rs
@@ -148,3 +148,23 @@
         assert!(again.is_some(), "{}: registered again", case.what);
     }
 }
+
+/// Guards against a link that is replaced by one to a former address: a page of a read can be
+/// newer than the changes that the watch reports after it.
+#[test]
+fn a_change_from_before_the_known_address_is_not_used() {
+    let mut agents = KnownAgents::new(CancellationToken::new());
+    let item = |address: &str, revision| Item {
+        key: keys::agent(&node()),
+        value: address.as_bytes().to_vec(),
+        revision: Revision(revision),
+        created: Revision(1),
+    };
+    let present = agents.update(&node(), &item("127.0.0.2:7720", 5));
+    let present = present.expect("a new agent").agent;
+    let earlier = agents.update(&node(), &item("127.0.0.1:7720", 3));
+    assert!(earlier.is_none(), "a change from before");
+    assert!(agents.is_current(&present));
+    let later = agents.update(&node(), &item("127.0.0.3:7720", 6));
+    assert!(later.is_some(), "a later change");
+}
