fix(jobs): a late checkpoint doesn't replace that of a later run

A task lost work that it had saved: it resumed from an earlier checkpoint.

Cause: the checkpoint of any report was taken for the newest. An agent that was lost and is back reports the run that it still has, or its end, after a later run of the task has saved more. If that run is lost before its next measurement, the task resumes from the earlier checkpoint.

Change: a checkpoint is taken from the runs that the task counts, and from its last one if it counts none.

--- a/crates/parsleytally/src/jobs/job.rs
+++ b/crates/parsleytally/src/jobs/job.rs
@@ -85,6 +85,15 @@
         crashed.or(self.failed_on.as_ref())
     }
 
+    /// Takes the checkpoint of a run, unless the task counts later ones instead of it.
+    pub(super) fn save_checkpoint(&mut self, run: u32, checkpoint: &str) {
+        let is_counted = self.runs.iter().any(|live| live.run == run);
+        let is_last = self.runs.is_empty() && run >= self.last_run;
+        if !self.done && !checkpoint.is_empty() && (is_counted || is_last) {
+            checkpoint.clone_into(&mut self.checkpoint);
+        }
+    }
+
     /// Whether the task is neither done nor running.
     pub(super) fn needs_run(&self) -> bool {
         !self.done && self.runs.is_empty()
--- a/crates/parsleytally/src/jobs/scheduler/ended.rs
+++ b/crates/parsleytally/src/jobs/scheduler/ended.rs
@@ -137,13 +137,11 @@
         let Some(task) = job.task(run.task) else {
             return false;
         };
+        task.save_checkpoint(run.run, &listed.checkpoint);
         task.last_run = task.last_run.max(run.run);
         if task.done || (!task.runs.is_empty() && !copies) {
             return false;
         }
-        if !listed.checkpoint.is_empty() {
-            task.checkpoint.clone_from(&listed.checkpoint);
-        }
         task.runs.push(LiveRun {
             node: node.clone(),
             run: run.run,
@@ -259,12 +257,10 @@
             .long_running;
         let attempts = job.policy.max_attempts as usize;
         let task = job.task(ended_run.run.task)?;
+        task.save_checkpoint(ended_run.run.run, &ended_run.checkpoint);
         task.last_run = task.last_run.max(ended_run.run.run);
         task.runs.retain(|run| run.run != ended_run.run.run);
         task.last_end = Some(LastEnd::Listed(ended_run.reason));
-        if !ended_run.checkpoint.is_empty() && !task.done {
-            task.checkpoint.clone_from(&ended_run.checkpoint);
-        }
         let mut failed = false;
         let mut done = false;
         match ended_run.reason {
--- a/crates/parsleytally/src/jobs/scheduler/mod.rs
+++ b/crates/parsleytally/src/jobs/scheduler/mod.rs
@@ -475,10 +475,8 @@
         for gauge in gauges {
             let job = self.jobs.get_mut(&gauge.run.task.job);
             let task = job.and_then(|job| job.task(gauge.run.task));
-            if let Some(task) = task
-                && !gauge.checkpoint.is_empty()
-            {
-                task.checkpoint.clone_from(&gauge.checkpoint);
+            if let Some(task) = task {
+                task.save_checkpoint(gauge.run.run, &gauge.checkpoint);
             }
         }
         self.note_progress(now, node, gauges);
--- a/crates/parsleytally/src/jobs/tests/mod.rs
+++ b/crates/parsleytally/src/jobs/tests/mod.rs
@@ -11,6 +11,7 @@
 mod evacuation;
 mod fencing;
 mod foreign_reports;
+mod late_checkpoints;
 mod losses;
 mod malformed;
 mod model;
