fix(jobs): all members of a gang resume from the same checkpoint

A gang did not get to work: its members wait for each other only if all resume from the same checkpoint.

Cause: each member's checkpoint was taken from the last report of that member, and reports differ in age. A gang that was lost while one member's report was older started with two checkpoints.

Change: a checkpoint of one member, which is valid for the gang, becomes that of all.

--- a/crates/parsleytally/src/jobs/job.rs
+++ b/crates/parsleytally/src/jobs/job.rs
@@ -11,7 +11,9 @@
 use super::measured::RunTimeline;
 use super::progress::{StepProgress, TaskProgress};
 use super::waiting::Wait;
-use super::{CrashMark, JobId, JobProgress, JobSpec, LastEnd, QueuePolicy, StepSpec, TaskId};
+use super::{
+    CrashMark, JobId, JobProgress, JobSpec, LastEnd, QueuePolicy, RunRef, StepSpec, TaskId,
+};
 use crate::types::{NodeName, Revision, Time};
 
 /// Factor from whole units to thousandths, such as from processors to millicores.
@@ -85,13 +87,13 @@
         crashed.or(self.failed_on.as_ref())
     }
 
-    /// Takes the checkpoint of a run, unless the task counts later ones instead of it.
-    pub(super) fn save_checkpoint(&mut self, run: u32, checkpoint: &str) {
+    /// Whether the checkpoint of a run is newer than the known one: the task counts no later run
+    /// instead of it.
+    fn takes_checkpoint(&self, run: u32, checkpoint: &str) -> bool {
         let is_counted = self.runs.iter().any(|live| live.run == run);
         let is_last = self.runs.is_empty() && run >= self.last_run;
-        if !self.done && !checkpoint.is_empty() && (is_counted || is_last) {
-            checkpoint.clone_into(&mut self.checkpoint);
-        }
+        let is_other = !checkpoint.is_empty() && checkpoint != self.checkpoint;
+        !self.done && is_other && (is_counted || is_last)
     }
 
     /// Whether the task is neither done nor running.
@@ -292,6 +294,24 @@
         (next < repeat.count && due <= unix_ms).then_some(next)
     }
 
+    /// Takes the checkpoint of a run if it is newer than the known one. That of a gang's member is
+    /// that of all: they work together only if they resume from the same one.
+    pub(super) fn save_checkpoint(&mut self, run: RunRef, checkpoint: &str) {
+        let task = self.task(run.task);
+        let Some(task) = task.filter(|task| task.takes_checkpoint(run.run, checkpoint)) else {
+            return;
+        };
+        checkpoint.clone_into(&mut task.checkpoint);
+        let step = usize::from(run.task.step);
+        if !self.spec.steps[step].gang {
+            return;
+        }
+        let members = &mut self.rounds[run.task.round as usize].steps[step].tasks;
+        for member in members {
+            checkpoint.clone_into(&mut member.checkpoint);
+        }
+    }
+
     /// The task `id` of an open job. Rounds up to its own are added: a worker has a run of
     /// it only if they were due.
     pub(super) fn task(&mut self, id: TaskId) -> Option<&mut Task> {
--- a/crates/parsleytally/src/jobs/scheduler/ended.rs
+++ b/crates/parsleytally/src/jobs/scheduler/ended.rs
@@ -134,10 +134,10 @@
             .steps
             .get(usize::from(run.task.step))
             .is_some_and(|step| step.speculative);
+        job.save_checkpoint(run, &listed.checkpoint);
         let Some(task) = job.task(run.task) else {
             return false;
         };
-        task.save_checkpoint(run.run, &listed.checkpoint);
         task.last_run = task.last_run.max(run.run);
         if task.done || (!task.runs.is_empty() && !copies) {
             return false;
@@ -256,8 +256,8 @@
             .get(usize::from(ended_run.run.task.step))?
             .long_running;
         let attempts = job.policy.max_attempts as usize;
+        job.save_checkpoint(ended_run.run, &ended_run.checkpoint);
         let task = job.task(ended_run.run.task)?;
-        task.save_checkpoint(ended_run.run.run, &ended_run.checkpoint);
         task.last_run = task.last_run.max(ended_run.run.run);
         task.runs.retain(|run| run.run != ended_run.run.run);
         task.last_end = Some(LastEnd::Listed(ended_run.reason));
--- a/crates/parsleytally/src/jobs/scheduler/mod.rs
+++ b/crates/parsleytally/src/jobs/scheduler/mod.rs
@@ -473,10 +473,8 @@
         out: &mut Vec<Output>,
     ) {
         for gauge in gauges {
-            let job = self.jobs.get_mut(&gauge.run.task.job);
-            let task = job.and_then(|job| job.task(gauge.run.task));
-            if let Some(task) = task {
-                task.save_checkpoint(gauge.run.run, &gauge.checkpoint);
+            if let Some(job) = self.jobs.get_mut(&gauge.run.task.job) {
+                job.save_checkpoint(gauge.run, &gauge.checkpoint);
             }
         }
         self.note_progress(now, node, gauges);
