--- a/crates/parsleytally-entry/src/site/owner.rs
+++ b/crates/parsleytally-entry/src/site/owner.rs
@@ -53,7 +53,7 @@
     Saved(Vec<(JobId, u64)>),
     /// A request, and the channel for its reply.
     Request(JobRequest, oneshot::Sender<JobReply>),
-    /// Another entry owns the jobs.
+    /// Another entry owns the jobs, or must begin another epoch.
     Replaced,
 }
 
@@ -301,7 +301,8 @@
     }
 
     fn apply_job(&mut self, id: JobId, item: &Item, progress: Option<JobProgress>) {
-        if self.job_revisions.get(&id) == Some(&item.revision) {
+        let known = self.job_revisions.get(&id);
+        if known.is_some_and(|known| item.revision <= *known) {
             return;
         }
         self.job_revisions.insert(id, item.revision);
@@ -509,6 +510,11 @@
             match output {
                 Output::Order(node, message) => orders.entry(node).or_default().push(message),
                 Output::Forget(node) => forgotten.push(node),
+                Output::Relink(node) => {
+                    log::info!(agent:% = node; "link to an agent is replaced, an order may be on its way");
+                    // The link closes without it.
+                    self.order_senders.remove(&node);
+                }
                 Output::SaveLearned(record) => learned = Some(record),
                 Output::RunsDropped {
                     node,
--- a/crates/parsleytally/src/jobs/scheduler/ended.rs
+++ b/crates/parsleytally/src/jobs/scheduler/ended.rs
@@ -89,8 +89,9 @@
         out: &mut Vec<Output>,
     ) {
         let run = listed.run;
-        let known = self.workers.get(node);
-        if known.is_some_and(|worker| worker.runs.contains_key(&run)) {
+        let known = self.workers.get_mut(node);
+        if let Some(load) = known.and_then(|worker| worker.runs.get_mut(&run)) {
+            load.listed = true;
             if self.is_needed(node, run) {
                 self.mark_started(run);
                 outcome.kept += 1;
@@ -104,6 +105,7 @@
         let load = load.and_then(|job| job.load(run.task.step));
         let mut load = load.unwrap_or_default();
         load.cpu_share = None;
+        load.listed = true;
         load.progress_percent = listed.percent;
         if let Some(worker) = self.workers.get_mut(node) {
             worker.reserve(run, &load);
@@ -138,6 +140,7 @@
             .steps
             .get(usize::from(run.task.step))
             .is_some_and(|step| step.speculative);
+        job.save_checkpoint(run, &listed.checkpoint);
         let Some(task) = job.task(run.task) else {
             return false;
         };
@@ -145,9 +148,6 @@
         if task.done || (!task.runs.is_empty() && !copies) {
             return false;
         }
-        if !listed.checkpoint.is_empty() {
-            task.checkpoint.clone_from(&listed.checkpoint);
-        }
         task.runs.push(LiveRun {
             node: node.clone(),
             run: run.run,
@@ -262,13 +262,11 @@
             .get(usize::from(ended_run.run.task.step))?
             .long_running;
         let attempts = job.policy.max_attempts as usize;
+        job.save_checkpoint(ended_run.run, &ended_run.checkpoint);
         let task = job.task(ended_run.run.task)?;
         task.last_run = task.last_run.max(ended_run.run.run);
         task.runs.retain(|run| run.run != ended_run.run.run);
         task.last_end = Some(LastEnd::Listed(ended_run.reason));
-        if !ended_run.checkpoint.is_empty() && !task.done {
-            task.checkpoint.clone_from(&ended_run.checkpoint);
-        }
         let mut failed = false;
         let mut done = false;
         match ended_run.reason {
