fix(jobs): a fenced start that was ordered to stop is not sent again

Callers may see a task started again after its end is known.

Cause: a start that was refused by its token is sent again with the present one, also if the owner has ordered it to stop since; the stop may have been refused by its token as well, and is due later.

Change: it is refused.

--- a/crates/parsleytally/src/jobs/agent/mod.rs
+++ b/crates/parsleytally/src/jobs/agent/mod.rs
@@ -612,7 +612,7 @@
                 self.send_cpu_share(run, out);
             }
             Err(CallError::Refused(RefusalReason::Fenced))
-                if fencing_token < self.fencing_token =>
+                if fencing_token < self.fencing_token && !tracked.stop_ordered =>
             {
                 self.send_start(now, run, out);
             }
--- a/crates/parsleytally/src/jobs/tests/overtaken.rs
+++ b/crates/parsleytally/src/jobs/tests/overtaken.rs
@@ -396,3 +396,24 @@
     }
     assert!(polls <= 10, "{polls} polls in a second");
 }
+
+/// Guards against a start after its task's end is known: the worker refused it by its token, and the agent
+/// sent it again though the owner had ordered it to stop.
+#[test]
+fn a_fenced_start_that_was_ordered_to_stop_is_not_sent_again() {
+    let (mut agent, _, token) = two_polls_in_flight();
+    let stop = OrderMessage::Stop(second());
+    agent.step(AgentInput::OwnerMessage(OwnerLink(1), stop));
+    let earlier = order_start(&mut agent, run(3, 0, 0, 1));
+    assert_eq!(earlier, token);
+    let unanswered = Err(CallError::Unanswered);
+    answer_start(&mut agent, run(3, 0, 0, 1), token, unanswered);
+    let fenced = Err(CallError::Refused(RefusalReason::Fenced));
+    let out = answer_start(&mut agent, second(), token, fenced);
+    assert_eq!(start_token(&out), None, "{out:?}");
+    let refused = AgentMessage::Refused {
+        run: second(),
+        reason: RefusalReason::Fenced,
+    };
+    assert!(sent(&out, &refused), "{out:?}");
+}
