fix(jobs): a change of a forgotten job doesn't add it again

A completed job was shown as cancelled.

Cause: the state of an ended job is dropped after `keep-ended`. The owner took a record that changes later, by a late cancellation, for a new job, and added it without its progress.

Change: the scheduler keeps the ids of the jobs that it has dropped and ignores their records. Queries go to the store, which has the final state.

--- a/crates/parsleytally/src/jobs/scheduler/mod.rs
+++ b/crates/parsleytally/src/jobs/scheduler/mod.rs
@@ -1,7 +1,7 @@
 //! The job scheduler of the owner: places runs, tracks those that end and saves the
 //! progress of jobs.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -79,6 +79,8 @@
     options: SchedulerOptions,
     queues: Arc<QueueTable>,
     jobs: HashMap<JobId, Job>,
+    /// Ended jobs whose state is no longer kept; the store has it.
+    forgotten: HashSet<JobId>,
     /// Jobs that have not ended.
     open: BTreeSet<JobId>,
     /// Jobs whose progress has changed since its last [`Output::Save`].
@@ -126,6 +128,7 @@
             options,
             queues: Arc::default(),
             jobs: HashMap::new(),
+            forgotten: HashSet::new(),
             open: BTreeSet::new(),
             changed: BTreeSet::new(),
             unsaved_marks: BTreeSet::new(),
@@ -260,6 +263,9 @@
         progress: Option<&JobProgress>,
         out: &mut Vec<Output>,
     ) {
+        if self.forgotten.contains(&id) {
+            return;
+        }
         if !self.jobs.contains_key(&id) {
             self.add_job(id, record, accepted, progress);
         } else if record.cancelled {
@@ -602,12 +608,17 @@
         let open = &self.open;
         self.contention.retain_jobs(|job| open.contains(job));
         let retention = self.options.ended_retention;
-        self.jobs.retain(|_, job| {
+        let forgotten = &mut self.forgotten;
+        self.jobs.retain(|id, job| {
             if !job.state.is_final() || job.saved_version < job.version {
                 return true;
             }
             let ended = *job.ended_at.get_or_insert(now);
-            now.since(ended) < retention
+            let is_kept = now.since(ended) < retention;
+            if !is_kept {
+                forgotten.insert(*id);
+            }
+            is_kept
         });
     }
 
--- a/crates/parsleytally/src/jobs/tests/mod.rs
+++ b/crates/parsleytally/src/jobs/tests/mod.rs
@@ -11,6 +11,7 @@
 mod evacuation;
 mod fencing;
 mod foreign_reports;
+mod forgotten_jobs;
 mod gang_checkpoints;
 mod late_checkpoints;
 mod losses;
