fix(jobs): an end is acknowledged once no further run of its task can start

Callers may see a task run again after its end was noted.

Cause: a machine was lost and its hold had passed, so the task was ordered to start elsewhere. The machine came back with the run's end; the owner stored and acknowledged it, while the start was still on its way to a stalled worker, which carried it out before the stop.

Change: the acknowledgement of a done run waits until the further runs of its task that the owner has placed have ended, are refused or have left with their worker. A worker lists its ends until then.

--- a/crates/parsleytally/src/jobs/fleet.rs
+++ b/crates/parsleytally/src/jobs/fleet.rs
@@ -10,7 +10,7 @@
 use super::measured::RunTimeline;
 use super::worker_health::WorkerHealth;
 use super::{JobId, RunRef};
-use crate::types::{Resources, Time, ZoneName};
+use crate::types::{NodeName, Resources, Time, ZoneName};
 
 /// One incarnation of a worker: each start of its process is a new one.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -128,12 +128,15 @@
 }
 
 /// An ended run that is not acknowledged to its worker yet.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) struct PendingAck {
     /// Number of the ended run in this incarnation of the worker.
     pub(super) number: u64,
     /// The job, and the version of its record that includes the ended run.
     pub(super) saved_by: Option<(JobId, u64)>,
+    /// Further runs of a task that is done, with their agents. The start of one may still be on
+    /// its way, and must not be carried out once the end is acknowledged.
+    pub(super) unsettled: Vec<(NodeName, RunRef)>,
 }
 
 /// Failures of a worker since its last success, and its quarantine.
--- a/crates/parsleytally/src/jobs/scheduler/ended.rs
+++ b/crates/parsleytally/src/jobs/scheduler/ended.rs
@@ -198,15 +198,36 @@
         self.learn_from_end(now, node, ended_run, load.as_ref());
         self.record_duration(now, ended_run, load.as_ref());
         self.account_run(now, ended_run, load.as_ref());
+        let unsettled = self.runs_beside(ended_run);
+        self.acks_held |= !unsettled.is_empty();
         let saved_by = self.record_ended(now, node, ended_run, out);
         if let Some(worker) = self.workers.get_mut(node) {
-            let number = ended_run.sequence;
-            worker
-                .pending_acks
-                .push_back(PendingAck { number, saved_by });
+            worker.pending_acks.push_back(PendingAck {
+                number: ended_run.sequence,
+                saved_by,
+                unsettled,
+            });
         }
     }
 
+    /// Runs of the same task beside one that is done, with their agents.
+    fn runs_beside(&mut self, ended_run: &EndedRun) -> Vec<(NodeName, RunRef)> {
+        let RunRef { task: id, run } = ended_run.run;
+        let job = self.jobs.get_mut(&id.job);
+        let Some(task) = job.and_then(|job| job.task(id)) else {
+            return Vec::new();
+        };
+        if ended_run.reason != EndReason::Done || task.done {
+            return Vec::new();
+        }
+        let others = task.runs.iter().filter(|live| live.run != run);
+        let named = others.map(|live| {
+            let run = live.run;
+            (live.node.clone(), RunRef { task: id, run })
+        });
+        named.collect()
+    }
+
     /// Updates the expected durations with the work time of a task that is done.
     fn record_duration(&mut self, now: Time, ended_run: &EndedRun, load: Option<&Load>) {
         let work_time = load.and_then(|load| load.work_time_at(now));
@@ -404,6 +425,7 @@
     pub(super) fn release(&mut self, node: &NodeName, run: RunRef) -> Option<Load> {
         let worker = self.workers.get_mut(node)?;
         let load = worker.release(run)?;
+        self.acks_due |= self.acks_held;
         if load.shares_processors() {
             self.contention.update_headrooms(node, worker);
         }
@@ -438,28 +460,40 @@
         for node in nodes {
             self.acknowledge(&node, out);
         }
+        let is_held = |ack: &PendingAck| !ack.unsettled.is_empty();
+        let mut workers = self.workers.values();
+        self.acks_held = workers.any(|worker| worker.pending_acks.iter().any(is_held));
+    }
+
+    /// Whether the store has the end, and no further run of its task can start any more.
+    fn is_ready(&self, ack: &PendingAck) -> bool {
+        let is_saved = ack.saved_by.is_none_or(|(id, version)| {
+            let job = self.jobs.get(&id);
+            job.is_none_or(|job| job.saved_version >= version)
+        });
+        let is_placed = |(node, run): &(NodeName, RunRef)| {
+            let worker = self.workers.get(node);
+            worker.is_some_and(|worker| worker.runs.contains_key(run))
+        };
+        is_saved && !ack.unsettled.iter().any(is_placed)
     }
 
     /// Acknowledges the ended runs of `node`, up to the first that the store does not have.
     fn acknowledge(&mut self, node: &NodeName, out: &mut Vec<Output>) {
-        let jobs = &self.jobs;
-        let Some(worker) = self.workers.get_mut(node) else {
+        let Some(worker) = self.workers.get(node) else {
             return;
         };
-        let is_saved = |pending: &PendingAck| {
-            let Some((id, version)) = pending.saved_by else {
-                return true;
-            };
-            jobs.get(&id).is_none_or(|job| job.saved_version >= version)
+        let pending = worker.pending_acks.iter();
+        let ready = pending.take_while(|ack| self.is_ready(ack)).count();
+        let Some(worker) = self.workers.get_mut(node) else {
+            return;
         };
-        let mut last = None;
-        while let Some(pending) = worker
+        let Some(number) = worker
             .pending_acks
-            .pop_front_if(|pending| is_saved(pending))
-        {
-            last = Some(pending.number);
-        }
-        let Some(number) = last else {
+            .drain(..ready)
+            .next_back()
+            .map(|ack| ack.number)
+        else {
             return;
         };
         let Some(incarnation) = worker.incarnation().cloned() else {
--- a/crates/parsleytally/src/jobs/scheduler/mod.rs
+++ b/crates/parsleytally/src/jobs/scheduler/mod.rs
@@ -89,8 +89,11 @@
     unsaved_marks: BTreeSet<JobId>,
     /// Jobs that have ended since the last decision.
     closed: Vec<ClosedJob>,
-    /// Whether the store saved progress since ended runs were last acknowledged.
+    /// Whether the store saved progress or runs were released since ended runs were last
+    /// acknowledged.
     acks_due: bool,
+    /// Whether an acknowledgement waits until a further run of its task is settled.
+    acks_held: bool,
     workers: BTreeMap<NodeName, Worker>,
     /// Agents of the predecessor that have not reported yet, each with the time at which
     /// runs there have certainly ended unless it is linked.
@@ -134,6 +137,7 @@
             unsaved_marks: BTreeSet::new(),
             closed: Vec::new(),
             acks_due: false,
+            acks_held: false,
             workers: BTreeMap::new(),
             unreported: BTreeMap::new(),
             contention: Contention::default(),
@@ -518,6 +522,7 @@
         worker.reset();
         self.contention.update_headrooms(node, worker);
         self.unreported.remove(node);
+        self.acks_due |= self.acks_held;
         for run in runs {
             self.detach_run(node, run, LastEnd::Dropped(evidence));
         }
--- a/crates/parsleytally/src/jobs/tests/owner_change.rs
+++ b/crates/parsleytally/src/jobs/tests/owner_change.rs
@@ -95,3 +95,76 @@
     });
     assert_eq!(checkpoint.as_deref(), Some("new"), "{out:?}");
 }
+
+/// Whether an end of worker `at` is acknowledged.
+fn acknowledged(out: &[Output], at: usize) -> bool {
+    let is_ack = |output: &Output| matches!(output, Output::Order(to, OrderMessage::AcknowledgeEnds { .. }) if *to == node(at));
+    out.iter().any(is_ack)
+}
+
+/// Guards against a task that starts after its end is acknowledged: its worker was back with the end, and the start
+/// of the next run was still on its way to another worker.
+#[test]
+fn an_end_is_acknowledged_once_no_further_run_of_its_task_can_start() {
+    struct Case {
+        what: &'static str,
+        /// What the agent of the next run tells.
+        settled: fn(RunRef) -> AgentMessage,
+    }
+    let cases = [
+        Case {
+            what: "the start was refused",
+            settled: |run| AgentMessage::Refused {
+                run,
+                reason: RefusalReason::Old,
+            },
+        },
+        Case {
+            what: "the run has stopped",
+            settled: |run| AgentMessage::Ended {
+                incarnation: incarnation(1, 7),
+                ended: vec![EndedRun {
+                    sequence: 1,
+                    run,
+                    reason: EndReason::Stopped,
+                    checkpoint: String::new(),
+                }],
+            },
+        },
+        Case {
+            what: "all runs of its worker have ended",
+            settled: |_| AgentMessage::LeasesExpired,
+        },
+    ];
+    for case in cases {
+        let mut bench = Bench::with_workers(1);
+        let first = starts(&bench.submit(1, job(vec![step(1, &[])]), 11))[0].1;
+        bench.feed(Input::Unlinked(node(0)));
+        bench.join(1, report(1, 7));
+        let next = starts(&bench.wait(6_000))[0].1;
+        assert_ne!(first, next, "the hold of the lost agent has passed");
+        bench.feed(Input::Linked(node(0)));
+        bench.agent(0, AgentMessage::Report(report(0, 7)));
+        let end = EndedRun {
+            sequence: 1,
+            run: first,
+            reason: EndReason::Done,
+            checkpoint: String::new(),
+        };
+        let mut out = bench.agent(
+            0,
+            AgentMessage::Listed {
+                incarnation: incarnation(0, 7),
+                running: vec![],
+                ended: vec![end],
+            },
+        );
+        let (job, version) = (JobId(1), u64::MAX);
+        out.extend(bench.feed(Input::Saved { job, version }));
+        assert!(!acknowledged(&out, 0), "{}: {out:?}", case.what);
+        // A measurement shows that the start has reached the agent.
+        bench.list(1, vec![next]);
+        let out = bench.agent(1, (case.settled)(next));
+        assert!(acknowledged(&out, 0), "{}: {out:?}", case.what);
+    }
+}
