test(jobs): the room beside a backlog is used within 3 s after a new owner took over

Cause: no test asked how long jobs wait beside free room on the clock of the owner. The test in waiting.rs counts its ticks, while each input advances its clock by 20 ms. Change: a table of backlogs of 900 and 90 jobs under a new owner (agents expected, linked, reported, listed), without services, beside busy ones, with unknown pairs of images, with batch jobs and with adopted runs. Workers run tasks at the CPU shares that they are sent. Bound 3,000 ms.

--- a/crates/parsleytally/src/jobs/tests/mod.rs
+++ b/crates/parsleytally/src/jobs/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod agent;
+mod backlog;
 mod call_plan;
 mod capacity;
 mod contention;
