fix(jobs): starving steps that no worker can take don't hold back the others

Cause: a pass scores at most 100,000 workers for starving steps, the most urgent first: 333 steps at 300 workers. Steps that no worker can take, such as those with a label that none has, are starving in each pass, and use them up. Change: if there are more starving steps than a pass can score, those offered longest ago go first. Figures: 300 workers with busy services, 900 jobs, the 400 most urgent with a label that no worker has.

--- a/crates/parsleytally/src/jobs/scheduler/starving.rs
+++ b/crates/parsleytally/src/jobs/scheduler/starving.rs
@@ -29,26 +29,37 @@
         ready: &[(Urgency, StepRef)],
         out: &mut Vec<Output>,
     ) {
-        let mut left = MAX_SCORED / self.workers.len().max(1);
-        let mut full = BTreeMap::new();
-        for (_, at) in ready {
-            if left == 0 {
-                return;
-            }
-            if !self.is_starving(pass.now, *at, &mut full) {
-                continue;
-            }
-            left -= 1;
+        for at in self.starving_steps(pass.now, ready) {
             let Some(load) = self.jobs[&at.job].load(at.step as u16) else {
                 continue;
             };
-            let mut step = self.ready_step(*at, load);
+            let mut step = self.ready_step(at, load);
             step.starving = true;
             step.quarantined = self.all_quarantined(pass.now, &self.jobs[&at.job].policy.service);
+            if let Some(wait) = self.wait_mut(at) {
+                wait.offered_at = Some(pass.now);
+            }
             self.place_ready(&step, 1, pass, out);
         }
     }
 
+    /// Starving steps to place in this pass, the most urgent first; if there are too many,
+    /// those offered longest ago.
+    fn starving_steps(&self, now: Time, ready: &[(Urgency, StepRef)]) -> Vec<StepRef> {
+        let mut full = BTreeMap::new();
+        let steps = ready.iter().map(|(_, at)| *at);
+        let mut starving: Vec<StepRef> = steps
+            .filter(|at| self.is_starving(now, *at, &mut full))
+            .collect();
+        let most = (MAX_SCORED / self.workers.len().max(1)).max(1);
+        if starving.len() > most {
+            // Steps that no worker can take must not hold back the others.
+            starving.sort_by_key(|at| self.step_run(*at).wait.and_then(|wait| wait.offered_at));
+            starving.truncate(most);
+        }
+        starving
+    }
+
     fn is_starving(&self, now: Time, at: StepRef, full: &mut BTreeMap<Arc<str>, bool>) -> bool {
         let job = &self.jobs[&at.job];
         let wait = job.step_run(at).wait;
--- a/crates/parsleytally/src/jobs/scheduler/waiting.rs
+++ b/crates/parsleytally/src/jobs/scheduler/waiting.rs
@@ -78,7 +78,7 @@
         due
     }
 
-    fn wait_mut(&mut self, at: StepRef) -> Option<&mut Wait> {
+    pub(super) fn wait_mut(&mut self, at: StepRef) -> Option<&mut Wait> {
         let job = self.jobs.get_mut(&at.job)?;
         job.rounds[at.round].steps[at.step].wait.as_mut()
     }
--- a/crates/parsleytally/src/jobs/tests/backlog.rs
+++ b/crates/parsleytally/src/jobs/tests/backlog.rs
@@ -491,6 +491,12 @@
             adopted: 100,
             ..unknown
         },
+        Case {
+            name: "300 workers, 400 more urgent jobs that no worker can take",
+            workers: 300,
+            unplaceable: 400,
+            ..busy
+        },
     ];
     let mut late = Vec::new();
     for case in cases {
