fix(jobs): all starving steps are offered to a part of the workers in each pass

Cause: a pass scores at most 100,000 workers for starving steps, and scored all workers for each: 33 steps a pass at 3,000 workers, about 220 a second. Change: the workers are divided among the starving steps, at least 50 for each; each pass goes on with the next ones. Up to 33 steps at 3,000 workers, and 111 of 900, are still offered 100,000 in all. Figures: 3,000 workers with busy services, 900 jobs, the 600 most urgent with a label that no worker has. If more steps starve than the workers can all be scored for, the worker that is harmed least is chosen among a part of them.

--- a/crates/parsleytally/src/jobs/scheduler/start.rs
+++ b/crates/parsleytally/src/jobs/scheduler/start.rs
@@ -10,6 +10,7 @@
 use super::super::{CrashDecision, JobState, LastEnd, OrderMessage, Output, RunRef, StartOrder};
 use super::crashes::{awaits_save, isolation_end};
 use super::pass::Pass;
+use super::starving::Offer;
 use super::uneven::RackSummary;
 use super::{RUNS_PER_EPOCH, Scheduler};
 use crate::types::{NodeName, Time};
@@ -32,8 +33,8 @@
     effects: Option<LoadEffects>,
     /// Whether much work would be lost with a run of a task.
     costly: bool,
-    /// Whether its job has waited so long that it may exceed headroom and limits.
-    pub(super) starving: bool,
+    /// Workers whose headroom and limits it may exceed, as its job has waited for long.
+    pub(super) starving: Option<Offer>,
     /// Whether it may start on quarantined workers.
     pub(super) quarantined: bool,
 }
@@ -157,7 +158,7 @@
             return None;
         }
         // A starving step is offered more than the workers that have changed.
-        let blocked = !step.starving && job.step_run(step.at).blocked;
+        let blocked = step.starving.is_none() && job.step_run(step.at).blocked;
         Some(self.place_tasks(step, limit, pass, blocked, out))
     }
 
@@ -169,7 +170,7 @@
             load,
             effects,
             costly,
-            starving: false,
+            starving: None,
             quarantined: false,
         }
     }
@@ -251,7 +252,7 @@
     ) -> Placement {
         let now = pass.now;
         let mut placement = Placement::All;
-        let workers = pass.workers(&self.workers, blocked);
+        let workers = self.offered_workers(step, pass, blocked);
         let run = self.step_run(step.at);
         let mut candidates = Candidates::new(workers, &self.request(step, None), run, now);
         let waiting: Vec<usize> = run.waiting_tasks().take(limit).collect();
@@ -269,7 +270,7 @@
             } else if task.last_failed_on().is_none() {
                 candidates.choose(&self.workers, &request, run, now)
             } else {
-                let workers = pass.workers(&self.workers, blocked);
+                let workers = self.offered_workers(step, pass, blocked);
                 choose_worker(workers, &request, run, now).cloned()
             };
             let waits = self.waits_for_rack(step.at, index, node.as_ref(), pass, racks);
@@ -302,6 +303,19 @@
         placement
     }
 
+    /// Workers that are considered for a step.
+    fn offered_workers<'a>(
+        &'a self,
+        step: &ReadyStep,
+        pass: &'a Pass,
+        blocked: bool,
+    ) -> Box<dyn Iterator<Item = (&'a NodeName, &'a Worker)> + 'a> {
+        match step.starving {
+            Some(offer) => Box::new(offer.workers(&self.workers)),
+            None => pass.workers(&self.workers, blocked),
+        }
+    }
+
     /// Makes the worker `node` a candidate again if it can take another task.
     fn offer(&self, step: &ReadyStep, node: &NodeName, candidates: &mut Candidates, now: Time) {
         let (request, run) = (self.request(step, None), self.step_run(step.at));
@@ -419,7 +433,7 @@
             cpu_limit: self.options.best_effort.cpu_limit,
             failed_on: task.and_then(Task::last_failed_on),
             costly: step.costly,
-            starving: step.starving,
+            starving: step.starving.is_some(),
             quarantined: step.quarantined,
             isolated: task.is_some_and(|task| needs_isolation(&task.crashes)),
             shared_rack: None,
--- a/crates/parsleytally/src/jobs/scheduler/starving.rs
+++ b/crates/parsleytally/src/jobs/scheduler/starving.rs
@@ -6,11 +6,12 @@
 use std::time::Duration;
 
 use super::super::Output;
+use super::super::fleet::Worker;
 use super::super::job::{Job, StepRef};
 use super::super::urgency::Urgency;
 use super::Scheduler;
 use super::pass::Pass;
-use crate::types::Time;
+use crate::types::{NodeName, Time};
 
 /// Wait after which a job with nothing running starves.
 const STARVED_AFTER: Duration = Duration::from_millis(1_500);
@@ -19,6 +20,29 @@
 const FULL_PERCENT: u64 = 60;
 /// Most workers that are scored for starving jobs in one pass.
 const MAX_SCORED: usize = 100_000;
+/// Workers of the fleet that are scored at least for a starving job in one pass.
+const MIN_SCORED: usize = 50;
+/// Number of places in the order of workers at which offers begin.
+const FIRST_OFFERS: usize = 1_000;
+
+/// Workers to which a starving step is offered, by their places in the order of names.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Offer {
+    first: usize,
+    count: usize,
+}
+
+impl Offer {
+    /// The offered ones of all workers.
+    pub(super) fn workers(
+        self,
+        all: &BTreeMap<NodeName, Worker>,
+    ) -> impl Iterator<Item = (&NodeName, &Worker)> {
+        let first = self.first % all.len().max(1);
+        let wrapped = all.iter().chain(all.iter()).skip(first);
+        wrapped.take(self.count.min(all.len()))
+    }
+}
 
 impl Scheduler {
     /// Starts one task, or a whole gang, of each starving job, although the protection of
@@ -29,37 +53,53 @@
         ready: &[(Urgency, StepRef)],
         out: &mut Vec<Output>,
     ) {
-        for at in self.starving_steps(pass.now, ready) {
+        let starving = self.starving_steps(pass.now, ready);
+        let workers = self.workers.len();
+        let scored =
+            (MAX_SCORED / starving.len().max(1)).clamp(MIN_SCORED, workers.max(MIN_SCORED));
+        for at in starving {
             let Some(load) = self.jobs[&at.job].load(at.step as u16) else {
                 continue;
             };
             let mut step = self.ready_step(at, load);
-            step.starving = true;
+            step.starving = Some(self.next_offer(at, scored));
             step.quarantined = self.all_quarantined(pass.now, &self.jobs[&at.job].policy.service);
-            if let Some(wait) = self.wait_mut(at) {
-                wait.offered_at = Some(pass.now);
-            }
             self.place_ready(&step, 1, pass, out);
         }
     }
 
     /// Starving steps to place in this pass, the most urgent first; if there are too many,
-    /// those offered longest ago.
+    /// those that were offered least.
     fn starving_steps(&self, now: Time, ready: &[(Urgency, StepRef)]) -> Vec<StepRef> {
         let mut full = BTreeMap::new();
         let steps = ready.iter().map(|(_, at)| *at);
         let mut starving: Vec<StepRef> = steps
             .filter(|at| self.is_starving(now, *at, &mut full))
             .collect();
-        let most = (MAX_SCORED / self.workers.len().max(1)).max(1);
+        let most = MAX_SCORED / self.workers.len().clamp(1, MIN_SCORED);
         if starving.len() > most {
             // Steps that no worker can take must not hold back the others.
-            starving.sort_by_key(|at| self.step_run(*at).wait.and_then(|wait| wait.offered_at));
+            starving.sort_by_key(|at| self.step_run(*at).wait.map(|wait| wait.offered));
             starving.truncate(most);
         }
         starving
     }
 
+    /// The next `count` workers to which a step is offered.
+    fn next_offer(&mut self, at: StepRef, count: usize) -> Offer {
+        let mut offered = 0;
+        if let Some(wait) = self.wait_mut(at) {
+            offered = wait.offered;
+            wait.offered += count;
+        }
+        // Steps begin at different workers, so that they don't all choose the same.
+        let first = at.job.0 as usize % FIRST_OFFERS * MIN_SCORED;
+        Offer {
+            first: first + offered,
+            count,
+        }
+    }
+
     fn is_starving(&self, now: Time, at: StepRef, full: &mut BTreeMap<Arc<str>, bool>) -> bool {
         let job = &self.jobs[&at.job];
         let wait = job.step_run(at).wait;
--- a/crates/parsleytally/src/jobs/tests/backlog.rs
+++ b/crates/parsleytally/src/jobs/tests/backlog.rs
@@ -83,6 +83,7 @@
     scheduler: Scheduler,
     now_ms: u64,
     workers: Vec<BTreeMap<RunRef, LiveRun>>,
+    indices: BTreeMap<NodeName, usize>,
     last_ends: Vec<u64>,
     /// Orders and saves to carry out.
     out: Vec<Output>,
@@ -179,6 +180,7 @@
             scheduler,
             now_ms: 100_000,
             workers: (0..case.workers).map(|_| BTreeMap::new()).collect(),
+            indices: (0..case.workers).map(|at| (node(at), at)).collect(),
             last_ends: vec![0; case.workers],
             out: Vec::new(),
             done: BTreeSet::new(),
@@ -297,8 +299,7 @@
     }
 
     fn index(&self, name: &NodeName) -> usize {
-        let mut all = 0..self.case.workers;
-        all.find(|at| node(*at) == *name).expect("a known worker")
+        self.indices[name]
     }
 
     /// Lets the runs of a worker work for one batch; returns those that end.
@@ -497,6 +498,18 @@
             unplaceable: 400,
             ..busy
         },
+        Case {
+            name: "2,000 jobs beside 1,000 workers",
+            workers: 1_000,
+            jobs: 2_000,
+            ..busy
+        },
+        Case {
+            name: "3,000 workers, 600 more urgent jobs that no worker can take",
+            workers: 3_000,
+            unplaceable: 600,
+            ..busy
+        },
     ];
     let mut late = Vec::new();
     for case in cases {
--- a/crates/parsleytally/src/jobs/waiting.rs
+++ b/crates/parsleytally/src/jobs/waiting.rs
@@ -75,8 +75,8 @@
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Wait {
     pub(super) since: Time,
-    /// When the step was last offered to workers that headroom and limits exclude.
-    pub(super) offered_at: Option<Time>,
+    /// Number of workers to which the step was offered although headroom or limits exclude them.
+    pub(super) offered: usize,
     explained_at: Option<Time>,
     reason: Option<WaitReason>,
 }
@@ -85,7 +85,7 @@
     pub(super) fn since(now: Time) -> Self {
         Self {
             since: now,
-            offered_at: None,
+            offered: 0,
             explained_at: None,
             reason: None,
         }
