--- a/crates/parsleytally/examples/owner_cost/fleet.rs
+++ b/crates/parsleytally/examples/owner_cost/fleet.rs
@@ -5,8 +5,9 @@
 
 use parsleytally::configs::{BestEffortConfig, WorkersConfig};
 use parsleytally::jobs::{
-    AgentMessage, EndReason, EndedRun, Input, OrderMessage, Output, RunRef, RunStatus, Scheduler,
-    SchedulerOptions, StartOrder, WorkerIncarnation, WorkerReport, WorkerState,
+    AgentMessage, EndReason, EndedRun, Input, JobId, JobState, OrderMessage, Output, RunRef,
+    RunStatus, Scheduler, SchedulerOptions, StartOrder, TaskId, WorkerIncarnation, WorkerReport,
+    WorkerState,
 };
 use parsleytally::types::{NodeName, Resources, Revision, Time, ZoneName};
 
@@ -21,6 +22,8 @@
 const BEST_LATENCY_MS: f64 = 25.0;
 /// Utilization of a service task without neighbours.
 const BASE_UTILIZATION: f64 = 0.48;
+/// Utilization of a service task that leaves almost no headroom.
+const BUSY_UTILIZATION: f64 = 0.79;
 /// Utilization that each best-effort task adds at full CPU share.
 const ADDED_UTILIZATION: f64 = 0.05;
 
@@ -33,11 +36,23 @@
     stopped: bool,
 }
 
-#[derive(Default)]
 struct Worker {
     runs: BTreeMap<RunRef, Run>,
     last_end: u64,
     measured: Duration,
+    /// Utilization of its service tasks without neighbours.
+    utilization: f64,
+}
+
+impl Default for Worker {
+    fn default() -> Self {
+        Self {
+            runs: BTreeMap::new(),
+            last_end: 0,
+            measured: Duration::ZERO,
+            utilization: BASE_UTILIZATION,
+        }
+    }
 }
 
 /// All workers, and the scheduler that owns them.
@@ -61,6 +76,14 @@
 impl Fleet {
     /// A fleet whose agents are all linked to the owner.
     pub(crate) fn new(workers: usize) -> Self {
+        let mut fleet = Self::unlinked(workers);
+        let inputs = (0..workers).flat_map(|at| joining(at, vec![])).collect();
+        fleet.decide(inputs);
+        fleet
+    }
+
+    /// A fleet whose agents the owner does not know yet.
+    fn unlinked(workers: usize) -> Self {
         let options = SchedulerOptions {
             epoch: 0,
             start_revision: Revision(0),
@@ -71,16 +94,42 @@
             evacuation_limit: None,
             workers: WorkersConfig::default(),
         };
-        let mut fleet = Self {
+        let names = (0..workers).map(|at| (name(at), Worker::default()));
+        Self {
             scheduler: Scheduler::new(options),
             now: Time::from_secs(1),
-            workers: BTreeMap::new(),
-        };
-        let inputs = (0..workers).flat_map(joining).collect();
-        fleet.decide(inputs);
-        let names = (0..workers).map(|at| (name(at), Worker::default()));
-        fleet.workers = names.collect();
-        fleet
+            workers: names.collect(),
+        }
+    }
+
+    /// A fleet under an owner that takes over, with a busy service task of `services` on each
+    /// worker; returns the inputs with which the agents join.
+    pub(crate) fn taking_over(services: &[JobId]) -> (Self, Vec<Input>) {
+        let mut fleet = Self::unlinked(services.len());
+        let mut inputs = Vec::new();
+        for (at, job) in services.iter().enumerate() {
+            let task = TaskId {
+                job: *job,
+                round: 0,
+                step: 0,
+                index: 0,
+            };
+            let run = RunRef { task, run: 1 };
+            let worker = fleet.workers.get_mut(&name(at)).expect("a known worker");
+            worker.utilization = BUSY_UTILIZATION;
+            worker.runs.insert(run, service());
+            inputs.push(Input::Expected(name(at)));
+        }
+        for at in 0..services.len() {
+            let running = fleet.workers[&name(at)].measure();
+            inputs.extend(joining(at, running));
+        }
+        (fleet, inputs)
+    }
+
+    /// State of a job.
+    pub(crate) fn state(&self, job: JobId) -> Option<JobState> {
+        self.scheduler.state(job)
     }
 
     pub(crate) fn now(&self) -> Time {
@@ -156,7 +205,7 @@
 }
 
 /// Inputs with which the agent `at` joins.
-fn joining(at: usize) -> [Input; 3] {
+fn joining(at: usize, running: Vec<RunStatus>) -> [Input; 3] {
     let node = name(at);
     let incarnation = incarnation(&node);
     let rack = format!("rack-{}", at / RACK_SIZE);
@@ -171,7 +220,7 @@
     };
     let listed = AgentMessage::Listed {
         incarnation,
-        running: Vec::new(),
+        running,
         ended: Vec::new(),
     };
     [
@@ -216,7 +265,7 @@
     fn measure(&self) -> Vec<RunStatus> {
         let best_effort = self.runs.values().filter(|run| run.best_effort);
         let shares = best_effort.map(|run| f64::from(run.cpu_share) / 100.0);
-        let utilization = BASE_UTILIZATION + ADDED_UTILIZATION * shares.sum::<f64>();
+        let utilization = self.utilization + ADDED_UTILIZATION * shares.sum::<f64>();
         let latency = BEST_LATENCY_MS / (1.0 - utilization.min(0.98));
         let status = |(run, state): (&RunRef, &Run)| RunStatus {
             run: *run,
@@ -255,6 +304,17 @@
     }
 }
 
+/// A service task that a predecessor has started.
+fn service() -> Run {
+    Run {
+        target_ms: 150,
+        best_effort: false,
+        cpu_share: 100,
+        remaining: Duration::ZERO,
+        stopped: false,
+    }
+}
+
 fn started(order: &StartOrder) -> Run {
     Run {
         target_ms: order.target_ms,
--- a/crates/parsleytally/examples/owner_cost/load.rs
+++ b/crates/parsleytally/examples/owner_cost/load.rs
@@ -70,6 +70,26 @@
         jobs
     }
 
+    /// A service job of one task for each worker.
+    pub(crate) fn services(&mut self, now: Time) -> Vec<Input> {
+        let services = self.workers as usize;
+        let mut jobs: Vec<Input> = (0..services)
+            .map(|_| self.job(now, Kind::Service))
+            .collect();
+        for job in &mut jobs {
+            if let Input::Job { record, .. } = job {
+                record.spec.steps[0].count = 1;
+            }
+        }
+        jobs
+    }
+
+    /// Best-effort jobs that were accepted before the owner took over.
+    pub(crate) fn backlog(&mut self, now: Time, jobs: usize) -> Vec<Input> {
+        let jobs = (0..jobs).map(|_| self.job(now, Kind::BestEffort));
+        jobs.collect()
+    }
+
     fn job(&mut self, now: Time, kind: Kind) -> Input {
         self.jobs += 1;
         let steps = match kind {
--- a/crates/parsleytally/examples/owner_cost/main.rs
+++ b/crates/parsleytally/examples/owner_cost/main.rs
@@ -6,7 +6,13 @@
 //! services, steps of short tasks, and steps of best-effort tasks beside the services. Two
 //! more runs have more best-effort work than the fleet has room for. Network, store and
 //! logs are not part of it.
+//!
+//! `cargo run --release --example owner_cost -- backlog WORKERS JOBS`
+//!
+//! An owner takes over a fleet with a service near its target on each worker and a backlog
+//! of best-effort jobs, until each job has had a run.
 
+mod backlog;
 mod fleet;
 mod load;
 
@@ -41,6 +47,15 @@
 }
 
 fn main() {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    if let [mode, workers, jobs] = &arguments[..]
+        && mode == "backlog"
+    {
+        let workers = workers.parse().expect("a number of workers");
+        let jobs = jobs.parse().expect("a number of jobs");
+        backlog::play(workers, jobs);
+        return;
+    }
     println!("workers  load  core%  us/start  longest ms  starts/s  waiting  completed jobs");
     for overload in OVERLOADS {
         for workers in SIZES {
