--- a/crates/parsleytally/src/jobs/agent/evidence.rs
+++ b/crates/parsleytally/src/jobs/agent/evidence.rs
@@ -1,7 +1,7 @@
 //! From which answer of the worker an agent concludes something about a run; only logged.
 
-use super::{Listing, PollCall};
-use crate::jobs::{EndReason, RefusalReason, RunRef};
+use super::{AgentOutput, Listing, PollCall};
+use crate::jobs::{AgentMessage, EndReason, RefusalReason, RunRef};
 use crate::types::Time;
 
 /// An answered poll.
@@ -106,3 +106,17 @@
         }
     }
 }
+
+/// Adds what is concluded about a run, and the message to the owner unless that is an end:
+/// ends are reported together.
+pub(super) fn push_conclusion(conclusion: RunConclusion, out: &mut Vec<AgentOutput>) {
+    out.push(AgentOutput::Concluded(conclusion));
+    let run = conclusion.run;
+    match conclusion.verdict {
+        RunVerdict::Missing => out.push(AgentOutput::Send(AgentMessage::Missing(run))),
+        RunVerdict::NotStarted(reason) => {
+            out.push(AgentOutput::Send(AgentMessage::Refused { run, reason }));
+        }
+        RunVerdict::Ended { .. } => {}
+    }
+}
--- a/crates/parsleytally/src/jobs/agent/mod.rs
+++ b/crates/parsleytally/src/jobs/agent/mod.rs
@@ -28,7 +28,7 @@
 
 use super::{
     AgentMessage, CrashedRun, EndEvidence, EndedRun, OrderMessage, RefusalReason, RunRef,
-    RunStatus, StartOrder, WorkerCrash, WorkerIncarnation, WorkerReport, WorkerState,
+    RunStatus, WorkerCrash, WorkerIncarnation, WorkerReport, WorkerState,
 };
 use crate::types::Time;
 
@@ -38,21 +38,25 @@
 mod late_reports;
 mod lease;
 mod messages;
+mod orders;
 mod owner_clock;
 mod poll;
 mod throttle;
+mod tracked;
 
 pub use evidence::{ListingEvidence, RunConclusion, RunEvidence, RunVerdict, StartEvidence};
 pub use messages::{
     AgentInput, AgentOutput, CallError, Listing, PollCall, StartCall, StopCall, ThrottleCall,
 };
 
-use crashes::{Crashes, Sightings};
+use crashes::Crashes;
+use evidence::push_conclusion;
 use incarnation::Successor;
 use late_reports::LateReports;
 use lease::Lease;
 use owner_clock::OwnerClock;
 use throttle::{RunKind, Throttle};
+use tracked::{StartState, TrackedRun};
 
 /// Longest time for which the worker may delay the answer to a poll until a run ends.
 const POLL_WAIT: Duration = Duration::from_millis(1_000);
@@ -94,56 +98,6 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct OwnerLink(pub u64);
 
-/// Start state of a tracked run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum StartState {
-    /// The start order was sent with this token; its answer is pending.
-    Sent { fencing_token: u64 },
-    /// A start order with this token or a lower one may still take effect.
-    Unanswered { fencing_token: u64 },
-    /// The worker had the run before it was sent any poll with a number above this one.
-    Confirmed { last_poll: u64 },
-}
-
-/// A run that was ordered to start or stop, or that the worker listed.
-#[derive(Debug, Clone)]
-struct TrackedRun {
-    state: StartState,
-    /// Start order of the current owner; none for other runs.
-    order: Option<StartOrder>,
-    /// When a call to start it was last sent.
-    start_sent: Option<Time>,
-    /// When a stop order is sent again.
-    stop_due: Time,
-    /// Whether the current owner ordered it to stop.
-    stop_ordered: bool,
-    /// When it was known to be on the worker; none before its start is answered.
-    sightings: Option<Sightings>,
-}
-
-impl TrackedRun {
-    /// Token of a start order that may still take effect.
-    fn unsettled_token(&self) -> Option<u64> {
-        match self.state {
-            StartState::Sent { fencing_token } | StartState::Unanswered { fencing_token } => {
-                Some(fencing_token)
-            }
-            StartState::Confirmed { .. } => None,
-        }
-    }
-
-    /// What is concluded about this run, numbered `run`.
-    fn conclude(&self, run: RunRef, verdict: RunVerdict, evidence: RunEvidence) -> RunConclusion {
-        RunConclusion {
-            run,
-            verdict,
-            evidence,
-            start_sent: self.start_sent,
-            known_at: self.sightings.map(Sightings::last),
-        }
-    }
-}
-
 /// State machine of an agent.
 ///
 /// It does no I/O: inputs are events, and outputs are effects for the caller.
@@ -492,267 +446,4 @@
             .as_ref()
             .is_some_and(|report| report.incarnation == *incarnation)
     }
-
-    fn start(&mut self, now: Time, order: StartOrder, out: &mut Vec<AgentOutput>) {
-        let run = order.run;
-        let state = self.report.as_ref().map(|report| report.state);
-        let is_answering = self.listed && !self.unresponsive && !self.shutdown_noticed;
-        let can_start = is_answering
-            && self.is_current_incarnation(&order.incarnation)
-            && state == Some(WorkerState::Ready);
-        if !can_start {
-            let verdict = RunVerdict::NotStarted(RefusalReason::Unwell);
-            push_conclusion(
-                RunConclusion::untracked(run, verdict, RunEvidence::Agent),
-                out,
-            );
-            return;
-        }
-        if self.runs.contains_key(&run) {
-            return;
-        }
-        let kind = RunKind {
-            target_ms: order.target_ms,
-            best_effort: order.best_effort,
-        };
-        self.throttle.started(run, kind);
-        let tracked = TrackedRun {
-            state: StartState::Sent {
-                fencing_token: self.fencing_token,
-            },
-            order: Some(order),
-            start_sent: None,
-            stop_due: now,
-            stop_ordered: false,
-            sightings: None,
-        };
-        self.runs.insert(run, tracked);
-        self.send_start(now, run, out);
-    }
-
-    /// Whether the owner's read of the operators' requests is too old for a start. An owner that
-    /// was paused, or an order that was delayed, may be from before a request.
-    fn read_is_old(&self, now: Time, run: RunRef) -> bool {
-        let Some(limit) = self.times.evacuation_limit else {
-            return false;
-        };
-        let order = self.runs.get(&run).and_then(|run| run.order.as_ref());
-        let read = order.and_then(|order| order.zones_read);
-        let age = read.zip(self.owner_clock);
-        age.is_none_or(|(read, clock)| clock.age(now, read) > limit)
-    }
-
-    /// Whether the worker has less than the owner counted on: the order may be from before its
-    /// capacity shrank.
-    fn has_shrunk(&self, run: RunRef) -> bool {
-        let order = self.runs.get(&run).and_then(|run| run.order.as_ref());
-        let assumed = order.map(|order| order.capacity);
-        let present = self.report.as_ref().map(|report| report.capacity);
-        let shrunk = assumed.zip(present);
-        shrunk.is_some_and(|(assumed, present)| !assumed.fits(&present))
-    }
-
-    fn send_start(&mut self, now: Time, run: RunRef, out: &mut Vec<AgentOutput>) {
-        if self.has_shrunk(run) {
-            self.refuse(run, RefusalReason::Room, RunEvidence::Agent, out);
-            return;
-        }
-        if self.read_is_old(now, run) {
-            self.refuse(run, RefusalReason::OldRead, RunEvidence::Agent, out);
-            return;
-        }
-        // A start that is repeated after a notice of shutdown must not get a new lease.
-        let length = (!self.shutdown_noticed).then(|| self.lease_length(now));
-        let lease_end = length.and_then(|length| self.lease.grant(now, length));
-        let Some(lease_end) = lease_end else {
-            self.refuse(run, RefusalReason::Unwell, RunEvidence::Agent, out);
-            return;
-        };
-        let fencing_token = self.fencing_token;
-        let Some(tracked) = self.runs.get_mut(&run) else {
-            return;
-        };
-        tracked.state = StartState::Sent { fencing_token };
-        tracked.start_sent = Some(now);
-        let Some(order) = tracked.order.clone() else {
-            return;
-        };
-        out.push(AgentOutput::Start(StartCall {
-            order,
-            fencing_token,
-            lease_end,
-        }));
-    }
-
-    fn start_answered(
-        &mut self,
-        now: Time,
-        run: RunRef,
-        fencing_token: u64,
-        answer: Result<(), CallError>,
-        out: &mut Vec<AgentOutput>,
-    ) {
-        let Some(tracked) = self.runs.get_mut(&run) else {
-            return;
-        };
-        if tracked.state != (StartState::Sent { fencing_token }) {
-            return;
-        }
-        let evidence = RunEvidence::Start(StartEvidence {
-            fencing_token,
-            sent: tracked.start_sent.unwrap_or(now),
-            received: now,
-        });
-        match answer {
-            Ok(()) => {
-                tracked.state = StartState::Confirmed {
-                    last_poll: self.poll_number,
-                };
-                tracked.sightings = Some(Sightings::at(now));
-                self.send_cpu_share(run, out);
-            }
-            Err(CallError::Refused(RefusalReason::Fenced))
-                if fencing_token < self.fencing_token && !tracked.stop_ordered =>
-            {
-                self.send_start(now, run, out);
-            }
-            Err(CallError::Refused(reason)) => self.refuse(run, reason, evidence, out),
-            Err(CallError::OtherLife) => {
-                self.refuse(run, RefusalReason::Unwell, evidence, out);
-                self.replace_identity(now, out);
-            }
-            Err(CallError::Unreachable) => {
-                self.refuse(run, RefusalReason::Unwell, evidence, out);
-            }
-            Err(CallError::Unanswered) => {
-                tracked.state = StartState::Unanswered { fencing_token };
-                self.raise_fencing_token(now, fencing_token);
-            }
-        }
-    }
-
-    /// Drops a run that did not start and can't start later, and tells the owner.
-    fn refuse(
-        &mut self,
-        run: RunRef,
-        reason: RefusalReason,
-        evidence: RunEvidence,
-        out: &mut Vec<AgentOutput>,
-    ) {
-        if let Some(tracked) = self.runs.remove(&run) {
-            let verdict = RunVerdict::NotStarted(reason);
-            push_conclusion(tracked.conclude(run, verdict, evidence), out);
-        }
-    }
-
-    /// Highest token of the start orders that may still take effect.
-    fn unsettled_token(&self) -> Option<u64> {
-        let runs = self.runs.values();
-        runs.filter_map(TrackedRun::unsettled_token).max()
-    }
-
-    /// Makes the fencing token higher than `fencing_token` and the next poll due now, so
-    /// that its answer settles the orders with that token.
-    fn raise_fencing_token(&mut self, now: Time, fencing_token: u64) {
-        if self.fencing_token <= fencing_token {
-            self.fencing_token = fencing_token + 1;
-        }
-        self.next_poll = now;
-    }
-
-    /// Sends the CPU share that the owner ordered for a run, once the worker has the run: the call
-    /// could overtake the start.
-    fn send_cpu_share(&mut self, run: RunRef, out: &mut Vec<AgentOutput>) {
-        let tracked = self.runs.get(&run);
-        let is_confirmed = |run: &TrackedRun| matches!(run.state, StartState::Confirmed { .. });
-        if !tracked.is_some_and(is_confirmed) {
-            return;
-        }
-        if let Some(cpu_share) = self.throttle.take_unsent(run) {
-            let fencing_token = self.fencing_token;
-            out.push(AgentOutput::Throttle(ThrottleCall {
-                run,
-                cpu_share,
-                fencing_token,
-            }));
-        }
-    }
-
-    /// Handles the answer to a change of a CPU share. Without an answer, the call may be carried
-    /// out later, so that the next one needs a higher token.
-    fn throttle_answered(
-        &mut self,
-        now: Time,
-        call: ThrottleCall,
-        answer: Result<(), CallError>,
-        out: &mut Vec<AgentOutput>,
-    ) {
-        self.throttle.answered(call.run, answer.is_ok());
-        match answer {
-            Ok(()) => self.send_cpu_share(call.run, out),
-            Err(CallError::Unanswered) if self.runs.contains_key(&call.run) => {
-                self.raise_fencing_token(now, call.fencing_token);
-            }
-            // The share is sent again with the next listing that has the run.
-            Err(_) => {}
-        }
-    }
-
-    fn stop(&mut self, now: Time, run: RunRef, out: &mut Vec<AgentOutput>) {
-        let untracked = TrackedRun {
-            state: StartState::Unanswered {
-                fencing_token: self.fencing_token,
-            },
-            order: None,
-            start_sent: None,
-            stop_due: now,
-            stop_ordered: true,
-            sightings: None,
-        };
-        let tracked = self.runs.entry(run).or_insert(untracked);
-        tracked.stop_ordered = true;
-        tracked.stop_due = now.after(STOP_RETRY);
-        let fencing_token = self.fencing_token;
-        out.push(AgentOutput::Stop(StopCall { run, fencing_token }));
-        if matches!(tracked.state, StartState::Unanswered { fencing_token } if fencing_token >= self.fencing_token)
-        {
-            self.raise_fencing_token(now, fencing_token);
-        }
-    }
-
-    fn stop_answered(&mut self, now: Time, run: RunRef, answer: Result<(), CallError>) {
-        let Err(_) = answer else {
-            return;
-        };
-        if let Some(tracked) = self.runs.get_mut(&run) {
-            tracked.stop_due = now.after(POLL_PAUSE);
-        }
-    }
-
-    fn resend_stops(&mut self, now: Time, out: &mut Vec<AgentOutput>) {
-        let fencing_token = self.fencing_token;
-        for (run, tracked) in &mut self.runs {
-            if tracked.stop_ordered && now >= tracked.stop_due {
-                tracked.stop_due = now.after(STOP_RETRY);
-                out.push(AgentOutput::Stop(StopCall {
-                    run: *run,
-                    fencing_token,
-                }));
-            }
-        }
-    }
-}
-
-/// Adds what is concluded about a run, and the message to the owner unless that is an end:
-/// ends are reported together.
-fn push_conclusion(conclusion: RunConclusion, out: &mut Vec<AgentOutput>) {
-    out.push(AgentOutput::Concluded(conclusion));
-    let run = conclusion.run;
-    match conclusion.verdict {
-        RunVerdict::Missing => out.push(AgentOutput::Send(AgentMessage::Missing(run))),
-        RunVerdict::NotStarted(reason) => {
-            out.push(AgentOutput::Send(AgentMessage::Refused { run, reason }));
-        }
-        RunVerdict::Ended { .. } => {}
-    }
 }
