fix(jobs): pauses of best-effort runs by an agent are bounded

Callers see best-effort jobs that make no progress, for ever, beside a service that is over or near its latency target for another reason than they are: a slow worker, its own load.

Cause: an agent paused best-effort runs after five measurements over the target, and resumed them only after two below 0.9 of it.

Change: a pause ends after eight measurements (about 4 s) in any case.

--- a/crates/parsleytally/src/jobs/agent/throttle.rs
+++ b/crates/parsleytally/src/jobs/agent/throttle.rs
@@ -4,6 +4,10 @@
 //! The owner throttles or stops harmful best-effort tasks by its measurements of all
 //! workers. This local rule covers the time in which its orders are missing or don't
 //! suffice.
+//!
+//! A pause has a longest time: a service that stays near or over its target without best-effort
+//! tasks beside it is slow for another reason. They then work again for at least as long as it
+//! takes to pause them, which is shorter than services may be slowed by them.
 
 use std::collections::{HashMap, HashSet};
 
@@ -22,6 +26,8 @@
 /// Measurements below [`LOW_SLOWDOWN`], with none above [`HIGH_SLOWDOWN`] in between,
 /// after which they resume.
 const RESUME_AFTER: u32 = 2;
+/// Measurements of a pause after which they resume in any case: about 4 s.
+const MAX_PAUSE: u32 = 8;
 
 /// Properties of a run that matter to other runs on its worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -45,6 +51,8 @@
     paused: bool,
     /// Measurements that favor pausing or resuming since the last that opposed it.
     streak: u32,
+    /// Measurements since best-effort runs were last paused or resumed.
+    phase_age: u32,
 }
 
 impl Throttle {
@@ -154,9 +162,12 @@
         if opposes {
             self.streak = 0;
         }
-        if self.streak >= required {
+        self.phase_age = self.phase_age.saturating_add(1);
+        let overdue = self.paused && self.phase_age >= MAX_PAUSE;
+        if self.streak >= required || overdue {
             self.paused = !self.paused;
             self.streak = 0;
+            self.phase_age = 0;
         }
     }
 
--- a/crates/parsleytally/src/jobs/tests/cpu_shares.rs
+++ b/crates/parsleytally/src/jobs/tests/cpu_shares.rs
@@ -148,6 +148,52 @@
     assert_eq!(changes(&resumed), [(best_effort, 100)]);
 }
 
+/// Guards against best-effort runs that stay paused for ever beside a service that is over its target
+/// by itself, and against harm: a longest time at work while a service is over its target.
+#[test]
+fn pauses_and_the_work_between_them_are_bounded() {
+    struct Case {
+        what: &'static str,
+        /// Tail latencies that are measured in turn, in milliseconds.
+        latencies: [u64; 2],
+    }
+    let cases = [
+        Case {
+            what: "over its target",
+            latencies: [900, 900],
+        },
+        Case {
+            what: "near its target",
+            latencies: [155, 145],
+        },
+        Case {
+            what: "over its target at times",
+            latencies: [160, 100],
+        },
+    ];
+    let (service, best_effort) = (run(1, 0, 0, 1), run(2, 0, 0, 1));
+    for case in cases {
+        let mut agent = TestAgent::ready();
+        start(&mut agent, service, 150);
+        start(&mut agent, best_effort, 0);
+        let latencies = case.latencies.into_iter().cycle();
+        let mut cpu_share = 100;
+        // Listings in which the run was paused, and in which it worked, on end.
+        let (mut paused, mut at_work) = (0, 0);
+        for latency in latencies.take(100) {
+            let running = vec![status(service, latency), status(best_effort, 0)];
+            let out = list(&mut agent, running);
+            answer_changes(&mut agent, &out);
+            cpu_share = changes(&out).last().map_or(cpu_share, |(_, share)| *share);
+            paused = if cpu_share == 0 { paused + 1 } else { 0 };
+            let slowed = cpu_share > 0 && case.latencies.iter().all(|latency| *latency > 150);
+            at_work = if slowed { at_work + 1 } else { 0 };
+            assert!(paused <= 8, "{}: paused for over 4 s", case.what);
+            assert!(at_work < 7, "{}: at work for 3.5 s", case.what);
+        }
+    }
+}
+
 /// Guards against runs that stay paused: of two CPU shares sent shortly after one another, the older one
 /// was carried out last.
 #[test]
