fix(jobs): a run that no other worker can take gets a least CPU share

Callers see a best-effort job that started and then makes no progress, for ever: beside a service that leaves no headroom, its run is throttled to 0%, and no other worker can take it.

Cause: `set_cpu_share` lets such a run stay at the share that the headroom permits; nothing bounds the time without progress.

Change: after 4 s below 20%, one run of the worker, the one that has waited longest, gets 20%, unless more than 60% of the pool is reserved, as for starving jobs. It is still moved once another worker can take it. Whether a pool is full is kept for 500 ms, as workers report often.

Evidence: a_run_that_no_other_worker_can_take_gets_a_least_cpu_share failed before ("room is free: 40 measurements", left: false, right: true) and passes; it bounds the runs at work to one at 20%, and to none in a full pool. 182 tests of jobs pass.

--- a/crates/parsleytally/src/jobs/fleet.rs
+++ b/crates/parsleytally/src/jobs/fleet.rs
@@ -67,6 +67,8 @@
     pub(super) image: Arc<str>,
     /// CPU share, in percent; `None` if a previous owner set it.
     pub(super) cpu_share: Option<u32>,
+    /// Since when the CPU share that the headroom permits is too low; none if it suffices.
+    pub(super) low_since: Option<Time>,
     /// Processors that it uses when not throttled.
     pub(super) cores: f64,
     /// Progress at its last measurement, in percent.
--- a/crates/parsleytally/src/jobs/job.rs
+++ b/crates/parsleytally/src/jobs/job.rs
@@ -371,6 +371,7 @@
             target_ms: step.target_ms,
             image: step.image.clone().unwrap_or_default(),
             cpu_share: Some(FULL_CPU_SHARE),
+            low_since: None,
             cores: step.need.cpu.0 as f64 / MILLI,
             progress_percent: 0,
             measured_at: None,
--- a/crates/parsleytally/src/jobs/scheduler/mod.rs
+++ b/crates/parsleytally/src/jobs/scheduler/mod.rs
@@ -99,6 +99,8 @@
     health_review: HealthReview,
     stall_budget: StallBudget,
     forecasts: ForecastState,
+    /// Whether most of each pool is reserved, and when that was computed.
+    full_pools: BTreeMap<Arc<str>, (Time, bool)>,
     /// Earliest time of the next check for runs to move out of evacuated zones.
     next_move: Time,
     /// Use of the pools by the queues; none without settings of shares.
@@ -122,6 +124,7 @@
     pub fn new(options: SchedulerOptions) -> Self {
         Self {
             evacuation: Evacuation::new(options.evacuation_limit),
+            full_pools: BTreeMap::new(),
             next_move: Time::ZERO,
             options,
             queues: Arc::default(),
--- a/crates/parsleytally/src/jobs/scheduler/starving.rs
+++ b/crates/parsleytally/src/jobs/scheduler/starving.rs
@@ -17,6 +17,8 @@
 /// Share of a pool's processors that is reserved when it counts as full, in percent. Above it,
 /// best-effort jobs wait for the protection of others.
 const FULL_PERCENT: u64 = 60;
+/// Time for which it is used, where workers report often, whether a pool is full.
+const FULL_INTERVAL: Duration = Duration::from_millis(500);
 /// Most workers that are scored for starving jobs in one pass.
 const MAX_SCORED: usize = 100_000;
 
@@ -72,6 +74,18 @@
         usable.all(|worker| worker.failures.is_quarantined(now))
     }
 
+    /// Whether most processors of a pool were reserved within the last [`FULL_INTERVAL`].
+    pub(super) fn was_full(&mut self, now: Time, pool: &Arc<str>) -> bool {
+        if let Some((computed, full)) = self.full_pools.get(pool)
+            && now.since(*computed) < FULL_INTERVAL
+        {
+            return *full;
+        }
+        let full = self.is_full(pool);
+        self.full_pools.insert(pool.clone(), (now, full));
+        full
+    }
+
     /// Whether most processors of a pool are reserved.
     fn is_full(&self, pool: &str) -> bool {
         let (mut reserved, mut total) = (0, 0);
--- a/crates/parsleytally/src/jobs/scheduler/throttle.rs
+++ b/crates/parsleytally/src/jobs/scheduler/throttle.rs
@@ -1,5 +1,11 @@
 //! Throttles best-effort tasks that would slow service tasks beyond their targets, and
 //! moves those that would make almost no progress.
+//!
+//! If no other worker can take such a run, it stays. So that its wait is bounded while room is free,
+//! it then works at a least CPU share, one run of a worker at a time; the agent pauses it while a
+//! service there is slowed.
+
+use std::time::Duration;
 
 use super::super::fleet::{FULL_CPU_SHARE, Load};
 use super::super::job::{MILLI, StepRef};
@@ -10,6 +16,8 @@
 
 /// CPU share below which a best-effort run is moved to another worker, in percent.
 const MIN_CPU_SHARE: u32 = 20;
+/// Time with a CPU share below [`MIN_CPU_SHARE`] after which a run gets it all the same.
+const LOW_SHARE_LIMIT: Duration = Duration::from_secs(4);
 /// Progress from which on a best-effort run is not moved any more, in percent.
 pub(super) const NEARLY_DONE_PERCENT: u32 = 85;
 
@@ -53,8 +61,15 @@
         }
         self.contention.update(now, node, worker, gauges);
         let orders = out.len();
-        for (run, percent) in self.contention.cpu_shares(node, worker) {
-            self.set_cpu_share(now, node, run, percent, out);
+        let cpu_shares = self.contention.cpu_shares(node, worker);
+        let granted = self.least_share(now, node, &cpu_shares);
+        for (run, percent) in cpu_shares {
+            let is_granted = granted == Some(run);
+            let least = if is_granted { MIN_CPU_SHARE } else { 0 };
+            self.set_cpu_share(now, node, run, percent.max(least), out);
+            if percent < MIN_CPU_SHARE {
+                self.move_starved(now, node, run, out);
+            }
         }
         // The update above is up to date unless a share has changed.
         if out.len() > orders
@@ -108,7 +123,6 @@
         let Some(load) = worker.runs.get_mut(&run) else {
             return;
         };
-        let starved = percent < MIN_CPU_SHARE && load.progress_percent < NEARLY_DONE_PERCENT;
         if load.cpu_share != Some(percent) {
             load.set_cpu_share(now, percent);
             let order = OrderMessage::Throttle {
@@ -117,12 +131,48 @@
             };
             out.push(Output::Order(node.clone(), order));
         }
-        // If no other worker can take it, the run stays and keeps its progress.
-        if starved && self.fits_elsewhere(now, node, run) {
+    }
+
+    /// Stops a run that would make almost no progress, so that its task starts on another worker.
+    /// If none can take it, the run stays and keeps its progress.
+    fn move_starved(&mut self, now: Time, node: &NodeName, run: RunRef, out: &mut Vec<Output>) {
+        let worker = self.workers.get(node);
+        let load = worker.and_then(|worker| worker.runs.get(&run));
+        let is_short = load.is_some_and(|load| load.progress_percent < NEARLY_DONE_PERCENT);
+        if is_short && self.fits_elsewhere(now, node, run) {
             self.stop_run(run, out);
         }
     }
 
+    /// The run of a worker that gets a least CPU share: the one whose share by the headroom has
+    /// been too low for longest, unless most of the pool is reserved.
+    fn least_share(
+        &mut self,
+        now: Time,
+        node: &NodeName,
+        cpu_shares: &[(RunRef, u32)],
+    ) -> Option<RunRef> {
+        let worker = self.workers.get_mut(node)?;
+        let mut longest = None;
+        for (run, percent) in cpu_shares {
+            let Some(load) = worker.runs.get_mut(run) else {
+                continue;
+            };
+            if *percent >= MIN_CPU_SHARE {
+                load.low_since = None;
+                continue;
+            }
+            let since = *load.low_since.get_or_insert(now);
+            let is_longest = longest.is_none_or(|longest| (since, *run) < longest);
+            if now.since(since) >= LOW_SHARE_LIMIT && is_longest {
+                longest = Some((since, *run));
+            }
+        }
+        let (_, run) = longest?;
+        let pool = worker.report.as_ref()?.service.clone();
+        (!self.was_full(now, &pool)).then_some(run)
+    }
+
     /// Whether the task of a run would now be placed on another worker.
     fn fits_elsewhere(&self, now: Time, node: &NodeName, run: RunRef) -> bool {
         let Some(job) = self.jobs.get(&run.task.job) else {
--- a/crates/parsleytally/src/jobs/tests/throttle.rs
+++ b/crates/parsleytally/src/jobs/tests/throttle.rs
@@ -1,5 +1,7 @@
 //! Tests of the throttling of best-effort tasks beside service tasks by the scheduler.
 
+use std::collections::BTreeMap;
+
 use super::scheduler::{Bench, starts};
 use super::*;
 
@@ -174,3 +176,73 @@
         );
     }
 }
+
+/// Guards against a best-effort run that stays at 0% for ever, as no other worker can take it while the
+/// service beside it is over its target by itself; and against several that slow it at a time.
+#[test]
+fn a_run_that_no_other_worker_can_take_gets_a_least_cpu_share() {
+    struct Case {
+        what: &'static str,
+        /// Processors of a step that fills the worker, in thousandths; 0 is none.
+        reserved: u64,
+        /// Whether the run gets a least CPU share.
+        works: bool,
+    }
+    let cases = [
+        Case {
+            what: "room is free",
+            reserved: 0,
+            works: true,
+        },
+        Case {
+            what: "most of the pool is reserved",
+            reserved: 2_000,
+            works: false,
+        },
+    ];
+    for case in cases {
+        let mut bench = Bench::with_workers(1);
+        let mut cpu_shares_of = BTreeMap::new();
+        let service = starts(&bench.submit(1, job(vec![service_step()]), 11))[0].1;
+        for id in [2, 3] {
+            let out = bench.submit(id, job(vec![best_effort_step()]), 12);
+            cpu_shares_of.insert(starts(&out)[0].1, 100);
+        }
+        if case.reserved > 0 {
+            let filling = StepSpec {
+                long_running: true,
+                need: need(case.reserved, 100),
+                ..step(1, &[])
+            };
+            assert_eq!(starts(&bench.submit(4, job(vec![filling]), 11)).len(), 1);
+        }
+        let (mut idle, mut longest_idle) = (0, 0);
+        for _ in 0..40 {
+            let mut gauges = vec![gauge(service, 100, SLOWED_MS)];
+            gauges.extend(cpu_shares_of.keys().map(|run| gauge(*run, 5, 0)));
+            let out = bench.agent(0, AgentMessage::Measurements(gauges));
+            cpu_shares_of.extend(cpu_shares(&out));
+            let working: Vec<u32> = cpu_shares_of
+                .values()
+                .copied()
+                .filter(|share| *share > 0)
+                .collect();
+            idle = if working.is_empty() { idle + 1 } else { 0 };
+            longest_idle = longest_idle.max(idle);
+            if longest_idle > 0 {
+                assert!(
+                    matches!(working[..], [] | [20]),
+                    "{}: {working:?}",
+                    case.what
+                );
+            }
+            bench.wait(500);
+        }
+        assert_eq!(
+            longest_idle < 10,
+            case.works,
+            "{}: {longest_idle} measurements",
+            case.what
+        );
+    }
+}
