--- a/crates/parsleytally/src/jobs/scheduler/mod.rs
+++ b/crates/parsleytally/src/jobs/scheduler/mod.rs
@@ -104,6 +104,8 @@
     health_review: HealthReview,
     stall_budget: StallBudget,
     forecasts: ForecastState,
+    /// Whether most of each pool is reserved, and when that was computed.
+    full_pools: BTreeMap<Arc<str>, (Time, bool)>,
     /// Earliest time of the next check for runs to move out of evacuated zones.
     next_move: Time,
     /// Use of the pools by the queues; none without settings of shares.
@@ -127,6 +129,7 @@
     pub fn new(options: SchedulerOptions) -> Self {
         Self {
             evacuation: Evacuation::new(options.evacuation_limit),
+            full_pools: BTreeMap::new(),
             next_move: Time::ZERO,
             options,
             queues: Arc::default(),
