--- a/crates/parsleytally/src/jobs/agent/orders.rs
+++ b/crates/parsleytally/src/jobs/agent/orders.rs
@@ -11,6 +11,7 @@
 use crate::types::Time;
 
 impl JobAgent {
+    /// Carries out the owner's order to start a run.
     pub(super) fn start(&mut self, now: Time, order: StartOrder, out: &mut Vec<AgentOutput>) {
         let run = order.run;
         let state = self.report.as_ref().map(|report| report.state);
@@ -50,7 +51,7 @@
 
     /// Whether the owner's read of the operators' requests is too old for a start. An owner that
     /// was paused, or an order that was delayed, may be from before a request.
-    pub(super) fn read_is_old(&self, now: Time, run: RunRef) -> bool {
+    fn read_is_old(&self, now: Time, run: RunRef) -> bool {
         let Some(limit) = self.times.evacuation_limit else {
             return false;
         };
@@ -62,7 +63,7 @@
 
     /// Whether the worker has less than the owner counted on: the order may be from before its
     /// capacity shrank.
-    pub(super) fn has_shrunk(&self, run: RunRef) -> bool {
+    fn has_shrunk(&self, run: RunRef) -> bool {
         let order = self.runs.get(&run).and_then(|run| run.order.as_ref());
         let assumed = order.map(|order| order.capacity);
         let present = self.report.as_ref().map(|report| report.capacity);
@@ -70,7 +71,7 @@
         shrunk.is_some_and(|(assumed, present)| !assumed.fits(&present))
     }
 
-    pub(super) fn send_start(&mut self, now: Time, run: RunRef, out: &mut Vec<AgentOutput>) {
+    fn send_start(&mut self, now: Time, run: RunRef, out: &mut Vec<AgentOutput>) {
         if self.has_shrunk(run) {
             self.refuse(run, RefusalReason::Room, RunEvidence::Agent, out);
             return;
@@ -150,7 +151,7 @@
     }
 
     /// Drops a run that did not start and can't start later, and tells the owner.
-    pub(super) fn refuse(
+    fn refuse(
         &mut self,
         run: RunRef,
         reason: RefusalReason,
@@ -216,6 +217,7 @@
         }
     }
 
+    /// Orders the worker to stop a run, known or not, until the run is known to have ended.
     pub(super) fn stop(&mut self, now: Time, run: RunRef, out: &mut Vec<AgentOutput>) {
         let untracked = TrackedRun {
             state: StartState::Unanswered {
--- a/crates/parsleytally/src/jobs/agent/poll.rs
+++ b/crates/parsleytally/src/jobs/agent/poll.rs
@@ -109,8 +109,9 @@
             .iter()
             .all(|end| end.sequence > self.reported_sequence);
         let awaits_listing = !self.listed && self.may_list(call);
-        let is_heard = self.owner.is_some();
-        if is_heard && all_unreported && (call.wait_ms > 0 || awaits_listing) {
+        // Without an owner, nobody acknowledges them.
+        let has_owner = self.owner.is_some();
+        if has_owner && all_unreported && (call.wait_ms > 0 || awaits_listing) {
             self.next_poll = now;
         }
         self.crashes.clear_expired();
@@ -171,9 +172,10 @@
         }
     }
 
-    /// Updates the tracked runs by the answer to a poll, made by `listed_at`, and reports those that did not
-    /// start or are missing. A run that is absent from an incomplete listing may have ended, and
-    /// one that became known after the poll was sent may have started after the listing.
+    /// Updates the tracked runs by the answer to a poll, made by `listed_at`, and reports those
+    /// that did not start or are missing. A run that is absent from an incomplete listing may
+    /// have ended, and one that became known after the poll was sent may have started after the
+    /// listing.
     fn reconcile(
         &mut self,
         answer: ListingEvidence,
