--- a/review/stand/cases.rs
+++ b/review/stand/cases.rs
@@ -109,17 +109,17 @@
 /// LOST: `finish_s` after the end of the traffic, a job must not have nothing running for 3 s while
 /// a task's turn has come, there is room for it twice over and under half of the room is in use.
 fn backlog(system: &mut System, trouble: bool) -> Result<Outcome, String> {
-    const JOBS: usize = 100;
+    const JOBS: usize = 160;
     const TASKS: u64 = 36;
     /// The longest spec that PROTOCOL.md allows.
     const SPEC_BYTES: usize = 4_000;
-    const PAUSE: Duration = Duration::from_millis(30);
+    const PAUSE: Duration = Duration::from_millis(15);
     const RESTART: Duration = Duration::from_secs(1);
     let bytes = std::env::var("SPEC_BYTES").ok();
     let bytes = bytes
         .and_then(|text| text.parse().ok())
         .unwrap_or(SPEC_BYTES);
-    let spec = format!("{:x<bytes$}", "ms=300 ");
+    let spec = format!("{:x<bytes$}", "ms=200 ");
     let leader = system.leader().ok_or("no entry leads")?;
     let others: Vec<usize> = (0..ENTRIES).filter(|at| *at != leader).collect();
     let mut accepted = Vec::new();
@@ -140,7 +140,7 @@
             killed = None;
         }
         let id = format!("0000000000000e{job:02x}");
-        let step = Json::Object(small_step(TASKS, 300));
+        let step = Json::Object(small_step(TASKS, 200));
         if system.submit(others[job % others.len()], &id, &spec, vec![step]) {
             accepted.push(id);
         }
