--- a/review/stand/main.rs
+++ b/review/stand/main.rs
@@ -24,7 +24,9 @@
     };
     let folder = Path::new(&folder);
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
-    let outcome = cases::run(&name, trouble, folder);
+    let run = || cases::run(&name, trouble, folder);
+    let outcome = std::panic::catch_unwind(run);
+    let outcome = outcome.unwrap_or_else(|_| Err("the script itself failed".to_owned()));
     match outcome {
         Ok(Outcome::Held) => {
             println!("the rule held");
--- a/review/stand/system.rs
+++ b/review/stand/system.rs
@@ -1,12 +1,13 @@
 //! The project's programs as processes, with the settings of the deploy folder, and the
 //! stand-ins beside them.
 
+use std::collections::HashMap;
 use std::fs::{self, File};
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -105,6 +106,8 @@
     pub entries: Vec<Machine>,
     pub agents: Vec<Machine>,
     pub workers: Vec<Worker>,
+    /// Last answer on the state of each job.
+    told: Mutex<HashMap<String, (u16, String)>>,
 }
 
 /// Renders a template of the deploy folder: values, and sections of values that are not set.
@@ -127,15 +130,37 @@
     text
 }
 
+/// Address of a machine in a block of loopback addresses.
+fn block_address(block: u32, number: usize) -> Ipv4Addr {
+    let [_, _, high, low] = block.to_be_bytes();
+    Ipv4Addr::new(127, 64 + high % 128, low, number as u8 + 1)
+}
+
+/// A block of loopback addresses on which the ports of all machines are free.
+fn free_block(machines: usize) -> std::io::Result<u32> {
+    const PORTS: [u16; 6] = [LINKS, FRONT, APP, CONTROL, READY, STORE];
+    let is_free = |block: &u32| {
+        (0..machines).all(|number| {
+            let ip = block_address(*block, number);
+            PORTS
+                .iter()
+                .all(|port| TcpListener::bind((ip, *port)).is_ok())
+        })
+    };
+    let first = std::process::id();
+    let free = (first..first + 64).find(is_free);
+    free.ok_or_else(|| std::io::Error::other("no free ports"))
+}
+
 impl System {
     /// Starts the store, `entries` entries and one agent beside each worker of `kinds`.
     pub fn start(folder: &Path, entries: usize, kinds: &[Kind]) -> std::io::Result<Self> {
         let record = Record::new();
         let store = Store::start();
         store.write("op/config", &settings(1));
-        let [_, _, high, low] = std::process::id().to_be_bytes();
+        let block = free_block(entries + kinds.len())?;
         let machine = |number: usize, program: &'static str, zone: &str| {
-            let ip = Ipv4Addr::new(127, 64 + high % 128, low, number as u8 + 1);
+            let ip = block_address(block, number);
             let role = if program.ends_with("entry") {
                 "edge"
             } else {
@@ -177,6 +202,7 @@
             entries: Vec::new(),
             agents: Vec::new(),
             workers: Vec::new(),
+            told: Mutex::default(),
         };
         for number in 0..entries {
             let zone = ZONES[number % ZONES.len()];
@@ -276,6 +302,12 @@
     pub fn state(&self, entry: usize, id: &str) -> Option<String> {
         let (status, body) = self.client(entry, "GET", id, "")?;
         let state = Json::parse(body.as_bytes())?.get("state").text().to_owned();
+        let mut told = self.told.lock().unwrap();
+        if told.insert(id.to_owned(), (status, state.clone())) != Some((status, state.clone())) {
+            self.record.note(format!(
+                "GET {id} at entry {entry}: {status} {state:?}, first or changed"
+            ));
+        }
         (status == 200).then_some(state)
     }
 
--- a/review/stand/worker.rs
+++ b/review/stand/worker.rs
@@ -24,6 +24,9 @@
 const STOP_TIME: Duration = Duration::from_millis(100);
 /// Time between two looks at the runs.
 const TICK: Duration = Duration::from_millis(5);
+/// Work time from which on a task counts as one that lasts, and its startup, in milliseconds.
+const LASTING_MS: u128 = 3_600_000;
+const STARTUP_MS: u128 = 300;
 /// Most ended runs in one answer.
 const MAX_ENDS: usize = 500;
 
@@ -353,6 +356,12 @@
 fn listing(life: &Life, state: &State) -> Json {
     let running = state.running.iter().map(|((task, run), row)| {
         let length = (row.ends - row.began).as_millis().max(1);
+        // A task that lasts is at work after a short startup.
+        let length = if length >= LASTING_MS {
+            STARTUP_MS
+        } else {
+            length
+        };
         let percent = row.began.elapsed().as_millis() * 100 / length;
         Json::List(vec![
             text(task),
