--- a/review/stand/cases.rs
+++ b/review/stand/cases.rs
@@ -150,6 +150,9 @@
     system
         .record
         .note(format!("end of the traffic: {count} jobs accepted"));
+    if count < JOBS / 2 {
+        return Err("too few jobs are accepted".to_owned());
+    }
     thread::sleep(FINISH);
     let runs = |system: &System, id: &str| system.record.runs_of(id);
     let mut idle = accepted.clone();
@@ -243,7 +246,7 @@
     }
     let step = with(small_step(2, 1_000), "long_running", Json::Bool(true));
     let steps = vec![Json::Object(step)];
-    thread::scope(|scope| {
+    let accepted = thread::scope(|scope| {
         let system = &*system;
         let client = scope.spawn(move || system.submit(entry, id, "ms=3600000", steps));
         // Other clients submit meanwhile, so that only a share of the writes lose their answers.
@@ -253,8 +256,11 @@
             system.submit(other, &name, "ms=300", vec![step]);
             thread::sleep(PAUSE);
         }
-        let _ = client.join();
+        client.join().unwrap_or(false)
     });
+    if accepted == trouble {
+        return Err(format!("the submission was accepted: {accepted}"));
+    }
     let (lost, answered) = system.store.end_losses();
     system.record.note(format!(
         "answers lost to {lost} writes, {answered} others were answered"
@@ -284,6 +290,8 @@
 /// there is room for it twice over and these 3 s and the 4 s before are calm.
 fn quarantine(system: &mut System, trouble: bool) -> Result<Outcome, String> {
     const HOPELESS: usize = 5;
+    const SOUND: usize = 100;
+    const PAUSE: Duration = Duration::from_millis(22);
     const FROM_LAST_RUN: Duration = Duration::from_secs(6);
     const WATCHED: Duration = Duration::from_secs(20);
     let id = "00000000000000a1";
@@ -293,12 +301,27 @@
     if !system.submit(0, id, spec, vec![Json::Object(lasting)]) {
         return Err("the job is not accepted".to_owned());
     }
-    thread::sleep(Duration::from_secs(1));
-    for job in 0..if trouble { HOPELESS } else { 0 } {
-        let id = format!("00000000000002{job:02x}");
-        let spec = "ms=300 fails=99 failms=300";
-        system.submit(job, &id, spec, vec![Json::Object(step.clone())]);
+    // Sound jobs for the other workers, so that only one job of twenty is hopeless.
+    let sound = with(small_step(1, 300), "required_label", text("a"));
+    let began = Instant::now();
+    for job in 0..SOUND {
+        if trouble && job == SOUND / 2 {
+            for job in 0..HOPELESS {
+                let id = format!("00000000000002{job:02x}");
+                let spec = "ms=300 fails=99 failms=300";
+                if !system.submit(job, &id, spec, vec![Json::Object(step.clone())]) {
+                    return Err("a hopeless job is not accepted".to_owned());
+                }
+            }
+        }
+        let id = format!("00000000000003{job:02x}");
+        system.submit(job, &id, "ms=300", vec![Json::Object(sound.clone())]);
+        thread::sleep(PAUSE);
     }
+    let (sent, millis) = (SOUND + 1 + HOPELESS, began.elapsed().as_millis());
+    system.record.note(format!(
+        "{sent} jobs within {millis} ms, {HOPELESS} of them hopeless if disturbed"
+    ));
     let runs = |system: &System| system.record.runs_of(id);
     let end = Instant::now() + WATCHED;
     while runs(system).first().is_none_or(is_running) {
