--- a/review/stand/cases.rs
+++ b/review/stand/cases.rs
@@ -51,7 +51,10 @@
     let logs = std::env::temp_dir().join(format!("parsleytally-review-{}", std::process::id()));
     let failed = |error: std::io::Error| error.to_string();
     std::fs::create_dir_all(&logs).map_err(failed)?;
-    let mut system = System::start(&logs, ENTRIES, &kinds).map_err(failed)?;
+    let mut system = System::start(&logs, ENTRIES, &kinds).map_err(|error| {
+        let _ = std::fs::remove_dir_all(&logs);
+        failed(error)
+    })?;
     let outcome = system
         .wait_ready()
         .and_then(|()| case(&mut system, trouble));
