fix(jobs): a job counts as begun once a worker has begun a task of it

Cause: the owner set a job to `Running` when it ordered the first start, or placed the first member of a gang, and never took that back.

The agent now sends `Started` when its worker has answered a start; the owner takes a job for begun by that, a listing, a measurement, an end, or a crash with a run that was seen. Weighed and not taken: to go back to `Queued` with the refusal, since an answer can be outstanding for seconds beside a worker that leaves orders unanswered; and measurements alone, which come up to 2 s after the start. The message causes no placement pass.

The tests of `begun` failed with the job marked at its order ("no answer yet", and the gang: Running instead of Queued).

Tests that took an order for a start now have the workers begin what is ordered (`Bench::begin`), with the same bounds: the backlog and the quarantine of `waiting`, and `a_job_that_fits_on_no_worker_blocks_no_other`. The example owner_cost reports starts, so that its figures contain them.

--- a/crates/parsleytally-agent/src/site/log_lines.rs
+++ b/crates/parsleytally-agent/src/site/log_lines.rs
@@ -96,6 +96,7 @@
         | AgentMessage::Refused { .. }
         | AgentMessage::Missing(_)
         | AgentMessage::Measurements(_)
+        | AgentMessage::Started(_)
         | AgentMessage::Ping { .. }
         | AgentMessage::Superseded { .. } => {}
     }
--- a/crates/parsleytally/examples/owner_cost/fleet.rs
+++ b/crates/parsleytally/examples/owner_cost/fleet.rs
@@ -60,6 +60,8 @@
     scheduler: Scheduler,
     now: Time,
     workers: BTreeMap<NodeName, Worker>,
+    /// Starts that the agents have not reported yet.
+    begun: Vec<Input>,
 }
 
 fn name(at: usize) -> NodeName {
@@ -99,6 +101,7 @@
             scheduler: Scheduler::new(options),
             now: Time::from_secs(1),
             workers: names.collect(),
+            begun: Vec::new(),
         }
     }
 
@@ -144,7 +147,7 @@
     /// Lets all runs work for `elapsed`; returns what the agents report.
     pub(crate) fn advance(&mut self, elapsed: Duration) -> Vec<Input> {
         self.now = self.now.after(elapsed);
-        let mut inputs = Vec::new();
+        let mut inputs = std::mem::take(&mut self.begun);
         for (node, worker) in &mut self.workers {
             let ended = worker.work(elapsed);
             if !ended.is_empty() {
@@ -181,7 +184,11 @@
             match output {
                 Output::Order(node, order) => {
                     let worker = self.workers.get_mut(node).expect("a known worker");
-                    starts += usize::from(worker.carry_out(order));
+                    if let Some(run) = worker.carry_out(order) {
+                        let started = AgentMessage::Started(run);
+                        self.begun.push(Input::Agent(node.clone(), started));
+                        starts += 1;
+                    }
                 }
                 Output::Save { job, version, .. } => {
                     let (job, version) = (*job, *version);
@@ -282,11 +289,11 @@
     }
 
     /// Carries out an order; returns whether it started a run.
-    fn carry_out(&mut self, order: &OrderMessage) -> bool {
+    fn carry_out(&mut self, order: &OrderMessage) -> Option<RunRef> {
         match order {
             OrderMessage::Start(order) => {
                 self.runs.insert(order.run, started(order));
-                return true;
+                return Some(order.run);
             }
             OrderMessage::Throttle { run, cpu_share } => {
                 if let Some(run) = self.runs.get_mut(run) {
@@ -301,7 +308,7 @@
             }
             _ => {}
         }
-        false
+        None
     }
 }
 
--- a/crates/parsleytally/src/jobs/agent/orders.rs
+++ b/crates/parsleytally/src/jobs/agent/orders.rs
@@ -7,7 +7,7 @@
     STOP_RETRY, StartCall, StartEvidence, StartState, StopCall, ThrottleCall, TrackedRun,
     push_conclusion,
 };
-use crate::jobs::{RefusalReason, RunRef, StartOrder, WorkerState};
+use crate::jobs::{AgentMessage, RefusalReason, RunRef, StartOrder, WorkerState};
 use crate::types::Time;
 
 impl JobAgent {
@@ -128,6 +128,7 @@
                     last_poll: self.poll_number,
                 };
                 tracked.sightings = Some(Sightings::at(now));
+                out.push(AgentOutput::Send(AgentMessage::Started(run)));
                 self.send_cpu_share(run, out);
             }
             Err(CallError::Refused(RefusalReason::Fenced))
--- a/crates/parsleytally/src/jobs/job.rs
+++ b/crates/parsleytally/src/jobs/job.rs
@@ -22,10 +22,10 @@
 /// State of a job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display, Serialize, Deserialize)]
 pub enum JobState {
-    /// No task has started.
+    /// No worker is known to have begun a task.
     #[display("queued")]
     Queued,
-    /// A task has started.
+    /// A worker has begun a task.
     #[display("running")]
     Running,
     /// All tasks are done.
@@ -278,6 +278,13 @@
         self.state
     }
 
+    /// Notes that a worker has begun a task of it: an order alone may be refused.
+    pub(super) fn note_begun(&mut self) {
+        if self.state == JobState::Queued {
+            self.state = JobState::Running;
+        }
+    }
+
     /// Adds the rounds that are due by `unix_ms`; returns whether there are new ones.
     pub(super) fn open_rounds(&mut self, now: Time, unix_ms: u64) -> bool {
         if self.state.is_final() {
--- a/crates/parsleytally/src/jobs/messages.rs
+++ b/crates/parsleytally/src/jobs/messages.rs
@@ -327,6 +327,8 @@
     },
     /// The worker crashed with these runs; repeated for each owner.
     Crashed(WorkerCrash),
+    /// The worker has begun a run that this owner ordered.
+    Started(RunRef),
 }
 
 /// Request of an entry to the owner of the jobs, or to any other entry where it says so.
--- a/crates/parsleytally/src/jobs/scheduler/ended.rs
+++ b/crates/parsleytally/src/jobs/scheduler/ended.rs
@@ -153,9 +153,7 @@
             run: run.run,
             stopping: false,
         });
-        if job.state == JobState::Queued {
-            job.state = JobState::Running;
-        }
+        job.note_begun();
         true
     }
 
@@ -277,6 +275,7 @@
         if job.state.is_final() {
             return Some((id, job.version));
         }
+        job.note_begun();
         let long_running = job
             .spec
             .steps
@@ -390,12 +389,10 @@
         }
     }
 
-    /// Marks the job of a run as running once a worker lists the run.
+    /// Marks the job of a run as running once a worker is known to have begun the run.
     pub(super) fn mark_started(&mut self, run: RunRef) {
-        if let Some(job) = self.jobs.get_mut(&run.task.job)
-            && job.state == JobState::Queued
-        {
-            job.state = JobState::Running;
+        if let Some(job) = self.jobs.get_mut(&run.task.job) {
+            job.note_begun();
         }
     }
 
--- a/crates/parsleytally/src/jobs/scheduler/mod.rs
+++ b/crates/parsleytally/src/jobs/scheduler/mod.rs
@@ -225,7 +225,7 @@
         self.jobs.get(&id).map(Job::visible_state)
     }
 
-    /// Number of jobs of `queue` without a started task.
+    /// Number of jobs of `queue` no task of which a worker is known to have begun.
     pub fn pending(&self, queue: &QueueName) -> u64 {
         let waiting = |id: &&JobId| {
             let job = &self.jobs[*id];
@@ -380,7 +380,14 @@
                 self.handle_ended(now, node, &incarnation, &ended, out);
             }
             AgentMessage::Missing(run) => self.run_missing(node, run, LastEnd::Missing),
+            AgentMessage::Started(run) => {
+                // Neither room nor a wait changes by it.
+                self.mark_started(run);
+                return;
+            }
             AgentMessage::Crashed(crash) => {
+                let seen = crash.runs.iter().filter(|lost| lost.seen_ms.is_some());
+                seen.for_each(|lost| self.mark_started(lost.run));
                 self.worker_crashed(node, &crash, CrashSource::Agent, out);
             }
             AgentMessage::Measurements(gauges) => self.update_gauges(now, node, &gauges, out),
@@ -492,6 +499,7 @@
         for gauge in gauges {
             if let Some(job) = self.jobs.get_mut(&gauge.run.task.job) {
                 job.save_checkpoint(gauge.run, &gauge.checkpoint);
+                job.note_begun();
             }
         }
         self.note_progress(now, node, gauges);
--- a/crates/parsleytally/src/jobs/scheduler/start.rs
+++ b/crates/parsleytally/src/jobs/scheduler/start.rs
@@ -7,7 +7,7 @@
 use super::super::measured::RunTimeline;
 use super::super::place::{Candidates, PlacementRequest, choose_worker};
 use super::super::urgency::{Urgency, urgency};
-use super::super::{CrashDecision, JobState, LastEnd, OrderMessage, Output, RunRef, StartOrder};
+use super::super::{CrashDecision, LastEnd, OrderMessage, Output, RunRef, StartOrder};
 use super::crashes::{awaits_save, isolation_end};
 use super::pass::Pass;
 use super::starving::Offer;
@@ -493,9 +493,6 @@
         };
         let payload = job.spec.payload.clone();
         let target_ms = job.spec.steps[step.step].target_ms;
-        if job.state == JobState::Queued {
-            job.state = JobState::Running;
-        }
         let step_run = &mut job.rounds[step.round].steps[step.step];
         step_run.wait = None;
         let task = &mut step_run.tasks[index];
--- a/crates/parsleytally/src/jobs/tests/mod.rs
+++ b/crates/parsleytally/src/jobs/tests/mod.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod agent;
 mod backlog;
+mod begun;
 mod call_plan;
 mod capacity;
 mod contention;
--- a/crates/parsleytally/src/jobs/tests/model/known.rs
+++ b/crates/parsleytally/src/jobs/tests/model/known.rs
@@ -59,6 +59,7 @@
             | AgentMessage::Measurements(_)
             | AgentMessage::Unresponsive(_)
             | AgentMessage::LastLease { .. }
+            | AgentMessage::Started(_)
             | AgentMessage::Superseded { .. } => {}
         }
     }
--- a/crates/parsleytally/src/jobs/tests/scheduler.rs
+++ b/crates/parsleytally/src/jobs/tests/scheduler.rs
@@ -70,6 +70,17 @@
         out
     }
 
+    /// The workers begin what was ordered; takes no time.
+    pub(super) fn begin(&mut self, ordered: &[Output]) {
+        for (node, run) in starts(ordered) {
+            let started = Input::Agent(node, AgentMessage::Started(run));
+            let mut out = Vec::new();
+            self.scheduler
+                .step(self.now, self.wall_ms, started, &mut out);
+            assert_eq!(out, []);
+        }
+    }
+
     pub(super) fn wait(&mut self, millis: u64) -> Vec<Output> {
         self.now = self.now.after(Duration::from_millis(millis));
         self.wall_ms += millis;
@@ -598,10 +609,9 @@
     let mut large = step(1, &[]);
     large.need = need(64_000, 1_000);
     assert_eq!(starts(&bench.submit(1, job(vec![large]), 11)), []);
-    assert_eq!(
-        starts(&bench.submit(2, job(vec![step(1, &[])]), 12)).len(),
-        1
-    );
+    let out = bench.submit(2, job(vec![step(1, &[])]), 12);
+    assert_eq!(starts(&out).len(), 1);
+    bench.begin(&out);
     assert_eq!(bench.scheduler.state(JobId(1)), Some(JobState::Queued));
     assert_eq!(bench.scheduler.pending(&QueueName("q".into())), 1);
 }
--- a/crates/parsleytally/src/jobs/tests/waiting.rs
+++ b/crates/parsleytally/src/jobs/tests/waiting.rs
@@ -146,7 +146,8 @@
     for at in 0..workers {
         bench.feed(Input::Linked(node(at)));
         bench.agent(at, AgentMessage::Report(report(at, 7)));
-        bench.list(at, vec![service_run(at)]);
+        let out = bench.list(at, vec![service_run(at)]);
+        bench.begin(&out);
     }
     bench
 }
@@ -174,6 +175,7 @@
                 out.extend(bench.agent(at, AgentMessage::Measurements(gauges)));
             }
         }
+        bench.begin(&out);
         for (node, run) in starts(&out) {
             running.entry(node).or_default().push(run);
         }
@@ -268,7 +270,8 @@
         let mut waited_ms = 0;
         let job = JobId(100);
         while bench.scheduler.state(job) == Some(JobState::Queued) && waited_ms < 20_000 {
-            bench.wait(150);
+            let out = bench.wait(150);
+            bench.begin(&out);
             waited_ms += 150;
         }
         assert!(waited_ms <= START_BOUND_MS, "{}: {waited_ms} ms", case.name);
