fix(entry): a submission that is stored late finds its cancelling

Cause: the cancelling of a job that the store did not have left nothing there. The entry's own record of submissions with an open outcome would not do, since a client may cancel at another entry.

Such a cancelling now writes a tombstone before it is confirmed, on condition that the job is absent, and a submission is stored on condition that there is none. A submission that meets a tombstone is refused, directly or through another entry: it was not accepted and never runs.

--- a/crates/parsleytally-entry/src/site/job_call.rs
+++ b/crates/parsleytally-entry/src/site/job_call.rs
@@ -11,6 +11,7 @@
 
 use super::keys;
 use super::peer::RemoteReply;
+use super::tombstones::Tombstones;
 
 /// Longest wait for a read. Reads are repeated at another entry, so a silent store must not
 /// use up the client's timeout.
@@ -34,6 +35,10 @@
     Submitted,
     /// The store has the cancellation.
     Cancelled,
+    /// The job was cancelled before the store had it, and will not be stored.
+    Withdrawn,
+    /// Too many unknown jobs are being cancelled: nothing was changed.
+    Limited,
     /// The store has no such job.
     Absent,
     /// The store has the job, in this state.
@@ -87,12 +92,14 @@
     pub(super) fn reply(&self, result: Result<JobCallResult, CallFailure>) -> JobReply {
         match self {
             Self::Submit(..) => JobReply::Submitted(match result {
+                Ok(JobCallResult::Withdrawn) => SubmitOutcome::Withdrawn,
                 Ok(_) => SubmitOutcome::Yes,
                 Err(CallFailure::NoEffect) => SubmitOutcome::No,
                 Err(CallFailure::Unknown) => SubmitOutcome::Unknown,
             }),
             Self::Cancel(_) => JobReply::Cancelled(match result {
                 Ok(JobCallResult::Absent) => CancelOutcome::NoJob,
+                Ok(JobCallResult::Limited) => CancelOutcome::No,
                 Ok(_) => CancelOutcome::Yes,
                 Err(CallFailure::NoEffect) => CancelOutcome::No,
                 Err(CallFailure::Unknown) => CancelOutcome::Unknown,
@@ -116,6 +123,9 @@
             (Self::Submit(..), JobReply::Submitted(SubmitOutcome::Yes)) => {
                 Ok(JobCallResult::Submitted)
             }
+            (Self::Submit(..), JobReply::Submitted(SubmitOutcome::Withdrawn)) => {
+                Ok(JobCallResult::Withdrawn)
+            }
             (Self::Cancel(_), JobReply::Cancelled(CancelOutcome::Yes)) => {
                 Ok(JobCallResult::Cancelled)
             }
@@ -143,11 +153,12 @@
     pub(super) async fn call_store(
         &self,
         store: &dyn Store,
+        tombstones: &Tombstones,
         deadline: Instant,
     ) -> Result<JobCallResult, CallFailure> {
         match self {
             Self::Submit(id, spec) => submit(store, *id, spec, deadline).await,
-            Self::Cancel(id) => cancel(store, *id, deadline).await,
+            Self::Cancel(id) => cancel(store, tombstones, *id, deadline).await,
             Self::Read(id) => read_state(store, *id, deadline).await,
         }
     }
@@ -165,7 +176,12 @@
     };
     let key = keys::job(id);
     let commit = Commit {
-        compares: vec![Compare::Absent { key: key.clone() }],
+        compares: vec![
+            Compare::Absent { key: key.clone() },
+            Compare::Absent {
+                key: keys::tombstone(id),
+            },
+        ],
         writes: vec![Write::Put {
             key,
             value: record.encode(),
@@ -173,20 +189,39 @@
         }],
     };
     match store.commit_by(commit, deadline).await {
-        // A stored job with this ID is an earlier copy of the same submission.
-        Ok(Outcome::Committed(_) | Outcome::Conflict(_)) => Ok(JobCallResult::Submitted),
+        Ok(Outcome::Committed(_)) => Ok(JobCallResult::Submitted),
+        Ok(Outcome::Conflict(_)) => submitted_before(store, id, deadline).await,
         Err(error) => Err(commit_failure(id, &error)),
     }
 }
 
+/// Result of a submission beside a job or a tombstone with its ID.
+async fn submitted_before(
+    store: &dyn Store,
+    id: JobId,
+    deadline: Instant,
+) -> Result<JobCallResult, CallFailure> {
+    match read(store, &keys::job(id), deadline).await {
+        // An earlier copy of the same submission.
+        Ok(Some(_)) => Ok(JobCallResult::Submitted),
+        Ok(None) => Ok(JobCallResult::Withdrawn),
+        Err(_) => Err(CallFailure::Unknown),
+    }
+}
+
 async fn cancel(
     store: &dyn Store,
+    tombstones: &Tombstones,
     id: JobId,
     deadline: Instant,
 ) -> Result<JobCallResult, CallFailure> {
     loop {
         let Some(item) = read(store, &keys::job(id), deadline).await? else {
-            return Ok(JobCallResult::Absent);
+            match withdraw(store, tombstones, id, deadline).await? {
+                Some(result) => return Ok(result),
+                None if Instant::now() < deadline => continue,
+                None => return Err(CallFailure::NoEffect),
+            }
         };
         let mut record = decode(id, &item)?;
         if record.cancelled {
@@ -215,6 +250,36 @@
     }
 }
 
+/// Cancels a job that the store does not have, so that no submission on its way is stored later;
+/// none if the store has it meanwhile, or if this must be tried again.
+async fn withdraw(
+    store: &dyn Store,
+    tombstones: &Tombstones,
+    id: JobId,
+    deadline: Instant,
+) -> Result<Option<JobCallResult>, CallFailure> {
+    let commit = tombstones.commit(store, id, deadline).await;
+    let Some(commit) = commit.map_err(|error| no_lease(id, &error))? else {
+        log::warn!(job:% = id; "limit of tombstones is reached, unknown job is not cancelled");
+        return Ok(Some(JobCallResult::Limited));
+    };
+    match store.commit_by(commit, deadline).await {
+        Ok(Outcome::Committed(_)) => Ok(Some(JobCallResult::Absent)),
+        Ok(Outcome::Conflict(_)) => Ok(None),
+        Err(StoreError::LeaseGone { lease }) => {
+            tombstones.lease_gone(lease).await;
+            Ok(None)
+        }
+        Err(error) => Err(commit_failure(id, &error)),
+    }
+}
+
+/// Failure to get a lease, which changes no job.
+fn no_lease(id: JobId, error: &StoreError) -> CallFailure {
+    log::warn!(job:% = id, error:% = error; "no lease for a tombstone");
+    CallFailure::NoEffect
+}
+
 async fn read_state(
     store: &dyn Store,
     id: JobId,
--- a/crates/parsleytally-entry/src/site/job_service.rs
+++ b/crates/parsleytally-entry/src/site/job_service.rs
@@ -19,6 +19,7 @@
 use super::peer::OwnerClient;
 use super::relays::{Asked, Relays};
 use super::store_health::StoreHealth;
+use super::tombstones::{LONGEST_LIFE, Tombstones};
 
 /// Time reserved for the answer to reach the client before its deadline.
 const ANSWER_MARGIN: Duration = Duration::from_millis(150);
@@ -43,6 +44,7 @@
     pub(super) store_reachable: Arc<AtomicBool>,
     pub(super) health: Arc<StoreHealth>,
     pub(super) sent: Arc<SentLog>,
+    pub(super) tombstones: Tombstones,
     /// Time by which all requests must be answered, since the process ends then.
     pub(super) answer_by: OnceLock<Instant>,
     /// Refuses jobs that would end too late; none if the settings don't enable it.
@@ -138,7 +140,8 @@
                     if plan.has_called_store() {
                         sleep(RETRY_PAUSE).await;
                     }
-                    match call.call_store(self.store.as_ref(), deadline).await {
+                    let answer = call.call_store(self.store.as_ref(), &self.tombstones, deadline);
+                    match answer.await {
                         Ok(result) => break Ok(result),
                         Err(failure) => plan.store_failed(failure),
                     }
@@ -162,8 +165,8 @@
         };
         if let Some(sent) = &mut sent {
             sent.outcome = match result {
+                Ok(JobCallResult::Withdrawn) | Err(CallFailure::NoEffect) => SentOutcome::NotStored,
                 Ok(_) => SentOutcome::Stored,
-                Err(CallFailure::NoEffect) => SentOutcome::NotStored,
                 Err(CallFailure::Unknown) => SentOutcome::Unknown,
             };
         }
@@ -234,6 +237,9 @@
     async fn submit_job(&self, id: JobId, spec: JobSpec, deadline: Instant) -> SubmitAnswer {
         let call = JobCall::Submit(id, spec);
         match self.carry_out(&call, deadline, true).await {
+            Ok(JobCallResult::Withdrawn) => SubmitAnswer::Refused {
+                retry_after: LONGEST_LIFE,
+            },
             Ok(_) => SubmitAnswer::Accepted,
             Err(CallFailure::NoEffect) => SubmitAnswer::Refused {
                 retry_after: RETRY_AFTER,
@@ -245,10 +251,10 @@
     async fn cancel_job(&self, id: JobId, deadline: Instant) -> CancelAnswer {
         match self.carry_out(&JobCall::Cancel(id), deadline, true).await {
             Ok(JobCallResult::Absent) => CancelAnswer::NoJob,
-            Ok(_) => CancelAnswer::Accepted,
-            Err(CallFailure::NoEffect) => CancelAnswer::Refused {
+            Ok(JobCallResult::Limited) | Err(CallFailure::NoEffect) => CancelAnswer::Refused {
                 retry_after: RETRY_AFTER,
             },
+            Ok(_) => CancelAnswer::Accepted,
             Err(CallFailure::Unknown) => CancelAnswer::Unknown,
         }
     }
--- a/crates/parsleytally-entry/src/site/keys.rs
+++ b/crates/parsleytally-entry/src/site/keys.rs
@@ -19,6 +19,9 @@
 /// Prefix of the keys of progress records of jobs.
 pub(crate) const PROGRESS: &str = "/parsleytally/progress/";
 
+/// Prefix of the keys of tombstones: jobs that were cancelled before the store had them.
+pub(crate) const TOMBSTONES: &str = "/parsleytally/tombstones/";
+
 /// Key of what owners have learned about the contention between images.
 pub(crate) const LEARNED: &str = "/parsleytally/learned/contention";
 
@@ -34,6 +37,11 @@
     format!("{PROGRESS}{id}")
 }
 
+/// Key of a job's tombstone.
+pub(crate) fn tombstone(id: JobId) -> String {
+    format!("{TOMBSTONES}{id}")
+}
+
 /// Job ID in a key below `prefix`; `None` if the key holds no valid one.
 pub(crate) fn parse_job(prefix: &str, key: &str) -> Option<JobId> {
     key.strip_prefix(prefix)?.parse().ok()
--- a/crates/parsleytally-entry/src/site/mod.rs
+++ b/crates/parsleytally-entry/src/site/mod.rs
@@ -43,6 +43,7 @@
 mod saver;
 mod store_health;
 mod stored_state;
+mod tombstones;
 
 pub use config::SiteConfig;
 
@@ -57,6 +58,7 @@
 use queues::QueueFollower;
 use relays::Relays;
 use store_health::{ObservedStore, StoreHealth};
+use tombstones::Tombstones;
 
 /// Time without an answer from the store after which an entry is not ready.
 const STORE_TIMEOUT: Duration = Duration::from_secs(2);
@@ -146,6 +148,7 @@
             store_reachable: store_reachable.clone(),
             health: health.clone(),
             sent: Arc::new(SentLog::new()),
+            tombstones: Tombstones::default(),
             answer_by: OnceLock::new(),
             admission: admission.clone(),
         });
--- a/crates/parsleytally/src/jobs/messages.rs
+++ b/crates/parsleytally/src/jobs/messages.rs
@@ -360,6 +360,8 @@
     No,
     /// The store may have the job.
     Unknown,
+    /// The job was cancelled before the store had it, and will not be stored.
+    Withdrawn,
 }
 
 /// Result of [`JobRequest::Cancel`].
