feat(jobs): tasks wait names the agent, run or mark that holds a task back

The line told only the reason and counts of workers. It could not tell the hypotheses of the incident apart: it now names the agent that has not listed its runs, what that lacks, since when and how often it was linked, the isolated run that keeps others away, or the marks of the task, and how many starts of the task came to nothing.

--- a/crates/parsleytally-entry/src/site/owner_log.rs
+++ b/crates/parsleytally-entry/src/site/owner_log.rs
@@ -134,13 +134,16 @@
         running,
         waited_ms,
         reason,
+        holder,
+        vain_starts,
         workers,
         free_percent,
     } = evidence;
     let workers = workers.iter().map(|(reason, n)| format!("{reason}:{n}"));
     let workers = workers.collect::<Vec<_>>().join(",");
+    let holder = holder.as_ref().map(ToString::to_string).unwrap_or_default();
     log::info!(job:% = task.job, task:% = task, tasks, running, waited_ms, reason:% = reason,
-        workers, free_percent; "tasks wait");
+        holder, vain_starts, workers, free_percent; "tasks wait");
 }
 
 /// Logs an ended job and what its time was lost to.
--- a/crates/parsleytally/src/jobs/isolation.rs
+++ b/crates/parsleytally/src/jobs/isolation.rs
@@ -48,6 +48,13 @@
         others.is_none_or(|at| now.since(at) >= QUIET_TIME)
     }
 
+    /// The run that keeps other jobs than `job` away for longest, with the end of its isolation.
+    pub(super) fn holder(&self, now: Time, job: JobId) -> Option<(RunRef, Time)> {
+        let runs = self.runs.iter().map(|(run, end)| (*run, *end));
+        let holds = runs.filter(|(run, end)| run.task.job != job && now < *end);
+        holds.max_by_key(|(_, end)| *end)
+    }
+
     fn last_of_others(&self, job: JobId) -> Option<Time> {
         match self.last {
             Some((last, at)) if last != job => Some(at),
--- a/crates/parsleytally/src/jobs/job.rs
+++ b/crates/parsleytally/src/jobs/job.rs
@@ -68,6 +68,8 @@
     pub(super) failed_on: Option<NodeName>,
     /// Since when it waits for room in its preferred rack.
     pub(super) waiting_since: Option<Time>,
+    /// Number of starts that came to nothing since a worker last had a run of it.
+    pub(super) vain_starts: u32,
     /// Number of its runs that were stopped since they made no progress.
     pub(super) stalls: u8,
     /// How its last run ended; none if this owner does not know.
--- a/crates/parsleytally/src/jobs/mod.rs
+++ b/crates/parsleytally/src/jobs/mod.rs
@@ -72,7 +72,7 @@
 pub use sent_jobs::{EarlierCopy, SentJobs, SentOutcome};
 pub use shares::QueueUsage;
 pub use spec::{InvalidJobId, JobId, JobRecord, JobSpec, RecordError, Repeat, StepSpec, TaskId};
-pub use waiting::{WaitCounts, WaitEvidence, WaitReason};
+pub use waiting::{MissingStep, WaitCounts, WaitEvidence, WaitHolder, WaitReason};
 
 #[cfg(test)]
 mod tests;
--- a/crates/parsleytally/src/jobs/scheduler/ended.rs
+++ b/crates/parsleytally/src/jobs/scheduler/ended.rs
@@ -193,6 +193,7 @@
         }
         worker.last_ended = ended_run.sequence;
         let load = self.release(node, ended_run.run);
+        self.run_seen(ended_run.run);
         self.pass_due = true;
         self.record_health(now, node, ended_run);
         self.learn_from_end(now, node, ended_run, load.as_ref());
@@ -390,8 +391,17 @@
         }
     }
 
+    /// Notes that a worker was seen to have a run.
+    pub(super) fn run_seen(&mut self, run: RunRef) {
+        let job = self.jobs.get_mut(&run.task.job);
+        if let Some(task) = job.and_then(|job| job.task(run.task)) {
+            task.vain_starts = 0;
+        }
+    }
+
     /// Marks the job of a run as running once a worker lists the run.
     pub(super) fn mark_started(&mut self, run: RunRef) {
+        self.run_seen(run);
         if let Some(job) = self.jobs.get_mut(&run.task.job)
             && job.state == JobState::Queued
         {
@@ -416,11 +426,22 @@
 
     /// Handles a run that is missing on its worker but was not listed as ended.
     pub(super) fn run_missing(&mut self, node: &NodeName, run: RunRef, end: LastEnd) {
-        self.release(node, run);
+        let load = self.release(node, run);
         self.detach_run(node, run, end);
+        if load.is_some_and(|load| !load.listed) {
+            self.count_vain_start(run);
+        }
         self.pass_due = true;
     }
 
+    /// Counts a start of which no worker was seen to have a run.
+    pub(super) fn count_vain_start(&mut self, run: RunRef) {
+        let job = self.jobs.get_mut(&run.task.job);
+        if let Some(task) = job.and_then(|job| job.task(run.task)) {
+            task.vain_starts = task.vain_starts.saturating_add(1);
+        }
+    }
+
     /// Releases the resources of a run.
     pub(super) fn release(&mut self, node: &NodeName, run: RunRef) -> Option<Load> {
         let worker = self.workers.get_mut(node)?;
--- a/crates/parsleytally/src/jobs/scheduler/mod.rs
+++ b/crates/parsleytally/src/jobs/scheduler/mod.rs
@@ -37,10 +37,12 @@
 mod starving;
 mod throttle;
 mod uneven;
+mod unreported;
 mod waiting;
 
 use losses::ClosedJob;
 pub use uneven::StandingCounts;
+use unreported::Unreported;
 
 /// Minimum time between two placement passes.
 const MIN_PASS_INTERVAL: Duration = Duration::from_millis(10);
@@ -95,9 +97,8 @@
     /// Whether an acknowledgement waits until a further run of its task is settled.
     acks_held: bool,
     workers: BTreeMap<NodeName, Worker>,
-    /// Agents of the predecessor that have not reported yet, each with the time at which
-    /// runs there have certainly ended unless it is linked.
-    unreported: BTreeMap<NodeName, Time>,
+    /// Agents of the predecessor that have not listed their runs yet.
+    unreported: BTreeMap<NodeName, Unreported>,
     contention: Contention,
     durations: Durations,
     evacuation: Evacuation,
@@ -169,10 +170,7 @@
                 progress,
             } => self.update_job(id, record, accepted, progress.as_ref(), out),
             Input::Learned(record) => self.contention.restore(record),
-            Input::Expected(node) => {
-                let until = now.after(self.options.owner_hold);
-                self.unreported.insert(node, until);
-            }
+            Input::Expected(node) => self.expect_agent(now, node),
             Input::Linked(node) => self.linked(node),
             Input::Unlinked(node) => self.unlinked(now, &node),
             Input::Agent(node, message) => self.handle_agent(now, &node, message, out),
@@ -331,6 +329,9 @@
     }
 
     fn linked(&mut self, node: NodeName) {
+        if let Some(agent) = self.unreported.get_mut(&node) {
+            agent.links += 1;
+        }
         let worker = self.workers.entry(node).or_default();
         worker.linked = true;
         worker.listed = false;
@@ -345,10 +346,10 @@
     fn unlinked(&mut self, now: Time, node: &NodeName) {
         let hold = now.after(self.options.agent_hold);
         // Until it has listed its runs, the predecessor's hold may still keep them alive.
-        let inherited = self.unreported.get_mut(node).map_or(hold, |until| {
+        let inherited = self.unreported.get_mut(node).map_or(hold, |agent| {
             // The answers of this owner have extended the agent's hold.
-            *until = hold.max(*until);
-            *until
+            agent.until = hold.max(agent.until);
+            agent.until
         });
         if let Some(worker) = self.workers.get_mut(node) {
             let hold = hold.max(inherited);
@@ -516,7 +517,10 @@
         let Some(worker) = self.workers.get_mut(node) else {
             return;
         };
-        let runs: Vec<RunRef> = worker.runs.keys().copied().collect();
+        let runs: Vec<(RunRef, bool)> = {
+            let runs = worker.runs.iter();
+            runs.map(|(run, load)| (*run, load.listed)).collect()
+        };
         out.push(Output::RunsDropped {
             node: node.clone(),
             runs: runs.len(),
@@ -526,8 +530,11 @@
         self.contention.update_headrooms(node, worker);
         self.unreported.remove(node);
         self.acks_due |= self.acks_held;
-        for run in runs {
+        for (run, listed) in runs {
             self.detach_run(node, run, LastEnd::Dropped(evidence));
+            if !listed {
+                self.count_vain_start(run);
+            }
         }
         self.pass_due = true;
     }
@@ -575,18 +582,7 @@
         for node in left {
             self.drop_runs(&node, EndEvidence::AgentMessage, out);
         }
-        // This owner keeps the runs of a linked agent alive until that has listed them.
-        let is_linked = |node: &NodeName| self.workers.get(node).is_some_and(|w| w.linked);
-        let expired = self
-            .unreported
-            .iter()
-            .filter(|(node, until)| **until <= confirmed && !is_linked(node));
-        let expired: Vec<NodeName> = expired.map(|(node, _)| node.clone()).collect();
-        self.pass_due |= !expired.is_empty();
-        for node in expired {
-            self.unreported.remove(&node);
-            out.push(Output::Forget(node));
-        }
+        self.expire_unreported(confirmed, out);
         self.open_rounds(now, wall_ms);
         self.remove_ended(now);
         self.save_learned(now, out);
--- a/crates/parsleytally/src/jobs/scheduler/start.rs
+++ b/crates/parsleytally/src/jobs/scheduler/start.rs
@@ -3,7 +3,7 @@
 use super::super::contention::LoadEffects;
 use super::super::crashes::needs_isolation;
 use super::super::fleet::{Load, WorkTime, Worker};
-use super::super::job::{Job, LiveRun, StepRef, StepRun, Task};
+use super::super::job::{LiveRun, StepRef, StepRun, Task};
 use super::super::measured::RunTimeline;
 use super::super::place::{Candidates, PlacementRequest, choose_worker};
 use super::super::urgency::{Urgency, urgency};
@@ -104,11 +104,6 @@
         ready
     }
 
-    /// Whether no unreported agent can have a run of the job that a predecessor started.
-    pub(super) fn may_start(&self, job: &Job) -> bool {
-        self.unreported.is_empty() || job.accepted > self.options.start_revision
-    }
-
     /// Starts at most `limit` waiting tasks of a step; returns whether there was a worker for
     /// each. A gang is started as a whole and returns false.
     pub(super) fn place_step(
--- a/crates/parsleytally/src/jobs/scheduler/uneven.rs
+++ b/crates/parsleytally/src/jobs/scheduler/uneven.rs
@@ -145,16 +145,22 @@
             return;
         };
         let Worker { runs, health, .. } = worker;
+        let mut seen = Vec::new();
         for gauge in gauges {
             let Some(load) = runs.get_mut(&gauge.run) else {
                 continue;
             };
-            load.listed = true;
+            if !std::mem::replace(&mut load.listed, true) {
+                seen.push(gauge.run);
+            }
             let delay = load.timeline.measure(now, gauge.percent);
             if let Some(delay) = delay.filter(|_| learns) {
                 health.record_start(now, delay);
             }
         }
+        for run in seen {
+            self.run_seen(run);
+        }
     }
 
     /// Whether the loss of a run of the step would lose much work.
--- a/crates/parsleytally/src/jobs/scheduler/waiting.rs
+++ b/crates/parsleytally/src/jobs/scheduler/waiting.rs
@@ -5,7 +5,9 @@
 use super::super::fleet::Worker;
 use super::super::job::{Job, StepRef};
 use super::super::place::turned_away;
-use super::super::waiting::{DueWait, Wait, WaitCounts, WaitEvidence, WaitReason, main_reason};
+use super::super::waiting::{
+    DueWait, Wait, WaitCounts, WaitEvidence, WaitHolder, WaitReason, main_reason, millis,
+};
 use super::Scheduler;
 use super::crashes::awaits_save;
 use crate::types::Time;
@@ -91,12 +93,15 @@
         let held = self.held_back(now, job, at, index);
         let pool = self.workers.values();
         let pool = pool.filter(|worker| worker.is_in_pool(&job.policy.service));
+        let reason = held.unwrap_or_else(|| main_reason(&workers));
         Some(WaitEvidence {
             task: at.task(index),
+            holder: self.holder(now, at, index, reason),
+            vain_starts: run.tasks[index].vain_starts,
             tasks: run.waiting_tasks().count(),
             running: running_tasks(job),
             waited_ms: run.wait.map_or(0, |wait| millis(now, wait.since)),
-            reason: held.unwrap_or_else(|| main_reason(&workers)),
+            reason,
             workers,
             free_percent: free_percent(pool),
         })
@@ -114,6 +119,38 @@
         awaits_save(job, task).then_some(WaitReason::Unsaved)
     }
 
+    /// What holds a task back for `reason`, where that is a single thing.
+    fn holder(
+        &self,
+        now: Time,
+        at: StepRef,
+        index: usize,
+        reason: WaitReason,
+    ) -> Option<WaitHolder> {
+        match reason {
+            WaitReason::Unreported => self.unreported_holder(now),
+            WaitReason::Isolation => self.isolated_run(now, at),
+            WaitReason::Unsaved => Some(WaitHolder::Marks {
+                marks: self.step_run(at).tasks[index].crashes.len(),
+            }),
+            _ => None,
+        }
+    }
+
+    /// The isolated run that keeps a step away from its worker for longest.
+    fn isolated_run(&self, now: Time, at: StepRef) -> Option<WaitHolder> {
+        let runs = self.workers.iter().filter_map(|(node, worker)| {
+            let (run, end) = worker.isolation.holder(now, at.job)?;
+            Some((node, run, end))
+        });
+        let (node, run, end) = runs.max_by_key(|(_, _, end)| *end)?;
+        Some(WaitHolder::IsolatedRun {
+            node: node.clone(),
+            run,
+            remaining_ms: millis(end, now),
+        })
+    }
+
     /// Number of workers of the pool by the reason for which they turn a task away.
     fn reasons(&self, now: Time, at: StepRef, index: usize) -> WaitCounts {
         let mut counts = WaitCounts::new();
@@ -158,7 +195,3 @@
     let percent = (free * 100).checked_div(total).unwrap_or(0);
     u32::try_from(percent).unwrap_or(0)
 }
-
-fn millis(now: Time, since: Time) -> u64 {
-    u64::try_from(now.since(since).as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/parsleytally/src/jobs/waiting.rs
+++ b/crates/parsleytally/src/jobs/waiting.rs
@@ -8,8 +8,8 @@
 
 use derive_more::Display;
 
-use super::{JobId, TaskId};
-use crate::types::Time;
+use super::{JobId, RunRef, TaskId};
+use crate::types::{NodeName, Time};
 
 /// Time after which the wait of a step is explained.
 const EXPLAIN_AFTER: Duration = Duration::from_secs(1);
@@ -52,6 +52,53 @@
     Order,
 }
 
+/// The agent, run or mark that holds a task back; only logged.
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
+pub enum WaitHolder {
+    /// An agent of the predecessor that has not listed its runs.
+    #[display("agent={node} lacks={lacks} since_ms={since_ms} links={links} agents={agents}")]
+    Agent {
+        /// The agent.
+        node: NodeName,
+        /// What it has not done.
+        lacks: MissingStep,
+        /// Time since this owner has expected it, in milliseconds.
+        since_ms: u64,
+        /// Number of links to it that this owner has opened.
+        links: u32,
+        /// Number of such agents.
+        agents: usize,
+    },
+    /// A run beside which no other job starts.
+    #[display("agent={node} task={} run={} remaining_ms={remaining_ms}", run.task, run.run)]
+    IsolatedRun {
+        /// Its worker's agent.
+        node: NodeName,
+        /// The run.
+        run: RunRef,
+        /// Time until others may start beside it, in milliseconds.
+        remaining_ms: u64,
+    },
+    /// Marks of crashes of the task itself.
+    #[display("marks={marks}")]
+    Marks {
+        /// Number of the marks.
+        marks: usize,
+    },
+}
+
+/// What an agent has not done yet before its owner knows its runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+#[display(rename_all = "kebab-case")]
+pub enum MissingStep {
+    /// It is not linked.
+    Link,
+    /// It has not reported its worker.
+    Report,
+    /// It has not listed the worker's runs.
+    Listing,
+}
+
 /// Why the tasks of a step wait; only logged and counted.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct WaitEvidence {
@@ -65,6 +112,10 @@
     pub waited_ms: u64,
     /// The reason of most workers.
     pub reason: WaitReason,
+    /// What holds the first task back, if a single thing is known.
+    pub holder: Option<WaitHolder>,
+    /// Number of the first task's starts that came to nothing since a worker last had a run of it.
+    pub vain_starts: u32,
     /// Number of workers of the pool by reason.
     pub workers: BTreeMap<WaitReason, usize>,
     /// Share of the pool's processors that nothing has reserved, in percent.
@@ -138,3 +189,8 @@
     pub(super) round: usize,
     pub(super) step: usize,
 }
+
+/// Time from `since` to `now`, in milliseconds.
+pub(super) fn millis(now: Time, since: Time) -> u64 {
+    u64::try_from(now.since(since).as_millis()).unwrap_or(u64::MAX)
+}
