fix(jobs): a wait goes on until a worker is seen to have a run of the task

Callers saw a job, or a task that lasts, not start with room free (LOST).

Cause: the wait belongs to a step, and the order of any start ended it, also one that the worker refused a moment later. A worker that refuses all starts is idle, so it is chosen again and again: the job never starved, so no other worker took it. Of tasks that last, those of one step started one by one, each after a wait of its own.

Change: a step waits until a worker is seen to have a run of one of its tasks (listed, measured or ended); each task that lasts has a wait of its own, and the step waits as long as the longest.

--- a/crates/parsleytally/src/jobs/job.rs
+++ b/crates/parsleytally/src/jobs/job.rs
@@ -68,6 +68,9 @@
     pub(super) failed_on: Option<NodeName>,
     /// Since when it waits for room in its preferred rack.
     pub(super) waiting_since: Option<Time>,
+    /// For a task that lasts, since when no worker has been seen to have a run of it; none if one has, or
+    /// if it was not noted yet.
+    pub(super) idle_since: Option<Time>,
     /// Number of starts that came to nothing since a worker last had a run of it.
     pub(super) vain_starts: u32,
     /// Number of its runs that were stopped since they made no progress.
@@ -120,7 +123,8 @@
     pub(super) run_times: RunTimes,
     /// Whether no worker could take its waiting tasks when all were last considered.
     pub(super) blocked: bool,
-    /// Its wait for workers; none while no task of it waits.
+    /// Its wait for workers; none while no task of it waits. It goes on until a worker is seen to have
+    /// a run of one.
     pub(super) wait: Option<Wait>,
     pub(super) times: StepTimes,
 }
@@ -131,6 +135,17 @@
         self.remaining > 0 && self.tasks.iter().any(Task::needs_run)
     }
 
+    /// Notes the begin of waits at `now`, for each waiting task if the tasks last.
+    pub(super) fn note_wait(&mut self, now: Time, long_running: bool) -> &mut Wait {
+        let mut since = now;
+        if long_running {
+            let waiting = self.tasks.iter_mut().filter(|task| task.needs_run());
+            let noted = waiting.map(|task| *task.idle_since.get_or_insert(now));
+            since = noted.min().unwrap_or(now);
+        }
+        self.wait.get_or_insert_with(|| Wait::since(since))
+    }
+
     /// Indexes of the tasks that are neither done nor running.
     pub(super) fn waiting_tasks(&self) -> impl Iterator<Item = usize> {
         let tasks = self.tasks.iter().enumerate();
@@ -323,6 +338,12 @@
     /// The task `id` of an open job. Rounds up to its own are added: a worker has a run of
     /// it only if they were due.
     pub(super) fn task(&mut self, id: TaskId) -> Option<&mut Task> {
+        let step = self.step_of(id)?;
+        step.tasks.get_mut(usize::try_from(id.index).ok()?)
+    }
+
+    /// The step of the task `id`, like [`Self::task`].
+    pub(super) fn step_of(&mut self, id: TaskId) -> Option<&mut StepRun> {
         if self.state.is_final() || id.round >= self.spec.rounds() {
             return None;
         }
@@ -331,8 +352,7 @@
             self.rounds.push(Round::new(number, &self.spec, None));
         }
         let round = self.rounds.get_mut(usize::try_from(id.round).ok()?)?;
-        let step = round.steps.get_mut(usize::from(id.step))?;
-        step.tasks.get_mut(usize::try_from(id.index).ok()?)
+        round.steps.get_mut(usize::from(id.step))
     }
 
     /// Restores the state of the job and its tasks from the stored record.
--- a/crates/parsleytally/src/jobs/scheduler/ended.rs
+++ b/crates/parsleytally/src/jobs/scheduler/ended.rs
@@ -394,10 +394,15 @@
         }
     }
 
-    /// Notes that a worker was seen to have a run.
+    /// Notes that a worker was seen to have a run: its task and step no longer wait.
     pub(super) fn run_seen(&mut self, run: RunRef) {
         let job = self.jobs.get_mut(&run.task.job);
-        if let Some(task) = job.and_then(|job| job.task(run.task)) {
+        let Some(step) = job.and_then(|job| job.step_of(run.task)) else {
+            return;
+        };
+        step.wait = None;
+        if let Some(task) = step.tasks.get_mut(run.task.index as usize) {
+            task.idle_since = None;
             task.vain_starts = 0;
         }
     }
--- a/crates/parsleytally/src/jobs/scheduler/start.rs
+++ b/crates/parsleytally/src/jobs/scheduler/start.rs
@@ -250,8 +250,12 @@
         let workers = self.offered_workers(step, pass, blocked);
         let run = self.step_run(step.at);
         let mut candidates = Candidates::new(workers, &self.request(step, None), run, now);
-        let waiting: Vec<usize> = run.waiting_tasks().take(limit).collect();
+        let waiting: Vec<usize> = run.waiting_tasks().collect();
+        let mut started = 0;
         for index in waiting {
+            if started == limit {
+                break;
+            }
             let run = self.step_run(step.at);
             let task = &run.tasks[index];
             if awaits_save(&self.jobs[&step.at.job], task) {
@@ -293,6 +297,7 @@
                 load: &step.load,
             };
             self.start_run(now, &start, out);
+            started += 1;
             self.offer(step, &node, &mut candidates, now);
         }
         placement
@@ -492,7 +497,6 @@
             job.state = JobState::Running;
         }
         let step_run = &mut job.rounds[step.round].steps[step.step];
-        step_run.wait = None;
         let task = &mut step_run.tasks[index];
         task.last_run = run.run;
         if let Some(last_end) = task.last_end.filter(is_unlisted) {
--- a/crates/parsleytally/src/jobs/scheduler/waiting.rs
+++ b/crates/parsleytally/src/jobs/scheduler/waiting.rs
@@ -63,8 +63,8 @@
                 steps.map(|(round, step, _)| (round, step)).collect()
             };
             for (round, step) in waiting {
-                let wait = &mut job.rounds[round].steps[step].wait;
-                let wait = wait.get_or_insert_with(|| Wait::since(now));
+                let long_running = job.spec.steps[step].long_running;
+                let wait = job.rounds[round].steps[step].note_wait(now, long_running);
                 if wait.is_due(now) {
                     due.push(DueWait {
                         explained_at: wait.explained_at(),
--- a/crates/parsleytally/src/jobs/tests/held_back.rs
+++ b/crates/parsleytally/src/jobs/tests/held_back.rs
@@ -8,6 +8,8 @@
 
 /// Time between two ticks, in milliseconds.
 const TICK_MS: u64 = 150;
+/// Time within which a job with nothing running starts, by the platform's page.
+const IDLE_BOUND_MS: u64 = 3_000;
 /// Time within which a task that lasts starts again, by the platform's page.
 const LASTING_BOUND_MS: u64 = 9_000;
 
@@ -170,3 +172,132 @@
     };
     assert!(out.iter().any(is_ack), "{out:?}");
 }
+
+/// Tail latency of a service that leaves almost no headroom, in milliseconds.
+const BUSY_MS: u64 = 118;
+/// Target of that service, in milliseconds.
+const TARGET_MS: u64 = 150;
+/// Id of the job with the services.
+const SERVICE: u64 = 10_000;
+
+/// A step of best-effort tasks that no worker with a busy service admits.
+fn harmful_step(count: u32, long_running: bool) -> StepSpec {
+    StepSpec {
+        best_effort: true,
+        long_running,
+        need: need(2_250, 100),
+        image: Some("rebuild".into()),
+        ..step(count, &[])
+    }
+}
+
+/// Joins workers, each with a task of a service near its target; returns these.
+fn join_busy(bench: &mut Bench, workers: usize) -> Vec<(NodeName, RunRef)> {
+    for at in 0..workers {
+        bench.join(at, report(at, 7));
+    }
+    let service = StepSpec {
+        long_running: true,
+        target_ms: TARGET_MS,
+        image: Some("service".into()),
+        max_per_worker: 1,
+        ..step(workers as u32, &[])
+    };
+    let placed = starts(&bench.submit(SERVICE, job(vec![service]), 11));
+    assert_eq!(placed.len(), workers);
+    for _ in 0..4 {
+        measure(bench, &placed);
+        bench.wait(TICK_MS);
+    }
+    placed
+}
+
+/// Reports the measurements of all busy services and of `runs`.
+fn measure(bench: &mut Bench, placed: &[(NodeName, RunRef)]) -> Vec<Output> {
+    let mut out = Vec::new();
+    let mut nodes: Vec<&NodeName> = placed.iter().map(|(node, _)| node).collect();
+    nodes.sort_unstable();
+    nodes.dedup();
+    for name in nodes {
+        let runs = placed.iter().filter(|(node, _)| node == name);
+        let gauges = runs.map(|(_, run)| RunStatus {
+            run: *run,
+            checkpoint: String::new(),
+            percent: 100,
+            measurement: if run.task.job.0 == SERVICE {
+                BUSY_MS
+            } else {
+                0
+            },
+        });
+        let measurements = AgentMessage::Measurements(gauges.collect());
+        out.extend(bench.feed(Input::Agent(name.clone(), measurements)));
+    }
+    out
+}
+
+/// Guards against LOST: the wait of a step began anew with each start of one of its tasks, so those of a step of
+/// tasks that last started one by one, each after a wait of its own.
+#[test]
+fn each_task_that_lasts_has_a_wait_of_its_own() {
+    const TASKS: usize = 16;
+    let mut bench = Bench::with_options(default_times());
+    let mut placed = join_busy(&mut bench, TASKS);
+    let out = bench.submit(1, job(vec![harmful_step(TASKS as u32, true)]), 30);
+    placed.extend(starts(&out));
+    let time = time_until(&mut bench, 2 * LASTING_BOUND_MS, |bench, out| {
+        placed.extend(starts(out));
+        placed.extend(starts(&measure(bench, &placed)));
+        let of_job = placed.iter().filter(|(_, run)| run.task.job == JobId(1));
+        of_job.count() >= TASKS
+    });
+    let in_time = time.is_some_and(|time| time <= LASTING_BOUND_MS);
+    assert!(in_time, "{time:?} ms");
+}
+
+/// Guards against LOST: a start that was refused ended the wait of its task, so one worker that refuses all starts
+/// kept a job from the others for ever.
+#[test]
+fn a_worker_that_refuses_all_starts_does_not_hold_back_a_job() {
+    struct Case {
+        name: &'static str,
+        long_running: bool,
+        bound_ms: u64,
+    }
+    let cases = [
+        Case {
+            name: "a job with nothing running",
+            long_running: false,
+            bound_ms: IDLE_BOUND_MS,
+        },
+        Case {
+            name: "a task that lasts",
+            long_running: true,
+            bound_ms: LASTING_BOUND_MS,
+        },
+    ];
+    for case in cases {
+        let mut bench = Bench::with_options(default_times());
+        let services = join_busy(&mut bench, 1);
+        bench.join(1, report(1, 7));
+        let refuse = |bench: &mut Bench, out: &[Output]| {
+            let mut sound = false;
+            for (at, run) in starts(out) {
+                sound |= at == node(0);
+                if at == node(1) {
+                    let reason = RefusalReason::Unwell;
+                    bench.agent(1, AgentMessage::Refused { run, reason });
+                }
+            }
+            sound
+        };
+        let out = bench.submit(1, job(vec![harmful_step(1, case.long_running)]), 30);
+        refuse(&mut bench, &out);
+        let time = time_until(&mut bench, 2 * LASTING_BOUND_MS, |bench, out| {
+            measure(bench, &services);
+            refuse(bench, out)
+        });
+        let in_time = time.is_some_and(|time| time <= case.bound_ms);
+        assert!(in_time, "{}: {time:?} ms", case.name);
+    }
+}
