fix(jobs): orders and reports go in bounded frames that keep their order

Cause: the owner sent all orders of a pass for an agent as one frame. 272 starts with specs of 4,000 bytes exceed the frame (1 MiB and 64 KiB), the link closed, and the next pass sent the same again.

The same class, found by reading: a small frame passes a large one that is in transfer, so a stop passed the start that it was for; an agent's first listing or list of ends that exceeds a frame closed each link in turn.

`batches` (link) splits a list by encoded size into frames of one chunk, in both directions; a larger message has a frame of its own. Frames of orders and of reports wait for the last chunk of the one before. A start that no frame can carry counts as refused by the worker (`invalid`), and the rest goes on. Reports are split by rows; a first listing must be whole and goes without checkpoints if they make it too large.

--- a/crates/parsleytally-agent/src/site/mod.rs
+++ b/crates/parsleytally-agent/src/site/mod.rs
@@ -24,6 +24,7 @@
 mod config;
 mod log_lines;
 mod registration;
+mod reports;
 
 pub use config::SiteConfig;
 
@@ -385,7 +386,11 @@
         let Some(link) = self.agent.owner().and_then(|id| self.links.get(&id.0)) else {
             return;
         };
-        if let Err(error) = link.send(Frame::JobReports(messages)) {
+        let frames = reports::frames(messages).into_iter();
+        let sent = frames
+            .map(Frame::JobReports)
+            .try_for_each(|frame| link.send(frame));
+        if let Err(error) = sent {
             // The agent reports its whole state again on the next link.
             log::warn!(error:% = error; "closing the link to the owner: could not send reports");
             link.clone().close();
--- a/crates/parsleytally-agent/src/site/tests.rs
+++ b/crates/parsleytally-agent/src/site/tests.rs
@@ -1,5 +1,7 @@
 //! Tests of the agent's actor and of the deployed configuration template.
 
+mod reports;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/parsleytally-entry/src/site/agents.rs
+++ b/crates/parsleytally-entry/src/site/agents.rs
@@ -1,13 +1,14 @@
 //! The owner's link to one agent.
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use parsleytally::jobs::{AgentMessage, OrderMessage, fencing};
+use parsleytally::jobs::{AgentMessage, OrderMessage, RefusalReason, fencing};
 use parsleytally::types::{Epoch, NodeName};
-use parsleytally_link::{Frame, Hello, Incoming, Link, LinkConfig, dial};
+use parsleytally_link::{Batches, Frame, Hello, Incoming, Link, LinkConfig, batches, dial};
 use parsleytally_platform::process::Clock;
 use tokio::sync::mpsc;
 use tokio::time::sleep;
@@ -72,7 +73,8 @@
         if link.send(begin).is_err() {
             return;
         }
-        let (sender, mut orders) = mpsc::unbounded_channel();
+        let (sender, orders) = mpsc::unbounded_channel();
+        let mut orders = OrderFrames::new(orders);
         let linked = OwnerInput::Linked(self.agent.clone(), sender);
         if self.owner.send(linked).await.is_err() {
             return;
@@ -85,9 +87,9 @@
                         break;
                     }
                 }
-                messages = orders.recv() => {
-                    let Some(messages) = messages else { break };
-                    if link.deliver(Frame::JobOrders(messages)).await.is_err() {
+                next = orders.next() => {
+                    let Some(next) = next else { break };
+                    if !self.send_orders(link, next).await {
                         break;
                     }
                 }
@@ -97,6 +99,32 @@
         let _ = self.owner.send(unlinked).await;
     }
 
+    /// Sends a frame of orders; returns false once the link or the owner's channel is closed.
+    async fn send_orders(&self, link: &Link, next: NextOrders) -> bool {
+        match next {
+            NextOrders::Frame(orders) => link.deliver(Frame::JobOrders(orders)).await.is_ok(),
+            NextOrders::Oversized(orders) => self.refuse(orders).await,
+        }
+    }
+
+    /// Refuses starts that no frame can carry, so that the owner does not wait for them; returns
+    /// false once its channel is closed.
+    async fn refuse(&self, orders: Orders) -> bool {
+        let starts = orders.into_iter().filter_map(|order| match order {
+            OrderMessage::Start(start) => Some(start.run),
+            _ => None,
+        });
+        let mut refusals = Vec::new();
+        for run in starts {
+            log::error!(agent:% = self.agent.node, task:% = run.task, run = run.run;
+                "start not sent: it exceeds the size of a frame");
+            let reason = RefusalReason::Invalid;
+            refusals.push(AgentMessage::Refused { run, reason });
+        }
+        let input = OwnerInput::Agent(self.agent.clone(), refusals);
+        self.owner.send(input).await.is_ok()
+    }
+
     fn pong(&self, sent: u64) -> Frame {
         let age = self.confirmation.age().as_micros();
         Frame::JobOrders(vec![OrderMessage::Pong {
@@ -145,3 +173,37 @@
         self.owner.send(input).await.is_ok()
     }
 }
+
+/// The next orders for an agent.
+enum NextOrders {
+    /// Orders of one frame.
+    Frame(Orders),
+    /// Orders that no frame can carry.
+    Oversized(Orders),
+}
+
+/// The orders for an agent in frames of bounded size.
+struct OrderFrames {
+    orders: mpsc::UnboundedReceiver<Orders>,
+    ready: VecDeque<NextOrders>,
+}
+
+impl OrderFrames {
+    fn new(orders: mpsc::UnboundedReceiver<Orders>) -> Self {
+        let ready = VecDeque::new();
+        Self { orders, ready }
+    }
+
+    /// The next orders; `None` once the owner has dropped the sender. Nothing is lost if this is
+    /// cancelled.
+    async fn next(&mut self) -> Option<NextOrders> {
+        while self.ready.is_empty() {
+            let Batches { frames, oversized } = batches(self.orders.recv().await?);
+            self.ready.extend(frames.into_iter().map(NextOrders::Frame));
+            if !oversized.is_empty() {
+                self.ready.push_back(NextOrders::Oversized(oversized));
+            }
+        }
+        self.ready.pop_front()
+    }
+}
--- a/crates/parsleytally-entry/src/site/tests/mod.rs
+++ b/crates/parsleytally-entry/src/site/tests/mod.rs
@@ -2,6 +2,7 @@
 //! store with injected faults.
 
 mod admission;
+mod agents;
 mod election;
 mod evacuations;
 mod known_agents;
--- a/crates/parsleytally-link/src/frame.rs
+++ b/crates/parsleytally-link/src/frame.rs
@@ -199,3 +199,10 @@
     /// Keeps an idle link open; the receiving link discards it.
     KeepAlive,
 }
+
+impl Frame {
+    /// Whether frames of its kind arrive in the order of sending, whatever their sizes.
+    pub(crate) fn is_ordered(&self) -> bool {
+        matches!(self, Self::JobReports(_) | Self::JobOrders(_))
+    }
+}
--- a/crates/parsleytally-link/src/lib.rs
+++ b/crates/parsleytally-link/src/lib.rs
@@ -6,10 +6,13 @@
 //! each side closes a link on which nothing arrived for [`SILENCE_LIMIT`]. This detects
 //! connections that stop carrying data in one direction or both.
 //!
+//! [`batches`] splits lists of messages into frames, so that no list is too large to be sent.
+//!
 //! [`Calls`] matches answers to requests by their number; an answer without a pending
 //! request is counted and dropped.
 
 mod auth;
+mod batch;
 mod calls;
 mod config;
 mod error;
@@ -19,6 +22,7 @@
 mod wire;
 
 pub use auth::{InvalidKey, KEY_BYTES, Key, Keys};
+pub use batch::{Batches, MESSAGE_LIMIT_BYTES, batches, encoded_bytes};
 pub use calls::{CallError, Calls};
 pub use config::LinkConfig;
 pub use error::LinkError;
--- a/crates/parsleytally-link/src/tests.rs
+++ b/crates/parsleytally-link/src/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of links over loopback sockets.
 
+mod batches;
 mod malformed;
 mod proxy;
 
--- a/crates/parsleytally-link/src/wire.rs
+++ b/crates/parsleytally-link/src/wire.rs
@@ -3,6 +3,7 @@
 //! A frame of at most [`CHUNK_BYTES`] is sent as one chunk. A larger one is split into a
 //! stream of chunks, interleaved with those of other large frames and with small frames,
 //! so that a large body does not block the link. The silence limit applies to each chunk.
+//! Ordered frames are the exception: one is sent after all chunks of the one before.
 
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
@@ -104,6 +105,7 @@
 /// A large frame in transfer; `guard` is dropped after its last chunk.
 struct Stream<T> {
     number: u32,
+    ordered: bool,
     remaining: Bytes,
     guard: T,
 }
@@ -149,6 +151,10 @@
             bytes.len() <= FRAME_LIMIT_BYTES,
             OversizedSnafu { size: bytes.len() }
         );
+        let ordered = frame.is_ordered();
+        while ordered && self.streams.iter().any(|stream| stream.ordered) {
+            self.write_chunk().await?;
+        }
         if bytes.len() <= CHUNK_BYTES {
             let header = ChunkHeader {
                 stream: 0,
@@ -159,6 +165,7 @@
         self.last_stream = self.last_stream.checked_add(1).unwrap_or(1);
         self.streams.push_back(Stream {
             number: self.last_stream,
+            ordered,
             remaining: bytes.into(),
             guard,
         });
