fix(jobs): a link is for the agent that answers under the expected name

Cause: `AgentLink::run` took the peer at an address for the agent that had published it. Each link also extended the hold of the former name, so that its runs and old jobs of the whole fleet waited on.

A peer of another name is not linked: the link closes before its first frame, one line and a count tell, and the name is not dialed again until its address is written anew. The scheduler hears nothing, so the name's hold ends as that of a lost agent, its address is deleted, and an agent that lives writes it again and is linked.

Requests to entries: `Relays` checks the name; the link to the owner does not, but an entry that is not the owner says so.

--- a/crates/parsleytally-entry/src/site/agents.rs
+++ b/crates/parsleytally-entry/src/site/agents.rs
@@ -46,10 +46,14 @@
 
 impl AgentLink {
     /// Connects to the agent, and again whenever the link is lost or the owner drops the sender
-    /// of its orders, until cancelled.
+    /// of its orders, until cancelled. Ends if another agent answers at the address.
     pub(super) async fn run(self) {
         loop {
             match dial(self.address, &self.hello, &self.config).await {
+                Ok((link, _)) if link.peer().node != self.agent.node => {
+                    self.close_other(link).await;
+                    return;
+                }
                 Ok((link, incoming)) => {
                     let number = self.link_counter.fetch_add(1, Ordering::Relaxed) + 1;
                     self.serve(number, &link, incoming).await;
@@ -63,6 +67,15 @@
         }
     }
 
+    /// Closes a link to another agent, which now has the address.
+    async fn close_other(&self, link: Link) {
+        log::warn!(agent:% = self.agent.node, found:% = link.peer().node, address:% = self.address;
+            "another agent answers at the address of an agent");
+        link.close();
+        let input = OwnerInput::OtherAgent(self.agent.clone());
+        let _ = self.owner.send(input).await;
+    }
+
     async fn serve(&self, link_number: u64, link: &Link, mut incoming: Incoming) {
         let Some(fencing_token) = fencing::link_token(self.epoch, link_number) else {
             log::warn!(epoch:% = self.epoch; "ending the epoch: its link numbers are used up");
--- a/crates/parsleytally-entry/src/site/known_agents.rs
+++ b/crates/parsleytally-entry/src/site/known_agents.rs
@@ -26,6 +26,8 @@
     revision: Revision,
     /// Number of the task that links the owner to it.
     dialer: u64,
+    /// Whether another agent has answered at the address, which ended that task.
+    other_answered: bool,
     stop: CancellationToken,
 }
 
@@ -33,7 +35,7 @@
 pub(super) struct Dial {
     pub(super) agent: AgentId,
     pub(super) address: SocketAddr,
-    /// Whether the task replaces one with another address.
+    /// Whether the task replaces an earlier one.
     pub(super) replaces: bool,
     /// Stops the task.
     pub(super) stop: CancellationToken,
@@ -85,7 +87,7 @@
         let replaces = known.is_some();
         if let Some(known) = known {
             known.revision = item.revision;
-            if known.address == address {
+            if known.address == address && !known.other_answered {
                 return None;
             }
             known.stop.cancel();
@@ -97,6 +99,7 @@
             address,
             revision: item.revision,
             dialer,
+            other_answered: false,
             stop: stop.clone(),
         };
         self.agents.insert(node.clone(), agent);
@@ -115,6 +118,13 @@
         known.is_some_and(|known| known.dialer == agent.dialer)
     }
 
+    /// Notes that another agent answers at the address of `node`, whose task has ended.
+    pub(super) fn set_answered_by_other(&mut self, node: &NodeName) {
+        if let Some(known) = self.agents.get_mut(node) {
+            known.other_answered = true;
+        }
+    }
+
     /// Stops the task of an agent; returns the revision of the agent's address.
     pub(super) fn remove(&mut self, node: &NodeName) -> Option<Revision> {
         let known = self.agents.remove(node)?;
--- a/crates/parsleytally-entry/src/site/metrics.rs
+++ b/crates/parsleytally-entry/src/site/metrics.rs
@@ -29,6 +29,7 @@
     crash_decisions: IntCounterVec,
     overcommitted: IntGauge,
     refused_starts: IntCounterVec,
+    mismatches: IntCounter,
     degraded: IntGauge,
     flapping: IntGauge,
     probation: IntGauge,
@@ -93,6 +94,10 @@
                 "Starts that an agent or a worker refused, by reason.",
                 "reason",
             )?,
+            mismatches: set.counter(
+                "parsleytally_jobs_address_mismatches_total",
+                "Links closed because another agent answered at the address of an agent.",
+            )?,
             degraded: set.gauge(
                 "parsleytally_jobs_degraded_workers",
                 "Workers that are slower, fail more or start later than their peers.",
@@ -263,6 +268,10 @@
         self.orders.with_label_values(&[order]).inc();
     }
 
+    pub(super) fn count_mismatch(&self) {
+        self.mismatches.inc();
+    }
+
     pub(super) fn count_decision(&self, decision: &WorkersDecision) {
         let (label, count) = match decision {
             WorkersDecision::Capacity { .. } => ("capacity", 1),
--- a/crates/parsleytally-entry/src/site/owner.rs
+++ b/crates/parsleytally-entry/src/site/owner.rs
@@ -47,6 +47,9 @@
     Linked(AgentId, mpsc::UnboundedSender<Vec<OrderMessage>>),
     /// The link of an agent is lost.
     Unlinked(AgentId),
+    /// Another agent answers at the address of this one, which is not linked until its address is
+    /// written again.
+    OtherAgent(AgentId),
     /// Messages from an agent.
     Agent(AgentId, Vec<AgentMessage>),
     /// Progress records that are stored, each job with its record's version.
@@ -370,6 +373,7 @@
         match input {
             OwnerInput::Linked(agent, _)
             | OwnerInput::Unlinked(agent)
+            | OwnerInput::OtherAgent(agent)
             | OwnerInput::Agent(agent, _)
                 if !self.agents.is_current(&agent) =>
             {
@@ -381,6 +385,10 @@
                 self.step(Input::Linked(node));
             }
             OwnerInput::Unlinked(AgentId { node, .. }) => self.unlink(node),
+            OwnerInput::OtherAgent(AgentId { node, .. }) => {
+                self.context.metrics.count_mismatch();
+                self.agents.set_answered_by_other(&node);
+            }
             OwnerInput::Agent(AgentId { node, .. }, messages) => {
                 for message in messages {
                     self.context.metrics.count_message(&message);
--- a/crates/parsleytally-entry/src/site/tests/agents.rs
+++ b/crates/parsleytally-entry/src/site/tests/agents.rs
@@ -1,19 +1,26 @@
 //! Tests of the owner's link to an agent.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use parsleytally::jobs::{
     AgentMessage, OrderMessage, RefusalReason, RunRef, StartOrder, TaskId, WorkerIncarnation,
 };
-use parsleytally::types::Resources;
-use parsleytally_link::{FRAME_LIMIT_BYTES, Frame, Role, accept};
+use parsleytally::types::{NodeName, Resources};
+use parsleytally_link::{FRAME_LIMIT_BYTES, Frame, Incoming, Link, Role, accept};
+use parsleytally_platform::process::BootTime;
+use parsleytally_platform::store::{Commit, MemoryStore, Store, Write};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
-use super::super::owner::OwnerInput;
+use super::super::keys;
+use super::super::owner::{OwnerInput, Ownership};
+use super::owner::{context, owner, write_epoch};
 use super::{JOB, agent_link, hello, link_config};
 
+/// Time in which an owner that keeps connecting does so several times.
+const SEVERAL_DIALS: Duration = Duration::from_millis(800);
 /// Longest wait for a frame or an input.
 const WAIT: Duration = Duration::from_secs(30);
 
@@ -78,3 +85,66 @@
     assert_eq!((run.task.index, reason), (u32::MAX, RefusalReason::Invalid));
     owner.abort();
 }
+
+/// An agent that accepts links, and the first frame of the link: none if the owner closes it.
+async fn accept_agent(listener: &TcpListener, name: &str) -> (Link, Incoming, Option<Frame>) {
+    let (stream, _) = listener.accept().await.expect("a connection");
+    let accepted = accept(stream, &hello(Role::Agent, name), &link_config()).await;
+    let (link, mut incoming) = accepted.expect("a link");
+    let first = timeout(WAIT, incoming.next())
+        .await
+        .expect("a frame or an end");
+    (link, incoming, first)
+}
+
+async fn publish(store: &MemoryStore, name: &str, listener: &TcpListener) {
+    let node = NodeName::new(name).expect("a valid name");
+    let address = listener.local_addr().expect("an address");
+    let put = Write::Put {
+        key: keys::agent(&node),
+        value: address.to_string().into_bytes(),
+        lease: None,
+    };
+    let commit = Commit {
+        compares: Vec::new(),
+        writes: vec![put],
+    };
+    store.commit(commit).await.expect("the store answers");
+}
+
+/// Guards against a link under the name of an agent whose address another one has now: both names
+/// were linked in turn, and each link stopped what the other had started.
+#[tokio::test]
+async fn an_agent_is_linked_under_its_own_name_only() {
+    let store = Arc::new(MemoryStore::new());
+    let since = write_epoch(&store).await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let moved = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    publish(&store, "former", &listener).await;
+    publish(&store, "present", &listener).await;
+    let ownership = Ownership::start(context(store.clone()), owner(), since, BootTime::now());
+    let mut linked = Vec::new();
+    for _ in 0..2 {
+        let (link, incoming, first) = accept_agent(&listener, "present").await;
+        if first.is_some() {
+            linked.push((link, incoming));
+        }
+    }
+    assert_eq!(linked.len(), 1, "names that are linked");
+    let again = timeout(SEVERAL_DIALS, listener.accept()).await;
+    assert!(again.is_err(), "the owner connects again");
+    publish(&store, "former", &listener).await;
+    let (_, _, first) = accept_agent(&listener, "present").await;
+    assert!(first.is_none(), "linked under the former name: {first:?}");
+    publish(&store, "former", &moved).await;
+    let (_link, _incoming, first) = accept_agent(&moved, "former").await;
+    assert!(
+        first.is_some(),
+        "the former agent lives again and is not linked"
+    );
+    assert!(
+        !linked[0].0.is_closed(),
+        "the link to the present agent is lost"
+    );
+    ownership.close().await;
+}
