fix(jobs): a record that is too large holds back no other

One record above the store's 1 MiB, such as that of 36 tasks with checkpoints of 64 KiB, was refused each time, and no record of any job was written any more: no end is acknowledged, no job completes.

The saver encodes before it commits: a record that is too large goes without checkpoints, and one that is too large even then is left out with a line; a commit has at most 1 MiB unless it is one record. Left out may be the widest job (200,000 tasks) with two failed runs of each task unfinished at once; its ends stay unacknowledged.

Jobs that are stored already are read as before.

Failed before (the check taken out): `a_record_that_is_too_large_holds_back_no_other`: "not saved: Err(Elapsed)" after the two records before it.

--- a/crates/parsleytally-entry/src/site/saver.rs
+++ b/crates/parsleytally-entry/src/site/saver.rs
@@ -6,7 +6,9 @@
 
 use parsleytally::jobs::{JobId, JobProgress};
 use parsleytally::types::Revision;
-use parsleytally_platform::store::{Commit, Compare, Outcome, Snapshot, Store, StoreError, Write};
+use parsleytally_platform::store::{
+    Commit, Compare, MAX_VALUE_BYTES, Outcome, Snapshot, Store, StoreError, Write,
+};
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
@@ -18,6 +20,8 @@
 /// Most jobs in one commit, which has one condition for the owner, and a condition and a
 /// write for each job.
 const MAX_JOBS_PER_COMMIT: usize = 15;
+/// Most bytes of the records in one commit, unless it has only one.
+const MAX_COMMIT_BYTES: usize = MAX_VALUE_BYTES;
 /// Pause after a commit that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(60);
 
@@ -29,6 +33,9 @@
     pub(super) progress: JobProgress,
 }
 
+/// A job and its record, encoded.
+type EncodedRecord = (JobId, Vec<u8>);
+
 /// Writes the progress records of one ownership.
 pub(super) struct Saver {
     pub(super) store: Arc<dyn Store>,
@@ -60,8 +67,11 @@
             while let Ok(record) = self.records.try_recv() {
                 pending.insert(record.job, record);
             }
-            let batch: Vec<JobId> = pending.keys().copied().take(MAX_JOBS_PER_COMMIT).collect();
-            match self.store.commit(self.commit(&batch, &pending)).await {
+            let batch = next_batch(&mut pending);
+            if batch.is_empty() {
+                continue;
+            }
+            match self.store.commit(self.commit(&batch)).await {
                 Ok(Outcome::Committed(revision)) => {
                     self.handle_committed(&batch, revision, &mut pending).await;
                 }
@@ -75,10 +85,10 @@
         }
     }
 
-    fn commit(&self, batch: &[JobId], pending: &BTreeMap<JobId, ProgressRecord>) -> Commit {
+    fn commit(&self, batch: &[EncodedRecord]) -> Commit {
         let mut commit = Commit::default();
         commit.compares.push(epoch_unchanged(self.since));
-        for job in batch {
+        for (job, value) in batch {
             let key = keys::progress(*job);
             // A delayed duplicate of an earlier write must not overwrite a later one.
             commit.compares.push(match self.revisions.get(job) {
@@ -90,7 +100,7 @@
             });
             commit.writes.push(Write::Put {
                 key,
-                value: pending[job].progress.encode(),
+                value: value.clone(),
                 lease: None,
             });
         }
@@ -99,12 +109,12 @@
 
     async fn handle_committed(
         &mut self,
-        batch: &[JobId],
+        batch: &[EncodedRecord],
         revision: Revision,
         pending: &mut BTreeMap<JobId, ProgressRecord>,
     ) {
         let mut saved = Vec::new();
-        for job in batch {
+        for (job, _) in batch {
             self.revisions.insert(*job, revision);
             if let Some(record) = pending.remove(job) {
                 saved.push((record.job, record.version));
@@ -142,6 +152,46 @@
     }
 }
 
+/// The next records to write, without those that the store can't hold.
+fn next_batch(pending: &mut BTreeMap<JobId, ProgressRecord>) -> Vec<EncodedRecord> {
+    let mut batch = Vec::new();
+    let mut too_large = Vec::new();
+    let mut bytes = 0;
+    for record in pending.values() {
+        let Some(value) = encode(record) else {
+            too_large.push(record.job);
+            continue;
+        };
+        bytes += value.len();
+        let is_full = batch.len() == MAX_JOBS_PER_COMMIT || bytes > MAX_COMMIT_BYTES;
+        if is_full && !batch.is_empty() {
+            break;
+        }
+        batch.push((record.job, value));
+    }
+    for job in too_large {
+        pending.remove(&job);
+    }
+    batch
+}
+
+/// Encodes a record; none if the store can't hold it even without checkpoints.
+fn encode(record: &ProgressRecord) -> Option<Vec<u8>> {
+    let job = record.job;
+    let value = record.progress.encode();
+    if value.len() <= MAX_VALUE_BYTES {
+        return Some(value);
+    }
+    let reduced = record.progress.without_checkpoints().encode();
+    let (bytes, without) = (value.len(), reduced.len());
+    if without <= MAX_VALUE_BYTES {
+        log::warn!(job:%, bytes, without; "progress is saved without checkpoints, it is too large");
+        return Some(reduced);
+    }
+    log::error!(job:%, bytes, without; "progress is not saved, it is too large");
+    None
+}
+
 /// Store revision of each job's progress record.
 pub(super) fn revisions(progress: &Snapshot) -> HashMap<JobId, Revision> {
     let pairs = progress.items.iter().filter_map(|item| {
--- a/crates/parsleytally-entry/src/site/tests/mod.rs
+++ b/crates/parsleytally-entry/src/site/tests/mod.rs
@@ -8,6 +8,7 @@
 mod known_agents;
 mod owner;
 mod refusals;
+mod sizes;
 
 use std::collections::BTreeSet;
 use std::sync::atomic::{AtomicBool, Ordering};
--- a/crates/parsleytally/src/jobs/progress.rs
+++ b/crates/parsleytally/src/jobs/progress.rs
@@ -74,6 +74,22 @@
         bytes
     }
 
+    /// The same without checkpoints, which take most of a large record; tasks resume from the
+    /// start if it is used.
+    #[must_use]
+    pub fn without_checkpoints(&self) -> Self {
+        let mut progress = self.clone();
+        for step in &mut progress.steps {
+            for task in &mut step.tasks {
+                task.checkpoint.clear();
+            }
+            let tells =
+                |task: &TaskProgress| !task.failed_runs.is_empty() || !task.crashes.is_empty();
+            step.tasks.retain(tells);
+        }
+        progress
+    }
+
     fn crashes(&self) -> impl Iterator<Item = TaskCrashes> {
         self.steps.iter().flat_map(|step| {
             let crashed = step.tasks.iter().filter(|task| !task.crashes.is_empty());
--- a/crates/parsleytally/src/jobs/spec.rs
+++ b/crates/parsleytally/src/jobs/spec.rs
@@ -16,6 +16,9 @@
 /// Most tasks of a job in all its rounds. An owner holds about 100 bytes for each, and the
 /// smallest entries have 160 MB.
 const MAX_TASKS: u64 = 200_000;
+/// Largest encoded specification, in bytes: a frame, and a value of the store, can carry it with
+/// what belongs to it.
+const MAX_SPEC_BYTES: usize = 512 << 10;
 /// Longest estimate and interval, in milliseconds: 34 years. Sums over all steps or rounds
 /// then stay far below the limit of the number type; the same holds for the limits below.
 const MAX_DURATION_MS: u64 = 1 << 40;
@@ -197,6 +200,12 @@
             && self.tasks().saturating_mul(u64::from(self.rounds())) <= MAX_TASKS
     }
 
+    /// Whether a record, a request to another entry or an order may not be able to carry it.
+    pub fn is_too_large(&self) -> bool {
+        let size = postcard::experimental::serialized_size(self);
+        size.is_ok_and(|size| size > MAX_SPEC_BYTES)
+    }
+
     /// Number of tasks of a round.
     fn tasks(&self) -> u64 {
         self.steps.iter().map(|step| u64::from(step.count)).sum()
