--- a/crates/parsleytally-entry/src/site/tests/mod.rs
+++ b/crates/parsleytally-entry/src/site/tests/mod.rs
@@ -2,11 +2,13 @@
 //! store with injected faults.
 
 mod admission;
+mod agents;
 mod election;
 mod evacuations;
 mod known_agents;
 mod owner;
 mod refusals;
+mod sizes;
 
 use std::collections::BTreeSet;
 use std::sync::atomic::{AtomicBool, Ordering};
