fix(jobs): read the entries of a worker's listing one by one

Callers saw work that never starts or never ends (LOST): one entry of the worker's lists that can't be read, nested deeply, with a number out of range or of another type, made each answer to a poll useless (`read_listing` refused it as a whole). The agent took the worker for unresponsive for as long as the entry stayed: no lease, no starts, no ends.

A run that is named counts as listed. An entry without a run may be a damaged one of ours, and absence counts as an end, so leaving it out would start a run twice: the listing counts as incomplete until the entry is known to be no run of ours (a listing with it also has each run that may be there, or all leases have expired).

--- a/crates/parsleytally-agent/src/site/log_lines.rs
+++ b/crates/parsleytally-agent/src/site/log_lines.rs
@@ -62,6 +62,16 @@
     log::info!(answer = listing_text(answer); "first listing for the owner");
 }
 
+/// Entries of the worker's lists without a run are in doubt, or no longer.
+pub(super) fn doubt(answer: &ListingEvidence, in_doubt: bool) {
+    let answer = listing_text(answer);
+    if in_doubt {
+        log::warn!(answer; "listing may lack runs: an entry names none");
+    } else {
+        log::info!(answer; "listing lacks no run");
+    }
+}
+
 /// A message to the owner.
 pub(super) fn message(message: &AgentMessage) {
     match message {
@@ -120,7 +130,7 @@
 
 fn listing_text(answer: &ListingEvidence) -> String {
     format!(
-        "poll={} token={} sent_us={} received_us={} born={} clock_ms={} running={} ended={}",
+        "poll={} token={} sent_us={} received_us={} born={} clock_ms={} running={} ended={} unnamed={}",
         answer.poll,
         answer.fencing_token,
         answer.sent.as_micros(),
@@ -128,6 +138,7 @@
         answer.born,
         answer.clock_ms,
         answer.running,
-        answer.ended
+        answer.ended,
+        answer.unnamed
     )
 }
--- a/crates/parsleytally-agent/src/site/mod.rs
+++ b/crates/parsleytally-agent/src/site/mod.rs
@@ -368,6 +368,7 @@
                 AgentOutput::Concluded(conclusion) => log_lines::concluded(&conclusion),
                 AgentOutput::Overtaken(answer) => log_lines::overtaken(&answer),
                 AgentOutput::Listed(answer) => log_lines::listed(&answer),
+                AgentOutput::Doubt { answer, in_doubt } => log_lines::doubt(&answer, in_doubt),
                 call => self.call_worker(call),
             }
         }
@@ -420,6 +421,7 @@
                 | AgentOutput::RunsEnded { .. }
                 | AgentOutput::Concluded(_)
                 | AgentOutput::Overtaken(_)
+                | AgentOutput::Doubt { .. }
                 | AgentOutput::Listed(_) => return,
             };
             // Fails only when the actor has stopped, at the end of the process.
--- a/crates/parsleytally/src/jobs/agent/evidence.rs
+++ b/crates/parsleytally/src/jobs/agent/evidence.rs
@@ -23,6 +23,8 @@
     pub running: usize,
     /// Number of ended runs that are not acknowledged.
     pub ended: usize,
+    /// Number of entries in which no run can be read.
+    pub unnamed: usize,
 }
 
 impl ListingEvidence {
@@ -37,6 +39,7 @@
             clock_ms: listing.clock_ms,
             running: listing.running.len(),
             ended: listing.ended.len(),
+            unnamed: listing.unnamed,
         }
     }
 }
--- a/crates/parsleytally/src/jobs/agent/incarnation.rs
+++ b/crates/parsleytally/src/jobs/agent/incarnation.rs
@@ -5,7 +5,7 @@
 use super::lease::expiry_after;
 use super::{
     AgentMessage, AgentOutput, EndEvidence, JobAgent, LateReports, Listing, ListingEvidence,
-    MAX_CANDIDATES, PollCall, RunEvidence, RunVerdict, WorkerReport, push_conclusion,
+    MAX_CANDIDATES, PollCall, RunEvidence, RunVerdict, Unnamed, WorkerReport, push_conclusion,
 };
 use crate::types::Time;
 
@@ -16,6 +16,8 @@
     born: u64,
     /// Least token of a poll by which it can be used.
     fencing_token: u64,
+    /// Number of entries of its lists in which no run can be read.
+    unnamed: usize,
 }
 
 impl JobAgent {
@@ -139,6 +141,7 @@
         self.listed = false;
         self.lease.reset();
         self.throttle.clear();
+        self.unnamed = Unnamed::accepted(answer.unnamed);
         self.next_poll = Time::ZERO;
     }
 
@@ -182,12 +185,17 @@
         listing: &Listing,
         out: &mut Vec<AgentOutput>,
     ) -> bool {
-        let is_overlong = self.has_overlong_lease(now, call, listing);
         let successor = self.successor.filter(|known| known.born == listing.born);
+        let unnamed = successor.map_or(0, |known| known.unnamed);
+        self.await_hidden_runs(now, listing, unnamed);
+        let is_overlong = self.has_overlong_lease(now, call, listing);
         let is_fenced = successor.is_some_and(|known| call.fencing_token >= known.fencing_token);
         if !is_fenced {
             self.note_successor(now, listing.born);
         }
+        if let Some(successor) = &mut self.successor {
+            successor.unnamed = listing.unnamed;
+        }
         // It began with no runs, so orders to the earlier incarnation have reached it.
         self.stop_all(listing.running.iter().map(|status| status.run), out);
         is_fenced && listing.running.is_empty() && !is_overlong
@@ -203,6 +211,7 @@
             self.successor = Some(Successor {
                 born,
                 fencing_token: self.fencing_token,
+                unnamed: 0,
             });
         }
         self.next_poll = now;
--- a/crates/parsleytally/src/jobs/agent/messages.rs
+++ b/crates/parsleytally/src/jobs/agent/messages.rs
@@ -35,6 +35,9 @@
     pub ended: Vec<EndedRun>,
     /// Whether `ended` holds all of them; a worker lists only so many at a time.
     pub complete: bool,
+    /// Number of entries in which no run can be read. Other writers may have left them, or they
+    /// may be damaged entries of runs that are in neither list.
+    pub unnamed: usize,
 }
 
 /// A poll of the worker's runs, which also renews its lease.
@@ -159,6 +162,13 @@
     Overtaken(ListingEvidence),
     /// The first listing for the owner was made from this answer; only logged.
     Listed(ListingEvidence),
+    /// Entries without a run in this answer are in doubt, or no longer; only logged.
+    Doubt {
+        /// The answer.
+        answer: ListingEvidence,
+        /// Whether one of the entries may be a run that was ordered here.
+        in_doubt: bool,
+    },
     /// Poll the worker.
     Poll(PollCall),
     /// Start a run.
--- a/crates/parsleytally/src/jobs/agent/mod.rs
+++ b/crates/parsleytally/src/jobs/agent/mod.rs
@@ -43,6 +43,7 @@
 mod poll;
 mod throttle;
 mod tracked;
+mod unnamed;
 
 pub use evidence::{ListingEvidence, RunConclusion, RunEvidence, RunVerdict, StartEvidence};
 pub use messages::{
@@ -57,6 +58,7 @@
 use owner_clock::OwnerClock;
 use throttle::{RunKind, Throttle};
 use tracked::{StartState, TrackedRun};
+use unnamed::Unnamed;
 
 /// Longest time for which the worker may delay the answer to a poll until a run ends.
 const POLL_WAIT: Duration = Duration::from_millis(1_000);
@@ -161,6 +163,8 @@
     /// Whether the expiry of all leases was reported to the owner.
     expiry_reported: bool,
     crashes: Crashes,
+    /// Entries of the worker's lists in which no run can be read.
+    unnamed: Unnamed,
 }
 
 impl JobAgent {
@@ -199,6 +203,7 @@
             unresponsive: false,
             expiry_reported: false,
             crashes: Crashes::default(),
+            unnamed: Unnamed::default(),
         }
     }
 
--- a/crates/parsleytally/src/jobs/agent/orders.rs
+++ b/crates/parsleytally/src/jobs/agent/orders.rs
@@ -17,6 +17,7 @@
         let state = self.report.as_ref().map(|report| report.state);
         let is_answering = self.listed && !self.unresponsive && !self.shutdown_noticed;
         let can_start = is_answering
+            && !self.unnamed.withholds_leases(now)
             && self.is_current_incarnation(&order.incarnation)
             && state == Some(WorkerState::Ready);
         if !can_start {
@@ -81,7 +82,8 @@
             return;
         }
         // A start that is repeated after a notice of shutdown must not get a new lease.
-        let length = (!self.shutdown_noticed).then(|| self.lease_length(now));
+        let is_renewed = !self.shutdown_noticed && !self.unnamed.withholds_leases(now);
+        let length = is_renewed.then(|| self.lease_length(now));
         let lease_end = length.and_then(|length| self.lease.grant(now, length));
         let Some(lease_end) = lease_end else {
             self.refuse(run, RefusalReason::Unwell, RunEvidence::Agent, out);
--- a/crates/parsleytally/src/jobs/agent/poll.rs
+++ b/crates/parsleytally/src/jobs/agent/poll.rs
@@ -24,9 +24,10 @@
         if self.owner.is_none() && self.runs.is_empty() {
             return;
         }
-        // Polls don't renew the lease of an unresponsive or leaving worker, so that it
-        // expires.
-        let lease_end = if self.unresponsive || self.shutdown_noticed {
+        // Polls don't renew the lease of an unresponsive or leaving worker, or of one that may hide
+        // runs, so that it expires.
+        let hides_runs = self.unnamed.withholds_leases(now);
+        let lease_end = if self.unresponsive || self.shutdown_noticed || hides_runs {
             None
         } else {
             self.lease.grant(now, self.lease_length(now))
@@ -89,7 +90,7 @@
             return;
         }
         self.set_unresponsive(answer.is_err(), out);
-        let Ok(listing) = answer else {
+        let Ok(mut listing) = answer else {
             self.next_poll = now.after(POLL_PAUSE);
             return;
         };
@@ -100,6 +101,8 @@
             }
             return;
         }
+        let in_doubt = self.doubts(now, call, &listing, out);
+        listing.complete &= !in_doubt;
         let listed_at = self.lease.latest_time_of(now, listing.clock_ms);
         self.lease.read_clock(now, listing.clock_ms);
         // The worker answers at once while it lists ended runs that are not acknowledged,
@@ -108,7 +111,7 @@
             .ended
             .iter()
             .all(|end| end.sequence > self.reported_sequence);
-        let awaits_listing = !self.listed && self.may_list(call);
+        let awaits_listing = !self.listed && self.may_list(call) && !in_doubt;
         // Without an owner, nobody acknowledges them.
         let has_owner = self.owner.is_some();
         if has_owner && all_unreported && (call.wait_ms > 0 || awaits_listing) {
--- a/crates/parsleytally/src/jobs/tests/agent.rs
+++ b/crates/parsleytally/src/jobs/tests/agent.rs
@@ -131,6 +131,7 @@
             running: running.collect(),
             ended,
             complete: true,
+            unnamed: 0,
         });
         self.step(AgentInput::Polled { call, answer })
     }
@@ -159,6 +160,7 @@
             running: running.into_iter().map(status).collect(),
             ended: vec![],
             complete: true,
+            unnamed: 0,
         });
         self.step(AgentInput::Polled { call, answer })
     }
@@ -602,6 +604,7 @@
             running: vec![],
             ended: vec![],
             complete: case.complete,
+            unnamed: 0,
         });
         let out = agent.step(AgentInput::Polled { call, answer });
         let missing = AgentMessage::Missing(order);
@@ -634,6 +637,7 @@
             running: vec![],
             ended: vec![end.clone()],
             complete,
+            unnamed: 0,
         });
         let out = agent.step(AgentInput::Polled { call, answer });
         let listed =
--- a/crates/parsleytally/src/jobs/tests/cpu_shares.rs
+++ b/crates/parsleytally/src/jobs/tests/cpu_shares.rs
@@ -40,6 +40,7 @@
         running,
         ended: vec![],
         complete: true,
+        unnamed: 0,
     });
     agent.step(AgentInput::Polled { call, answer })
 }
--- a/crates/parsleytally/src/jobs/tests/mod.rs
+++ b/crates/parsleytally/src/jobs/tests/mod.rs
@@ -30,6 +30,7 @@
 mod shutdown;
 mod throttle;
 mod uneven;
+mod unnamed;
 mod waiting;
 mod worker;
 
--- a/crates/parsleytally/src/jobs/tests/model/calls.rs
+++ b/crates/parsleytally/src/jobs/tests/model/calls.rs
@@ -201,7 +201,8 @@
             self.reset_call(id, &Action::Poll(poll.call));
             return;
         }
-        let listing = worker.list(self.now);
+        let mut listing = worker.list(self.now);
+        self.add_odd_entries(id.at, &mut listing);
         if !self.rng.random_bool(LOST_LISTINGS) {
             self.answer(id, polled(poll.call, Ok(listing)));
         }
--- a/crates/parsleytally/src/jobs/tests/model/mod.rs
+++ b/crates/parsleytally/src/jobs/tests/model/mod.rs
@@ -20,6 +20,7 @@
 mod faults;
 mod known;
 mod links;
+mod odd;
 mod owners;
 mod queue;
 mod registration;
@@ -32,6 +33,7 @@
 use calls::Calls;
 use crashes::Crashes;
 use links::Link;
+use odd::OddEntries;
 use owners::SimulatedOwner;
 use queue::{Event, ScheduledEvent};
 use stalls::{STALLS, Stalls};
@@ -134,6 +136,8 @@
     crashes: Crashes,
     calls: Calls,
     stalls: Stalls,
+    /// Odd entries of the lists of each worker; empty if there are none.
+    odd: Vec<OddEntries>,
     /// Whether the events are printed.
     traced: bool,
 }
@@ -181,6 +185,7 @@
             crashes: Crashes::default(),
             calls: Calls::default(),
             stalls: Stalls::default(),
+            odd: Vec::new(),
             traced: false,
         };
         for at in 0..WORKERS {
@@ -392,7 +397,7 @@
 }
 
 /// Prints the events of the seed `PARSLEYTALLY_MODEL_SEED`, if that is set, of the kind
-/// `PARSLEYTALLY_MODEL_KIND`: `crashes`, `preemption`, `stalls`, `uneven`, or a
+/// `PARSLEYTALLY_MODEL_KIND`: `crashes`, `odd`, `preemption`, `stalls`, `uneven`, or a
 /// plain one.
 #[test]
 fn events_of_a_seed() {
@@ -404,6 +409,7 @@
     let mut simulation = match kind.as_str() {
         "crashes" => Simulation::with_crashes(seed),
         "stalls" => Simulation::with_stalls(seed),
+        "odd" => Simulation::with_odd_entries(seed),
         "preemption" => with_preemption(seed),
         "uneven" => Simulation::with_settings(seed, InjectedBug::Nothing, UNEVEN),
         _ => Simulation::new(seed, InjectedBug::Nothing),
--- a/crates/parsleytally/src/jobs/tests/overtaken.rs
+++ b/crates/parsleytally/src/jobs/tests/overtaken.rs
@@ -165,6 +165,7 @@
         running: running.into_iter().map(status).collect(),
         ended: vec![],
         complete: true,
+        unnamed: 0,
     };
     let cases = [
         Case {
@@ -279,6 +280,7 @@
             running: vec![status(first())],
             ended: vec![],
             complete: true,
+            unnamed: 0,
         });
         agent.step(AgentInput::Polled { call, answer });
         agent.step(reported(report(0, 8)));
--- a/crates/parsleytally/src/jobs/tests/worker.rs
+++ b/crates/parsleytally/src/jobs/tests/worker.rs
@@ -230,6 +230,7 @@
             running: running.collect(),
             ended: self.ended.iter().take(LISTED_ENDS).cloned().collect(),
             complete: self.ended.len() < LISTED_ENDS,
+            unnamed: 0,
         }
     }
 }
