fix(entry): an odd address replaces none and does not stay

Each check of the ownership wrote a line with the whole value.

The entry's own key is now found by its key. Port 0 is no address. An address that can't be used is deleted once its agent is forgotten, unless it has changed. One line for each revision of an entry's address, with 80 characters of it.

Evidence: an_odd_address_of_an_entry_is_replaced_and_hides_no_other failed (1 of 2 addresses known), an_odd_address_replaces_none_and_is_deleted... failed (no revision to delete); both pass.

--- a/crates/parsleytally-entry/src/site/entries.rs
+++ b/crates/parsleytally-entry/src/site/entries.rs
@@ -60,6 +60,8 @@
     /// Whether the store has had this process's address; then it deletes no others, so
     /// that entries beyond [`MAX_ADDRESSES`] don't delete each other's in turn.
     published: Arc<AtomicBool>,
+    /// Highest revision of an address of which a warning was written.
+    warned: Revision,
 }
 
 impl EntryRegistry {
@@ -71,6 +73,7 @@
             addresses: EntryAddresses::default(),
             write: None,
             published: Arc::default(),
+            warned: Revision(0),
         }
     }
 
@@ -78,9 +81,10 @@
     /// if it is missing, in a task of its own, so that a silent store does not delay the check
     /// of the ownership.
     pub(super) fn update(&mut self, ownership: &Snapshot) {
-        let published: Vec<Published> = ownership.items.iter().filter_map(parse).collect();
-        let own = published.iter().find(|entry| entry.node == self.node);
-        let is_current = own.is_some_and(|own| own.address == self.links);
+        let published = self.parse_all(&ownership.items);
+        // Found also if its address can't be used.
+        let own = ownership.item(&keys::entry(&self.node));
+        let is_current = own.is_some_and(|own| keys::parse_address(&own.value) == Some(self.links));
         let others = published.iter().filter(|entry| entry.node != self.node);
         let others = others.map(|entry| (entry.node.clone(), entry.address));
         self.addresses.set(others.collect());
@@ -102,7 +106,32 @@
         }
     }
 
-    fn publication(&self, own: Option<&Published>, all: &[Published]) -> Commit {
+    /// The addresses that can be used; warns once of each other one.
+    fn parse_all(&mut self, items: &[Item]) -> Vec<Published> {
+        let mut published = Vec::new();
+        let warned = self.warned;
+        for item in items {
+            let Some(node) = keys::parse_entry(&item.key) else {
+                continue;
+            };
+            if let Some(address) = keys::parse_address(&item.value) {
+                published.push(Published {
+                    node,
+                    key: item.key.clone(),
+                    address,
+                    revision: item.revision,
+                });
+            } else if item.revision > warned {
+                let address = keys::excerpt(&item.value);
+                log::warn!(entry:% = node, address, revision:% = item.revision;
+                    "entry's address is invalid");
+                self.warned = self.warned.max(item.revision);
+            }
+        }
+        published
+    }
+
+    fn publication(&self, own: Option<&Item>, all: &[Published]) -> Commit {
         let key = keys::entry(&self.node);
         let compare = match own {
             Some(own) => Compare::Unchanged {
@@ -156,18 +185,3 @@
         }
     }
 }
-
-fn parse(item: &Item) -> Option<Published> {
-    let node = keys::parse_entry(&item.key)?;
-    let text = String::from_utf8_lossy(&item.value);
-    let Ok(address) = text.parse() else {
-        log::warn!(entry:% = node, address:% = text; "entry's address is invalid");
-        return None;
-    };
-    Some(Published {
-        node,
-        key: item.key.clone(),
-        address,
-        revision: item.revision,
-    })
-}
--- a/crates/parsleytally-entry/src/site/keys.rs
+++ b/crates/parsleytally-entry/src/site/keys.rs
@@ -1,5 +1,7 @@
 //! Store keys of batch jobs.
 
+use std::net::SocketAddr;
+
 use parsleytally::jobs::JobId;
 use parsleytally::types::NodeName;
 
@@ -58,3 +60,18 @@
 pub(crate) fn parse_entry(key: &str) -> Option<NodeName> {
     NodeName::new(key.strip_prefix(ENTRIES)?).ok()
 }
+
+/// Most characters of a stored value in a log line.
+const MAX_EXCERPT: usize = 80;
+
+/// Address in the value of an address key; `None` if none can be reached at it.
+pub(crate) fn parse_address(value: &[u8]) -> Option<SocketAddr> {
+    let address: SocketAddr = std::str::from_utf8(value).ok()?.parse().ok()?;
+    (address.port() != 0).then_some(address)
+}
+
+/// The beginning of a stored value, for a log line.
+pub(crate) fn excerpt(value: &[u8]) -> String {
+    let text = String::from_utf8_lossy(value);
+    text.chars().take(MAX_EXCERPT).collect()
+}
--- a/crates/parsleytally-entry/src/site/known_agents.rs
+++ b/crates/parsleytally-entry/src/site/known_agents.rs
@@ -44,6 +44,8 @@
     agents: BTreeMap<NodeName, KnownAgent>,
     /// Revisions of the addresses that were forgotten and may still be read.
     forgotten: BTreeMap<NodeName, Revision>,
+    /// Revisions of addresses that can't be used, of agents without a known one.
+    unusable: BTreeMap<NodeName, Revision>,
     dialers: u64,
     /// Number of links that were opened, counted over all agents, so that the links to one
     /// agent never repeat a number.
@@ -57,6 +59,7 @@
         Self {
             agents: BTreeMap::new(),
             forgotten: BTreeMap::new(),
+            unusable: BTreeMap::new(),
             dialers: 0,
             link_counter: Arc::default(),
             stop,
@@ -76,11 +79,16 @@
             return None;
         }
         self.forgotten.remove(node);
-        let text = String::from_utf8_lossy(&item.value);
-        let Ok(address) = text.parse() else {
-            log::warn!(agent:% = node, address:% = text; "agent's address is invalid");
+        let Some(address) = keys::parse_address(&item.value) else {
+            let address = keys::excerpt(&item.value);
+            log::warn!(agent:% = node, address, revision:% = item.revision;
+                "agent's address is invalid");
+            if !self.agents.contains_key(node) {
+                self.unusable.insert(node.clone(), item.revision);
+            }
             return None;
         };
+        self.unusable.remove(node);
         let known = self.agents.get_mut(node);
         let replaces = known.is_some();
         if let Some(known) = known {
@@ -115,12 +123,17 @@
         known.is_some_and(|known| known.dialer == agent.dialer)
     }
 
-    /// Stops the task of an agent; returns the revision of the agent's address.
+    /// Stops the task of an agent; returns the revision of the agent's address, which may be one
+    /// that can't be used.
     pub(super) fn remove(&mut self, node: &NodeName) -> Option<Revision> {
-        let known = self.agents.remove(node)?;
-        known.stop.cancel();
-        self.forgotten.insert(node.clone(), known.revision);
-        Some(known.revision)
+        let unusable = self.unusable.remove(node);
+        let known = self.agents.remove(node);
+        let revision = known.as_ref().map(|known| known.revision).or(unusable)?;
+        if let Some(known) = known {
+            known.stop.cancel();
+        }
+        self.forgotten.insert(node.clone(), revision);
+        Some(revision)
     }
 }
 
--- a/crates/parsleytally-entry/src/site/tests/known_agents.rs
+++ b/crates/parsleytally-entry/src/site/tests/known_agents.rs
@@ -168,3 +168,37 @@
     let later = agents.update(&node(), &item("127.0.0.3:7720", 6));
     assert!(later.is_some(), "a later change");
 }
+
+/// Guards against an owner that loses a sound agent, or waits for one that is none with each
+/// change of the owner: another writer left an address that can't be used.
+#[test]
+fn an_odd_address_replaces_none_and_is_deleted_once_the_agent_is_forgotten() {
+    let deep = "[".repeat(100_000);
+    for odd in [
+        "",
+        "127.0.0.1:0",
+        "127.0.0.1:65536",
+        "127.0.0.1:-1",
+        "1e999",
+        &deep,
+    ] {
+        let item = |address: &str, revision| Item {
+            key: keys::agent(&node()),
+            value: address.as_bytes().to_vec(),
+            revision: Revision(revision),
+            created: Revision(1),
+        };
+        let shown = &odd[..odd.len().min(20)];
+        let mut agents = KnownAgents::new(CancellationToken::new());
+        let dial = agents.update(&node(), &item("127.0.0.1:7720", 5));
+        let agent = dial.expect("a new agent").agent;
+        assert!(agents.update(&node(), &item(odd, 6)).is_none(), "{shown}");
+        assert!(agents.is_current(&agent), "{shown}");
+
+        let mut agents = KnownAgents::new(CancellationToken::new());
+        assert!(agents.update(&node(), &item(odd, 6)).is_none(), "{shown}");
+        assert_eq!(agents.remove(&node()), Some(Revision(6)), "{shown}");
+        let dial = agents.update(&node(), &item("127.0.0.1:7720", 7));
+        assert!(dial.is_some(), "{shown}");
+    }
+}
--- a/crates/parsleytally-entry/src/site/tests/refusals.rs
+++ b/crates/parsleytally-entry/src/site/tests/refusals.rs
@@ -12,6 +12,7 @@
 use parsleytally_platform::jobs::{CancelAnswer, JobAnswer, JobService, SubmitAnswer};
 use parsleytally_platform::store::{
     Commit, LeaseId, MemoryStore, Newest, Outcome, Snapshot, Store, StoreError, StoreFuture, Watch,
+    Write,
 };
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -609,3 +610,33 @@
     assert_eq!(store.metrics().total(), calls + 70);
     assert_eq!(entries[0].addresses.get().len(), 69);
 }
+
+/// Guards against an entry that the others never find again: another writer left an odd address in
+/// its name, and its own was written on condition that there is none.
+#[tokio::test]
+async fn an_odd_address_of_an_entry_is_replaced_and_hides_no_other() {
+    for odd in ["", "127.0.0.1:0", "127.0.0.1:65536", "[[[[", "1e999"] {
+        let store = Arc::new(MemoryStore::new());
+        let mut entries: Vec<_> = (0..3)
+            .map(|at| registry(&store, &format!("e-{at}"), 7_000 + at))
+            .collect();
+        for entry in &mut entries {
+            check(&store, entry).await;
+        }
+        let write = Write::Put {
+            key: keys::entry(&entries[0].node),
+            value: odd.as_bytes().to_vec(),
+            lease: None,
+        };
+        let commit = Commit {
+            compares: Vec::new(),
+            writes: vec![write],
+        };
+        store.commit(commit).await.expect("the store answers");
+        check(&store, &mut entries[1]).await;
+        assert_eq!(entries[1].addresses.get().len(), 1, "{odd:?}");
+        check(&store, &mut entries[0]).await;
+        check(&store, &mut entries[1]).await;
+        assert_eq!(entries[1].addresses.get().len(), 2, "{odd:?}");
+    }
+}
