fix(entry): replace an owner record that can't be read

An odd record under the key of the ownership ended the owner, and no entry could become the next one: a record that can't be read counted as none, and the new one was written on condition that the key does not exist. A record with the epoch u64::MAX was believed; the epoch after it overflows.

Such a record, and one with an epoch that fencing tokens can't hold, is now replaced at its revision. Each epoch is written at a revision of its own, so the revision of the odd record is above all epochs so far, and serves as the next one.

Evidence: an_odd_owner_record_is_replaced_with_a_later_epoch failed ("no bytes: Unknown") and passes.

--- a/crates/parsleytally-entry/src/site/election.rs
+++ b/crates/parsleytally-entry/src/site/election.rs
@@ -32,6 +32,9 @@
 /// Time for which an entry knows an owner with far fewer processors before it replaces it.
 const REPLACE_DELAY: Duration = Duration::from_millis(1_200);
 
+/// Highest epoch of a record; fencing tokens have 32 bits for it.
+const MAX_EPOCH: Epoch = Epoch(1 << 31);
+
 /// Record of the owner in the store.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Owner {
@@ -57,12 +60,16 @@
 }
 
 impl Owner {
-    fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
-        if let Ok(owner) = postcard::from_bytes(bytes) {
-            return Ok(owner);
-        }
-        let old: OwnerWithoutCpu = postcard::from_bytes(bytes)?;
-        Ok(Self {
+    /// Decodes a record; none if it is not one that an entry wrote.
+    fn decode(bytes: &[u8]) -> Option<Self> {
+        let owner: Option<Self> = postcard::from_bytes(bytes).ok();
+        let owner = owner.or_else(|| Self::decode_without_cpu(bytes));
+        owner.filter(|owner| owner.epoch <= MAX_EPOCH)
+    }
+
+    fn decode_without_cpu(bytes: &[u8]) -> Option<Self> {
+        let old: OwnerWithoutCpu = postcard::from_bytes(bytes).ok()?;
+        Some(Self {
             epoch: old.epoch,
             node: old.node,
             links: old.links,
@@ -153,19 +160,20 @@
         if let Some(entries) = &mut self.entries {
             entries.update(&ownership);
         }
-        let owner = ownership.item(keys::EPOCH).and_then(|item| {
-            let owner = Owner::decode(&item.value).map_err(|error| {
-                log::error!(key = keys::EPOCH, error:% = error; "owner record is invalid");
-            });
-            Some((owner.ok()?, item.revision))
-        });
+        let epoch_item = ownership.item(keys::EPOCH);
+        let owner = epoch_item.and_then(|item| Some((Owner::decode(&item.value)?, item.revision)));
         let alive = ownership.item(keys::ALIVE).is_some();
+        if let Some(item) = epoch_item.filter(|_| owner.is_none()) {
+            let view = self.replace_unreadable(item.revision, alive).await?;
+            return Ok((view, sent));
+        }
         match owner {
             Some((_, since)) if self.ended == Some(since) => {
                 if self.must_yield(None) {
                     return Ok((OwnerView::Unknown, sent));
                 }
-                self.acquire(owner, alive).await.map(|view| (view, sent))
+                let last = owner.map(epoch_after);
+                self.acquire(last, alive).await.map(|view| (view, sent))
             }
             Some((owner, since))
                 if owner.incarnation == self.incarnation && owner.node == self.node =>
@@ -179,7 +187,8 @@
                 if self.must_replace(&owner, since) {
                     log::info!(owner:% = owner.node, owner_cpu:% = owner.cpu, cpu:% = self.cpu;
                         "replacing the owner: this entry has more processors");
-                    let view = self.acquire(Some((owner, since)), true).await?;
+                    let last = epoch_after((owner, since));
+                    let view = self.acquire(Some(last), true).await?;
                     return Ok((view, sent));
                 }
                 Ok((OwnerView::Other(owner), sent))
@@ -187,8 +196,27 @@
             last if self.must_yield(last.as_ref().map(|(owner, _)| owner)) => {
                 Ok((OwnerView::Unknown, sent))
             }
-            last => self.acquire(last, false).await.map(|view| (view, sent)),
+            last => {
+                let last = last.map(epoch_after);
+                self.acquire(last, false).await.map(|view| (view, sent))
+            }
+        }
+    }
+
+    /// Replaces an owner record that can't be read. Each epoch is written at a revision of its
+    /// own, so that of the record is above all epochs so far.
+    async fn replace_unreadable(
+        &mut self,
+        revision: Revision,
+        alive: bool,
+    ) -> Result<OwnerView, StoreError> {
+        log::error!(key = keys::EPOCH, revision:% = revision;
+            "owner record is invalid, replacing it");
+        if self.yielding {
+            return Ok(OwnerView::Unknown);
         }
+        let next = (Epoch(revision.0.min(MAX_EPOCH.0 / 2)), revision);
+        self.acquire(Some(next), alive).await
     }
 
     /// Whether this process must still leave a vacant ownership, last held by `last`, to
@@ -238,14 +266,15 @@
         Ok(())
     }
 
+    /// Writes a new owner record with the next epoch, in place of the last one at its revision.
     async fn acquire(
         &mut self,
-        last: Option<(Owner, Revision)>,
+        next: Option<(Epoch, Revision)>,
         alive: bool,
     ) -> Result<OwnerView, StoreError> {
         let lease = self.ensure_lease().await?;
-        let (epoch, compare) = match last {
-            Some((owner, revision)) => (owner.epoch.next(), epoch_unchanged(revision)),
+        let (epoch, compare) = match next {
+            Some((epoch, revision)) => (epoch, epoch_unchanged(revision)),
             None => (Epoch(0), absent(keys::EPOCH)),
         };
         let owner = Owner {
@@ -312,6 +341,11 @@
     }
 }
 
+/// The epoch after that of an owner, and the revision of its record.
+fn epoch_after((owner, revision): (Owner, Revision)) -> (Epoch, Revision) {
+    (owner.epoch.next(), revision)
+}
+
 /// Condition that the ownership that began at revision `since` has not been replaced.
 pub(super) fn epoch_unchanged(since: Revision) -> Compare {
     Compare::Unchanged {
--- a/crates/parsleytally-entry/src/site/tests/election.rs
+++ b/crates/parsleytally-entry/src/site/tests/election.rs
@@ -7,7 +7,7 @@
 use parsleytally::types::{Epoch, MilliCpu, NodeName};
 use parsleytally_platform::store::{Commit, MemoryStore, Store, Write};
 
-use super::super::election::{Candidate, OwnerView};
+use super::super::election::{Candidate, Owner, OwnerView};
 use super::super::keys;
 
 const TTL: Duration = Duration::from_secs(2);
@@ -187,3 +187,59 @@
     };
     assert_eq!((owner.epoch, owner.cpu), (Epoch(4), MilliCpu(0)));
 }
+
+/// Guards against jobs that have no owner any more: another writer left a record that can't be
+/// read, or an epoch beyond all, and no entry replaced it.
+#[tokio::test]
+async fn an_odd_owner_record_is_replaced_with_a_later_epoch() {
+    struct Case {
+        what: &'static str,
+        value: Vec<u8>,
+    }
+    let beyond = Owner {
+        epoch: Epoch(u64::MAX),
+        node: NodeName::new("c").expect("a valid name"),
+        links: "127.0.0.1:7000".parse().expect("an address"),
+        incarnation: 1,
+        cpu: MilliCpu(1),
+    };
+    let cases = [
+        Case {
+            what: "no bytes",
+            value: vec![],
+        },
+        Case {
+            what: "a text",
+            value: "[".repeat(100_000).into_bytes(),
+        },
+        Case {
+            what: "an epoch beyond all",
+            value: postcard::to_stdvec(&beyond).expect("plain data"),
+        },
+    ];
+    for case in cases {
+        let store = Arc::new(MemoryStore::new());
+        let (mut a, mut b) = (candidate(&store, "a"), candidate(&store, "b"));
+        check(&mut a).await;
+        check(&mut b).await;
+        let write = Write::Put {
+            key: keys::EPOCH.to_owned(),
+            value: case.value,
+            lease: None,
+        };
+        let commit = Commit {
+            compares: Vec::new(),
+            writes: vec![write],
+        };
+        store.commit(commit).await.expect("the store answers");
+        let found = check(&mut a).await;
+        let epoch = epoch(&found);
+        assert!(epoch > Some(Epoch(0)), "{}: {found:?}", case.what);
+        assert!(epoch < Some(Epoch(1_000)), "{}: {found:?}", case.what);
+        assert!(
+            matches!(check(&mut b).await, OwnerView::Other(_)),
+            "{}",
+            case.what
+        );
+    }
+}
