test(jobs): forged check-ins in a worker's own name

The greatest number with a far end of a drain, no capacity or another service, and start times far ahead or 0: the worker gets starts again within 4 s. It passes; the handling of reports was not changed, and the test was not run on the former code.

--- a/crates/parsleytally/src/jobs/tests/foreign_reports.rs
+++ b/crates/parsleytally/src/jobs/tests/foreign_reports.rs
@@ -375,3 +375,44 @@
     let is_missing = |(_, run): &(NodeName, RunRef)| run.task == order.task;
     assert!(restarted.iter().any(is_missing), "{restarted:?}");
 }
+
+/// Guards against a worker that gets no starts any more: sound values in its own name that are not
+/// its own, with the greatest number or a start time far ahead.
+#[test]
+fn a_forged_report_in_the_own_name_blocks_a_worker_for_seconds_only() {
+    let own = report(0, BORN);
+    let forged = [
+        WorkerReport {
+            state: WorkerState::Draining {
+                remaining_ms: u64::MAX,
+            },
+            ..own.clone()
+        },
+        WorkerReport {
+            capacity: Resources::default(),
+            service: "other".into(),
+            ..own.clone()
+        },
+        report(0, u64::MAX),
+        report(0, 0),
+    ];
+    for forged in forged {
+        let mut agent = TestAgent::ready();
+        let shown = format!("{forged:?}");
+        agent.step(numbered(own.clone(), 5));
+        let mut reports = agent.step(numbered(forged, u64::MAX));
+        for sequence in 6..10 {
+            agent.advance(1_000);
+            agent.confirm_owner(Duration::ZERO);
+            agent.list(vec![], vec![]);
+            reports.extend(agent.step(numbered(own.clone(), sequence)));
+        }
+        let last = reports.iter().rev().find_map(|output| match output {
+            AgentOutput::Send(AgentMessage::Report(report)) => Some(report),
+            _ => None,
+        });
+        assert!(last.is_none_or(|last| *last == own), "{shown}: {last:?}");
+        let started = |output: &AgentOutput| matches!(output, AgentOutput::Start(_));
+        assert!(agent.start(run(1, 0, 0, 1)).iter().any(started), "{shown}");
+    }
+}
