fix(entry): a job whose progress can't be read is not run

Clients were told that it is queued.

The job is now left out, with the line that told of the record before, and queries are answered 503 (the state is not known). What was done is not known, and absence of a record is not its end. The cost is that such a job does not go on until its record can be read by a later owner.

--- a/crates/parsleytally-entry/src/site/job_call.rs
+++ b/crates/parsleytally-entry/src/site/job_call.rs
@@ -225,7 +225,11 @@
     };
     let record = decode(id, &item)?;
     let progress = read(store, &keys::progress(id), deadline).await?;
-    let progress = progress.and_then(|item| JobProgress::decode(&item.value).ok());
+    let progress = progress.map(|item| JobProgress::decode(&item.value));
+    let progress = progress.transpose().map_err(|error| {
+        log::error!(job:% = id, error:% = error; "progress record of a job is invalid");
+        CallFailure::NoEffect
+    })?;
     let state = progress.map_or(JobState::Queued, |progress| progress.state);
     if record.cancelled && !state.is_final() {
         return Ok(JobCallResult::State(JobState::Cancelled));
--- a/crates/parsleytally-entry/src/site/owner.rs
+++ b/crates/parsleytally-entry/src/site/owner.rs
@@ -1,6 +1,6 @@
 //! The owner's actor: passes events to the scheduler and carries out its effects.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -112,6 +112,7 @@
             tasks: JoinSet::new(),
             out: Vec::new(),
             job_revisions: HashMap::new(),
+            unreadable: HashSet::new(),
         };
         let task = tokio::spawn(actor.run());
         Self {
@@ -180,6 +181,8 @@
     out: Vec<Output>,
     /// Revision of each job record that the scheduler has received.
     job_revisions: HashMap<JobId, Revision>,
+    /// Jobs whose progress can't be read: tasks that are done would start again.
+    unreadable: HashSet<JobId>,
 }
 
 impl OwnerActor {
@@ -262,7 +265,12 @@
                 self.step(Input::Expected(node.clone()));
                 self.connect_agent(&node, item);
             } else if let Some(id) = keys::parse_job(keys::JOBS, &item.key) {
-                self.apply_job(id, item, progress.remove(&id));
+                match progress.remove(&id) {
+                    Some(None) => {
+                        self.unreadable.insert(id);
+                    }
+                    progress => self.apply_job(id, item, progress.flatten()),
+                }
             }
         }
         if let Some(record) = state.learned() {
@@ -302,7 +310,7 @@
 
     fn apply_job(&mut self, id: JobId, item: &Item, progress: Option<JobProgress>) {
         let known = self.job_revisions.get(&id);
-        if known.is_some_and(|known| item.revision <= *known) {
+        if known.is_some_and(|known| item.revision <= *known) || self.unreadable.contains(&id) {
             return;
         }
         self.job_revisions.insert(id, item.revision);
--- a/crates/parsleytally-entry/src/site/stored_state.rs
+++ b/crates/parsleytally-entry/src/site/stored_state.rs
@@ -43,21 +43,19 @@
         })
     }
 
-    /// Progress of each job that has a valid record.
-    pub(super) fn progress(&self) -> HashMap<JobId, JobProgress> {
+    /// Progress of each job that has a record; none if that can't be read.
+    pub(super) fn progress(&self) -> HashMap<JobId, Option<JobProgress>> {
         let mut progress = HashMap::new();
         for item in &self.progress.items {
             let Some(id) = keys::parse_job(keys::PROGRESS, &item.key) else {
                 continue;
             };
-            match JobProgress::decode(&item.value) {
-                Ok(record) => {
-                    progress.insert(id, record);
-                }
-                Err(error) => {
-                    log::error!(job:% = id, error:% = error; "progress record of a job is invalid");
-                }
-            }
+            let record = JobProgress::decode(&item.value);
+            let record = record.inspect_err(|error| {
+                log::error!(job:% = id, error:% = error;
+                    "progress record of a job is invalid, the job is not run");
+            });
+            progress.insert(id, record.ok());
         }
         progress
     }
