--- a/crates/parsleytally/src/jobs/tests/mod.rs
+++ b/crates/parsleytally/src/jobs/tests/mod.rs
@@ -31,6 +31,7 @@
 mod shutdown;
 mod throttle;
 mod uneven;
+mod unnamed;
 mod waiting;
 mod worker;
 
