--- a/crates/parsleytally-agent/src/site/mod.rs
+++ b/crates/parsleytally-agent/src/site/mod.rs
@@ -24,6 +24,7 @@
 mod config;
 mod log_lines;
 mod registration;
+mod reports;
 
 pub use config::SiteConfig;
 
@@ -368,6 +369,7 @@
                 AgentOutput::Concluded(conclusion) => log_lines::concluded(&conclusion),
                 AgentOutput::Overtaken(answer) => log_lines::overtaken(&answer),
                 AgentOutput::Listed(answer) => log_lines::listed(&answer),
+                AgentOutput::Doubt { answer, in_doubt } => log_lines::doubt(&answer, in_doubt),
                 call => self.call_worker(call),
             }
         }
@@ -385,7 +387,11 @@
         let Some(link) = self.agent.owner().and_then(|id| self.links.get(&id.0)) else {
             return;
         };
-        if let Err(error) = link.send(Frame::JobReports(messages)) {
+        let frames = reports::frames(messages).into_iter();
+        let sent = frames
+            .map(Frame::JobReports)
+            .try_for_each(|frame| link.send(frame));
+        if let Err(error) = sent {
             // The agent reports its whole state again on the next link.
             log::warn!(error:% = error; "closing the link to the owner: could not send reports");
             link.clone().close();
@@ -420,6 +426,7 @@
                 | AgentOutput::RunsEnded { .. }
                 | AgentOutput::Concluded(_)
                 | AgentOutput::Overtaken(_)
+                | AgentOutput::Doubt { .. }
                 | AgentOutput::Listed(_) => return,
             };
             // Fails only when the actor has stopped, at the end of the process.
--- a/crates/parsleytally-entry/src/site/known_agents.rs
+++ b/crates/parsleytally-entry/src/site/known_agents.rs
@@ -26,6 +26,8 @@
     revision: Revision,
     /// Number of the task that links the owner to it.
     dialer: u64,
+    /// Whether another agent has answered at the address, which ended that task.
+    other_answered: bool,
     stop: CancellationToken,
 }
 
@@ -33,7 +35,7 @@
 pub(super) struct Dial {
     pub(super) agent: AgentId,
     pub(super) address: SocketAddr,
-    /// Whether the task replaces one with another address.
+    /// Whether the task replaces an earlier one.
     pub(super) replaces: bool,
     /// Stops the task.
     pub(super) stop: CancellationToken,
@@ -44,6 +46,8 @@
     agents: BTreeMap<NodeName, KnownAgent>,
     /// Revisions of the addresses that were forgotten and may still be read.
     forgotten: BTreeMap<NodeName, Revision>,
+    /// Revisions of addresses that can't be used, of agents without a known one.
+    unusable: BTreeMap<NodeName, Revision>,
     dialers: u64,
     /// Number of links that were opened, counted over all agents, so that the links to one
     /// agent never repeat a number.
@@ -57,6 +61,7 @@
         Self {
             agents: BTreeMap::new(),
             forgotten: BTreeMap::new(),
+            unusable: BTreeMap::new(),
             dialers: 0,
             link_counter: Arc::default(),
             stop,
@@ -76,16 +81,21 @@
             return None;
         }
         self.forgotten.remove(node);
-        let text = String::from_utf8_lossy(&item.value);
-        let Ok(address) = text.parse() else {
-            log::warn!(agent:% = node, address:% = text; "agent's address is invalid");
+        let Some(address) = keys::parse_address(&item.value) else {
+            let address = keys::excerpt(&item.value);
+            log::warn!(agent:% = node, address, revision:% = item.revision;
+                "agent's address is invalid");
+            if !self.agents.contains_key(node) {
+                self.unusable.insert(node.clone(), item.revision);
+            }
             return None;
         };
+        self.unusable.remove(node);
         let known = self.agents.get_mut(node);
         let replaces = known.is_some();
         if let Some(known) = known {
             known.revision = item.revision;
-            if known.address == address {
+            if known.address == address && !known.other_answered {
                 return None;
             }
             known.stop.cancel();
@@ -97,6 +107,7 @@
             address,
             revision: item.revision,
             dialer,
+            other_answered: false,
             stop: stop.clone(),
         };
         self.agents.insert(node.clone(), agent);
@@ -115,12 +126,24 @@
         known.is_some_and(|known| known.dialer == agent.dialer)
     }
 
-    /// Stops the task of an agent; returns the revision of the agent's address.
+    /// Notes that another agent answers at the address of `node`, whose task has ended.
+    pub(super) fn set_answered_by_other(&mut self, node: &NodeName) {
+        if let Some(known) = self.agents.get_mut(node) {
+            known.other_answered = true;
+        }
+    }
+
+    /// Stops the task of an agent; returns the revision of the agent's address, which may be one
+    /// that can't be used.
     pub(super) fn remove(&mut self, node: &NodeName) -> Option<Revision> {
-        let known = self.agents.remove(node)?;
-        known.stop.cancel();
-        self.forgotten.insert(node.clone(), known.revision);
-        Some(known.revision)
+        let unusable = self.unusable.remove(node);
+        let known = self.agents.remove(node);
+        let revision = known.as_ref().map(|known| known.revision).or(unusable)?;
+        if let Some(known) = known {
+            known.stop.cancel();
+        }
+        self.forgotten.insert(node.clone(), revision);
+        Some(revision)
     }
 }
 
--- a/crates/parsleytally-entry/src/site/owner.rs
+++ b/crates/parsleytally-entry/src/site/owner.rs
@@ -1,6 +1,6 @@
 //! The owner's actor: passes events to the scheduler and carries out its effects.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -47,6 +47,9 @@
     Linked(AgentId, mpsc::UnboundedSender<Vec<OrderMessage>>),
     /// The link of an agent is lost.
     Unlinked(AgentId),
+    /// Another agent answers at the address of this one, which is not linked until its address is
+    /// written again.
+    OtherAgent(AgentId),
     /// Messages from an agent.
     Agent(AgentId, Vec<AgentMessage>),
     /// Progress records that are stored, each job with its record's version.
@@ -112,6 +115,7 @@
             tasks: JoinSet::new(),
             out: Vec::new(),
             job_revisions: HashMap::new(),
+            unreadable: HashSet::new(),
         };
         let task = tokio::spawn(actor.run());
         Self {
@@ -180,6 +184,8 @@
     out: Vec<Output>,
     /// Revision of each job record that the scheduler has received.
     job_revisions: HashMap<JobId, Revision>,
+    /// Jobs whose progress can't be read: tasks that are done would start again.
+    unreadable: HashSet<JobId>,
 }
 
 impl OwnerActor {
@@ -262,7 +268,12 @@
                 self.step(Input::Expected(node.clone()));
                 self.connect_agent(&node, item);
             } else if let Some(id) = keys::parse_job(keys::JOBS, &item.key) {
-                self.apply_job(id, item, progress.remove(&id));
+                match progress.remove(&id) {
+                    Some(None) => {
+                        self.unreadable.insert(id);
+                    }
+                    progress => self.apply_job(id, item, progress.flatten()),
+                }
             }
         }
         if let Some(record) = state.learned() {
@@ -292,6 +303,7 @@
             config: self.context.link.clone(),
             confirmation: self.confirmation.clone(),
             clock: self.clock,
+            support_end: self.scheduler.support_end(),
             owner: self.sender.clone(),
             link_counter: self.agents.link_counter.clone(),
         };
@@ -302,7 +314,7 @@
 
     fn apply_job(&mut self, id: JobId, item: &Item, progress: Option<JobProgress>) {
         let known = self.job_revisions.get(&id);
-        if known.is_some_and(|known| item.revision <= *known) {
+        if known.is_some_and(|known| item.revision <= *known) || self.unreadable.contains(&id) {
             return;
         }
         self.job_revisions.insert(id, item.revision);
@@ -370,6 +382,7 @@
         match input {
             OwnerInput::Linked(agent, _)
             | OwnerInput::Unlinked(agent)
+            | OwnerInput::OtherAgent(agent)
             | OwnerInput::Agent(agent, _)
                 if !self.agents.is_current(&agent) =>
             {
@@ -381,6 +394,10 @@
                 self.step(Input::Linked(node));
             }
             OwnerInput::Unlinked(AgentId { node, .. }) => self.unlink(node),
+            OwnerInput::OtherAgent(AgentId { node, .. }) => {
+                self.context.metrics.count_mismatch();
+                self.agents.set_answered_by_other(&node);
+            }
             OwnerInput::Agent(AgentId { node, .. }, messages) => {
                 for message in messages {
                     self.context.metrics.count_message(&message);
--- a/crates/parsleytally-entry/src/site/tests/mod.rs
+++ b/crates/parsleytally-entry/src/site/tests/mod.rs
@@ -2,11 +2,13 @@
 //! store with injected faults.
 
 mod admission;
+mod agents;
 mod election;
 mod evacuations;
 mod known_agents;
 mod owner;
 mod refusals;
+mod sizes;
 mod tombstones;
 
 use std::collections::BTreeSet;
@@ -22,7 +24,7 @@
     TaskTimes, ThrottleCall, WaitCounts, WaitReason, WorkerIncarnation, WorkerStanding,
     WorkersDecision,
 };
-use parsleytally::types::{Epoch, Incarnation, MilliCpu, NodeName, ZoneName};
+use parsleytally::types::{Epoch, Incarnation, MilliCpu, NodeName, Time, ZoneName};
 use parsleytally_link::{Frame, Hello, Keys, LinkConfig, Role, accept};
 use parsleytally_platform::jobs::{
     CancelAnswer, JobAnswer, JobFuture, JobService, SubmitAnswer, TaskHost,
@@ -212,6 +214,7 @@
         config: link_config(),
         confirmation: LastConfirmation::at(BootTime::now()),
         clock: Clock::start(),
+        support_end: Time::ZERO,
         owner,
         link_counter: Arc::default(),
     }
--- a/crates/parsleytally/src/jobs/scheduler/ended.rs
+++ b/crates/parsleytally/src/jobs/scheduler/ended.rs
@@ -29,6 +29,9 @@
             return;
         }
         worker.listed = true;
+        worker.known = true;
+        worker.runs_expire_at = None;
+        out.push(Output::Order(node.clone(), OrderMessage::ListingKnown));
         worker.expect_all_ends();
         if worker.unresponsive {
             self.set_unresponsive(now, node, false);
@@ -191,6 +194,7 @@
         }
         worker.last_ended = ended_run.sequence;
         let load = self.release(node, ended_run.run);
+        self.run_seen(ended_run.run);
         self.pass_due = true;
         self.record_health(now, node, ended_run);
         self.learn_from_end(now, node, ended_run, load.as_ref());
@@ -389,8 +393,22 @@
         }
     }
 
+    /// Notes that a worker was seen to have a run: its task and step no longer wait.
+    pub(super) fn run_seen(&mut self, run: RunRef) {
+        let job = self.jobs.get_mut(&run.task.job);
+        let Some(step) = job.and_then(|job| job.step_of(run.task)) else {
+            return;
+        };
+        step.wait = None;
+        if let Some(task) = step.tasks.get_mut(run.task.index as usize) {
+            task.idle_since = None;
+            task.vain_starts = 0;
+        }
+    }
+
     /// Marks the job of a run as running once a worker is known to have begun the run.
     pub(super) fn mark_started(&mut self, run: RunRef) {
+        self.run_seen(run);
         if let Some(job) = self.jobs.get_mut(&run.task.job) {
             job.note_begun();
         }
@@ -413,11 +431,22 @@
 
     /// Handles a run that is missing on its worker but was not listed as ended.
     pub(super) fn run_missing(&mut self, node: &NodeName, run: RunRef, end: LastEnd) {
-        self.release(node, run);
+        let load = self.release(node, run);
         self.detach_run(node, run, end);
+        if load.is_some_and(|load| !load.listed) {
+            self.count_vain_start(run);
+        }
         self.pass_due = true;
     }
 
+    /// Counts a start of which no worker was seen to have a run.
+    pub(super) fn count_vain_start(&mut self, run: RunRef) {
+        let job = self.jobs.get_mut(&run.task.job);
+        if let Some(task) = job.and_then(|job| job.task(run.task)) {
+            task.vain_starts = task.vain_starts.saturating_add(1);
+        }
+    }
+
     /// Releases the resources of a run.
     pub(super) fn release(&mut self, node: &NodeName, run: RunRef) -> Option<Load> {
         let worker = self.workers.get_mut(node)?;
--- a/crates/parsleytally/src/jobs/scheduler/mod.rs
+++ b/crates/parsleytally/src/jobs/scheduler/mod.rs
@@ -37,10 +37,12 @@
 mod starving;
 mod throttle;
 mod uneven;
+mod unreported;
 mod waiting;
 
 use losses::ClosedJob;
 pub use uneven::StandingCounts;
+use unreported::Unreported;
 
 /// Minimum time between two placement passes.
 const MIN_PASS_INTERVAL: Duration = Duration::from_millis(10);
@@ -95,9 +97,10 @@
     /// Whether an acknowledgement waits until a further run of its task is settled.
     acks_held: bool,
     workers: BTreeMap<NodeName, Worker>,
-    /// Agents of the predecessor that have not reported yet, each with the time at which
-    /// runs there have certainly ended unless it is linked.
-    unreported: BTreeMap<NodeName, Time>,
+    /// Agents of the predecessor that have not listed their runs yet.
+    unreported: BTreeMap<NodeName, Unreported>,
+    /// Until when answers to pings keep the runs of agents alive that have not listed them.
+    support_end: Time,
     contention: Contention,
     durations: Durations,
     evacuation: Evacuation,
@@ -143,6 +146,7 @@
             acks_held: false,
             workers: BTreeMap::new(),
             unreported: BTreeMap::new(),
+            support_end: Time::ZERO,
             contention: Contention::default(),
             durations: Durations::default(),
             health_review: HealthReview::default(),
@@ -169,11 +173,8 @@
                 progress,
             } => self.update_job(id, record, accepted, progress.as_ref(), out),
             Input::Learned(record) => self.contention.restore(record),
-            Input::Expected(node) => {
-                let until = now.after(self.options.owner_hold);
-                self.unreported.insert(node, until);
-            }
-            Input::Linked(node) => self.linked(node),
+            Input::Expected(node) => self.expect_agent(now, node),
+            Input::Linked(node) => self.linked(now, node),
             Input::Unlinked(node) => self.unlinked(now, &node),
             Input::Agent(node, message) => self.handle_agent(now, &node, message, out),
             Input::Saved { job, version } => self.saved(job, version),
@@ -330,12 +331,23 @@
         self.pass_due = true;
     }
 
-    fn linked(&mut self, node: NodeName) {
+    fn linked(&mut self, now: Time, node: NodeName) {
+        if let Some(agent) = self.unreported.get_mut(&node) {
+            agent.links += 1;
+        }
+        if self.workers.get(&node).is_some_and(|worker| worker.known) {
+            self.unlinked(now, &node);
+        }
+        let until = self
+            .workers
+            .get(&node)
+            .and_then(|worker| worker.runs_expire_at);
+        let runs_expire_at = until.map(|until| self.extended_end(now, until));
         let worker = self.workers.entry(node).or_default();
+        worker.runs_expire_at = runs_expire_at;
         worker.linked = true;
         worker.listed = false;
         worker.unresponsive = false;
-        worker.runs_expire_at = None;
         worker.last_lease_end = None;
         worker.expect_all_ends();
         // The agent repeats those that are not acknowledged.
@@ -344,18 +356,20 @@
 
     fn unlinked(&mut self, now: Time, node: &NodeName) {
         let hold = now.after(self.options.agent_hold);
-        // Until it has listed its runs, the predecessor's hold may still keep them alive.
-        let inherited = self.unreported.get_mut(node).map_or(hold, |until| {
-            // The answers of this owner have extended the agent's hold.
-            *until = hold.max(*until);
-            *until
-        });
-        if let Some(worker) = self.workers.get_mut(node) {
-            let hold = hold.max(inherited);
-            worker.linked = false;
-            worker.listed = false;
-            worker.runs_expire_at = Some(worker.last_lease_end.map_or(hold, |end| end.min(hold)));
-        }
+        // The predecessor's hold may still keep its runs alive.
+        let inherited = self.unreported.get(node).map(|agent| agent.until);
+        let Some(worker) = self.workers.get_mut(node) else {
+            return;
+        };
+        let own = match worker.runs_expire_at {
+            // Since then, no answer has kept them alive for longer.
+            Some(until) if !worker.known => until,
+            _ => hold,
+        };
+        worker.linked = false;
+        worker.listed = false;
+        worker.known = false;
+        worker.runs_expire_at = Some(inherited.map_or(own, |until| until.max(own)));
     }
 
     fn handle_agent(
@@ -387,7 +401,11 @@
             }
             AgentMessage::Crashed(crash) => {
                 let seen = crash.runs.iter().filter(|lost| lost.seen_ms.is_some());
-                seen.for_each(|lost| self.mark_started(lost.run));
+                for lost in seen {
+                    if let Some(job) = self.jobs.get_mut(&lost.run.task.job) {
+                        job.note_begun();
+                    }
+                }
                 self.worker_crashed(node, &crash, CrashSource::Agent, out);
             }
             AgentMessage::Measurements(gauges) => self.update_gauges(now, node, &gauges, out),
@@ -454,6 +472,7 @@
             } else {
                 self.infer_crash(node, out);
                 self.drop_runs(node, EndEvidence::LaterIncarnation, out);
+                self.expect_all_ends(node);
             }
         }
         let Some(worker) = self.workers.get_mut(node) else {
@@ -524,7 +543,10 @@
         let Some(worker) = self.workers.get_mut(node) else {
             return;
         };
-        let runs: Vec<RunRef> = worker.runs.keys().copied().collect();
+        let runs: Vec<(RunRef, bool)> = {
+            let runs = worker.runs.iter();
+            runs.map(|(run, load)| (*run, load.listed)).collect()
+        };
         out.push(Output::RunsDropped {
             node: node.clone(),
             runs: runs.len(),
@@ -534,12 +556,22 @@
         self.contention.update_headrooms(node, worker);
         self.unreported.remove(node);
         self.acks_due |= self.acks_held;
-        for run in runs {
+        for (run, listed) in runs {
             self.detach_run(node, run, LastEnd::Dropped(evidence));
+            if !listed {
+                self.count_vain_start(run);
+            }
         }
         self.pass_due = true;
     }
 
+    /// Expects all ends of a worker anew, as its agent reports them.
+    fn expect_all_ends(&mut self, node: &NodeName) {
+        if let Some(worker) = self.workers.get_mut(node) {
+            worker.expect_all_ends();
+        }
+    }
+
     /// Handles the end of all leases of a worker.
     ///
     /// The message is older than orders that are on their way to the agent, which may carry them
@@ -549,6 +581,7 @@
         let worker = self.workers.get(node);
         if worker.is_none_or(|worker| worker.unlisted_runs() == 0) {
             self.drop_runs(node, EndEvidence::AgentMessage, out);
+            self.expect_all_ends(node);
             return;
         }
         self.unlinked(now, node);
@@ -560,7 +593,7 @@
         // last confirmation of this ownership are known to have ended.
         let confirmed = now.min(self.confirmed);
         let expired = |(_, worker): &(&NodeName, &Worker)| {
-            worker.runs_expire_at.is_some_and(|at| at <= confirmed)
+            worker.runs_end().is_some_and(|at| at <= confirmed)
         };
         let lost: Vec<NodeName> = {
             let lost = self.workers.iter().filter(expired);
@@ -571,7 +604,10 @@
             if let Some(worker) = self.workers.get_mut(&node) {
                 worker.runs_expire_at = None;
             }
-            out.push(Output::Forget(node));
+            // A linked agent may still list its worker.
+            if !self.is_linked(&node) {
+                out.push(Output::Forget(node));
+            }
         }
         let left = |(_, worker): &(&NodeName, &Worker)| {
             worker.linked && worker.last_lease_end.is_some_and(|at| at <= confirmed)
@@ -583,18 +619,7 @@
         for node in left {
             self.drop_runs(&node, EndEvidence::AgentMessage, out);
         }
-        // This owner keeps the runs of a linked agent alive until that has listed them.
-        let is_linked = |node: &NodeName| self.workers.get(node).is_some_and(|w| w.linked);
-        let expired = self
-            .unreported
-            .iter()
-            .filter(|(node, until)| **until <= confirmed && !is_linked(node));
-        let expired: Vec<NodeName> = expired.map(|(node, _)| node.clone()).collect();
-        self.pass_due |= !expired.is_empty();
-        for node in expired {
-            self.unreported.remove(&node);
-            out.push(Output::Forget(node));
-        }
+        self.expire_unreported(confirmed, out);
         self.open_rounds(now, wall_ms);
         self.remove_ended(now);
         self.save_learned(now, out);
--- a/crates/parsleytally/src/jobs/scheduler/start.rs
+++ b/crates/parsleytally/src/jobs/scheduler/start.rs
@@ -3,7 +3,7 @@
 use super::super::contention::LoadEffects;
 use super::super::crashes::needs_isolation;
 use super::super::fleet::{Load, WorkTime, Worker};
-use super::super::job::{Job, LiveRun, StepRef, StepRun, Task};
+use super::super::job::{LiveRun, StepRef, StepRun, Task};
 use super::super::measured::RunTimeline;
 use super::super::place::{Candidates, PlacementRequest, choose_worker};
 use super::super::urgency::{Urgency, urgency};
@@ -104,11 +104,6 @@
         ready
     }
 
-    /// Whether no unreported agent can have a run of the job that a predecessor started.
-    pub(super) fn may_start(&self, job: &Job) -> bool {
-        self.unreported.is_empty() || job.accepted > self.options.start_revision
-    }
-
     /// Starts at most `limit` waiting tasks of a step; returns whether there was a worker for
     /// each. A gang is started as a whole and returns false.
     pub(super) fn place_step(
@@ -255,8 +250,12 @@
         let workers = self.offered_workers(step, pass, blocked);
         let run = self.step_run(step.at);
         let mut candidates = Candidates::new(workers, &self.request(step, None), run, now);
-        let waiting: Vec<usize> = run.waiting_tasks().take(limit).collect();
+        let waiting: Vec<usize> = run.waiting_tasks().collect();
+        let mut started = 0;
         for index in waiting {
+            if started == limit {
+                break;
+            }
             let run = self.step_run(step.at);
             let task = &run.tasks[index];
             if awaits_save(&self.jobs[&step.at.job], task) {
@@ -298,6 +297,7 @@
                 load: &step.load,
             };
             self.start_run(now, &start, out);
+            started += 1;
             self.offer(step, &node, &mut candidates, now);
         }
         placement
@@ -494,7 +494,6 @@
         let payload = job.spec.payload.clone();
         let target_ms = job.spec.steps[step.step].target_ms;
         let step_run = &mut job.rounds[step.round].steps[step.step];
-        step_run.wait = None;
         let task = &mut step_run.tasks[index];
         task.last_run = run.run;
         if let Some(last_end) = task.last_end.filter(is_unlisted) {
--- a/crates/parsleytally/src/jobs/tests/agent.rs
+++ b/crates/parsleytally/src/jobs/tests/agent.rs
@@ -7,7 +7,7 @@
 
 /// An agent of worker 0 in simulated time.
 pub(super) struct TestAgent {
-    agent: JobAgent,
+    pub(super) agent: JobAgent,
     pub(super) now: Time,
     /// Polls without an answer.
     pub(super) polls: Vec<PollCall>,
@@ -72,6 +72,7 @@
             sent: self.now.as_micros(),
             confirmation_age: age.as_micros() as u64,
             owner_clock: 0,
+            supports: true,
         };
         self.step(AgentInput::OwnerMessage(OwnerLink(1), pong))
     }
@@ -82,6 +83,7 @@
             sent: self.now.as_micros(),
             confirmation_age: 0,
             owner_clock,
+            supports: true,
         };
         self.step(AgentInput::OwnerMessage(OwnerLink(1), pong));
     }
@@ -131,6 +133,7 @@
             running: running.collect(),
             ended,
             complete: true,
+            unnamed: 0,
         });
         self.step(AgentInput::Polled { call, answer })
     }
@@ -159,6 +162,7 @@
             running: running.into_iter().map(status).collect(),
             ended: vec![],
             complete: true,
+            unnamed: 0,
         });
         self.step(AgentInput::Polled { call, answer })
     }
@@ -602,6 +606,7 @@
             running: vec![],
             ended: vec![],
             complete: case.complete,
+            unnamed: 0,
         });
         let out = agent.step(AgentInput::Polled { call, answer });
         let missing = AgentMessage::Missing(order);
@@ -634,6 +639,7 @@
             running: vec![],
             ended: vec![end.clone()],
             complete,
+            unnamed: 0,
         });
         let out = agent.step(AgentInput::Polled { call, answer });
         let listed =
--- /dev/null
+++ b/crates/parsleytally/src/jobs/tests/held_back.rs
@@ -0,0 +1,303 @@
+//! Work that could run and that a single agent, task or mark holds back.
+
+use std::time::Duration;
+
+use super::scheduler::{Bench, options, starts};
+use super::*;
+use crate::configs::BestEffortConfig;
+
+/// Time between two ticks, in milliseconds.
+const TICK_MS: u64 = 150;
+/// Time within which a job with nothing running starts, by the platform's page.
+const IDLE_BOUND_MS: u64 = 3_000;
+/// Time within which a task that lasts starts again, by the platform's page.
+const LASTING_BOUND_MS: u64 = 9_000;
+
+/// Options with the default times of the settings, extended for drifting clocks.
+fn default_times() -> SchedulerOptions {
+    SchedulerOptions {
+        agent_hold: Duration::from_millis(5_250),
+        owner_hold: Duration::from_millis(8_400),
+        best_effort: BestEffortConfig {
+            cpu_limit: Some(130),
+            ..BestEffortConfig::default()
+        },
+        ..options()
+    }
+}
+
+/// Ticks until `done`; the time that it took, in milliseconds, if it was within `most`.
+fn time_until(
+    bench: &mut Bench,
+    most: u64,
+    mut done: impl FnMut(&mut Bench, &[Output]) -> bool,
+) -> Option<u64> {
+    for tick in 1..=most / TICK_MS {
+        let out = bench.wait(TICK_MS);
+        if done(bench, &out) {
+            return Some(tick * TICK_MS);
+        }
+    }
+    None
+}
+
+/// Guards against LOST: one agent that never lists its runs, or whose link comes and goes, held back
+/// every job accepted before the ownership, on all workers and without a bound.
+#[test]
+fn one_agent_that_never_lists_does_not_hold_back_the_old_jobs_of_all() {
+    struct Case {
+        name: &'static str,
+        workers: usize,
+        /// Inputs of the agent that never lists, at each even and each odd tick.
+        inputs: [fn(usize) -> Vec<Input>; 2],
+    }
+    let nothing = |_: usize| Vec::new();
+    let linked = |at: usize| vec![Input::Linked(node(at))];
+    let lost = |at: usize| vec![Input::Unlinked(node(at))];
+    let relinked = |at: usize| vec![Input::Unlinked(node(at)), Input::Linked(node(at))];
+    let reported = |at: usize| {
+        let report = AgentMessage::Report(report(at, 7));
+        vec![Input::Agent(node(at), report)]
+    };
+    let cases = [
+        Case {
+            name: "never linked",
+            workers: 2,
+            inputs: [nothing, nothing],
+        },
+        Case {
+            name: "links come and go",
+            workers: 2,
+            inputs: [linked, lost],
+        },
+        Case {
+            name: "links come and go beside 3,000 workers",
+            workers: 3_000,
+            inputs: [linked, lost],
+        },
+        Case {
+            name: "linked again and again, reported, never listed",
+            workers: 2,
+            inputs: [relinked, reported],
+        },
+    ];
+    for case in cases {
+        let mut bench = Bench::with_options(default_times());
+        let odd = case.workers;
+        for at in 0..=odd {
+            bench
+                .scheduler
+                .step(bench.now, 0, Input::Expected(node(at)), &mut Vec::new());
+        }
+        bench.submit(1, job(vec![step(1, &[])]), 5);
+        bench.join(0, report(0, 7));
+        for at in 1..case.workers {
+            let inputs = [
+                Input::Linked(node(at)),
+                Input::Agent(node(at), AgentMessage::Report(report(at, 7))),
+                Input::Agent(node(at), listing(at)),
+            ];
+            for input in inputs {
+                bench.scheduler.step(bench.now, 0, input, &mut Vec::new());
+            }
+        }
+        let mut tick = 0;
+        let started = time_until(&mut bench, 2 * LASTING_BOUND_MS, |bench, out| {
+            for input in case.inputs[tick % 2](odd) {
+                bench.feed(input);
+            }
+            tick += 1;
+            !starts(out).is_empty() || bench.scheduler.state(JobId(1)) == Some(JobState::Running)
+        });
+        let in_time = started.is_some_and(|time| time <= LASTING_BOUND_MS);
+        assert!(in_time, "{}: {started:?} ms", case.name);
+    }
+}
+
+/// An empty listing of worker `at`.
+fn listing(at: usize) -> AgentMessage {
+    AgentMessage::Listed {
+        incarnation: incarnation(at, 7),
+        running: vec![],
+        ended: vec![],
+    }
+}
+
+/// Guards against LOST: the runs of a lost agent counted as alive for as long as its link came and went
+/// without a listing, so their tasks started nowhere else.
+#[test]
+fn links_without_a_listing_do_not_keep_the_runs_of_an_agent() {
+    let mut bench = Bench::with_options(default_times());
+    bench.join(0, report(0, 7));
+    let out = bench.submit(1, job(vec![step(1, &[])]), 11);
+    assert_eq!(starts(&out).len(), 1, "{out:?}");
+    bench.join(1, report(1, 7));
+    let mut linked = true;
+    let started = time_until(&mut bench, 2 * LASTING_BOUND_MS, |bench, out| {
+        let link = if linked {
+            Input::Unlinked(node(0))
+        } else {
+            Input::Linked(node(0))
+        };
+        linked = !linked;
+        bench.feed(link);
+        starts(out).iter().any(|(to, _)| *to == node(1))
+    });
+    let in_time = started.is_some_and(|time| time <= LASTING_BOUND_MS);
+    assert!(in_time, "{started:?} ms");
+}
+
+/// Guards against a worker that is never used again: the hold of its agent passed while the owner had yet to
+/// acknowledge ends that the agent reported before its listing, and they were never acknowledged.
+#[test]
+fn ends_are_acknowledged_though_a_hold_passes_before_the_listing() {
+    let mut bench = Bench::with_options(default_times());
+    bench.join(0, report(0, 7));
+    let out = bench.submit(1, job(vec![step(1, &[])]), 11);
+    let ended = starts(&out)[0].1;
+    bench.feed(Input::Unlinked(node(0)));
+    bench.feed(Input::Linked(node(0)));
+    bench.agent(0, AgentMessage::Report(report(0, 7)));
+    bench.end(0, 1, ended, EndReason::Done);
+    bench.wait(LASTING_BOUND_MS);
+    let out = bench.feed(Input::Saved {
+        job: JobId(1),
+        version: 1,
+    });
+    let is_ack = |output: &Output| {
+        matches!(
+            output,
+            Output::Order(_, OrderMessage::AcknowledgeEnds { sequence: 1, .. })
+        )
+    };
+    assert!(out.iter().any(is_ack), "{out:?}");
+}
+
+/// Tail latency of a service that leaves almost no headroom, in milliseconds.
+const BUSY_MS: u64 = 118;
+/// Target of that service, in milliseconds.
+const TARGET_MS: u64 = 150;
+/// Id of the job with the services.
+const SERVICE: u64 = 10_000;
+
+/// A step of best-effort tasks that no worker with a busy service admits.
+fn harmful_step(count: u32, long_running: bool) -> StepSpec {
+    StepSpec {
+        best_effort: true,
+        long_running,
+        need: need(2_250, 100),
+        image: Some("rebuild".into()),
+        ..step(count, &[])
+    }
+}
+
+/// Joins workers, each with a task of a service near its target; returns these.
+fn join_busy(bench: &mut Bench, workers: usize) -> Vec<(NodeName, RunRef)> {
+    for at in 0..workers {
+        bench.join(at, report(at, 7));
+    }
+    let service = StepSpec {
+        long_running: true,
+        target_ms: TARGET_MS,
+        image: Some("service".into()),
+        max_per_worker: 1,
+        ..step(workers as u32, &[])
+    };
+    let placed = starts(&bench.submit(SERVICE, job(vec![service]), 11));
+    assert_eq!(placed.len(), workers);
+    for _ in 0..4 {
+        measure(bench, &placed);
+        bench.wait(TICK_MS);
+    }
+    placed
+}
+
+/// Reports the measurements of all busy services and of `runs`.
+fn measure(bench: &mut Bench, placed: &[(NodeName, RunRef)]) -> Vec<Output> {
+    let mut out = Vec::new();
+    let mut nodes: Vec<&NodeName> = placed.iter().map(|(node, _)| node).collect();
+    nodes.sort_unstable();
+    nodes.dedup();
+    for name in nodes {
+        let runs = placed.iter().filter(|(node, _)| node == name);
+        let gauges = runs.map(|(_, run)| RunStatus {
+            run: *run,
+            checkpoint: String::new(),
+            percent: 100,
+            measurement: if run.task.job.0 == SERVICE {
+                BUSY_MS
+            } else {
+                0
+            },
+        });
+        let measurements = AgentMessage::Measurements(gauges.collect());
+        out.extend(bench.feed(Input::Agent(name.clone(), measurements)));
+    }
+    out
+}
+
+/// Guards against LOST: the wait of a step began anew with each start of one of its tasks, so those of a step of
+/// tasks that last started one by one, each after a wait of its own.
+#[test]
+fn each_task_that_lasts_has_a_wait_of_its_own() {
+    const TASKS: usize = 16;
+    let mut bench = Bench::with_options(default_times());
+    let mut placed = join_busy(&mut bench, TASKS);
+    let out = bench.submit(1, job(vec![harmful_step(TASKS as u32, true)]), 30);
+    placed.extend(starts(&out));
+    let time = time_until(&mut bench, 2 * LASTING_BOUND_MS, |bench, out| {
+        placed.extend(starts(out));
+        placed.extend(starts(&measure(bench, &placed)));
+        let of_job = placed.iter().filter(|(_, run)| run.task.job == JobId(1));
+        of_job.count() >= TASKS
+    });
+    let in_time = time.is_some_and(|time| time <= LASTING_BOUND_MS);
+    assert!(in_time, "{time:?} ms");
+}
+
+/// Guards against LOST: a start that was refused ended the wait of its task, so one worker that refuses all starts
+/// kept a job from the others for ever.
+#[test]
+fn a_worker_that_refuses_all_starts_does_not_hold_back_a_job() {
+    struct Case {
+        name: &'static str,
+        long_running: bool,
+        bound_ms: u64,
+    }
+    let cases = [
+        Case {
+            name: "a job with nothing running",
+            long_running: false,
+            bound_ms: IDLE_BOUND_MS,
+        },
+        Case {
+            name: "a task that lasts",
+            long_running: true,
+            bound_ms: LASTING_BOUND_MS,
+        },
+    ];
+    for case in cases {
+        let mut bench = Bench::with_options(default_times());
+        let services = join_busy(&mut bench, 1);
+        bench.join(1, report(1, 7));
+        let refuse = |bench: &mut Bench, out: &[Output]| {
+            let mut sound = false;
+            for (at, run) in starts(out) {
+                sound |= at == node(0);
+                if at == node(1) {
+                    let reason = RefusalReason::Unwell;
+                    bench.agent(1, AgentMessage::Refused { run, reason });
+                }
+            }
+            sound
+        };
+        let out = bench.submit(1, job(vec![harmful_step(1, case.long_running)]), 30);
+        refuse(&mut bench, &out);
+        let time = time_until(&mut bench, 2 * LASTING_BOUND_MS, |bench, out| {
+            measure(bench, &services);
+            refuse(bench, out)
+        });
+        let in_time = time.is_some_and(|time| time <= case.bound_ms);
+        assert!(in_time, "{}: {time:?} ms", case.name);
+    }
+}
--- a/crates/parsleytally/src/jobs/tests/mod.rs
+++ b/crates/parsleytally/src/jobs/tests/mod.rs
@@ -16,6 +16,7 @@
 mod foreign_reports;
 mod forgotten_jobs;
 mod gang_checkpoints;
+mod held_back;
 mod late_checkpoints;
 mod losses;
 mod malformed;
@@ -31,6 +32,7 @@
 mod shutdown;
 mod throttle;
 mod uneven;
+mod unnamed;
 mod waiting;
 mod worker;
 
--- a/crates/parsleytally/src/jobs/tests/model/mod.rs
+++ b/crates/parsleytally/src/jobs/tests/model/mod.rs
@@ -20,6 +20,7 @@
 mod faults;
 mod known;
 mod links;
+mod odd;
 mod owners;
 mod queue;
 mod registration;
@@ -32,6 +33,7 @@
 use calls::Calls;
 use crashes::Crashes;
 use links::Link;
+use odd::OddEntries;
 use owners::SimulatedOwner;
 use queue::{Event, ScheduledEvent};
 use stalls::{STALLS, Stalls};
@@ -39,6 +41,8 @@
 
 /// Number of seeds that the tests simulate.
 const SEEDS: u64 = 300;
+/// Most seeds within which an injected bug is detected.
+const BUG_SEEDS: u64 = 2_000;
 const WORKERS: usize = 4;
 /// Start of the first incarnation of each worker, and least time from one to the next.
 const FIRST_START: u64 = 1_000;
@@ -134,6 +138,8 @@
     crashes: Crashes,
     calls: Calls,
     stalls: Stalls,
+    /// Odd entries of the lists of each worker; empty if there are none.
+    odd: Vec<OddEntries>,
     /// Whether the events are printed.
     traced: bool,
 }
@@ -181,6 +187,7 @@
             crashes: Crashes::default(),
             calls: Calls::default(),
             stalls: Stalls::default(),
+            odd: Vec::new(),
             traced: false,
         };
         for at in 0..WORKERS {
@@ -392,7 +399,7 @@
 }
 
 /// Prints the events of the seed `PARSLEYTALLY_MODEL_SEED`, if that is set, of the kind
-/// `PARSLEYTALLY_MODEL_KIND`: `crashes`, `preemption`, `stalls`, `uneven`, or a
+/// `PARSLEYTALLY_MODEL_KIND`: `crashes`, `odd`, `preemption`, `stalls`, `uneven`, or a
 /// plain one.
 #[test]
 fn events_of_a_seed() {
@@ -404,6 +411,7 @@
     let mut simulation = match kind.as_str() {
         "crashes" => Simulation::with_crashes(seed),
         "stalls" => Simulation::with_stalls(seed),
+        "odd" => Simulation::with_odd_entries(seed),
         "preemption" => with_preemption(seed),
         "uneven" => Simulation::with_settings(seed, InjectedBug::Nothing, UNEVEN),
         _ => Simulation::new(seed, InjectedBug::Nothing),
@@ -510,7 +518,7 @@
         },
     ];
     for BugCase { bug, violation } in cases {
-        let mut runs = (0..SEEDS).map(|seed| Simulation::new(seed, bug).run());
+        let mut runs = (0..BUG_SEEDS).map(|seed| Simulation::new(seed, bug).run());
         let detected = runs.any(|found| found.iter().any(|text| text.contains(violation)));
         assert!(detected, "{bug:?} was not detected by {violation:?}");
     }
