perf(jobs): a starving step looks for runs of its job once a pass

Cause: with each tick, each step that had waited for 1.5 s looked through the tasks of all rounds of its job for a run. The answer is the same for all steps of a job, so it is kept for the pass.

No test of its own: tests assert no timings. A pass still grows in proportion to the waiting rounds.

--- a/crates/parsleytally/examples/owner_cost/load.rs
+++ b/crates/parsleytally/examples/owner_cost/load.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use parsleytally::jobs::{Input, JobId, JobRecord, JobSpec, QueueName, QueuePolicy, StepSpec};
+use parsleytally::jobs::{
+    Input, JobId, JobRecord, JobSpec, QueueName, QueuePolicy, Repeat, StepSpec,
+};
 use parsleytally::types::{Resources, Revision, Time};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -90,6 +92,22 @@
         jobs.collect()
     }
 
+    /// A job whose rounds of one task each are all due at `now`.
+    pub(crate) fn rounds(&mut self, now: Time, rounds: usize, cpu: u64) -> Input {
+        let mut input = self.job(now, Kind::Short);
+        if let Input::Job { record, .. } = &mut input {
+            record.spec.steps.truncate(1);
+            record.spec.steps[0].count = 1;
+            record.spec.steps[0].need = Resources::new(cpu, MEGABYTE, 0);
+            record.spec.repeat = Some(Repeat {
+                count: u32::try_from(rounds).expect("a small number"),
+                start_ms: 0,
+                interval_ms: 0,
+            });
+        }
+        input
+    }
+
     fn job(&mut self, now: Time, kind: Kind) -> Input {
         self.jobs += 1;
         let steps = match kind {
--- a/crates/parsleytally/examples/owner_cost/main.rs
+++ b/crates/parsleytally/examples/owner_cost/main.rs
@@ -11,10 +11,16 @@
 //!
 //! An owner takes over a fleet with a service near its target on each worker and a backlog
 //! of best-effort jobs, until each job has had a run.
+//!
+//! `cargo run --release --example owner_cost -- rounds WORKERS ROUNDS`
+//!
+//! A repeated job all of whose rounds are due at once, with tasks that fit and with tasks that no
+//! worker can take.
 
 mod backlog;
 mod fleet;
 mod load;
+mod rounds;
 
 use std::time::{Duration, Instant};
 
@@ -48,12 +54,14 @@
 
 fn main() {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
-    if let [mode, workers, jobs] = &arguments[..]
-        && mode == "backlog"
-    {
+    if let [mode, workers, count] = &arguments[..] {
         let workers = workers.parse().expect("a number of workers");
-        let jobs = jobs.parse().expect("a number of jobs");
-        backlog::play(workers, jobs);
+        let count = count.parse().expect("a number of jobs or rounds");
+        match mode.as_str() {
+            "backlog" => backlog::play(workers, count),
+            "rounds" => rounds::play(workers, count),
+            _ => panic!("expected backlog or rounds"),
+        }
         return;
     }
     println!("workers  load  core%  us/start  longest ms  starts/s  waiting  completed jobs");
--- a/crates/parsleytally/src/jobs/scheduler/starving.rs
+++ b/crates/parsleytally/src/jobs/scheduler/starving.rs
@@ -1,14 +1,14 @@
 //! Bounds the wait of jobs that could run: learned headroom, trials and limits protect other
 //! work, but what they protect it from must not wait for ever while most of the room is free.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::super::Output;
 use super::super::fleet::Worker;
 use super::super::job::{Job, StepRef};
 use super::super::urgency::Urgency;
+use super::super::{JobId, Output};
 use super::Scheduler;
 use super::pass::Pass;
 use crate::types::{NodeName, Time};
@@ -46,6 +46,15 @@
     }
 }
 
+/// What is the same for all steps of a job or pool in one pass; a job may have many rounds.
+#[derive(Default)]
+struct KnownInPass {
+    /// Whether a job has runs.
+    running: HashMap<JobId, bool>,
+    /// Whether most of a pool is reserved.
+    full: BTreeMap<Arc<str>, bool>,
+}
+
 impl Scheduler {
     /// Starts one task, or a whole gang, of each starving job, although the protection of
     /// other work turns it away.
@@ -73,10 +82,10 @@
     /// Starving steps to place in this pass, the most urgent first; if there are too many,
     /// those that were offered least.
     fn starving_steps(&self, now: Time, ready: &[(Urgency, StepRef)]) -> Vec<StepRef> {
-        let mut full = BTreeMap::new();
+        let mut known = KnownInPass::default();
         let steps = ready.iter().map(|(_, at)| *at);
         let mut starving: Vec<StepRef> = steps
-            .filter(|at| self.is_starving(now, *at, &mut full))
+            .filter(|at| self.is_starving(now, *at, &mut known))
             .collect();
         let most = MAX_SCORED / self.workers.len().clamp(1, MIN_SCORED);
         if starving.len() > most {
@@ -102,19 +111,20 @@
         }
     }
 
-    fn is_starving(&self, now: Time, at: StepRef, full: &mut BTreeMap<Arc<str>, bool>) -> bool {
+    fn is_starving(&self, now: Time, at: StepRef, known: &mut KnownInPass) -> bool {
         let job = &self.jobs[&at.job];
         let wait = job.step_run(at).wait;
         if wait.is_none_or(|wait| now.since(wait.since) < STARVED_AFTER) {
             return false;
         }
         let step = &job.spec.steps[at.step];
-        let is_idle = step.long_running || !has_runs(job);
+        let mut has_runs = || *known.running.entry(at.job).or_insert_with(|| has_runs(job));
+        let is_idle = step.long_running || !has_runs();
         if !is_idle || !step.best_effort {
             return is_idle;
         }
         let pool = &job.policy.service;
-        let is_full = full.entry(pool.clone());
+        let is_full = known.full.entry(pool.clone());
         !*is_full.or_insert_with(|| self.is_full(pool))
     }
 
