fix(jobs): no filter of workers holds work back beyond its bound

Five jobs that always fail had put that worker into quarantine.

Cause: each failure after the third doubled the quarantine, also those of runs that were ordered before it began, so that failures of one moment escalated to 16 s at once; and starving work passed quarantine only if all workers of the pool were quarantined, not all that could take the task.

Now failures of runs from before the quarantine belong to its event; a run that was ordered after it began and is seen for 2 s ends it and its doubling; and starving work may use quarantined workers if no other can ever take it, or, after 2.2 s, if none has room for it (steps that last, and pools that are not full). The same class elsewhere: isolation, standing and the wait for a rack had no bound for the only worker; a starving step passes them, and they only order the workers.

The unit test of `Failures` is of the new interface and was not run on the old code.

A pause after a refused start is kept apart from the quarantine, so starving work does not skip it.

--- a/crates/parsleytally/src/jobs/fleet.rs
+++ b/crates/parsleytally/src/jobs/fleet.rs
@@ -6,6 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::failures::Failures;
 use super::isolation::Isolation;
 use super::measured::RunTimeline;
 use super::worker_health::WorkerHealth;
@@ -141,69 +142,6 @@
     pub(super) unsettled: Vec<(NodeName, RunRef)>,
 }
 
-/// Failures of a worker since its last success, and its quarantine.
-#[derive(Debug, Clone, Default)]
-pub(super) struct Failures {
-    /// Distinct jobs whose tasks failed there.
-    failed_jobs: Vec<JobId>,
-    /// Time until which no run is started there.
-    pub(super) quarantined_until: Option<Time>,
-    /// Number of quarantines since the last success.
-    quarantines: u32,
-}
-
-/// Distinct jobs that must fail on a worker before it is quarantined.
-const QUARANTINE_JOBS: usize = 3;
-/// Duration of the first quarantine, in milliseconds; each further one is twice as long.
-const QUARANTINE_MS: u64 = 2_000;
-/// Maximum number of doublings of [`QUARANTINE_MS`].
-const MAX_QUARANTINE_DOUBLINGS: u32 = 3;
-/// Time without new runs on a worker after it refused one.
-const REFUSAL_PAUSE: Duration = Duration::from_millis(400);
-
-impl Failures {
-    pub(super) fn record_failure(&mut self, now: Time, job: JobId) {
-        if !self.failed_jobs.contains(&job) {
-            self.failed_jobs.push(job);
-        }
-        if self.failed_jobs.len() < QUARANTINE_JOBS {
-            return;
-        }
-        let duration_ms = QUARANTINE_MS << self.quarantines.min(MAX_QUARANTINE_DOUBLINGS);
-        self.quarantined_until = Some(now.after(Duration::from_millis(duration_ms)));
-        self.quarantines += 1;
-        // A failure of one more job after the quarantine starts the next quarantine.
-        self.failed_jobs.truncate(QUARANTINE_JOBS - 1);
-    }
-
-    pub(super) fn record_success(&mut self) {
-        *self = Self::default();
-    }
-
-    pub(super) fn is_quarantined(&self, now: Time) -> bool {
-        self.quarantined_until.is_some_and(|until| now < until)
-    }
-
-    /// Starts no run there for a while, after the worker refused one.
-    pub(super) fn pause_after_refusal(&mut self, now: Time) {
-        let until = now.after(REFUSAL_PAUSE);
-        self.quarantined_until = Some(
-            self.quarantined_until
-                .map_or(until, |current| current.max(until)),
-        );
-    }
-
-    /// Whether it was quarantined since its last success.
-    pub(super) fn was_quarantined(&self) -> bool {
-        self.quarantines > 0
-    }
-
-    /// Whether a run failed there and none has succeeded since.
-    pub(super) fn is_suspect(&self) -> bool {
-        !self.failed_jobs.is_empty()
-    }
-}
-
 /// A crash of a worker that is acknowledged to its agent once the store has it.
 #[derive(Debug)]
 pub(super) struct PendingCrash {
@@ -301,7 +239,12 @@
 
     /// Whether a run can be started there now.
     pub(super) fn accepts_tasks(&self, now: Time) -> bool {
-        self.is_available() && !self.failures.is_quarantined(now)
+        self.is_available() && !self.failures.is_quarantined(now) && !self.failures.is_paused(now)
+    }
+
+    /// Whether its failures or outages keep some runs from it.
+    pub(super) fn is_restricted(&self, now: Time) -> bool {
+        self.failures.is_quarantined(now) || self.health.is_restricted()
     }
 
     /// Whether it can run tasks, be it quarantined or not.
--- a/crates/parsleytally/src/jobs/mod.rs
+++ b/crates/parsleytally/src/jobs/mod.rs
@@ -20,6 +20,7 @@
 mod decisions;
 mod durations;
 mod evacuation;
+mod failures;
 pub mod fencing;
 mod fleet;
 mod isolation;
--- a/crates/parsleytally/src/jobs/place.rs
+++ b/crates/parsleytally/src/jobs/place.rs
@@ -34,9 +34,10 @@
     pub(super) failed_on: Option<&'a NodeName>,
     /// Whether much work would be lost with a run of the task.
     pub(super) costly: bool,
-    /// Whether its job has waited so long that it may exceed headroom and limits.
+    /// Whether its job has waited so long that the protection of other work, by headroom, limits or
+    /// isolation, only decides between workers.
     pub(super) starving: bool,
-    /// Whether it may start on quarantined workers.
+    /// Whether it may start on quarantined workers, and on those of low standing.
     pub(super) quarantined: bool,
     /// Whether the task may have crashed a worker, and needs one without recent starts.
     pub(super) isolated: bool,
@@ -47,6 +48,8 @@
 /// Score of a worker; higher is better, compared field by field.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct Score {
+    /// Whether no task in isolation is exposed to others, or others to it.
+    apart: bool,
     /// Whether no run has failed there since the last success.
     healthy: bool,
     /// Whether the task did not fail there last.
@@ -184,7 +187,8 @@
     if !worker.is_available() {
         return Some(unusable_reason(worker));
     }
-    if !request.quarantined && worker.failures.is_quarantined(now) {
+    let is_quarantined = !request.quarantined && worker.failures.is_quarantined(now);
+    if is_quarantined || worker.failures.is_paused(now) {
         return Some(WaitReason::Quarantined);
     }
     if !worker.fits(request.load) {
@@ -193,18 +197,44 @@
     if !request.starving && !is_within_limit(worker, request) {
         return Some(WaitReason::CpuLimit);
     }
-    if !worker.health.admits(&worker.runs, request.costly) {
+    if !request.quarantined && !worker.health.admits(&worker.runs, request.costly) {
         return Some(WaitReason::Standing);
     }
     if !has_required_label(worker, request) {
         return Some(WaitReason::Label);
     }
-    if !worker.isolation.admit(now, request.job, request.isolated) {
+    if !request.starving && !is_apart(now, worker, request) {
         return Some(WaitReason::Isolation);
     }
     (!below_limit(name, request.step, run)).then_some(WaitReason::PerWorker)
 }
 
+/// Whether no task in isolation would start or stay there beside tasks of other jobs.
+fn is_apart(now: Time, worker: &Worker, request: &PlacementRequest<'_>) -> bool {
+    worker.isolation.admit(now, request.job, request.isolated)
+}
+
+/// Whether a worker that accepts tasks could take one of the step: now, or `once_empty`.
+pub(super) fn is_usable(
+    now: Time,
+    name: &NodeName,
+    worker: &Worker,
+    request: &PlacementRequest<'_>,
+    run: &StepRun,
+    once_empty: bool,
+) -> bool {
+    let has_room = || match &worker.report {
+        Some(report) if once_empty => request.load.need.fits(&report.capacity),
+        _ => worker.fits(request.load),
+    };
+    may_run(worker, request)
+        && worker.accepts_tasks(now)
+        && worker.health.admits(&worker.runs, request.costly)
+        && has_required_label(worker, request)
+        && below_limit(name, request.step, run)
+        && has_room()
+}
+
 /// Why a worker can't run tasks.
 fn unusable_reason(worker: &Worker) -> WaitReason {
     if worker.evacuated {
@@ -276,6 +306,7 @@
         0
     };
     Ok(Score {
+        apart: is_apart(now, worker, request),
         healthy: !worker.failures.is_suspect(),
         untried: request.failed_on != Some(name),
         exposed: -exposed_runs(worker, request),
--- a/crates/parsleytally/src/jobs/scheduler/ended.rs
+++ b/crates/parsleytally/src/jobs/scheduler/ended.rs
@@ -194,7 +194,7 @@
         worker.last_ended = ended_run.sequence;
         let load = self.release(node, ended_run.run);
         self.pass_due = true;
-        self.record_health(now, node, ended_run);
+        self.record_health(now, node, ended_run, load.as_ref());
         self.learn_from_end(now, node, ended_run, load.as_ref());
         self.record_duration(now, ended_run, load.as_ref());
         self.account_run(now, ended_run, load.as_ref());
@@ -252,12 +252,20 @@
         }
     }
 
-    fn record_health(&mut self, now: Time, node: &NodeName, ended_run: &EndedRun) {
+    fn record_health(
+        &mut self,
+        now: Time,
+        node: &NodeName,
+        ended_run: &EndedRun,
+        load: Option<&Load>,
+    ) {
+        let job = ended_run.run.task.job;
+        let ordered = load.and_then(|load| load.timeline.ordered);
         let Some(worker) = self.workers.get_mut(node) else {
             return;
         };
         match ended_run.reason {
-            EndReason::Failed => worker.failures.record_failure(now, ended_run.run.task.job),
+            EndReason::Failed => worker.failures.record_failure(now, job, ordered),
             EndReason::Done => worker.failures.record_success(),
             _ => {}
         }
--- a/crates/parsleytally/src/jobs/scheduler/start.rs
+++ b/crates/parsleytally/src/jobs/scheduler/start.rs
@@ -35,7 +35,7 @@
     costly: bool,
     /// Workers whose headroom and limits it may exceed, as its job has waited for long.
     pub(super) starving: Option<Offer>,
-    /// Whether it may start on quarantined workers.
+    /// Whether it may start on quarantined workers, and on those of low standing.
     pub(super) quarantined: bool,
 }
 
@@ -273,7 +273,8 @@
                 let workers = self.offered_workers(step, pass, blocked);
                 choose_worker(workers, &request, run, now).cloned()
             };
-            let waits = self.waits_for_rack(step.at, index, node.as_ref(), pass, racks);
+            let waits = step.starving.is_none()
+                && self.waits_for_rack(step.at, index, node.as_ref(), pass, racks);
             let Some(node) = node else {
                 if isolated {
                     placement = placement.max(Placement::AwaitsIsolation);
--- a/crates/parsleytally/src/jobs/scheduler/starving.rs
+++ b/crates/parsleytally/src/jobs/scheduler/starving.rs
@@ -1,5 +1,6 @@
-//! Bounds the wait of jobs that could run: learned headroom, trials and limits protect other
-//! work, but what they protect it from must not wait for ever while most of the room is free.
+//! Bounds the wait of jobs that could run: learned headroom, trials, limits, isolation, standing
+//! and quarantine protect other work, but what they protect it from must not wait for ever while
+//! most of the room is free. The bounds: `docs/design/filters.md`.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -8,13 +9,17 @@
 use super::super::Output;
 use super::super::fleet::Worker;
 use super::super::job::{Job, StepRef};
+use super::super::place::is_usable;
 use super::super::urgency::Urgency;
 use super::Scheduler;
 use super::pass::Pass;
+use super::start::ReadyStep;
 use crate::types::{NodeName, Time};
 
 /// Wait after which a job with nothing running starves.
 const STARVED_AFTER: Duration = Duration::from_millis(1_500);
+/// Wait after which a starving step for which no other worker has room uses quarantined ones.
+const QUARANTINE_BOUND: Duration = Duration::from_millis(2_200);
 /// Share of a pool's processors that is reserved when it counts as full, in percent. Above it,
 /// best-effort jobs wait for the protection of others.
 const FULL_PERCENT: u64 = 60;
@@ -65,7 +70,7 @@
             };
             let mut step = self.ready_step(at, load);
             step.starving = Some(self.next_offer(at, scored));
-            step.quarantined = self.all_quarantined(pass.now, &self.jobs[&at.job].policy.service);
+            step.quarantined = self.may_use_quarantined(pass.now, at, &step);
             self.place_ready(&step, 1, pass, out);
         }
     }
@@ -118,11 +123,29 @@
         !*is_full.or_insert_with(|| self.is_full(pool))
     }
 
-    /// Whether each worker of a pool that can run tasks is quarantined.
-    fn all_quarantined(&self, now: Time, pool: &str) -> bool {
-        let workers = self.workers.values();
-        let mut usable = workers.filter(|worker| worker.is_in_pool(pool) && worker.is_available());
-        usable.all(|worker| worker.failures.is_quarantined(now))
+    /// Whether a starving step may start on workers that are quarantined or of low standing: no
+    /// other can ever take it, or none has room for it and it must not wait any longer.
+    fn may_use_quarantined(&self, now: Time, at: StepRef, step: &ReadyStep) -> bool {
+        if !self
+            .workers
+            .values()
+            .any(|worker| worker.is_restricted(now))
+        {
+            return false;
+        }
+        let job = &self.jobs[&at.job];
+        let spec = &job.spec.steps[at.step];
+        let run = job.step_run(at);
+        let waited = run.wait.map(|wait| now.since(wait.since));
+        let is_late = waited.is_some_and(|waited| waited >= QUARANTINE_BOUND)
+            && (spec.long_running || !self.is_full(&job.policy.service));
+        if is_late && spec.gang {
+            // The others may have room for some members only.
+            return true;
+        }
+        let request = self.request(step, None);
+        let mut workers = self.workers.iter();
+        !workers.any(|(name, worker)| is_usable(now, name, worker, &request, run, !is_late))
     }
 
     /// Whether most processors of a pool were reserved within the last [`FULL_INTERVAL`].
--- a/crates/parsleytally/src/jobs/scheduler/uneven.rs
+++ b/crates/parsleytally/src/jobs/scheduler/uneven.rs
@@ -144,13 +144,20 @@
         let Some(worker) = self.workers.get_mut(node) else {
             return;
         };
-        let Worker { runs, health, .. } = worker;
+        let Worker {
+            runs,
+            health,
+            failures,
+            ..
+        } = worker;
         for gauge in gauges {
             let Some(load) = runs.get_mut(&gauge.run) else {
                 continue;
             };
             load.listed = true;
             let delay = load.timeline.measure(now, gauge.percent);
+            let seen_ms = load.timeline.seen_ms().unwrap_or_default();
+            failures.record_work(load.timeline.ordered, seen_ms);
             if let Some(delay) = delay.filter(|_| learns) {
                 health.record_start(now, delay);
             }
--- a/crates/parsleytally/src/jobs/tests/mod.rs
+++ b/crates/parsleytally/src/jobs/tests/mod.rs
@@ -12,6 +12,7 @@
 mod durations;
 mod evacuation;
 mod fencing;
+mod filters;
 mod foreign_reports;
 mod forgotten_jobs;
 mod gang_checkpoints;
--- a/crates/parsleytally/src/jobs/worker_health.rs
+++ b/crates/parsleytally/src/jobs/worker_health.rs
@@ -111,16 +111,20 @@
         self.standing
     }
 
+    /// Whether its standing keeps some runs from it.
+    pub(super) fn is_restricted(&self) -> bool {
+        matches!(
+            self.standing,
+            WorkerStanding::Flapping | WorkerStanding::Probation
+        )
+    }
+
     /// Whether it may get one more run, which is `costly` to lose or not; `runs` tells which
     /// runs it has.
     pub(super) fn admits<T>(&self, runs: &BTreeMap<RunRef, T>, costly: bool) -> bool {
-        let restricted = matches!(
-            self.standing,
-            WorkerStanding::Flapping | WorkerStanding::Probation
-        );
         let trial = self.probation.and_then(|probation| probation.trial);
         let on_trial = trial.is_some_and(|trial| runs.contains_key(&trial));
-        !on_trial && (!restricted || !costly)
+        !on_trial && (!self.is_restricted() || !costly)
     }
 
     /// Notes that a run was placed there.
