--- a/crates/parsleytally/src/jobs/scheduler/uneven.rs
+++ b/crates/parsleytally/src/jobs/scheduler/uneven.rs
@@ -144,7 +144,12 @@
         let Some(worker) = self.workers.get_mut(node) else {
             return;
         };
-        let Worker { runs, health, .. } = worker;
+        let Worker {
+            runs,
+            health,
+            failures,
+            ..
+        } = worker;
         let mut seen = Vec::new();
         for gauge in gauges {
             let Some(load) = runs.get_mut(&gauge.run) else {
@@ -154,6 +159,8 @@
                 seen.push(gauge.run);
             }
             let delay = load.timeline.measure(now, gauge.percent);
+            let seen_ms = load.timeline.seen_ms().unwrap_or_default();
+            failures.record_work(load.timeline.ordered, seen_ms);
             if let Some(delay) = delay.filter(|_| learns) {
                 health.record_start(now, delay);
             }
