fix(jobs): a link of the first part that is taken up late extends the hold

A task could run twice: the owner started it elsewhere while its first run was still kept alive.

Cause: answers to pings keep unlisted runs alive until support_end, sent by the tasks of the links. Whether a link extends the hold was decided by the time at which the owner took the link up, which is later when it is busy with a batch.

Change: the hold of runs on a link without a listing always reaches support_end plus the agent's hold.

--- a/crates/parsleytally/src/jobs/scheduler/mod.rs
+++ b/crates/parsleytally/src/jobs/scheduler/mod.rs
@@ -342,7 +342,7 @@
             .workers
             .get(&node)
             .and_then(|worker| worker.runs_expire_at);
-        let runs_expire_at = until.map(|until| self.extended_end(now, until));
+        let runs_expire_at = until.map(|until| self.extended_end(until));
         let worker = self.workers.entry(node).or_default();
         worker.runs_expire_at = runs_expire_at;
         worker.linked = true;
--- a/crates/parsleytally/src/jobs/scheduler/unreported.rs
+++ b/crates/parsleytally/src/jobs/scheduler/unreported.rs
@@ -47,13 +47,10 @@
     }
 
     /// When all runs of an agent have ended that is linked but whose runs are not known: `until`, or
-    /// later if the answers to its pings may still extend that.
-    pub(super) fn extended_end(&self, now: Time, until: Time) -> Time {
-        if now < self.support_end {
-            until.max(self.support_end.after(self.options.agent_hold))
-        } else {
-            until
-        }
+    /// later if the answers to its pings may have extended that. The link may have been opened in the first
+    /// part of the ownership, though this owner learns of it later.
+    pub(super) fn extended_end(&self, until: Time) -> Time {
+        until.max(self.support_end.after(self.options.agent_hold))
     }
 
     /// Whether no unreported agent can have a run of the job that a predecessor started.
--- a/crates/parsleytally/src/jobs/tests/held_back.rs
+++ b/crates/parsleytally/src/jobs/tests/held_back.rs
@@ -14,7 +14,7 @@
 const LASTING_BOUND_MS: u64 = 9_000;
 
 /// Options with the default times of the settings, extended for drifting clocks.
-fn default_times() -> SchedulerOptions {
+pub(super) fn default_times() -> SchedulerOptions {
     SchedulerOptions {
         agent_hold: Duration::from_millis(5_250),
         owner_hold: Duration::from_millis(8_400),
--- a/crates/parsleytally/src/jobs/tests/owner_change.rs
+++ b/crates/parsleytally/src/jobs/tests/owner_change.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use super::agent::TestAgent;
+use super::held_back::default_times;
 use super::scheduler::{Bench, options, starts};
 use super::*;
 
@@ -245,3 +246,32 @@
         assert!(acknowledged(&out, 0), "{}: {out:?}", case.what);
     }
 }
+
+/// How long before `end` a task starts on another worker; none if it does not.
+fn starts_before(bench: &mut Bench, end: crate::types::Time) -> Option<Duration> {
+    while bench.now.after(Duration::from_millis(400)) < end {
+        if !starts(&bench.wait(150)).is_empty() {
+            return Some(end.since(bench.now));
+        }
+    }
+    None
+}
+
+/// Guards against tasks that run twice: an owner that was busy took up a link of the first part only after it, and
+/// did not extend the hold that its answers had extended.
+#[test]
+fn a_link_of_the_first_part_that_is_taken_up_late_extends_the_hold() {
+    let mut bench = Bench::with_options(default_times());
+    bench.feed(Input::Expected(node(1)));
+    bench.join(0, report(0, 7));
+    let out = bench.submit(1, job(vec![step(1, &[])]), 11);
+    assert_eq!(starts(&out).len(), 1, "{out:?}");
+    bench.join(1, report(1, 7));
+    bench.feed(Input::Unlinked(node(0)));
+    let support_end = bench.scheduler.support_end();
+    bench.now = support_end.after(Duration::from_millis(100));
+    bench.feed(Input::Linked(node(0)));
+    bench.feed(Input::Unlinked(node(0)));
+    let end = support_end.after(default_times().agent_hold);
+    assert_eq!(starts_before(&mut bench, end), None);
+}
