fix(jobs): the hold of a replaced link counts from its close

A task could run twice after all leases of a worker had expired while a start was on its way to it.

Cause: the owner counts the hold from its order to replace the link. Until the link is closed, after the batch, it answers pings, and the agent uses the answers, since its listing was known there.

--- a/crates/parsleytally/src/jobs/scheduler/mod.rs
+++ b/crates/parsleytally/src/jobs/scheduler/mod.rs
@@ -573,6 +573,10 @@
             return;
         }
         self.unlinked(now, node);
+        if let Some(worker) = self.workers.get_mut(node) {
+            // The link answers pings, and the agent uses the answers, until it is closed.
+            worker.known = true;
+        }
         out.push(Output::Relink(node.clone()));
     }
 
--- a/crates/parsleytally/src/jobs/tests/owner_change.rs
+++ b/crates/parsleytally/src/jobs/tests/owner_change.rs
@@ -275,3 +275,21 @@
     let end = support_end.after(default_times().agent_hold);
     assert_eq!(starts_before(&mut bench, end), None);
 }
+
+/// Guards against tasks that run twice: the hold counted from the order to replace a link, though that link answers pings
+/// until it is closed.
+#[test]
+fn the_hold_of_a_replaced_link_counts_from_its_close() {
+    let mut bench = Bench::new();
+    bench.join(0, report(0, 7));
+    let out = bench.submit(1, job(vec![step(1, &[])]), 11);
+    assert_eq!(starts(&out).len(), 1, "{out:?}");
+    let out = bench.agent(0, AgentMessage::LeasesExpired);
+    let is_replaced = |output: &Output| matches!(output, Output::Relink(_));
+    assert!(out.iter().any(is_replaced), "{out:?}");
+    bench.join(1, report(1, 7));
+    bench.now = bench.now.after(Duration::from_secs(3));
+    bench.feed(Input::Unlinked(node(0)));
+    let end = bench.now.after(options().agent_hold);
+    assert_eq!(starts_before(&mut bench, end), None);
+}
