fix(jobs): a worker that refuses starts is the last choice until it has a new run

Callers saw a job not start with room free on another worker (LOST), for as long as one worker refused its starts.

Cause: a refusal left no trace at the worker, except for a pause of 0.4 s if it was unwell. So a worker that refused for want of room or time, or did not answer, was the best one again at once. A gang came back after 3 s alone, when the pause had passed.

Change: a worker that refused counts as suspect, which is a matter of order and excludes it from nothing else, until it is seen to have a new run.

--- a/crates/parsleytally/src/jobs/fleet.rs
+++ b/crates/parsleytally/src/jobs/fleet.rs
@@ -150,6 +150,8 @@
     pub(super) quarantined_until: Option<Time>,
     /// Number of quarantines since the last success.
     quarantines: u32,
+    /// Whether it refused a start and has not been seen to have a new run since.
+    refuses: bool,
 }
 
 /// Distinct jobs that must fail on a worker before it is quarantined.
@@ -184,6 +186,16 @@
         self.quarantined_until.is_some_and(|until| now < until)
     }
 
+    /// Notes that the worker refused a start: others are preferred until it is seen to have one.
+    pub(super) fn record_refusal(&mut self) {
+        self.refuses = true;
+    }
+
+    /// Notes that the worker is seen to have a new run.
+    pub(super) fn record_start(&mut self) {
+        self.refuses = false;
+    }
+
     /// Starts no run there for a while, after the worker refused one.
     pub(super) fn pause_after_refusal(&mut self, now: Time) {
         let until = now.after(REFUSAL_PAUSE);
@@ -198,9 +210,10 @@
         self.quarantines > 0
     }
 
-    /// Whether a run failed there and none has succeeded since.
+    /// Whether a run failed there and none has succeeded since, or a start was refused and none has
+    /// been carried out since.
     pub(super) fn is_suspect(&self) -> bool {
-        !self.failed_jobs.is_empty()
+        !self.failed_jobs.is_empty() || self.refuses
     }
 }
 
--- a/crates/parsleytally/src/jobs/scheduler/ended.rs
+++ b/crates/parsleytally/src/jobs/scheduler/ended.rs
@@ -11,6 +11,20 @@
 use super::Scheduler;
 use crate::types::{NodeName, Time};
 
+/// Refused starts of a task from which on a refusal for want of room or time pauses its worker too.
+const PAUSING_REFUSALS: u32 = 2;
+
+/// Whether a worker that refused a start for `reason` gets none for a while; `again` if the task was
+/// refused before.
+fn pauses_worker(reason: RefusalReason, again: bool) -> bool {
+    match reason {
+        RefusalReason::Unwell | RefusalReason::OldRead => true,
+        // These are due to the order, not to the worker.
+        RefusalReason::Old | RefusalReason::Invalid => false,
+        _ => again,
+    }
+}
+
 impl Scheduler {
     /// Reconciles all runs that a worker lists with those that were placed on it.
     pub(super) fn reconcile(
@@ -95,6 +109,9 @@
         let known = self.workers.get_mut(node);
         if let Some(load) = known.and_then(|worker| worker.runs.get_mut(&run)) {
             load.listed = true;
+            if let Some(worker) = self.workers.get_mut(node) {
+                worker.failures.record_start();
+            }
             if self.is_needed(node, run) {
                 self.mark_started(run);
                 outcome.kept += 1;
@@ -425,11 +442,17 @@
         run: RunRef,
         reason: RefusalReason,
     ) {
-        let pauses = matches!(reason, RefusalReason::Unwell | RefusalReason::OldRead);
-        if pauses && let Some(worker) = self.workers.get_mut(node) {
+        self.run_missing(node, run, LastEnd::Refused(reason));
+        let job = self.jobs.get_mut(&run.task.job);
+        let task = job.and_then(|job| job.task(run.task));
+        let again = task.is_some_and(|task| task.vain_starts >= PAUSING_REFUSALS);
+        let Some(worker) = self.workers.get_mut(node) else {
+            return;
+        };
+        worker.failures.record_refusal();
+        if pauses_worker(reason, again) {
             worker.failures.pause_after_refusal(now);
         }
-        self.run_missing(node, run, LastEnd::Refused(reason));
     }
 
     /// Handles a run that is missing on its worker but was not listed as ended.
--- a/crates/parsleytally/src/jobs/scheduler/uneven.rs
+++ b/crates/parsleytally/src/jobs/scheduler/uneven.rs
@@ -144,13 +144,19 @@
         let Some(worker) = self.workers.get_mut(node) else {
             return;
         };
-        let Worker { runs, health, .. } = worker;
+        let Worker {
+            runs,
+            health,
+            failures,
+            ..
+        } = worker;
         let mut seen = Vec::new();
         for gauge in gauges {
             let Some(load) = runs.get_mut(&gauge.run) else {
                 continue;
             };
             if !std::mem::replace(&mut load.listed, true) {
+                failures.record_start();
                 seen.push(gauge.run);
             }
             let delay = load.timeline.measure(now, gauge.percent);
--- a/crates/parsleytally/src/jobs/tests/held_back.rs
+++ b/crates/parsleytally/src/jobs/tests/held_back.rs
@@ -301,3 +301,105 @@
         assert!(in_time, "{}: {time:?} ms", case.name);
     }
 }
+
+/// What the tests below do after the starts of each tick: the outputs to carry out, or none once it is done.
+type AfterStarts<'a> =
+    dyn FnMut(&mut Bench, u64, &[(NodeName, RunRef)]) -> Option<Vec<Output>> + 'a;
+
+/// Time until `after` is done while worker `refusing` refuses each start, in milliseconds.
+fn time_refusing(
+    bench: &mut Bench,
+    refusing: usize,
+    reason: RefusalReason,
+    mut out: Vec<Output>,
+    after: &mut AfterStarts<'_>,
+) -> Option<u64> {
+    for tick in 0..2 * LASTING_BOUND_MS / TICK_MS {
+        let placed = starts(&out);
+        let Some(next) = after(bench, tick * TICK_MS, &placed) else {
+            return Some(tick * TICK_MS);
+        };
+        out = next;
+        for (_, run) in placed.iter().filter(|(at, _)| *at == node(refusing)) {
+            let refusal = AgentMessage::Refused { run: *run, reason };
+            out.extend(bench.agent(refusing, refusal));
+        }
+        out.extend(bench.wait(TICK_MS));
+    }
+    None
+}
+
+/// Guards against LOST: a worker that refused starts for want of room, or without an answer, was the best one again at
+/// once, so any job waited for it for ever beside a worker with room.
+#[test]
+fn a_worker_that_refuses_for_any_reason_does_not_hold_back_a_job() {
+    let reasons = [
+        RefusalReason::Unwell,
+        RefusalReason::Room,
+        RefusalReason::Fenced,
+        RefusalReason::Old,
+        RefusalReason::Late,
+        RefusalReason::Ticket,
+        RefusalReason::Unanswered,
+        RefusalReason::Invalid,
+        RefusalReason::OldRead,
+    ];
+    for reason in reasons {
+        let mut bench = Bench::with_workers(2);
+        let first = starts(&bench.submit(1, job(vec![step(1, &[])]), 11));
+        let sound = usize::from(first[0].0 == node(1));
+        bench.list(sound, vec![first[0].1]);
+        let out = bench.submit(2, job(vec![step(1, &[])]), 12);
+        let time = time_refusing(&mut bench, 1 - sound, reason, out, &mut |_, _, placed| {
+            let starts = placed.iter().any(|(at, _)| *at == node(sound));
+            (!starts).then(Vec::new)
+        });
+        let in_time = time.is_some_and(|time| time <= IDLE_BOUND_MS);
+        assert!(in_time, "{reason:?}: {time:?} ms");
+    }
+}
+
+/// Guards against LOST: a gang whose members ended alone got the worker that refuses all starts again each time.
+#[test]
+fn a_worker_that_refuses_all_starts_does_not_hold_back_a_gang() {
+    const ALONE_AFTER_MS: u64 = 3_000;
+    let mut bench = Bench::with_workers(3);
+    let busy = [10, 11].map(|id| starts(&bench.submit(id, job(vec![step(1, &[])]), 11))[0].clone());
+    let at = |name: &NodeName| (0..3).find(|at| node(*at) == *name).expect("a worker");
+    for (name, run) in &busy {
+        bench.list(at(name), vec![*run]);
+    }
+    let refusing = 3 - at(&busy[0].0) - at(&busy[1].0);
+    let gang = StepSpec {
+        gang: true,
+        max_per_worker: 1,
+        ..step(2, &[])
+    };
+    let out = bench.submit(1, job(vec![gang]), 11);
+    let mut alone: Option<(u64, NodeName, RunRef)> = None;
+    let mut sequence = 0;
+    let time = time_refusing(
+        &mut bench,
+        refusing,
+        RefusalReason::Unwell,
+        out,
+        &mut |bench, time, placed| {
+            let sound: Vec<_> = placed
+                .iter()
+                .filter(|(name, _)| *name != node(refusing))
+                .collect();
+            if let [(name, run)] = sound[..] {
+                alone = Some((time, name.clone(), *run));
+            }
+            if let Some((_, name, run)) =
+                alone.take_if(|(since, ..)| time - *since >= ALONE_AFTER_MS)
+            {
+                sequence += 1;
+                return Some(bench.end(at(&name), sequence, run, EndReason::Alone));
+            }
+            (sound.len() < 2).then(Vec::new)
+        },
+    );
+    let in_time = time.is_some_and(|time| time <= LASTING_BOUND_MS);
+    assert!(in_time, "{time:?} ms");
+}
