fix(jobs): a refused start does not end an isolated task's wait for a quiet worker

Callers saw a task with two marks of crashes not start with room free (LOST), beside one worker that refuses all starts.

Cause: the order of a start ended the wait of at most 1 s, a refused one too. The refusing worker is quiet, and its pause of 0.4 s is shorter than the wait.

Evidence: a_worker_that_refuses_all_starts_does_not_hold_back_an_isolated_task failed before (trial): 40 refused starts and none on the other worker.

--- a/crates/parsleytally/src/jobs/scheduler/ended.rs
+++ b/crates/parsleytally/src/jobs/scheduler/ended.rs
@@ -420,6 +420,7 @@
         step.wait = None;
         if let Some(task) = step.tasks.get_mut(run.task.index as usize) {
             task.idle_since = None;
+            task.isolation_due = None;
             task.vain_starts = 0;
         }
     }
--- a/crates/parsleytally/src/jobs/scheduler/start.rs
+++ b/crates/parsleytally/src/jobs/scheduler/start.rs
@@ -509,7 +509,6 @@
             }));
         }
         task.waiting_since = None;
-        task.isolation_due = None;
         task.runs.push(LiveRun {
             node: node.clone(),
             run: run.run,
--- a/crates/parsleytally/src/jobs/tests/held_back.rs
+++ b/crates/parsleytally/src/jobs/tests/held_back.rs
@@ -5,6 +5,7 @@
 use super::scheduler::{Bench, options, starts};
 use super::*;
 use crate::configs::BestEffortConfig;
+use crate::types::Revision;
 
 /// Time between two ticks, in milliseconds.
 const TICK_MS: u64 = 150;
@@ -403,3 +404,73 @@
     let in_time = time.is_some_and(|time| time <= LASTING_BOUND_MS);
     assert!(in_time, "{time:?} ms");
 }
+
+/// Guards against LOST: each refused start ended the wait of an isolated task for a quiet worker, so it never came to a busy one.
+#[test]
+fn a_worker_that_refuses_all_starts_does_not_hold_back_an_isolated_task() {
+    let mut bench = Bench::new();
+    let labels = vec!["busy".into()];
+    bench.join(
+        0,
+        WorkerReport {
+            labels,
+            ..report(0, 7)
+        },
+    );
+    bench.join(1, report(1, 7));
+    let mark = |run| CrashMark {
+        run,
+        node: node(7),
+        seen_ms: Some(100),
+        suspect: false,
+        sole: false,
+    };
+    let marked = TaskProgress {
+        index: 0,
+        failed_runs: vec![],
+        checkpoint: String::new(),
+        crashes: vec![mark(1), mark(2)],
+    };
+    let marked = StepProgress {
+        round: 0,
+        step: 0,
+        done_ranges: vec![],
+        tasks: vec![marked],
+    };
+    let out = bench.feed(Input::Job {
+        id: JobId(1),
+        record: job(vec![step(1, &[])]),
+        accepted: Revision(12),
+        progress: Some(JobProgress {
+            state: JobState::Running,
+            steps: vec![marked],
+        }),
+    });
+    let busy = StepSpec {
+        required_label: Some("busy".into()),
+        need: need(100, 10),
+        ..step(1, &[])
+    };
+    let mut ended = 0;
+    let time = time_refusing(
+        &mut bench,
+        1,
+        RefusalReason::Unwell,
+        out,
+        &mut |bench, time, placed| {
+            let sound = placed.iter().filter(|(name, _)| *name == node(0));
+            let others = sound.filter(|(_, run)| run.task.job != JobId(1));
+            let mut out = Vec::new();
+            for (_, run) in others {
+                ended += 1;
+                out.extend(bench.end(0, ended, *run, EndReason::Done));
+            }
+            out.extend(bench.submit(1_000 + time, job(vec![busy.clone()]), 20));
+            let is_started =
+                |(name, run): &(NodeName, RunRef)| *name == node(0) && run.task.job == JobId(1);
+            (!placed.iter().any(is_started)).then_some(out)
+        },
+    );
+    let in_time = time.is_some_and(|time| time <= LASTING_BOUND_MS);
+    assert!(in_time, "{time:?} ms");
+}
