--- a/crates/parsleytally/src/jobs/failures.rs
+++ b/crates/parsleytally/src/jobs/failures.rs
@@ -38,6 +38,8 @@
     quarantines: u32,
     /// Time until which no run is started there, after a refusal.
     paused_until: Option<Time>,
+    /// Whether it refused a start and has not been seen to have a new run since.
+    refuses: bool,
 }
 
 impl Failures {
@@ -91,6 +93,16 @@
         self.paused_until.is_some_and(|until| now < until)
     }
 
+    /// Notes that the worker refused a start: others are preferred until it is seen to have one.
+    pub(super) fn record_refusal(&mut self) {
+        self.refuses = true;
+    }
+
+    /// Notes that the worker is seen to have a new run.
+    pub(super) fn record_start(&mut self) {
+        self.refuses = false;
+    }
+
     /// Starts no run there for a while, after the worker refused one.
     pub(super) fn pause_after_refusal(&mut self, now: Time) {
         self.paused_until = Some(now.after(REFUSAL_PAUSE));
@@ -101,8 +113,9 @@
         self.quarantines > 0
     }
 
-    /// Whether a run failed there and none has succeeded since.
+    /// Whether a run failed there and none has succeeded since, or a start was refused and none has
+    /// been carried out since.
     pub(super) fn is_suspect(&self) -> bool {
-        !self.failed_jobs.is_empty()
+        !self.failed_jobs.is_empty() || self.refuses
     }
 }
--- a/crates/parsleytally/src/jobs/scheduler/uneven.rs
+++ b/crates/parsleytally/src/jobs/scheduler/uneven.rs
@@ -156,6 +156,7 @@
                 continue;
             };
             if !std::mem::replace(&mut load.listed, true) {
+                failures.record_start();
                 seen.push(gauge.run);
             }
             let delay = load.timeline.measure(now, gauge.percent);
