test(jobs): agents in the steady state, and an injected bug of answers without a listing

All tests of the agent answered its pings as in the first 3 s of an ownership, as a reviewer saw: now the owner of these tests knows each listing at once and its answers support nothing else.

--- a/crates/parsleytally/src/jobs/tests/agent.rs
+++ b/crates/parsleytally/src/jobs/tests/agent.rs
@@ -51,9 +51,17 @@
         self
     }
 
+    /// Steps the agent; its owner knows a listing at once.
     pub(super) fn step(&mut self, input: AgentInput) -> Vec<AgentOutput> {
         let mut out = Vec::new();
         self.agent.step(self.now, input, &mut out);
+        let is_listing =
+            |output: &AgentOutput| matches!(output, AgentOutput::Send(AgentMessage::Listed { .. }));
+        let owner = self.agent.owner().filter(|_| out.iter().any(is_listing));
+        if let Some(link) = owner {
+            let known = AgentInput::OwnerMessage(link, OrderMessage::ListingKnown);
+            self.agent.step(self.now, known, &mut out);
+        }
         let polls = out.iter().filter_map(|output| match output {
             AgentOutput::Poll(call) => Some(*call),
             _ => None,
@@ -72,7 +80,7 @@
             sent: self.now.as_micros(),
             confirmation_age: age.as_micros() as u64,
             owner_clock: 0,
-            supports: true,
+            supports: false,
         };
         self.step(AgentInput::OwnerMessage(OwnerLink(1), pong))
     }
@@ -83,7 +91,7 @@
             sent: self.now.as_micros(),
             confirmation_age: 0,
             owner_clock,
-            supports: true,
+            supports: false,
         };
         self.step(AgentInput::OwnerMessage(OwnerLink(1), pong));
     }
--- a/crates/parsleytally/src/jobs/tests/model/mod.rs
+++ b/crates/parsleytally/src/jobs/tests/model/mod.rs
@@ -89,6 +89,8 @@
     NoRegistration,
     /// Agents tell too early that the last lease of a leaving worker has expired.
     EarlyLastLease,
+    /// Answers to pings keep the runs of agents alive whose listing is not known.
+    EndlessSupport,
 }
 
 struct Simulation {
@@ -512,6 +514,10 @@
             bug: InjectedBug::EarlyLastLease,
             violation: "runs twice",
         },
+        BugCase {
+            bug: InjectedBug::EndlessSupport,
+            violation: "runs twice",
+        },
         BugCase {
             bug: InjectedBug::NoRegistration,
             violation: "of the last job run",
--- a/crates/parsleytally/src/jobs/tests/model/owners.rs
+++ b/crates/parsleytally/src/jobs/tests/model/owners.rs
@@ -156,7 +156,8 @@
             return;
         }
         if let AgentMessage::Ping { sent } = message {
-            let supports = self.now < self.owners[owner].scheduler.support_end();
+            let supports = self.now < self.owners[owner].scheduler.support_end()
+                || self.bug == InjectedBug::EndlessSupport;
             let confirmation_age = self.now.since(self.owners[owner].confirmed);
             let confirmation_age = confirmation_age.as_micros() as u64;
             self.send_to_agent(
