--- a/crates/parsleytally/src/jobs/tests/model/crashes.rs
+++ b/crates/parsleytally/src/jobs/tests/model/crashes.rs
@@ -141,11 +141,5 @@
 #[test]
 fn crashing_tasks_and_changing_capacities_break_no_invariant() {
     let results = (0..seed_count() / 2).map(|seed| (seed, Simulation::with_crashes(seed).run()));
-    let failing: Vec<(u64, Vec<String>)> = results.filter(|(_, found)| !found.is_empty()).collect();
-    assert!(
-        failing.is_empty(),
-        "{} failing seeds:\n{}",
-        failing.len(),
-        kinds(&failing)
-    );
+    assert_none_fails(results);
 }
--- a/crates/parsleytally/src/jobs/tests/model/mod.rs
+++ b/crates/parsleytally/src/jobs/tests/model/mod.rs
@@ -358,12 +358,15 @@
     value.and_then(|count| count.parse().ok()).unwrap_or(SEEDS)
 }
 
-/// Runs a simulation for each seed; returns the seeds with violated invariants.
-fn failing_seeds(seeds: std::ops::Range<u64>, bug: InjectedBug) -> Vec<(u64, Vec<String>)> {
-    let results = seeds.map(|seed| (seed, Simulation::new(seed, bug).run()));
-    results
-        .filter(|(_, violations)| !violations.is_empty())
-        .collect()
+/// Asserts that no day of these seeds violates an invariant.
+fn assert_none_fails(results: impl Iterator<Item = (u64, Vec<String>)>) {
+    let failing: Vec<(u64, Vec<String>)> = results.filter(|(_, found)| !found.is_empty()).collect();
+    assert!(
+        failing.is_empty(),
+        "{} failing seeds:\n{}",
+        failing.len(),
+        kinds(&failing)
+    );
 }
 
 /// Kinds of violations, each with its seeds and the text of the first.
@@ -424,13 +427,11 @@
 
 #[test]
 fn invariants_hold_under_seeded_faults() {
-    let failing = failing_seeds(0..seed_count(), InjectedBug::Nothing);
-    assert!(
-        failing.is_empty(),
-        "{} failing seeds:\n{}",
-        failing.len(),
-        kinds(&failing)
-    );
+    let results = (0..seed_count()).map(|seed| {
+        let simulation = Simulation::new(seed, InjectedBug::Nothing);
+        (seed, simulation.run())
+    });
+    assert_none_fails(results);
 }
 
 /// Guards against parts for uneven workers that break an invariant under faults: a task that
@@ -442,13 +443,7 @@
         let simulation = Simulation::with_settings(seed, bug, UNEVEN);
         (seed, simulation.run())
     });
-    let failing: Vec<(u64, Vec<String>)> = results.filter(|(_, found)| !found.is_empty()).collect();
-    assert!(
-        failing.is_empty(),
-        "{} failing seeds:\n{}",
-        failing.len(),
-        kinds(&failing)
-    );
+    assert_none_fails(results);
 }
 
 /// Guards against tasks that run twice, or never again, after a preemption that a fault cuts
@@ -456,20 +451,12 @@
 #[test]
 fn invariants_hold_when_runs_are_preempted_under_seeded_faults() {
     let mut preempted = 0;
-    let mut failing = Vec::new();
-    for seed in 0..seed_count() {
+    let results = (0..seed_count()).map(|seed| {
         let (violations, count) = with_preemption(seed).run_counted();
-        if !violations.is_empty() {
-            failing.push((seed, violations));
-        }
         preempted += count;
-    }
-    assert!(
-        failing.is_empty(),
-        "{} failing seeds:\n{}",
-        failing.len(),
-        kinds(&failing)
-    );
+        (seed, violations)
+    });
+    assert_none_fails(results);
     assert!(preempted > 0, "no run was preempted");
 }
 
--- a/crates/parsleytally/src/jobs/tests/model/odd.rs
+++ b/crates/parsleytally/src/jobs/tests/model/odd.rs
@@ -62,11 +62,5 @@
 #[test]
 fn invariants_hold_with_odd_entries() {
     let results = (0..seed_count()).map(|seed| (seed, Simulation::with_odd_entries(seed).run()));
-    let failing: Vec<(u64, Vec<String>)> = results.filter(|(_, found)| !found.is_empty()).collect();
-    assert!(
-        failing.is_empty(),
-        "{} failing seeds:\n{}",
-        failing.len(),
-        kinds(&failing)
-    );
+    assert_none_fails(results);
 }
--- a/crates/parsleytally/src/jobs/tests/model/stalls.rs
+++ b/crates/parsleytally/src/jobs/tests/model/stalls.rs
@@ -212,11 +212,5 @@
 #[test]
 fn invariants_hold_under_many_stalls() {
     let results = (0..seed_count() / 3).map(|seed| (seed, Simulation::with_stalls(seed).run()));
-    let failing: Vec<(u64, Vec<String>)> = results.filter(|(_, found)| !found.is_empty()).collect();
-    assert!(
-        failing.is_empty(),
-        "{} failing seeds:\n{}",
-        failing.len(),
-        kinds(&failing)
-    );
+    assert_none_fails(results);
 }
