perf(jobs): bound the searches for moves of throttled runs

Cause: each best-effort run with a CPU share below 20% looked for another worker among all with each measurement. At 3,000 workers beside a backlog of 9,000 jobs, a batch of the owner took longer than a lease permits, and nothing else was decided meanwhile.

Change: at most 100,000 workers are looked at within 500 ms (and one more fleet); a run beyond that is tried with a later measurement. Up to 1,600 searches at 60 workers are as before.

No test of its own.

--- a/crates/parsleytally/src/jobs/scheduler/mod.rs
+++ b/crates/parsleytally/src/jobs/scheduler/mod.rs
@@ -41,6 +41,7 @@
 mod waiting;
 
 use losses::ClosedJob;
+use throttle::MoveSearches;
 pub use uneven::StandingCounts;
 use unreported::Unreported;
 
@@ -109,6 +110,8 @@
     forecasts: ForecastState,
     /// Whether most of each pool is reserved, and when that was computed.
     full_pools: BTreeMap<Arc<str>, (Time, bool)>,
+    /// Searches for workers to which throttled runs could move.
+    move_searches: MoveSearches,
     /// Earliest time of the next check for runs to move out of evacuated zones.
     next_move: Time,
     /// Use of the pools by the queues; none without settings of shares.
@@ -133,6 +136,7 @@
         Self {
             evacuation: Evacuation::new(options.evacuation_limit),
             full_pools: BTreeMap::new(),
+            move_searches: MoveSearches::default(),
             next_move: Time::ZERO,
             options,
             queues: Arc::default(),
--- a/crates/parsleytally/src/jobs/scheduler/throttle.rs
+++ b/crates/parsleytally/src/jobs/scheduler/throttle.rs
@@ -21,6 +21,11 @@
 /// Progress from which on a best-effort run is not moved any more, in percent.
 pub(super) const NEARLY_DONE_PERCENT: u32 = 85;
 
+/// Most workers that are looked at for moves of throttled runs within [`SEARCH_INTERVAL`].
+const MAX_SEARCHED: usize = 100_000;
+/// Time over which searches for moves are bounded.
+const SEARCH_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Minimum CPU share at which the measured usage of a best-effort run can be scaled up to
 /// its usage without throttling, in percent.
 const MIN_MEASURED_CPU_SHARE: u32 = 40;
@@ -36,6 +41,26 @@
     }
 }
 
+/// Number of workers that were looked at for moves of throttled runs, in the present interval.
+#[derive(Debug, Default)]
+pub(super) struct MoveSearches {
+    begun: Time,
+    workers: usize,
+}
+
+impl MoveSearches {
+    /// Whether one more search over `workers` is within the bound; counts it then.
+    fn admit(&mut self, now: Time, workers: usize) -> bool {
+        if now.since(self.begun) >= SEARCH_INTERVAL {
+            self.begun = now;
+            self.workers = 0;
+        }
+        let admitted = self.workers < MAX_SEARCHED;
+        self.workers += workers;
+        admitted
+    }
+}
+
 impl Scheduler {
     /// Updates the contention model with measurements of a worker, and sets the CPU shares
     /// of its best-effort runs.
@@ -139,7 +164,10 @@
         let worker = self.workers.get(node);
         let load = worker.and_then(|worker| worker.runs.get(&run));
         let is_short = load.is_some_and(|load| load.progress_percent < NEARLY_DONE_PERCENT);
-        if is_short && self.fits_elsewhere(now, node, run) {
+        if !is_short || !self.move_searches.admit(now, self.workers.len()) {
+            return;
+        }
+        if self.fits_elsewhere(now, node, run) {
             self.stop_run(run, out);
         }
     }
