fix(jobs): an end that is listed again awaits the same runs

Cause: an end is acknowledged once no further run of its task can start. When the worker listed it again, on a later link or after the owner had taken ends before the listing, the task was done already, so no further run was looked for, and the end was acknowledged while a start was on its way to another worker. It could then run after an end that was taken note of (TWICE).

Change: what an end awaits is kept, by its number, when ends are expected anew.

--- a/crates/parsleytally/src/jobs/fleet.rs
+++ b/crates/parsleytally/src/jobs/fleet.rs
@@ -182,6 +182,8 @@
     pub(super) service_runs: usize,
     /// Ended runs that are not acknowledged yet, in order of their numbers.
     pub(super) pending_acks: VecDeque<PendingAck>,
+    /// Further runs that an end still awaits when the worker lists it again, by its number.
+    pub(super) awaited_runs: BTreeMap<u64, Vec<(NodeName, RunRef)>>,
     /// Highest number of an ended run that was processed.
     pub(super) last_ended: u64,
     /// When it last stopped answering its agent.
@@ -355,7 +357,10 @@
     /// Takes all unacknowledged ended runs that the worker lists again: acknowledgements may
     /// have been lost.
     pub(super) fn expect_all_ends(&mut self) {
-        self.pending_acks.clear();
+        let held = self.pending_acks.drain(..);
+        let held = held.filter(|ack| !ack.unsettled.is_empty());
+        let awaited = held.map(|ack| (ack.number, ack.unsettled));
+        self.awaited_runs.extend(awaited);
         self.last_ended = 0;
     }
 
--- a/crates/parsleytally/src/jobs/scheduler/ended.rs
+++ b/crates/parsleytally/src/jobs/scheduler/ended.rs
@@ -217,7 +217,11 @@
         self.learn_from_end(now, node, ended_run, load.as_ref());
         self.record_duration(now, ended_run, load.as_ref());
         self.account_run(now, ended_run, load.as_ref());
-        let unsettled = self.runs_beside(ended_run);
+        let mut unsettled = self.runs_beside(ended_run);
+        if let Some(worker) = self.workers.get_mut(node) {
+            let awaited = worker.awaited_runs.remove(&ended_run.sequence);
+            unsettled.extend(awaited.into_iter().flatten());
+        }
         self.acks_held |= !unsettled.is_empty();
         let saved_by = self.record_ended(now, node, ended_run, out);
         if let Some(worker) = self.workers.get_mut(node) {
--- a/crates/parsleytally/src/jobs/scheduler/mod.rs
+++ b/crates/parsleytally/src/jobs/scheduler/mod.rs
@@ -477,6 +477,9 @@
                 self.infer_crash(node, out);
                 self.drop_runs(node, EndEvidence::LaterIncarnation, out);
                 self.expect_all_ends(node);
+                if let Some(worker) = self.workers.get_mut(node) {
+                    worker.awaited_runs.clear();
+                }
             }
         }
         let Some(worker) = self.workers.get_mut(node) else {
--- a/crates/parsleytally/src/jobs/tests/owner_change.rs
+++ b/crates/parsleytally/src/jobs/tests/owner_change.rs
@@ -180,8 +180,8 @@
     out.iter().any(is_ack)
 }
 
-/// Guards against a task that starts after its end is acknowledged: its worker was back with the end, and the start
-/// of the next run was still on its way to another worker.
+/// Guards against a task that starts after its end is acknowledged: its worker was back with the end, on one link
+/// or again on the next, and the start of the next run was still on its way to another worker.
 #[test]
 fn an_end_is_acknowledged_once_no_further_run_of_its_task_can_start() {
     struct Case {
@@ -221,25 +221,25 @@
         bench.join(1, report(1, 7));
         let next = starts(&bench.wait(6_000))[0].1;
         assert_ne!(first, next, "the hold of the lost agent has passed");
-        bench.feed(Input::Linked(node(0)));
-        bench.agent(0, AgentMessage::Report(report(0, 7)));
         let end = EndedRun {
             sequence: 1,
             run: first,
             reason: EndReason::Done,
             checkpoint: String::new(),
         };
-        let mut out = bench.agent(
-            0,
-            AgentMessage::Listed {
+        for link in ["first", "second"] {
+            bench.feed(Input::Linked(node(0)));
+            bench.agent(0, AgentMessage::Report(report(0, 7)));
+            let listing = AgentMessage::Listed {
                 incarnation: incarnation(0, 7),
                 running: vec![],
-                ended: vec![end],
-            },
-        );
-        let (job, version) = (JobId(1), u64::MAX);
-        out.extend(bench.feed(Input::Saved { job, version }));
-        assert!(!acknowledged(&out, 0), "{}: {out:?}", case.what);
+                ended: vec![end.clone()],
+            };
+            let mut out = bench.agent(0, listing);
+            let (job, version) = (JobId(1), u64::MAX);
+            out.extend(bench.feed(Input::Saved { job, version }));
+            assert!(!acknowledged(&out, 0), "{}, {link}: {out:?}", case.what);
+        }
         // A measurement shows that the start has reached the agent.
         bench.list(1, vec![next]);
         let out = bench.agent(1, (case.settled)(next));
