--- a/crates/parsleytally/src/jobs/messages.rs
+++ b/crates/parsleytally/src/jobs/messages.rs
@@ -331,6 +331,8 @@
     },
     /// The worker crashed with these runs; repeated for each owner.
     Crashed(WorkerCrash),
+    /// The worker has begun a run that this owner ordered.
+    Started(RunRef),
 }
 
 /// Request of an entry to the owner of the jobs, or to any other entry where it says so.
@@ -362,6 +364,8 @@
     No,
     /// The store may have the job.
     Unknown,
+    /// The job was cancelled before the store had it, and will not be stored.
+    Withdrawn,
 }
 
 /// Result of [`JobRequest::Cancel`].
--- a/crates/parsleytally/src/jobs/scheduler/ended.rs
+++ b/crates/parsleytally/src/jobs/scheduler/ended.rs
@@ -11,6 +11,20 @@
 use super::Scheduler;
 use crate::types::{NodeName, Time};
 
+/// Refused starts of a task from which on a refusal for want of room or time pauses its worker too.
+const PAUSING_REFUSALS: u32 = 2;
+
+/// Whether a worker that refused a start for `reason` gets none for a while; `again` if the task was
+/// refused before.
+fn pauses_worker(reason: RefusalReason, again: bool) -> bool {
+    match reason {
+        RefusalReason::Unwell | RefusalReason::OldRead => true,
+        // These are due to the order, not to the worker.
+        RefusalReason::Old | RefusalReason::Invalid => false,
+        _ => again,
+    }
+}
+
 impl Scheduler {
     /// Reconciles all runs that a worker lists with those that were placed on it.
     pub(super) fn reconcile(
@@ -95,6 +109,9 @@
         let known = self.workers.get_mut(node);
         if let Some(load) = known.and_then(|worker| worker.runs.get_mut(&run)) {
             load.listed = true;
+            if let Some(worker) = self.workers.get_mut(node) {
+                worker.failures.record_start();
+            }
             if self.is_needed(node, run) {
                 self.mark_started(run);
                 outcome.kept += 1;
@@ -156,9 +173,7 @@
             run: run.run,
             stopping: false,
         });
-        if job.state == JobState::Queued {
-            job.state = JobState::Running;
-        }
+        job.note_begun();
         true
     }
 
@@ -198,7 +213,7 @@
         let load = self.release(node, ended_run.run);
         self.run_seen(ended_run.run);
         self.pass_due = true;
-        self.record_health(now, node, ended_run);
+        self.record_health(now, node, ended_run, load.as_ref());
         self.learn_from_end(now, node, ended_run, load.as_ref());
         self.record_duration(now, ended_run, load.as_ref());
         self.account_run(now, ended_run, load.as_ref());
@@ -256,12 +271,20 @@
         }
     }
 
-    fn record_health(&mut self, now: Time, node: &NodeName, ended_run: &EndedRun) {
+    fn record_health(
+        &mut self,
+        now: Time,
+        node: &NodeName,
+        ended_run: &EndedRun,
+        load: Option<&Load>,
+    ) {
+        let job = ended_run.run.task.job;
+        let ordered = load.and_then(|load| load.timeline.ordered);
         let Some(worker) = self.workers.get_mut(node) else {
             return;
         };
         match ended_run.reason {
-            EndReason::Failed => worker.failures.record_failure(now, ended_run.run.task.job),
+            EndReason::Failed => worker.failures.record_failure(now, job, ordered),
             EndReason::Done => worker.failures.record_success(),
             _ => {}
         }
@@ -281,6 +304,7 @@
         if job.state.is_final() {
             return Some((id, job.version));
         }
+        job.note_begun();
         let long_running = job
             .spec
             .steps
@@ -403,17 +427,16 @@
         step.wait = None;
         if let Some(task) = step.tasks.get_mut(run.task.index as usize) {
             task.idle_since = None;
+            task.isolation_due = None;
             task.vain_starts = 0;
         }
     }
 
-    /// Marks the job of a run as running once a worker lists the run.
+    /// Marks the job of a run as running once a worker is known to have begun the run.
     pub(super) fn mark_started(&mut self, run: RunRef) {
         self.run_seen(run);
-        if let Some(job) = self.jobs.get_mut(&run.task.job)
-            && job.state == JobState::Queued
-        {
-            job.state = JobState::Running;
+        if let Some(job) = self.jobs.get_mut(&run.task.job) {
+            job.note_begun();
         }
     }
 
@@ -425,11 +448,17 @@
         run: RunRef,
         reason: RefusalReason,
     ) {
-        let pauses = matches!(reason, RefusalReason::Unwell | RefusalReason::OldRead);
-        if pauses && let Some(worker) = self.workers.get_mut(node) {
+        self.run_missing(node, run, LastEnd::Refused(reason));
+        let job = self.jobs.get_mut(&run.task.job);
+        let task = job.and_then(|job| job.task(run.task));
+        let again = task.is_some_and(|task| task.vain_starts >= PAUSING_REFUSALS);
+        let Some(worker) = self.workers.get_mut(node) else {
+            return;
+        };
+        worker.failures.record_refusal();
+        if pauses_worker(reason, again) {
             worker.failures.pause_after_refusal(now);
         }
-        self.run_missing(node, run, LastEnd::Refused(reason));
     }
 
     /// Handles a run that is missing on its worker but was not listed as ended.
--- a/crates/parsleytally/src/jobs/scheduler/mod.rs
+++ b/crates/parsleytally/src/jobs/scheduler/mod.rs
@@ -226,7 +226,7 @@
         self.jobs.get(&id).map(Job::visible_state)
     }
 
-    /// Number of jobs of `queue` without a started task.
+    /// Number of jobs of `queue` no task of which a worker is known to have begun.
     pub fn pending(&self, queue: &QueueName) -> u64 {
         let waiting = |id: &&JobId| {
             let job = &self.jobs[*id];
@@ -342,7 +342,7 @@
             .workers
             .get(&node)
             .and_then(|worker| worker.runs_expire_at);
-        let runs_expire_at = until.map(|until| self.extended_end(now, until));
+        let runs_expire_at = until.map(|until| self.extended_end(until));
         let worker = self.workers.entry(node).or_default();
         worker.runs_expire_at = runs_expire_at;
         worker.linked = true;
@@ -394,7 +394,18 @@
                 self.handle_ended(now, node, &incarnation, &ended, out);
             }
             AgentMessage::Missing(run) => self.run_missing(node, run, LastEnd::Missing),
+            AgentMessage::Started(run) => {
+                // Neither room nor a wait changes by it.
+                self.mark_started(run);
+                return;
+            }
             AgentMessage::Crashed(crash) => {
+                let seen = crash.runs.iter().filter(|lost| lost.seen_ms.is_some());
+                for lost in seen {
+                    if let Some(job) = self.jobs.get_mut(&lost.run.task.job) {
+                        job.note_begun();
+                    }
+                }
                 self.worker_crashed(node, &crash, CrashSource::Agent, out);
             }
             AgentMessage::Measurements(gauges) => self.update_gauges(now, node, &gauges, out),
@@ -507,6 +518,7 @@
         for gauge in gauges {
             if let Some(job) = self.jobs.get_mut(&gauge.run.task.job) {
                 job.save_checkpoint(gauge.run, &gauge.checkpoint);
+                job.note_begun();
             }
         }
         self.note_progress(now, node, gauges);
@@ -573,6 +585,10 @@
             return;
         }
         self.unlinked(now, node);
+        if let Some(worker) = self.workers.get_mut(node) {
+            // The link answers pings, and the agent uses the answers, until it is closed.
+            worker.known = true;
+        }
         out.push(Output::Relink(node.clone()));
     }
 
--- a/crates/parsleytally/src/jobs/scheduler/start.rs
+++ b/crates/parsleytally/src/jobs/scheduler/start.rs
@@ -7,7 +7,7 @@
 use super::super::measured::RunTimeline;
 use super::super::place::{Candidates, PlacementRequest, choose_worker};
 use super::super::urgency::{Urgency, urgency};
-use super::super::{CrashDecision, JobState, LastEnd, OrderMessage, Output, RunRef, StartOrder};
+use super::super::{CrashDecision, LastEnd, OrderMessage, Output, RunRef, StartOrder};
 use super::crashes::{awaits_save, isolation_end};
 use super::pass::Pass;
 use super::starving::Offer;
@@ -35,7 +35,7 @@
     costly: bool,
     /// Workers whose headroom and limits it may exceed, as its job has waited for long.
     pub(super) starving: Option<Offer>,
-    /// Whether it may start on quarantined workers.
+    /// Whether it may start on quarantined workers, and on those of low standing.
     pub(super) quarantined: bool,
 }
 
@@ -272,7 +272,8 @@
                 let workers = self.offered_workers(step, pass, blocked);
                 choose_worker(workers, &request, run, now).cloned()
             };
-            let waits = self.waits_for_rack(step.at, index, node.as_ref(), pass, racks);
+            let waits = step.starving.is_none()
+                && self.waits_for_rack(step.at, index, node.as_ref(), pass, racks);
             let Some(node) = node else {
                 if isolated {
                     placement = placement.max(Placement::AwaitsIsolation);
@@ -493,9 +494,6 @@
         };
         let payload = job.spec.payload.clone();
         let target_ms = job.spec.steps[step.step].target_ms;
-        if job.state == JobState::Queued {
-            job.state = JobState::Running;
-        }
         let step_run = &mut job.rounds[step.round].steps[step.step];
         let task = &mut step_run.tasks[index];
         task.last_run = run.run;
@@ -509,7 +507,6 @@
             }));
         }
         task.waiting_since = None;
-        task.isolation_due = None;
         task.runs.push(LiveRun {
             node: node.clone(),
             run: run.run,
--- a/crates/parsleytally/src/jobs/scheduler/starving.rs
+++ b/crates/parsleytally/src/jobs/scheduler/starving.rs
@@ -1,20 +1,25 @@
-//! Bounds the wait of jobs that could run: learned headroom, trials and limits protect other
-//! work, but what they protect it from must not wait for ever while most of the room is free.
+//! Bounds the wait of jobs that could run: learned headroom, trials, limits, isolation, standing
+//! and quarantine protect other work, but what they protect it from must not wait for ever while
+//! most of the room is free. The bounds: `docs/design/filters.md`.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::super::Output;
 use super::super::fleet::Worker;
 use super::super::job::{Job, StepRef};
+use super::super::place::is_usable;
 use super::super::urgency::Urgency;
+use super::super::{JobId, Output};
 use super::Scheduler;
 use super::pass::Pass;
+use super::start::ReadyStep;
 use crate::types::{NodeName, Time};
 
 /// Wait after which a job with nothing running starves.
 const STARVED_AFTER: Duration = Duration::from_millis(1_500);
+/// Wait after which a starving step for which no other worker has room uses quarantined ones.
+const QUARANTINE_BOUND: Duration = Duration::from_millis(2_200);
 /// Share of a pool's processors that is reserved when it counts as full, in percent. Above it,
 /// best-effort jobs wait for the protection of others.
 const FULL_PERCENT: u64 = 60;
@@ -46,6 +51,15 @@
     }
 }
 
+/// What is the same for all steps of a job or pool in one pass; a job may have many rounds.
+#[derive(Default)]
+struct KnownInPass {
+    /// Whether a job has runs.
+    running: HashMap<JobId, bool>,
+    /// Whether most of a pool is reserved.
+    full: BTreeMap<Arc<str>, bool>,
+}
+
 impl Scheduler {
     /// Starts one task, or a whole gang, of each starving job, although the protection of
     /// other work turns it away.
@@ -65,7 +79,7 @@
             };
             let mut step = self.ready_step(at, load);
             step.starving = Some(self.next_offer(at, scored));
-            step.quarantined = self.all_quarantined(pass.now, &self.jobs[&at.job].policy.service);
+            step.quarantined = self.may_use_quarantined(pass.now, at, &step);
             self.place_ready(&step, 1, pass, out);
         }
     }
@@ -73,10 +87,10 @@
     /// Starving steps to place in this pass, the most urgent first; if there are too many,
     /// those that were offered least.
     fn starving_steps(&self, now: Time, ready: &[(Urgency, StepRef)]) -> Vec<StepRef> {
-        let mut full = BTreeMap::new();
+        let mut known = KnownInPass::default();
         let steps = ready.iter().map(|(_, at)| *at);
         let mut starving: Vec<StepRef> = steps
-            .filter(|at| self.is_starving(now, *at, &mut full))
+            .filter(|at| self.is_starving(now, *at, &mut known))
             .collect();
         let most = MAX_SCORED / self.workers.len().clamp(1, MIN_SCORED);
         if starving.len() > most {
@@ -102,27 +116,46 @@
         }
     }
 
-    fn is_starving(&self, now: Time, at: StepRef, full: &mut BTreeMap<Arc<str>, bool>) -> bool {
+    fn is_starving(&self, now: Time, at: StepRef, known: &mut KnownInPass) -> bool {
         let job = &self.jobs[&at.job];
         let wait = job.step_run(at).wait;
         if wait.is_none_or(|wait| now.since(wait.since) < STARVED_AFTER) {
             return false;
         }
         let step = &job.spec.steps[at.step];
-        let is_idle = step.long_running || !has_runs(job);
+        let mut has_runs = || *known.running.entry(at.job).or_insert_with(|| has_runs(job));
+        let is_idle = step.long_running || !has_runs();
         if !is_idle || !step.best_effort {
             return is_idle;
         }
         let pool = &job.policy.service;
-        let is_full = full.entry(pool.clone());
+        let is_full = known.full.entry(pool.clone());
         !*is_full.or_insert_with(|| self.is_full(pool))
     }
 
-    /// Whether each worker of a pool that can run tasks is quarantined.
-    fn all_quarantined(&self, now: Time, pool: &str) -> bool {
-        let workers = self.workers.values();
-        let mut usable = workers.filter(|worker| worker.is_in_pool(pool) && worker.is_available());
-        usable.all(|worker| worker.failures.is_quarantined(now))
+    /// Whether a starving step may start on workers that are quarantined or of low standing: no
+    /// other can ever take it, or none has room for it and it must not wait any longer.
+    fn may_use_quarantined(&self, now: Time, at: StepRef, step: &ReadyStep) -> bool {
+        if !self
+            .workers
+            .values()
+            .any(|worker| worker.is_restricted(now))
+        {
+            return false;
+        }
+        let job = &self.jobs[&at.job];
+        let spec = &job.spec.steps[at.step];
+        let run = job.step_run(at);
+        let waited = run.wait.map(|wait| now.since(wait.since));
+        let is_late = waited.is_some_and(|waited| waited >= QUARANTINE_BOUND)
+            && (spec.long_running || !self.is_full(&job.policy.service));
+        if is_late && spec.gang {
+            // The others may have room for some members only.
+            return true;
+        }
+        let request = self.request(step, None);
+        let mut workers = self.workers.iter();
+        !workers.any(|(name, worker)| is_usable(now, name, worker, &request, run, !is_late))
     }
 
     /// Whether most processors of a pool were reserved within the last [`FULL_INTERVAL`].
--- a/crates/parsleytally/src/jobs/tests/mod.rs
+++ b/crates/parsleytally/src/jobs/tests/mod.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod agent;
 mod backlog;
+mod begun;
 mod call_plan;
 mod capacity;
 mod contention;
@@ -12,6 +13,7 @@
 mod durations;
 mod evacuation;
 mod fencing;
+mod filters;
 mod foreign_reports;
 mod forgotten_jobs;
 mod gang_checkpoints;
