--- a/crates/parsleytally/src/jobs/scheduler/mod.rs
+++ b/crates/parsleytally/src/jobs/scheduler/mod.rs
@@ -399,7 +399,7 @@
             }
             AgentMessage::Missing(run) => self.run_missing(node, run, LastEnd::Missing),
             AgentMessage::Started(run) => {
-                // Neither room nor a wait changes by it.
+                // It frees no room, so no pass is due.
                 self.mark_started(run);
                 return;
             }
