fix(entry): a cancellation ends at its own deadline, and many share a write

Cause: Tombstones::commit held the entry's lock while it waited for a lease, its deadline did not bound the wait for the lock; and each tombstone was a write, so the limit of writes was one of cancellations, also of jobs that the entry had sent.

One task now makes all calls for tombstones. Requests wait for its answer, each until its own deadline; a grant ends after 0.6 s, so that another entry can be asked. Up to 16 share a write. Jobs whose submission this entry has sent with an unknown outcome have no limit of their own; a refusal names the time of the next one. SentLog and the failure of a commit have their own files.

--- a/crates/parsleytally-entry/src/site/job_call.rs
+++ b/crates/parsleytally-entry/src/site/job_call.rs
@@ -9,9 +9,10 @@
 use parsleytally_platform::store::{Commit, Compare, Item, Outcome, Store, StoreError, Write};
 use tokio::time::{Instant, timeout_at};
 
+use super::failures::commit_failure;
 use super::keys;
 use super::peer::RemoteReply;
-use super::tombstones::Tombstones;
+use super::tombstones::{Requested, Tombstones};
 
 /// Longest wait for a read. Reads are repeated at another entry, so a silent store must not
 /// use up the client's timeout.
@@ -37,8 +38,9 @@
     Cancelled,
     /// The job was cancelled before the store had it, and will not be stored.
     Withdrawn,
-    /// Too many unknown jobs are being cancelled: nothing was changed.
-    Limited,
+    /// Too many unknown jobs are being cancelled: nothing was changed. One more is possible after
+    /// this time.
+    Limited(Duration),
     /// The store has no such job.
     Absent,
     /// The store has the job, in this state.
@@ -99,7 +101,7 @@
             }),
             Self::Cancel(_) => JobReply::Cancelled(match result {
                 Ok(JobCallResult::Absent) => CancelOutcome::NoJob,
-                Ok(JobCallResult::Limited) => CancelOutcome::No,
+                Ok(JobCallResult::Limited(_)) => CancelOutcome::No,
                 Ok(_) => CancelOutcome::Yes,
                 Err(CallFailure::NoEffect) => CancelOutcome::No,
                 Err(CallFailure::Unknown) => CancelOutcome::Unknown,
@@ -217,10 +219,11 @@
 ) -> Result<JobCallResult, CallFailure> {
     loop {
         let Some(item) = read(store, &keys::job(id), deadline).await? else {
-            match withdraw(store, tombstones, id, deadline).await? {
-                Some(result) => return Ok(result),
-                None if Instant::now() < deadline => continue,
-                None => return Err(CallFailure::NoEffect),
+            match tombstones.request(id, deadline).await? {
+                Requested::Written => return Ok(JobCallResult::Absent),
+                Requested::Limited(wait) => return Ok(JobCallResult::Limited(wait)),
+                Requested::Conflict if Instant::now() < deadline => continue,
+                Requested::Conflict => return Err(CallFailure::NoEffect),
             }
         };
         let mut record = decode(id, &item)?;
@@ -250,36 +253,6 @@
     }
 }
 
-/// Cancels a job that the store does not have, so that no submission on its way is stored later;
-/// none if the store has it meanwhile, or if this must be tried again.
-async fn withdraw(
-    store: &dyn Store,
-    tombstones: &Tombstones,
-    id: JobId,
-    deadline: Instant,
-) -> Result<Option<JobCallResult>, CallFailure> {
-    let commit = tombstones.commit(store, id, deadline).await;
-    let Some(commit) = commit.map_err(|error| no_lease(id, &error))? else {
-        log::warn!(job:% = id; "limit of tombstones is reached, unknown job is not cancelled");
-        return Ok(Some(JobCallResult::Limited));
-    };
-    match store.commit_by(commit, deadline).await {
-        Ok(Outcome::Committed(_)) => Ok(Some(JobCallResult::Absent)),
-        Ok(Outcome::Conflict(_)) => Ok(None),
-        Err(StoreError::LeaseGone { lease }) => {
-            tombstones.lease_gone(lease).await;
-            Ok(None)
-        }
-        Err(error) => Err(commit_failure(id, &error)),
-    }
-}
-
-/// Failure to get a lease, which changes no job.
-fn no_lease(id: JobId, error: &StoreError) -> CallFailure {
-    log::warn!(job:% = id, error:% = error; "no lease for a tombstone");
-    CallFailure::NoEffect
-}
-
 async fn read_state(
     store: &dyn Store,
     id: JobId,
@@ -325,12 +298,3 @@
         CallFailure::NoEffect
     })
 }
-
-fn commit_failure(id: JobId, error: &StoreError) -> CallFailure {
-    log::warn!(job:% = id, error:% = error; "storing a change failed");
-    if error.is_unknown() {
-        CallFailure::Unknown
-    } else {
-        CallFailure::NoEffect
-    }
-}
--- a/crates/parsleytally-entry/src/site/job_service.rs
+++ b/crates/parsleytally-entry/src/site/job_service.rs
@@ -1,15 +1,14 @@
 //! Job operations for clients: submits and cancels jobs, and answers queries on their state.
 
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use parsleytally::jobs::{
     CallContext, CallFailure, CallPlan, EarlierCopy, JobId, JobReply, JobRequest, JobSpec,
-    JobState, NextCall, QueueName, QueueTable, SentJobs, SentOutcome,
+    JobState, NextCall, QueueName, QueueTable, SentOutcome,
 };
 use parsleytally_platform::jobs::{CancelAnswer, JobAnswer, JobFuture, JobService, SubmitAnswer};
-use parsleytally_platform::process::Clock;
 use parsleytally_platform::store::Store;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, timeout_at};
@@ -18,6 +17,7 @@
 use super::job_call::{JobCall, JobCallResult};
 use super::peer::OwnerClient;
 use super::relays::{Asked, Relays};
+use super::sent_log::{SentGuard, SentLog};
 use super::store_health::StoreHealth;
 use super::tombstones::{LONGEST_LIFE, Tombstones};
 
@@ -51,52 +51,6 @@
     pub(super) admission: Option<Arc<Admission>>,
 }
 
-/// The submissions that this entry has sent to the store or to another entry.
-pub(super) struct SentLog {
-    clock: Clock,
-    jobs: Mutex<SentJobs>,
-}
-
-impl SentLog {
-    pub(super) fn new() -> Self {
-        Self {
-            clock: Clock::start(),
-            jobs: Mutex::default(),
-        }
-    }
-
-    fn begin(self: &Arc<Self>, id: JobId) -> SentGuard {
-        self.jobs().begin(self.clock.now(), id);
-        SentGuard {
-            log: self.clone(),
-            id,
-            outcome: SentOutcome::Unknown,
-        }
-    }
-
-    fn earlier_copy(&self, id: JobId, own: bool) -> EarlierCopy {
-        self.jobs().earlier_copy(self.clock.now(), id, own)
-    }
-
-    fn jobs(&self) -> MutexGuard<'_, SentJobs> {
-        self.jobs.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
-/// A submission that was sent. Its outcome is unknown if the request is dropped, which it is
-/// when the client disconnects.
-struct SentGuard {
-    log: Arc<SentLog>,
-    id: JobId,
-    outcome: SentOutcome,
-}
-
-impl Drop for SentGuard {
-    fn drop(&mut self) {
-        self.log.jobs().end(self.id, self.outcome);
-    }
-}
-
 impl EntryJobService {
     /// Latest time for the answer to a client with this deadline.
     fn answer_time(&self, deadline: Instant) -> Instant {
@@ -251,7 +205,8 @@
     async fn cancel_job(&self, id: JobId, deadline: Instant) -> CancelAnswer {
         match self.carry_out(&JobCall::Cancel(id), deadline, true).await {
             Ok(JobCallResult::Absent) => CancelAnswer::NoJob,
-            Ok(JobCallResult::Limited) | Err(CallFailure::NoEffect) => CancelAnswer::Refused {
+            Ok(JobCallResult::Limited(retry_after)) => CancelAnswer::Refused { retry_after },
+            Err(CallFailure::NoEffect) => CancelAnswer::Refused {
                 retry_after: RETRY_AFTER,
             },
             Ok(_) => CancelAnswer::Accepted,
--- a/crates/parsleytally-entry/src/site/mod.rs
+++ b/crates/parsleytally-entry/src/site/mod.rs
@@ -29,6 +29,7 @@
 mod election;
 mod entries;
 mod evacuations;
+mod failures;
 mod follow;
 mod job_call;
 mod job_service;
@@ -41,6 +42,7 @@
 mod queues;
 mod relays;
 mod saver;
+mod sent_log;
 mod store_health;
 mod stored_state;
 mod tombstones;
@@ -51,12 +53,13 @@
 use election::{Candidate, Owner, OwnerView};
 use entries::EntryRegistry;
 use evacuations::EvacuationFollower;
-use job_service::{EntryJobService, SentLog};
+use job_service::EntryJobService;
 use metrics::{OwnerMetrics, RelayMetrics};
 use owner::{OwnerContext, Ownership};
 use peer::{OwnerClient, OwnerLocation, serve_peers};
 use queues::QueueFollower;
 use relays::Relays;
+use sent_log::SentLog;
 use store_health::{ObservedStore, StoreHealth};
 use tombstones::Tombstones;
 
@@ -133,6 +136,7 @@
         let hand_over_requested = CancellationToken::new();
         let owner_client = OwnerClient::new(owner_location.clone());
         let admission = Admission::new(&config.admission, admission_metrics);
+        let sent = Arc::new(SentLog::new());
         let job_service = Arc::new(EntryJobService {
             store: store.clone(),
             queues: queues_receiver.clone(),
@@ -147,8 +151,8 @@
             draining: draining.clone(),
             store_reachable: store_reachable.clone(),
             health: health.clone(),
-            sent: Arc::new(SentLog::new()),
-            tombstones: Tombstones::default(),
+            tombstones: Tombstones::start(store.clone(), sent.clone()),
+            sent,
             answer_by: OnceLock::new(),
             admission: admission.clone(),
         });
--- a/crates/parsleytally-entry/src/site/tombstones.rs
+++ b/crates/parsleytally-entry/src/site/tombstones.rs
@@ -1,122 +1,356 @@
 //! Tombstones: what a cancellation of an unknown job leaves in the store, so that a submission with
 //! this ID that is stored late, or repeated, is not carried out.
 //!
-//! A tombstone is deleted at the end of its lease. All those of one entry from some minutes share a
-//! lease, so that each costs one write. Their number and rate are limited, as anybody can cancel
-//! jobs that do not exist; beyond the limit such a cancellation is refused, never confirmed.
+//! A tombstone is deleted at the end of its lease. Those of one entry from some minutes share a
+//! lease, and those that are requested while others are written share a write. Their number is
+//! limited, as anybody can cancel jobs that do not exist; beyond the limit such a cancellation is
+//! refused, never confirmed. The limit does not hold for a job whose submission this entry has sent
+//! with an unknown outcome: these are bounded by the submissions.
+//!
+//! All calls to the store are made by [`Writer`], so that no request holds up another.
 
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use parsleytally::jobs::JobId;
-use parsleytally_platform::store::{Commit, Compare, LeaseId, Store, StoreError, Write};
-use tokio::sync::Mutex;
-use tokio::time::{Instant, timeout_at};
+use parsleytally::jobs::{CallFailure, JobId};
+use parsleytally_platform::store::{Commit, Compare, LeaseId, Outcome, Store, StoreError, Write};
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep_until, timeout_at};
 
+use super::failures::commit_failure;
 use super::keys;
+use super::sent_log::SentLog;
 
 /// Longest life of a tombstone, which is the longest lease of the store.
 pub(super) const LONGEST_LIFE: Duration = Duration::from_secs(600);
 /// Time for which a lease gets new tombstones, so that each lives for 5 minutes at least: writes
 /// are carried out up to seconds late, and clients repeat a submission for a minute at most.
 const LEASE_USE: Duration = Duration::from_secs(300);
-/// Tombstones of one lease; two leases of an entry overlap, at about 100 bytes a tombstone.
-const MAX_OF_LEASE: u32 = 4_096;
-/// Tombstones that an entry writes at once.
-const BURST: u32 = 40;
-/// Time after which an entry may write one more: 10 a second, of the 400 writes a second that all
-/// processes share.
-const REFILL: Duration = Duration::from_millis(100);
-
-/// The tombstones that this entry writes.
-#[derive(Debug, Default)]
+/// Longest wait for a lease, so that another entry can be asked in the client's time.
+const GRANT_TIMEOUT: Duration = Duration::from_millis(600);
+/// Longest wait for the answer to a write.
+const WRITE_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Tombstones of one write, each with its condition; the store takes 32 entries.
+const MAX_BATCH: usize = 16;
+/// Writes without an answer yet at a time.
+const MAX_WRITES: usize = 4;
+/// Writes that may follow each other without a pause, and the time after which one more may: 10 a
+/// second, of the 400 a second that all processes share.
+const WRITES: Rate = Rate {
+    burst: 40,
+    refill: Duration::from_millis(100),
+};
+/// Tombstones of jobs of which this entry knows nothing: at most 4,000 under one lease, of about
+/// 100 bytes each.
+const UNKNOWN_JOBS: Rate = Rate {
+    burst: 1_000,
+    refill: Duration::from_millis(100),
+};
+
+/// What has become of a requested tombstone.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Requested {
+    /// The store has it.
+    Written,
+    /// It was not written: this job or another one of its write is in the store, or the lease
+    /// has ended. The job is to be read again.
+    Conflict,
+    /// It was not written: too many unknown jobs are being cancelled. One more is possible after
+    /// this time.
+    Limited(Duration),
+}
+
+/// Requests tombstones of this entry's [`Writer`], which ends when this is dropped.
+#[derive(Debug)]
 pub(super) struct Tombstones {
-    state: Mutex<State>,
+    requests: mpsc::UnboundedSender<Request>,
+    sent: Arc<SentLog>,
 }
 
-#[derive(Debug, Default)]
-struct State {
-    lease: Option<SharedLease>,
-    /// Time at which the full burst is available again.
-    full_at: Option<Instant>,
+impl Tombstones {
+    /// Starts the writer.
+    pub(super) fn start(store: Arc<dyn Store>, sent: Arc<SentLog>) -> Self {
+        let (requests, receiver) = mpsc::unbounded_channel();
+        let writer = Writer {
+            store,
+            requests: receiver,
+            waiting: VecDeque::new(),
+            lease: None,
+            is_granting: false,
+            writes: Limit::new(WRITES),
+            unknown_jobs: Limit::new(UNKNOWN_JOBS),
+            calls: JoinSet::new(),
+        };
+        tokio::spawn(writer.run());
+        Self { requests, sent }
+    }
+
+    /// Writes the tombstone of a job unless the store has the job; ends at `deadline` at the
+    /// latest.
+    pub(super) async fn request(
+        &self,
+        id: JobId,
+        deadline: Instant,
+    ) -> Result<Requested, CallFailure> {
+        let (reply, answer) = oneshot::channel();
+        let is_taken = Arc::new(AtomicBool::new(false));
+        let request = Request {
+            id,
+            is_sent: self.sent.may_be_stored(id),
+            is_taken: is_taken.clone(),
+            reply,
+        };
+        // The writer runs until the sender is dropped.
+        let _ = self.requests.send(request);
+        if let Ok(Ok(answer)) = timeout_at(deadline, answer).await {
+            return answer;
+        }
+        // The writer marks a request before it finds out whether somebody still waits.
+        if is_taken.load(Ordering::SeqCst) {
+            return Err(CallFailure::Unknown);
+        }
+        Err(CallFailure::NoEffect)
+    }
 }
 
-/// A lease of several tombstones.
+/// A tombstone that is to be written.
 #[derive(Debug)]
+struct Request {
+    id: JobId,
+    /// Whether this entry has sent a submission of the job with an unknown outcome.
+    is_sent: bool,
+    /// Whether a write may contain it.
+    is_taken: Arc<AtomicBool>,
+    reply: oneshot::Sender<Result<Requested, CallFailure>>,
+}
+
+impl Request {
+    /// Ends the request; its client may have left.
+    fn end(self, result: Result<Requested, CallFailure>) {
+        let _ = self.reply.send(result);
+    }
+}
+
+/// A lease of several tombstones.
+#[derive(Debug, Clone, Copy)]
 struct SharedLease {
     id: LeaseId,
     /// When its grant was requested.
     since: Instant,
-    tombstones: u32,
 }
 
-impl Tombstones {
-    /// A commit that writes the tombstone of a job unless the store has the job; none beyond the
-    /// limit.
-    pub(super) async fn commit(
-        &self,
-        store: &dyn Store,
-        id: JobId,
-        deadline: Instant,
-    ) -> Result<Option<Commit>, StoreError> {
-        let mut state = self.state.lock().await;
-        let Some(full_at) = state.after_one_more(Instant::now()) else {
-            return Ok(None);
-        };
-        let lease = state.lease(store, deadline).await?;
-        state.full_at = Some(full_at);
-        Ok(lease.map(|lease| tombstone(id, lease)))
+/// A call to the store that has ended.
+enum Ended {
+    Grant(Instant, Result<LeaseId, StoreError>),
+    Write(LeaseId, Vec<Request>, Result<Outcome, StoreError>),
+}
+
+/// Writes the tombstones that are requested, several at once.
+struct Writer {
+    store: Arc<dyn Store>,
+    requests: mpsc::UnboundedReceiver<Request>,
+    waiting: VecDeque<Request>,
+    lease: Option<SharedLease>,
+    is_granting: bool,
+    writes: Limit,
+    unknown_jobs: Limit,
+    calls: JoinSet<Ended>,
+}
+
+impl Writer {
+    async fn run(mut self) {
+        loop {
+            let write_at = self.send(Instant::now());
+            tokio::select! {
+                request = self.requests.recv() => match request {
+                    Some(request) => self.accept(request),
+                    None => return,
+                },
+                Some(ended) = self.calls.join_next() => match ended {
+                    Ok(ended) => self.call_ended(ended),
+                    Err(error) => {
+                        log::error!(error:% = error; "a call for tombstones was aborted");
+                        self.is_granting = false;
+                    }
+                },
+                () = sleep_until(write_at.unwrap_or_else(Instant::now)), if write_at.is_some() => {}
+            }
+        }
     }
 
-    /// Notes that the store does not have this lease any more.
-    pub(super) async fn lease_gone(&self, lease: LeaseId) {
-        let mut state = self.state.lock().await;
-        if state.lease.as_ref().is_some_and(|used| used.id == lease) {
-            state.lease = None;
+    /// Keeps a request until it is written, unless it is beyond the limit.
+    fn accept(&mut self, request: Request) {
+        if request.is_sent {
+            return self.waiting.push_back(request);
+        }
+        let wait = self.unknown_jobs.wait(Instant::now());
+        if wait.is_zero() {
+            self.unknown_jobs.take(Instant::now());
+            return self.waiting.push_back(request);
         }
+        log::warn!(job:% = request.id; "limit of tombstones is reached, unknown job is not cancelled");
+        request.end(Ok(Requested::Limited(wait)));
+    }
+
+    /// Sends what can be sent now; returns when the next write may follow.
+    fn send(&mut self, now: Instant) -> Option<Instant> {
+        self.waiting.retain(|request| !request.reply.is_closed());
+        while !self.waiting.is_empty() {
+            let Some(lease) = self.current_lease(now) else {
+                self.grant(now);
+                return None;
+            };
+            // One call may be the grant of a lease.
+            if self.calls.len() >= MAX_WRITES {
+                return None;
+            }
+            let wait = self.writes.wait(now);
+            if wait.is_zero() {
+                self.writes.take(now);
+            } else if !self.waiting.iter().any(|request| request.is_sent) {
+                return Some(now + wait);
+            }
+            self.write(lease.id, now + WRITE_TIMEOUT);
+        }
+        None
+    }
+
+    fn current_lease(&self, now: Instant) -> Option<SharedLease> {
+        self.lease
+            .filter(|lease| now.duration_since(lease.since) < LEASE_USE)
     }
-}
 
-impl State {
-    /// When the full burst is available again after one more tombstone; none beyond the rate.
-    fn after_one_more(&self, now: Instant) -> Option<Instant> {
-        let full_at = self.full_at.map_or(now, |at| at.max(now)) + REFILL;
-        (full_at - now <= REFILL * BURST).then_some(full_at)
+    /// Requests a lease, one at a time.
+    fn grant(&mut self, now: Instant) {
+        if self.is_granting {
+            return;
+        }
+        self.is_granting = true;
+        let store = self.store.clone();
+        self.calls.spawn(async move {
+            let granted = timeout_at(now + GRANT_TIMEOUT, store.grant(LONGEST_LIFE)).await;
+            let granted = granted.unwrap_or(Err(StoreError::Timeout { call: "grant" }));
+            Ended::Grant(now, granted)
+        });
     }
 
-    /// The lease for one more tombstone; none if it has too many.
-    async fn lease(
+    /// Writes the tombstones of the oldest requests, first of those without a limit.
+    fn write(&mut self, lease: LeaseId, deadline: Instant) {
+        let waiting = self.waiting.make_contiguous();
+        waiting.sort_by_key(|request| !request.is_sent);
+        let batch: Vec<Request> = self
+            .waiting
+            .drain(..MAX_BATCH.min(self.waiting.len()))
+            .filter(|request| {
+                request.is_taken.store(true, Ordering::SeqCst);
+                !request.reply.is_closed()
+            })
+            .collect();
+        if batch.is_empty() {
+            return;
+        }
+        let commit = commit(&batch, lease);
+        let store = self.store.clone();
+        self.calls.spawn(async move {
+            let outcome = store.commit_by(commit, deadline).await;
+            Ended::Write(lease, batch, outcome)
+        });
+    }
+
+    fn call_ended(&mut self, ended: Ended) {
+        match ended {
+            Ended::Grant(since, granted) => self.granted(since, granted),
+            Ended::Write(lease, batch, outcome) => self.written(lease, batch, outcome),
+        }
+    }
+
+    /// Uses a lease, or ends the requests that wait for it: another entry may get one.
+    fn granted(&mut self, since: Instant, granted: Result<LeaseId, StoreError>) {
+        self.is_granting = false;
+        match granted {
+            Ok(id) => {
+                log::info!(lease:% = id; "lease of tombstones granted");
+                self.lease = Some(SharedLease { id, since });
+            }
+            Err(error) => {
+                log::warn!(jobs = self.waiting.len(), error:% = error; "no lease for tombstones");
+                for request in self.waiting.drain(..) {
+                    request.end(Err(CallFailure::NoEffect));
+                }
+            }
+        }
+    }
+
+    fn written(
         &mut self,
-        store: &dyn Store,
-        deadline: Instant,
-    ) -> Result<Option<LeaseId>, StoreError> {
-        let now = Instant::now();
-        let is_old = |lease: &SharedLease| now.duration_since(lease.since) >= LEASE_USE;
-        if self.lease.as_ref().is_none_or(is_old) {
-            let granted = timeout_at(deadline, store.grant(LONGEST_LIFE)).await;
-            let id = granted.unwrap_or(Err(StoreError::Timeout { call: "grant" }))?;
-            log::info!(lease:% = id; "lease of tombstones granted");
-            self.lease = Some(SharedLease {
-                id,
-                since: now,
-                tombstones: 0,
-            });
+        lease: LeaseId,
+        batch: Vec<Request>,
+        outcome: Result<Outcome, StoreError>,
+    ) {
+        log::info!(jobs = batch.len(), lease:% = lease, outcome:? = outcome; "tombstones written");
+        if matches!(outcome, Err(StoreError::LeaseGone { .. })) {
+            self.lease = self.lease.filter(|used| used.id != lease);
+        }
+        for request in batch {
+            let result = match &outcome {
+                Ok(Outcome::Committed(_)) => Ok(Requested::Written),
+                Ok(Outcome::Conflict(_)) | Err(StoreError::LeaseGone { .. }) => {
+                    Ok(Requested::Conflict)
+                }
+                Err(error) => Err(commit_failure(request.id, error)),
+            };
+            request.end(result);
         }
-        let lease = self.lease.as_mut().filter(|l| l.tombstones < MAX_OF_LEASE);
-        Ok(lease.map(|lease| {
-            lease.tombstones += 1;
-            lease.id
-        }))
     }
 }
 
-/// Writes or renews a tombstone.
-fn tombstone(id: JobId, lease: LeaseId) -> Commit {
+/// Writes or renews tombstones of jobs that the store does not have.
+fn commit(batch: &[Request], lease: LeaseId) -> Commit {
+    let absent = |request: &Request| Compare::Absent {
+        key: keys::job(request.id),
+    };
+    let put = |request: &Request| Write::Put {
+        key: keys::tombstone(request.id),
+        value: b"cancelled".to_vec(),
+        lease: Some(lease),
+    };
     Commit {
-        compares: vec![Compare::Absent { key: keys::job(id) }],
-        writes: vec![Write::Put {
-            key: keys::tombstone(id),
-            value: b"cancelled".to_vec(),
-            lease: Some(lease),
-        }],
+        compares: batch.iter().map(absent).collect(),
+        writes: batch.iter().map(put).collect(),
+    }
+}
+
+/// How many of something may follow each other without a pause, and after which time one more may.
+#[derive(Debug, Clone, Copy)]
+struct Rate {
+    burst: u32,
+    refill: Duration,
+}
+
+/// A limit of a [`Rate`].
+#[derive(Debug)]
+struct Limit {
+    rate: Rate,
+    /// Time at which the full burst is available again.
+    full_at: Option<Instant>,
+}
+
+impl Limit {
+    fn new(rate: Rate) -> Self {
+        let full_at = None;
+        Self { rate, full_at }
+    }
+
+    /// Time until one more is possible.
+    fn wait(&self, now: Instant) -> Duration {
+        let used = self.full_at.map_or(Duration::ZERO, |at| at - now.min(at));
+        (used + self.rate.refill).saturating_sub(self.rate.refill * self.rate.burst)
+    }
+
+    fn take(&mut self, now: Instant) {
+        self.full_at = Some(self.full_at.map_or(now, |at| at.max(now)) + self.rate.refill);
     }
 }
