fix(jobs): an owner hears of changes that its watch leaves out

A cancellation is confirmed and the owner goes on to start the job's tasks, or a job is accepted and never runs, if the owner's watch is silent or reports a revision without its changes. follow.rs had the watch only.

Cause: that a change was heard of could not be told from one that did not happen. Each write of a job's record now marks the change under one more key, which the owner's check of the ownership reads anyway, 2.5 times a second. A mark that the watch has not reported 0.5 s later has all keys read, once a second at most. No further call while the watch is sound.

Writes of an entry of an earlier version have no mark and are heard by the watch alone, as before.

--- a/crates/parsleytally-entry/src/site/election.rs
+++ b/crates/parsleytally-entry/src/site/election.rs
@@ -112,6 +112,8 @@
     /// Owner with far fewer processors than this process, by the revision of its epoch key,
     /// and when this process first found it.
     weak_owner: Option<(Revision, Instant)>,
+    /// Revision of the last change of jobs or agents, as the last check has read it.
+    pub(super) changed: Revision,
     /// Takes the entries' addresses from the same read.
     pub(super) entries: Option<EntryRegistry>,
     /// Whether this process drains and leaves a free ownership to other candidates first.
@@ -138,6 +140,7 @@
             ended: None,
             vacant_since: None,
             weak_owner: None,
+            changed: Revision(0),
             entries: None,
             yielding: false,
         }
@@ -160,6 +163,8 @@
         if let Some(entries) = &mut self.entries {
             entries.update(&ownership);
         }
+        let changed = ownership.item(keys::FLEET_CHANGED);
+        self.changed = changed.map_or(self.changed, |item| item.revision);
         let epoch_item = ownership.item(keys::EPOCH);
         let owner = epoch_item.and_then(|item| Some((Owner::decode(&item.value)?, item.revision)));
         let alive = ownership.item(keys::ALIVE).is_some();
--- a/crates/parsleytally-entry/src/site/job_call.rs
+++ b/crates/parsleytally-entry/src/site/job_call.rs
@@ -184,11 +184,7 @@
                 key: keys::tombstone(id),
             },
         ],
-        writes: vec![Write::Put {
-            key,
-            value: record.encode(),
-            lease: None,
-        }],
+        writes: write_record(key, &record),
     };
     match store.commit_by(commit, deadline).await {
         Ok(Outcome::Committed(_)) => Ok(JobCallResult::Submitted),
@@ -236,11 +232,7 @@
                 key: item.key.clone(),
                 revision: item.revision,
             }],
-            writes: vec![Write::Put {
-                key: item.key,
-                value: record.encode(),
-                lease: None,
-            }],
+            writes: write_record(item.key, &record),
         };
         match store.commit_by(commit, deadline).await {
             Ok(Outcome::Committed(_)) => return Ok(JobCallResult::Cancelled),
@@ -253,6 +245,14 @@
     }
 }
 
+/// Writes a job's record, so that the owner hears of it.
+fn write_record(key: String, record: &JobRecord) -> Vec<Write> {
+    let changed = keys::fleet_changed(&key);
+    let value = record.encode();
+    let lease = None;
+    vec![Write::Put { key, value, lease }, changed]
+}
+
 async fn read_state(
     store: &dyn Store,
     id: JobId,
--- a/crates/parsleytally-entry/src/site/keys.rs
+++ b/crates/parsleytally-entry/src/site/keys.rs
@@ -27,7 +27,7 @@
 /// Key of what owners have learned about the contention between images.
 pub(crate) const LEARNED: &str = "/parsleytally/learned/contention";
 
-pub(crate) use parsleytally_platform::jobs::AGENTS;
+pub(crate) use parsleytally_platform::jobs::{AGENTS, FLEET_CHANGED, fleet_changed};
 
 /// Key of a job's record.
 pub(crate) fn job(id: JobId) -> String {
--- a/crates/parsleytally-entry/src/site/mod.rs
+++ b/crates/parsleytally-entry/src/site/mod.rs
@@ -365,6 +365,7 @@
             && ownership.since == since
         {
             ownership.confirmation.renew(sent);
+            ownership.fleet_changed(self.candidate.changed);
             self.end_if_replaced().await;
             return;
         }
--- a/crates/parsleytally-entry/src/site/owner.rs
+++ b/crates/parsleytally-entry/src/site/owner.rs
@@ -22,7 +22,7 @@
 use super::confirmation::LastConfirmation;
 use super::election::{Owner, epoch_unchanged};
 use super::evacuations::{ZoneRead, ZoneReads, next_read};
-use super::follow::{FleetUpdate, follow_fleet};
+use super::follow::{FleetFollower, FleetUpdate};
 use super::keys;
 use super::known_agents::{Dial, KnownAgents, delete_address};
 use super::metrics::OwnerMetrics;
@@ -81,6 +81,8 @@
     pub(crate) since: Revision,
     pub(crate) confirmation: LastConfirmation,
     sender: mpsc::Sender<OwnerInput>,
+    /// Revision of the last change of the fleet's keys that a check of the ownership has read.
+    changed: watch::Sender<Revision>,
     stop: CancellationToken,
     task: tokio::task::JoinHandle<()>,
 }
@@ -94,6 +96,7 @@
         confirmed: BootTime,
     ) -> Self {
         let (sender, inputs) = mpsc::channel(CHANNEL_CAPACITY);
+        let changed = watch::Sender::new(Revision(0));
         let stop = CancellationToken::new();
         let confirmation = LastConfirmation::at(confirmed);
         let mut scheduler = Scheduler::new(scheduler_options(&context, &owner, since));
@@ -109,6 +112,7 @@
             confirmation: confirmation.clone(),
             sender: sender.clone(),
             inputs,
+            changed: changed.subscribe(),
             stop: stop.clone(),
             agents: KnownAgents::new(stop.clone()),
             order_senders: HashMap::new(),
@@ -122,11 +126,22 @@
             since,
             confirmation,
             sender,
+            changed,
             stop,
             task,
         }
     }
 
+    /// Tells of the last change of the fleet's keys, of which the owner must hear.
+    pub(crate) fn fleet_changed(&self, revision: Revision) {
+        let newer = |known: &mut Revision| {
+            let newer = *known < revision;
+            *known = revision.max(*known);
+            newer
+        };
+        self.changed.send_if_modified(newer);
+    }
+
     /// Sender of the actor's input channel.
     pub(crate) fn sender(&self) -> mpsc::Sender<OwnerInput> {
         self.sender.clone()
@@ -175,6 +190,7 @@
     confirmation: LastConfirmation,
     sender: mpsc::Sender<OwnerInput>,
     inputs: mpsc::Receiver<OwnerInput>,
+    changed: watch::Receiver<Revision>,
     stop: CancellationToken,
     agents: KnownAgents,
     /// Senders of orders to the agents that are linked.
@@ -222,8 +238,13 @@
             return;
         }
         let (updates, mut fleet_updates) = mpsc::channel(16);
-        let follower = follow_fleet(self.context.store.clone(), state.fleet.revision, updates);
-        self.tasks.spawn(follower);
+        let follower = FleetFollower::new(
+            self.context.store.clone(),
+            state.fleet.revision,
+            updates,
+            self.changed.clone(),
+        );
+        self.tasks.spawn(follower.run());
         let mut tick = interval(TICK);
         loop {
             let wake = self.scheduler.wake_at();
--- a/crates/parsleytally-entry/src/site/tests/mod.rs
+++ b/crates/parsleytally-entry/src/site/tests/mod.rs
@@ -5,6 +5,7 @@
 mod agents;
 mod election;
 mod evacuations;
+mod follow;
 mod known_agents;
 mod owner;
 mod refusals;
--- a/crates/parsleytally-entry/src/site/tombstones.rs
+++ b/crates/parsleytally-entry/src/site/tombstones.rs
@@ -263,7 +263,7 @@
     fn call_ended(&mut self, ended: Ended) {
         match ended {
             Ended::Grant(since, granted) => self.granted(since, granted),
-            Ended::Write(lease, batch, outcome) => self.written(lease, batch, outcome),
+            Ended::Write(lease, batch, outcome) => self.written(lease, batch, &outcome),
         }
     }
 
@@ -288,14 +288,14 @@
         &mut self,
         lease: LeaseId,
         batch: Vec<Request>,
-        outcome: Result<Outcome, StoreError>,
+        outcome: &Result<Outcome, StoreError>,
     ) {
         log::info!(jobs = batch.len(), lease:% = lease, outcome:? = outcome; "tombstones written");
         if matches!(outcome, Err(StoreError::LeaseGone { .. })) {
             self.lease = self.lease.filter(|used| used.id != lease);
         }
         for request in batch {
-            let result = match &outcome {
+            let result = match outcome {
                 Ok(Outcome::Committed(_)) => Ok(Requested::Written),
                 Ok(Outcome::Conflict(_)) | Err(StoreError::LeaseGone { .. }) => {
                     Ok(Requested::Conflict)
--- a/crates/parsleytally-platform/src/jobs.rs
+++ b/crates/parsleytally-platform/src/jobs.rs
@@ -13,6 +13,8 @@
 use parsleytally::types::ZoneName;
 use tokio::time::Instant;
 
+use crate::store::Write;
+
 /// A boxed future, so that the traits here can be used as trait objects.
 pub type JobFuture<'a, T> = Pin<Box<dyn Future<Output = T> + Send + 'a>>;
 
@@ -138,5 +140,19 @@
     fn zone(&self, key: &str) -> Result<ZoneName, String>;
 }
 
+/// Key that is written together with each job record and each agent's address. The revision that
+/// a read of it shows must also have come over a watch; one that has not shows that the watch
+/// leaves changes out.
+pub const FLEET_CHANGED: &str = "/parsleytally/fleet/lead-changed";
+
+/// Marks a change of `key` under [`FLEET_CHANGED`]; part of the same commit.
+pub fn fleet_changed(key: &str) -> Write {
+    Write::Put {
+        key: FLEET_CHANGED.to_owned(),
+        value: key.as_bytes().to_vec(),
+        lease: None,
+    }
+}
+
 /// Prefix of the store keys under which agents publish their addresses.
 pub const AGENTS: &str = "/parsleytally/fleet/agents/";
