fix(agent): an address that is written late replaces no later one

The only write without a condition in the store's keys of jobs was an agent's address. Carried out late, that of an earlier process of the agent replaces the present one: the owner gives up its link, and the worker is unused until the agent writes again, 2 s or more later.

The agent now reads its key and writes on condition that it is unchanged, together with the mark of a change. Cost: one read for a start of an agent.

Evidence: an_address_that_is_stored_late_replaces_no_later_one failed before (the store had the earlier address).

--- a/crates/parsleytally-agent/src/site/registration.rs
+++ b/crates/parsleytally-agent/src/site/registration.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use parsleytally::types::NodeName;
-use parsleytally_platform::jobs::AGENTS;
-use parsleytally_platform::store::{Commit, Store, StoreError, Write};
+use parsleytally_platform::jobs::{AGENTS, fleet_changed};
+use parsleytally_platform::store::{Commit, Compare, Outcome, Store, StoreError, Write};
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
@@ -30,10 +30,22 @@
     pub(super) async fn maintain(mut self) {
         let mut registered = false;
         loop {
-            if let Err(error) = self.register(registered).await {
-                log::warn!(error:% = error; "could not write the address to the store");
-                sleep(RETRY_PAUSE).await;
-                continue;
+            match self.register(registered).await {
+                Ok(None) => {}
+                Ok(Some(Outcome::Committed(revision))) => {
+                    log::info!(address:% = self.links, revision:% = revision;
+                        "wrote the address to the store");
+                }
+                Ok(Some(Outcome::Conflict(_))) => {
+                    log::info!("the address in the store has changed meanwhile");
+                    sleep(RETRY_PAUSE).await;
+                    continue;
+                }
+                Err(error) => {
+                    log::warn!(error:% = error; "could not write the address to the store");
+                    sleep(RETRY_PAUSE).await;
+                    continue;
+                }
             }
             registered = true;
             let held = self.held.wait_for(|held| *held);
@@ -47,26 +59,29 @@
         }
     }
 
-    /// Writes the address to the store; with `check_first`, only if the key differs.
-    async fn register(&self, check_first: bool) -> Result<(), StoreError> {
+    /// Writes the address to the store; with `check_first`, only if the key differs. A write that is
+    /// carried out late, by an earlier process of this agent too, replaces no later address.
+    async fn register(&self, check_first: bool) -> Result<Option<Outcome>, StoreError> {
         let key = format!("{AGENTS}{}", self.node);
         let value = self.links.to_string().into_bytes();
-        if check_first {
-            let found = self.store.range(&key).await?;
-            if found.item(&key).is_some_and(|item| item.value == value) {
-                return Ok(());
-            }
+        let found = self.store.range(&key).await?;
+        let known = found.item(&key);
+        if check_first && known.is_some_and(|item| item.value == value) {
+            return Ok(None);
         }
+        let unchanged = match known {
+            Some(item) => Compare::Unchanged {
+                key: key.clone(),
+                revision: item.revision,
+            },
+            None => Compare::Absent { key: key.clone() },
+        };
+        let changed = fleet_changed(&key);
+        let lease = None;
         let commit = Commit {
-            compares: Vec::new(),
-            writes: vec![Write::Put {
-                key,
-                value,
-                lease: None,
-            }],
+            compares: vec![unchanged],
+            writes: vec![Write::Put { key, value, lease }, changed],
         };
-        self.store.commit(commit).await?;
-        log::info!(address:% = self.links; "wrote the address to the store");
-        Ok(())
+        self.store.commit(commit).await.map(Some)
     }
 }
--- a/crates/parsleytally-agent/src/site/tests.rs
+++ b/crates/parsleytally-agent/src/site/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of the agent's actor and of the deployed configuration template.
 
+mod registration;
 mod reports;
 
 use std::net::SocketAddr;
