test(entry): a model of clients, entries and a store that carries out writes late

It checks that a confirmed cancellation stays, and that accepted jobs are stored and refused ones not.

--- a/crates/parsleytally-entry/src/site/tests/mod.rs
+++ b/crates/parsleytally-entry/src/site/tests/mod.rs
@@ -7,6 +7,7 @@
 mod evacuations;
 mod follow;
 mod known_agents;
+mod late_calls;
 mod owner;
 mod refusals;
 mod sizes;
