refactor(entry): messages of the owner in a file that all take from

Ten files of site used each other in a circle: the owner's input and an agent's ID stood beside the code that handles them, and the client of the owner beside the server of other entries. messages.rs has the messages and IDs, owner_client.rs the client, peers.rs the server; tsort over the imports of the folder finds no circle any more. No change of behaviour.

--- a/crates/parsleytally-entry/src/site/admission.rs
+++ b/crates/parsleytally-entry/src/site/admission.rs
@@ -17,7 +17,7 @@
 use tokio::time::{Instant, MissedTickBehavior, interval, timeout, timeout_at};
 
 use super::keys;
-use super::peer::OwnerClient;
+use super::owner_client::OwnerClient;
 
 /// Time between two requests for the forecast.
 const POLL_INTERVAL: Duration = Duration::from_millis(500);
--- a/crates/parsleytally-entry/src/site/agents.rs
+++ b/crates/parsleytally-entry/src/site/agents.rs
@@ -7,28 +7,18 @@
 use std::time::Duration;
 
 use parsleytally::jobs::{AgentMessage, OrderMessage, RefusalReason, fencing};
-use parsleytally::types::{Epoch, NodeName, Time};
+use parsleytally::types::{Epoch, Time};
 use parsleytally_link::{Batches, Frame, Hello, Incoming, Link, LinkConfig, batches, dial};
 use parsleytally_platform::process::Clock;
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 
 use super::confirmation::LastConfirmation;
-use super::owner::OwnerInput;
+use super::messages::{AgentId, Orders, OwnerInput};
 
 /// Pause before the next attempt to connect to the agent.
 const DIAL_PAUSE: Duration = Duration::from_millis(200);
 
-/// Orders for one agent.
-pub(super) type Orders = Vec<OrderMessage>;
-
-/// An agent, and the number of the task that links the owner to it.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) struct AgentId {
-    pub(crate) node: NodeName,
-    pub(crate) dialer: u64,
-}
-
 /// Connects the owner to one agent.
 pub(super) struct AgentLink {
     pub(super) agent: AgentId,
--- a/crates/parsleytally-entry/src/site/job_call.rs
+++ b/crates/parsleytally-entry/src/site/job_call.rs
@@ -11,7 +11,7 @@
 
 use super::failures::commit_failure;
 use super::keys;
-use super::peer::RemoteReply;
+use super::messages::RemoteReply;
 use super::tombstones::{Requested, Tombstones};
 
 /// Longest wait for a read. Reads are repeated at another entry, so a silent store must not
--- a/crates/parsleytally-entry/src/site/job_service.rs
+++ b/crates/parsleytally-entry/src/site/job_service.rs
@@ -15,7 +15,7 @@
 
 use super::admission::Admission;
 use super::job_call::{JobCall, JobCallResult};
-use super::peer::OwnerClient;
+use super::owner_client::OwnerClient;
 use super::relays::{Asked, Relays};
 use super::sent_log::{SentGuard, SentLog};
 use super::store_health::StoreHealth;
--- a/crates/parsleytally-entry/src/site/known_agents.rs
+++ b/crates/parsleytally-entry/src/site/known_agents.rs
@@ -12,9 +12,9 @@
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
-use super::agents::AgentId;
 use super::election::epoch_unchanged;
 use super::keys;
+use super::messages::AgentId;
 
 /// Pause after a failed deletion of an address.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
--- a/crates/parsleytally-entry/src/site/metrics.rs
+++ b/crates/parsleytally-entry/src/site/metrics.rs
@@ -9,7 +9,7 @@
 use parsleytally_platform::process::metrics::MetricSet;
 use prometheus::{IntCounter, IntCounterVec, IntGauge, IntGaugeVec};
 
-use super::peer::RemoteReply;
+use super::messages::RemoteReply;
 
 /// Value of the epoch gauge while this entry is not the owner.
 const NOT_OWNER: i64 = -1;
--- a/crates/parsleytally-entry/src/site/owner.rs
+++ b/crates/parsleytally-entry/src/site/owner.rs
@@ -6,25 +6,26 @@
 
 use parsleytally::configs::{EvacuationConfig, JobsConfig, SharesConfig, WorkersConfig};
 use parsleytally::jobs::{
-    AgentMessage, ContentionRecord, Input, JobId, JobProgress, JobRecord, JobReply, JobRequest,
-    OrderMessage, Output, QueueTable, Scheduler, SchedulerOptions,
+    ContentionRecord, Input, JobId, JobProgress, JobRecord, JobReply, JobRequest, OrderMessage,
+    Output, QueueTable, Scheduler, SchedulerOptions,
 };
 use parsleytally::types::{NodeName, Revision, Time};
 use parsleytally_link::{Hello, LinkConfig};
 use parsleytally_platform::process::{BootTime, Clock};
 use parsleytally_platform::store::{Change, Commit, Item, Store, Write};
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
 use tokio::time::{interval, sleep};
 use tokio_util::sync::CancellationToken;
 
-use super::agents::{AgentId, AgentLink, Orders};
+use super::agents::AgentLink;
 use super::confirmation::LastConfirmation;
 use super::election::{Owner, epoch_unchanged};
 use super::evacuations::{ZoneRead, ZoneReads, next_read};
 use super::follow::{FleetFollower, FleetUpdate};
 use super::keys;
 use super::known_agents::{Dial, KnownAgents, delete_address};
+use super::messages::{AgentId, Orders, OwnerInput};
 use super::metrics::OwnerMetrics;
 use super::owner_log::{
     log_account, log_crash, log_dropped, log_evacuation, log_order, log_preempted, log_reconciled,
@@ -40,26 +41,6 @@
 /// Time between two ticks of the scheduler.
 const TICK: Duration = Duration::from_millis(150);
 
-/// Input of the owner's actor.
-#[derive(Debug)]
-pub(crate) enum OwnerInput {
-    /// An agent is linked; orders go to the sender.
-    Linked(AgentId, mpsc::UnboundedSender<Vec<OrderMessage>>),
-    /// The link of an agent is lost.
-    Unlinked(AgentId),
-    /// Another agent answers at the address of this one, which is not linked until its address is
-    /// written again.
-    OtherAgent(AgentId),
-    /// Messages from an agent.
-    Agent(AgentId, Vec<AgentMessage>),
-    /// Progress records that are stored, each job with its record's version.
-    Saved(Vec<(JobId, u64)>),
-    /// A request, and the channel for its reply.
-    Request(JobRequest, oneshot::Sender<JobReply>),
-    /// Another entry owns the jobs, or must begin another epoch.
-    Replaced,
-}
-
 /// Settings and components that every ownership of an entry uses.
 #[derive(Clone)]
 pub(crate) struct OwnerContext {
--- a/crates/parsleytally-entry/src/site/peer.rs
+++ b/crates/parsleytally-entry/src/site/owner_client.rs
@@ -7,40 +7,15 @@
 
 use parsleytally::jobs::{JobReply, JobRequest};
 use parsleytally::types::RequestId;
-use parsleytally_link::{Frame, Hello, Incoming, Link, LinkConfig, accept, dial};
-use tokio::net::TcpListener;
+use parsleytally_link::{Frame, Hello, Incoming, Link, LinkConfig, dial};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep, timeout_at};
 
-use super::job_call::JobCall;
-use super::job_service::EntryJobService;
-use super::owner::OwnerInput;
+use super::messages::{OwnerInput, OwnerLocation, RemoteReply};
 
-/// Pause before the next attempt to connect to the owner or to accept a connection.
+/// Pause before the next attempt to connect to the owner.
 const DIAL_PAUSE: Duration = Duration::from_millis(150);
 
-/// Location of the owner of the jobs, as last found in the store.
-#[derive(Debug, Clone)]
-pub(super) enum OwnerLocation {
-    /// No owner is known.
-    Unknown,
-    /// This process.
-    Local(mpsc::Sender<OwnerInput>),
-    /// Another entry, which accepts links at this address.
-    Remote(SocketAddr),
-}
-
-/// Outcome of a request to the owner on another entry.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(super) enum RemoteReply {
-    /// The owner's reply.
-    Answered(JobReply),
-    /// The request was not sent.
-    NotSent,
-    /// The request was sent, but no reply arrived.
-    Unanswered,
-}
-
 /// The link to the owner and the requests that await a reply on it.
 #[derive(Debug, Default)]
 struct OwnerConnection {
@@ -160,81 +135,13 @@
     }
 }
 
-async fn request_local(owner: &mpsc::Sender<OwnerInput>, request: JobRequest) -> Option<JobReply> {
+/// Requests a reply of the owner in this process.
+pub(super) async fn request_local(
+    owner: &mpsc::Sender<OwnerInput>,
+    request: JobRequest,
+) -> Option<JobReply> {
     let (sender, receiver) = oneshot::channel();
     let input = OwnerInput::Request(request, sender);
     owner.send(input).await.ok()?;
     receiver.await.ok()
 }
-
-/// Accepts links of other entries and answers their requests.
-pub(super) async fn serve_peers(
-    listener: TcpListener,
-    hello: Hello,
-    config: LinkConfig,
-    location: watch::Receiver<OwnerLocation>,
-    job_service: Arc<EntryJobService>,
-) {
-    loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                log::warn!(error:% = error; "accepting a link of another entry failed");
-                sleep(DIAL_PAUSE).await;
-                continue;
-            }
-        };
-        let (hello, config) = (hello.clone(), config.clone());
-        let (location, job_service) = (location.clone(), job_service.clone());
-        tokio::spawn(async move {
-            if let Ok((link, incoming)) = accept(stream, &hello, &config).await {
-                answer(link, incoming, location, job_service).await;
-            }
-        });
-    }
-}
-
-async fn answer(
-    link: Link,
-    mut incoming: Incoming,
-    location: watch::Receiver<OwnerLocation>,
-    job_service: Arc<EntryJobService>,
-) {
-    while let Some(frame) = incoming.next().await {
-        let Frame::JobRequest(id, request) = frame else {
-            log::warn!("unexpected frame type from another entry");
-            continue;
-        };
-        let request = match JobCall::from_request(request) {
-            Ok(call) => {
-                // Runs in its own task so that a slow store does not delay other requests.
-                tokio::spawn(answer_relayed(link.clone(), id, job_service.clone(), call));
-                continue;
-            }
-            Err(request) => request,
-        };
-        let owner = location.borrow().clone();
-        let reply = match owner {
-            OwnerLocation::Local(owner) => request_local(&owner, request).await,
-            _ => None,
-        };
-        let reply = Frame::JobReply(id, reply.unwrap_or(JobReply::NotOwner));
-        if link.deliver(reply).await.is_err() {
-            return;
-        }
-    }
-}
-
-/// Calls the store for another entry and replies with the outcome.
-async fn answer_relayed(
-    link: Link,
-    id: RequestId,
-    job_service: Arc<EntryJobService>,
-    call: JobCall,
-) {
-    let job = call.job();
-    let reply = job_service.relay(call).await;
-    log::info!(job:% = job, entry:% = link.peer().node, outcome:? = reply; "job relayed");
-    // If the link is closed, the other entry treats the outcome as unknown.
-    let _ = link.deliver(Frame::JobReply(id, reply)).await;
-}
--- a/crates/parsleytally-entry/src/site/relays.rs
+++ b/crates/parsleytally-entry/src/site/relays.rs
@@ -16,8 +16,9 @@
 use tokio::time::{Instant, interval, timeout_at};
 
 use super::entries::EntryAddresses;
+use super::messages::RemoteReply;
 use super::metrics::RelayMetrics;
-use super::peer::{OwnerClient, RemoteReply};
+use super::owner_client::OwnerClient;
 
 /// Longest time to connect to another entry, with the handshake.
 const DIAL_TIMEOUT: Duration = Duration::from_millis(300);
--- a/crates/parsleytally-entry/src/site/saver.rs
+++ b/crates/parsleytally-entry/src/site/saver.rs
@@ -15,7 +15,7 @@
 
 use super::election::epoch_unchanged;
 use super::keys;
-use super::owner::OwnerInput;
+use super::messages::OwnerInput;
 
 /// Most jobs in one commit, which has one condition for the owner, and a condition and a
 /// write for each job.
--- a/crates/parsleytally-entry/src/site/tests/admission.rs
+++ b/crates/parsleytally-entry/src/site/tests/admission.rs
@@ -22,8 +22,10 @@
 use super::super::admission::{Admission, AdmissionMetrics};
 use super::super::config::SiteConfig;
 use super::super::job_service::EntryJobService;
+use super::super::messages::OwnerLocation;
 use super::super::owner::Ownership;
-use super::super::peer::{OwnerClient, OwnerLocation, serve_peers};
+use super::super::owner_client::OwnerClient;
+use super::super::peers::serve_peers;
 use super::owner::{context, owner, write_epoch};
 use super::{JOB, hello, job_service, link_config, soon, spec};
 
--- a/crates/parsleytally-entry/src/site/tests/agents.rs
+++ b/crates/parsleytally-entry/src/site/tests/agents.rs
@@ -15,7 +15,8 @@
 use tokio::time::timeout;
 
 use super::super::keys;
-use super::super::owner::{OwnerInput, Ownership};
+use super::super::messages::OwnerInput;
+use super::super::owner::Ownership;
 use super::owner::{context, owner, write_epoch};
 use super::{JOB, agent_link, hello, link_config};
 
--- a/crates/parsleytally-entry/src/site/tests/follow.rs
+++ b/crates/parsleytally-entry/src/site/tests/follow.rs
@@ -14,7 +14,8 @@
 use tokio::time::{Instant, sleep};
 
 use super::super::election::{Candidate, OwnerView};
-use super::super::owner::{OwnerInput, Ownership};
+use super::super::messages::OwnerInput;
+use super::super::owner::Ownership;
 use super::owner::context;
 use super::{JOB, job_service_on, soon, spec};
 
--- a/crates/parsleytally-entry/src/site/tests/mod.rs
+++ b/crates/parsleytally-entry/src/site/tests/mod.rs
@@ -40,14 +40,14 @@
 use tokio::time::{Instant, timeout};
 
 use super::admission::AdmissionMetrics;
-use super::agents::{AgentId, AgentLink};
+use super::agents::AgentLink;
 use super::config::{SiteConfig, parse_processors};
 use super::confirmation::LastConfirmation;
 use super::entries::EntryAddresses;
 use super::job_service::EntryJobService;
+use super::messages::{AgentId, OwnerInput, OwnerLocation, RemoteReply};
 use super::metrics::{OwnerMetrics, RelayMetrics};
-use super::owner::OwnerInput;
-use super::peer::{OwnerClient, OwnerLocation, RemoteReply};
+use super::owner_client::OwnerClient;
 use super::relays::Relays;
 use super::sent_log::SentLog;
 use super::store_health::{ObservedStore, StoreHealth};
--- a/crates/parsleytally-entry/src/site/tests/owner.rs
+++ b/crates/parsleytally-entry/src/site/tests/owner.rs
@@ -15,8 +15,9 @@
 
 use super::super::election::Owner;
 use super::super::keys;
+use super::super::messages::OwnerInput;
 use super::super::metrics::OwnerMetrics;
-use super::super::owner::{OwnerContext, OwnerInput, Ownership};
+use super::super::owner::{OwnerContext, Ownership};
 use super::{JOB, hello, job_service, link_config, soon, spec};
 
 pub(super) fn context(store: Arc<dyn Store>) -> OwnerContext {
--- a/crates/parsleytally-entry/src/site/tests/refusals.rs
+++ b/crates/parsleytally-entry/src/site/tests/refusals.rs
@@ -21,7 +21,8 @@
 use super::super::entries::{EntryAddresses, EntryRegistry};
 use super::super::job_service::EntryJobService;
 use super::super::keys;
-use super::super::peer::{OwnerLocation, serve_peers};
+use super::super::messages::OwnerLocation;
+use super::super::peers::serve_peers;
 use super::{JOB, hello, job_service_with, link_config, metric_set, soon, spec};
 
 /// How one entry's path to the store fails.
--- a/crates/parsleytally-entry/src/site/tests/sizes.rs
+++ b/crates/parsleytally-entry/src/site/tests/sizes.rs
@@ -15,7 +15,7 @@
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
-use super::super::owner::OwnerInput;
+use super::super::messages::OwnerInput;
 use super::super::saver::{ProgressRecord, Saver};
 use super::owner::write_epoch;
 use super::{JOB, spec};
