fix(entry): a busy owner delays no other call on the link of an entry

An entry that answers another one waited for its owner in the loop of the link, so a submission or cancellation behind a query there got no answer in the 0.6 s that the other entry waits, and ended as unknown, for as long as the owner is busy.

Each request runs in a task of its own now, those to the owner too.

Evidence: a_busy_owner_delays_no_call_on_its_link failed before (no reply in 5 s).

--- a/crates/parsleytally-entry/src/site/peers.rs
+++ b/crates/parsleytally-entry/src/site/peers.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use parsleytally::jobs::JobReply;
+use parsleytally::jobs::{JobReply, JobRequest};
 use parsleytally::types::RequestId;
 use parsleytally_link::{Frame, Hello, Incoming, Link, LinkConfig, accept};
 use tokio::net::TcpListener;
@@ -56,26 +56,28 @@
             log::warn!("unexpected frame type from another entry");
             continue;
         };
-        let request = match JobCall::from_request(request) {
-            Ok(call) => {
-                // Runs in its own task so that a slow store does not delay other requests.
-                tokio::spawn(answer_relayed(link.clone(), id, job_service.clone(), call));
-                continue;
+        // Each runs in a task of its own, so that a slow store or owner does not delay others.
+        match JobCall::from_request(request) {
+            Ok(call) => tokio::spawn(answer_relayed(link.clone(), id, job_service.clone(), call)),
+            Err(request) => {
+                let owner = location.borrow().clone();
+                tokio::spawn(answer_as_owner(link.clone(), id, owner, request))
             }
-            Err(request) => request,
-        };
-        let owner = location.borrow().clone();
-        let reply = match owner {
-            OwnerLocation::Local(owner) => request_local(&owner, request).await,
-            _ => None,
         };
-        let reply = Frame::JobReply(id, reply.unwrap_or(JobReply::NotOwner));
-        if link.deliver(reply).await.is_err() {
-            return;
-        }
     }
 }
 
+/// Replies as the owner, if this entry is it.
+async fn answer_as_owner(link: Link, id: RequestId, owner: OwnerLocation, request: JobRequest) {
+    let reply = match owner {
+        OwnerLocation::Local(owner) => request_local(&owner, request).await,
+        _ => None,
+    };
+    let reply = reply.unwrap_or(JobReply::NotOwner);
+    // If the link is closed, the other entry has no owner to ask.
+    let _ = link.deliver(Frame::JobReply(id, reply)).await;
+}
+
 /// Calls the store for another entry and replies with the outcome.
 async fn answer_relayed(
     link: Link,
--- a/crates/parsleytally-entry/src/site/tests/refusals.rs
+++ b/crates/parsleytally-entry/src/site/tests/refusals.rs
@@ -6,16 +6,16 @@
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 
-use parsleytally::jobs::{JobId, JobState};
-use parsleytally::types::{NodeName, Revision};
-use parsleytally_link::{Incoming, Link, Role, accept};
+use parsleytally::jobs::{CancelOutcome, JobId, JobReply, JobRequest, JobState};
+use parsleytally::types::{NodeName, RequestId, Revision};
+use parsleytally_link::{Frame, Incoming, Link, Role, accept, dial};
 use parsleytally_platform::jobs::{CancelAnswer, JobAnswer, JobService, SubmitAnswer};
 use parsleytally_platform::store::{
     Commit, LeaseId, MemoryStore, Newest, Outcome, Snapshot, Store, StoreError, StoreFuture, Watch,
     Write,
 };
 use tokio::net::TcpListener;
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep, timeout};
 
 use super::super::entries::{EntryAddresses, EntryRegistry};
@@ -23,7 +23,7 @@
 use super::super::keys;
 use super::super::messages::OwnerLocation;
 use super::super::peers::serve_peers;
-use super::{JOB, hello, job_service_with, link_config, metric_set, soon, spec};
+use super::{JOB, hello, job_service, job_service_with, link_config, metric_set, soon, spec};
 
 /// How one entry's path to the store fails.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -641,3 +641,27 @@
         assert_eq!(entries[1].addresses.get().len(), 2, "{odd:?}");
     }
 }
+
+/// Guards against cancellations and submissions through another entry that end as unknown, since
+/// its owner takes long to answer an earlier request on the same link.
+#[tokio::test]
+async fn a_busy_owner_delays_no_call_on_its_link() {
+    let store = Arc::new(MemoryStore::new());
+    let jobs = Arc::new(job_service(&store));
+    let (listener, address) = listen().await;
+    let (owner, _unanswered) = mpsc::channel(16);
+    let (_location, location) = watch::channel(OwnerLocation::Local(owner));
+    let peer = hello(Role::Entry, "peer");
+    tokio::spawn(serve_peers(listener, peer, link_config(), location, jobs));
+    let dialed = dial(address, &hello(Role::Entry, "entry"), &link_config()).await;
+    let (link, mut incoming) = dialed.expect("a link");
+    let requests = [JobRequest::State(JOB), JobRequest::Cancel(JOB)];
+    for (request, id) in requests.into_iter().zip(1..) {
+        let sent = link.send(Frame::JobRequest(RequestId(id), request));
+        sent.expect("the link is open");
+    }
+    let reply = timeout(Duration::from_secs(5), incoming.next()).await;
+    let reply = reply.expect("a reply in time");
+    let cancelled = JobReply::Cancelled(CancelOutcome::NoJob);
+    assert_eq!(reply, Some(Frame::JobReply(RequestId(2), cancelled)));
+}
