fix(jobs): an end that is listed again does not begin the wait of its task anew

Cause: a worker lists an end on each new link until the store has it, and the owner took each listing for a run that was just seen, which ends the wait of its task. With links that come and go and a store that does not have the end yet, the wait never reached its bound. An end counts once now: if its run counted as in progress, or is later than the last one whose end was seen.

--- a/crates/parsleytally/src/jobs/job.rs
+++ b/crates/parsleytally/src/jobs/job.rs
@@ -77,6 +77,8 @@
     pub(super) stalls: u8,
     /// How its last run ended; none if this owner does not know.
     pub(super) last_end: Option<LastEnd>,
+    /// Highest number of a run whose end this owner has seen; 0 before the first.
+    pub(super) last_ended: u32,
     /// Crashes of workers with its runs, unless a later run has cleared it.
     pub(super) crashes: Vec<CrashMark>,
     /// Version of the progress record that has the last of them.
--- a/crates/parsleytally/src/jobs/scheduler/ended.rs
+++ b/crates/parsleytally/src/jobs/scheduler/ended.rs
@@ -211,7 +211,7 @@
         }
         worker.last_ended = ended_run.sequence;
         let load = self.release(node, ended_run.run);
-        self.run_seen(ended_run.run);
+        self.end_seen(ended_run.run, load.is_some());
         self.pass_due = true;
         self.record_health(now, node, ended_run, load.as_ref());
         self.learn_from_end(now, node, ended_run, load.as_ref());
@@ -436,6 +436,20 @@
         }
     }
 
+    /// Ends the wait of a run's task, unless the end was seen before: an end is listed on each new
+    /// link until the store has it. `was_known` tells whether the run counted as in progress.
+    fn end_seen(&mut self, run: RunRef, was_known: bool) {
+        let job = self.jobs.get_mut(&run.task.job);
+        let Some(task) = job.and_then(|job| job.task(run.task)) else {
+            return;
+        };
+        let is_new = was_known || run.run > task.last_ended;
+        task.last_ended = task.last_ended.max(run.run);
+        if is_new {
+            self.run_seen(run);
+        }
+    }
+
     /// Marks the job of a run as running once a worker is known to have begun the run.
     pub(super) fn mark_started(&mut self, run: RunRef) {
         self.run_seen(run);
--- a/crates/parsleytally/src/jobs/tests/held_back.rs
+++ b/crates/parsleytally/src/jobs/tests/held_back.rs
@@ -474,3 +474,60 @@
     let in_time = time.is_some_and(|time| time <= LASTING_BOUND_MS);
     assert!(in_time, "{time:?} ms");
 }
+
+/// Guards against LOST: an end that its worker lists on each new link, as the store does not have it yet, began
+/// the wait of its task anew, so that the task never started again.
+#[test]
+fn an_end_that_is_listed_again_does_not_begin_the_wait_anew() {
+    const RELINK_TICKS: u64 = 7;
+    let mut bench = Bench::with_options(default_times());
+    let mut placed = join_busy(&mut bench, 2);
+    let services = placed.clone();
+    let out = bench.submit(1, job(vec![harmful_step(1, true)]), 30);
+    placed.extend(starts(&out));
+    let is_of_job = |(_, run): &&(NodeName, RunRef)| run.task.job == JobId(1);
+    let first = time_until(&mut bench, 2 * LASTING_BOUND_MS, |bench, out| {
+        placed.extend(starts(out));
+        placed.extend(starts(&measure(bench, &placed)));
+        placed.iter().any(|run| is_of_job(&run))
+    });
+    assert!(first.is_some(), "the first run starts");
+    let (host, run) = placed.iter().find(is_of_job).expect("a run").clone();
+    let at = usize::from(host != node(0));
+    let running = services.iter().filter(|(service, _)| *service == host);
+    let running: Vec<RunStatus> = running
+        .map(|(_, run)| RunStatus {
+            run: *run,
+            checkpoint: String::new(),
+            percent: 100,
+            measurement: BUSY_MS,
+        })
+        .collect();
+    let listing = AgentMessage::Listed {
+        incarnation: incarnation(at, 7),
+        running,
+        ended: vec![EndedRun {
+            sequence: 1,
+            run,
+            reason: EndReason::Failed,
+            checkpoint: String::new(),
+        }],
+    };
+    bench.agent(at, listing.clone());
+    let mut tick = 0;
+    let again = time_until(&mut bench, 2 * LASTING_BOUND_MS, |bench, out| {
+        let mut started = starts(out);
+        if tick % RELINK_TICKS == 0 {
+            started.extend(starts(&bench.feed(Input::Unlinked(host.clone()))));
+            started.extend(starts(&bench.feed(Input::Linked(host.clone()))));
+            let report = AgentMessage::Report(report(at, 7));
+            started.extend(starts(&bench.agent(at, report)));
+            started.extend(starts(&bench.agent(at, listing.clone())));
+        }
+        tick += 1;
+        started.extend(starts(&measure(bench, &services)));
+        started.iter().any(|run| is_of_job(&run))
+    });
+    let in_time = again.is_some_and(|time| time <= LASTING_BOUND_MS);
+    assert!(in_time, "{again:?} ms");
+}
