fix(jobs): an agent is dialed again after another one has answered at its address

Cause: the task that links the owner to an agent ended when another agent answered at the address, and began again only when the record changed. An agent that follows another one at an address does not write its record again while it is there, so its worker was unused for as long as the owner lived. The task now pauses for 2 s and dials again; a dial that finds another name closes before anything is ordered, so that the other agent's link is not touched.

--- a/crates/parsleytally-entry/src/site/agents.rs
+++ b/crates/parsleytally-entry/src/site/agents.rs
@@ -18,6 +18,8 @@
 
 /// Pause before the next attempt to connect to the agent.
 const DIAL_PAUSE: Duration = Duration::from_millis(200);
+/// Same after another agent has answered: this one may follow it at the address, or be gone.
+const OTHER_PAUSE: Duration = Duration::from_secs(2);
 
 /// Connects the owner to one agent.
 pub(super) struct AgentLink {
@@ -37,14 +39,15 @@
 }
 
 impl AgentLink {
-    /// Connects to the agent, and again whenever the link is lost or the owner drops the sender
-    /// of its orders, until cancelled. Ends if another agent answers at the address.
+    /// Connects to the agent, and again whenever the link is lost, another agent answers at the
+    /// address or the owner drops the sender of its orders, until cancelled.
     pub(super) async fn run(self) {
         loop {
             match dial(self.address, &self.hello, &self.config).await {
                 Ok((link, _)) if link.peer().node != self.agent.node => {
                     self.close_other(link).await;
-                    return;
+                    sleep(OTHER_PAUSE).await;
+                    continue;
                 }
                 Ok((link, incoming)) => {
                     let number = self.link_counter.fetch_add(1, Ordering::Relaxed) + 1;
--- a/crates/parsleytally-entry/src/site/known_agents.rs
+++ b/crates/parsleytally-entry/src/site/known_agents.rs
@@ -26,7 +26,7 @@
     revision: Revision,
     /// Number of the task that links the owner to it.
     dialer: u64,
-    /// Whether another agent has answered at the address, which ended that task.
+    /// Whether another agent answered at the address when it was dialed last; then that task pauses.
     other_answered: bool,
     stop: CancellationToken,
 }
@@ -126,10 +126,10 @@
         known.is_some_and(|known| known.dialer == agent.dialer)
     }
 
-    /// Notes that another agent answers at the address of `node`, whose task has ended.
-    pub(super) fn set_answered_by_other(&mut self, node: &NodeName) {
+    /// Notes whether another agent has answered at the address of `node`.
+    pub(super) fn set_answered_by_other(&mut self, node: &NodeName, other_answered: bool) {
         if let Some(known) = self.agents.get_mut(node) {
-            known.other_answered = true;
+            known.other_answered = other_answered;
         }
     }
 
--- a/crates/parsleytally-entry/src/site/messages.rs
+++ b/crates/parsleytally-entry/src/site/messages.rs
@@ -23,8 +23,7 @@
     Linked(AgentId, mpsc::UnboundedSender<Vec<OrderMessage>>),
     /// The link of an agent is lost.
     Unlinked(AgentId),
-    /// Another agent answers at the address of this one, which is not linked until its address is
-    /// written again.
+    /// Another agent answers at the address of this one, which is dialed again after a pause.
     OtherAgent(AgentId),
     /// Messages from an agent.
     Agent(AgentId, Vec<AgentMessage>),
--- a/crates/parsleytally-entry/src/site/owner.rs
+++ b/crates/parsleytally-entry/src/site/owner.rs
@@ -391,6 +391,7 @@
                 log::debug!("input of an earlier link to agent {} is late", agent.node);
             }
             OwnerInput::Linked(AgentId { node, .. }, orders) => {
+                self.agents.set_answered_by_other(&node, false);
                 self.order_senders.insert(node.clone(), orders);
                 log::info!(agent:% = node; "agent linked");
                 self.step(Input::Linked(node));
@@ -398,7 +399,7 @@
             OwnerInput::Unlinked(AgentId { node, .. }) => self.unlink(node),
             OwnerInput::OtherAgent(AgentId { node, .. }) => {
                 self.context.metrics.count_mismatch();
-                self.agents.set_answered_by_other(&node);
+                self.agents.set_answered_by_other(&node, true);
             }
             OwnerInput::Agent(AgentId { node, .. }, messages) => {
                 for message in messages {
--- a/crates/parsleytally-entry/src/site/tests/agents.rs
+++ b/crates/parsleytally-entry/src/site/tests/agents.rs
@@ -149,3 +149,25 @@
     );
     ownership.close().await;
 }
+
+/// Guards against LOST: an agent at whose address another one had answered was not dialed again, so its
+/// worker stayed unused for as long as the owner lived.
+#[tokio::test]
+async fn an_agent_is_dialed_again_after_another_one_has_answered() {
+    let store = Arc::new(MemoryStore::new());
+    let since = write_epoch(&store).await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    publish(&store, "present", &listener).await;
+    let ownership = Ownership::start(context(store.clone()), owner(), since, BootTime::now());
+    let (_, _, first) = accept_agent(&listener, "former").await;
+    assert!(first.is_none(), "linked under another name: {first:?}");
+    let again = timeout(WAIT, accept_agent(&listener, "present")).await;
+    let (link, _incoming, first) = again.expect("the owner dials again");
+    assert!(first.is_some(), "the owner closes the link");
+    // Its link stays, also when it writes its address again.
+    publish(&store, "present", &listener).await;
+    let further = timeout(SEVERAL_DIALS, listener.accept()).await;
+    assert!(further.is_err(), "the owner dials a linked agent");
+    assert!(!link.is_closed());
+    ownership.close().await;
+}
