--- a/crates/parsleytally-entry/src/site/mod.rs
+++ b/crates/parsleytally-entry/src/site/mod.rs
@@ -42,11 +42,13 @@
 mod owner_log;
 mod peers;
 mod queues;
+mod rate_limit;
 mod relays;
 mod saver;
 mod sent_log;
 mod store_health;
 mod stored_state;
+mod tombstone_writer;
 mod tombstones;
 
 pub use config::SiteConfig;
