--- a/crates/parsleytally-agent/src/site/registration.rs
+++ b/crates/parsleytally-agent/src/site/registration.rs
@@ -69,13 +69,7 @@
         if check_first && known.is_some_and(|item| item.value == value) {
             return Ok(None);
         }
-        let unchanged = match known {
-            Some(item) => Compare::Unchanged {
-                key: key.clone(),
-                revision: item.revision,
-            },
-            None => Compare::Absent { key: key.clone() },
-        };
+        let unchanged = Compare::unchanged(&key, known.map(|item| item.revision));
         let changed = fleet_changed(&key);
         let lease = None;
         let commit = Commit {
--- a/crates/parsleytally-entry/src/operators/settings.rs
+++ b/crates/parsleytally-entry/src/operators/settings.rs
@@ -161,13 +161,7 @@
 }
 
 fn commit(key: String, current: Option<Revision>, body: Option<&[u8]>) -> Commit {
-    let compare = match current {
-        Some(revision) => Compare::Unchanged {
-            key: key.clone(),
-            revision,
-        },
-        None => Compare::Absent { key: key.clone() },
-    };
+    let compare = Compare::unchanged(&key, current);
     let write = match body {
         Some(body) => Write::Put {
             key,
--- a/crates/parsleytally-entry/src/scheduler/store.rs
+++ b/crates/parsleytally-entry/src/scheduler/store.rs
@@ -145,7 +145,7 @@
         let key = owner_key(shard);
         let value = serde_json::to_vec(record).expect("plain data always encodes");
         let commit = Commit {
-            compares: vec![unchanged(key.clone(), expected_revision)],
+            compares: vec![Compare::unchanged(&key, expected_revision)],
             writes: vec![put(key, value)],
         };
         self.runtime.spawn(async move {
@@ -305,19 +305,12 @@
     let segments = write.batch.segments.iter();
     writes.extend(segments.map(|(id, bytes)| put(format!("{prefix}{id}"), bytes.clone())));
     let compares = vec![
-        unchanged(owner_key(write.shard), Some(write.owner_revision)),
-        unchanged(head_key(write.shard), write.head_revision),
+        Compare::unchanged(owner_key(write.shard), Some(write.owner_revision)),
+        Compare::unchanged(head_key(write.shard), write.head_revision),
     ];
     Commit { compares, writes }
 }
 
-fn unchanged(key: String, revision: Option<Revision>) -> Compare {
-    match revision {
-        Some(revision) => Compare::Unchanged { key, revision },
-        None => Compare::Absent { key },
-    }
-}
-
 fn put(key: String, value: Vec<u8>) -> Write {
     let lease = None;
     Write::Put { key, value, lease }
--- a/crates/parsleytally-entry/src/site/entries.rs
+++ b/crates/parsleytally-entry/src/site/entries.rs
@@ -133,13 +133,7 @@
 
     fn publication(&self, own: Option<&Item>, all: &[Published]) -> Commit {
         let key = keys::entry(&self.node);
-        let compare = match own {
-            Some(own) => Compare::Unchanged {
-                key: key.clone(),
-                revision: own.revision,
-            },
-            None => Compare::Absent { key: key.clone() },
-        };
+        let compare = Compare::unchanged(&key, own.map(|own| own.revision));
         let put = Write::Put {
             key,
             value: self.links.to_string().into_bytes(),
--- a/crates/parsleytally-entry/src/site/saver.rs
+++ b/crates/parsleytally-entry/src/site/saver.rs
@@ -90,14 +90,9 @@
         commit.compares.push(epoch_unchanged(self.since));
         for (job, value) in batch {
             let key = keys::progress(*job);
+            let saved = self.revisions.get(job).copied();
             // A delayed duplicate of an earlier write must not overwrite a later one.
-            commit.compares.push(match self.revisions.get(job) {
-                Some(revision) => Compare::Unchanged {
-                    key: key.clone(),
-                    revision: *revision,
-                },
-                None => Compare::Absent { key: key.clone() },
-            });
+            commit.compares.push(Compare::unchanged(&key, saved));
             commit.writes.push(Write::Put {
                 key,
                 value: value.clone(),
--- a/crates/parsleytally-platform/src/store/mod.rs
+++ b/crates/parsleytally-platform/src/store/mod.rs
@@ -115,6 +115,17 @@
     },
 }
 
+impl Compare {
+    /// Condition that the key is unchanged at this revision; without one, that it is absent.
+    pub fn unchanged(key: impl Into<String>, revision: Option<Revision>) -> Self {
+        let key = key.into();
+        match revision {
+            Some(revision) => Self::Unchanged { key, revision },
+            None => Self::Absent { key },
+        }
+    }
+}
+
 /// A write of a commit.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Write {
--- a/crates/parsleytally-platform/src/store/writer/mod.rs
+++ b/crates/parsleytally-platform/src/store/writer/mod.rs
@@ -124,16 +124,10 @@
 }
 
 fn guarded(mut commit: Commit, key: &str, base: &VersionedLog, id: WriteId) -> Commit {
-    let key = key.to_owned();
-    commit.compares.push(match base.revision {
-        Some(revision) => Compare::Unchanged {
-            key: key.clone(),
-            revision,
-        },
-        None => Compare::Absent { key: key.clone() },
-    });
+    let unchanged = Compare::unchanged(key, base.revision);
+    commit.compares.push(unchanged);
     commit.writes.push(Write::Put {
-        key,
+        key: key.to_owned(),
         value: base.log.with(id).to_value(),
         lease: None,
     });
