refactor(store): one store with hooks instead of eight test stores

`HookedStore` (feature `stand-in`) delegates them, `StoreHooks` replaces what a test disturbs. Assertions and tables of the tests are as before; only the paths to the state of the hooks change.

--- a/crates/parsleytally-agent/src/site/tests/registration.rs
+++ b/crates/parsleytally-agent/src/site/tests/registration.rs
@@ -4,10 +4,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use parsleytally::types::{NodeName, Revision};
+use parsleytally::types::NodeName;
 use parsleytally_platform::jobs::AGENTS;
 use parsleytally_platform::store::{
-    Commit, LeaseId, MemoryStore, Newest, Outcome, Snapshot, Store, StoreError, StoreFuture, Watch,
+    Commit, HookedStore, MemoryStore, Outcome, Store, StoreError, StoreFuture, StoreHooks,
 };
 use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep, timeout};
@@ -19,37 +19,14 @@
 /// Pause between two looks at the store.
 const CHECK_PAUSE: Duration = Duration::from_millis(5);
 
-/// A store that answers no commit and hands each out to be carried out late.
-struct LateStore {
-    store: Arc<MemoryStore>,
-    commits: mpsc::UnboundedSender<Commit>,
-}
-
-impl Store for LateStore {
-    fn range<'a>(&'a self, prefix: &'a str) -> StoreFuture<'a, Snapshot> {
-        self.store.range(prefix)
-    }
+/// Answers no commit and hands each out to be carried out late.
+struct LateCommits(mpsc::UnboundedSender<Commit>);
 
-    fn newest<'a>(&'a self, prefix: &'a str) -> StoreFuture<'a, Newest> {
-        self.store.newest(prefix)
-    }
-
-    fn commit(&self, commit: Commit) -> StoreFuture<'_, Outcome> {
-        self.commits.send(commit).expect("the test waits");
+impl StoreHooks for LateCommits {
+    fn commit<'a>(&'a self, _: &'a MemoryStore, commit: Commit) -> StoreFuture<'a, Outcome> {
+        self.0.send(commit).expect("the test waits");
         Box::pin(async { Err(StoreError::Timeout { call: "commit" }) })
     }
-
-    fn grant(&self, ttl: Duration) -> StoreFuture<'_, LeaseId> {
-        self.store.grant(ttl)
-    }
-
-    fn renew(&self, lease: LeaseId) -> StoreFuture<'_, Duration> {
-        self.store.renew(lease)
-    }
-
-    fn watch<'a>(&'a self, prefix: &'a str, from: Revision) -> StoreFuture<'a, Box<dyn Watch>> {
-        self.store.watch(prefix, from)
-    }
 }
 
 fn address(port: u16) -> SocketAddr {
@@ -92,17 +69,16 @@
 #[tokio::test]
 async fn an_address_that_is_stored_late_replaces_no_later_one() {
     for stored_before in [false, true] {
-        let store = Arc::new(MemoryStore::new());
+        let memory = MemoryStore::new();
+        let store = Arc::new(memory.clone());
         if stored_before {
             let first = start(store.clone(), 1);
             wait_for(&store, address(1)).await;
             first.abort();
         }
         let (commits, mut late) = mpsc::unbounded_channel();
-        let late_store = LateStore {
-            store: store.clone(),
-            commits,
-        };
+        let hooks = LateCommits(commits);
+        let late_store = HookedStore { memory, hooks };
         let second = start(Arc::new(late_store), 2);
         let commit = late.recv().await.expect("a write");
         second.abort();
--- a/crates/parsleytally-entry/src/site/tests/evacuations.rs
+++ b/crates/parsleytally-entry/src/site/tests/evacuations.rs
@@ -10,7 +10,7 @@
 use parsleytally_adapter::EvacuationKeys;
 use parsleytally_platform::process::Clock;
 use parsleytally_platform::store::{
-    Changes, Commit, LeaseId, MemoryStore, Newest, Outcome, Snapshot, Store, StoreFuture, Watch,
+    Changes, Commit, HookedStore, MemoryStore, Snapshot, Store, StoreFuture, StoreHooks, Watch,
     Write,
 };
 use tokio::time::{Instant, timeout};
@@ -18,9 +18,10 @@
 use super::super::evacuations::{EvacuationFollower, ZoneReads};
 
 /// A store whose watches can be silent and whose reads can be stale.
+type FaultyStore = HookedStore<Faults>;
+
 #[derive(Default)]
-struct FaultyStore {
-    store: MemoryStore,
+struct Faults {
     silent: bool,
     /// Answer to all reads.
     stale: Mutex<Option<Snapshot>>,
@@ -35,38 +36,27 @@
     }
 }
 
-impl Store for FaultyStore {
-    fn range<'a>(&'a self, prefix: &'a str) -> StoreFuture<'a, Snapshot> {
+impl StoreHooks for Faults {
+    fn range<'a>(&'a self, store: &'a MemoryStore, prefix: &'a str) -> StoreFuture<'a, Snapshot> {
         if let Some(stale) = self.stale.lock().expect("not poisoned").clone() {
             return Box::pin(async { Ok(stale) });
         }
         if self.down.load(Ordering::Relaxed) {
             return Box::pin(std::future::pending());
         }
-        self.store.range(prefix)
-    }
-
-    fn newest<'a>(&'a self, prefix: &'a str) -> StoreFuture<'a, Newest> {
-        self.store.newest(prefix)
-    }
-
-    fn commit(&self, commit: Commit) -> StoreFuture<'_, Outcome> {
-        self.store.commit(commit)
-    }
-
-    fn grant(&self, ttl: Duration) -> StoreFuture<'_, LeaseId> {
-        self.store.grant(ttl)
-    }
-
-    fn renew(&self, lease: LeaseId) -> StoreFuture<'_, Duration> {
-        self.store.renew(lease)
+        store.range(prefix)
     }
 
-    fn watch<'a>(&'a self, prefix: &'a str, from: Revision) -> StoreFuture<'a, Box<dyn Watch>> {
+    fn watch<'a>(
+        &'a self,
+        store: &'a MemoryStore,
+        prefix: &'a str,
+        from: Revision,
+    ) -> StoreFuture<'a, Box<dyn Watch>> {
         if self.silent {
             return Box::pin(async { Ok(Box::new(SilentWatch) as Box<dyn Watch>) });
         }
-        self.store.watch(prefix, from)
+        store.watch(prefix, from)
     }
 }
 
@@ -132,10 +122,9 @@
         },
     ];
     for case in cases {
-        let store = Arc::new(FaultyStore {
-            silent: case.silent,
-            ..FaultyStore::default()
-        });
+        let mut store = FaultyStore::default();
+        store.hooks.silent = case.silent;
+        let store = Arc::new(store);
         let clock = Clock::start();
         let mut reads = follow(&store);
         wait_for(&mut reads, clock, &[]).await;
@@ -157,13 +146,13 @@
     let mut reads = follow(&store);
     wait_for(&mut reads, clock, &[]).await;
     let old = store
-        .store
+        .memory
         .range("op/evacuate/")
         .await
         .expect("the store is up");
     request(&store, "a").await;
     wait_for(&mut reads, clock, &["a"]).await;
-    *store.stale.lock().expect("not poisoned") = Some(old);
+    *store.hooks.stale.lock().expect("not poisoned") = Some(old);
     reads.request();
     let published = timeout(Duration::from_secs(5), reads.next()).await;
     assert!(published.is_err(), "{published:?}");
@@ -176,7 +165,7 @@
     let clock = Clock::start();
     let mut reads = follow(&store);
     let before = next(&mut reads, clock).await;
-    store.down.store(true, Ordering::Relaxed);
+    store.hooks.down.store(true, Ordering::Relaxed);
     request(&store, "a").await;
     let change = next(&mut reads, clock).await;
     assert_eq!(change.zones.len(), 1, "the watch still reports changes");
--- a/crates/parsleytally-entry/src/site/tests/follow.rs
+++ b/crates/parsleytally-entry/src/site/tests/follow.rs
@@ -8,7 +8,7 @@
 use parsleytally::types::{MilliCpu, NodeName, Revision};
 use parsleytally_platform::jobs::{CancelAnswer, JobService, SubmitAnswer};
 use parsleytally_platform::store::{
-    Changes, Commit, LeaseId, MemoryStore, Newest, Outcome, Snapshot, Store, StoreFuture, Watch,
+    Changes, HookedStore, MemoryStore, Store, StoreFuture, StoreHooks, Watch,
 };
 use tokio::sync::oneshot;
 use tokio::time::{Instant, sleep};
@@ -33,9 +33,8 @@
     Empty,
 }
 
-/// A store with such watches, while that is switched on.
-struct WatchedStore {
-    store: MemoryStore,
+/// Opens such watches, faulty while that is switched on.
+struct WatchFaults {
     watches: Watches,
     is_faulty: Arc<AtomicBool>,
 }
@@ -62,31 +61,16 @@
     }
 }
 
-impl Store for WatchedStore {
-    fn range<'a>(&'a self, prefix: &'a str) -> StoreFuture<'a, Snapshot> {
-        self.store.range(prefix)
-    }
-
-    fn newest<'a>(&'a self, prefix: &'a str) -> StoreFuture<'a, Newest> {
-        self.store.newest(prefix)
-    }
-
-    fn commit(&self, commit: Commit) -> StoreFuture<'_, Outcome> {
-        self.store.commit(commit)
-    }
-
-    fn grant(&self, ttl: Duration) -> StoreFuture<'_, LeaseId> {
-        self.store.grant(ttl)
-    }
-
-    fn renew(&self, lease: LeaseId) -> StoreFuture<'_, Duration> {
-        self.store.renew(lease)
-    }
-
-    fn watch<'a>(&'a self, prefix: &'a str, from: Revision) -> StoreFuture<'a, Box<dyn Watch>> {
+impl StoreHooks for WatchFaults {
+    fn watch<'a>(
+        &'a self,
+        store: &'a MemoryStore,
+        prefix: &'a str,
+        from: Revision,
+    ) -> StoreFuture<'a, Box<dyn Watch>> {
         Box::pin(async move {
             let watch = FaultyWatch {
-                watch: self.store.watch(prefix, from).await?,
+                watch: store.watch(prefix, from).await?,
                 watches: self.watches,
                 is_faulty: self.is_faulty.clone(),
             };
@@ -133,11 +117,12 @@
 async fn an_owner_hears_of_changes_that_its_watch_leaves_out() {
     for watches in [Watches::Sound, Watches::Silent, Watches::Empty] {
         let is_faulty = Arc::new(AtomicBool::new(false));
-        let store = Arc::new(WatchedStore {
-            store: MemoryStore::new(),
+        let hooks = WatchFaults {
             watches,
             is_faulty: is_faulty.clone(),
-        });
+        };
+        let memory = MemoryStore::new();
+        let store = Arc::new(HookedStore { memory, hooks });
         let node = NodeName::new("owner").expect("a valid name");
         let links = "127.0.0.1:7720".parse().expect("an address");
         let ttl = Duration::from_millis(1_500);
--- a/crates/parsleytally-entry/src/site/tests/late_calls.rs
+++ b/crates/parsleytally-entry/src/site/tests/late_calls.rs
@@ -4,9 +4,8 @@
 use std::sync::Mutex;
 
 use parsleytally::jobs::JobRecord;
-use parsleytally::types::Revision;
 use parsleytally_platform::store::{
-    Commit, LeaseId, Newest, Outcome, Snapshot, StoreError, StoreFuture, Watch,
+    Commit, HookedStore, LeaseId, Outcome, StoreError, StoreFuture, StoreHooks,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -32,9 +31,8 @@
     Duration::from_millis(rng.random_range(range))
 }
 
-/// A store that loses the answers to some writes, and carries out some of these late or never.
-struct FaultyStore {
-    store: Arc<MemoryStore>,
+/// Loses the answers to some writes, and carries out some of these late or never.
+struct WriteFaults {
     rng: Mutex<SmallRng>,
 }
 
@@ -48,7 +46,7 @@
     Lost,
 }
 
-impl FaultyStore {
+impl WriteFaults {
     fn draw(&self) -> Fate {
         let mut rng = self.rng.lock().expect("not poisoned");
         match rng.random_range(0..10) {
@@ -66,17 +64,9 @@
     Err(StoreError::Timeout { call })
 }
 
-impl Store for FaultyStore {
-    fn range<'a>(&'a self, prefix: &'a str) -> StoreFuture<'a, Snapshot> {
-        self.store.range(prefix)
-    }
-
-    fn newest<'a>(&'a self, prefix: &'a str) -> StoreFuture<'a, Newest> {
-        self.store.newest(prefix)
-    }
-
-    fn commit(&self, commit: Commit) -> StoreFuture<'_, Outcome> {
-        let store = self.store.clone();
+impl StoreHooks for WriteFaults {
+    fn commit<'a>(&'a self, store: &'a MemoryStore, commit: Commit) -> StoreFuture<'a, Outcome> {
+        let store = store.clone();
         Box::pin(async move {
             match self.draw() {
                 Fate::Answered => return store.commit(commit).await,
@@ -97,22 +87,14 @@
         })
     }
 
-    fn grant(&self, ttl: Duration) -> StoreFuture<'_, LeaseId> {
+    fn grant<'a>(&'a self, store: &'a MemoryStore, ttl: Duration) -> StoreFuture<'a, LeaseId> {
         Box::pin(async move {
             match self.draw() {
-                Fate::Answered => self.store.grant(ttl).await,
+                Fate::Answered => store.grant(ttl).await,
                 _ => no_answer("grant").await,
             }
         })
     }
-
-    fn renew(&self, lease: LeaseId) -> StoreFuture<'_, Duration> {
-        self.store.renew(lease)
-    }
-
-    fn watch<'a>(&'a self, prefix: &'a str, from: Revision) -> StoreFuture<'a, Box<dyn Watch>> {
-        self.store.watch(prefix, from)
-    }
 }
 
 /// What the clients of a job were told.
@@ -202,11 +184,11 @@
 
 async fn violations(seed: u64) -> Vec<String> {
     let mut rng = SmallRng::seed_from_u64(seed);
-    let store = Arc::new(MemoryStore::new());
+    let store = MemoryStore::new();
     let entry = |rng: &mut SmallRng| {
         let rng = Mutex::new(SmallRng::seed_from_u64(rng.random()));
-        let store = store.clone();
-        Arc::new(job_service_on(Arc::new(FaultyStore { store, rng })))
+        let (memory, hooks) = (store.clone(), WriteFaults { rng });
+        Arc::new(job_service_on(Arc::new(HookedStore { memory, hooks })))
     };
     let entries: Vec<_> = (0..ENTRIES).map(|_| entry(&mut rng)).collect();
     let mut clients = JoinSet::new();
--- a/crates/parsleytally-entry/src/site/tests/refusals.rs
+++ b/crates/parsleytally-entry/src/site/tests/refusals.rs
@@ -7,12 +7,11 @@
 use std::time::Duration;
 
 use parsleytally::jobs::{CancelOutcome, JobId, JobReply, JobRequest, JobState};
-use parsleytally::types::{NodeName, RequestId, Revision};
+use parsleytally::types::{NodeName, RequestId};
 use parsleytally_link::{Frame, Incoming, Link, Role, accept, dial};
 use parsleytally_platform::jobs::{CancelAnswer, JobAnswer, JobService, SubmitAnswer};
 use parsleytally_platform::store::{
-    Commit, LeaseId, MemoryStore, Newest, Outcome, Snapshot, Store, StoreError, StoreFuture, Watch,
-    Write,
+    CallKind, Commit, HookedStore, MemoryStore, Store, StoreError, StoreFuture, StoreHooks, Write,
 };
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
@@ -38,30 +37,31 @@
 }
 
 /// One entry's path to a store that others share.
-struct PathStore {
-    store: Arc<MemoryStore>,
-    path: AtomicU8,
-}
+struct StorePath(AtomicU8);
 
-impl PathStore {
-    fn new(store: &Arc<MemoryStore>, path: Path) -> Arc<Self> {
-        Arc::new(Self {
-            store: store.clone(),
-            path: AtomicU8::new(path as u8),
-        })
+impl StorePath {
+    fn store(memory: &MemoryStore, path: Path) -> Arc<HookedStore<Self>> {
+        let (memory, hooks) = (memory.clone(), Self(AtomicU8::new(path as u8)));
+        Arc::new(HookedStore { memory, hooks })
     }
 
     fn set(&self, path: Path) {
-        self.path.store(path as u8, Ordering::SeqCst);
+        self.0.store(path as u8, Ordering::SeqCst);
     }
+}
 
+impl StoreHooks for StorePath {
     fn pass<'a, T: Send + 'a>(
         &'a self,
-        call: &'static str,
+        call: CallKind,
         answer: StoreFuture<'a, T>,
     ) -> StoreFuture<'a, T> {
+        if call == CallKind::Watch {
+            return answer;
+        }
+        let call = call.name();
         Box::pin(async move {
-            let path = self.path.load(Ordering::SeqCst);
+            let path = self.0.load(Ordering::SeqCst);
             if path == Path::Rejects as u8 {
                 let reason = "rejected".to_owned();
                 return Err(StoreError::Down { reason });
@@ -80,32 +80,6 @@
     }
 }
 
-impl Store for PathStore {
-    fn range<'a>(&'a self, prefix: &'a str) -> StoreFuture<'a, Snapshot> {
-        self.pass("range", self.store.range(prefix))
-    }
-
-    fn newest<'a>(&'a self, prefix: &'a str) -> StoreFuture<'a, Newest> {
-        self.pass("newest", self.store.newest(prefix))
-    }
-
-    fn commit(&self, commit: Commit) -> StoreFuture<'_, Outcome> {
-        self.pass("commit", self.store.commit(commit))
-    }
-
-    fn grant(&self, ttl: Duration) -> StoreFuture<'_, LeaseId> {
-        self.pass("grant", self.store.grant(ttl))
-    }
-
-    fn renew(&self, lease: LeaseId) -> StoreFuture<'_, Duration> {
-        self.pass("renew", self.store.renew(lease))
-    }
-
-    fn watch<'a>(&'a self, prefix: &'a str, from: Revision) -> StoreFuture<'a, Box<dyn Watch>> {
-        self.store.watch(prefix, from)
-    }
-}
-
 async fn is_stored(store: &MemoryStore, id: JobId) -> bool {
     let found = store.range(keys::JOBS).await.expect("the store answers");
     found.item(&keys::job(id)).is_some()
@@ -136,7 +110,7 @@
     let (listener, address) = listen().await;
     match peer {
         Peer::Entry(path) => {
-            let store = PathStore::new(store, path);
+            let store = StorePath::store(store, path);
             let jobs = job_service_with(store, name, EntryAddresses::default(), &metric_set());
             // The entry's own checks have found whether the store answers.
             let _ = jobs.store.range(keys::OWNERSHIP).await;
@@ -180,7 +154,7 @@
 /// An entry with this path to the store, and other entries.
 struct Fixture {
     memory: Arc<MemoryStore>,
-    path: Arc<PathStore>,
+    path: Arc<HookedStore<StorePath>>,
     jobs: EntryJobService,
 }
 
@@ -194,7 +168,7 @@
         known.insert(NodeName::new(&name).expect("a valid name"), address);
     }
     addresses.set(known);
-    let path = PathStore::new(&memory, path);
+    let path = StorePath::store(&memory, path);
     let jobs = job_service_with(path.clone(), "entry", addresses, &metric_set());
     Fixture { memory, path, jobs }
 }
@@ -336,7 +310,7 @@
     let fixture = fixture(Path::Rejects, &[Peer::Hangs]).await;
     fixture.notice().await;
     assert!(!fixture.jobs.health.answers());
-    fixture.path.set(Path::Open);
+    fixture.path.hooks.set(Path::Open);
     assert_eq!(kind(fixture.submit().await), "unknown");
     // Any call will do, such as a renewal of a lease.
     let granted = fixture.jobs.store.grant(Duration::from_secs(1)).await;
@@ -356,7 +330,7 @@
     let lost = fixture.jobs.store.newest(keys::JOBS);
     let other = async {
         sleep(Duration::from_millis(300)).await;
-        fixture.path.set(Path::Open);
+        fixture.path.hooks.set(Path::Open);
         fixture.notice().await;
     };
     let (lost, ()) = tokio::join!(lost, other);
@@ -393,7 +367,7 @@
     for case in cases {
         let fixture = fixture(case.first, &[]).await;
         fixture.submit().await;
-        fixture.path.set(Path::Rejects);
+        fixture.path.hooks.set(Path::Rejects);
         fixture.notice().await;
         let answer = fixture.submit().await;
         assert_eq!(kind(answer), case.answer, "{}", case.name);
@@ -407,7 +381,7 @@
     let fixture = fixture(Path::Deaf, &[]).await;
     let brief = Duration::from_millis(100);
     assert!(timeout(brief, fixture.submit()).await.is_err());
-    fixture.path.set(Path::Rejects);
+    fixture.path.hooks.set(Path::Rejects);
     fixture.notice().await;
     assert_eq!(fixture.submit().await, SubmitAnswer::Unknown);
 }
@@ -419,7 +393,7 @@
     let fixture = fixture(Path::Deaf, &[]).await;
     let second = async {
         sleep(Duration::from_millis(100)).await;
-        fixture.path.set(Path::Rejects);
+        fixture.path.hooks.set(Path::Rejects);
         fixture.notice().await;
         fixture.submit().await
     };
@@ -483,7 +457,7 @@
     for case in cases {
         let fixture = fixture(Path::Open, case.peers).await;
         assert_eq!(fixture.submit().await, SubmitAnswer::Accepted);
-        fixture.path.set(Path::Rejects);
+        fixture.path.hooks.set(Path::Rejects);
         fixture.notice().await;
         let began = Instant::now();
         let cancelled = fixture.jobs.cancel(JOB, soon()).await;
--- a/crates/parsleytally-entry/src/site/tests/tombstones.rs
+++ b/crates/parsleytally-entry/src/site/tests/tombstones.rs
@@ -3,9 +3,8 @@
 use std::ops::Range;
 use std::sync::Mutex;
 
-use parsleytally::types::Revision;
 use parsleytally_platform::store::{
-    CallKind, Commit, LeaseId, Newest, Outcome, Snapshot, StoreError, StoreFuture, Watch,
+    CallKind, Commit, HookedStore, LeaseId, Outcome, StoreError, StoreFuture, StoreHooks,
 };
 
 use tokio::task::JoinSet;
@@ -13,60 +12,32 @@
 use super::super::tombstones::{LONGEST_LIFE, Requested};
 use super::*;
 
-/// A store that carries out commits late, while that is switched on, and answers none of them.
-struct LateStore {
-    store: Arc<MemoryStore>,
+/// Carries out commits late, while that is switched on, and answers none of them.
+#[derive(Default)]
+struct LateCommits {
     is_late: AtomicBool,
     commits: Mutex<Vec<Commit>>,
 }
 
-impl LateStore {
-    fn new() -> Arc<Self> {
-        Arc::new(Self {
-            store: Arc::new(MemoryStore::new()),
-            is_late: AtomicBool::new(false),
-            commits: Mutex::default(),
-        })
-    }
-
+impl LateCommits {
     /// Carries out the commits that were not answered.
-    async fn carry_out(&self) {
+    async fn carry_out(&self, store: &MemoryStore) {
         let commits = std::mem::take(&mut *self.commits.lock().expect("not poisoned"));
         assert!(!commits.is_empty());
         for commit in commits {
-            self.store.commit(commit).await.expect("an answer");
+            store.commit(commit).await.expect("an answer");
         }
     }
 }
 
-impl Store for LateStore {
-    fn range<'a>(&'a self, prefix: &'a str) -> StoreFuture<'a, Snapshot> {
-        self.store.range(prefix)
-    }
-
-    fn newest<'a>(&'a self, prefix: &'a str) -> StoreFuture<'a, Newest> {
-        self.store.newest(prefix)
-    }
-
-    fn commit(&self, commit: Commit) -> StoreFuture<'_, Outcome> {
+impl StoreHooks for LateCommits {
+    fn commit<'a>(&'a self, store: &'a MemoryStore, commit: Commit) -> StoreFuture<'a, Outcome> {
         if !self.is_late.load(Ordering::Relaxed) {
-            return self.store.commit(commit);
+            return store.commit(commit);
         }
         self.commits.lock().expect("not poisoned").push(commit);
         Box::pin(async { Err(StoreError::Timeout { call: "commit" }) })
     }
-
-    fn grant(&self, ttl: Duration) -> StoreFuture<'_, LeaseId> {
-        self.store.grant(ttl)
-    }
-
-    fn renew(&self, lease: LeaseId) -> StoreFuture<'_, Duration> {
-        self.store.renew(lease)
-    }
-
-    fn watch<'a>(&'a self, prefix: &'a str, from: Revision) -> StoreFuture<'a, Box<dyn Watch>> {
-        self.store.watch(prefix, from)
-    }
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -139,17 +110,17 @@
         for case in &cases {
             let (first, second) = (case.first, case.second);
             let name = format!("{first:?}, then {second:?}, same entry: {same_entry}");
-            let store = LateStore::new();
+            let store = Arc::new(HookedStore::<LateCommits>::default());
             let jobs = job_service_on(store.clone());
             let other = job_service_on(store.clone());
-            store.is_late.store(true, Ordering::Relaxed);
+            store.hooks.is_late.store(true, Ordering::Relaxed);
             assert_eq!(call(&jobs, first).await, 504, "{name}");
-            store.is_late.store(false, Ordering::Relaxed);
+            store.hooks.is_late.store(false, Ordering::Relaxed);
             let other = if same_entry { &jobs } else { &other };
             // The entry learns by a read that the store answers again.
             other.state(JOB, soon()).await;
             assert_eq!(call(other, second).await, case.status, "{name}");
-            store.carry_out().await;
+            store.hooks.carry_out(&store.memory).await;
             assert_eq!(jobs.state(JOB, soon()).await, case.state, "{name}");
             let repeated = call(other, Call::Submit).await;
             assert_eq!(repeated, case.repeated, "{name}");
@@ -217,17 +188,17 @@
 /// does not count against it.
 #[tokio::test(start_paused = true)]
 async fn jobs_that_may_be_stored_are_cancelled_beyond_the_limit() {
-    let store = LateStore::new();
+    let store = Arc::new(HookedStore::<LateCommits>::default());
     let jobs = Arc::new(job_service_on(store.clone()));
-    store.is_late.store(true, Ordering::Relaxed);
+    store.hooks.is_late.store(true, Ordering::Relaxed);
     assert_eq!(call(&jobs, Call::Submit).await, 504);
-    store.is_late.store(false, Ordering::Relaxed);
+    store.hooks.is_late.store(false, Ordering::Relaxed);
     // The entry learns by a read that the store answers again.
     jobs.state(JOB, soon()).await;
     let answers = cancel_all(&jobs, 1_000..2_200).await;
     assert_eq!(count_refused(&answers), 200);
     assert_eq!(call(&jobs, Call::Cancel).await, 410);
-    store.carry_out().await;
+    store.hooks.carry_out(&store.memory).await;
     assert_eq!(jobs.state(JOB, soon()).await, JobAnswer::Absent);
 }
 
@@ -266,40 +237,21 @@
     assert!(matches!(later, SubmitAnswer::Refused { .. }), "{later:?}");
 }
 
-/// A store that does not answer grants.
-struct NoGrants(MemoryStore);
-
-impl Store for NoGrants {
-    fn range<'a>(&'a self, prefix: &'a str) -> StoreFuture<'a, Snapshot> {
-        self.0.range(prefix)
-    }
-
-    fn newest<'a>(&'a self, prefix: &'a str) -> StoreFuture<'a, Newest> {
-        self.0.newest(prefix)
-    }
+/// Does not answer grants.
+struct NoGrants;
 
-    fn commit(&self, commit: Commit) -> StoreFuture<'_, Outcome> {
-        self.0.commit(commit)
-    }
-
-    fn grant(&self, _: Duration) -> StoreFuture<'_, LeaseId> {
+impl StoreHooks for NoGrants {
+    fn grant<'a>(&'a self, _: &'a MemoryStore, _: Duration) -> StoreFuture<'a, LeaseId> {
         Box::pin(std::future::pending())
     }
-
-    fn renew(&self, lease: LeaseId) -> StoreFuture<'_, Duration> {
-        self.0.renew(lease)
-    }
-
-    fn watch<'a>(&'a self, prefix: &'a str, from: Revision) -> StoreFuture<'a, Box<dyn Watch>> {
-        self.0.watch(prefix, from)
-    }
 }
 
 /// Guards against a cancellation that ends without an answer in time, since it waits for the
 /// lease that another one requested.
 #[tokio::test(start_paused = true)]
 async fn each_cancellation_ends_at_its_own_deadline() {
-    let jobs = job_service_on(Arc::new(NoGrants(MemoryStore::new())));
+    let (memory, hooks) = (MemoryStore::new(), NoGrants);
+    let jobs = job_service_on(Arc::new(HookedStore { memory, hooks }));
     let began = Instant::now();
     let answered = async |id, budget_secs| {
         let deadline = began + Duration::from_secs(budget_secs);
--- a/crates/parsleytally-platform/src/store/mod.rs
+++ b/crates/parsleytally-platform/src/store/mod.rs
@@ -24,6 +24,8 @@
 #[cfg(feature = "stand-in")]
 pub mod gateway;
 #[cfg(feature = "stand-in")]
+mod hooked;
+#[cfg(feature = "stand-in")]
 mod memory;
 mod writer;
 
@@ -31,6 +33,8 @@
 pub use error::StoreError;
 pub use etcd::EtcdStore;
 #[cfg(feature = "stand-in")]
+pub use hooked::{HookedStore, StoreHooks};
+#[cfg(feature = "stand-in")]
 pub use memory::MemoryStore;
 pub use writer::{Verdict, Writer};
 
--- a/crates/parsleytally-platform/src/store/writer/tests.rs
+++ b/crates/parsleytally-platform/src/store/writer/tests.rs
@@ -4,7 +4,7 @@
 use std::sync::Mutex;
 
 use super::*;
-use crate::store::{Item, LeaseId, MemoryStore, Newest, Snapshot, StoreFuture, Watch};
+use crate::store::{HookedStore, Item, MemoryStore, Snapshot, StoreFuture, StoreHooks};
 
 const GUARD: &str = "/writes/demo/log";
 const KEY: &str = "/teams/demo/quota";
@@ -25,9 +25,8 @@
     Later,
 }
 
-/// A store on whose way commits are lost or held back, and others write.
+/// Way to a store on which commits are lost or held back, and others write.
 struct Crossing {
-    memory: MemoryStore,
     fates: Mutex<VecDeque<Fate>>,
     /// Other writers' commits before the first read after a failed commit.
     rivals: Mutex<u32>,
@@ -36,39 +35,40 @@
 }
 
 impl Crossing {
-    fn new(fates: &[Fate], rivals: u32) -> Self {
-        Self {
-            memory: MemoryStore::new(),
+    fn store(fates: &[Fate], rivals: u32) -> HookedStore<Self> {
+        let hooks = Self {
             fates: Mutex::new(fates.iter().copied().collect()),
             rivals: Mutex::new(rivals),
             held: Mutex::default(),
             reads_fail: false,
-        }
+        };
+        let memory = MemoryStore::new();
+        HookedStore { memory, hooks }
     }
 
     fn lost() -> StoreError {
         StoreError::Timeout { call: "commit" }
     }
 
-    async fn pass(&self, commit: Commit) -> Result<Outcome, StoreError> {
+    async fn arrive(&self, store: &MemoryStore, commit: Commit) -> Result<Outcome, StoreError> {
         let held = self.held.lock().unwrap().take();
         if let Some((held, Fate::Late)) = held.clone() {
-            self.memory.commit(held).await?;
+            store.commit(held).await?;
         }
-        let outcome = self.memory.commit(commit).await;
+        let outcome = store.commit(commit).await;
         if let Some((held, Fate::Later)) = held {
-            self.memory.commit(held).await?;
+            store.commit(held).await?;
         }
         outcome
     }
 
-    async fn send(&self, commit: Commit) -> Result<Outcome, StoreError> {
+    async fn send(&self, store: &MemoryStore, commit: Commit) -> Result<Outcome, StoreError> {
         let fate = self.fates.lock().unwrap().pop_front();
         match fate.unwrap_or(Fate::Pass) {
-            Fate::Pass => self.pass(commit).await,
+            Fate::Pass => self.arrive(store, commit).await,
             Fate::Lost => Err(Self::lost()),
             Fate::AnswerLost => {
-                self.pass(commit).await?;
+                self.arrive(store, commit).await?;
                 Err(Self::lost())
             }
             fate @ (Fate::Late | Fate::Later) => {
@@ -78,9 +78,9 @@
         }
     }
 
-    async fn rival(&self) {
+    async fn rival(&self, store: &MemoryStore) {
         let rivals = std::mem::take(&mut *self.rivals.lock().unwrap());
-        let writer = Writer::new(Arc::new(self.memory.clone()), 2, PATIENCE);
+        let writer = Writer::new(Arc::new(store.clone()), 2, PATIENCE);
         for _ in 0..rivals {
             let base = writer.guard(GUARD).await.unwrap();
             writer.commit(GUARD, &base, put("rival")).await;
@@ -88,35 +88,19 @@
     }
 }
 
-impl Store for Crossing {
-    fn range<'a>(&'a self, prefix: &'a str) -> StoreFuture<'a, Snapshot> {
+impl StoreHooks for Crossing {
+    fn range<'a>(&'a self, store: &'a MemoryStore, prefix: &'a str) -> StoreFuture<'a, Snapshot> {
         Box::pin(async move {
             if self.reads_fail {
                 return Err(Self::lost());
             }
-            self.rival().await;
-            self.memory.range(prefix).await
+            self.rival(store).await;
+            store.range(prefix).await
         })
     }
 
-    fn newest<'a>(&'a self, prefix: &'a str) -> StoreFuture<'a, Newest> {
-        self.memory.newest(prefix)
-    }
-
-    fn commit(&self, commit: Commit) -> StoreFuture<'_, Outcome> {
-        Box::pin(self.send(commit))
-    }
-
-    fn grant(&self, ttl: Duration) -> StoreFuture<'_, LeaseId> {
-        self.memory.grant(ttl)
-    }
-
-    fn renew(&self, lease: LeaseId) -> StoreFuture<'_, Duration> {
-        self.memory.renew(lease)
-    }
-
-    fn watch<'a>(&'a self, prefix: &'a str, from: Revision) -> StoreFuture<'a, Box<dyn Watch>> {
-        self.memory.watch(prefix, from)
+    fn commit<'a>(&'a self, store: &'a MemoryStore, commit: Commit) -> StoreFuture<'a, Outcome> {
+        Box::pin(self.send(store, commit))
     }
 }
 
@@ -246,7 +230,7 @@
         },
     ];
     for case in cases {
-        let store = Arc::new(Crossing::new(case.fates, case.rivals));
+        let store = Arc::new(Crossing::store(case.fates, case.rivals));
         let writer = Writer::new(store.clone(), 1, PATIENCE);
         let base = VersionedLog::default();
         let verdict = writer.commit(GUARD, &base, put("own")).await;
@@ -258,7 +242,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn a_refused_write_never_takes_effect_when_it_arrives_late() {
-    let store = Arc::new(Crossing::new(&[Fate::Later], 1));
+    let store = Arc::new(Crossing::store(&[Fate::Later], 1));
     let writer = Writer::new(store.clone(), 1, PATIENCE);
     let verdict = writer
         .commit(GUARD, &VersionedLog::default(), put("own"))
@@ -267,14 +251,14 @@
     let base = writer.guard(GUARD).await.unwrap();
     let next = writer.commit(GUARD, &base, put("next")).await;
     assert_eq!(name(&next), "accepted");
-    assert!(store.held.lock().unwrap().is_none());
+    assert!(store.hooks.held.lock().unwrap().is_none());
     assert_eq!(effects(&store.memory).await, 0);
 }
 
 #[tokio::test(start_paused = true)]
 async fn a_write_that_cannot_be_read_back_is_unknown_after_the_patience() {
-    let mut store = Crossing::new(&[Fate::AnswerLost], 0);
-    store.reads_fail = true;
+    let mut store = Crossing::store(&[Fate::AnswerLost], 0);
+    store.hooks.reads_fail = true;
     let start = Instant::now();
     let writer = Writer::new(Arc::new(store), 1, PATIENCE);
     let verdict = writer
