--- a/crates/parsleytally-platform/src/store/mod.rs
+++ b/crates/parsleytally-platform/src/store/mod.rs
@@ -24,6 +24,8 @@
 #[cfg(feature = "stand-in")]
 pub mod gateway;
 #[cfg(feature = "stand-in")]
+mod hooked;
+#[cfg(feature = "stand-in")]
 mod memory;
 mod writer;
 
@@ -31,6 +33,8 @@
 pub use error::StoreError;
 pub use etcd::EtcdStore;
 #[cfg(feature = "stand-in")]
+pub use hooked::{HookedStore, StoreHooks};
+#[cfg(feature = "stand-in")]
 pub use memory::MemoryStore;
 pub use writer::{Verdict, Writer};
 
@@ -115,6 +119,17 @@
     },
 }
 
+impl Compare {
+    /// Condition that the key is unchanged at this revision; without one, that it is absent.
+    pub fn unchanged(key: impl Into<String>, revision: Option<Revision>) -> Self {
+        let key = key.into();
+        match revision {
+            Some(revision) => Self::Unchanged { key, revision },
+            None => Self::Absent { key },
+        }
+    }
+}
+
 /// A write of a commit.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Write {
