feat(jobs): waits tell what counts as used, and whose room is left out

A best-effort job waits without a bound in a pool that counts as full, by the processors that linked workers have reserved. `tasks wait` had `free_percent` only, which is over all workers that were ever known, so nobody could tell a pool that is full from one whose workers are not linked.

The line has `used_percent`, `full` and `unlinked` now: what the decision uses, its outcome, and the known workers that it leaves out. Two gauges by pool have the same. What a pool has in use moves to a module of its own. No change of logic.

--- a/crates/parsleytally-entry/src/site/metrics.rs
+++ b/crates/parsleytally-entry/src/site/metrics.rs
@@ -1,10 +1,12 @@
 //! Metrics of the owner of the jobs.
 
+use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use parsleytally::jobs::{
-    AgentMessage, CrashDecision, EndReason, EvacuationEvent, JobAccount, OrderMessage, QueueName,
-    QueueUsage, RefusalReason, Scheduler, WaitCounts, WorkerStanding, WorkersDecision,
+    AgentMessage, CrashDecision, EndReason, EvacuationEvent, JobAccount, OrderMessage, PoolUse,
+    QueueName, QueueUsage, RefusalReason, Scheduler, WaitCounts, WorkerStanding, WorkersDecision,
 };
 use parsleytally_platform::process::metrics::MetricSet;
 use prometheus::{IntCounter, IntCounterVec, IntGauge, IntGaugeVec};
@@ -40,6 +42,8 @@
     waiting_tasks: IntGauge,
     waiting_steps: IntGaugeVec,
     free_cpu: IntGauge,
+    pool_used: IntGaugeVec,
+    pool_unlinked: IntGaugeVec,
     queue_share: IntGaugeVec,
     queue_waiting: IntGaugeVec,
     preempted: IntCounterVec,
@@ -133,6 +137,16 @@
                 "parsleytally_jobs_free_cpu_percent",
                 "Share of the workers' processors that nothing has reserved.",
             )?,
+            pool_used: set.gauges(
+                "parsleytally_jobs_pool_used_percent",
+                "Share of a pool's processors that counts as reserved; past 60, it counts as full.",
+                "pool",
+            )?,
+            pool_unlinked: set.gauges(
+                "parsleytally_jobs_pool_unlinked_workers",
+                "Known workers of a pool whose agents are not linked to the owner.",
+                "pool",
+            )?,
             queue_share: set.gauges(
                 "parsleytally_jobs_queue_share_permille",
                 "Dominant share of its pool that a queue uses; only with settings of shares.",
@@ -188,6 +202,8 @@
         for gauge in gauges {
             gauge.set(0);
         }
+        self.pool_used.reset();
+        self.pool_unlinked.reset();
         self.queue_share.reset();
         self.queue_waiting.reset();
         self.waiting_steps.reset();
@@ -200,6 +216,7 @@
         self.evacuated_zones.set(gauge(scheduler.evacuated_zones()));
         self.waiting_tasks.set(gauge(scheduler.waiting_tasks()));
         self.free_cpu.set(scheduler.free_percent().into());
+        self.update_pools(&scheduler.pool_uses());
         self.update_waiting(&scheduler.waiting_steps());
         self.overcommitted
             .set(gauge(scheduler.overcommitted_workers()));
@@ -213,6 +230,20 @@
         self.confirmation_age.set(age);
     }
 
+    /// Sets the gauges of the pools; those of other pools are removed.
+    fn update_pools(&self, pools: &BTreeMap<Arc<str>, PoolUse>) {
+        self.pool_used.reset();
+        self.pool_unlinked.reset();
+        let gauge = |n: u64| i64::try_from(n).unwrap_or(i64::MAX);
+        for (pool, pool_use) in pools {
+            let pool = [&**pool];
+            let used = self.pool_used.with_label_values(&pool);
+            used.set(gauge(pool_use.used_percent()));
+            let unlinked = self.pool_unlinked.with_label_values(&pool);
+            unlinked.set(gauge(pool_use.unlinked() as u64));
+        }
+    }
+
     /// Sets the gauges of waiting steps; those of other reasons are removed.
     pub(super) fn update_waiting(&self, steps: &WaitCounts) {
         self.waiting_steps.reset();
--- a/crates/parsleytally-entry/src/site/owner_log.rs
+++ b/crates/parsleytally-entry/src/site/owner_log.rs
@@ -138,12 +138,15 @@
         vain_starts,
         workers,
         free_percent,
+        pool_use,
     } = evidence;
+    let (used_percent, unlinked) = (pool_use.used_percent(), pool_use.unlinked());
     let workers = workers.iter().map(|(reason, n)| format!("{reason}:{n}"));
     let workers = workers.collect::<Vec<_>>().join(",");
     let holder = holder.as_ref().map(ToString::to_string).unwrap_or_default();
     log::info!(job:% = task.job, task:% = task, tasks, running, waited_ms, reason:% = reason,
-        holder, vain_starts, workers, free_percent; "tasks wait");
+        holder, vain_starts, workers, free_percent, used_percent, full = pool_use.is_full(),
+        unlinked; "tasks wait");
 }
 
 /// Logs an ended job and what its time was lost to.
--- a/crates/parsleytally/src/jobs/mod.rs
+++ b/crates/parsleytally/src/jobs/mod.rs
@@ -69,7 +69,7 @@
 };
 pub use progress::{JobProgress, StepProgress, TaskProgress};
 pub use queues::{QueueName, QueuePolicy, QueueTable};
-pub use scheduler::{Scheduler, SchedulerOptions, StandingCounts};
+pub use scheduler::{PoolUse, Scheduler, SchedulerOptions, StandingCounts};
 pub use sent_jobs::{EarlierCopy, SentJobs, SentOutcome};
 pub use shares::QueueUsage;
 pub use spec::{InvalidJobId, JobId, JobRecord, JobSpec, RecordError, Repeat, StepSpec, TaskId};
--- a/crates/parsleytally/src/jobs/scheduler/mod.rs
+++ b/crates/parsleytally/src/jobs/scheduler/mod.rs
@@ -29,6 +29,7 @@
 mod forecast;
 mod losses;
 pub(super) mod pass;
+mod pool_use;
 mod preempt;
 mod relocate;
 mod repair;
@@ -41,6 +42,7 @@
 mod waiting;
 
 use losses::ClosedJob;
+pub use pool_use::PoolUse;
 use throttle::MoveSearches;
 pub use uneven::StandingCounts;
 use unreported::Unreported;
--- a/crates/parsleytally/src/jobs/scheduler/starving.rs
+++ b/crates/parsleytally/src/jobs/scheduler/starving.rs
@@ -20,11 +20,6 @@
 const STARVED_AFTER: Duration = Duration::from_millis(1_500);
 /// Wait after which a starving step for which no other worker has room uses quarantined ones.
 const QUARANTINE_BOUND: Duration = Duration::from_millis(2_200);
-/// Share of a pool's processors that is reserved when it counts as full, in percent. Above it,
-/// best-effort jobs wait for the protection of others.
-const FULL_PERCENT: u64 = 60;
-/// Time for which it is used, where workers report often, whether a pool is full.
-const FULL_INTERVAL: Duration = Duration::from_millis(500);
 /// Most workers that are scored for starving jobs in one pass.
 const MAX_SCORED: usize = 100_000;
 /// Workers of the fleet that are scored at least for a starving job in one pass.
@@ -157,33 +152,6 @@
         let mut workers = self.workers.iter();
         !workers.any(|(name, worker)| is_usable(now, name, worker, &request, run, !is_late))
     }
-
-    /// Whether most processors of a pool were reserved within the last [`FULL_INTERVAL`].
-    pub(super) fn was_full(&mut self, now: Time, pool: &Arc<str>) -> bool {
-        if let Some((computed, full)) = self.full_pools.get(pool)
-            && now.since(*computed) < FULL_INTERVAL
-        {
-            return *full;
-        }
-        let full = self.is_full(pool);
-        self.full_pools.insert(pool.clone(), (now, full));
-        full
-    }
-
-    /// Whether most processors of a pool are reserved.
-    fn is_full(&self, pool: &str) -> bool {
-        let (mut reserved, mut total) = (0, 0);
-        for worker in self.workers.values() {
-            let Some(report) = worker.report.as_ref() else {
-                continue;
-            };
-            if worker.linked && *report.service == *pool {
-                reserved += worker.reserved.cpu.0;
-                total += report.capacity.cpu.0;
-            }
-        }
-        reserved * 100 > total * FULL_PERCENT
-    }
 }
 
 fn has_runs(job: &Job) -> bool {
--- a/crates/parsleytally/src/jobs/scheduler/waiting.rs
+++ b/crates/parsleytally/src/jobs/scheduler/waiting.rs
@@ -104,6 +104,7 @@
             reason,
             workers,
             free_percent: free_percent(pool),
+            pool_use: self.pool_use(&job.policy.service),
         })
     }
 
--- a/crates/parsleytally/src/jobs/tests/waiting.rs
+++ b/crates/parsleytally/src/jobs/tests/waiting.rs
@@ -14,6 +14,8 @@
 const TARGET_MS: u64 = 150;
 /// Tail latency of a service that leaves almost no headroom, in milliseconds.
 const BUSY_MS: u64 = 118;
+/// Time after which the runs of a lost agent have ended, in milliseconds.
+const LOST_MS: u64 = 5_100;
 /// Id of the first job with a service.
 const FIRST_SERVICE: u64 = 10_000;
 
@@ -102,6 +104,65 @@
     }
 }
 
+/// Guards against a wait whose line does not tell a pool that is full from one whose workers are not linked.
+#[test]
+fn an_explanation_tells_what_counts_as_used_and_what_is_left_out() {
+    struct Case {
+        name: &'static str,
+        /// Processors that a step reserves on worker 0, in thousandths.
+        reserved: u64,
+        /// Whether the link to worker 1 is lost.
+        lost: bool,
+        used_percent: u64,
+        full: bool,
+    }
+    let cases = [
+        Case {
+            name: "most is free",
+            reserved: 1_000,
+            lost: false,
+            used_percent: 12,
+            full: false,
+        },
+        Case {
+            name: "full",
+            reserved: 4_000,
+            lost: true,
+            used_percent: 100,
+            full: true,
+        },
+    ];
+    for case in cases {
+        let mut bench = Bench::with_workers(1);
+        let holding = StepSpec {
+            need: need(case.reserved, 10),
+            ..step(1, &[])
+        };
+        assert_eq!(starts(&bench.submit(1, job(vec![holding]), 11)).len(), 1);
+        bench.join(1, report(1, 7));
+        if case.lost {
+            bench.feed(Input::Unlinked(node(1)));
+            bench.wait(LOST_MS);
+        }
+        let label = Some("other".into());
+        let waiting = StepSpec {
+            required_label: label,
+            ..step(1, &[])
+        };
+        bench.submit(2, job(vec![waiting]), 12);
+        bench.wait(100);
+        let out = bench.wait(1_100);
+        let pool_use = out.iter().find_map(|output| match output {
+            Output::Waiting(evidence) => Some(evidence.pool_use),
+            _ => None,
+        });
+        let pool_use = pool_use.expect("an explanation");
+        assert_eq!(pool_use.used_percent(), case.used_percent, "{}", case.name);
+        assert_eq!(pool_use.is_full(), case.full, "{}", case.name);
+        assert_eq!(pool_use.unlinked(), usize::from(case.lost), "{}", case.name);
+    }
+}
+
 fn service_step() -> StepSpec {
     StepSpec {
         long_running: true,
--- a/crates/parsleytally/src/jobs/waiting.rs
+++ b/crates/parsleytally/src/jobs/waiting.rs
@@ -8,7 +8,7 @@
 
 use derive_more::Display;
 
-use super::{JobId, RunRef, TaskId};
+use super::{JobId, PoolUse, RunRef, TaskId};
 use crate::types::{NodeName, Time};
 
 /// Time after which the wait of a step is explained.
@@ -120,6 +120,8 @@
     pub workers: BTreeMap<WaitReason, usize>,
     /// Share of the pool's processors that nothing has reserved, in percent.
     pub free_percent: u32,
+    /// Use of the pool, as it decides how long the step may wait.
+    pub pool_use: PoolUse,
 }
 
 /// The wait of a step since it was ready or last started a task.
