--- a/crates/parsleytally-entry/src/site/metrics.rs
+++ b/crates/parsleytally-entry/src/site/metrics.rs
@@ -231,7 +231,7 @@
     }
 
     /// Sets the gauges of the pools; those of other pools are removed.
-    fn update_pools(&self, pools: &BTreeMap<Arc<str>, PoolUse>) {
+    pub(super) fn update_pools(&self, pools: &BTreeMap<Arc<str>, PoolUse>) {
         self.pool_used.reset();
         self.pool_unlinked.reset();
         let gauge = |n: u64| i64::try_from(n).unwrap_or(i64::MAX);
--- a/crates/parsleytally-entry/src/site/tests/mod.rs
+++ b/crates/parsleytally-entry/src/site/tests/mod.rs
@@ -13,7 +13,7 @@
 mod sizes;
 mod tombstones;
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
@@ -21,9 +21,9 @@
 use parsleytally::configs::WorkersConfig;
 use parsleytally::jobs::{
     AgentMessage, CallError, CrashDecision, EndReason, EndedRun, EvacuationEvent, HealthEvidence,
-    JobAccount, JobId, JobOutcome, JobSpec, JobState, Listing, OrderMessage, PollCall, QueueName,
-    QueuePolicy, QueueUsage, RefusalReason, RunRef, StartCall, StepSpec, StopCall, TaskId,
-    TaskTimes, ThrottleCall, WaitCounts, WaitReason, WorkerIncarnation, WorkerStanding,
+    JobAccount, JobId, JobOutcome, JobSpec, JobState, Listing, OrderMessage, PollCall, PoolUse,
+    QueueName, QueuePolicy, QueueUsage, RefusalReason, RunRef, StartCall, StepSpec, StopCall,
+    TaskId, TaskTimes, ThrottleCall, WaitCounts, WaitReason, WorkerIncarnation, WorkerStanding,
     WorkersDecision,
 };
 use parsleytally::types::{Epoch, Incarnation, MilliCpu, NodeName, Time, ZoneName};
@@ -548,6 +548,7 @@
         task_ms: TaskTimes::default(),
         straggled_ms: 0,
     });
+    owner.update_pools(&BTreeMap::from([("pool".into(), PoolUse::default())]));
     owner.update_waiting(&WaitCounts::from([(WaitReason::Room, 1)]));
     owner.count_crash(&CrashDecision::GivenUp {
         task: run.task,
