fix(jobs): a best-effort task that lasts starts however full its pool is

Callers see LOST: a best-effort task that lasts never starts in a pool that counts as full, though it is owed a start 9 s after its last run (6 s, and 3 s of calm) however full the service is.

Cause: steps that last starve whether their job has runs or not, but `is_starving` then asked for best-effort ones whether the pool is full, as for jobs that end.

Evidence: four workers with a service near its target; the task does not start within 36 s if the services reserve 2,500 or 3,000 of 4,000 each (bound 9 s), and starts in time at 1,000 and 2,300. With the fix, all four cases pass.

Why it works: a step that lasts starves after its wait whatever the pool's share, as its bound has no condition on room in use.

--- a/crates/parsleytally/src/jobs/scheduler/starving.rs
+++ b/crates/parsleytally/src/jobs/scheduler/starving.rs
@@ -118,10 +118,12 @@
             return false;
         }
         let step = &job.spec.steps[at.step];
+        if step.long_running {
+            return true;
+        }
         let mut has_runs = || *known.running.entry(at.job).or_insert_with(|| has_runs(job));
-        let is_idle = step.long_running || !has_runs();
-        if !is_idle || !step.best_effort {
-            return is_idle;
+        if has_runs() || !step.best_effort {
+            return !has_runs();
         }
         let pool = &job.policy.service;
         let is_full = known.full.entry(pool.clone());
--- a/crates/parsleytally/src/jobs/tests/held_back.rs
+++ b/crates/parsleytally/src/jobs/tests/held_back.rs
@@ -10,9 +10,9 @@
 /// Time between two ticks, in milliseconds.
 const TICK_MS: u64 = 150;
 /// Time within which a job with nothing running starts, by the platform's page.
-const IDLE_BOUND_MS: u64 = 3_000;
+pub(super) const IDLE_BOUND_MS: u64 = 3_000;
 /// Time within which a task that lasts starts again, by the platform's page.
-const LASTING_BOUND_MS: u64 = 9_000;
+pub(super) const LASTING_BOUND_MS: u64 = 9_000;
 
 /// Options with the default times of the settings, extended for drifting clocks.
 pub(super) fn default_times() -> SchedulerOptions {
@@ -28,7 +28,7 @@
 }
 
 /// Ticks until `done`; the time that it took, in milliseconds, if it was within `most`.
-fn time_until(
+pub(super) fn time_until(
     bench: &mut Bench,
     most: u64,
     mut done: impl FnMut(&mut Bench, &[Output]) -> bool,
@@ -182,7 +182,7 @@
 const SERVICE: u64 = 10_000;
 
 /// A step of best-effort tasks that no worker with a busy service admits.
-fn harmful_step(count: u32, long_running: bool) -> StepSpec {
+pub(super) fn harmful_step(count: u32, long_running: bool) -> StepSpec {
     StepSpec {
         best_effort: true,
         long_running,
@@ -194,12 +194,23 @@
 
 /// Joins workers, each with a task of a service near its target; returns these.
 fn join_busy(bench: &mut Bench, workers: usize) -> Vec<(NodeName, RunRef)> {
+    join_reserving(bench, workers, 1_000)
+}
+
+/// Joins workers, each with a task of a service near its target that reserves `cpu` thousandths of processors;
+/// returns these.
+pub(super) fn join_reserving(
+    bench: &mut Bench,
+    workers: usize,
+    cpu: u64,
+) -> Vec<(NodeName, RunRef)> {
     for at in 0..workers {
         bench.join(at, report(at, 7));
     }
     let service = StepSpec {
         long_running: true,
         target_ms: TARGET_MS,
+        need: need(cpu, 1_000),
         image: Some("service".into()),
         max_per_worker: 1,
         ..step(workers as u32, &[])
@@ -214,7 +225,7 @@
 }
 
 /// Reports the measurements of all busy services and of `runs`.
-fn measure(bench: &mut Bench, placed: &[(NodeName, RunRef)]) -> Vec<Output> {
+pub(super) fn measure(bench: &mut Bench, placed: &[(NodeName, RunRef)]) -> Vec<Output> {
     let mut out = Vec::new();
     let mut nodes: Vec<&NodeName> = placed.iter().map(|(node, _)| node).collect();
     nodes.sort_unstable();
--- a/crates/parsleytally/src/jobs/tests/mod.rs
+++ b/crates/parsleytally/src/jobs/tests/mod.rs
@@ -16,6 +16,7 @@
 mod filters;
 mod foreign_reports;
 mod forgotten_jobs;
+mod full_pools;
 mod gang_checkpoints;
 mod held_back;
 mod late_checkpoints;
