fix(jobs): the room of workers that the owner does not reach counts

Callers see LOST: a best-effort job waits without a bound while most of the room is free for them.

Cause: above 60% of reserved processors a pool counts as full, and nothing bounds the wait of best-effort jobs there. Workers without a link left both sums, so the room of idle workers that live apart from their agents did not count; and the reservations of a worker that does not answer its agent counted as if its runs were known to go on.

What counts as used is a lower bound now, and the total an upper one: a worker whose runs are not known to go on (no link, no listing on it, silent) counts with all its processors and no use until the hold of its agent has passed. From then on it leaves both sums as before: one that is gone for good would else unprotect services in pools that are full for ever.

Weighed: counting the listed runs of lost workers as used (they may have ended with the leases; a lower bound is what is asked for); leaving out runs that are ordered but not seen to begin (agents report each refusal and loss on an ordered link, so this lasts for the way of an order; one that is believed in for longer is a fault of its own, not one of the count); leaving out runs of cancelled jobs (they do occupy their worker until they have stopped, for callers as well); capacity that shrinks (callers see the same capacity). What waits beside room after the hold has passed, or under an owner that has never heard of a worker, is not bounded by this.

--- a/crates/parsleytally/src/jobs/fleet.rs
+++ b/crates/parsleytally/src/jobs/fleet.rs
@@ -251,6 +251,16 @@
         )
     }
 
+    /// Whether runs may go on there: it is linked, or the hold of its agent has not passed.
+    pub(super) fn may_have_runs(&self) -> bool {
+        self.linked || self.runs_expire_at.is_some()
+    }
+
+    /// Whether its runs are known to go on: its agent has listed them and reaches it.
+    pub(super) fn is_reached(&self) -> bool {
+        self.linked && self.listed && !self.unresponsive
+    }
+
     /// Whether a run can be started there now.
     pub(super) fn accepts_tasks(&self, now: Time) -> bool {
         self.is_available() && !self.failures.is_quarantined(now) && !self.failures.is_paused(now)
@@ -263,11 +273,7 @@
 
     /// Whether it can run tasks, be it quarantined or not.
     pub(super) fn is_available(&self) -> bool {
-        self.linked
-            && self.listed
-            && !self.unresponsive
-            && !self.evacuated
-            && self.state() == Some(WorkerState::Ready)
+        self.is_reached() && !self.evacuated && self.state() == Some(WorkerState::Ready)
     }
 
     /// Free resources; none if more is reserved than the worker has.
--- a/crates/parsleytally/src/jobs/scheduler/pool_use.rs
+++ b/crates/parsleytally/src/jobs/scheduler/pool_use.rs
@@ -1,4 +1,8 @@
-//! Use of the pools as the protection of services counts it: what linked workers have reserved.
+//! Use of the pools, by which services are protected from best-effort jobs.
+//!
+//! A pool must not count as full while it has room, or jobs wait beside it. So the use is a lower bound and the
+//! total an upper one: a worker whose runs are not known to go on counts with all its processors and no use, until
+//! the hold of its agent has passed. From then on it does not count, as it may be gone for good.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -17,11 +21,11 @@
 /// Use of the processors of a pool, as it decides whether the pool counts as full.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct PoolUse {
-    /// Reserved processors, in thousandths.
+    /// Processors reserved by runs that are known to go on, in thousandths.
     reserved: u64,
-    /// All processors that count, in thousandths.
+    /// Processors of all workers on which runs may go on, in thousandths.
     total: u64,
-    /// Number of known workers without a link, whose processors don't count.
+    /// Number of known workers without a link; their processors count until their hold has passed.
     unlinked: usize,
 }
 
@@ -31,7 +35,7 @@
         (self.reserved * 100).checked_div(self.total).unwrap_or(0)
     }
 
-    /// Number of known workers without a link, whose processors don't count.
+    /// Number of known workers without a link; their processors count until their hold has passed.
     pub fn unlinked(&self) -> usize {
         self.unlinked
     }
@@ -42,12 +46,13 @@
     }
 
     fn add(&mut self, worker: &Worker, capacity: u64) {
-        if worker.linked {
-            self.reserved += worker.reserved.cpu.0;
+        if worker.may_have_runs() {
             self.total += capacity;
-        } else {
-            self.unlinked += 1;
         }
+        if worker.is_reached() {
+            self.reserved += worker.reserved.cpu.0;
+        }
+        self.unlinked += usize::from(!worker.linked);
     }
 }
 
