fix(jobs): agents beside dead workers hold back all old jobs after a change of owner

Nine agents that live beside dead workers held back 60 workers for 1 to 4 s, an agent lost after its link for 8.4 s.

Cause: an agent lists only what its worker answers, though it tracks each run from before its order leaves until an answer settles it.

Now an agent tells its new owner, at once after Begin, all runs that may be on its worker, may still start there or have ended without an acknowledgement (MayRun). The owner then holds back only their tasks for this agent, until the agent leaves the unreported ones as before: by its listing, LeasesExpired, a later incarnation, or its time. Nothing is adopted or reserved by the message. An agent that does not know sends nothing and holds back all, as before: after its own restart until its first listing, while another incarnation answers, while entries are in doubt, and once its worker refuses the present token. It follows Crashed, so marks of crashes come first. Gangs wait for each member, copies for each named run. Why that suffices: docs/design/owner-change.md. "tasks wait" names the agent that may run the task. Link protocol 7: other versions can't link, so jobs wait for such agents for the hold, which is safe.

Evidence: agents_beside_dead_workers_hold_back_only_what_they_may_run, with an owner that ignores the message: 0 of 60 tasks start in 7.8 s; with it, all 60 in the first 190 ms (a tick), none of the nine named ones before LeasesExpired or the hold.

--- a/crates/parsleytally-agent/src/site/log_lines.rs
+++ b/crates/parsleytally-agent/src/site/log_lines.rs
@@ -100,6 +100,9 @@
                     "run was on the worker when it crashed");
             }
         }
+        AgentMessage::MayRun(runs) => {
+            log::info!(runs = runs.len(); "told the new owner which runs may be on the worker");
+        }
         AgentMessage::LeasesExpired => log::warn!("all earlier runs of the worker have ended"),
         // Runs that end, are missing or did not start have a line from `concluded`.
         AgentMessage::Ended { .. }
--- a/crates/parsleytally-link/src/lib.rs
+++ b/crates/parsleytally-link/src/lib.rs
@@ -36,7 +36,7 @@
 };
 
 /// Version of the frame format; both sides of a link must use the same.
-pub const PROTOCOL_VERSION: u16 = 6;
+pub const PROTOCOL_VERSION: u16 = 7;
 
 #[cfg(test)]
 mod tests;
--- a/crates/parsleytally/src/jobs/agent/incarnation.rs
+++ b/crates/parsleytally/src/jobs/agent/incarnation.rs
@@ -4,8 +4,9 @@
 
 use super::lease::expiry_after;
 use super::{
-    AgentMessage, AgentOutput, EndEvidence, JobAgent, LateReports, Listing, ListingEvidence,
-    MAX_CANDIDATES, PollCall, RunEvidence, RunVerdict, Unnamed, WorkerReport, push_conclusion,
+    AgentMessage, AgentOutput, EndEvidence, JobAgent, KnownRuns, LateReports, Listing,
+    ListingEvidence, MAX_CANDIDATES, PollCall, RunEvidence, RunVerdict, Unnamed, WorkerReport,
+    push_conclusion,
 };
 use crate::types::Time;
 
@@ -139,6 +140,7 @@
         self.acknowledged = 0;
         self.reported_sequence = 0;
         self.listed = false;
+        self.known_runs = KnownRuns::default();
         self.lease.reset();
         self.throttle.clear();
         self.unnamed = Unnamed::accepted(answer.unnamed);
--- a/crates/parsleytally/src/jobs/agent/mod.rs
+++ b/crates/parsleytally/src/jobs/agent/mod.rs
@@ -35,6 +35,7 @@
 mod crashes;
 mod evidence;
 mod incarnation;
+mod known_runs;
 mod late_reports;
 mod lease;
 mod messages;
@@ -53,6 +54,7 @@
 use crashes::Crashes;
 use evidence::push_conclusion;
 use incarnation::Successor;
+use known_runs::KnownRuns;
 use late_reports::LateReports;
 use lease::Lease;
 use owner_clock::OwnerClock;
@@ -142,6 +144,7 @@
     /// [`AgentMessage::Listed`].
     listed: bool,
     runs: BTreeMap<RunRef, TrackedRun>,
+    known_runs: KnownRuns,
     /// Ended runs up to this sequence number are acknowledged by the owner.
     acknowledged: u64,
     /// Ended runs up to this sequence number are reported to the owner.
@@ -195,6 +198,7 @@
             owner_clock: None,
             listed: false,
             runs: BTreeMap::new(),
+            known_runs: KnownRuns::default(),
             acknowledged: 0,
             reported_sequence: 0,
             polls_in_flight: 0,
@@ -355,6 +359,7 @@
         if self.shutdown_noticed && !self.recovers {
             self.send_last_lease(now, out);
         }
+        self.send_known_runs(out);
     }
 
     /// Lists all runs to the owner anew, with the ended runs that the present owner may not have
--- a/crates/parsleytally/src/jobs/agent/poll.rs
+++ b/crates/parsleytally/src/jobs/agent/poll.rs
@@ -90,6 +90,9 @@
             return;
         }
         self.set_unresponsive(answer.is_err(), out);
+        if answer == Err(CallError::Refused(RefusalReason::Fenced)) {
+            self.note_fenced(call);
+        }
         let Ok(mut listing) = answer else {
             self.next_poll = now.after(POLL_PAUSE);
             return;
@@ -188,6 +191,7 @@
     ) {
         let evidence = RunEvidence::Listing(answer);
         let last_poll = self.poll_number;
+        self.known_runs.note_ends(listing);
         let ended: HashSet<RunRef> = listing.ended.iter().map(|end| end.run).collect();
         let running: HashSet<RunRef> = listing.running.iter().map(|status| status.run).collect();
         for run in &running {
@@ -265,6 +269,7 @@
             return;
         };
         self.listed = true;
+        self.known_runs.are_complete = true;
         self.reported_sequence = last_sequence(&listing.ended);
         out.push(AgentOutput::Listed(answer));
         out.push(AgentOutput::Send(AgentMessage::Listed {
--- a/crates/parsleytally/src/jobs/agent/unnamed.rs
+++ b/crates/parsleytally/src/jobs/agent/unnamed.rs
@@ -37,6 +37,11 @@
         }
     }
 
+    /// Whether entries are in doubt.
+    pub(super) fn is_in_doubt(&self) -> bool {
+        self.doubted_since.is_some()
+    }
+
     /// Whether entries have been in doubt for too long to renew the leases.
     pub(super) fn withholds_leases(&self, now: Time) -> bool {
         let since = self.doubted_since;
--- a/crates/parsleytally/src/jobs/messages.rs
+++ b/crates/parsleytally/src/jobs/messages.rs
@@ -333,6 +333,9 @@
     Crashed(WorkerCrash),
     /// The worker has begun a run that this owner ordered.
     Started(RunRef),
+    /// All runs that may be on the worker, may still start there or have ended without an
+    /// acknowledgement, as known without asking the worker; sent at once to a new owner.
+    MayRun(Vec<RunRef>),
 }
 
 /// Request of an entry to the owner of the jobs, or to any other entry where it says so.
--- a/crates/parsleytally/src/jobs/mod.rs
+++ b/crates/parsleytally/src/jobs/mod.rs
@@ -8,7 +8,8 @@
 //! run.
 //!
 //! A successor starts no task of an older job until every agent of its predecessor has
-//! reported or its hold time, for which it may keep runs alive, has passed.
+//! listed its runs, has told at once that it may not run the task, or its hold time, for which it
+//! may keep runs alive, has passed.
 //!
 //! Each agent runs a [`JobAgent`], which carries out the orders on its worker.
 
@@ -39,6 +40,7 @@
 mod spec;
 mod speculation;
 mod stalls;
+mod unreported;
 mod urgency;
 mod waiting;
 mod worker_health;
@@ -73,6 +75,7 @@
 pub use sent_jobs::{EarlierCopy, SentJobs, SentOutcome};
 pub use shares::QueueUsage;
 pub use spec::{InvalidJobId, JobId, JobRecord, JobSpec, RecordError, Repeat, StepSpec, TaskId};
+pub use unreported::UnreportedWaits;
 pub use waiting::{MissingStep, WaitCounts, WaitEvidence, WaitHolder, WaitReason};
 
 #[cfg(test)]
--- a/crates/parsleytally/src/jobs/scheduler/mod.rs
+++ b/crates/parsleytally/src/jobs/scheduler/mod.rs
@@ -13,6 +13,7 @@
 use super::job::{Job, StepRef};
 use super::shares::Shares;
 use super::stalls::StallBudget;
+use super::unreported::UnreportedAgents;
 use super::worker_health::HealthReview;
 use super::{
     AgentMessage, CrashSource, EndEvidence, Input, JobId, JobProgress, JobRecord, JobReply,
@@ -43,7 +44,6 @@
 use losses::ClosedJob;
 use throttle::MoveSearches;
 pub use uneven::StandingCounts;
-use unreported::Unreported;
 
 /// Minimum time between two placement passes.
 const MIN_PASS_INTERVAL: Duration = Duration::from_millis(10);
@@ -99,7 +99,7 @@
     acks_held: bool,
     workers: BTreeMap<NodeName, Worker>,
     /// Agents of the predecessor that have not listed their runs yet.
-    unreported: BTreeMap<NodeName, Unreported>,
+    unreported: UnreportedAgents,
     /// Until when answers to pings keep the runs of agents alive that have not listed them.
     support_end: Time,
     contention: Contention,
@@ -149,7 +149,7 @@
             acks_due: false,
             acks_held: false,
             workers: BTreeMap::new(),
-            unreported: BTreeMap::new(),
+            unreported: UnreportedAgents::default(),
             support_end: Time::ZERO,
             contention: Contention::default(),
             durations: Durations::default(),
@@ -336,9 +336,7 @@
     }
 
     fn linked(&mut self, now: Time, node: NodeName) {
-        if let Some(agent) = self.unreported.get_mut(&node) {
-            agent.links += 1;
-        }
+        self.unreported.count_link(&node);
         if self.workers.get(&node).is_some_and(|worker| worker.known) {
             self.unlinked(now, &node);
         }
@@ -420,6 +418,7 @@
                 self.set_last_lease(now, node, Duration::from_micros(expires_within));
             }
             AgentMessage::LeasesExpired => self.leases_expired(now, node, out),
+            AgentMessage::MayRun(runs) => self.agent_may_run(node, &runs),
         }
         self.changed_workers.insert(node.clone());
     }
@@ -439,7 +438,7 @@
     /// Notes when the last lease of a worker that shuts down has expired. Its agent may go
     /// together with it.
     fn set_last_lease(&mut self, now: Time, node: &NodeName, within: Duration) {
-        if self.unreported.contains_key(node) {
+        if self.unreported.get(node).is_some() {
             // Runs of the predecessor are not listed yet.
             return;
         }
@@ -630,6 +629,7 @@
         for node in left {
             self.drop_runs(&node, EndEvidence::AgentMessage, out);
         }
+        self.unreported.note_waits(now);
         self.expire_unreported(confirmed, out);
         self.open_rounds(now, wall_ms);
         self.remove_ended(now);
--- a/crates/parsleytally/src/jobs/scheduler/preempt.rs
+++ b/crates/parsleytally/src/jobs/scheduler/preempt.rs
@@ -57,7 +57,7 @@
     fn may_preempt(&self, at: StepRef) -> bool {
         let job = &self.jobs[&at.job];
         let step = &job.spec.steps[at.step];
-        !step.best_effort && !step.gang && job.step_run(at).waiting_tasks().next().is_some()
+        !step.best_effort && !step.gang && self.startable_tasks(at).next().is_some()
     }
 
     /// Preempts runs for at most `limit` tasks of a step; returns how many were considered.
@@ -83,7 +83,7 @@
         };
         let task_share = own.weighted_task(&policy.service, &policy.name, &step.need);
         let present_share = own.weighted(&policy.service, &policy.name);
-        let waiting = job.step_run(at).waiting_tasks().count();
+        let waiting = self.startable_tasks(at).count();
         let tasks = waiting.min(limit).min(quota);
         for considered in 0..tasks {
             let own_share = shares.get(&policy.name).copied().unwrap_or(present_share);
--- a/crates/parsleytally/src/jobs/scheduler/repair.rs
+++ b/crates/parsleytally/src/jobs/scheduler/repair.rs
@@ -116,7 +116,7 @@
         };
         let attempts = job.policy.max_attempts as usize;
         let risky = task.failed.len() + 1 >= attempts || !task.crashes.is_empty();
-        if task.done || live.stopping || risky {
+        if task.done || live.stopping || risky || !self.may_start_task(at.task(index)) {
             return None;
         }
         let worker = self.workers.get(&live.node)?;
--- a/crates/parsleytally/src/jobs/scheduler/start.rs
+++ b/crates/parsleytally/src/jobs/scheduler/start.rs
@@ -247,10 +247,13 @@
     ) -> Placement {
         let now = pass.now;
         let mut placement = Placement::All;
+        let waiting: Vec<usize> = self.startable_tasks(step.at).collect();
+        if waiting.is_empty() {
+            return placement;
+        }
         let workers = self.offered_workers(step, pass, blocked);
         let run = self.step_run(step.at);
         let mut candidates = Candidates::new(workers, &self.request(step, None), run, now);
-        let waiting: Vec<usize> = run.waiting_tasks().collect();
         let mut started = 0;
         for index in waiting {
             if started == limit {
@@ -345,8 +348,10 @@
         let tasks = &self.step_run(step.at).tasks;
         let members = tasks.len();
         let job = &self.jobs[&step.at.job];
-        let may_start = |task: &Task| task.needs_run() && !awaits_save(job, task);
-        if !tasks.iter().all(may_start) {
+        let may_start = |(index, task): (usize, &Task)| {
+            task.needs_run() && !awaits_save(job, task) && self.may_start_task(step.at.task(index))
+        };
+        if !tasks.iter().enumerate().all(may_start) {
             return;
         }
         let run = (0..members)
@@ -445,6 +450,12 @@
         self.jobs[&at.job].step_run(at)
     }
 
+    /// Indexes of the waiting tasks of a step that no agent of the predecessor may run.
+    pub(super) fn startable_tasks(&self, at: StepRef) -> impl Iterator<Item = usize> {
+        let waiting = self.step_run(at).waiting_tasks();
+        waiting.filter(move |index| self.may_start_task(at.task(*index)))
+    }
+
     fn next_run_number(&self, step: StepRef, index: usize) -> u32 {
         let task = &self.step_run(step).tasks[index];
         let first = u32::try_from(self.options.epoch).unwrap_or(u32::MAX / RUNS_PER_EPOCH);
--- a/crates/parsleytally/src/jobs/scheduler/unreported.rs
+++ b/crates/parsleytally/src/jobs/scheduler/unreported.rs
@@ -1,5 +1,6 @@
 //! Agents of the predecessor that have not listed their runs to this owner. Until then, they may
-//! have a run of each job that was accepted before the ownership.
+//! have a run of each task that they have named, or of each job that was accepted before the ownership
+//! if they have named none. See `docs/design/owner-change.md`.
 //!
 //! The wait for them is bounded, whatever their links do: this owner's answers keep the runs of an agent
 //! alive only once this owner has its listing on that link ([`OrderMessage::ListingKnown`]), or in the first
@@ -8,39 +9,32 @@
 //!
 //! [`OrderMessage::ListingKnown`]: super::super::OrderMessage::ListingKnown
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use super::super::job::Job;
+use super::super::unreported::Unreported;
 use super::super::waiting::{MissingStep, WaitHolder, millis};
+use super::super::{RunRef, TaskId, UnreportedWaits};
 use super::{Output, Scheduler};
 use crate::types::{NodeName, Time};
 
-/// An agent of the predecessor that has not listed its runs.
-#[derive(Debug, Clone, Copy)]
-pub(super) struct Unreported {
-    /// When runs there have certainly ended.
-    pub(super) until: Time,
-    /// Since when this owner has expected it.
-    since: Time,
-    /// Number of links to it that this owner has opened.
-    pub(super) links: u32,
-}
-
 impl Scheduler {
     /// Notes an agent whose address stood in the store when the ownership began.
     pub(super) fn expect_agent(&mut self, now: Time, node: NodeName) {
-        let unreported = Unreported {
-            until: now.after(self.options.owner_hold),
-            since: now,
-            links: 0,
-        };
-        self.unreported.insert(node, unreported);
+        let until = now.after(self.options.owner_hold);
+        self.unreported.insert(node, Unreported::new(now, until));
         if self.support_end == Time::ZERO {
             let support = unlisted_support(self.options.agent_hold, self.options.owner_hold);
             self.support_end = now.after(support);
         }
     }
 
+    /// Longest times for which this owner has waited for agents of its predecessor.
+    pub fn unreported_waits(&self) -> UnreportedWaits {
+        self.unreported.waits()
+    }
+
     /// Until when answers to pings keep the runs of agents alive that have not listed them.
     pub fn support_end(&self) -> Time {
         self.support_end
@@ -53,9 +47,20 @@
         until.max(self.support_end.after(self.options.agent_hold))
     }
 
-    /// Whether no unreported agent can have a run of the job that a predecessor started.
+    /// Notes the runs of the predecessor that an agent may have; it has no others.
+    pub(super) fn agent_may_run(&mut self, node: &NodeName, runs: &[RunRef]) {
+        let tasks: BTreeSet<TaskId> = runs.iter().map(|run| run.task).collect();
+        self.pass_due |= self.unreported.set_tasks(node, tasks);
+    }
+
+    /// Whether tasks of the job may start, except those that agents have named.
     pub(super) fn may_start(&self, job: &Job) -> bool {
-        self.unreported.is_empty() || job.accepted > self.options.start_revision
+        !self.unreported.may_run_any() || job.accepted > self.options.start_revision
+    }
+
+    /// Whether no unreported agent has named this task, of a job that may start.
+    pub(super) fn may_start_task(&self, task: TaskId) -> bool {
+        !self.unreported.is_named(task)
     }
 
     /// Forgets the agents whose runs have certainly ended by `confirmed`.
@@ -77,16 +82,19 @@
         self.workers.get(node).is_some_and(|worker| worker.linked)
     }
 
-    /// The agent that has been expected for longest, as what holds back old jobs.
-    pub(super) fn unreported_holder(&self, now: Time) -> Option<WaitHolder> {
-        let oldest = self.unreported.iter().min_by_key(|(_, agent)| agent.since);
-        let (node, agent) = oldest?;
+    /// Of the agents that may run a task, the one that has been expected for longest.
+    pub(super) fn unreported_holder(&self, now: Time, task: TaskId) -> Option<WaitHolder> {
+        let agents = || {
+            let agents = self.unreported.iter();
+            agents.filter(|(_, agent)| agent.may_run(task))
+        };
+        let (node, agent) = agents().min_by_key(|(_, agent)| agent.since)?;
         Some(WaitHolder::Agent {
             node: node.clone(),
             lacks: self.missing_step(node),
             since_ms: millis(now, agent.since),
             links: agent.links,
-            agents: self.unreported.len(),
+            agents: agents().count(),
         })
     }
 
--- a/crates/parsleytally/src/jobs/scheduler/waiting.rs
+++ b/crates/parsleytally/src/jobs/scheduler/waiting.rs
@@ -112,7 +112,7 @@
         if !self.evacuation.is_fresh(now) {
             return Some(WaitReason::OldRead);
         }
-        if !self.may_start(job) {
+        if !self.may_start(job) || !self.may_start_task(at.task(index)) {
             return Some(WaitReason::Unreported);
         }
         let task = &job.step_run(at).tasks[index];
@@ -128,7 +128,7 @@
         reason: WaitReason,
     ) -> Option<WaitHolder> {
         match reason {
-            WaitReason::Unreported => self.unreported_holder(now),
+            WaitReason::Unreported => self.unreported_holder(now, at.task(index)),
             WaitReason::Isolation => self.isolated_run(now, at),
             WaitReason::Unsaved => Some(WaitHolder::Marks {
                 marks: self.step_run(at).tasks[index].crashes.len(),
--- a/crates/parsleytally/src/jobs/tests/mod.rs
+++ b/crates/parsleytally/src/jobs/tests/mod.rs
@@ -21,6 +21,7 @@
 mod late_checkpoints;
 mod losses;
 mod malformed;
+mod may_run;
 mod model;
 mod orders_on_their_way;
 mod overtaken;
--- a/crates/parsleytally/src/jobs/tests/model/agents.rs
+++ b/crates/parsleytally/src/jobs/tests/model/agents.rs
@@ -35,8 +35,17 @@
 
 impl Simulation {
     pub(super) fn step_agent(&mut self, at: usize, input: AgentInput) {
+        let begins = matches!(
+            input,
+            AgentInput::OwnerMessage(_, OrderMessage::Begin { .. })
+        );
         let mut out = Vec::new();
         self.agents[at].state.step(self.now, input, &mut out);
+        let is_told =
+            |output: &AgentOutput| matches!(output, AgentOutput::Send(AgentMessage::MayRun(_)));
+        if begins && self.bug == InjectedBug::GuessedRuns && !out.iter().any(is_told) {
+            out.push(AgentOutput::Send(AgentMessage::MayRun(vec![])));
+        }
         for output in out {
             if self.traced {
                 println!("    agent {at}: {output:?}");
--- a/crates/parsleytally/src/jobs/tests/model/known.rs
+++ b/crates/parsleytally/src/jobs/tests/model/known.rs
@@ -60,6 +60,7 @@
             | AgentMessage::Unresponsive(_)
             | AgentMessage::LastLease { .. }
             | AgentMessage::Started(_)
+            | AgentMessage::MayRun(_)
             | AgentMessage::Superseded { .. } => {}
         }
     }
--- a/crates/parsleytally/src/jobs/tests/model/mod.rs
+++ b/crates/parsleytally/src/jobs/tests/model/mod.rs
@@ -21,6 +21,7 @@
 mod known;
 mod links;
 mod odd;
+mod owner_changes;
 mod owners;
 mod queue;
 mod registration;
@@ -91,6 +92,12 @@
     EarlyLastLease,
     /// Answers to pings keep the runs of agents alive whose listing is not known.
     EndlessSupport,
+    /// Agents don't tell a new owner of ended runs.
+    UntoldEnds,
+    /// Agents don't tell a new owner of runs that may still start.
+    UntoldStarts,
+    /// Agents that have just started tell a new owner that there are no runs.
+    GuessedRuns,
 }
 
 struct Simulation {
@@ -298,6 +305,7 @@
             Event::Dial(owner, at) => self.dial(owner, at),
             Event::Save(owner, job, version, progress) => self.save(owner, job, version, progress),
             Event::Fault => self.fault(),
+            Event::ChangeOwner => self.change_owner(),
             Event::Submit(id) => self.submit(id),
             Event::Cancel(id) => self.cancel(id),
             Event::NewOwner => self.new_owner(),
@@ -404,8 +412,8 @@
 }
 
 /// Prints the events of the seed `PARSLEYTALLY_MODEL_SEED`, if that is set, of the kind
-/// `PARSLEYTALLY_MODEL_KIND`: `crashes`, `odd`, `preemption`, `stalls`, `uneven`, or a
-/// plain one.
+/// `PARSLEYTALLY_MODEL_KIND`: `crashes`, `odd`, `owners`, `preemption`, `stalls`, `uneven`, or
+/// a plain one.
 #[test]
 fn events_of_a_seed() {
     let seed = std::env::var("PARSLEYTALLY_MODEL_SEED").ok();
@@ -417,6 +425,7 @@
         "crashes" => Simulation::with_crashes(seed),
         "stalls" => Simulation::with_stalls(seed),
         "odd" => Simulation::with_odd_entries(seed),
+        "owners" => Simulation::with_owner_changes(seed, InjectedBug::Nothing),
         "preemption" => with_preemption(seed),
         "uneven" => Simulation::with_settings(seed, InjectedBug::Nothing, UNEVEN),
         _ => Simulation::new(seed, InjectedBug::Nothing),
--- a/crates/parsleytally/src/jobs/tests/model/owners.rs
+++ b/crates/parsleytally/src/jobs/tests/model/owners.rs
@@ -134,7 +134,7 @@
     }
 
     /// Applies an injected bug to a message of an agent.
-    fn falsify(&self, mut message: AgentMessage) -> AgentMessage {
+    fn falsify(&self, at: usize, mut message: AgentMessage) -> AgentMessage {
         let is_needed = |status: &RunStatus| !self.cancelled.contains_key(&status.run.task.job);
         match (&mut message, self.bug) {
             (AgentMessage::Listed { running, .. }, InjectedBug::HiddenRuns)
@@ -145,6 +145,13 @@
             (AgentMessage::LastLease { expires_within }, InjectedBug::EarlyLastLease) => {
                 *expires_within = 0;
             }
+            (AgentMessage::MayRun(runs), InjectedBug::UntoldEnds) => {
+                runs.retain(|run| !self.done_at.contains_key(run));
+            }
+            (AgentMessage::MayRun(runs), InjectedBug::UntoldStarts) => {
+                let began = |run: &RunRef| self.workers[at].runs().any(|other| other == run);
+                runs.retain(|run| began(run) || self.done_at.contains_key(run));
+            }
             _ => {}
         }
         message
@@ -171,7 +178,7 @@
             );
             return;
         }
-        let message = self.falsify(message);
+        let message = self.falsify(link.agent, message);
         self.owners[owner].runs.received(link.agent, &message);
         self.step_owner(owner, Input::Agent(node(link.agent), message));
     }
--- a/crates/parsleytally/src/jobs/tests/model/queue.rs
+++ b/crates/parsleytally/src/jobs/tests/model/queue.rs
@@ -39,6 +39,8 @@
     /// A record of an owner reaches the store.
     Save(usize, JobId, u64, JobProgress),
     Fault,
+    /// The owner is killed, and some workers and agents are disturbed.
+    ChangeOwner,
     Submit(u64),
     Cancel(u64),
     NewOwner,
