feat(entry): metric of the longest wait for agents of the predecessor

parsleytally_jobs_unreported_milliseconds, by whether the agent held back all older jobs or only tasks that it had named. The test of the metrics page sets it, as it does for other metrics with labels: without a value they are not exported. 76, 6 and 24 tests of entry, agent and links pass.

--- a/crates/parsleytally-entry/src/site/metrics.rs
+++ b/crates/parsleytally-entry/src/site/metrics.rs
@@ -4,7 +4,8 @@
 
 use parsleytally::jobs::{
     AgentMessage, CrashDecision, EndReason, EvacuationEvent, JobAccount, OrderMessage, QueueName,
-    QueueUsage, RefusalReason, Scheduler, WaitCounts, WorkerStanding, WorkersDecision,
+    QueueUsage, RefusalReason, Scheduler, UnreportedWaits, WaitCounts, WorkerStanding,
+    WorkersDecision,
 };
 use parsleytally_platform::process::metrics::MetricSet;
 use prometheus::{IntCounter, IntCounterVec, IntGauge, IntGaugeVec};
@@ -40,6 +41,7 @@
     waiting_tasks: IntGauge,
     waiting_steps: IntGaugeVec,
     free_cpu: IntGauge,
+    unreported: IntGaugeVec,
     queue_share: IntGaugeVec,
     queue_waiting: IntGaugeVec,
     preempted: IntCounterVec,
@@ -133,6 +135,11 @@
                 "parsleytally_jobs_free_cpu_percent",
                 "Share of the workers' processors that nothing has reserved.",
             )?,
+            unreported: set.gauges(
+                "parsleytally_jobs_unreported_milliseconds",
+                "Longest wait of this ownership for an agent of its predecessor, by what it held back.",
+                "held",
+            )?,
             queue_share: set.gauges(
                 "parsleytally_jobs_queue_share_permille",
                 "Dominant share of its pool that a queue uses; only with settings of shares.",
@@ -191,6 +198,7 @@
         self.queue_share.reset();
         self.queue_waiting.reset();
         self.waiting_steps.reset();
+        self.unreported.reset();
     }
 
     pub(super) fn update(&self, scheduler: &Scheduler, agents: usize, confirmation_age: Duration) {
@@ -209,10 +217,19 @@
         self.probation.set(gauge(standings.probation));
         self.copies.set(gauge(scheduler.copies()));
         self.update_queues(&scheduler.queue_usage());
+        self.update_unreported(scheduler.unreported_waits());
         let age = i64::try_from(confirmation_age.as_millis()).unwrap_or(i64::MAX);
         self.confirmation_age.set(age);
     }
 
+    /// Sets the gauges of the longest waits for agents of the predecessor.
+    pub(super) fn update_unreported(&self, waits: UnreportedWaits) {
+        for (held, wait) in [("all", waits.all), ("named", waits.named)] {
+            let millis = i64::try_from(wait.as_millis()).unwrap_or(i64::MAX);
+            self.unreported.with_label_values(&[held]).set(millis);
+        }
+    }
+
     /// Sets the gauges of waiting steps; those of other reasons are removed.
     pub(super) fn update_waiting(&self, steps: &WaitCounts) {
         self.waiting_steps.reset();
--- a/crates/parsleytally-entry/src/site/tests/mod.rs
+++ b/crates/parsleytally-entry/src/site/tests/mod.rs
@@ -23,8 +23,8 @@
     AgentMessage, CallError, CrashDecision, EndReason, EndedRun, EvacuationEvent, HealthEvidence,
     JobAccount, JobId, JobOutcome, JobSpec, JobState, Listing, OrderMessage, PollCall, QueueName,
     QueuePolicy, QueueUsage, RefusalReason, RunRef, StartCall, StepSpec, StopCall, TaskId,
-    TaskTimes, ThrottleCall, WaitCounts, WaitReason, WorkerIncarnation, WorkerStanding,
-    WorkersDecision,
+    TaskTimes, ThrottleCall, UnreportedWaits, WaitCounts, WaitReason, WorkerIncarnation,
+    WorkerStanding, WorkersDecision,
 };
 use parsleytally::types::{Epoch, Incarnation, MilliCpu, NodeName, Time, ZoneName};
 use parsleytally_link::{Frame, Hello, Keys, LinkConfig, Role, accept};
@@ -515,6 +515,7 @@
         share: 0.5,
         waiting: 1,
     }]);
+    owner.update_unreported(UnreportedWaits::default());
     let ended_run = EndedRun {
         sequence: 1,
         run,
