--- a/crates/parsleytally-entry/src/site/metrics.rs
+++ b/crates/parsleytally-entry/src/site/metrics.rs
@@ -6,7 +6,8 @@
 
 use parsleytally::jobs::{
     AgentMessage, CrashDecision, EndReason, EvacuationEvent, JobAccount, OrderMessage, PoolUse,
-    QueueName, QueueUsage, RefusalReason, Scheduler, WaitCounts, WorkerStanding, WorkersDecision,
+    QueueName, QueueUsage, RefusalReason, Scheduler, UnreportedWaits, WaitCounts, WorkerStanding,
+    WorkersDecision,
 };
 use parsleytally_platform::process::metrics::MetricSet;
 use prometheus::{IntCounter, IntCounterVec, IntGauge, IntGaugeVec};
@@ -44,6 +45,7 @@
     free_cpu: IntGauge,
     pool_used: IntGaugeVec,
     pool_unlinked: IntGaugeVec,
+    unreported: IntGaugeVec,
     queue_share: IntGaugeVec,
     queue_waiting: IntGaugeVec,
     preempted: IntCounterVec,
@@ -147,6 +149,11 @@
                 "Known workers of a pool whose agents are not linked to the owner.",
                 "pool",
             )?,
+            unreported: set.gauges(
+                "parsleytally_jobs_unreported_milliseconds",
+                "Longest wait of this ownership for an agent of its predecessor, by what it held back.",
+                "held",
+            )?,
             queue_share: set.gauges(
                 "parsleytally_jobs_queue_share_permille",
                 "Dominant share of its pool that a queue uses; only with settings of shares.",
@@ -207,6 +214,7 @@
         self.queue_share.reset();
         self.queue_waiting.reset();
         self.waiting_steps.reset();
+        self.unreported.reset();
     }
 
     pub(super) fn update(&self, scheduler: &Scheduler, agents: usize, confirmation_age: Duration) {
@@ -226,6 +234,7 @@
         self.probation.set(gauge(standings.probation));
         self.copies.set(gauge(scheduler.copies()));
         self.update_queues(&scheduler.queue_usage());
+        self.update_unreported(scheduler.unreported_waits());
         let age = i64::try_from(confirmation_age.as_millis()).unwrap_or(i64::MAX);
         self.confirmation_age.set(age);
     }
@@ -244,6 +253,14 @@
         }
     }
 
+    /// Sets the gauges of the longest waits for agents of the predecessor.
+    pub(super) fn update_unreported(&self, waits: UnreportedWaits) {
+        for (held, wait) in [("all", waits.all), ("named", waits.named)] {
+            let millis = i64::try_from(wait.as_millis()).unwrap_or(i64::MAX);
+            self.unreported.with_label_values(&[held]).set(millis);
+        }
+    }
+
     /// Sets the gauges of waiting steps; those of other reasons are removed.
     pub(super) fn update_waiting(&self, steps: &WaitCounts) {
         self.waiting_steps.reset();
