test(model): audit of the owner's runs in calm moments

Change: at each tick that is calm (no fault active, all processes up and answering), also between faults, the newest owner's scheduler is compared with the workers: runs that it counts (by worker and by task) and that are absent, runs that it does not count, and tasks that wait with room, each at most 3 s (a task that lasts: 9 s); counted room is always the sum of the runs. Five injected bugs show that the audit detects (seven cases, one with a bug that was known); the cases before run without the audit, which would be the first to tell of some of them, so their own checks are still proven.

--- a/crates/parsleytally/src/jobs/scheduler/mod.rs
+++ b/crates/parsleytally/src/jobs/scheduler/mod.rs
@@ -81,7 +81,7 @@
 pub struct Scheduler {
     options: SchedulerOptions,
     queues: Arc<QueueTable>,
-    jobs: HashMap<JobId, Job>,
+    pub(super) jobs: HashMap<JobId, Job>,
     /// Ended jobs whose state is no longer kept; the store has it.
     forgotten: HashSet<JobId>,
     /// Jobs that have not ended.
@@ -97,7 +97,7 @@
     acks_due: bool,
     /// Whether an acknowledgement waits until a further run of its task is settled.
     acks_held: bool,
-    workers: BTreeMap<NodeName, Worker>,
+    pub(super) workers: BTreeMap<NodeName, Worker>,
     /// Agents of the predecessor that have not listed their runs yet.
     unreported: BTreeMap<NodeName, Unreported>,
     /// Until when answers to pings keep the runs of agents alive that have not listed them.
@@ -702,7 +702,7 @@
 }
 
 /// Runs of a job that may still be active, each with its worker.
-fn active_runs(id: JobId, job: &Job) -> Vec<(RunRef, NodeName)> {
+pub(super) fn active_runs(id: JobId, job: &Job) -> Vec<(RunRef, NodeName)> {
     let mut active = Vec::new();
     for (round, open) in job.rounds.iter().enumerate() {
         for (step, run) in open.steps.iter().enumerate() {
--- a/crates/parsleytally/src/jobs/tests/model/calls.rs
+++ b/crates/parsleytally/src/jobs/tests/model/calls.rs
@@ -205,6 +205,9 @@
         self.add_odd_entries(id.at, &mut listing);
         if !self.rng.random_bool(LOST_LISTINGS) {
             self.answer(id, polled(poll.call, Ok(listing)));
+        } else {
+            let timeout = Duration::from_millis(CALL_TIMEOUT_MS + poll.call.wait_ms);
+            self.audit.lose_answer(id.at, self.now.after(timeout));
         }
     }
 
--- a/crates/parsleytally/src/jobs/tests/model/crashes.rs
+++ b/crates/parsleytally/src/jobs/tests/model/crashes.rs
@@ -32,7 +32,7 @@
 
 impl Crashes {
     /// Whether the task crashes the workers that start it.
-    fn is_deadly(&self, task: TaskId) -> bool {
+    pub(super) fn is_deadly(&self, task: TaskId) -> bool {
         self.enabled && task.job.0 % DEADLY_JOBS == 2 && (task.step, task.index) == (0, 0)
     }
 
--- a/crates/parsleytally/src/jobs/tests/model/mod.rs
+++ b/crates/parsleytally/src/jobs/tests/model/mod.rs
@@ -14,6 +14,7 @@
 use crate::types::{MilliCpu, Revision, Time};
 
 mod agents;
+mod audit;
 mod calls;
 mod checks;
 mod crashes;
@@ -30,6 +31,7 @@
 mod workers;
 
 use agents::{SimulatedAgent, agent};
+use audit::Audit;
 use calls::Calls;
 use crashes::Crashes;
 use links::Link;
@@ -91,6 +93,16 @@
     EarlyLastLease,
     /// Answers to pings keep the runs of agents alive whose listing is not known.
     EndlessSupport,
+    /// Some orders to start a run are lost on links that stay.
+    LostStarts,
+    /// The agent tells of some runs that they are missing before their orders reach it.
+    EarlyMissing,
+    /// Owners don't see some ends that are told by themselves.
+    UnheardEnds,
+    /// Owners don't see some jobs.
+    UnseenJobs,
+    /// Owners keep the room of some runs reserved that have ended.
+    KeptRoom,
 }
 
 struct Simulation {
@@ -137,6 +149,7 @@
     preempts: bool,
     /// Number of preempted runs.
     preempted: usize,
+    audit: Audit,
     crashes: Crashes,
     calls: Calls,
     stalls: Stalls,
@@ -186,6 +199,7 @@
             violations: Vec::new(),
             preempts: false,
             preempted: 0,
+            audit: Audit::default(),
             crashes: Crashes::default(),
             calls: Calls::default(),
             stalls: Stalls::default(),
@@ -343,6 +357,7 @@
         }
         self.check_running();
         self.check_unknown();
+        self.audit();
         self.push(50, Event::Tick);
     }
 }
@@ -404,8 +419,8 @@
 }
 
 /// Prints the events of the seed `PARSLEYTALLY_MODEL_SEED`, if that is set, of the kind
-/// `PARSLEYTALLY_MODEL_KIND`: `crashes`, `odd`, `preemption`, `stalls`, `uneven`, or a
-/// plain one.
+/// `PARSLEYTALLY_MODEL_KIND`: `crashes`, `gaps`, `odd`, `preemption`, `stalls`, `uneven`,
+/// or a plain one.
 #[test]
 fn events_of_a_seed() {
     let seed = std::env::var("PARSLEYTALLY_MODEL_SEED").ok();
@@ -415,6 +430,7 @@
     let kind = std::env::var("PARSLEYTALLY_MODEL_KIND").unwrap_or_default();
     let mut simulation = match kind.as_str() {
         "crashes" => Simulation::with_crashes(seed),
+        "gaps" => Simulation::with_gaps(seed),
         "stalls" => Simulation::with_stalls(seed),
         "odd" => Simulation::with_odd_entries(seed),
         "preemption" => with_preemption(seed),
@@ -511,7 +527,11 @@
         },
     ];
     for BugCase { bug, violation } in cases {
-        let mut runs = (0..BUG_SEEDS).map(|seed| Simulation::new(seed, bug).run());
+        let mut runs = (0..BUG_SEEDS).map(|seed| {
+            let mut simulation = Simulation::new(seed, bug);
+            simulation.audit.disabled = true;
+            simulation.run()
+        });
         let detected = runs.any(|found| found.iter().any(|text| text.contains(violation)));
         assert!(detected, "{bug:?} was not detected by {violation:?}");
     }
--- a/crates/parsleytally/src/jobs/tests/model/owners.rs
+++ b/crates/parsleytally/src/jobs/tests/model/owners.rs
@@ -5,6 +5,9 @@
 use super::*;
 use crate::configs::BestEffortConfig;
 
+/// Every so many jobs, injected bugs that concern some of them affect one.
+pub(super) const AFFECTED_JOBS: u64 = 4;
+
 pub(super) struct SimulatedOwner {
     pub(super) scheduler: Scheduler,
     pub(super) epoch: u64,
@@ -25,6 +28,11 @@
         .expect("a worker")
 }
 
+/// Whether an injected bug affects a run.
+fn is_affected(run: RunRef) -> bool {
+    run.task.job.0.is_multiple_of(AFFECTED_JOBS)
+}
+
 impl Simulation {
     pub(super) fn is_current(&self, owner: usize) -> bool {
         self.owners[owner].epoch + 1 == self.owners.len() as u64
@@ -91,9 +99,10 @@
                     self.owners[owner].runs.ordered(at, &message);
                     let lost = self.bug == InjectedBug::LostStops
                         && matches!(message, OrderMessage::Stop(_));
-                    if lost {
+                    if lost || self.loses_start(&message) {
                         continue;
                     }
+                    self.tell_missing_early(owner, at, &message);
                     if let Some(link) = self.owners[owner].links.get(&at).copied() {
                         self.send_to_agent(link, message);
                     }
@@ -133,6 +142,36 @@
         }
     }
 
+    /// Whether an injected bug loses an order.
+    fn loses_start(&self, message: &OrderMessage) -> bool {
+        let OrderMessage::Start(order) = message else {
+            return false;
+        };
+        self.bug == InjectedBug::LostStarts && is_affected(order.run)
+    }
+
+    /// Tells an owner, as an injected bug, that the run of an order is missing.
+    fn tell_missing_early(&mut self, owner: usize, at: usize, message: &OrderMessage) {
+        let (OrderMessage::Start(order), Some(link)) = (message, self.owners[owner].links.get(&at))
+        else {
+            return;
+        };
+        if self.bug == InjectedBug::EarlyMissing && is_affected(order.run) {
+            let missing = AgentMessage::Missing(order.run);
+            self.push(1, Event::ToOwner(owner, *link, missing));
+        }
+    }
+
+    /// Keeps the room of ended runs reserved, as an injected bug.
+    fn keep_room(&mut self, owner: usize, at: usize, message: &AgentMessage) {
+        let ends = matches!(message, AgentMessage::Ended { ended, .. }
+            if ended.iter().any(|end| is_affected(end.run)));
+        let worker = self.owners[owner].scheduler.workers.get_mut(&node(at));
+        if let Some(worker) = worker.filter(|_| ends && self.bug == InjectedBug::KeptRoom) {
+            worker.reserved.cpu.0 += 1_000;
+        }
+    }
+
     /// Applies an injected bug to a message of an agent.
     fn falsify(&self, mut message: AgentMessage) -> AgentMessage {
         let is_needed = |status: &RunStatus| !self.cancelled.contains_key(&status.run.task.job);
@@ -141,7 +180,12 @@
             | (AgentMessage::Measurements(running), InjectedBug::HiddenRuns) => {
                 running.retain(is_needed);
             }
-            (AgentMessage::Listed { ended, .. }, InjectedBug::HiddenEnds) => ended.clear(),
+            (AgentMessage::Listed { ended, .. }, InjectedBug::HiddenEnds)
+            | (AgentMessage::Ended { ended, .. }, InjectedBug::UnheardEnds)
+                if ended.iter().any(|end| is_affected(end.run)) =>
+            {
+                ended.clear();
+            }
             (AgentMessage::LastLease { expires_within }, InjectedBug::EarlyLastLease) => {
                 *expires_within = 0;
             }
@@ -173,6 +217,7 @@
         }
         let message = self.falsify(message);
         self.owners[owner].runs.received(link.agent, &message);
+        self.keep_room(owner, link.agent, &message);
         self.step_owner(owner, Input::Agent(node(link.agent), message));
     }
 }
--- a/crates/parsleytally/src/jobs/tests/model/store.rs
+++ b/crates/parsleytally/src/jobs/tests/model/store.rs
@@ -1,5 +1,6 @@
 //! Simulated store: job records and their progress.
 
+use super::owners::AFFECTED_JOBS;
 use super::*;
 
 /// A job in the store.
@@ -102,7 +103,8 @@
     pub(super) fn publish_job(&mut self, id: JobId) {
         for owner in 0..self.owners.len() {
             let can_read = self.owners[owner].reaches_store && self.is_current(owner);
-            if self.owners[owner].up && can_read {
+            let hidden = self.bug == InjectedBug::UnseenJobs && id.0.is_multiple_of(AFFECTED_JOBS);
+            if self.owners[owner].up && can_read && !hidden {
                 let input = self.job_input(id);
                 self.step_owner(owner, input);
             }
