refactor(jobs): the estimate of a queue stands with the completed work

`admission/completed` and `admission/forecast` used each other. `QueueEstimate` moves to the file that computes it, so that only `forecast` uses `completed`. Behaviour is unchanged.

--- a/crates/parsleytally/src/jobs/admission/completed.rs
+++ b/crates/parsleytally/src/jobs/admission/completed.rs
@@ -4,8 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use super::Work;
-use super::forecast::QueueEstimate;
 use crate::jobs::{QueueName, StepSpec};
 use crate::types::Time;
 
@@ -18,6 +19,15 @@
 /// into an arbitrary number.
 const CORRECTION_RANGE: (f64, f64) = (20.0, 500.0);
 
+/// How long the tasks of a queue take, relative to their clients' estimates.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QueueEstimate {
+    /// Name of the queue.
+    pub queue: QueueName,
+    /// Measured run time in percent of the estimate.
+    pub percent: u32,
+}
+
 /// Work that was completed within one second.
 #[derive(Debug, Default)]
 struct Second {
--- a/crates/parsleytally/src/jobs/admission/forecast.rs
+++ b/crates/parsleytally/src/jobs/admission/forecast.rs
@@ -6,9 +6,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::completed::{CompletedWork, WINDOW_SECS};
+use super::completed::{CompletedWork, QueueEstimate, WINDOW_SECS};
 use super::{UNCERTAIN_TIME, Work};
-use crate::jobs::QueueName;
 use crate::types::{Resources, Time};
 
 /// Time for which a computed forecast is given to all entries.
@@ -50,15 +49,6 @@
     pub backlog: Vec<BacklogGroup>,
 }
 
-/// How long the tasks of a queue take, relative to their clients' estimates.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct QueueEstimate {
-    /// Name of the queue.
-    pub queue: QueueName,
-    /// Measured run time in percent of the estimate.
-    pub percent: u32,
-}
-
 /// What the owner expects of the work in its fleet.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Forecast {
--- a/crates/parsleytally/src/jobs/admission/mod.rs
+++ b/crates/parsleytally/src/jobs/admission/mod.rs
@@ -17,8 +17,9 @@
 mod forecast;
 mod sizes;
 
+pub use completed::QueueEstimate;
 pub use decide::{AdmissionControl, Decision, Refusal};
-pub use forecast::{BacklogGroup, Forecast, PoolForecast, QueueEstimate};
+pub use forecast::{BacklogGroup, Forecast, PoolForecast};
 pub(super) use forecast::{ForecastState, OpenJob, PoolSample};
 
 /// Time for which nothing is refused after a submission whose outcome is unknown: its record
