refactor(agent): one pause after a registration that failed

Two arms of `Registration::maintain` paused and continued alike. `try_register` logs the result and tells whether the address is stored. Log lines and behaviour are unchanged.

--- a/crates/parsleytally-agent/src/site/registration.rs
+++ b/crates/parsleytally-agent/src/site/registration.rs
@@ -30,22 +30,9 @@
     pub(super) async fn maintain(mut self) {
         let mut registered = false;
         loop {
-            match self.register(registered).await {
-                Ok(None) => {}
-                Ok(Some(Outcome::Committed(revision))) => {
-                    log::info!(address:% = self.links, revision:% = revision;
-                        "wrote the address to the store");
-                }
-                Ok(Some(Outcome::Conflict(_))) => {
-                    log::info!("the address in the store has changed meanwhile");
-                    sleep(RETRY_PAUSE).await;
-                    continue;
-                }
-                Err(error) => {
-                    log::warn!(error:% = error; "could not write the address to the store");
-                    sleep(RETRY_PAUSE).await;
-                    continue;
-                }
+            if !self.try_register(registered).await {
+                sleep(RETRY_PAUSE).await;
+                continue;
             }
             registered = true;
             let held = self.held.wait_for(|held| *held);
@@ -59,6 +46,26 @@
         }
     }
 
+    /// Registers like [`Self::register`], and logs the result; returns whether the address is stored.
+    async fn try_register(&self, check_first: bool) -> bool {
+        match self.register(check_first).await {
+            Ok(None) => true,
+            Ok(Some(Outcome::Committed(revision))) => {
+                log::info!(address:% = self.links, revision:% = revision;
+                    "wrote the address to the store");
+                true
+            }
+            Ok(Some(Outcome::Conflict(_))) => {
+                log::info!("the address in the store has changed meanwhile");
+                false
+            }
+            Err(error) => {
+                log::warn!(error:% = error; "could not write the address to the store");
+                false
+            }
+        }
+    }
+
     /// Writes the address to the store; with `check_first`, only if the key differs. A write that is
     /// carried out late, by an earlier process of this agent too, replaces no later address.
     async fn register(&self, check_first: bool) -> Result<Option<Outcome>, StoreError> {
