--- a/crates/parsleytally-entry/src/site/follow.rs
+++ b/crates/parsleytally-entry/src/site/follow.rs
@@ -11,9 +11,10 @@
 use parsleytally::types::Revision;
 use parsleytally_platform::store::{Changes, Snapshot, Store, StoreError};
 use tokio::sync::{mpsc, watch};
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, sleep};
 
 use super::keys;
+use super::timer::wait_for;
 
 /// Pause before a failed watch is started again.
 const RETRY_PAUSE: Duration = Duration::from_millis(80);
@@ -127,11 +128,7 @@
                         let change = *self.changed.borrow_and_update();
                         self.marks.expect(change, Instant::now());
                     }
-                    () = sleep_until(overdue.map_or_else(Instant::now, |(at, _)| at)),
-                        if overdue.is_some() =>
-                    {
-                        return End::Unreported(overdue.map_or(Revision(0), |(_, change)| change));
-                    }
+                    change = wait_for(overdue) => return End::Unreported(change),
                 }
             };
             let changes = match changes {
--- a/crates/parsleytally-entry/src/site/mod.rs
+++ b/crates/parsleytally-entry/src/site/mod.rs
@@ -48,6 +48,7 @@
 mod sent_log;
 mod store_health;
 mod stored_state;
+mod timer;
 mod tombstone_writer;
 mod tombstones;
 
--- a/crates/parsleytally-entry/src/site/owner.rs
+++ b/crates/parsleytally-entry/src/site/owner.rs
@@ -15,7 +15,7 @@
 use parsleytally_platform::store::{Change, Commit, Item, Store, Write};
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
-use tokio::time::{interval, sleep};
+use tokio::time::interval;
 use tokio_util::sync::CancellationToken;
 
 use super::agents::AgentLink;
@@ -33,6 +33,7 @@
 };
 use super::saver::{ProgressRecord, Saver, revisions};
 use super::stored_state::StoredState;
+use super::timer::sleep_for;
 
 /// Capacity of the owner's channel; senders wait while it is full.
 const CHANNEL_CAPACITY: usize = 4_096;
@@ -605,11 +606,3 @@
         }
     }
 }
-
-/// Sleeps for the duration; never returns for `None`.
-async fn sleep_for(wait: Option<Duration>) {
-    match wait {
-        Some(wait) => sleep(wait).await,
-        None => std::future::pending().await,
-    }
-}
--- a/crates/parsleytally-entry/src/site/tombstone_writer.rs
+++ b/crates/parsleytally-entry/src/site/tombstone_writer.rs
@@ -10,11 +10,12 @@
 use parsleytally_platform::store::{Commit, Compare, LeaseId, Outcome, Store, StoreError, Write};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::JoinSet;
-use tokio::time::{Instant, sleep_until, timeout_at};
+use tokio::time::{Instant, timeout_at};
 
 use super::failures::commit_failure;
 use super::keys;
 use super::rate_limit::{Limit, Rate};
+use super::timer::sleep_for;
 
 /// Longest life of a tombstone, which is the longest lease of the store.
 pub(super) const LONGEST_LIFE: Duration = Duration::from_secs(600);
@@ -116,7 +117,7 @@
     /// Serves requests until the last sender of them is dropped.
     pub(super) async fn run(mut self) {
         loop {
-            let write_at = self.send(Instant::now());
+            let wait = self.send(Instant::now());
             tokio::select! {
                 request = self.requests.recv() => match request {
                     Some(request) => self.accept(request),
@@ -129,7 +130,7 @@
                         self.is_granting = false;
                     }
                 },
-                () = sleep_until(write_at.unwrap_or_else(Instant::now)), if write_at.is_some() => {}
+                () = sleep_for(wait) => {}
             }
         }
     }
@@ -148,8 +149,8 @@
         request.end(Ok(Requested::Limited(wait)));
     }
 
-    /// Sends what can be sent now; returns when the next write may follow.
-    fn send(&mut self, now: Instant) -> Option<Instant> {
+    /// Sends what can be sent now; returns the time until the next write may follow.
+    fn send(&mut self, now: Instant) -> Option<Duration> {
         self.waiting.retain(|request| !request.reply.is_closed());
         while !self.waiting.is_empty() {
             let Some(lease) = self.current_lease(now) else {
@@ -164,7 +165,7 @@
             if wait.is_zero() {
                 self.writes.take(now);
             } else if !self.waiting.iter().any(|request| request.is_sent) {
-                return Some(now + wait);
+                return Some(wait);
             }
             self.write(lease.id, now + WRITE_TIMEOUT);
         }
