fix(jobs): tasks that last and starve start in one pass, not one a pass

Callers see LOST: of a step of tasks that last, which all have waited long enough, one starts with each pass. A pass follows a tick of 0.15 s, so from about 50 tasks on the last one starts after the 9 s that each is owed.

Evidence: the tests counted a tick as 0.15 s, while each input advances their clock by 20 ms more, so waits beside many workers were up to three times as long as measured.

The limit of a pass is now the number of tasks of the step that have waited for long enough themselves; one, as before, for a job that ends.

--- a/crates/parsleytally/src/jobs/scheduler/starving.rs
+++ b/crates/parsleytally/src/jobs/scheduler/starving.rs
@@ -56,8 +56,8 @@
 }
 
 impl Scheduler {
-    /// Starts one task, or a whole gang, of each starving job, although the protection of
-    /// other work turns it away.
+    /// Starts one task, or a whole gang, of each starving job, and all starving tasks that last, although
+    /// the protection of other work turns them away.
     pub(super) fn place_starving(
         &mut self,
         pass: &mut Pass,
@@ -75,7 +75,8 @@
             let mut step = self.ready_step(at, load);
             step.starving = Some(self.next_offer(at, scored));
             step.quarantined = self.may_use_quarantined(pass.now, at, &step);
-            self.place_ready(&step, 1, pass, out);
+            let limit = self.starving_tasks(pass.now, at);
+            self.place_ready(&step, limit, pass, out);
         }
     }
 
@@ -96,6 +97,19 @@
         starving
     }
 
+    /// Number of tasks of a starving step to start: each that lasts has a wait of its own.
+    fn starving_tasks(&self, now: Time, at: StepRef) -> usize {
+        if !self.jobs[&at.job].spec.steps[at.step].long_running {
+            return 1;
+        }
+        let run = self.step_run(at);
+        let waits = run
+            .waiting_tasks()
+            .filter_map(|index| run.tasks[index].idle_since);
+        let starving = waits.filter(|since| now.since(*since) >= STARVED_AFTER);
+        starving.count().max(1)
+    }
+
     /// The next `count` workers to which a step is offered.
     fn next_offer(&mut self, at: StepRef, count: usize) -> Offer {
         let mut offered = 0;
--- a/crates/parsleytally/src/jobs/tests/filters.rs
+++ b/crates/parsleytally/src/jobs/tests/filters.rs
@@ -149,19 +149,19 @@
         long_running: true,
         ..case.step.clone()
     };
+    let begun = bench.now;
     let mut out = bench.submit(MEASURED[0], job(vec![lasts]), 30);
     out.extend(bench.submit(MEASURED[1], job(vec![case.step.clone()]), 31));
     let mut waiting = MEASURED.to_vec();
-    let mut waited_ms = 0;
     loop {
         for (_, run) in starts(&out) {
             waiting.retain(|id| *id != run.task.job.0);
         }
+        let waited_ms = bench.now.since(begun).as_millis() as u64;
         if waiting.is_empty() || waited_ms >= ENDLESS_MS {
             return waited_ms;
         }
         out = bench.wait(TICK_MS);
-        waited_ms += TICK_MS;
     }
 }
 
--- a/crates/parsleytally/src/jobs/tests/held_back.rs
+++ b/crates/parsleytally/src/jobs/tests/held_back.rs
@@ -5,10 +5,10 @@
 use super::scheduler::{Bench, options, starts};
 use super::*;
 use crate::configs::BestEffortConfig;
-use crate::types::Revision;
+use crate::types::{Revision, Time};
 
 /// Time between two ticks, in milliseconds.
-const TICK_MS: u64 = 150;
+pub(super) const TICK_MS: u64 = 150;
 /// Time within which a job with nothing running starts, by the platform's page.
 pub(super) const IDLE_BOUND_MS: u64 = 3_000;
 /// Time within which a task that lasts starts again, by the platform's page.
@@ -33,15 +33,21 @@
     most: u64,
     mut done: impl FnMut(&mut Bench, &[Output]) -> bool,
 ) -> Option<u64> {
-    for tick in 1..=most / TICK_MS {
+    let begun = bench.now;
+    while elapsed_ms(bench, begun) < most {
         let out = bench.wait(TICK_MS);
         if done(bench, &out) {
-            return Some(tick * TICK_MS);
+            return Some(elapsed_ms(bench, begun));
         }
     }
     None
 }
 
+/// Time on the clock of the bench, which each input advances, in milliseconds.
+fn elapsed_ms(bench: &Bench, begun: Time) -> u64 {
+    bench.now.since(begun).as_millis() as u64
+}
+
 /// Guards against LOST: one agent that never lists its runs, or whose link comes and goes, held back
 /// every job accepted before the ownership, on all workers and without a bound.
 #[test]
@@ -326,10 +332,12 @@
     mut out: Vec<Output>,
     after: &mut AfterStarts<'_>,
 ) -> Option<u64> {
-    for tick in 0..2 * LASTING_BOUND_MS / TICK_MS {
+    let begun = bench.now;
+    while elapsed_ms(bench, begun) < 2 * LASTING_BOUND_MS {
         let placed = starts(&out);
-        let Some(next) = after(bench, tick * TICK_MS, &placed) else {
-            return Some(tick * TICK_MS);
+        let time = elapsed_ms(bench, begun);
+        let Some(next) = after(bench, time, &placed) else {
+            return Some(time);
         };
         out = next;
         for (_, run) in placed.iter().filter(|(at, _)| *at == node(refusing)) {
