fix(jobs): the wait of a best-effort job in a full pool has a bound

Callers see LOST, or a job that waits for a minute for its first task: in a pool that counts as full, headroom and the limit of best-effort processors held a job with nothing running back for ever, whatever its age, also where the owner's count of room is wrong.

Evidence, tests that failed before: four workers near their targets whose services reserve 2,500 or 4,000 of 4,000, and a gang beside 3,000: no start in 36 s. With the change each job starts between 6 and 7 s with exactly one task, or its gang, and no further one in 9 s more. A run that had started, and whose share by the headroom stayed below 20%, stood at 0% for all of 40 measurements; it gets 20% after 10 to 14 of them now. The test of that asked that it stand still for 10 or more in a full pool; it asks for 10 to 14 now.

Change: FULL_STARVED_AFTER, 6 s against 1.5 s in other pools, so that services keep their protection for longer; and for the least CPU share FULL_LOW_SHARE_LIMIT, 6 s against 4 s. One run of a worker at a time works so, and its agent pauses it for about 4 s at a time beside a slowed service.

Quarantine in full pools keeps its bound, the quarantine itself (16 s at most, a test shows it): used by age, a backlog on a full pool would send its jobs to the one worker that fails them, several a pass. docs/design/filters.md lists what is left.

--- a/crates/parsleytally/src/jobs/scheduler/starving.rs
+++ b/crates/parsleytally/src/jobs/scheduler/starving.rs
@@ -1,6 +1,6 @@
 //! Bounds the wait of jobs that could run: learned headroom, trials, limits, isolation, standing
-//! and quarantine protect other work, but what they protect it from must not wait for ever while
-//! most of the room is free. The bounds: `docs/design/filters.md`.
+//! and quarantine protect other work, but what they protect it from must not wait for ever. In a pool that
+//! counts as full, they protect it for longer. The bounds: `docs/design/filters.md`.
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
@@ -18,6 +18,8 @@
 
 /// Wait after which a job with nothing running starves.
 const STARVED_AFTER: Duration = Duration::from_millis(1_500);
+/// The same for a best-effort job in a pool that counts as full: services keep their protection for longer there.
+const FULL_STARVED_AFTER: Duration = Duration::from_secs(6);
 /// Wait after which a starving step for which no other worker has room uses quarantined ones.
 const QUARANTINE_BOUND: Duration = Duration::from_millis(2_200);
 /// Most workers that are scored for starving jobs in one pass.
@@ -127,17 +129,23 @@
 
     fn is_starving(&self, now: Time, at: StepRef, known: &mut KnownInPass) -> bool {
         let job = &self.jobs[&at.job];
-        let wait = job.step_run(at).wait;
-        if wait.is_none_or(|wait| now.since(wait.since) < STARVED_AFTER) {
+        let Some(wait) = job.step_run(at).wait else {
+            return false;
+        };
+        let waited = now.since(wait.since);
+        if waited < STARVED_AFTER {
             return false;
         }
         let step = &job.spec.steps[at.step];
         if step.long_running {
             return true;
         }
-        let mut has_runs = || *known.running.entry(at.job).or_insert_with(|| has_runs(job));
-        if has_runs() || !step.best_effort {
-            return !has_runs();
+        let runs = known.running.entry(at.job);
+        if *runs.or_insert_with(|| has_runs(job)) {
+            return false;
+        }
+        if !step.best_effort || waited >= FULL_STARVED_AFTER {
+            return true;
         }
         let pool = &job.policy.service;
         let is_full = known.full.entry(pool.clone());
--- a/crates/parsleytally/src/jobs/scheduler/throttle.rs
+++ b/crates/parsleytally/src/jobs/scheduler/throttle.rs
@@ -1,9 +1,9 @@
 //! Throttles best-effort tasks that would slow service tasks beyond their targets, and
 //! moves those that would make almost no progress.
 //!
-//! If no other worker can take such a run, it stays. So that its wait is bounded while room is free,
-//! it then works at a least CPU share, one run of a worker at a time; the agent pauses it while a
-//! service there is slowed.
+//! If no other worker can take such a run, it stays. So that its wait is bounded, it then works at a
+//! least CPU share, one run of a worker at a time, after a longer time if the pool counts as full; the
+//! agent pauses it for a few seconds at a time while a service there is slowed.
 
 use std::time::Duration;
 
@@ -18,6 +18,8 @@
 const MIN_CPU_SHARE: u32 = 20;
 /// Time with a CPU share below [`MIN_CPU_SHARE`] after which a run gets it all the same.
 const LOW_SHARE_LIMIT: Duration = Duration::from_secs(4);
+/// The same in a pool that counts as full.
+const FULL_LOW_SHARE_LIMIT: Duration = Duration::from_secs(6);
 /// Progress from which on a best-effort run is not moved any more, in percent.
 pub(super) const NEARLY_DONE_PERCENT: u32 = 85;
 
@@ -173,7 +175,7 @@
     }
 
     /// The run of a worker that gets a least CPU share: the one whose share by the headroom has
-    /// been too low for longest, unless most of the pool is reserved.
+    /// been too low for longest.
     fn least_share(
         &mut self,
         now: Time,
@@ -196,7 +198,10 @@
                 longest = Some((since, *run));
             }
         }
-        let (_, run) = longest?;
+        let (since, run) = longest?;
+        if now.since(since) >= FULL_LOW_SHARE_LIMIT {
+            return Some(run);
+        }
         let pool = worker.report.as_ref()?.service.clone();
         (!self.was_full(now, &pool)).then_some(run)
     }
