--- a/crates/parsleytally/src/jobs/scheduler/starving.rs
+++ b/crates/parsleytally/src/jobs/scheduler/starving.rs
@@ -1,6 +1,6 @@
 //! Bounds the wait of jobs that could run: learned headroom, trials, limits, isolation, standing
-//! and quarantine protect other work, but what they protect it from must not wait for ever while
-//! most of the room is free. The bounds: `docs/design/filters.md`.
+//! and quarantine protect other work, but what they protect it from must not wait for ever. In a pool that
+//! counts as full, they protect it for longer. The bounds: `docs/design/filters.md`.
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
@@ -18,6 +18,8 @@
 
 /// Wait after which a job with nothing running starves.
 const STARVED_AFTER: Duration = Duration::from_millis(1_500);
+/// The same for a best-effort job in a pool that counts as full: services keep their protection for longer there.
+const FULL_STARVED_AFTER: Duration = Duration::from_secs(6);
 /// Wait after which a starving step for which no other worker has room uses quarantined ones.
 const QUARANTINE_BOUND: Duration = Duration::from_millis(2_200);
 /// Most workers that are scored for starving jobs in one pass.
@@ -56,8 +58,8 @@
 }
 
 impl Scheduler {
-    /// Starts one task, or a whole gang, of each starving job, although the protection of
-    /// other work turns it away.
+    /// Starts one task, or a whole gang, of each starving job, and all starving tasks that last, although
+    /// the protection of other work turns them away.
     pub(super) fn place_starving(
         &mut self,
         pass: &mut Pass,
@@ -75,7 +77,8 @@
             let mut step = self.ready_step(at, load);
             step.starving = Some(self.next_offer(at, scored));
             step.quarantined = self.may_use_quarantined(pass.now, at, &step);
-            self.place_ready(&step, 1, pass, out);
+            let limit = self.starving_tasks(pass.now, at);
+            self.place_ready(&step, limit, pass, out);
         }
     }
 
@@ -96,6 +99,19 @@
         starving
     }
 
+    /// Number of tasks of a starving step to start: each that lasts has a wait of its own.
+    fn starving_tasks(&self, now: Time, at: StepRef) -> usize {
+        if !self.jobs[&at.job].spec.steps[at.step].long_running {
+            return 1;
+        }
+        let run = self.step_run(at);
+        let waits = run
+            .waiting_tasks()
+            .filter_map(|index| run.tasks[index].idle_since);
+        let starving = waits.filter(|since| now.since(*since) >= STARVED_AFTER);
+        starving.count().max(1)
+    }
+
     /// The next `count` workers to which a step is offered.
     fn next_offer(&mut self, at: StepRef, count: usize) -> Offer {
         let mut offered = 0;
@@ -113,17 +129,23 @@
 
     fn is_starving(&self, now: Time, at: StepRef, known: &mut KnownInPass) -> bool {
         let job = &self.jobs[&at.job];
-        let wait = job.step_run(at).wait;
-        if wait.is_none_or(|wait| now.since(wait.since) < STARVED_AFTER) {
+        let Some(wait) = job.step_run(at).wait else {
+            return false;
+        };
+        let waited = now.since(wait.since);
+        if waited < STARVED_AFTER {
             return false;
         }
         let step = &job.spec.steps[at.step];
         if step.long_running {
             return true;
         }
-        let mut has_runs = || *known.running.entry(at.job).or_insert_with(|| has_runs(job));
-        if has_runs() || !step.best_effort {
-            return !has_runs();
+        let runs = known.running.entry(at.job);
+        if *runs.or_insert_with(|| has_runs(job)) {
+            return false;
+        }
+        if !step.best_effort || waited >= FULL_STARVED_AFTER {
+            return true;
         }
         let pool = &job.policy.service;
         let is_full = known.full.entry(pool.clone());
