refactor(jobs): `losses` no longer uses `job`

The two files used each other. When a step was ready and how long its tasks are open are methods of `Round` and `StepRun` now, which they read; the outcome of a job stands beside its only caller in `scheduler/losses`. Behaviour is unchanged.

--- a/crates/parsleytally/src/jobs/job.rs
+++ b/crates/parsleytally/src/jobs/job.rs
@@ -154,6 +154,12 @@
         let waiting = tasks.filter(|(_, task)| task.needs_run());
         waiting.map(|(index, _)| index)
     }
+
+    /// Time of its tasks that are not done since it was ready at `ready`.
+    pub(super) fn open_time(&self, now: Time, ready: Option<Time>) -> Duration {
+        let remaining = u32::try_from(self.remaining).unwrap_or(u32::MAX);
+        ready.map_or(Duration::ZERO, |ready| now.since(ready) * remaining)
+    }
 }
 
 /// Sum and number of the run times of a step's completed tasks.
@@ -214,6 +220,13 @@
         let is_done = |after: &u16| self.steps[usize::from(*after)].remaining == 0;
         spec.after.iter().all(is_done)
     }
+
+    /// When the step of `spec` was ready; none if an earlier owner may have known it.
+    pub(super) fn ready_at(&self, spec: &StepSpec) -> Option<Time> {
+        let done = |after: &u16| self.steps[usize::from(*after)].times.done;
+        let last = spec.after.iter().map(done).collect::<Option<Vec<Time>>>()?;
+        last.into_iter().max().or(self.opened)
+    }
 }
 
 /// In-memory state of a job.
--- a/crates/parsleytally/src/jobs/losses.rs
+++ b/crates/parsleytally/src/jobs/losses.rs
@@ -8,8 +8,7 @@
 
 use derive_more::Display;
 
-use super::job::{Round, StepRun};
-use super::{JobId, JobState, QueueName};
+use super::{JobId, QueueName};
 use crate::types::Time;
 
 /// Task-seconds of a job that its owner has counted.
@@ -135,30 +134,6 @@
     }
 }
 
-/// Outcome of a job in the final state `state` that took `took_ms`.
-pub(super) fn outcome(state: JobState, took_ms: u64, allowed_ms: u64, factor: u64) -> JobOutcome {
-    match state {
-        JobState::Failed => JobOutcome::Failed,
-        JobState::Cancelled => JobOutcome::Cancelled,
-        _ if took_ms <= allowed_ms => JobOutcome::InTime,
-        _ if took_ms <= allowed_ms.saturating_mul(factor) => JobOutcome::Late,
-        _ => JobOutcome::Worthless,
-    }
-}
-
-/// When the step of a round was ready; none if an earlier owner may have known it.
-pub(super) fn ready_at(round: &Round, after: &[u16]) -> Option<Time> {
-    let done = |step: &u16| round.steps[usize::from(*step)].times.done;
-    let last = after.iter().map(done).collect::<Option<Vec<Time>>>()?;
-    last.into_iter().max().or(round.opened)
-}
-
-/// Time of the tasks of a step that are not done since it was ready at `ready`.
-pub(super) fn open_time(now: Time, ready: Option<Time>, run: &StepRun) -> Duration {
-    let remaining = u32::try_from(run.remaining).unwrap_or(u32::MAX);
-    ready.map_or(Duration::ZERO, |ready| now.since(ready) * remaining)
-}
-
 pub(super) fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/parsleytally/src/jobs/scheduler/losses.rs
+++ b/crates/parsleytally/src/jobs/scheduler/losses.rs
@@ -2,9 +2,9 @@
 
 use super::super::fleet::Load;
 use super::super::job::{Round, StepRef};
-use super::super::losses::{JobAccount, TaskTimes, millis, open_time, outcome, ready_at};
+use super::super::losses::{JobAccount, JobOutcome, TaskTimes, millis};
 use super::super::urgency::{MAX_LATENESS_FACTOR, allowed_ms};
-use super::super::{EndReason, EndedRun, JobId, Output, RunRef};
+use super::super::{EndReason, EndedRun, JobId, JobState, Output, RunRef};
 use super::Scheduler;
 use crate::types::Time;
 
@@ -39,7 +39,7 @@
         let Some(round) = job.rounds.get_mut(run.task.round as usize) else {
             return;
         };
-        if let Some(ready) = ready_at(round, &spec.steps[step].after) {
+        if let Some(ready) = round.ready_at(&spec.steps[step]) {
             job.losses.open += now.since(ready);
         }
         let step = &mut round.steps[step];
@@ -71,7 +71,7 @@
         Some(JobAccount {
             job: closed.id,
             queue: job.policy.name.clone(),
-            outcome: outcome(job.state, took_ms, allowed_ms, MAX_LATENESS_FACTOR),
+            outcome: outcome(job.state, took_ms, allowed_ms),
             tasks: job
                 .spec
                 .steps
@@ -91,7 +91,7 @@
         let spec = self.jobs[&id].spec.clone();
         for (round_at, round) in rounds.iter().enumerate() {
             for (step_at, (step, run)) in spec.steps.iter().zip(&round.steps).enumerate() {
-                losses.open += open_time(now, ready_at(round, &step.after), run);
+                losses.open += run.open_time(now, round.ready_at(step));
                 let at = StepRef {
                     job: id,
                     round: round_at,
@@ -121,3 +121,14 @@
         }
     }
 }
+
+/// Outcome of a job in the final state `state` that took `took_ms`.
+fn outcome(state: JobState, took_ms: u64, allowed_ms: u64) -> JobOutcome {
+    match state {
+        JobState::Failed => JobOutcome::Failed,
+        JobState::Cancelled => JobOutcome::Cancelled,
+        _ if took_ms <= allowed_ms => JobOutcome::InTime,
+        _ if took_ms <= allowed_ms.saturating_mul(MAX_LATENESS_FACTOR) => JobOutcome::Late,
+        _ => JobOutcome::Worthless,
+    }
+}
