refactor(jobs): the standing of a worker apart from the comparison with its peers

`fleet` and `worker_health` used each other: `Worker` has a `WorkerHealth`, and the review of the workers changes it. `standing.rs` holds what is learned of one worker and how it compares with its peers; `worker_health.rs` the regular review of all, which uses `fleet` and `standing`. Behaviour is unchanged.

--- a/crates/parsleytally/src/jobs/fleet.rs
+++ b/crates/parsleytally/src/jobs/fleet.rs
@@ -9,7 +9,7 @@
 use super::failures::Failures;
 use super::isolation::Isolation;
 use super::measured::RunTimeline;
-use super::worker_health::WorkerHealth;
+use super::standing::WorkerHealth;
 use super::{JobId, RunRef};
 use crate::types::{NodeName, Resources, Time, ZoneName};
 
--- a/crates/parsleytally/src/jobs/mod.rs
+++ b/crates/parsleytally/src/jobs/mod.rs
@@ -39,6 +39,7 @@
 mod spec;
 mod speculation;
 mod stalls;
+mod standing;
 mod urgency;
 mod waiting;
 mod worker_health;
