--- a/crates/parsleytally/src/jobs/mod.rs
+++ b/crates/parsleytally/src/jobs/mod.rs
@@ -40,6 +40,7 @@
 mod spec;
 mod speculation;
 mod stalls;
+mod standing;
 mod unreported;
 mod urgency;
 mod waiting;
