feat(entry): page of the runs that the owner counts

Change: GET /runs at [site] metrics of the owner lists agent, task and number of each run that it counts as active; other entries answer 503. Made on demand, so it costs nothing otherwise; one message to the owner's actor. All other paths are answered with the metrics as before. Test: only_the_owner_lists_the_runs_that_it_counts. Cost at 75,000 runs: not measured.

--- a/crates/parsleytally-entry/src/main.rs
+++ b/crates/parsleytally-entry/src/main.rs
@@ -108,7 +108,7 @@
     let clients = HttpServer::start(config.clients, client_api.clone()).await?;
     let ready =
         HttpServer::start(config.ready, Arc::new(Readiness::new(site.job_service()))).await?;
-    let page = start_optional(base.metrics, Arc::new(metrics)).await;
+    let page = start_optional(base.metrics, site.operator_pages(metrics)).await;
     log::info!(node:% = base.name; "entry started");
     stop.await;
     log::info!("entry draining");
--- a/crates/parsleytally-entry/src/site/messages.rs
+++ b/crates/parsleytally-entry/src/site/messages.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use parsleytally::jobs::{AgentMessage, JobId, JobReply, JobRequest, OrderMessage};
+use parsleytally::jobs::{AgentMessage, JobId, JobReply, JobRequest, OrderMessage, RunRef};
 use parsleytally::types::NodeName;
 use tokio::sync::{mpsc, oneshot};
 
@@ -31,6 +31,8 @@
     Saved(Vec<(JobId, u64)>),
     /// A request, and the channel for its reply.
     Request(JobRequest, oneshot::Sender<JobReply>),
+    /// A request of operators for the runs that the owner counts as active.
+    Runs(oneshot::Sender<Vec<(NodeName, RunRef)>>),
     /// Another entry owns the jobs, or must begin another epoch.
     Replaced,
 }
--- a/crates/parsleytally-entry/src/site/mod.rs
+++ b/crates/parsleytally-entry/src/site/mod.rs
@@ -12,6 +12,7 @@
 use parsleytally::types::Revision;
 use parsleytally_link::{Hello, Role};
 use parsleytally_platform::jobs::{EvacuationSource, JobService, QueueSource};
+use parsleytally_platform::process::http::Handler;
 use parsleytally_platform::process::metrics::MetricSet;
 use parsleytally_platform::process::{BootTime, Clock};
 use parsleytally_platform::store::Store;
@@ -44,6 +45,7 @@
 mod queues;
 mod rate_limit;
 mod relays;
+mod runs_page;
 mod saver;
 mod sent_log;
 mod store_health;
@@ -65,6 +67,7 @@
 use peers::serve_peers;
 use queues::QueueFollower;
 use relays::Relays;
+use runs_page::OperatorPages;
 use sent_log::SentLog;
 use store_health::{ObservedStore, StoreHealth};
 use tombstones::Tombstones;
@@ -99,6 +102,7 @@
 /// A running entry for batch jobs.
 pub struct Site {
     job_service: Arc<EntryJobService>,
+    owner_location: watch::Receiver<OwnerLocation>,
     draining: Arc<AtomicBool>,
     /// Time from the start of draining until open requests are dropped.
     time_to_close: Duration,
@@ -140,6 +144,7 @@
         let draining = Arc::new(AtomicBool::new(false));
         let resign = CancellationToken::new();
         let hand_over_requested = CancellationToken::new();
+        let operators_location = owner_location.clone();
         let owner_client = OwnerClient::new(owner_location.clone());
         let admission = Admission::new(&config.admission, admission_metrics);
         let sent = Arc::new(SentLog::new());
@@ -219,6 +224,7 @@
         let election = tokio::spawn(election.run(hand_over_requested.clone(), resign.clone()));
         Ok(Self {
             job_service,
+            owner_location: operators_location,
             draining,
             time_to_close: config.grace + config.drain,
             hand_over_requested,
@@ -233,6 +239,14 @@
         self.job_service.clone()
     }
 
+    /// Pages for operators: the metrics of `set`, and the runs that the owner counts.
+    pub fn operator_pages(&self, set: MetricSet) -> Arc<dyn Handler> {
+        Arc::new(OperatorPages {
+            metrics: set,
+            location: self.owner_location.clone(),
+        })
+    }
+
     /// Reports "not ready" to the load balancer and hands the ownership over.
     pub fn drain(&self) {
         self.draining.store(true, Ordering::Relaxed);
--- a/crates/parsleytally-entry/src/site/owner.rs
+++ b/crates/parsleytally-entry/src/site/owner.rs
@@ -416,6 +416,10 @@
                 // The receiver is closed if the client no longer waits.
                 let _ = reply.send(self.answer(&request));
             }
+            OwnerInput::Runs(reply) => {
+                let runs = self.scheduler.counted_runs();
+                let _ = reply.send(runs.map(|(node, run)| (node.clone(), run)).collect());
+            }
             OwnerInput::Replaced => return false,
         }
         true
--- a/crates/parsleytally-entry/src/site/tests/mod.rs
+++ b/crates/parsleytally-entry/src/site/tests/mod.rs
@@ -10,6 +10,7 @@
 mod late_calls;
 mod owner;
 mod refusals;
+mod runs_page;
 mod sizes;
 mod tombstones;
 
--- a/crates/parsleytally/src/jobs/scheduler/mod.rs
+++ b/crates/parsleytally/src/jobs/scheduler/mod.rs
@@ -22,6 +22,7 @@
 use crate::configs::{BestEffortConfig, WorkersConfig};
 use crate::types::{NodeName, Revision, Time};
 
+mod counted;
 mod crashes;
 mod drain;
 mod ended;
