fix(jobs): a run that no worker is known to have does not hold back its job

Callers see LOST: a job has nothing running, and its tasks whose turn has come don't start, since its owner takes another task for running.

Cause: a job counted as running with any run in the owner's books, also one on a worker whose link is lost, or one that was ordered and that no worker ever showed. The first ends with the hold of the agent, the second has no bound.

A job has something running if one of its runs was seen on a worker that its agent reaches, or was ordered less than 2.5 s ago. What it costs otherwise is one task that starts beside a slow order. The task itself still waits for the end of its run's hold, as two runs of one are worse.

--- a/crates/parsleytally/src/jobs/scheduler/mod.rs
+++ b/crates/parsleytally/src/jobs/scheduler/mod.rs
@@ -10,7 +10,7 @@
 use super::durations::Durations;
 use super::evacuation::Evacuation;
 use super::fleet::Worker;
-use super::job::{Job, StepRef};
+use super::job::{Job, LiveRun, StepRef};
 use super::shares::Shares;
 use super::stalls::StallBudget;
 use super::worker_health::HealthReview;
@@ -329,8 +329,8 @@
             return;
         };
         self.open.remove(&id);
-        for run in active_runs(id, job) {
-            out.push(Output::Order(run.1, OrderMessage::Stop(run.0)));
+        for (run, node) in active_runs(id, job) {
+            out.push(Output::Order(node.clone(), OrderMessage::Stop(run)));
         }
         let rounds = std::mem::take(&mut job.rounds);
         self.closed.push(ClosedJob { id, rounds });
@@ -704,27 +704,28 @@
 }
 
 /// Runs of a job that may still be active, each with its worker.
-fn active_runs(id: JobId, job: &Job) -> Vec<(RunRef, NodeName)> {
-    let mut active = Vec::new();
-    for (round, open) in job.rounds.iter().enumerate() {
-        for (step, run) in open.steps.iter().enumerate() {
-            let step_at = StepRef {
+fn active_runs(id: JobId, job: &Job) -> impl Iterator<Item = (RunRef, &NodeName)> {
+    let rounds = job.rounds.iter().enumerate();
+    let steps = rounds.flat_map(move |(round, open)| {
+        let steps = open.steps.iter().enumerate();
+        steps.map(move |(step, run)| {
+            let at = StepRef {
                 job: id,
                 round,
                 step,
             };
-            for (index, task) in run.tasks.iter().enumerate() {
-                let task_id = step_at.task(index);
-                let runs = task.runs.iter().map(|live| {
-                    let run = RunRef {
-                        task: task_id,
-                        run: live.run,
-                    };
-                    (run, live.node.clone())
-                });
-                active.extend(runs);
-            }
-        }
-    }
-    active
+            (at, run)
+        })
+    });
+    steps.flat_map(|(at, run)| {
+        let tasks = run.tasks.iter().enumerate();
+        tasks.flat_map(move |(index, task)| {
+            let task_id = at.task(index);
+            let named = move |live: &LiveRun| RunRef {
+                task: task_id,
+                run: live.run,
+            };
+            task.runs.iter().map(move |live| (named(live), &live.node))
+        })
+    })
 }
--- a/crates/parsleytally/src/jobs/scheduler/starving.rs
+++ b/crates/parsleytally/src/jobs/scheduler/starving.rs
@@ -7,13 +7,13 @@
 use std::time::Duration;
 
 use super::super::fleet::Worker;
-use super::super::job::{Job, StepRef};
+use super::super::job::StepRef;
 use super::super::place::is_usable;
 use super::super::urgency::Urgency;
-use super::super::{JobId, Output};
-use super::Scheduler;
+use super::super::{JobId, Output, RunRef};
 use super::pass::Pass;
 use super::start::ReadyStep;
+use super::{Scheduler, active_runs};
 use crate::types::{NodeName, Time};
 
 /// Wait after which a job with nothing running starves.
@@ -22,6 +22,8 @@
 const FULL_STARVED_AFTER: Duration = Duration::from_secs(6);
 /// Wait after which a starving step for which no other worker has room uses quarantined ones.
 const QUARANTINE_BOUND: Duration = Duration::from_millis(2_200);
+/// Time after its order within which a run has to be seen to count as one that goes on.
+const SEEN_AFTER: Duration = Duration::from_millis(2_500);
 /// Most workers that are scored for starving jobs in one pass.
 const MAX_SCORED: usize = 100_000;
 /// Workers of the fleet that are scored at least for a starving job in one pass.
@@ -51,7 +53,7 @@
 /// What is the same for all steps of a job or pool in one pass; a job may have many rounds.
 #[derive(Default)]
 struct KnownInPass {
-    /// Whether a job has runs.
+    /// Whether a job has runs that go on.
     running: HashMap<JobId, bool>,
     /// Whether most of a pool is reserved.
     full: BTreeMap<Arc<str>, bool>,
@@ -140,8 +142,9 @@
         if step.long_running {
             return true;
         }
+        let has_runs = || active_runs(at.job, job).any(|(run, node)| self.goes_on(now, node, run));
         let runs = known.running.entry(at.job);
-        if *runs.or_insert_with(|| has_runs(job)) {
+        if *runs.or_insert_with(has_runs) {
             return false;
         }
         if !step.best_effort || waited >= FULL_STARVED_AFTER {
@@ -176,10 +179,14 @@
         let mut workers = self.workers.iter();
         !workers.any(|(name, worker)| is_usable(now, name, worker, &request, run, !is_late))
     }
-}
 
-fn has_runs(job: &Job) -> bool {
-    let steps = job.rounds.iter().flat_map(|round| &round.steps);
-    let mut tasks = steps.flat_map(|step| &step.tasks);
-    tasks.any(|task| !task.runs.is_empty())
+    /// Whether a run is known to go on, or may have begun since its order.
+    fn goes_on(&self, now: Time, node: &NodeName, run: RunRef) -> bool {
+        let worker = self.workers.get(node).filter(|worker| worker.is_reached());
+        let Some(load) = worker.and_then(|worker| worker.runs.get(&run)) else {
+            return false;
+        };
+        let ordered = load.timeline.ordered;
+        load.listed || ordered.is_some_and(|at| now.since(at) < SEEN_AFTER)
+    }
 }
--- a/crates/parsleytally/src/jobs/tests/full_pools.rs
+++ b/crates/parsleytally/src/jobs/tests/full_pools.rs
@@ -150,6 +150,59 @@
     assert!(in_time, "{filled:?} ms");
 }
 
+/// Guards against LOST: a job counted as running for a run that no worker is known to have, so its other tasks waited.
+#[test]
+fn a_job_whose_only_run_is_not_known_to_go_on_starts_another_task() {
+    struct Case {
+        name: &'static str,
+        /// Whether the run is seen at first, and its agent is lost then.
+        lost: bool,
+        bound_ms: u64,
+    }
+    let cases = [
+        Case {
+            name: "on a lost worker",
+            lost: true,
+            bound_ms: IDLE_BOUND_MS,
+        },
+        Case {
+            name: "ordered, and never seen",
+            lost: false,
+            bound_ms: IDLE_BOUND_MS,
+        },
+    ];
+    let mut late = Vec::new();
+    for case in cases {
+        let mut bench = Bench::with_options(default_times());
+        let services = join_reserving(&mut bench, WORKERS, 1_000);
+        bench.join(WORKERS, report(WORKERS, 7));
+        let limited = StepSpec {
+            max_per_worker: 1,
+            ..harmful_step(2, false)
+        };
+        let out = bench.submit(1, job(vec![limited]), 30);
+        assert_eq!(starts(&out), [(node(WORKERS), run(1, 0, 0, 1))]);
+        if case.lost {
+            bench.begin(&out);
+            bench.list(WORKERS, vec![run(1, 0, 0, 1)]);
+            time_until(&mut bench, IDLE_BOUND_MS, |bench, out| {
+                assert!(starts(out).is_empty(), "{out:?}");
+                measure(bench, &services);
+                false
+            });
+            bench.feed(Input::Unlinked(node(WORKERS)));
+        }
+        let time = time_until(&mut bench, ENDLESS_MS, |bench, out| {
+            let later = measure(bench, &services);
+            !starts(out).is_empty() || !starts(&later).is_empty()
+        });
+        if time.is_none_or(|time| time > case.bound_ms) {
+            late.push((case.name, time));
+        }
+    }
+    assert!(late.is_empty(), "{late:?}");
+}
+
 /// Guards against a best-effort job that waits for ever in a pool that is full, and against one that starts there as
 /// soon as in others, or with more than it must.
 #[test]
