--- a/crates/parsleytally/src/jobs/tests/model/audit.rs
+++ b/crates/parsleytally/src/jobs/tests/model/audit.rs
@@ -163,7 +163,7 @@
             found.extend(absent.map(|run| Difference::Absent(at, run)));
             let placed = scheduler.jobs.iter();
             let placed = placed.flat_map(|(id, job)| active_runs(*id, job));
-            let placed = placed.filter(|(_, name)| *name == node(at));
+            let placed = placed.filter(|(_, name)| **name == node(at));
             let absent = placed.map(|(run, _)| run).filter(is_absent);
             found.extend(absent.map(|run| Difference::AbsentOfTask(at, run)));
         }
