fix(jobs): an end is acknowledged while a start of the predecessor for its task is on its way

Cause: acknowledgements wait for further runs that this owner has placed, not for those that the predecessor ordered. The wait for all agents before a start does not cover it either, so the hole is older than MayRun.

Now the end of a run that is done is acknowledged only once no other agent of the predecessor has named its task. An agent that has named nothing (gone, cut off, restarted) does not hold it: that would keep the ends of a whole fleet unacknowledged for the hold, and a worker lists only so many.

--- a/crates/parsleytally/src/jobs/fleet.rs
+++ b/crates/parsleytally/src/jobs/fleet.rs
@@ -10,7 +10,7 @@
 use super::isolation::Isolation;
 use super::measured::RunTimeline;
 use super::worker_health::WorkerHealth;
-use super::{JobId, RunRef};
+use super::{JobId, RunRef, TaskId};
 use crate::types::{NodeName, Resources, Time, ZoneName};
 
 /// One incarnation of a worker: each start of its process is a new one.
@@ -140,6 +140,8 @@
     /// Further runs of a task that is done, with their agents. The start of one may still be on
     /// its way, and must not be carried out once the end is acknowledged.
     pub(super) unsettled: Vec<(NodeName, RunRef)>,
+    /// The task, if the run has completed its work: a run of the predecessor may be on its way too.
+    pub(super) done: Option<TaskId>,
 }
 
 /// A crash of a worker that is acknowledged to its agent once the store has it.
--- a/crates/parsleytally/src/jobs/scheduler/ended.rs
+++ b/crates/parsleytally/src/jobs/scheduler/ended.rs
@@ -75,7 +75,7 @@
         if let Some(worker) = self.workers.get(node) {
             self.contention.update_headrooms(node, worker);
         }
-        self.unreported.remove(node);
+        self.agent_reported(node);
         self.pass_due = true;
     }
 
@@ -229,6 +229,7 @@
                 number: ended_run.sequence,
                 saved_by,
                 unsettled,
+                done: (ended_run.reason == EndReason::Done).then_some(ended_run.run.task),
             });
         }
     }
@@ -542,7 +543,7 @@
     }
 
     /// Whether the store has the end, and no further run of its task can start any more.
-    fn is_ready(&self, ack: &PendingAck) -> bool {
+    fn is_ready(&self, node: &NodeName, ack: &PendingAck) -> bool {
         let is_saved = ack.saved_by.is_none_or(|(id, version)| {
             let job = self.jobs.get(&id);
             job.is_none_or(|job| job.saved_version >= version)
@@ -551,7 +552,8 @@
             let worker = self.workers.get(node);
             worker.is_some_and(|worker| worker.runs.contains_key(run))
         };
-        is_saved && !ack.unsettled.iter().any(is_placed)
+        let may_follow = |task| self.unreported.is_named_beside(node, task);
+        is_saved && !ack.unsettled.iter().any(is_placed) && !ack.done.is_some_and(may_follow)
     }
 
     /// Acknowledges the ended runs of `node`, up to the first that the store does not have.
@@ -560,7 +562,7 @@
             return;
         };
         let pending = worker.pending_acks.iter();
-        let ready = pending.take_while(|ack| self.is_ready(ack)).count();
+        let ready = pending.take_while(|ack| self.is_ready(node, ack)).count();
         let Some(worker) = self.workers.get_mut(node) else {
             return;
         };
--- a/crates/parsleytally/src/jobs/scheduler/mod.rs
+++ b/crates/parsleytally/src/jobs/scheduler/mod.rs
@@ -560,7 +560,7 @@
         });
         worker.reset();
         self.contention.update_headrooms(node, worker);
-        self.unreported.remove(node);
+        self.agent_reported(node);
         self.acks_due |= self.acks_held;
         for (run, listed) in runs {
             self.detach_run(node, run, LastEnd::Dropped(evidence));
--- a/crates/parsleytally/src/jobs/scheduler/unreported.rs
+++ b/crates/parsleytally/src/jobs/scheduler/unreported.rs
@@ -53,6 +53,11 @@
         self.pass_due |= self.unreported.set_tasks(node, tasks);
     }
 
+    /// Notes that the runs of an agent are known; acknowledgements may have waited for that.
+    pub(super) fn agent_reported(&mut self, node: &NodeName) {
+        self.acks_due |= self.unreported.remove(node).is_some();
+    }
+
     /// Whether tasks of the job may start, except those that agents have named.
     pub(super) fn may_start(&self, job: &Job) -> bool {
         !self.unreported.may_run_any() || job.accepted > self.options.start_revision
@@ -70,7 +75,7 @@
         let expired: Vec<NodeName> = expired.map(|(node, _)| node.clone()).collect();
         self.pass_due |= !expired.is_empty();
         for node in expired {
-            self.unreported.remove(&node);
+            self.agent_reported(&node);
             // A linked agent may still list its worker.
             if !self.is_linked(&node) {
                 out.push(Output::Forget(node));
--- a/crates/parsleytally/src/jobs/tests/may_run.rs
+++ b/crates/parsleytally/src/jobs/tests/may_run.rs
@@ -6,6 +6,7 @@
 use super::held_back::default_times;
 use super::scheduler::{Bench, starts};
 use super::*;
+use crate::types::Revision;
 
 /// Time between two ticks, in milliseconds.
 const TICK_MS: u64 = 150;
@@ -307,6 +308,51 @@
     );
 }
 
+/// Guards against a task that starts after its end is acknowledged: the start of its next run, which the predecessor had
+/// ordered, was still on its way to another worker.
+#[test]
+fn an_end_is_not_acknowledged_while_another_agent_may_run_its_task() {
+    let mut bench = successor(2);
+    let done = JobProgress {
+        state: JobState::Running,
+        steps: vec![StepProgress {
+            done_ranges: vec![(0, 0)],
+            ..StepProgress::default()
+        }],
+    };
+    inform(
+        &mut bench,
+        Input::Job {
+            id: JobId(1),
+            record: job(vec![step(2, &[])]),
+            accepted: Revision(5),
+            progress: Some(done),
+        },
+    );
+    link_knowing(&mut bench, 0, vec![run(1, 0, 0, 1)]);
+    link_knowing(&mut bench, 1, vec![run(1, 0, 0, 2)]);
+    let is_acknowledged = |out: &[Output]| {
+        let is_ack = |order: &Output| {
+            matches!(
+                order,
+                Output::Order(_, OrderMessage::AcknowledgeEnds { .. })
+            )
+        };
+        out.iter().any(is_ack)
+    };
+    let ended = vec![ended(run(1, 0, 0, 1), EndReason::Done)];
+    let saved = Input::Saved {
+        job: JobId(1),
+        version: u64::MAX,
+    };
+    let mut out = bench.agent(0, listed(0, vec![], ended));
+    out.extend(bench.feed(saved));
+    out.extend(bench.wait(1_500));
+    assert!(!is_acknowledged(&out), "{out:?}");
+    let out = bench.agent(1, listed(1, vec![], vec![]));
+    assert!(is_acknowledged(&out), "{out:?}");
+}
+
 /// What an agent tells the next owner at once; none if it tells nothing.
 fn told(agent: &mut TestAgent) -> Option<Vec<RunRef>> {
     let out = agent.connect_owner(2, 1 << 40);
--- a/crates/parsleytally/src/jobs/unreported.rs
+++ b/crates/parsleytally/src/jobs/unreported.rs
@@ -136,6 +136,16 @@
         self.unknown > 0
     }
 
+    /// Whether an agent other than that of `node` has named this task.
+    pub(super) fn is_named_beside(&self, node: &NodeName, task: TaskId) -> bool {
+        let Some(agents) = self.named.get(&task) else {
+            return false;
+        };
+        let tasks = self.agents.get(node).and_then(|agent| agent.tasks.as_ref());
+        let own = tasks.is_some_and(|tasks| tasks.contains(&task));
+        *agents > usize::from(own)
+    }
+
     /// Whether an agent has named this task.
     pub(super) fn is_named(&self, task: TaskId) -> bool {
         self.named.contains_key(&task)
