fix(jobs): best-effort runs of a worker take turns at the least CPU share

Callers see a task that counts as running and stands at 0%: of the best-effort runs of a worker whose headroom does not suffice, the one whose share has been too low for longest has 20%, until it ends. One that lasts does not end, so the others stand still for ever, also with most of the room free.

Evidence, a test that failed before: two runs that last beside one service over its target; the second one has no share in 80 of 80 measurements (43 s), in a pool that is full and in one that is not. With the change it waits for at most 17 measurements, and 21 in a full pool.

--- a/crates/parsleytally/src/jobs/tests/throttle.rs
+++ b/crates/parsleytally/src/jobs/tests/throttle.rs
@@ -246,3 +246,70 @@
         );
     }
 }
+
+/// Guards against a best-effort run that stays at 0% for ever beside another one that lasts, which has the least CPU share of
+/// their worker.
+#[test]
+fn runs_that_last_take_turns_at_the_least_cpu_share() {
+    struct Case {
+        what: &'static str,
+        reserved: u64,
+        /// Most measurements in a row without a CPU share.
+        idle: u32,
+    }
+    let cases = [
+        Case {
+            what: "room is free",
+            reserved: 0,
+            idle: 17,
+        },
+        Case {
+            what: "most of the pool is reserved",
+            reserved: 2_000,
+            idle: 21,
+        },
+    ];
+    let mut late = Vec::new();
+    for case in cases {
+        let mut bench = Bench::with_workers(1);
+        let service = starts(&bench.submit(1, job(vec![service_step()]), 11))[0].1;
+        let mut runs = BTreeMap::new();
+        for id in [2, 3] {
+            let lasting = StepSpec {
+                long_running: true,
+                ..best_effort_step()
+            };
+            let out = bench.submit(id, job(vec![lasting]), 12);
+            runs.insert(starts(&out)[0].1, (100, 0, 0));
+        }
+        if case.reserved > 0 {
+            let filling = StepSpec {
+                long_running: true,
+                need: need(case.reserved, 100),
+                ..step(1, &[])
+            };
+            assert_eq!(starts(&bench.submit(4, job(vec![filling]), 11)).len(), 1);
+        }
+        for _ in 0..80 {
+            let mut gauges = vec![gauge(service, 100, SLOWED_MS)];
+            gauges.extend(runs.keys().map(|run| gauge(*run, 5, 0)));
+            let out = bench.agent(0, AgentMessage::Measurements(gauges));
+            for (run, percent) in cpu_shares(&out) {
+                runs.entry(run).or_default().0 = percent;
+            }
+            for (percent, idle, longest) in runs.values_mut() {
+                *idle = if *percent == 0 { *idle + 1 } else { 0 };
+                *longest = (*idle).max(*longest);
+            }
+            let working = runs.values().filter(|(percent, ..)| *percent > 0).count();
+            let slowed = runs.values().any(|(_, _, longest)| *longest > 0);
+            assert!(!slowed || working <= 1, "{}: {runs:?}", case.what);
+            bench.wait(500);
+        }
+        let longest = runs.values().map(|(_, _, longest)| *longest).max();
+        if longest.is_none_or(|longest| longest > case.idle) {
+            late.push((case.what, longest));
+        }
+    }
+    assert!(late.is_empty(), "measurements without a share: {late:?}");
+}
