fix(agent): runs of an earlier incarnation end though the lease of the new one is overlong

Cause: a worker restarts while a poll with a lease on the clock of the incarnation before is on its way. The new one's lease is then longer than any hold that an owner waits for, so the agent does not use it until it is as short as others: up to 6 s and drift. Until then it also did not tell that the runs of the earlier incarnation had ended, though the new one has answered a fenced poll without runs.

Why the fix works: the earlier runs are told as ended once the new incarnation has answered a fenced poll without runs, and without entries that may be one.

--- a/crates/parsleytally/src/jobs/agent/incarnation.rs
+++ b/crates/parsleytally/src/jobs/agent/incarnation.rs
@@ -164,7 +164,7 @@
         if known.is_some() {
             // It is a later one: the answer is not overtaken. Its start time may be lower, since
             // the wall clock may have been set back.
-            if !self.may_replace(now, call, listing, out) {
+            if !self.has_replaced(now, call, listing, out) {
                 return false;
             }
             let answer = ListingEvidence::new(now, call, listing);
@@ -173,12 +173,14 @@
             self.report = None;
             out.push(AgentOutput::Send(AgentMessage::LeasesExpired));
         }
-        self.use_candidate(now, born, out)
+        // Until its lease is as short as others, the new one gets no runs.
+        now >= self.overlong_until && self.use_candidate(now, born, out)
     }
 
-    /// Whether the new incarnation that answered `call` can be used: nothing that was meant for
-    /// the earlier one acts on it or can still reach it.
-    fn may_replace(
+    /// Whether the runs of the earlier incarnation have ended and none is on the new one that
+    /// answered `call`: nothing that was meant for the earlier one acts on it as a run, or can still
+    /// reach it.
+    fn has_replaced(
         &mut self,
         now: Time,
         call: PollCall,
@@ -189,6 +191,8 @@
         let unnamed = successor.map_or(0, |known| known.unnamed);
         self.await_hidden_runs(now, listing, unnamed);
         let is_overlong = self.has_overlong_lease(now, call, listing);
+        // An entry that names no run may be one, until the longest lease has expired.
+        let may_hide_runs = is_overlong && listing.unnamed > 0;
         let is_fenced = successor.is_some_and(|known| call.fencing_token >= known.fencing_token);
         if !is_fenced {
             self.note_successor(now, listing.born);
@@ -198,7 +202,7 @@
         }
         // It began with no runs, so orders to the earlier incarnation have reached it.
         self.stop_all(listing.running.iter().map(|status| status.run), out);
-        is_fenced && listing.running.is_empty() && !is_overlong
+        is_fenced && listing.running.is_empty() && !may_hide_runs
     }
 
     /// Notes a later incarnation that answers. It has seen no fencing token, so it is used only
--- a/crates/parsleytally/src/jobs/tests/foreign_reports.rs
+++ b/crates/parsleytally/src/jobs/tests/foreign_reports.rs
@@ -248,6 +248,34 @@
     }
 }
 
+/// Guards against tasks that wait for runs that only the owner counts: a new incarnation without runs
+/// was told of only once its lease, on the clock of the earlier one, was as short as others.
+#[test]
+fn runs_of_an_earlier_incarnation_end_though_the_lease_of_the_new_one_is_overlong() {
+    let mut agent = TestAgent::ready();
+    agent.start(run(1, 0, 0, 1));
+    let pending = agent.next_poll();
+    agent.step(reported(report(0, BORN + 1)));
+    agent.fail_poll(pending);
+    agent.advance(200);
+    let call = PollCall {
+        lease_end: Some(500_000),
+        ..agent.next_poll()
+    };
+    let began = agent.now;
+    let mut out = agent.answer_poll_as(BORN + 1, call);
+    while !sent(&out, &AgentMessage::LeasesExpired) {
+        assert_eq!(reported_states(&out), []);
+        out = agent.advance(100);
+        while let Some(call) = agent.polls.pop() {
+            out.extend(agent.answer_poll_as(BORN + 1, call));
+        }
+        assert!(agent.now.since(began).as_secs() < 20, "not told");
+    }
+    let wait = agent.now.since(began).as_secs_f64();
+    assert!(wait < 1.0, "{wait} s");
+}
+
 /// Guards against a worker whose state is not followed any more: a writer sent a report of its
 /// incarnation with a very high number, and all its own later ones were taken for late.
 #[test]
