--- a/crates/parsleytally/src/jobs/scheduler/mod.rs
+++ b/crates/parsleytally/src/jobs/scheduler/mod.rs
@@ -705,7 +705,10 @@
 }
 
 /// Runs of a job that may still be active, each with its worker.
-pub(in crate::jobs) fn active_runs(id: JobId, job: &Job) -> impl Iterator<Item = (RunRef, &NodeName)> {
+pub(in crate::jobs) fn active_runs(
+    id: JobId,
+    job: &Job,
+) -> impl Iterator<Item = (RunRef, &NodeName)> {
     let rounds = job.rounds.iter().enumerate();
     let steps = rounds.flat_map(move |(round, open)| {
         let steps = open.steps.iter().enumerate();
