--- a/crates/parsleytally/src/jobs/tests/model/owners.rs
+++ b/crates/parsleytally/src/jobs/tests/model/owners.rs
@@ -180,8 +180,8 @@
             | (AgentMessage::Measurements(running), InjectedBug::HiddenRuns) => {
                 running.retain(is_needed);
             }
-            (AgentMessage::Listed { ended, .. }, InjectedBug::HiddenEnds)
-            | (AgentMessage::Ended { ended, .. }, InjectedBug::UnheardEnds)
+            (AgentMessage::Listed { ended, .. }, InjectedBug::HiddenEnds) => ended.clear(),
+            (AgentMessage::Ended { ended, .. }, InjectedBug::UnheardEnds)
                 if ended.iter().any(|end| is_affected(end.run)) =>
             {
                 ended.clear();
