test(agent): an end that an incomplete listing lacks is still told to a new owner

Nothing failed when ended runs were forgotten at an incomplete listing (`listing.complete` in known_runs.rs left out): neither the unit tests nor the kind of the model with owners that change. The new case fails then: told [] in place of the run.

--- a/crates/parsleytally/src/jobs/tests/may_run.rs
+++ b/crates/parsleytally/src/jobs/tests/may_run.rs
@@ -340,16 +340,32 @@
     agent
 }
 
-/// The answer to a poll by the incarnation that started at `born`, with entries that name no run.
-fn odd_answer(agent: &mut TestAgent, born: u64, unnamed: usize) {
-    let call = agent.next_poll();
-    let answer = Ok(Listing {
+/// An empty listing by the incarnation that started at `born`, with entries that name no run.
+fn empty_listing(agent: &TestAgent, born: u64, unnamed: usize) -> Listing {
+    Listing {
         born,
         clock_ms: agent.now.as_micros() / 1_000,
         running: vec![],
         ended: vec![],
         complete: true,
         unnamed,
+    }
+}
+
+/// Answers a poll as the incarnation that started at `born`, with entries that name no run.
+fn odd_answer(agent: &mut TestAgent, born: u64, unnamed: usize) {
+    let call = agent.next_poll();
+    let answer = Ok(empty_listing(agent, born, unnamed));
+    agent.step(AgentInput::Polled { call, answer });
+}
+
+/// Answers a poll with a part of the runs that lacks all.
+fn incomplete_answer(agent: &mut TestAgent) {
+    let call = agent.next_poll();
+    let complete = false;
+    let answer = Ok(Listing {
+        complete,
+        ..empty_listing(agent, 7, 0)
     });
     agent.step(AgentInput::Polled { call, answer });
 }
@@ -434,6 +450,15 @@
             },
             told: Some(vec![FIRST]),
         },
+        Case {
+            what: "the same, and an incomplete listing lacks the end",
+            agent: || {
+                let mut agent = with_end();
+                incomplete_answer(&mut agent);
+                agent
+            },
+            told: Some(vec![FIRST]),
+        },
         Case {
             what: "the end is acknowledged, and the worker has dropped it",
             agent: || {
