fix(jobs): dead workers beside agents that live don't count as room for ever

Seen: five workers whose services reserve 2,700 of 4,000 and five dead ones whose agents live: 33% counts as used for as long as the agents are linked, so best-effort jobs starve after 1.5 s beside services that are near their targets, on all workers of a pool that is full.

Cause: counts a linked worker in the total whatever its agent knows of it. After LeasesExpired it has no listing and no hold, and nothing ends its share of the total; only workers that are not linked left it.

Now a worker counts while it is listed on its link, while a hold of its agent has not passed, or while its agent is one of the unreported ones.

--- a/crates/parsleytally/src/jobs/fleet.rs
+++ b/crates/parsleytally/src/jobs/fleet.rs
@@ -251,9 +251,10 @@
         )
     }
 
-    /// Whether runs may go on there: it is linked, or the hold of its agent has not passed.
+    /// Whether runs may go on there: its agent has listed them on its link, and neither the leases nor the
+    /// hold of the agent have passed since.
     pub(super) fn may_have_runs(&self) -> bool {
-        self.linked || self.runs_expire_at.is_some()
+        (self.linked && self.listed) || self.runs_expire_at.is_some()
     }
 
     /// Whether its runs are known to go on: its agent has listed them and reaches it.
--- a/crates/parsleytally/src/jobs/scheduler/mod.rs
+++ b/crates/parsleytally/src/jobs/scheduler/mod.rs
@@ -440,7 +440,7 @@
     /// Notes when the last lease of a worker that shuts down has expired. Its agent may go
     /// together with it.
     fn set_last_lease(&mut self, now: Time, node: &NodeName, within: Duration) {
-        if self.unreported.get(node).is_some() {
+        if self.is_unreported(node) {
             // Runs of the predecessor are not listed yet.
             return;
         }
--- a/crates/parsleytally/src/jobs/scheduler/pool_use.rs
+++ b/crates/parsleytally/src/jobs/scheduler/pool_use.rs
@@ -2,7 +2,7 @@
 //!
 //! A pool must not count as full while it has room, or jobs wait beside it. So the use is a lower bound and the
 //! total an upper one: a worker whose runs are not known to go on counts with all its processors and no use, until
-//! the hold of its agent has passed. From then on it does not count, as it may be gone for good.
+//! its leases or the hold of its agent have passed. From then on it does not count, as it may be gone for good.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -45,8 +45,9 @@
         self.reserved * 100 > self.total * FULL_PERCENT
     }
 
-    fn add(&mut self, worker: &Worker, capacity: u64) {
-        if worker.may_have_runs() {
+    /// Adds a worker; `unreported` if an agent of the predecessor has not listed its runs.
+    fn add(&mut self, worker: &Worker, capacity: u64, unreported: bool) {
+        if unreported || worker.may_have_runs() {
             self.total += capacity;
         }
         if worker.is_reached() {
@@ -60,10 +61,10 @@
     /// Use of each pool of which a worker is known.
     pub fn pool_uses(&self) -> BTreeMap<Arc<str>, PoolUse> {
         let mut uses = BTreeMap::<Arc<str>, PoolUse>::new();
-        for worker in self.workers.values() {
+        for (node, worker) in &self.workers {
             if let Some(report) = &worker.report {
                 let pool = uses.entry(report.service.clone()).or_default();
-                pool.add(worker, report.capacity.cpu.0);
+                pool.add(worker, report.capacity.cpu.0, self.is_unreported(node));
             }
         }
         uses
@@ -71,11 +72,11 @@
 
     pub(super) fn pool_use(&self, pool: &str) -> PoolUse {
         let mut pool_use = PoolUse::default();
-        for worker in self.workers.values() {
+        for (node, worker) in &self.workers {
             if let Some(report) = &worker.report
                 && *report.service == *pool
             {
-                pool_use.add(worker, report.capacity.cpu.0);
+                pool_use.add(worker, report.capacity.cpu.0, self.is_unreported(node));
             }
         }
         pool_use
--- a/crates/parsleytally/src/jobs/scheduler/unreported.rs
+++ b/crates/parsleytally/src/jobs/scheduler/unreported.rs
@@ -78,6 +78,11 @@
         }
     }
 
+    /// Whether an agent of the predecessor has not listed its runs.
+    pub(super) fn is_unreported(&self, node: &NodeName) -> bool {
+        self.unreported.get(node).is_some()
+    }
+
     pub(super) fn is_linked(&self, node: &NodeName) -> bool {
         self.workers.get(node).is_some_and(|worker| worker.linked)
     }
--- a/crates/parsleytally/src/jobs/tests/full_pools.rs
+++ b/crates/parsleytally/src/jobs/tests/full_pools.rs
@@ -125,6 +125,27 @@
     assert!(late.is_empty(), "{late:?}");
 }
 
+/// Guards against services that lose their protection for ever, since dead workers beside agents that live count as room.
+#[test]
+fn workers_whose_leases_have_expired_do_not_count() {
+    let mut bench = Bench::with_options(default_times());
+    join_reserving(&mut bench, HALF, 2_700);
+    for at in HALF..2 * HALF {
+        bench.join(at, report(at, 7));
+        bench.agent(at, AgentMessage::Unresponsive(true));
+    }
+    let used = |bench: &Bench| bench.scheduler.pool_uses()["pool"];
+    assert!(!used(&bench).is_full(), "{:?}", used(&bench));
+    for at in HALF..2 * HALF {
+        bench.agent(at, AgentMessage::LeasesExpired);
+    }
+    assert!(used(&bench).is_full(), "{:?}", used(&bench));
+    for at in HALF..2 * HALF {
+        bench.list(at, vec![]);
+    }
+    assert!(!used(&bench).is_full(), "{:?}", used(&bench));
+}
+
 /// Guards against services that lose their protection for ever, since workers that are gone count as room.
 #[test]
 fn workers_whose_hold_has_passed_do_not_count() {
