fix(agent): an agent whose leases have expired tells no owner what may run

Cause: what an agent knows was never too old. Now it tells nothing once all its leases have expired; a worker that answers is listed at once then, and one that does not has LeasesExpired.

--- a/crates/parsleytally/src/jobs/agent/known_runs.rs
+++ b/crates/parsleytally/src/jobs/agent/known_runs.rs
@@ -8,11 +8,12 @@
 use std::collections::BTreeSet;
 
 use super::{AgentMessage, AgentOutput, JobAgent, Listing, PollCall, RunRef};
+use crate::types::Time;
 
 /// Runs of the present incarnation beside the tracked ones.
 #[derive(Debug, Default)]
 pub(super) struct KnownRuns {
-    /// Whether an owner has received all runs of this incarnation.
+    /// Whether all runs of this incarnation were listed to an owner.
     pub(super) are_complete: bool,
     /// Ended runs that the worker listed last.
     ended: BTreeSet<RunRef>,
@@ -30,10 +31,11 @@
 
 impl JobAgent {
     /// Tells a new owner all runs that may be on the worker, unless there may be others.
-    pub(super) fn send_known_runs(&self, out: &mut Vec<AgentOutput>) {
+    pub(super) fn send_known_runs(&self, now: Time, out: &mut Vec<AgentOutput>) {
         let is_sure =
             self.known_runs.are_complete && self.successor.is_none() && !self.unnamed.is_in_doubt();
-        if !is_sure {
+        // Without leases, an agent has not asked its worker for a while: another process may have.
+        if !is_sure || self.all_leases_expired(now) {
             return;
         }
         let tracked = self.runs.keys().copied();
--- a/crates/parsleytally/src/jobs/agent/mod.rs
+++ b/crates/parsleytally/src/jobs/agent/mod.rs
@@ -359,7 +359,7 @@
         if self.shutdown_noticed && !self.recovers {
             self.send_last_lease(now, out);
         }
-        self.send_known_runs(out);
+        self.send_known_runs(now, out);
     }
 
     /// Lists all runs to the owner anew, with the ended runs that the present owner may not have
--- a/crates/parsleytally/src/jobs/scheduler/pool_use.rs
+++ b/crates/parsleytally/src/jobs/scheduler/pool_use.rs
@@ -51,7 +51,8 @@
             self.total += capacity;
         }
         if worker.is_reached() {
-            self.reserved += worker.reserved.cpu.0;
+            // A worker that has shrunk may have reserved more than it has.
+            self.reserved += worker.reserved.cpu.0.min(capacity);
         }
         self.unlinked += usize::from(!worker.linked);
     }
--- a/crates/parsleytally/src/jobs/tests/may_run.rs
+++ b/crates/parsleytally/src/jobs/tests/may_run.rs
@@ -12,6 +12,8 @@
 const TICK_MS: u64 = 150;
 /// Time within which a job with nothing running starts, by the platform's page.
 const IDLE_BOUND_MS: u64 = 3_000;
+/// Time after which the last lease of a worker has certainly expired, in milliseconds.
+const LEASES_MS: u64 = 20_000;
 /// The hold of agents that never list their runs, in milliseconds.
 const HOLD_MS: u64 = 8_400;
 
@@ -505,6 +507,16 @@
             },
             told: Some(vec![FIRST]),
         },
+        Case {
+            what: "no owner and no runs, for longer than the leases",
+            agent: || {
+                let mut agent = TestAgent::ready();
+                agent.step(AgentInput::OwnerLost(OwnerLink(1)));
+                agent.advance(LEASES_MS);
+                agent
+            },
+            told: None,
+        },
         Case {
             what: "the end is acknowledged, and the worker has dropped it",
             agent: || {
