--- a/crates/parsleytally/src/jobs/fleet.rs
+++ b/crates/parsleytally/src/jobs/fleet.rs
@@ -70,8 +70,6 @@
     pub(super) cpu_share: Option<u32>,
     /// Since when the CPU share that the headroom permits is too low; none if it suffices.
     pub(super) low_since: Option<Time>,
-    /// Since when it has the least CPU share of its worker; none if it has not.
-    pub(super) turn_since: Option<Time>,
     /// Processors that it uses when not throttled.
     pub(super) cores: f64,
     /// Progress at its last measurement, in percent.
--- a/crates/parsleytally/src/jobs/job.rs
+++ b/crates/parsleytally/src/jobs/job.rs
@@ -451,7 +451,6 @@
             image: step.image.clone().unwrap_or_default(),
             cpu_share: Some(FULL_CPU_SHARE),
             low_since: None,
-            turn_since: None,
             cores: step.need.cpu.0 as f64 / MILLI,
             progress_percent: 0,
             measured_at: None,
--- a/crates/parsleytally/src/jobs/scheduler/throttle.rs
+++ b/crates/parsleytally/src/jobs/scheduler/throttle.rs
@@ -2,13 +2,12 @@
 //! moves those that would make almost no progress.
 //!
 //! If no other worker can take such a run, it stays. So that its wait is bounded, it then works at a
-//! least CPU share, the runs of a worker in turn, after a longer time if the pool counts as full; the
+//! least CPU share, one run of a worker at a time, after a longer time if the pool counts as full; the
 //! agent pauses it for a few seconds at a time while a service there is slowed.
 
-use std::collections::BTreeSet;
 use std::time::Duration;
 
-use super::super::fleet::{FULL_CPU_SHARE, Load, Worker};
+use super::super::fleet::{FULL_CPU_SHARE, Load};
 use super::super::job::{MILLI, StepRef};
 use super::super::place::{PlacementRequest, choose_worker};
 use super::super::{OrderMessage, Output, RunRef, RunStatus};
@@ -21,8 +20,6 @@
 const LOW_SHARE_LIMIT: Duration = Duration::from_secs(4);
 /// The same in a pool that counts as full.
 const FULL_LOW_SHARE_LIMIT: Duration = Duration::from_secs(6);
-/// Time for which a run has the least CPU share of its worker while another one waits for it.
-const LEAST_SHARE_TURN: Duration = Duration::from_secs(4);
 /// Progress from which on a best-effort run is not moved any more, in percent.
 pub(super) const NEARLY_DONE_PERCENT: u32 = 85;
 
@@ -46,30 +43,6 @@
     }
 }
 
-/// Notes since when the CPU share of a run is too low; returns whether it is.
-fn note_low(now: Time, load: &mut Load, percent: u32) -> bool {
-    if percent >= MIN_CPU_SHARE {
-        load.low_since = None;
-        load.turn_since = None;
-        return false;
-    }
-    load.low_since.get_or_insert(now);
-    true
-}
-
-/// Runs whose CPU share has been too low for `limit`, the longest first.
-fn due_runs(
-    now: Time,
-    worker: &Worker,
-    cpu_shares: &[(RunRef, u32)],
-    limit: Duration,
-) -> BTreeSet<(Time, RunRef)> {
-    let runs = cpu_shares.iter().map(|(run, _)| run);
-    let low = runs.filter_map(|run| Some((worker.runs.get(run)?.low_since?, *run)));
-    low.filter(|(since, _)| now.since(*since) >= limit)
-        .collect()
-}
-
 /// Number of workers that were looked at for moves of throttled runs, in the present interval.
 #[derive(Debug, Default)]
 pub(super) struct MoveSearches {
@@ -201,54 +174,36 @@
         }
     }
 
-    /// The run of a worker that gets a least CPU share: the one whose share by the headroom has been
-    /// too low for longest. After a while, another one that waits for it has its turn.
+    /// The run of a worker that gets a least CPU share: the one whose share by the headroom has
+    /// been too low for longest.
     fn least_share(
         &mut self,
         now: Time,
         node: &NodeName,
         cpu_shares: &[(RunRef, u32)],
     ) -> Option<RunRef> {
-        let limit = self.low_share_limit(now, node, cpu_shares)?;
         let worker = self.workers.get_mut(node)?;
-        let mut due = due_runs(now, worker, cpu_shares, limit);
-        let first = due.pop_first()?;
-        let load = worker.runs.get_mut(&first.1)?;
-        let turn = *load.turn_since.get_or_insert(now);
-        if due.is_empty() || now.since(turn) < LEAST_SHARE_TURN {
-            return Some(first.1);
-        }
-        load.low_since = Some(now);
-        load.turn_since = None;
-        let next = due.pop_first()?;
-        worker.runs.get_mut(&next.1)?.turn_since = Some(now);
-        Some(next.1)
-    }
-
-    /// Time with too low a CPU share after which a run gets the least one; none if no run has one too low.
-    fn low_share_limit(
-        &mut self,
-        now: Time,
-        node: &NodeName,
-        cpu_shares: &[(RunRef, u32)],
-    ) -> Option<Duration> {
-        let worker = self.workers.get_mut(node)?;
-        let mut any_low = false;
+        let mut longest = None;
         for (run, percent) in cpu_shares {
-            if let Some(load) = worker.runs.get_mut(run) {
-                any_low |= note_low(now, load, *percent);
+            let Some(load) = worker.runs.get_mut(run) else {
+                continue;
+            };
+            if *percent >= MIN_CPU_SHARE {
+                load.low_since = None;
+                continue;
+            }
+            let since = *load.low_since.get_or_insert(now);
+            let is_longest = longest.is_none_or(|longest| (since, *run) < longest);
+            if now.since(since) >= LOW_SHARE_LIMIT && is_longest {
+                longest = Some((since, *run));
             }
         }
-        let pool = worker.report.as_ref()?.service.clone();
-        if !any_low {
-            return None;
+        let (since, run) = longest?;
+        if now.since(since) >= FULL_LOW_SHARE_LIMIT {
+            return Some(run);
         }
-        let full = self.was_full(now, &pool);
-        Some(if full {
-            FULL_LOW_SHARE_LIMIT
-        } else {
-            LOW_SHARE_LIMIT
-        })
+        let pool = worker.report.as_ref()?.service.clone();
+        (!self.was_full(now, &pool)).then_some(run)
     }
 
     /// Whether the task of a run would now be placed on another worker.
