--- a/crates/parsleytally/src/jobs/scheduler/starving.rs
+++ b/crates/parsleytally/src/jobs/scheduler/starving.rs
@@ -10,7 +10,7 @@
 use super::super::job::StepRef;
 use super::super::place::is_usable;
 use super::super::urgency::Urgency;
-use super::super::{JobId, Output, RunRef};
+use super::super::{JobId, Output};
 use super::pass::Pass;
 use super::start::ReadyStep;
 use super::{Scheduler, active_runs};
@@ -22,8 +22,6 @@
 const FULL_STARVED_AFTER: Duration = Duration::from_secs(6);
 /// Wait after which a starving step for which no other worker has room uses quarantined ones.
 const QUARANTINE_BOUND: Duration = Duration::from_millis(2_200);
-/// Time after its order within which a run has to be seen to count as one that goes on.
-const SEEN_AFTER: Duration = Duration::from_millis(2_500);
 /// Most workers that are scored for starving jobs in one pass.
 const MAX_SCORED: usize = 100_000;
 /// Workers of the fleet that are scored at least for a starving job in one pass.
@@ -53,7 +51,7 @@
 /// What is the same for all steps of a job or pool in one pass; a job may have many rounds.
 #[derive(Default)]
 struct KnownInPass {
-    /// Whether a job has runs that go on.
+    /// Whether a job has runs.
     running: HashMap<JobId, bool>,
     /// Whether most of a pool is reserved.
     full: BTreeMap<Arc<str>, bool>,
@@ -142,7 +140,7 @@
         if step.long_running {
             return true;
         }
-        let has_runs = || active_runs(at.job, job).any(|(run, node)| self.goes_on(now, node, run));
+        let has_runs = || active_runs(at.job, job).next().is_some();
         let runs = known.running.entry(at.job);
         if *runs.or_insert_with(has_runs) {
             return false;
@@ -179,14 +177,4 @@
         let mut workers = self.workers.iter();
         !workers.any(|(name, worker)| is_usable(now, name, worker, &request, run, !is_late))
     }
-
-    /// Whether a run is known to go on, or may have begun since its order.
-    fn goes_on(&self, now: Time, node: &NodeName, run: RunRef) -> bool {
-        let worker = self.workers.get(node).filter(|worker| worker.is_reached());
-        let Some(load) = worker.and_then(|worker| worker.runs.get(&run)) else {
-            return false;
-        };
-        let ordered = load.timeline.ordered;
-        load.listed || ordered.is_some_and(|at| now.since(at) < SEEN_AFTER)
-    }
 }
