--- a/review/stand-ins-2/http.rs
+++ b/review/stand-ins-2/http.rs
@@ -3,8 +3,7 @@
 
 use std::io::{BufRead, BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 
@@ -74,85 +73,36 @@
 
 pub type Handler = Arc<dyn Fn(Request) -> Reply + Send + Sync>;
 
-/// A server that can be stopped, which resets its connections, and started again.
+/// A server, which runs until the process ends.
 pub struct Server {
     pub address: SocketAddr,
-    handler: Handler,
-    open: Arc<Mutex<Vec<TcpStream>>>,
-    up: Mutex<Arc<AtomicBool>>,
 }
 
 impl Server {
     /// Serves at a free port of the loopback interface.
-    pub fn start(handler: Handler) -> Arc<Self> {
+    pub fn start(handler: Handler) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let server = Arc::new(Self {
-            address: listener.local_addr().expect("bound"),
-            handler,
-            open: Arc::default(),
-            up: Mutex::default(),
-        });
-        server.accept(listener);
-        server
-    }
-
-    fn accept(&self, listener: TcpListener) {
-        let up = Arc::new(AtomicBool::new(true));
-        *self.up.lock().unwrap() = up.clone();
-        listener.set_nonblocking(true).expect("a listener");
-        let (handler, open) = (self.handler.clone(), self.open.clone());
+        let address = listener.local_addr().expect("bound");
         thread::spawn(move || {
-            while up.load(Ordering::SeqCst) {
-                let Ok((stream, _)) = listener.accept() else {
-                    thread::sleep(Duration::from_millis(1));
-                    continue;
-                };
-                let _ = stream.set_nonblocking(false);
+            for stream in listener.incoming().flatten() {
                 let _ = stream.set_nodelay(true);
-                if let Ok(copy) = stream.try_clone() {
-                    open.lock().unwrap().push(copy);
-                }
-                let (handler, up) = (handler.clone(), up.clone());
-                thread::spawn(move || serve(stream, &handler, &up));
+                let handler = handler.clone();
+                thread::spawn(move || serve(stream, &handler));
             }
         });
-    }
-
-    /// Closes the port and all connections.
-    pub fn stop(&self) {
-        self.up.lock().unwrap().store(false, Ordering::SeqCst);
-        for stream in self.open.lock().unwrap().drain(..) {
-            let _ = stream.shutdown(Shutdown::Both);
-        }
-    }
-
-    /// Serves at the same port again.
-    pub fn restart(&self) {
-        for _ in 0..500 {
-            if let Ok(listener) = TcpListener::bind(self.address) {
-                self.accept(listener);
-                return;
-            }
-            thread::sleep(Duration::from_millis(10));
-        }
+        Self { address }
     }
 }
 
-fn serve(stream: TcpStream, handler: &Handler, up: &AtomicBool) {
+fn serve(mut stream: TcpStream, handler: &Handler) {
     let Ok(copy) = stream.try_clone() else { return };
     let mut reader = BufReader::new(copy);
-    let mut stream = stream;
-    while up.load(Ordering::SeqCst) {
-        let Some(request) = read_request(&mut reader) else {
+    while let Some(request) = read_request(&mut reader) {
+        let Reply::Answer(status, body) = handler(request) else {
             break;
         };
-        match handler(request) {
-            Reply::Answer(status, body) if up.load(Ordering::SeqCst) => {
-                if write_answer(&mut stream, status, &body).is_err() {
-                    break;
-                }
-            }
-            _ => break,
+        if write_answer(&mut stream, status, &body).is_err() {
+            break;
         }
     }
     let _ = stream.shutdown(Shutdown::Both);
--- a/review/stand-ins-2/store.rs
+++ b/review/stand-ins-2/store.rs
@@ -203,11 +203,7 @@
         };
         let store = self.clone();
         let handler: Handler = Arc::new(move |request| store.serve(number, &request));
-        let server = Server::start(handler);
-        let address = server.address;
-        // It serves until the process ends.
-        std::mem::forget(server);
-        (number, address)
+        (number, Server::start(handler).address)
     }
 
     pub fn set(&self, process: usize, mood: Mood) {
--- a/review/stand-ins-2/worker.rs
+++ b/review/stand-ins-2/worker.rs
@@ -1,7 +1,6 @@
 //! Stand-in of a worker: runs tasks under a lease and checks in at the agent beside it.
 //!
-//! The first word of a task's `spec` is the time of its work in milliseconds. A worker that crashes loses all
-//! that it ran and knew; its next lifetime has another id at the same address.
+//! The first word of a task's `spec` is the time of its work in milliseconds.
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
@@ -22,9 +21,8 @@
 #[derive(Debug, Clone)]
 pub struct Event {
     pub at: Instant,
-    pub worker: String,
     pub task: String,
-    /// `start`, how the run ended, or `lost` with its worker.
+    /// `start`, or how the run ended.
     pub what: String,
 }
 
@@ -61,7 +59,7 @@
     ends: Condvar,
     events: Arc<Mutex<Vec<Event>>>,
     record: Arc<Record>,
-    server: OnceLock<Arc<Server>>,
+    server: OnceLock<Server>,
     control: OnceLock<SocketAddr>,
 }
 
@@ -139,34 +137,11 @@
         });
     }
 
-    /// Crashes, and starts again after this time.
-    pub fn crash(self: &Arc<Self>, down: Duration) {
-        let life = self.life.lock().unwrap().take();
-        self.server.get().unwrap().stop();
-        self.ends.notify_all();
-        let lost = life.into_iter().flat_map(|life| life.running.into_keys());
-        for (task, run) in lost {
-            self.note(&task, run, "lost");
-        }
-        self.record.line(&format!("{} crashes", self.name));
-        let worker = self.clone();
-        thread::spawn(move || {
-            thread::sleep(down);
-            worker.begin_life();
-            worker.server.get().unwrap().restart();
-            worker
-                .record
-                .line(&format!("{} is back as a new lifetime", worker.name));
-            worker.check_in();
-        });
-    }
-
     fn note(&self, task: &str, run: u64, what: &str) {
         self.record
             .line(&format!("{} task {task} run {run}: {what}", self.name));
         self.events.lock().unwrap().push(Event {
             at: Instant::now(),
-            worker: self.name.clone(),
             task: task.to_owned(),
             what: what.to_owned(),
         });
--- a/review/stand-ins-2/world.rs
+++ b/review/stand-ins-2/world.rs
@@ -410,15 +410,11 @@
         own.cloned().collect()
     }
 
-    /// The worker on which a run of this job is in progress, and since when.
-    pub fn runs_on(&self, id: &str) -> Option<(usize, Instant)> {
-        let mut found = None;
-        for event in self.events_of(id) {
-            found = (event.what == "start").then_some((event.worker.clone(), event.at));
-        }
-        let (name, at) = found?;
-        let worker = self.workers.iter().position(|worker| worker.name == name)?;
-        Some((worker, at))
+    /// Number of events of this kind of a job's tasks.
+    pub fn count(&self, what: &str, id: &str) -> usize {
+        let events = self.events.lock().unwrap();
+        let own = events.iter().filter(|event| event.what == what);
+        own.filter(|event| event.task.starts_with(id)).count()
     }
 }
 
@@ -448,24 +444,12 @@
 
 /// Body of a job with one step of tasks that each work for `work_ms`.
 pub fn job(work_ms: &str, count: u64) -> String {
-    body(work_ms, count, false)
-}
-
-/// The same with tasks that last.
-pub fn lasting_job(work_ms: &str, count: u64) -> String {
-    body(work_ms, count, true)
-}
-
-fn body(work_ms: &str, count: u64, lasts: bool) -> String {
     let estimate = work_ms.parse::<u64>().unwrap_or(1_000);
-    let mut step = Json::object([
+    let step = Json::object([
         ("count", count.into()),
         ("cpu", 1_000.into()),
         ("mem_mb", 512.into()),
         ("estimate_ms", estimate.into()),
     ]);
-    if lasts {
-        step.set("long_running", Json::Bool(true));
-    }
     Json::object([("spec", work_ms.into()), ("steps", vec![step].into())]).to_string()
 }
