--- a/review/stand-ins-2/world.rs
+++ b/review/stand-ins-2/world.rs
@@ -3,6 +3,7 @@
 
 use std::fs::{self, File};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
@@ -37,8 +38,14 @@
     child: Mutex<Option<Child>>,
 }
 
+/// Option of `prctl`: the process is ended once the thread that started it has gone, so that none is
+/// left if a script is killed.
+const PR_SET_PDEATHSIG: i32 = 1;
+const SIGKILL: usize = 9;
+
 unsafe extern "C" {
     fn kill(process: i32, signal: i32) -> i32;
+    fn prctl(option: i32, ...) -> i32;
 }
 
 impl Machine {
@@ -56,6 +63,13 @@
             .env_clear()
             .env("PARSLEYTALLY_CONFIG", &self.settings);
         command.stdin(Stdio::null()).stdout(log).stderr(errors);
+        // SAFETY: the call is safe between fork and exec.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL);
+                Ok(())
+            });
+        }
         let child = command.spawn().expect("a program of the deploy file");
         *self.child.lock().unwrap() = Some(child);
     }
