fix(http): the connections of a listener share an account of memory

What callers saw: a process that ran out of memory beside clients that send heads, or empty lines, without end; no answer once idle connections had taken all descriptors; memory and descriptors that grew with requests whose answers nobody reads.

Cause: no process knows what its clients hold. Each HTTP server ran with the library's defaults: a buffer of up to 417 KB for a head, no bound on connections, on requests in progress or on answers that wait for their reader. The library's server owns its sockets, so a single connection could neither be measured nor closed.

Change: connections are served by hyper, on which the former server stood, through a socket that notes what passes. Each is charged for its buffers, its unread bytes (the receive buffer is 16 KiB now) and its answer until that is read. When the account or the places are full, the connection that waits for its client with the largest product of memory and waiting time is closed; a request that is answered never is. Heads are limited to 32 KiB (the operators' limit is 16 KiB) and 10 s. Defaults follow from `[vm]` memory and descriptors, which the templates now fill in.

Why it works: whatever clients send, what it may cost is taken from one sum before it is held, and somebody who only waits gives way first; newcomers and ordinary requests cost least.

--- a/crates/parsleytally-agent/src/agent.rs
+++ b/crates/parsleytally-agent/src/agent.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
+use parsleytally::configs::HttpConfig;
 use parsleytally::leases::AgentConfig as LeaseConfig;
 use parsleytally::membership::Announcement;
 use parsleytally::types::Revision;
@@ -121,7 +122,9 @@
             metrics: metrics.clone(),
             requests: requests.clone(),
         };
-        let pages = HttpServer::start(config.operators, Arc::new(operators));
+        let limits = HttpConfig::of_pages(&config.vm);
+        let listener = metrics.http.listener("operators", limits);
+        let pages = HttpServer::start_limited(config.operators, Arc::new(operators), &listener);
         let pages = pages.await.context(error::BindSnafu)?;
         let stop = CancellationToken::new();
         let leave = CancellationToken::new();
--- a/crates/parsleytally-agent/src/config.rs
+++ b/crates/parsleytally-agent/src/config.rs
@@ -4,7 +4,7 @@
 use std::num::NonZeroUsize;
 use std::time::Duration;
 
-use parsleytally::configs::{ConfigError, Document, LimitsConfig, OnceConfig};
+use parsleytally::configs::{ConfigError, Document, LimitsConfig, OnceConfig, VmConfig};
 use parsleytally::types::{
     Bytes, MilliCpu, NodeName, RackName, Resources, ServiceKey, ServiceName, TeamName, ZoneName,
 };
@@ -29,6 +29,8 @@
     pub threads: NonZeroUsize,
     /// The endpoint beside the agent: section `[endpoint]`.
     pub endpoint: EndpointConfig,
+    /// Memory and descriptors of the VM: section `[vm]`.
+    pub vm: VmConfig,
     /// Idempotency keys: section `[once]`.
     pub once: OnceConfig,
     /// Shared key and timeouts of links: section `[link]`.
@@ -73,6 +75,7 @@
         let mut endpoint = document.take("endpoint");
         let mut worker = document.take("worker");
         let mut once = document.take("once");
+        let mut vm = document.take("vm");
         let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
         let config = Self {
             name: agent.require("name")?,
@@ -90,6 +93,7 @@
                 address: endpoint.require("address")?,
                 limits: LimitsConfig::take(&mut endpoint)?,
             },
+            vm: VmConfig::take(&mut vm)?,
             once: OnceConfig::take(&mut once)?,
             link: LinkConfig::take(document.take("link"))?,
             capacity: Resources {
@@ -103,6 +107,7 @@
         endpoint.finish()?;
         worker.finish()?;
         once.finish()?;
+        vm.finish()?;
         document.finish()?;
         Ok(config)
     }
--- a/crates/parsleytally-agent/src/main.rs
+++ b/crates/parsleytally-agent/src/main.rs
@@ -3,14 +3,14 @@
 use std::process::ExitCode;
 use std::sync::Arc;
 
-use parsleytally::configs::{ConfigError, is_site};
+use parsleytally::configs::{ConfigError, HttpConfig, is_site};
 use parsleytally_adapter::{KvStore, WorkerClient, WorkerReportApi};
 use parsleytally_agent::Agent;
 use parsleytally_agent::config::AgentConfig;
 use parsleytally_agent::site::{Site, SiteConfig};
 use parsleytally_platform::measured::{MeasuredHost, MeasuredStore};
 use parsleytally_platform::process::command;
-use parsleytally_platform::process::http::{HttpServer, start_optional};
+use parsleytally_platform::process::http::{HttpMetrics, HttpServer, start_optional};
 use parsleytally_platform::process::metrics::MetricSet;
 use parsleytally_platform::process::{logs, spans};
 
@@ -76,8 +76,11 @@
     )?;
     let site = Site::start(config, Arc::new(store), Arc::new(worker)).await?;
     let reports = Arc::new(WorkerReportApi::new(site.reports()));
-    let reports = HttpServer::start(config.reports, reports).await?;
-    let metrics_page = start_optional(base.metrics, Arc::new(metrics)).await;
+    let http = HttpMetrics::new(&metrics)?;
+    let limits = http.listener("reports", HttpConfig::of_clients(&base.vm));
+    let reports = HttpServer::start_limited(config.reports, reports, &limits).await?;
+    let pages = http.listener("pages", HttpConfig::of_pages(&base.vm));
+    let metrics_page = start_optional(base.metrics, Arc::new(metrics), &pages).await;
     log::info!(node:% = base.name; "agent started");
     stop.await;
     log::info!("agent is stopping");
@@ -107,6 +110,7 @@
     logs::start();
     spans::start();
     let stop = command::terminated();
+    tokio::spawn(command::note_reloads());
     let agent = match Agent::start(config).await {
         Ok(agent) => agent,
         Err(error) => {
--- a/crates/parsleytally-agent/src/metrics.rs
+++ b/crates/parsleytally-agent/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Prometheus metrics of an agent.
 
 use crate::admission::Load;
+use parsleytally_platform::process::http::HttpMetrics;
 use parsleytally_platform::process::metrics::MetricSet;
 use prometheus::{IntCounter, IntCounterVec, IntGauge};
 
@@ -8,6 +9,7 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Metrics {
     set: MetricSet,
+    pub(crate) http: HttpMetrics,
     pub(crate) requests: IntCounterVec,
     busy: IntGauge,
     waiting: IntGauge,
@@ -21,6 +23,7 @@
     pub(crate) fn new() -> prometheus::Result<Self> {
         let set = MetricSet::default();
         Ok(Self {
+            http: HttpMetrics::new(&set)?,
             requests: set.counters(
                 "parsleytally_agent_requests_total",
                 "Requests by outcome.",
--- a/crates/parsleytally-agent/src/site/tests.rs
+++ b/crates/parsleytally-agent/src/site/tests.rs
@@ -103,6 +103,8 @@
         .replace("{{ip}}", &links.ip().to_string())
         .replace("{{internal_ports.0}}", &links.port().to_string())
         .replace("{{app}}", "127.0.0.1:8165")
+        .replace("{{limits.memory_mb}}", "128")
+        .replace("{{limits.max_fds}}", "4096")
         .replace("{{bounds.hold_max_ms}}", "6000")
         .replace("{{platform.address}}", "127.0.0.1:8169");
     SiteConfig::parse(text.as_bytes()).expect("the template is valid")
--- a/crates/parsleytally-entry/src/config.rs
+++ b/crates/parsleytally-entry/src/config.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use parsleytally::configs::{
-    ConfigError, Document, OnceConfig, OwnershipConfig, RetryConfig, StoreConfig, TokenHash,
+    ConfigError, Document, HttpConfig, OnceConfig, OwnershipConfig, RetryConfig, StoreConfig,
+    TokenHash, VmConfig,
 };
 use parsleytally::types::{NodeName, ZoneName};
 use parsleytally_link::LinkConfig;
@@ -44,6 +45,10 @@
     /// BLAKE3 hash of the token that grants access to all settings; without it no token
     /// is required: `[operators] token-hash`.
     pub admin: Option<TokenHash>,
+    /// Memory and descriptors of the VM: section `[vm]`.
+    pub vm: VmConfig,
+    /// What callers may make the process hold: section `[clients]`.
+    pub limits: HttpConfig,
     /// Ownership of shards, their leases and journals: section `[ownership]`.
     pub ownership: OwnershipConfig,
 }
@@ -80,6 +85,8 @@
             link,
             store: StoreConfig::default(),
             admin: None,
+            vm: VmConfig::default(),
+            limits: HttpConfig::default(),
         }
     }
 
@@ -95,12 +102,16 @@
         let mut once = document.take("once");
         let mut operators = document.take("operators");
         let mut ownership = document.take("ownership");
+        let (mut vm, mut clients) = (document.take("vm"), document.take("clients"));
         let base = Self::new(
             entry.require("name")?,
             entry.require("zone")?,
             LinkConfig::take(document.take("link"))?,
         );
+        let vm_config = VmConfig::take(&mut vm)?;
         let config = Self {
+            limits: HttpConfig::take(&mut clients, &vm_config)?,
+            vm: vm_config,
             callers: entry.take_or("callers", base.callers)?,
             operators: entry.take_or("operators", base.operators)?,
             links: entry.take_or("links", base.links)?,
@@ -120,6 +131,8 @@
         once.finish()?;
         operators.finish()?;
         ownership.finish()?;
+        vm.finish()?;
+        clients.finish()?;
         document.finish()?;
         Ok(config)
     }
--- a/crates/parsleytally-entry/src/entry.rs
+++ b/crates/parsleytally-entry/src/entry.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
+use parsleytally::configs::HttpConfig;
 use parsleytally::types::Revision;
 use parsleytally_link::{Hello, Role};
 use parsleytally_platform::process::http::{BindError, HttpServer};
@@ -138,17 +139,23 @@
             metrics: metrics.clone(),
             draining: draining.clone(),
         });
-        let operator_server = HttpServer::start(config.operators, operators).await;
+        let listener = metrics
+            .http
+            .listener("operators", HttpConfig::of_pages(&config.vm));
+        let operator_server =
+            HttpServer::start_limited(config.operators, operators, &listener).await;
         let operator_server = operator_server.context(BindSnafu {
             server: "operators",
         })?;
+        let listener = metrics.http.listener("callers", config.limits);
         let callers = Arc::new(Callers::new(
             directory.handle(),
             config.retry.clone(),
             metrics,
             draining.clone(),
         ));
-        let caller_server = HttpServer::start(config.callers, callers.clone()).await;
+        let caller_server =
+            HttpServer::start_limited(config.callers, callers.clone(), &listener).await;
         let caller_server = caller_server.context(BindSnafu { server: "callers" })?;
         Ok(Self {
             config,
--- a/crates/parsleytally-entry/src/main.rs
+++ b/crates/parsleytally-entry/src/main.rs
@@ -5,7 +5,7 @@
 use std::process::ExitCode;
 use std::sync::Arc;
 
-use parsleytally::configs::{ConfigError, is_site};
+use parsleytally::configs::{ConfigError, HttpConfig, is_site};
 use parsleytally_adapter::{ClientApi, EvacuationKeys, KvStore, QueueConfigReader, Readiness};
 use parsleytally_entry::Entry;
 use parsleytally_entry::config::EntryConfig;
@@ -13,7 +13,7 @@
 use parsleytally_entry::standalone::{Addresses, Standalone};
 use parsleytally_platform::measured::{MeasuredDesk, MeasuredStore};
 use parsleytally_platform::process::command::{self, Command, ExtraOption};
-use parsleytally_platform::process::http::{HttpServer, start_optional};
+use parsleytally_platform::process::http::{HttpMetrics, HttpServer, start_optional};
 use parsleytally_platform::process::metrics::MetricSet;
 use parsleytally_platform::process::{drain, logs, spans};
 use parsleytally_platform::store::{EtcdStore, MemoryStore, Store, StoreError};
@@ -105,10 +105,14 @@
     .await?;
     let job_service = MeasuredDesk::new(site.job_service(), metrics.registry())?;
     let client_api = Arc::new(ClientApi::new(Arc::new(job_service)));
-    let clients = HttpServer::start(config.clients, client_api.clone()).await?;
-    let ready =
-        HttpServer::start(config.ready, Arc::new(Readiness::new(site.job_service()))).await?;
-    let page = start_optional(base.metrics, site.operator_pages(metrics)).await;
+    let http = HttpMetrics::new(&metrics)?;
+    let clients = http.listener("clients", config.limits);
+    let clients = HttpServer::start_limited(config.clients, client_api.clone(), &clients).await?;
+    let probe = http.listener("ready", HttpConfig::of_probe(&base.vm));
+    let readiness = Arc::new(Readiness::new(site.job_service()));
+    let ready = HttpServer::start_limited(config.ready, readiness, &probe).await?;
+    let pages = http.listener("pages", HttpConfig::of_pages(&base.vm));
+    let page = start_optional(base.metrics, site.operator_pages(metrics), &pages).await;
     log::info!(node:% = base.name; "entry started");
     stop.await;
     log::info!("entry draining");
@@ -142,6 +146,7 @@
     logs::start();
     spans::start();
     let stop = command::terminated();
+    tokio::spawn(command::note_reloads());
     let standalone = Standalone::start(addresses)
         .await
         .map_err(|error| report_failure(&error))?;
@@ -165,6 +170,7 @@
     logs::start();
     spans::start();
     let stop = command::terminated();
+    tokio::spawn(command::note_reloads());
     let store = store(&config).map_err(|error| report_failure(&error))?;
     let entry = Entry::start(config, store)
         .await
--- a/crates/parsleytally-entry/src/metrics.rs
+++ b/crates/parsleytally-entry/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Prometheus metrics of an entry.
 
+use parsleytally_platform::process::http::HttpMetrics;
 use parsleytally_platform::process::metrics::MetricSet;
 use parsleytally_platform::store::CallMetrics;
 use prometheus::{Histogram, IntCounter, IntCounterVec, IntGauge};
@@ -13,6 +14,7 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Metrics {
     set: MetricSet,
+    pub(crate) http: HttpMetrics,
     pub(crate) requests: IntCounterVec,
     pub(crate) barred: IntCounter,
     pub(crate) latency: Histogram,
@@ -34,6 +36,7 @@
     pub(crate) fn new() -> prometheus::Result<Self> {
         let set = MetricSet::default();
         Ok(Self {
+            http: HttpMetrics::new(&set)?,
             requests: set.counters(
                 "parsleytally_entry_requests_total",
                 "Requests by outcome.",
--- a/crates/parsleytally-entry/src/site/config.rs
+++ b/crates/parsleytally-entry/src/site/config.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use parsleytally::configs::{
-    AdmissionConfig, ConfigError, Document, SharesConfig, SiteBase, WorkersConfig,
+    AdmissionConfig, ConfigError, Document, HttpConfig, SharesConfig, SiteBase, WorkersConfig,
 };
 use parsleytally::types::MilliCpu;
 use parsleytally_link::LinkConfig;
@@ -27,6 +27,8 @@
     pub base: SiteBase,
     /// Address for clients: `[site] clients`.
     pub clients: SocketAddr,
+    /// What clients may make the process hold: section `[clients]`.
+    pub limits: HttpConfig,
     /// Address for the load balancer's readiness check: `[site] ready`.
     pub ready: SocketAddr,
     /// Time from reporting "not ready" to closing the listener for clients: `[site] grace`.
@@ -57,8 +59,11 @@
         let mut site = document.take("site");
         let mut workers = document.take("workers");
         let mut admission = document.take("admission");
+        let mut clients = document.take("clients");
+        let base = SiteBase::take(&mut document, &mut site)?;
         let config = Self {
-            base: SiteBase::take(&mut document, &mut site)?,
+            limits: HttpConfig::take(&mut clients, &base.vm)?,
+            base,
             clients: site.require("clients")?,
             ready: site.require("ready")?,
             grace: site.take_with("grace", DEFAULT_GRACE, humantime::parse_duration)?,
@@ -71,6 +76,7 @@
         };
         workers.finish()?;
         admission.finish()?;
+        clients.finish()?;
         site.finish()?;
         document.finish()?;
         Ok(config)
--- a/crates/parsleytally-entry/src/site/tests/mod.rs
+++ b/crates/parsleytally-entry/src/site/tests/mod.rs
@@ -401,10 +401,14 @@
         .replace("{{ip}}", "127.0.0.1")
         .replace("{{internal_ports.0}}", "7720")
         .replace("{{limits.cpu_share}}", "0.069")
+        .replace("{{limits.memory_mb}}", "160")
+        .replace("{{limits.max_fds}}", "4100")
         .replace("{{platform.address}}", "127.0.0.1:8169");
     let config = SiteConfig::parse(text.as_bytes()).expect("the template is valid");
     assert_eq!(config.clients.port(), 8_161);
     assert_eq!(config.cpu, MilliCpu(69));
+    assert_eq!(config.limits.memory, 40_000_000);
+    assert_eq!(config.limits.connections, 1_950);
     assert!(parsleytally::configs::is_site(text.as_bytes()));
     let bound = config.base.evacuation.map(|evacuation| evacuation.bound);
     assert_eq!(bound, Some(Duration::from_secs(5)));
--- a/crates/parsleytally-entry/tests/metrics_page.rs
+++ b/crates/parsleytally-entry/tests/metrics_page.rs
@@ -11,11 +11,12 @@
 
 /// Documented metrics that a standalone process doesn't have at its start: labelled ones
 /// without a value, and those of a store reached over its HTTP gateway.
-const ABSENT_AT_START: [&str; 7] = [
+const ABSENT_AT_START: [&str; 8] = [
     "parsleytally_agent_requests_total",
     "parsleytally_agent_runs_total",
     "parsleytally_entry_requests_total",
     "parsleytally_entry_tasks_total",
+    "parsleytally_http_limited_total",
     "parsleytally_store_calls_total",
     "parsleytally_store_errors_total",
     "parsleytally_store_watches",
--- a/crates/parsleytally-platform/src/process/http.rs
+++ b/crates/parsleytally-platform/src/process/http.rs
@@ -1,26 +1,35 @@
-//! HTTP servers by `volo-http`, with a handler behind a trait object.
+//! HTTP servers whose connections have limits, with a handler behind a trait object.
+//!
+//! All connections of a listener share one account of memory ([`Connections`]): a connection
+//! is charged for its buffers, and for an answer until the client has read it. When the account is full,
+//! the connection that has waited longest for its client with the most memory is closed;
+//! where none waits for its client, the request is refused.
+//!
+//! [`Connections`]: connections::Connections
 
-use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
 
-use bytes::Bytes;
 use http::{HeaderValue, StatusCode, header};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use serde::Serialize;
-use snafu::{ResultExt, Snafu};
-use tokio::net::TcpListener;
-use tokio_util::sync::CancellationToken;
-use volo::net::conn::Conn;
-use volo::net::incoming::{Incoming, MakeIncoming};
-use volo::service::Service;
 use volo_http::body::Body;
-use volo_http::context::ServerContext;
 use volo_http::request::Request;
 use volo_http::response::Response;
-use volo_http::server::Server;
+
+mod body;
+mod connections;
+mod limit;
+mod metrics;
+mod server;
+mod service;
+mod stream;
+
+pub use body::{BodyError, read_body};
+pub use limit::Refusal;
+pub use metrics::HttpMetrics;
+pub use server::{BindError, HttpServer, Listener};
 
 /// Future of an answer.
 pub type Answering<'a> = Pin<Box<dyn Future<Output = Response> + Send + 'a>>;
@@ -35,8 +44,9 @@
 pub async fn start_optional(
     address: Option<SocketAddr>,
     handler: Arc<dyn Handler>,
+    listener: &Listener,
 ) -> Option<HttpServer> {
-    match HttpServer::start(address?, handler).await {
+    match HttpServer::start_limited(address?, handler, listener).await {
         Ok(server) => Some(server),
         Err(error) => {
             log::error!(error:% = error; "page is not served");
@@ -45,150 +55,6 @@
     }
 }
 
-/// Why a server could not start.
-#[derive(Debug, Snafu)]
-#[snafu(display("address {address} is not available: {source}"))]
-pub struct BindError {
-    address: SocketAddr,
-    source: std::io::Error,
-}
-
-/// Why a body was not read.
-#[derive(Debug, Snafu)]
-pub enum BodyError {
-    /// The body is larger than accepted.
-    #[snafu(display("body exceeds the limit of {limit} bytes"))]
-    TooLarge {
-        /// The limit, in bytes.
-        limit: usize,
-    },
-    /// The body ended before its length or was cut.
-    #[snafu(display("body is incomplete: {reason}"))]
-    Incomplete {
-        /// What the reader reported.
-        reason: String,
-    },
-}
-
-/// A server that accepts connections.
-#[derive(Debug)]
-pub struct HttpServer {
-    address: SocketAddr,
-    full: CancellationToken,
-    stop: CancellationToken,
-    task: tokio::task::JoinHandle<()>,
-}
-
-/// A listener that is dropped once no further connection is accepted, so that
-/// callers are refused instead of left waiting in the system's queue.
-#[derive(Debug)]
-struct Gate {
-    listener: Option<TcpListener>,
-    full: CancellationToken,
-}
-
-impl Incoming for Gate {
-    async fn accept(&mut self) -> std::io::Result<Option<Conn>> {
-        if let Some(listener) = &self.listener
-            && let Some(accepted) = self.full.run_until_cancelled(listener.accept()).await
-        {
-            return accepted.map(|(stream, _)| Some(Conn::from(stream)));
-        }
-        self.listener = None;
-        std::future::pending().await
-    }
-}
-
-impl MakeIncoming for Gate {
-    type Incoming = Self;
-
-    async fn make_incoming(self) -> std::io::Result<Self> {
-        Ok(self)
-    }
-}
-
-struct Shared(Arc<dyn Handler>);
-
-impl Service<ServerContext, Request> for Shared {
-    type Response = Response;
-    type Error = Infallible;
-
-    async fn call(&self, _: &mut ServerContext, request: Request) -> Result<Response, Infallible> {
-        Ok(self.0.answer(request).await)
-    }
-}
-
-impl HttpServer {
-    /// Binds `address` and answers by `handler`; port 0 takes a free one.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`BindError`] when the address is not available.
-    pub async fn start(address: SocketAddr, handler: Arc<dyn Handler>) -> Result<Self, BindError> {
-        let listener = TcpListener::bind(address)
-            .await
-            .context(BindSnafu { address })?;
-        let address = listener.local_addr().context(BindSnafu { address })?;
-        let full = CancellationToken::new();
-        let stop = CancellationToken::new();
-        let gate = Gate {
-            listener: Some(listener),
-            full: full.clone(),
-        };
-        let task = tokio::spawn(run(gate, handler, stop.clone()));
-        Ok(Self {
-            address,
-            full,
-            stop,
-            task,
-        })
-    }
-
-    /// The bound address.
-    pub fn address(&self) -> SocketAddr {
-        self.address
-    }
-
-    /// Accepts no further connection; the open ones are still served.
-    pub fn stop_accepting(&self) {
-        self.full.cancel();
-    }
-
-    /// Stops accepting and drops what is still open.
-    pub async fn close(self) {
-        self.stop_accepting();
-        self.stop.cancel();
-        self.task.abort();
-        let _ = self.task.await;
-    }
-}
-
-async fn run(gate: Gate, handler: Arc<dyn Handler>, stop: CancellationToken) {
-    // The library begins its own shutdown on SIGTERM; the hook holds it back until
-    // the process has drained.
-    let server = Server::new(Shared(handler))
-        .register_shutdown_hook(move || Box::pin(async move { stop.cancelled().await }));
-    if let Err(error) = server.run(gate).await {
-        log::error!("HTTP server ended: {error}");
-    }
-}
-
-/// Reads a whole body of at most `limit` bytes.
-///
-/// # Errors
-///
-/// Returns [`BodyError`]; a body that is cut short is never returned in part.
-pub async fn read_body(body: Body, limit: usize) -> Result<Bytes, BodyError> {
-    match Limited::new(body, limit).collect().await {
-        Ok(whole) => Ok(whole.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => TooLargeSnafu { limit }.fail(),
-        Err(error) => {
-            let reason = error.to_string();
-            IncompleteSnafu { reason }.fail()
-        }
-    }
-}
-
 /// An answer of plain text.
 pub fn text(status: StatusCode, text: impl Into<String>) -> Response {
     let text: String = text.into();
--- /dev/null
+++ b/crates/parsleytally-platform/src/process/http/service.rs
@@ -0,0 +1,56 @@
+//! Hands the requests of a connection to the handler, one after the other.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::Arc;
+
+use http_body::Body as _;
+use hyper::body::Incoming;
+use volo_http::body::Body;
+use volo_http::response::Response;
+
+use super::Handler;
+use super::connections::Connection;
+use super::limit::Refusal;
+
+/// What the HTTP library calls for each request of a connection.
+pub(super) struct ConnectionService {
+    pub(super) handler: Arc<dyn Handler>,
+    pub(super) connection: Arc<Connection>,
+}
+
+impl hyper::service::Service<http::Request<Incoming>> for ConnectionService {
+    type Response = Response;
+    type Error = Infallible;
+    type Future = Pin<Box<dyn Future<Output = Result<Response, Infallible>> + Send>>;
+
+    fn call(&self, request: http::Request<Incoming>) -> Self::Future {
+        let (handler, connection) = (self.handler.clone(), self.connection.clone());
+        Box::pin(async move {
+            connection.writable().await;
+            let answer = match begin(request, &connection) {
+                Ok(request) => handler.answer(request).await,
+                Err(refusal) => refusal.response(),
+            };
+            Ok(end(answer, &connection))
+        })
+    }
+}
+
+fn begin(
+    request: http::Request<Incoming>,
+    connection: &Arc<Connection>,
+) -> Result<http::Request<Body>, Refusal> {
+    connection.received_whole()?;
+    Ok(request.map(Body::from_incoming))
+}
+
+fn end(answer: Response, connection: &Connection) -> Response {
+    let size = answer.body().size_hint().exact().unwrap_or(0);
+    let size = usize::try_from(size).unwrap_or(usize::MAX);
+    match connection.answered(size) {
+        Ok(()) | Err(Refusal::Closed) => answer,
+        Err(refusal) => refusal.response(),
+    }
+}
--- a/crates/parsleytally/src/configs/jobs.rs
+++ b/crates/parsleytally/src/configs/jobs.rs
@@ -6,7 +6,7 @@
 use derive_more::{Display, FromStr};
 
 use super::check::duration;
-use super::{ConfigError, Document, EvacuationConfig, Section};
+use super::{ConfigError, Document, EvacuationConfig, Section, VmConfig};
 use crate::types::{NodeName, ZoneName};
 
 /// Longest time that any of these settings may have.
@@ -128,6 +128,8 @@
     pub store: SocketAddr,
     /// Address of the metrics page: `[site] metrics`; none is served without it.
     pub metrics: Option<SocketAddr>,
+    /// Memory and descriptors of the VM: section `[vm]`.
+    pub vm: VmConfig,
     /// Times of ownership and leases: section `[jobs]`.
     pub jobs: JobsConfig,
     /// Evacuation of availability zones: section `[evacuation]`; none if not enabled.
@@ -135,22 +137,25 @@
 }
 
 impl SiteBase {
-    /// Takes the shared settings from the section `[site]`, and all of `[jobs]`.
+    /// Takes the shared settings from the section `[site]`, and all of `[vm]` and `[jobs]`.
     ///
     /// # Errors
     ///
     /// Returns [`ConfigError`] for the first problem.
     pub fn take(document: &mut Document, site: &mut Section) -> Result<Self, ConfigError> {
         let mut jobs = document.take("jobs");
+        let mut vm = document.take("vm");
         let base = Self {
             name: site.require("name")?,
             zone: site.require("zone")?,
             links: site.require("links")?,
             store: site.require("store")?,
             metrics: site.take_with("metrics", None, |text| text.parse().map(Some))?,
+            vm: VmConfig::take(&mut vm)?,
             jobs: JobsConfig::take(&mut jobs)?,
             evacuation: EvacuationConfig::take(document)?,
         };
+        vm.finish()?;
         jobs.finish()?;
         Ok(base)
     }
