fix(http): bodies are charged before they are kept

What callers saw: a process that ran out of memory beside bodies of legal size that stop just short of their end, whole, in pieces or in chunks.

Cause: a limit for one body, none for all. A body was collected as a list of the library's buffers and copied into one then, so a chunk of 16 bytes kept a buffer of 8 KiB, and a whole body stood twice.

Change: each part of a body is charged to the account of its listener before the handler gets it, until the request is answered. A request for which nobody can give way is answered 503 with Retry-After, since nothing of it was carried out; one that can never fit, 413. A whole request takes one of the places for requests in progress, or is refused.

Tests of the account on paused time and of a listener over sockets.

Why it works: the sum is bounded, not each body; a crowd of any size has the same peak.

--- a/crates/parsleytally-entry/src/callers.rs
+++ b/crates/parsleytally-entry/src/callers.rs
@@ -216,11 +216,11 @@
 }
 
 fn body_problem(error: &BodyError) -> Problem {
-    let status = match error {
-        BodyError::TooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
-        BodyError::Incomplete { .. } => StatusCode::BAD_REQUEST,
-    };
-    Problem::not_run(status, error.to_string())
+    let problem = Problem::not_run(error.status(), error.to_string());
+    match error.retry_after() {
+        Some(span) => problem.with_retry_after(span),
+        None => problem,
+    }
 }
 
 fn send_problem(error: SendError) -> Problem {
--- a/crates/parsleytally-entry/src/operators/settings.rs
+++ b/crates/parsleytally-entry/src/operators/settings.rs
@@ -62,7 +62,7 @@
             Method::GET => self.get(&path).await,
             Method::PUT => match read_body(body, MAX_CONFIG_BYTES).await {
                 Ok(body) => self.change(&path, Some(&body), &parts.headers).await,
-                Err(error) => text(StatusCode::PAYLOAD_TOO_LARGE, error.to_string()),
+                Err(error) => text(error.status(), error.to_string()),
             },
             Method::DELETE => self.change(&path, None, &parts.headers).await,
             _ => text(
--- a/crates/parsleytally-platform/src/process/http.rs
+++ b/crates/parsleytally-platform/src/process/http.rs
@@ -1,7 +1,8 @@
 //! HTTP servers whose connections have limits, with a handler behind a trait object.
 //!
 //! All connections of a listener share one account of memory ([`Connections`]): a connection
-//! is charged for its buffers, and for an answer until the client has read it. When the account is full,
+//! is charged for its buffers, for each part of a body before it is kept, for what its
+//! request becomes, and for an answer until the client has read it. When the account is full,
 //! the connection that has waited longest for its client with the most memory is closed;
 //! where none waits for its client, the request is refused.
 //!
@@ -27,6 +28,7 @@
 mod stream;
 
 pub use body::{BodyError, read_body};
+pub use connections::RequestMemory;
 pub use limit::Refusal;
 pub use metrics::HttpMetrics;
 pub use server::{BindError, HttpServer, Listener};
@@ -74,3 +76,6 @@
     response.headers_mut().insert(header::CONTENT_TYPE, kind);
     response
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/parsleytally-platform/src/process/http/connections.rs
+++ b/crates/parsleytally-platform/src/process/http/connections.rs
@@ -38,6 +38,8 @@
     Idle,
     /// The rest of a head.
     Head,
+    /// The rest of a body.
+    Body,
     /// The handler.
     Answering,
     /// The client, which has to read the answer.
@@ -63,7 +65,7 @@
 impl Held {
     fn waits_for_client(&self) -> bool {
         match self.phase {
-            Phase::Idle | Phase::Head => true,
+            Phase::Idle | Phase::Head | Phase::Body => true,
             Phase::Answering => false,
             Phase::Sending => self.blocked,
         }
@@ -78,6 +80,7 @@
     fn overdue(&self, limits: &HttpConfig, now: Instant) -> Option<Limit> {
         let (limit, time) = match self.phase {
             Phase::Head => (Limit::HeadTime, limits.head_time),
+            Phase::Body => (Limit::ReceiveTime, limits.receive_time),
             Phase::Sending => (Limit::SendTime, limits.send_time),
             Phase::Idle | Phase::Answering => return None,
         };
@@ -250,6 +253,16 @@
         self.closed.cancelled().await;
     }
 
+    /// Charges `bytes` until the request has been answered.
+    pub(super) fn charge(&self, bytes: usize) -> Result<(), Refusal> {
+        let mut state = self.all.state();
+        let result = self.charge_locked(&mut state, bytes);
+        if let Some(limit) = result.err().and_then(Refusal::limit) {
+            self.all.note(&mut state, limit);
+        }
+        result
+    }
+
     fn charge_locked(&self, state: &mut State, bytes: usize) -> Result<(), Refusal> {
         let held = state.open.get(&self.id).ok_or(Refusal::Closed)?.bytes;
         if held.saturating_add(bytes) > self.all.limits.memory {
@@ -284,6 +297,13 @@
         Ok(())
     }
 
+    /// Notes that the head of a request has arrived, and its body is expected.
+    pub(super) fn expects_body(&self) {
+        if let Some(held) = self.all.state().open.get_mut(&self.id) {
+            held.phase = Phase::Body;
+        }
+    }
+
     /// Notes that a whole request has arrived; fails if too many are not answered.
     pub(super) fn received_whole(&self) -> Result<(), Refusal> {
         let mut state = self.all.state();
@@ -368,5 +388,23 @@
     }
 }
 
+/// The memory of one request, as its handler finds it among the request's extensions.
+#[derive(Debug, Clone)]
+pub struct RequestMemory(pub(super) Arc<Connection>);
+
+impl RequestMemory {
+    /// Charges `bytes` that the request needs until it is answered.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Refusal`], with which the request is to be answered.
+    pub fn charge(&self, bytes: usize) -> Result<(), Refusal> {
+        self.0.charge(bytes)
+    }
+}
+
 /// Time between two sweeps.
 pub(super) const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+
+#[cfg(test)]
+mod tests;
--- a/crates/parsleytally-platform/src/process/http/limit.rs
+++ b/crates/parsleytally-platform/src/process/http/limit.rs
@@ -28,6 +28,8 @@
     Head,
     /// Closed: the head of its request did not arrive in time.
     HeadTime,
+    /// Closed: its request did not arrive in time.
+    ReceiveTime,
     /// Closed: its answer was not read in time.
     SendTime,
     /// Not accepted: the process has no descriptor left, or the system an error.
--- a/crates/parsleytally-platform/src/process/http/service.rs
+++ b/crates/parsleytally-platform/src/process/http/service.rs
@@ -11,7 +11,8 @@
 use volo_http::response::Response;
 
 use super::Handler;
-use super::connections::Connection;
+use super::body::MeteredBody;
+use super::connections::{Connection, RequestMemory};
 use super::limit::Refusal;
 
 /// What the HTTP library calls for each request of a connection.
@@ -42,8 +43,16 @@
     request: http::Request<Incoming>,
     connection: &Arc<Connection>,
 ) -> Result<http::Request<Body>, Refusal> {
-    connection.received_whole()?;
-    Ok(request.map(Body::from_incoming))
+    let (mut parts, incoming) = request.into_parts();
+    let body = if incoming.is_end_stream() {
+        connection.received_whole()?;
+        Body::empty()
+    } else {
+        connection.expects_body();
+        Body::from_body(MeteredBody::new(incoming, connection.clone()))
+    };
+    parts.extensions.insert(RequestMemory(connection.clone()));
+    Ok(http::Request::from_parts(parts, body))
 }
 
 fn end(answer: Response, connection: &Connection) -> Response {
--- a/crates/parsleytally-platform/src/stand_in/endpoint.rs
+++ b/crates/parsleytally-platform/src/stand_in/endpoint.rs
@@ -41,7 +41,7 @@
         let path = parts.uri.path();
         let body = match read_body(body, BODY_LIMIT_BYTES).await {
             Ok(body) => body,
-            Err(error) => return text(StatusCode::BAD_REQUEST, error.to_string()),
+            Err(error) => return text(error.status(), error.to_string()),
         };
         if let Some(key) = path.strip_prefix("/echo/book/") {
             return self.booking(&parts.method, key);
