fix(link): connections that prove no key give way to later ones

What would be seen: descriptors that run out beside connections to the port for links on which nothing is said. Memory was no fault: a hello has 1,024 bytes at most.

Cause: an accepted connection keeps its descriptor until its handshake is over or 2 s have passed, and nothing bounded how many there are.

Change: 256 handshakes are open at once on a listener; the oldest gives way to the next one, with one log line a second at most. Peers with the key prove it within milliseconds.

--- a/crates/parsleytally-agent/src/site/mod.rs
+++ b/crates/parsleytally-agent/src/site/mod.rs
@@ -12,7 +12,7 @@
     WorkerReport, fencing,
 };
 use parsleytally::types::Time;
-use parsleytally_link::{Frame, Hello, Incoming, Link, LinkConfig, Role, accept};
+use parsleytally_link::{Frame, Handshakes, Hello, Incoming, Link, LinkConfig, Role};
 use parsleytally_platform::jobs::{TaskHost, WorkerReports};
 use parsleytally_platform::process::Clock;
 use parsleytally_platform::store::Store;
@@ -169,6 +169,7 @@
     config: LinkConfig,
     sender: mpsc::Sender<ActorInput>,
 ) {
+    let handshakes = Handshakes::default();
     let mut number = 0;
     loop {
         let stream = match listener.accept().await {
@@ -181,9 +182,10 @@
         };
         number += 1;
         let id = OwnerLink(number);
-        let (hello, config, sender) = (hello.clone(), config.clone(), sender.clone());
+        let (handshakes, hello) = (handshakes.clone(), hello.clone());
+        let (config, sender) = (config.clone(), sender.clone());
         tokio::spawn(async move {
-            match accept(stream, &hello, &config).await {
+            match handshakes.accept(stream, &hello, &config).await {
                 Ok((link, incoming)) => serve_owner(id, link, incoming, sender).await,
                 Err(error) => log::warn!(error:% = error; "could not open the link of an owner"),
             }
--- a/crates/parsleytally-entry/src/entry.rs
+++ b/crates/parsleytally-entry/src/entry.rs
@@ -6,7 +6,7 @@
 
 use parsleytally::configs::HttpConfig;
 use parsleytally::types::Revision;
-use parsleytally_link::{Hello, Role};
+use parsleytally_link::{Handshakes, Hello, Role};
 use parsleytally_platform::process::http::{BindError, HttpServer};
 use parsleytally_platform::process::{Clock, drain};
 use parsleytally_platform::store::{Store, Writer};
@@ -102,6 +102,7 @@
         let settings = settings.context(ThreadSnafu)?;
         let shared = LinkContext {
             hello: hello.clone(),
+            handshakes: Handshakes::default(),
             config: config.link.clone(),
             metrics: metrics.clone(),
             directory: directory.handle(),
--- a/crates/parsleytally-entry/src/links.rs
+++ b/crates/parsleytally-entry/src/links.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use parsleytally::types::{Incarnation, NodeName};
-use parsleytally_link::{Calls, Frame, Hello, Incoming, LinkConfig, LinkError, Role, accept};
+use parsleytally_link::{Calls, Frame, Handshakes, Hello, Incoming, LinkConfig, LinkError, Role};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
@@ -20,6 +20,7 @@
 /// State shared by all accepted links.
 pub(crate) struct LinkContext {
     pub(crate) hello: Hello,
+    pub(crate) handshakes: Handshakes,
     pub(crate) config: LinkConfig,
     pub(crate) metrics: Metrics,
     pub(crate) directory: DirectoryHandle,
@@ -90,7 +91,10 @@
     shared: &LinkContext,
     stop: &CancellationToken,
 ) -> Result<(), LinkError> {
-    let (link, incoming) = accept(stream, &shared.hello, &shared.config).await?;
+    let accepted = shared
+        .handshakes
+        .accept(stream, &shared.hello, &shared.config);
+    let (link, incoming) = accepted.await?;
     let calls = Arc::new(Calls::new(link.clone()));
     forward_frames(&calls, incoming, shared, stop).await;
     link.close();
--- a/crates/parsleytally-entry/src/site/peers.rs
+++ b/crates/parsleytally-entry/src/site/peers.rs
@@ -5,7 +5,7 @@
 
 use parsleytally::jobs::{JobReply, JobRequest};
 use parsleytally::types::RequestId;
-use parsleytally_link::{Frame, Hello, Incoming, Link, LinkConfig, accept};
+use parsleytally_link::{Frame, Handshakes, Hello, Incoming, Link, LinkConfig};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::time::sleep;
@@ -26,6 +26,7 @@
     location: watch::Receiver<OwnerLocation>,
     job_service: Arc<EntryJobService>,
 ) {
+    let handshakes = Handshakes::default();
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -35,10 +36,10 @@
                 continue;
             }
         };
-        let (hello, config) = (hello.clone(), config.clone());
+        let (handshakes, hello, config) = (handshakes.clone(), hello.clone(), config.clone());
         let (location, job_service) = (location.clone(), job_service.clone());
         tokio::spawn(async move {
-            if let Ok((link, incoming)) = accept(stream, &hello, &config).await {
+            if let Ok((link, incoming)) = handshakes.accept(stream, &hello, &config).await {
                 answer(link, incoming, location, job_service).await;
             }
         });
--- a/crates/parsleytally-link/src/lib.rs
+++ b/crates/parsleytally-link/src/lib.rs
@@ -18,6 +18,7 @@
 mod error;
 mod frame;
 mod handshake;
+mod handshakes;
 mod link;
 mod wire;
 
@@ -30,6 +31,7 @@
     Answer, Failure, Fence, Frame, Header, Hello, Refusal, Request, Role, RunHeartbeat,
     SettingsNotice,
 };
+pub use handshakes::Handshakes;
 pub use link::{
     FRAME_LIMIT_BYTES, HEARTBEAT_INTERVAL, IN_CHANNEL_BYTES, Incoming, Link, OUT_CHANNEL_BYTES,
     SILENCE_LIMIT, accept, dial,
