fix(link): handshakes that fail make one log line a second

Each connection that proved no key made a line of its own at an agent, and none at an entry. Both have one line a second now, with the count and why the last one failed. A connection that is closed for a later one says so.

--- a/crates/parsleytally-agent/src/site/mod.rs
+++ b/crates/parsleytally-agent/src/site/mod.rs
@@ -185,9 +185,8 @@
         let (handshakes, hello) = (handshakes.clone(), hello.clone());
         let (config, sender) = (config.clone(), sender.clone());
         tokio::spawn(async move {
-            match handshakes.accept(stream, &hello, &config).await {
-                Ok((link, incoming)) => serve_owner(id, link, incoming, sender).await,
-                Err(error) => log::warn!(error:% = error; "could not open the link of an owner"),
+            if let Ok((link, incoming)) = handshakes.accept(stream, &hello, &config).await {
+                serve_owner(id, link, incoming, sender).await;
             }
         });
     }
--- a/crates/parsleytally-link/src/error.rs
+++ b/crates/parsleytally-link/src/error.rs
@@ -32,6 +32,9 @@
         /// Time limit, in milliseconds.
         limit_ms: u64,
     },
+    /// The connection was closed for a later one, since too many have not proven the key.
+    #[snafu(display("too many connections have not proven the key"))]
+    Crowded,
     /// The first message is not a valid hello.
     #[snafu(display("first message is not a valid hello"))]
     NotHello,
--- a/crates/parsleytally-link/src/handshakes.rs
+++ b/crates/parsleytally-link/src/handshakes.rs
@@ -11,12 +11,12 @@
 use tokio::net::TcpStream;
 use tokio_util::sync::CancellationToken;
 
-use crate::error::ClosedSnafu;
+use crate::error::CrowdedSnafu;
 use crate::{Hello, Incoming, Link, LinkConfig, LinkError, accept};
 
 /// Open handshakes of a process.
 const MAX_HANDSHAKES: usize = 256;
-/// Time between two log lines on closed connections.
+/// Time between two log lines on handshakes that failed.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Open handshakes of one listener; clones share them.
@@ -28,11 +28,28 @@
     last: u64,
     /// By their numbers, the oldest first.
     waiting: BTreeMap<u64, CancellationToken>,
-    /// Connections closed since the last log line.
-    closed: u64,
+    failures: Failures,
+}
+
+/// Handshakes that failed since the last log line.
+#[derive(Debug, Default)]
+struct Failures {
+    count: u64,
     logged: Option<Instant>,
 }
 
+impl Failures {
+    fn note(&mut self, error: &LinkError) {
+        self.count += 1;
+        let now = Instant::now();
+        if self.logged.is_none_or(|at| now >= at + LOG_INTERVAL) {
+            let count = std::mem::take(&mut self.count);
+            log::warn!(error:% = error, count; "opening links failed");
+            self.logged = Some(now);
+        }
+    }
+}
+
 impl Open {
     /// Takes in a connection, for which the oldest one may have to go.
     fn enter(&mut self) -> (u64, CancellationToken) {
@@ -40,24 +57,12 @@
             && let Some((_, oldest)) = self.waiting.pop_first()
         {
             oldest.cancel();
-            self.note_closed();
         }
         self.last += 1;
         let token = CancellationToken::new();
         self.waiting.insert(self.last, token.clone());
         (self.last, token)
     }
-
-    fn note_closed(&mut self) {
-        self.closed += 1;
-        let now = Instant::now();
-        if self.logged.is_none_or(|at| now >= at + LOG_INTERVAL) {
-            let count = std::mem::take(&mut self.closed);
-            log::warn!(count, limit = MAX_HANDSHAKES;
-                "connections to the links closed: too many have not proven the key");
-            self.logged = Some(now);
-        }
-    }
 }
 
 /// A connection among the open handshakes; it is taken out when dropped.
@@ -88,7 +93,11 @@
         let (number, closed) = self.open().enter();
         let _entered = Entered { all: self, number };
         let accepted = closed.run_until_cancelled(accept(stream, hello, config));
-        accepted.await.unwrap_or_else(|| ClosedSnafu.fail())
+        let accepted = accepted.await.unwrap_or_else(|| CrowdedSnafu.fail());
+        if let Err(error) = &accepted {
+            self.open().failures.note(error);
+        }
+        accepted
     }
 
     fn open(&self) -> MutexGuard<'_, Open> {
