--- a/crates/parsleytally/src/configs/tests.rs
+++ b/crates/parsleytally/src/configs/tests.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use super::options::ConfigOption;
 use super::*;
@@ -331,3 +332,84 @@
         }
     }
 }
+
+struct VmCase {
+    memory: &'static str,
+    descriptors: &'static str,
+    /// Connections, requests and bytes of the listener for clients.
+    clients: (usize, usize, usize),
+}
+
+#[test]
+fn limits_of_clients_follow_from_the_vm() {
+    let cases = [
+        VmCase {
+            memory: "260MB",
+            descriptors: "4100",
+            clients: (1_950, 975, 65_000_000),
+        },
+        VmCase {
+            memory: "160MB",
+            descriptors: "4100",
+            clients: (1_950, 975, 40_000_000),
+        },
+        VmCase {
+            memory: "512MB",
+            descriptors: "8192",
+            clients: (3_996, 1_998, 128_000_000),
+        },
+    ];
+    for case in cases {
+        let text = format!(
+            "[vm]\nmemory = {}\ndescriptors = {}\n",
+            case.memory, case.descriptors
+        );
+        let mut document = Document::parse(text.as_bytes()).unwrap();
+        let vm = VmConfig::take(&mut document.take("vm")).unwrap();
+        let limits = HttpConfig::take(&mut document.take("clients"), &vm).unwrap();
+        let (pages, probe) = (HttpConfig::of_pages(&vm), HttpConfig::of_probe(&vm));
+        assert_eq!(
+            (limits.connections, limits.requests, limits.memory),
+            case.clients
+        );
+        // Descriptors for links and watches, and memory for the state of the jobs, are left.
+        let sockets = limits.connections + limits.requests + pages.connections + probe.connections;
+        assert!(sockets * 6 <= vm.descriptors * 5, "{sockets}");
+        let memory = limits.memory + pages.memory + probe.memory;
+        assert!(memory as u64 * 5 <= vm.memory.0 * 2, "{memory}");
+    }
+}
+
+#[test]
+fn limits_of_clients_can_be_set_within_bounds() {
+    let vm = VmConfig::default();
+    let take = |text: &str| {
+        let mut document = Document::parse(format!("[clients]\n{text}\n").as_bytes()).unwrap();
+        HttpConfig::take(&mut document.take("clients"), &vm)
+    };
+    let set = take("connections = 10\nmemory = 1MB\nhead = 16KiB\nsend-time = 5s").unwrap();
+    assert_eq!(
+        (set.connections, set.memory, set.head),
+        (10, 1_000_000, 16 << 10)
+    );
+    assert_eq!(set.send_time, Duration::from_secs(5));
+    for refused in [
+        "connections = 0",
+        "requests = 0",
+        "memory = 1KB",
+        "memory = 300MB",
+        "head = 4KiB",
+        "head = 2MiB",
+        "head-time = 0s",
+        "receive-time = 11m",
+    ] {
+        assert!(take(refused).is_err(), "{refused}");
+    }
+    for refused in ["memory = 1MB", "memory = much", "descriptors = 399"] {
+        let mut document = Document::parse(format!("[vm]\n{refused}\n").as_bytes()).unwrap();
+        assert!(
+            VmConfig::take(&mut document.take("vm")).is_err(),
+            "{refused}"
+        );
+    }
+}
