fix(http): on a full listener, an answer closes its connection

Cause: clients that always have a next request never wait, so none of their connections could give way, and 677 of them filled the account.

Change: while there is no memory or no place for another connection, each answer says `Connection: close`. Requests that were sent behind it are not read.

A test of a listener with one place.

Why it works: a place is free at the next answer, and nothing that was begun is ended.

--- a/crates/parsleytally-platform/src/process/http/connections.rs
+++ b/crates/parsleytally-platform/src/process/http/connections.rs
@@ -4,7 +4,8 @@
 //! request has been carried out. Of these, the one with the largest product of memory and
 //! waiting time goes first: a client that stops short costs others more the longer it stays,
 //! and one that sends small pieces gains nothing by them. A request that is being answered is
-//! never ended for another one.
+//! never ended for another one; while the listener is full, its connection is closed after the
+//! answer.
 
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -210,6 +211,12 @@
         }))
     }
 
+    /// Whether there is no memory or no place for another connection.
+    fn is_full(&self, state: &State) -> bool {
+        state.bytes + CONNECTION_BYTES > self.limits.memory
+            || state.open.len() >= self.limits.connections
+    }
+
     /// Closes connections whose clients are overdue, and writes metrics and log lines.
     pub(super) fn sweep(&self) {
         let now = Instant::now();
@@ -340,6 +347,17 @@
         result
     }
 
+    /// Whether the connection gives way to others once its request has been answered. So those
+    /// whose clients always have a next request can't lock out newcomers.
+    pub(super) fn gives_way(&self) -> bool {
+        let mut state = self.all.state();
+        let is_full = self.all.is_full(&state);
+        if is_full {
+            self.all.note(&mut state, Limit::Answered);
+        }
+        is_full
+    }
+
     /// Notes that the client does not read its answer at the moment.
     pub(super) fn write_blocked(&self) {
         if !self.blocked.swap(true, Ordering::AcqRel)
--- a/crates/parsleytally-platform/src/process/http/limit.rs
+++ b/crates/parsleytally-platform/src/process/http/limit.rs
@@ -24,6 +24,8 @@
     Memory,
     /// Closed: another one needed its place.
     Connections,
+    /// Closed after its answer: no memory or no place was left.
+    Answered,
     /// Closed: the head of its request is too large.
     Head,
     /// Closed: the head of its request did not arrive in time.
--- a/crates/parsleytally-platform/src/process/http/service.rs
+++ b/crates/parsleytally-platform/src/process/http/service.rs
@@ -5,6 +5,7 @@
 use std::pin::Pin;
 use std::sync::Arc;
 
+use http::{HeaderValue, header};
 use http_body::Body as _;
 use hyper::body::Incoming;
 use volo_http::body::Body;
@@ -58,8 +59,13 @@
 fn end(answer: Response, connection: &Connection) -> Response {
     let size = answer.body().size_hint().exact().unwrap_or(0);
     let size = usize::try_from(size).unwrap_or(usize::MAX);
-    match connection.answered(size) {
+    let mut answer = match connection.answered(size) {
         Ok(()) | Err(Refusal::Closed) => answer,
         Err(refusal) => refusal.response(),
+    };
+    if connection.gives_way() {
+        let close = HeaderValue::from_static("close");
+        answer.headers_mut().insert(header::CONNECTION, close);
     }
+    answer
 }
--- a/crates/parsleytally-platform/src/process/http/tests.rs
+++ b/crates/parsleytally-platform/src/process/http/tests.rs
@@ -165,6 +165,27 @@
     server.close().await;
 }
 
+#[tokio::test]
+async fn a_full_listener_closes_a_connection_after_its_answer() {
+    let limits = HttpConfig {
+        connections: 1,
+        ..HttpConfig::default()
+    };
+    let (server, sizes) = start(limits).await;
+    let get = |path: &str| format!("GET {path} HTTP/1.1\r\nHost: a\r\n\r\n");
+    let client = connect(&server, get("/wait").repeat(3).as_bytes()).await;
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    assert_eq!(rest(connect(&server, b"").await).await, "");
+    sizes.released.notify_one();
+    let answers = rest(client).await;
+    assert_eq!(answers.matches("HTTP/1.1 200").count(), 1, "{answers}");
+    assert!(answers.contains("connection: close"), "{answers}");
+    let close = "GET / HTTP/1.1\r\nConnection: close\r\n\r\n";
+    let answer = rest(connect(&server, close.as_bytes()).await).await;
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    server.close().await;
+}
+
 #[tokio::test]
 async fn a_listener_that_stops_accepting_serves_open_connections() {
     let (server, sizes) = start(HttpConfig::default()).await;
