--- a/crates/parsleytally-platform/src/process/http.rs
+++ b/crates/parsleytally-platform/src/process/http.rs
@@ -1,12 +1,10 @@
 //! HTTP servers whose connections have limits, with a handler behind a trait object.
 //!
-//! All connections of a listener share one account of memory ([`Connections`]): a connection
+//! All connections of a listener share one account of memory (`connections`): a connection
 //! is charged for its buffers, for each part of a body before it is kept, for what its
 //! request becomes, and for an answer until the client has read it. When the account is full,
 //! the connection that has waited longest for its client with the most memory is closed;
 //! where none waits for its client, the request is refused.
-//!
-//! [`Connections`]: connections::Connections
 
 use std::future::Future;
 use std::net::SocketAddr;
