--- a/crates/parsleytally-entry/src/site/tests/mod.rs
+++ b/crates/parsleytally-entry/src/site/tests/mod.rs
@@ -19,7 +19,7 @@
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
-use parsleytally::configs::WorkersConfig;
+use parsleytally::configs::{HttpConfig, WorkersConfig};
 use parsleytally::jobs::{
     AgentMessage, CallError, CrashDecision, EndReason, EndedRun, EvacuationEvent, HealthEvidence,
     JobAccount, JobId, JobOutcome, JobSpec, JobState, Listing, OrderMessage, PollCall, PoolUse,
@@ -33,10 +33,12 @@
     CancelAnswer, JobAnswer, JobFuture, JobService, SubmitAnswer, TaskHost,
 };
 use parsleytally_platform::measured::{MeasuredDesk, MeasuredHost, MeasuredStore};
+use parsleytally_platform::process::http::{HttpMetrics, HttpServer};
 use parsleytally_platform::process::metrics::MetricSet;
 use parsleytally_platform::process::{BootTime, Clock};
 use parsleytally_platform::store::{MemoryStore, Store};
-use tokio::net::TcpListener;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, timeout};
 
@@ -567,6 +569,7 @@
         fencing_token: 1,
     };
     assert_eq!(host.stop(stop).await, Err(CallError::Unanswered));
+    reach_head_limit(&set).await;
     let text = set.text();
     let names = text.lines().filter_map(|line| line.strip_prefix("# TYPE "));
     let exported: BTreeSet<&str> = names.filter_map(|rest| rest.split(' ').next()).collect();
@@ -579,3 +582,20 @@
         .collect();
     assert_eq!(exported, documented);
 }
+
+/// Serves a listener, and sends it a head that is too large, so that its metrics have values.
+async fn reach_head_limit(set: &MetricSet) {
+    let listener = HttpMetrics::new(set).expect("names that are not taken");
+    let listener = listener.listener("clients", HttpConfig::default());
+    let any = "127.0.0.1:0".parse().expect("an address");
+    let server = HttpServer::start_limited(any, Arc::new(set.clone()), &listener).await;
+    let server = server.expect("a free port");
+    let stream = TcpStream::connect(server.address()).await;
+    let mut stream = stream.expect("a connection");
+    let head = format!("GET / HTTP/1.1\r\nA: {}", "a".repeat(listener.limits.head));
+    let _ = stream.write_all(head.as_bytes()).await;
+    while !set.text().contains("parsleytally_http_limited_total{") {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    server.close().await;
+}
