fix(http): a connection closed within a head for want of memory is counted

The charge for larger buffers closed the connection without a count or a line; all charges are counted by one function now. The last constant stands with the others.

--- a/crates/parsleytally-platform/src/process/http/connections.rs
+++ b/crates/parsleytally-platform/src/process/http/connections.rs
@@ -21,6 +21,8 @@
 use super::limit::{Limit, LimitLog, Refusal};
 use super::metrics::HttpMetrics;
 
+/// Time between two sweeps.
+pub(super) const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 /// Size of the system's buffer for bytes that are not read yet.
 pub(super) const UNREAD_BYTES: u32 = 16 << 10;
 /// What an open connection holds with small requests: its task, its buffers of 8 KiB for
@@ -262,10 +264,14 @@
 
     /// Charges `bytes` until the request has been answered.
     pub(super) fn charge(&self, bytes: usize) -> Result<(), Refusal> {
-        let mut state = self.all.state();
-        let result = self.charge_locked(&mut state, bytes);
+        self.charge_counted(&mut self.all.state(), bytes)
+    }
+
+    /// Charges `bytes`, and counts the limit that does not allow it.
+    fn charge_counted(&self, state: &mut State, bytes: usize) -> Result<(), Refusal> {
+        let result = self.charge_locked(state, bytes);
         if let Some(limit) = result.err().and_then(Refusal::limit) {
-            self.all.note(&mut state, limit);
+            self.all.note(state, limit);
         }
         result
     }
@@ -297,7 +303,7 @@
             return Ok(());
         }
         let buffers = LARGE_BUFFERS * self.all.limits.head;
-        self.charge_locked(&mut state, buffers)?;
+        self.charge_counted(&mut state, buffers)?;
         if let Some(held) = state.open.get_mut(&self.id) {
             held.buffers += buffers;
         }
@@ -340,11 +346,7 @@
         held.received = 0;
         state.bytes -= freed;
         state.requests -= usize::from(was_answering);
-        let result = self.charge_locked(&mut state, bytes);
-        if let Some(limit) = result.err().and_then(Refusal::limit) {
-            self.all.note(&mut state, limit);
-        }
-        result
+        self.charge_counted(&mut state, bytes)
     }
 
     /// Whether the connection gives way to others once its request has been answered. So those
@@ -421,8 +423,5 @@
     }
 }
 
-/// Time between two sweeps.
-pub(super) const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
-
 #[cfg(test)]
 mod tests;
