--- a/crates/parsleytally-platform/src/process/http/connections.rs
+++ b/crates/parsleytally-platform/src/process/http/connections.rs
@@ -109,6 +109,14 @@
         Some(held)
     }
 
+    /// Gives back what a connection holds beside its buffers.
+    fn release(&mut self, id: u64) {
+        if let Some(held) = self.open.get_mut(&id) {
+            self.bytes -= held.bytes - held.buffers;
+            held.bytes = held.buffers;
+        }
+    }
+
     /// The connection other than `own` that waits for its client at the highest cost.
     fn costliest(&self, own: Option<u64>) -> Option<u64> {
         let now = Instant::now();
@@ -161,11 +169,15 @@
         let Some(id) = state.costliest(own) else {
             return false;
         };
+        self.close(state, id, limit);
+        true
+    }
+
+    fn close(&self, state: &mut State, id: u64, limit: Limit) {
         if let Some(held) = state.remove(id) {
             held.closed.cancel();
         }
         self.note(state, limit);
-        true
     }
 
     /// Closes connections other than `own` until `bytes` more can be held.
@@ -228,10 +240,7 @@
             overdue.filter_map(|(id, held)| Some((*id, held.overdue(&self.limits, now)?)));
         let overdue: Vec<_> = overdue.collect();
         for (id, limit) in overdue {
-            if let Some(held) = state.remove(id) {
-                held.closed.cancel();
-            }
-            self.note(&mut state, limit);
+            self.close(&mut state, id, limit);
         }
         let (connections, bytes) = (state.open.len(), state.bytes);
         let lines = state.log.take_due(now);
@@ -339,13 +348,11 @@
             return Err(Refusal::Closed);
         };
         let was_answering = held.phase == Phase::Answering;
-        let freed = held.bytes - held.buffers;
-        held.bytes = held.buffers;
         held.phase = Phase::Sending;
         held.since = Instant::now();
         held.received = 0;
-        state.bytes -= freed;
         state.requests -= usize::from(was_answering);
+        state.release(self.id);
         self.charge_counted(&mut state, bytes)
     }
 
@@ -377,9 +384,7 @@
             if held.phase == Phase::Sending {
                 held.phase = Phase::Idle;
                 held.since = Instant::now();
-                let freed = held.bytes - held.buffers;
-                held.bytes = held.buffers;
-                state.bytes -= freed;
+                state.release(self.id);
             }
         }
         drop(state);
