--- a/review/stand-ins-3/cases.rs
+++ b/review/stand-ins-3/cases.rs
@@ -135,7 +135,8 @@
         system.store.lose_next(job, Duration::from_millis(5_500));
     }
     // The client leaves after 0.9 s of the 3 s that it announces.
-    system.submit_within(0, job, 1, 500, 15_000, Duration::from_millis(900));
+    let client = system.client(0);
+    client.submit(job, 1, 500, 15_000, Duration::from_millis(900));
     let mut cancelled = None;
     for _ in 0..20 {
         cancelled = system.cancel(0, job);
@@ -180,6 +181,8 @@
 fn innocent_job(record: &Arc<Record>, trouble: bool) -> Verdict {
     const CRASHES: usize = 2;
     let system = start(record, 3, 11, 16_000)?;
+    system.submit_regularly(2, Duration::from_millis(1_000), 25);
+    pause(1_500);
     let job = "f000000000000001";
     if system.submit(0, job, 6, 1_800, 0) != Some(200) {
         return Err("the job was not accepted".to_owned());
--- a/review/stand-ins-3/system.rs
+++ b/review/stand-ins-3/system.rs
@@ -78,6 +78,60 @@
     }
 }
 
+/// A client of one entry.
+pub struct Client {
+    entry: usize,
+    front: SocketAddr,
+    record: Arc<Record>,
+}
+
+impl Client {
+    /// A call, for whose answer it waits `limit`; the answer and the time that it took are recorded.
+    fn call(&self, method: &str, path: &str, body: &str, limit: Duration) -> Option<(u16, String)> {
+        let headers = [("Host", HOST), ("X-Deadline-Ms", "3000")];
+        let sent = self.record.time();
+        let answer = http::call(self.front, method, path, &headers, body, limit);
+        let took = (self.record.time() - sent) * 1_000.0;
+        let text = answer
+            .as_ref()
+            .map_or("no answer".to_owned(), |(status, body)| {
+                format!("{status} {body}")
+            });
+        let entry = self.entry;
+        self.record.note(format!(
+            "client: {method} {path} at entry {entry}: {text} ({took:.0} ms)"
+        ));
+        answer
+    }
+
+    /// Submits a job of one step, whose tasks last if `work_ms` is 0; the status of the answer.
+    pub fn submit(
+        &self,
+        job: &str,
+        tasks: u64,
+        cpu: u64,
+        work_ms: u64,
+        limit: Duration,
+    ) -> Option<u16> {
+        let step = table()
+            .with("count", tasks)
+            .with("cpu", cpu)
+            .with("mem_mb", 16)
+            .with("estimate_ms", work_ms.max(300));
+        let step = if work_ms == 0 {
+            step.with("long_running", true)
+        } else {
+            step
+        };
+        let body = table()
+            .with("spec", format!("work={work_ms}"))
+            .with("steps", vec![step]);
+        let path = format!("{PREFIX}{job}");
+        let answer = self.call("POST", &path, &body.to_string(), limit);
+        answer.map(|(status, _)| status)
+    }
+}
+
 /// Entries, agents with their workers, and the store.
 pub struct System {
     pub record: Arc<Record>,
@@ -285,38 +339,8 @@
         false
     }
 
-    /// A client's call, for which it waits `limit`; the answer and the time that it took are recorded.
-    fn call(
-        &self,
-        entry: usize,
-        method: &str,
-        path: &str,
-        body: &str,
-        limit: Duration,
-    ) -> Option<(u16, String)> {
-        let headers = [("Host", HOST), ("X-Deadline-Ms", "3000")];
-        let sent = self.record.time();
-        let answer = http::call(
-            self.entries[entry].front(),
-            method,
-            path,
-            &headers,
-            body,
-            limit,
-        );
-        let took = (self.record.time() - sent) * 1_000.0;
-        let text = answer
-            .as_ref()
-            .map_or("no answer".to_owned(), |(status, body)| {
-                format!("{status} {body}")
-            });
-        self.record.note(format!(
-            "client: {method} {path} at entry {entry}: {text} ({took:.0} ms)"
-        ));
-        answer
-    }
-
     /// Submits a job of one step; the status of the answer.
+    /// Submits a job of one step at an entry; the status of the answer.
     pub fn submit(
         &self,
         entry: usize,
@@ -325,53 +349,42 @@
         cpu: u64,
         work_ms: u64,
     ) -> Option<u16> {
-        self.submit_within(entry, job, tasks, cpu, work_ms, PATIENCE)
+        self.client(entry)
+            .submit(job, tasks, cpu, work_ms, PATIENCE)
     }
 
-    /// The same for a client that leaves after `limit`.
-    pub fn submit_within(
-        &self,
-        entry: usize,
-        job: &str,
-        tasks: u64,
-        cpu: u64,
-        work_ms: u64,
-        limit: Duration,
-    ) -> Option<u16> {
-        let step = table()
-            .with("count", tasks)
-            .with("cpu", cpu)
-            .with("mem_mb", 16)
-            .with("estimate_ms", work_ms.max(300));
-        let step = if work_ms == 0 {
-            step.with("long_running", true)
-        } else {
-            step
-        };
-        let body = table()
-            .with("spec", format!("work={work_ms}"))
-            .with("steps", vec![step]);
-        let answer = self.call(
-            entry,
-            "POST",
-            &format!("{PREFIX}{job}"),
-            &body.to_string(),
-            limit,
-        );
-        answer.map(|(status, _)| status)
+    /// Submits `count` jobs of six tasks of a second, one each `interval`, in a thread of its own.
+    pub fn submit_regularly(&self, entry: usize, interval: Duration, count: u64) {
+        let client = self.client(entry);
+        std::thread::spawn(move || {
+            for number in 0..count {
+                let job = format!("{:016x}", 0xd000_0000_u64 + number);
+                client.submit(&job, 6, 240, 1_000, PATIENCE);
+                std::thread::sleep(interval);
+            }
+        });
     }
 
     pub fn state(&self, entry: usize, job: &str) -> Option<String> {
-        let (_, body) = self.call(entry, "GET", &format!("{PREFIX}{job}"), "", PATIENCE)?;
-        let state = Value::parse(&body)?.text("state").to_owned();
-        Some(state)
+        let path = format!("{PREFIX}{job}");
+        let (_, body) = self.client(entry).call("GET", &path, "", PATIENCE)?;
+        Some(Value::parse(&body)?.text("state").to_owned())
     }
 
     pub fn cancel(&self, entry: usize, job: &str) -> Option<u16> {
-        let answer = self.call(entry, "DELETE", &format!("{PREFIX}{job}"), "", PATIENCE);
+        let path = format!("{PREFIX}{job}");
+        let answer = self.client(entry).call("DELETE", &path, "", PATIENCE);
         answer.map(|(status, _)| status)
     }
 
+    pub fn client(&self, entry: usize) -> Client {
+        Client {
+            entry,
+            front: self.entries[entry].front(),
+            record: self.record.clone(),
+        }
+    }
+
     /// Runs of a job on all workers.
     pub fn runs_of(&self, job: &str) -> Vec<crate::worker::Seen> {
         let seen = self
