--- a/review/stand-ins-3/http.rs
+++ b/review/stand-ins-3/http.rs
@@ -3,9 +3,9 @@
 
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 pub struct Request {
@@ -24,7 +24,6 @@
     opened: AtomicU64,
     /// Channels up to this number are silent for good.
     silent: AtomicU64,
-    open: Mutex<Vec<TcpStream>>,
 }
 
 impl Channels {
@@ -35,13 +34,6 @@
         opened
     }
 
-    /// Closes all open channels, as the end of the server's process does.
-    pub fn close(&self) {
-        for stream in self.open.lock().unwrap().drain(..) {
-            let _ = stream.shutdown(Shutdown::Both);
-        }
-    }
-
     fn is_silent(&self, channel: u64) -> bool {
         channel <= self.silent.load(Ordering::SeqCst)
     }
@@ -74,7 +66,6 @@
     let Ok(mut writer) = stream.try_clone() else {
         return;
     };
-    channels.open.lock().unwrap().extend(stream.try_clone());
     let mut reader = BufReader::new(stream);
     while let Some(request) = read_request(&mut reader) {
         if channels.is_silent(number) {
--- a/review/stand-ins-3/store.rs
+++ b/review/stand-ins-3/store.rs
@@ -7,7 +7,6 @@
 
 use crate::http::{self, Answer, Channels, Request};
 use crate::json::{Value, base64, table};
-use crate::record::Record;
 
 /// Time of an answer.
 const ANSWER: Duration = Duration::from_millis(4);
@@ -22,17 +21,11 @@
     history: Vec<(u64, Value)>,
     leases: HashMap<u64, Lease>,
     last_lease: u64,
-    /// The next write of a key that ends so is carried out this much later and not answered.
-    losing: Option<(String, Duration)>,
-    /// Process that is turned away with 503.
-    refused: Option<usize>,
 }
 
 struct Lease {
     ttl_ms: u64,
     end: Instant,
-    /// Process that it was granted to.
-    process: usize,
 }
 
 impl Data {
@@ -104,18 +97,16 @@
 pub struct Store {
     data: Mutex<Data>,
     changed: Condvar,
-    record: Arc<Record>,
 }
 
 impl Store {
-    pub fn start(record: &Arc<Record>) -> Arc<Self> {
+    pub fn start() -> Arc<Self> {
         let store = Arc::new(Self {
             data: Mutex::new(Data {
                 revision: 1,
                 ..Data::default()
             }),
             changed: Condvar::new(),
-            record: record.clone(),
         });
         let expiring = store.clone();
         std::thread::spawn(move || {
@@ -132,42 +123,10 @@
         store
     }
 
-    /// Serves one process, numbered `process`.
-    pub fn serve(
-        self: &Arc<Self>,
-        address: SocketAddr,
-        process: usize,
-    ) -> std::io::Result<Arc<Channels>> {
+    /// Serves one process.
+    pub fn serve(self: &Arc<Self>, address: SocketAddr) -> std::io::Result<Arc<Channels>> {
         let store = self.clone();
-        http::serve(
-            address,
-            Arc::new(move |request| store.answer(&request, process)),
-        )
-    }
-
-    /// The next write of a key that ends in `suffix` is carried out `delay` later, if its conditions
-    /// hold then, and is not answered.
-    pub fn lose_next(&self, suffix: &str, delay: Duration) {
-        self.data.lock().unwrap().losing = Some((suffix.to_owned(), delay));
-    }
-
-    /// Turns a process away with 503; its leased keys are taken away at once.
-    pub fn turn_away(&self, process: usize) {
-        let mut data = self.data.lock().unwrap();
-        data.refused = Some(process);
-        let leases = data
-            .leases
-            .iter()
-            .filter(|(_, lease)| lease.process == process);
-        let leases: Vec<u64> = leases.map(|(id, _)| *id).collect();
-        leases.iter().for_each(|lease| data.end_lease(*lease));
-        drop(data);
-        self.changed.notify_all();
-    }
-
-    /// Serves all processes again.
-    pub fn admit(&self) {
-        self.data.lock().unwrap().refused = None;
+        http::serve(address, Arc::new(move |request| store.answer(&request)))
     }
 
     /// Writes a key as the operator does.
@@ -189,56 +148,18 @@
             .collect()
     }
 
-    fn answer(self: &Arc<Self>, request: &Request, process: usize) -> Answer {
-        if self.data.lock().unwrap().refused == Some(process) {
-            return Some((503, "{}".to_owned()));
-        }
-        if request.path == "/api/kv-txn" && self.is_lost(request) {
-            // Nothing more comes on this channel.
-            loop {
-                std::thread::park();
-            }
-        }
+    fn answer(&self, request: &Request) -> Answer {
         if request.path == "/api/kv-watch" {
             let (status, body) = self.watch(request);
             return Some((status, body.to_string()));
         }
         std::thread::sleep(ANSWER);
-        let (status, body) = self.call(request, process);
+        let (status, body) = self.call(request);
         self.changed.notify_all();
         Some((status, body.to_string()))
     }
 
-    /// Whether this write is lost; it is carried out later then.
-    fn is_lost(self: &Arc<Self>, request: &Request) -> bool {
-        let Some((suffix, delay)) = self.data.lock().unwrap().losing.clone() else {
-            return false;
-        };
-        let txn = Value::parse(&request.body).unwrap_or(Value::Null);
-        if !txn
-            .rows("set_keys")
-            .iter()
-            .any(|row| row.text("key").ends_with(&suffix))
-        {
-            return false;
-        }
-        self.data.lock().unwrap().losing = None;
-        self.record.note(format!(
-            "store: a write of {suffix} gets no answer, carried out in {delay:?}"
-        ));
-        let store = self.clone();
-        std::thread::spawn(move || {
-            std::thread::sleep(delay);
-            let (status, answer) = store.data.lock().unwrap().commit(&txn);
-            store.record.note(format!(
-                "store: late write of {suffix} carried out: {status} {answer}"
-            ));
-            store.changed.notify_all();
-        });
-        true
-    }
-
-    fn call(&self, request: &Request, process: usize) -> (u16, Value) {
+    fn call(&self, request: &Request) -> (u16, Value) {
         let mut data = self.data.lock().unwrap();
         let body = Value::parse(&request.body).unwrap_or(Value::Null);
         let query = |name: &str| request.query.get(name).cloned().unwrap_or_default();
@@ -269,14 +190,7 @@
                 data.last_lease += 1;
                 let lease = data.last_lease;
                 let end = Instant::now() + Duration::from_millis(ttl_ms);
-                data.leases.insert(
-                    lease,
-                    Lease {
-                        ttl_ms,
-                        end,
-                        process,
-                    },
-                );
+                data.leases.insert(lease, Lease { ttl_ms, end });
                 (200, table().with("lease", lease).with("ttl_ms", ttl_ms))
             }
             path if path.starts_with("/api/kv-keep/") => match data.leases.get_mut(&id) {
--- a/review/stand-ins-3/system.rs
+++ b/review/stand-ins-3/system.rs
@@ -22,7 +22,7 @@
 const READY: u16 = 8167;
 const STORE: u16 = 8169;
 /// Time for which a client waits for an answer.
-const PATIENCE: Duration = Duration::from_millis(3_200);
+pub const PATIENCE: Duration = Duration::from_millis(3_200);
 
 unsafe extern "C" {
     fn prctl(option: i32, argument: u64, ...) -> i32;
@@ -34,6 +34,8 @@
     run: Vec<String>,
     child: Option<Child>,
     log: PathBuf,
+    /// Its channels to the store.
+    pub store: Arc<Channels>,
 }
 
 impl Machine {
@@ -87,7 +89,13 @@
 
 impl Client {
     /// A call, for whose answer it waits `limit`; the answer and the time that it took are recorded.
-    fn call(&self, method: &str, path: &str, body: &str, limit: Duration) -> Option<(u16, String)> {
+    pub fn call(
+        &self,
+        method: &str,
+        path: &str,
+        body: &str,
+        limit: Duration,
+    ) -> Option<(u16, String)> {
         let headers = [("Host", HOST), ("X-Deadline-Ms", "3000")];
         let sent = self.record.time();
         let answer = http::call(self.front, method, path, &headers, body, limit);
@@ -200,8 +208,8 @@
     Ok(text)
 }
 
-/// A manifest with one queue.
-fn manifest(version: u64) -> Value {
+/// A manifest with one queue, and another one with this name if there is one.
+pub fn manifest(version: u64, further: Option<&str>) -> Value {
     let route = |name: &str, prefix: &str| {
         table()
             .with("name", name)
@@ -215,7 +223,8 @@
             .with("max_attempts", 3)
             .with("stretch", Value::Number(2.0))
     };
-    let routes = vec![route("jobs", PREFIX)];
+    let mut routes = vec![route("jobs", PREFIX)];
+    routes.extend(further.map(|name| route(name, &format!("/{name}/"))));
     let service = table()
         .with("name", SERVICE)
         .with("health_path", "/health")
@@ -246,8 +255,8 @@
         let process = std::process::id();
         let folder = std::env::temp_dir().join(format!("review-3-{process}"));
         std::fs::create_dir_all(&folder)?;
-        let store = Store::start(record);
-        store.write("op/config", &manifest(2));
+        let store = Store::start();
+        store.write("op/config", &manifest(2, None));
         let mut system = Self {
             record: record.clone(),
             store,
@@ -272,7 +281,7 @@
                 process as u8,
                 number as u8 + 1,
             );
-            let machine = system.machine(role, &name, zone, ip.into(), number)?;
+            let machine = system.machine(role, &name, zone, ip.into())?;
             if role == "entry" {
                 system.entries.push(machine);
             } else {
@@ -286,24 +295,18 @@
         Ok(system)
     }
 
-    fn machine(
-        &self,
-        role: &str,
-        name: &str,
-        zone: &str,
-        ip: IpAddr,
-        number: usize,
-    ) -> std::io::Result<Machine> {
+    fn machine(&self, role: &str, name: &str, zone: &str, ip: IpAddr) -> std::io::Result<Machine> {
         let path = self.folder.join(format!("{name}.ini"));
         std::fs::write(&path, settings(role, name, zone, ip)?)?;
         let run = run_line(role, &path).ok_or_else(|| std::io::Error::other("no run line"))?;
-        self.store.serve(SocketAddr::new(ip, STORE), number)?;
+        let store = self.store.serve(SocketAddr::new(ip, STORE))?;
         let log = self.folder.join(format!("{name}.log"));
         let mut machine = Machine {
             ip,
             run,
             child: None,
             log,
+            store,
         };
         machine.start()?;
         Ok(machine)
@@ -353,30 +356,12 @@
             .submit(job, tasks, cpu, work_ms, PATIENCE)
     }
 
-    /// Submits `count` jobs of six tasks of a second, one each `interval`, in a thread of its own.
-    pub fn submit_regularly(&self, entry: usize, interval: Duration, count: u64) {
-        let client = self.client(entry);
-        std::thread::spawn(move || {
-            for number in 0..count {
-                let job = format!("{:016x}", 0xd000_0000_u64 + number);
-                client.submit(&job, 6, 240, 1_000, PATIENCE);
-                std::thread::sleep(interval);
-            }
-        });
-    }
-
     pub fn state(&self, entry: usize, job: &str) -> Option<String> {
         let path = format!("{PREFIX}{job}");
         let (_, body) = self.client(entry).call("GET", &path, "", PATIENCE)?;
         Some(Value::parse(&body)?.text("state").to_owned())
     }
 
-    pub fn cancel(&self, entry: usize, job: &str) -> Option<u16> {
-        let path = format!("{PREFIX}{job}");
-        let answer = self.client(entry).call("DELETE", &path, "", PATIENCE);
-        answer.map(|(status, _)| status)
-    }
-
     pub fn client(&self, entry: usize) -> Client {
         Client {
             entry,
--- a/review/stand-ins-3/worker.rs
+++ b/review/stand-ins-3/worker.rs
@@ -1,5 +1,4 @@
-//! Stand-in of a worker: runs tasks under a lease and sends check-ins to the agent on its machine. A
-//! crash ends its lifetime; the next one has another id and the same address.
+//! Stand-in of a worker: runs tasks under a lease and sends check-ins to the agent on its machine.
 //!
 //! The `spec` of a job says how long its tasks work: `work=MS`, or `work=0` until they are stopped.
 
@@ -28,10 +27,8 @@
 
 /// One lifetime of a worker.
 struct Life {
-    number: u64,
     id: String,
     born: u64,
-    /// When it begins; until then, nothing answers.
     began: Instant,
     sequence: u64,
     reported: Option<Instant>,
@@ -45,15 +42,12 @@
 }
 
 impl Life {
-    /// A lifetime that begins after `pause`.
-    fn new(name: &str, number: u64, pause: Duration) -> Self {
-        let born = SystemTime::now() + pause;
-        let born = born.duration_since(UNIX_EPOCH).unwrap_or_default();
+    fn new(id: String) -> Self {
+        let born = SystemTime::now().duration_since(UNIX_EPOCH);
         Self {
-            number,
-            id: format!("i-{name}-{number}"),
-            born: born.as_millis() as u64,
-            began: Instant::now() + pause,
+            id,
+            born: born.unwrap_or_default().as_millis() as u64,
+            began: Instant::now(),
             sequence: 0,
             reported: None,
             token: 0,
@@ -65,10 +59,6 @@
         }
     }
 
-    fn has_begun(&self) -> bool {
-        self.began <= Instant::now()
-    }
-
     fn clock_ms(&self) -> u64 {
         self.began.elapsed().as_millis() as u64
     }
@@ -110,16 +100,12 @@
 pub struct Seen {
     pub task: String,
     run: u64,
-    /// Position of the worker.
-    pub worker: usize,
     pub began: f64,
     /// When it ended; none while it is in progress.
     pub ended: Option<f64>,
 }
 
 pub struct Worker {
-    number: usize,
-    name: String,
     zone: String,
     address: SocketAddr,
     reports: SocketAddr,
@@ -139,15 +125,12 @@
         cpu: u64,
         record: &Arc<Record>,
     ) -> std::io::Result<(Arc<Self>, Arc<Channels>)> {
-        let name = format!("w{number}");
         let worker = Arc::new(Self {
-            number,
             zone: zone.to_owned(),
             address,
             reports,
             cpu,
-            life: Mutex::new(Life::new(&name, 1, Duration::ZERO)),
-            name,
+            life: Mutex::new(Life::new(format!("i-w{number}"))),
             changed: Condvar::new(),
             record: record.clone(),
             seen: Mutex::default(),
@@ -173,24 +156,6 @@
         self.life().id.clone()
     }
 
-    /// Ends this lifetime with all that runs; the next one begins after `pause`.
-    pub fn crash(&self, channels: &Channels, pause: Duration) {
-        let mut life = self.life();
-        let number = life.number + 1;
-        self.record.note(format!(
-            "{}: crashes with {} runs",
-            life.id,
-            life.running.len()
-        ));
-        for (task, run) in life.running.keys() {
-            self.end_seen(task, *run);
-        }
-        *life = Life::new(&self.name, number, pause);
-        drop(life);
-        channels.close();
-        self.changed.notify_all();
-    }
-
     /// A check-in of the present lifetime with this number.
     pub fn check_in(&self, sequence: u64) -> Value {
         let life = self.life();
@@ -225,7 +190,7 @@
     fn report_if_due(self: &Arc<Self>) {
         let mut life = self.life();
         let is_due = life.reported.is_none_or(|at| at.elapsed() >= HEARTBEAT);
-        if !is_due || !life.has_begun() {
+        if !is_due {
             return;
         }
         life.reported = Some(Instant::now());
@@ -244,9 +209,6 @@
     fn answer(&self, request: &Request) -> Answer {
         let order = Value::parse(&request.body).unwrap_or(Value::Null);
         let mut life = self.life();
-        if !life.has_begun() {
-            return None;
-        }
         let target = request.headers.get("x-target-instance");
         if target.is_some_and(|id| *id != life.id) {
             return Some((421, life.answer().to_string()));
@@ -288,13 +250,10 @@
                 let seen = order.number("last_seen");
                 life.ended.retain(|(number, _)| *number > seen);
                 let wait = Duration::from_millis(order.number("wait_ms").min(2_000));
-                let (number, end) = (life.number, Instant::now() + wait);
+                let end = Instant::now() + wait;
                 while life.ended.is_empty() && Instant::now() < end {
                     let left = end.saturating_duration_since(Instant::now());
                     life = self.changed.wait_timeout(life, left).unwrap().0;
-                    if life.number != number {
-                        return None;
-                    }
                 }
                 return Some((200, life.listing().to_string()));
             }
@@ -319,7 +278,6 @@
         self.seen.lock().unwrap().push(Seen {
             task: task.clone(),
             run,
-            worker: self.number,
             began: self.record.time(),
             ended: None,
         });
